Lay the foundation: domain types, log records, interfaces, node

Cause: the repository was empty, and five slices can only be built side by side if they agree on names, records and interfaces first.

Ruled out: one crate for everything (the decisions must stay free of I/O); generated prost code (no generator here, messages are derived by hand).

Conclusion: the slices can start.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `bluebell`.
+
+fn main() {}
--- /dev/null
+++ b/crates/controller/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `bluebell-controller`.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Who may start work now: deadlines, limits and fair shares.
--- /dev/null
+++ b/crates/core/src/keys/mod.rs
@@ -0,0 +1,74 @@
+//! Which organisation a caller's key admits.
+//!
+//! Keys are kept as digests only. A withdrawal is monotone: once a process has
+//! learnt of it, by log or by a peer, the key stays dead whatever it reads later.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    config::{KeyUnit, UnitBody},
+    ids::{KeyDigest, OrganisationId},
+    publication::ConfigurationState,
+    records::{PublishRecord, WithdrawRecord},
+};
+
+/// The keys in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct KeyState {
+    granted: BTreeMap<KeyDigest, OrganisationId>,
+    withdrawn: BTreeSet<KeyDigest>,
+}
+
+impl KeyState {
+    /// No key at all.
+    pub fn new() -> KeyState {
+        KeyState::default()
+    }
+
+    /// Takes over the keys of a publish record that `configuration` has just
+    /// accepted; answers the digests that no longer admit anyone.
+    pub fn publish(
+        &mut self,
+        record: &PublishRecord,
+        configuration: &ConfigurationState,
+    ) -> Vec<KeyDigest> {
+        let touches_keys = record
+            .changes
+            .iter()
+            .any(|change| change.unit.kind() == crate::config::UnitKind::Key);
+        if !touches_keys {
+            return Vec::new();
+        }
+        let before = std::mem::take(&mut self.granted);
+        for (_, unit) in configuration.units() {
+            if let Some(UnitBody::Key(KeyUnit {
+                organisation,
+                digest,
+            })) = &unit.body
+            {
+                self.granted.insert(digest.clone(), organisation.clone());
+            }
+        }
+        let lost = |digest: &KeyDigest, organisation: &OrganisationId| {
+            self.granted.get(digest) != Some(organisation)
+        };
+        before
+            .into_iter()
+            .filter(|(d, o)| lost(d, o))
+            .map(|(digest, _)| digest)
+            .collect()
+    }
+
+    /// Takes a withdrawal; answers whether it is news.
+    pub fn withdraw(&mut self, record: &WithdrawRecord) -> bool {
+        self.withdrawn.insert(record.digest.clone())
+    }
+
+    /// The organisation that the key admits, if it is in force.
+    pub fn organisation(&self, digest: &KeyDigest) -> Option<&OrganisationId> {
+        if self.withdrawn.contains(digest) {
+            return None;
+        }
+        self.granted.get(digest)
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Which of our instances live, are ready, or leave.
--- /dev/null
+++ b/crates/core/src/retries/mod.rs
@@ -0,0 +1,1 @@
+//! Budgets that keep retries from outliving their cause.
--- /dev/null
+++ b/crates/core/src/roles/mod.rs
@@ -0,0 +1,1 @@
+//! Which engines do prefill, decode or both.
--- /dev/null
+++ b/crates/core/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Which endpoint a request goes to.
--- /dev/null
+++ b/crates/core/src/view.rs
@@ -0,0 +1,185 @@
+//! What one process knows from the log: every slice's state, at one offset.
+//!
+//! All processes fold the same entries in the same order, so any two views at
+//! the same offset agree on configuration, leases, claims and usage, however
+//! the entries reached them (read from the platform or relayed by a peer).
+
+use std::collections::BTreeMap;
+
+use crate::{
+    authority::LeaseState,
+    checkpoint::CheckpointReader,
+    claims::ClaimState,
+    clock::ClockTime,
+    ids::{EndpointId, KeyDigest, LogOffset, WriterId},
+    keys::KeyState,
+    marks::LeavingMarks,
+    orders::OrderState,
+    publication::{ConfigurationState, PublishRefusal},
+    quarantine::QuarantineState,
+    records::{LogEntry, LogRecord, WithdrawRecord},
+    usage::UsageState,
+};
+
+/// What changed by applying an entry, for those who must act at once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ViewEvent {
+    /// A publish took effect.
+    Published {
+        /// Where it stands.
+        offset: LogOffset,
+    },
+    /// A publish was refused by the reader's rule.
+    PublishRefused {
+        /// Where it stands.
+        offset: LogOffset,
+        /// Why.
+        refusal: PublishRefusal,
+    },
+    /// A key admits nobody any more; its running work ends.
+    KeyLost {
+        /// Its digest.
+        digest: KeyDigest,
+    },
+    /// An endpoint's mark changed.
+    Marked {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+}
+
+/// The fold of the log up to an offset.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct FleetView {
+    next: LogOffset,
+    writers: BTreeMap<WriterId, u64>,
+    /// Configuration in force.
+    pub configuration: ConfigurationState,
+    /// Keys in force.
+    pub keys: KeyState,
+    /// Duties and their holders.
+    pub leases: LeaseState,
+    /// Orders, open and done.
+    pub orders: OrderState,
+    /// Claimed idempotency keys.
+    pub claims: ClaimState,
+    /// Leaving endpoints.
+    pub marks: LeavingMarks,
+    /// Metered usage.
+    pub usage: UsageState,
+    /// Quarantined requests.
+    pub quarantine: QuarantineState,
+    /// Parts of a checkpoint that is being read.
+    pub checkpoint: CheckpointReader,
+}
+
+impl FleetView {
+    /// The view before the log's first entry.
+    pub fn new() -> FleetView {
+        FleetView::default()
+    }
+
+    /// The offset of the next entry to apply.
+    pub fn next_offset(&self) -> LogOffset {
+        self.next
+    }
+
+    /// Whether everything up to and with `offset` has been applied.
+    pub fn has_applied(&self, offset: LogOffset) -> bool {
+        offset < self.next
+    }
+
+    /// Applies an entry. One that has been applied is passed over; so is the
+    /// second copy of an append whose answer was lost.
+    pub fn apply(&mut self, now: ClockTime, entry: &LogEntry) -> Vec<ViewEvent> {
+        if entry.offset < self.next {
+            return Vec::new();
+        }
+        self.next = entry.offset.next();
+        if self.is_second_copy(entry) {
+            return Vec::new();
+        }
+        self.writers.insert(entry.writer.clone(), entry.sequence);
+        self.apply_record(now, entry.offset, &entry.record)
+    }
+
+    fn is_second_copy(&self, entry: &LogEntry) -> bool {
+        self.writers
+            .get(&entry.writer)
+            .is_some_and(|last| entry.sequence <= *last)
+    }
+
+    fn apply_record(
+        &mut self,
+        now: ClockTime,
+        offset: LogOffset,
+        record: &LogRecord,
+    ) -> Vec<ViewEvent> {
+        match record {
+            LogRecord::Publish(publish) => match self.configuration.apply(offset, publish) {
+                Ok(()) => {
+                    let lost = self.keys.publish(publish, &self.configuration);
+                    let lost = lost.into_iter().map(|digest| ViewEvent::KeyLost { digest });
+                    std::iter::once(ViewEvent::Published { offset })
+                        .chain(lost)
+                        .collect()
+                }
+                Err(refusal) => vec![ViewEvent::PublishRefused { offset, refusal }],
+            },
+            LogRecord::Withdraw(withdrawal) => self.withdraw(withdrawal),
+            LogRecord::Checkpoint(part) => {
+                self.checkpoint.apply(now, offset, part);
+                Vec::new()
+            }
+            LogRecord::Lease(lease) => {
+                self.leases.apply(now, offset, lease);
+                Vec::new()
+            }
+            LogRecord::Intent(intent) => {
+                self.orders.intend(now, offset, intent);
+                Vec::new()
+            }
+            LogRecord::Outcome(outcome) => {
+                self.orders.settle(now, offset, outcome);
+                Vec::new()
+            }
+            LogRecord::Claims(batch) => {
+                self.claims.claim(now, offset, batch);
+                Vec::new()
+            }
+            LogRecord::Settlements(batch) => {
+                self.claims.settle(now, offset, batch);
+                Vec::new()
+            }
+            LogRecord::Mark(mark) => {
+                self.marks.apply(now, offset, mark);
+                vec![ViewEvent::Marked {
+                    endpoint: mark.endpoint.clone(),
+                }]
+            }
+            LogRecord::Usage(delta) => {
+                self.usage.meter(now, offset, delta);
+                Vec::new()
+            }
+            LogRecord::WindowClose(close) => {
+                self.usage.close(now, offset, close);
+                Vec::new()
+            }
+            LogRecord::Quarantine(quarantine) => {
+                self.quarantine.apply(now, offset, quarantine);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Takes a withdrawal, read from the log or told by a peer while the log is
+    /// down. It is monotone, so its place in the log does not matter.
+    pub fn withdraw(&mut self, withdrawal: &WithdrawRecord) -> Vec<ViewEvent> {
+        if !self.keys.withdraw(withdrawal) {
+            return Vec::new();
+        }
+        vec![ViewEvent::KeyLost {
+            digest: withdrawal.digest.clone(),
+        }]
+    }
+}
--- /dev/null
+++ b/crates/endpoint/src/lib.rs
@@ -0,0 +1,3 @@
+//! The interfaces of endpoints: model engines and plain services.
+
+pub mod api;
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be filled.
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `bluebell-lab`.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/append.rs
@@ -0,0 +1,104 @@
+//! Appends to the log, one at a time, each repeated until its fate is known.
+
+use bluebell_core::{
+    clock::{ClockSource, TimeSpan},
+    ids::{LogOffset, WriterId},
+    records::LogRecord,
+};
+use bluebell_platform::{PlatformClient, PlatformError, api::AppendRequest};
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+/// The pause before an append whose fate is unknown is sent again.
+const REPEAT_PAUSE: TimeSpan = TimeSpan::from_millis(100);
+
+/// Why an append is not known to stand in the log.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AppendError {
+    /// It had no effect and won't have one.
+    #[error("the record was not appended: {0}")]
+    NotAppended(String),
+    /// It may stand in the log or come to stand there until this writer's next
+    /// append; readers tell.
+    #[error("whether the record was appended is unknown: {0}")]
+    Unknown(String),
+}
+
+/// One append that waits for its turn.
+#[derive(Debug)]
+pub struct AppendJob {
+    /// The record.
+    pub record: LogRecord,
+    /// Who wants to know.
+    pub reply: oneshot::Sender<Result<LogOffset, AppendError>>,
+}
+
+/// The task that appends.
+#[derive(Debug)]
+pub struct LogAppender {
+    client: PlatformClient,
+    clock: ClockSource,
+    writer: WriterId,
+    sequence: u64,
+    timeout: TimeSpan,
+}
+
+impl LogAppender {
+    /// An appender that writes as `writer`, a name no other process ever had.
+    pub fn new(
+        client: PlatformClient,
+        clock: ClockSource,
+        writer: WriterId,
+        timeout: TimeSpan,
+    ) -> LogAppender {
+        LogAppender {
+            client,
+            clock,
+            writer,
+            sequence: 0,
+            timeout,
+        }
+    }
+
+    /// Serves `jobs` until `token` is cancelled.
+    pub async fn run(mut self, mut jobs: mpsc::Receiver<AppendJob>, token: CancellationToken) {
+        loop {
+            let job = tokio::select! {
+                () = token.cancelled() => return,
+                job = jobs.recv() => job,
+            };
+            let Some(job) = job else { return };
+            let result = self.append(&job.record).await;
+            let _ = job.reply.send(result);
+        }
+    }
+
+    async fn append(&mut self, record: &LogRecord) -> Result<LogOffset, AppendError> {
+        let payload = serde_json::to_string(record)
+            .map_err(|error| AppendError::NotAppended(error.to_string()))?;
+        self.sequence += 1;
+        let request = AppendRequest {
+            writer: self.writer.clone(),
+            sequence: self.sequence,
+            payload,
+        };
+        let give_up = self.clock.now() + self.timeout;
+        let mut may_have_effect = false;
+        loop {
+            let error = match self.client.append(&request).await {
+                Ok(answer) => return Ok(answer.offset),
+                Err(error) => error,
+            };
+            let message = error.to_string();
+            may_have_effect |= matches!(error, PlatformError::Unknown(_));
+            let refused = matches!(error, PlatformError::Refused { .. });
+            if refused || self.clock.now() + REPEAT_PAUSE >= give_up {
+                return Err(match may_have_effect {
+                    true => AppendError::Unknown(message),
+                    false => AppendError::NotAppended(message),
+                });
+            }
+            tokio::time::sleep(REPEAT_PAUSE.as_duration()).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/handle.rs
@@ -0,0 +1,214 @@
+//! The handle that a daemon holds on its node.
+
+use std::sync::{Arc, Mutex};
+
+use bluebell_core::{
+    clock::{ClockSource, ClockTime, TimeSpan},
+    ids::{LogOffset, WriterId},
+    records::{LogEntry, LogRecord, WithdrawRecord},
+    view::{FleetView, ViewEvent},
+};
+use bluebell_platform::PlatformClient;
+use tokio::sync::{broadcast, mpsc, oneshot, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    append::{AppendError, AppendJob, LogAppender},
+    follow,
+    settings::NodeSettings,
+};
+
+/// How many events a slow subscriber may lag behind before it must look at the
+/// whole view again.
+const EVENT_BACKLOG: usize = 1_024;
+
+/// How many appends may wait.
+const APPEND_BACKLOG: usize = 1_024;
+
+/// What a node knows of its own place in the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct LogProgress {
+    /// The offset of the next entry to apply.
+    pub next: LogOffset,
+    /// Whether the log's end has been reached since the node started.
+    pub caught_up: bool,
+    /// When the log was last read with success.
+    pub read_at: Option<ClockTime>,
+}
+
+struct NodeState {
+    settings: NodeSettings,
+    clock: ClockSource,
+    client: PlatformClient,
+    view: Mutex<FleetView>,
+    events: broadcast::Sender<ViewEvent>,
+    progress: watch::Sender<LogProgress>,
+    appends: mpsc::Sender<AppendJob>,
+}
+
+/// A handle on a running node; clones share it.
+#[derive(Clone)]
+pub struct NodeHandle {
+    state: Arc<NodeState>,
+}
+
+impl NodeHandle {
+    /// Starts a node that runs until `token` is cancelled.
+    pub fn start(
+        settings: NodeSettings,
+        clock: ClockSource,
+        token: &CancellationToken,
+    ) -> NodeHandle {
+        let client = PlatformClient::new(
+            &settings.platform,
+            &settings.instance,
+            &settings.failure_domain,
+        );
+        let (appends, jobs) = mpsc::channel(APPEND_BACKLOG);
+        let writer = incarnation_writer(&settings, &clock);
+        let appender = LogAppender::new(
+            client.clone(),
+            clock.clone(),
+            writer,
+            settings.append_timeout,
+        );
+        tokio::spawn(appender.run(jobs, token.child_token()));
+        let wait = settings.read_wait;
+        let state = NodeState {
+            settings,
+            clock,
+            client: client.clone(),
+            view: Mutex::new(FleetView::new()),
+            events: broadcast::Sender::new(EVENT_BACKLOG),
+            progress: watch::Sender::new(LogProgress::default()),
+            appends,
+        };
+        let node = NodeHandle {
+            state: Arc::new(state),
+        };
+        tokio::spawn(follow::run(node.clone(), client, wait, token.child_token()));
+        node
+    }
+
+    /// The node's settings.
+    pub fn settings(&self) -> &NodeSettings {
+        &self.state.settings
+    }
+
+    /// The node's clock.
+    pub fn clock(&self) -> &ClockSource {
+        &self.state.clock
+    }
+
+    /// The node's client of the platform.
+    pub fn platform(&self) -> &PlatformClient {
+        &self.state.client
+    }
+
+    /// Lets `read` look at the view. It must not block.
+    pub fn with_view<Answer, Read>(&self, read: Read) -> Answer
+    where
+        Read: FnOnce(&FleetView) -> Answer,
+    {
+        read(
+            &self
+                .state
+                .view
+                .lock()
+                .expect("no reader of the view panics"),
+        )
+    }
+
+    /// What changes from now on.
+    pub fn subscribe(&self) -> broadcast::Receiver<ViewEvent> {
+        self.state.events.subscribe()
+    }
+
+    /// Where the node stands in the log.
+    pub fn progress(&self) -> LogProgress {
+        *self.state.progress.borrow()
+    }
+
+    /// Appends a record and waits until its fate is known or the settings'
+    /// patience ends.
+    pub async fn append(&self, record: LogRecord) -> Result<LogOffset, AppendError> {
+        let (reply, answer) = oneshot::channel();
+        let stopped = || AppendError::NotAppended("the node is stopping".to_string());
+        self.state
+            .appends
+            .send(AppendJob { record, reply })
+            .await
+            .map_err(|_| stopped())?;
+        answer
+            .await
+            .unwrap_or_else(|_| Err(AppendError::Unknown("the node stopped".to_string())))
+    }
+
+    /// Waits until the entry at `offset` has been applied; answers whether it
+    /// was within `patience`.
+    pub async fn wait_applied(&self, offset: LogOffset, patience: TimeSpan) -> bool {
+        let mut progress = self.state.progress.subscribe();
+        let applied = progress.wait_for(|progress| offset < progress.next);
+        tokio::time::timeout(patience.as_duration(), applied)
+            .await
+            .is_ok_and(|seen| seen.is_ok())
+    }
+
+    /// Applies an entry, read from the log or relayed by a peer.
+    pub fn apply(&self, entry: &LogEntry) {
+        let now = self.state.clock.now();
+        let (events, next) = {
+            let mut view = self
+                .state
+                .view
+                .lock()
+                .expect("no reader of the view panics");
+            (view.apply(now, entry), view.next_offset())
+        };
+        self.state.progress.send_if_modified(|progress| {
+            let moved = progress.next != next;
+            progress.next = next;
+            moved
+        });
+        self.tell(events);
+    }
+
+    /// Takes a withdrawal that a peer or an operator told of before the log did.
+    pub fn withdraw(&self, withdrawal: &WithdrawRecord) {
+        let events = self
+            .state
+            .view
+            .lock()
+            .expect("no reader panics")
+            .withdraw(withdrawal);
+        self.tell(events);
+    }
+
+    fn tell(&self, events: Vec<ViewEvent>) {
+        for event in events {
+            let _ = self.state.events.send(event);
+        }
+    }
+
+    /// Notes a read of the log that succeeded, with the log's end at `end`.
+    pub(crate) fn note_read(&self, end: LogOffset) {
+        let now = self.state.clock.now();
+        self.state.progress.send_modify(|progress| {
+            progress.read_at = Some(now);
+            progress.caught_up |= progress.next >= end;
+        });
+    }
+
+    /// Notes a read of the log that failed.
+    pub(crate) fn note_read_failure(&self) {
+        self.state.progress.send_modify(|_| {});
+    }
+}
+
+/// A writer name that no earlier process of this instance had: sequence numbers
+/// start again with every process, and readers drop what they take for repeats.
+fn incarnation_writer(settings: &NodeSettings, clock: &ClockSource) -> WriterId {
+    let salt: u32 = rand::random();
+    let name = format!("{}:{}:{salt:08x}", settings.instance, clock.now());
+    WriterId::new(name).expect("instance ids are short enough")
+}
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,189 @@
+//! A client of the platform that never repeats a call by itself.
+
+use std::time::Duration;
+
+use bluebell_core::{
+    clock::TimeSpan,
+    ids::{FailureDomain, InstanceId, LogOffset},
+};
+use reqwest::{RequestBuilder, Response, StatusCode};
+use serde::de::DeserializeOwned;
+
+use crate::api::{
+    AppendAnswer, AppendRequest, EndpointListing, InstanceListing, ReadAnswer, StartEndpoint,
+    StopEndpoint, UsageReport, WeightFetch,
+};
+
+/// How long a call may take before it counts as lost.
+pub const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(2_000);
+
+/// Why a call to the platform brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PlatformError {
+    /// The connection could not be opened: nothing was sent.
+    #[error("failed to connect to the platform: {0}")]
+    NotSent(String),
+    /// The call was sent, and what became of it is unknown.
+    #[error("the platform's answer was lost: {0}")]
+    Unknown(String),
+    /// The platform refuses for now; the call had no effect.
+    #[error("the platform refuses for now with status {status}")]
+    Unavailable {
+        /// The HTTP status.
+        status: u16,
+        /// When to come back.
+        retry_after: TimeSpan,
+    },
+    /// The platform refuses; the call had no effect.
+    #[error("the platform refuses with status {status}: {message}")]
+    Refused {
+        /// The HTTP status.
+        status: u16,
+        /// What it says.
+        message: String,
+    },
+}
+
+/// A client of the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformClient {
+    base: String,
+    http: reqwest::Client,
+}
+
+impl PlatformClient {
+    /// A client for the platform at `address` (`ip:port`), which names
+    /// `instance` of `failure_domain` as the sender.
+    pub fn new(
+        address: &str,
+        instance: &InstanceId,
+        failure_domain: &FailureDomain,
+    ) -> PlatformClient {
+        let http = reqwest::Client::builder()
+            .user_agent(format!("bluebell/{instance}@{failure_domain}"))
+            .connect_timeout(Duration::from_millis(500))
+            .retry(reqwest::retry::never())
+            .build()
+            .expect("the client's settings are constant");
+        PlatformClient {
+            base: format!("http://{address}"),
+            http,
+        }
+    }
+
+    fn get(&self, path: &str) -> RequestBuilder {
+        self.http
+            .get(format!("{}{path}", self.base))
+            .timeout(CALL_TIMEOUT.as_duration())
+    }
+
+    fn post<Body>(&self, path: &str, body: &Body) -> RequestBuilder
+    where
+        Body: serde::Serialize,
+    {
+        let request = self.http.post(format!("{}{path}", self.base));
+        request.timeout(CALL_TIMEOUT.as_duration()).json(body)
+    }
+
+    /// Appends a record.
+    pub async fn append(&self, request: &AppendRequest) -> Result<AppendAnswer, PlatformError> {
+        json(send(self.post("/log/append", request)).await?).await
+    }
+
+    /// Reads at most `limit` entries from `from` on, waiting up to `wait` for the first.
+    pub async fn read(
+        &self,
+        from: LogOffset,
+        limit: usize,
+        wait: TimeSpan,
+    ) -> Result<ReadAnswer, PlatformError> {
+        let path = format!(
+            "/log/read?from={from}&limit={limit}&wait_ms={}",
+            wait.as_millis()
+        );
+        let timeout = (CALL_TIMEOUT + wait).as_duration();
+        json(send(self.get(&path).timeout(timeout)).await?).await
+    }
+
+    /// Puts this process on the platform's list.
+    pub async fn announce(&self, listing: &InstanceListing) -> Result<(), PlatformError> {
+        let request = self.http.put(format!("{}/instances", self.base));
+        let request = request.timeout(CALL_TIMEOUT.as_duration()).json(listing);
+        send(request).await.map(drop)
+    }
+
+    /// The platform's lagging list of our processes.
+    pub async fn instances(&self) -> Result<Vec<InstanceListing>, PlatformError> {
+        json(send(self.get("/instances")).await?).await
+    }
+
+    /// The platform's list of endpoints.
+    pub async fn endpoints(&self) -> Result<Vec<EndpointListing>, PlatformError> {
+        json(send(self.get("/endpoints")).await?).await
+    }
+
+    /// Orders an endpoint.
+    pub async fn start_endpoint(
+        &self,
+        order: &StartEndpoint,
+    ) -> Result<EndpointListing, PlatformError> {
+        json(send(self.post("/endpoints/start", order)).await?).await
+    }
+
+    /// Orders the end of an endpoint.
+    pub async fn stop_endpoint(&self, order: &StopEndpoint) -> Result<(), PlatformError> {
+        send(self.post("/endpoints/stop", order)).await.map(drop)
+    }
+
+    /// Fetches weights for an endpoint.
+    pub async fn fetch_weights(&self, fetch: &WeightFetch) -> Result<(), PlatformError> {
+        send(self.post("/weights/fetch", fetch)).await.map(drop)
+    }
+
+    /// Reports a window's usage.
+    pub async fn report_usage(&self, report: &UsageReport) -> Result<(), PlatformError> {
+        send(self.post("/usage/reports", report)).await.map(drop)
+    }
+}
+
+async fn send(request: RequestBuilder) -> Result<Response, PlatformError> {
+    let response = request.send().await.map_err(|error| {
+        if error.is_connect() {
+            return PlatformError::NotSent(error.to_string());
+        }
+        PlatformError::Unknown(error.to_string())
+    })?;
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    let retry_after = response
+        .headers()
+        .get("retry-after")
+        .and_then(|value| value.to_str().ok());
+    let retry_after = TimeSpan::from_secs(retry_after.and_then(|v| v.parse().ok()).unwrap_or(1));
+    if status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(PlatformError::Unavailable {
+            status: status.as_u16(),
+            retry_after,
+        });
+    }
+    if status.is_server_error() {
+        return Err(PlatformError::Unknown(format!("status {status}")));
+    }
+    let message = response.text().await.unwrap_or_default();
+    Err(PlatformError::Refused {
+        status: status.as_u16(),
+        message,
+    })
+}
+
+async fn json<Answer>(response: Response) -> Result<Answer, PlatformError>
+where
+    Answer: DeserializeOwned,
+{
+    response
+        .json()
+        .await
+        .map_err(|error| PlatformError::Unknown(error.to_string()))
+}
--- /dev/null
+++ b/crates/standin-service/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `standin-service`.
+
+fn main() {}
