Admit, route and retry by pure decisions

Cause: the entry needs to know who may start, where a request goes and whether a failed attempt may be followed by another.

Ruled out: first come first served (a flood starves the others); going by load reports as they come (every entry sends to whoever looked idle seconds ago); retries by a fixed count (they triple the load of a pool that lacks a tenth of its capacity).

Change: virtual token counters per organisation and pool with deadlines checked on arrival; bounded-load rendezvous routing with lagging reports corrected by own outstanding work, ejection and slow start; retry budgets as a share of requests.

--- /dev/null
+++ b/crates/core/src/routing/router.rs
@@ -0,0 +1,433 @@
+//! The router of one entry.
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    config::WorkPriority,
+    ids::{EndpointId, FailureDomain, InstanceId, RequestId},
+    records::{CapacityKind, EngineRole},
+    routing::{
+        EndpointEntry, EndpointSnapshot, NoRoute, PeerOutstanding, ReportedLoad, RouteChoice,
+        RouteOutcome, RoutePool, RouteRequest, RoutingSettings,
+        load::OutstandingWork,
+        table::{EndpointSlot, EndpointTable, prefill_time},
+    },
+    units::TokenCount,
+};
+
+/// An attempt that this entry has sent and that has not ended.
+#[derive(Clone, Debug)]
+struct SentAttempt {
+    endpoint: EndpointId,
+    /// The engine that has the prompt; the answering one if they don't differ.
+    prefill: EndpointId,
+    /// What of the prompt is not prefilled.
+    unfilled: TokenCount,
+}
+
+/// One endpoint that could be chosen.
+struct RouteCandidate<'a> {
+    slot: &'a EndpointSlot,
+    wait: TimeSpan,
+}
+
+/// A candidate that was chosen, and why.
+struct ChosenSlot<'a> {
+    slot: &'a EndpointSlot,
+    wait: TimeSpan,
+    reason: String,
+}
+
+/// Chooses endpoints at one entry.
+#[derive(Clone, Debug)]
+pub struct RequestRouter {
+    settings: RoutingSettings,
+    failure_domain: FailureDomain,
+    random: ChaCha8Rng,
+    table: EndpointTable,
+    sent: BTreeMap<RequestId, SentAttempt>,
+    first_learnt: Option<ClockTime>,
+}
+
+impl RequestRouter {
+    /// A router of an entry in `failure_domain` that knows no endpoints.
+    pub fn new(settings: RoutingSettings, failure_domain: FailureDomain) -> RequestRouter {
+        RequestRouter {
+            settings,
+            failure_domain,
+            random: ChaCha8Rng::seed_from_u64(0),
+            table: EndpointTable::default(),
+            sent: BTreeMap::new(),
+            first_learnt: None,
+        }
+    }
+
+    /// Draws its choices from `seed`.
+    pub fn with_seed(mut self, seed: u64) -> RequestRouter {
+        self.random = ChaCha8Rng::seed_from_u64(seed);
+        self
+    }
+
+    /// Adds or changes an endpoint.
+    pub fn set_endpoint(&mut self, now: ClockTime, entry: EndpointEntry) {
+        // The endpoints that a new entry finds have served others for long.
+        let first = *self.first_learnt.get_or_insert(now);
+        let slowly = now > first;
+        self.table.set(now, entry, slowly);
+    }
+
+    /// Forgets an endpoint that is gone. Attempts there end by
+    /// [`RequestRouter::finish`] as usual.
+    pub fn remove_endpoint(&mut self, endpoint: &EndpointId) {
+        self.table.remove(endpoint);
+    }
+
+    /// The endpoints known, for comparing with the platform's list.
+    pub fn endpoints(&self) -> Vec<EndpointId> {
+        self.table.endpoints()
+    }
+
+    /// Takes in an endpoint's report, measured at `measured_at` on our clock
+    /// (the time of receipt less the age that the report states).
+    pub fn note_report(
+        &mut self,
+        measured_at: ClockTime,
+        endpoint: &EndpointId,
+        reported: ReportedLoad,
+    ) {
+        if let Some(slot) = self.table.slot_mut(endpoint) {
+            slot.load.report(measured_at, reported);
+        }
+    }
+
+    /// Takes in what a peer has outstanding: all of it, endpoints that are not
+    /// named have none.
+    pub fn note_peer(
+        &mut self,
+        now: ClockTime,
+        peer: &InstanceId,
+        outstanding: &[PeerOutstanding],
+    ) {
+        self.forget_peer(peer);
+        for item in outstanding {
+            let Some(slot) = self.table.slot_mut(&item.endpoint) else {
+                continue;
+            };
+            let work = OutstandingWork {
+                requests: u64::from(item.requests),
+                prefill: item.prefill_tokens,
+            };
+            slot.load.note_peer(now, peer, work);
+        }
+    }
+
+    /// Forgets a peer that is gone.
+    pub fn forget_peer(&mut self, peer: &InstanceId) {
+        for slot in self.table.slots_mut() {
+            slot.load.forget_peer(peer);
+        }
+    }
+
+    /// What this entry has outstanding, for its peers.
+    pub fn outstanding(&self) -> Vec<PeerOutstanding> {
+        let busy = self
+            .table
+            .slots()
+            .filter(|slot| slot.load.own().requests > 0);
+        busy.map(|slot| PeerOutstanding {
+            endpoint: slot.entry.endpoint.clone(),
+            requests: u32::try_from(slot.load.own().requests).unwrap_or(u32::MAX),
+            prefill_tokens: slot.load.own().prefill,
+        })
+        .collect()
+    }
+
+    /// How many endpoints of a pool serve and stay, and what others have
+    /// outstanding there: what [`crate::admission::PoolCapacity`] is made from.
+    pub fn pool_load(&self, now: ClockTime, pool: &RoutePool) -> PoolLoad {
+        let mut load = PoolLoad::default();
+        for slot in self.table.pool(pool) {
+            if !slot.is_open() || slot.health.is_ejected(now) {
+                continue;
+            }
+            load.open += 1;
+            load.own += slot.load.own().requests;
+            load.others += slot.load.others(now, self.settings.report_life).requests;
+        }
+        load
+    }
+
+    /// All endpoints of a pool as a choice sees them.
+    pub fn snapshots(&self, now: ClockTime, pool: &RoutePool) -> Vec<EndpointSnapshot> {
+        let slots = self.table.pool(pool).iter();
+        slots
+            .map(|slot| slot.snapshot(now, &self.settings))
+            .collect()
+    }
+
+    /// Chooses where a request goes and counts it as sent there until
+    /// [`RequestRouter::finish`]. A second attempt of a request is chosen after
+    /// the first has been finished.
+    pub fn choose(&mut self, now: ClockTime, ask: &RouteRequest) -> Result<RouteChoice, NoRoute> {
+        let draws = (self.random.random(), self.random.random());
+        let choice = self.decide(now, ask, draws)?;
+        let prefill = choice.prefill.as_ref().unwrap_or(&choice.endpoint).clone();
+        let life = self.settings.report_life;
+        if let Some(slot) = self.table.slot_mut(&prefill) {
+            slot.load.sent(now, ask.prompt_tokens, life);
+        }
+        if prefill != choice.endpoint
+            && let Some(slot) = self.table.slot_mut(&choice.endpoint)
+        {
+            slot.load.sent(now, TokenCount::ZERO, life);
+        }
+        let attempt = SentAttempt {
+            endpoint: choice.endpoint.clone(),
+            prefill,
+            unfilled: ask.prompt_tokens,
+        };
+        self.sent.insert(ask.request.clone(), attempt);
+        Ok(choice)
+    }
+
+    /// The first token came: the prompt is no longer in the way of others.
+    pub fn note_first_token(&mut self, now: ClockTime, request: &RequestId) {
+        let Some(attempt) = self.sent.get_mut(request) else {
+            return;
+        };
+        let unfilled = std::mem::take(&mut attempt.unfilled);
+        let life = self.settings.report_life;
+        let (prefill, split) = (attempt.prefill.clone(), attempt.prefill != attempt.endpoint);
+        let Some(slot) = self.table.slot_mut(&prefill) else {
+            return;
+        };
+        match split && unfilled > TokenCount::ZERO {
+            true => slot.load.ended(now, unfilled, life),
+            false => slot.load.prefilled(now, unfilled, life),
+        }
+    }
+
+    /// An attempt ended. Returns why the endpoint is left alone from now on, if
+    /// it is.
+    pub fn finish(
+        &mut self,
+        now: ClockTime,
+        request: &RequestId,
+        outcome: RouteOutcome,
+    ) -> Option<String> {
+        let attempt = self.sent.remove(request)?;
+        let life = self.settings.report_life;
+        let split = attempt.prefill != attempt.endpoint;
+        if split
+            && attempt.unfilled > TokenCount::ZERO
+            && let Some(slot) = self.table.slot_mut(&attempt.prefill)
+        {
+            slot.load.ended(now, attempt.unfilled, life);
+        }
+        let unfilled = match split {
+            true => TokenCount::ZERO,
+            false => attempt.unfilled,
+        };
+        let slot = self.table.slot_mut(&attempt.endpoint)?;
+        slot.load.ended(now, unfilled, life);
+        match outcome {
+            RouteOutcome::Answered => slot.health.succeed(now, &self.settings),
+            RouteOutcome::Cancelled | RouteOutcome::Refused => {}
+            RouteOutcome::Failed => {
+                let span = slot.health.fail(now, &self.settings, &mut self.random)?;
+                return Some(format!(
+                    "`{}` failed and gets no work for {span}",
+                    attempt.endpoint
+                ));
+            }
+        }
+        None
+    }
+
+    fn decide(
+        &self,
+        now: ClockTime,
+        ask: &RouteRequest,
+        draws: (u64, u64),
+    ) -> Result<RouteChoice, NoRoute> {
+        let candidates = self.candidates(now, ask)?;
+        let with_role = |role: EngineRole| -> Vec<&RouteCandidate<'_>> {
+            let fits = |c: &&RouteCandidate<'_>| c.slot.entry.role == role;
+            candidates.iter().filter(fits).collect()
+        };
+        let mixed = self.pick(ask, &with_role(EngineRole::Mixed), draws);
+        let prefill = self.pick(ask, &with_role(EngineRole::Prefill), draws);
+        let decode = least_loaded(&with_role(EngineRole::Decode), draws);
+        let choice = match (mixed, prefill, decode) {
+            (Some(mixed), Some(prefill), Some(decode)) => {
+                let split_wait = prefill.wait.max(decode.wait) + self.settings.handover_cost;
+                match split_wait < mixed.wait {
+                    true => split_choice(&prefill, &decode),
+                    false => single_choice(&mixed),
+                }
+            }
+            (None, Some(prefill), Some(decode)) => split_choice(&prefill, &decode),
+            (Some(mixed), _, _) => single_choice(&mixed),
+            // Any engine can do the other role's work, only slower.
+            (None, Some(single), None) | (None, None, Some(single)) => single_choice(&single),
+            (None, None, None) => {
+                return Err(NoRoute::NoEndpoint(ask.pool.clone()));
+            }
+        };
+        Ok(choice)
+    }
+
+    /// The endpoints that may run the request. Ejected ones only if there is no
+    /// other: a picture in which all have failed is more likely our own fault.
+    fn candidates(
+        &self,
+        now: ClockTime,
+        ask: &RouteRequest,
+    ) -> Result<Vec<RouteCandidate<'_>>, NoRoute> {
+        let open: Vec<&EndpointSlot> = self
+            .table
+            .pool(&ask.pool)
+            .iter()
+            .filter(|slot| slot.is_open())
+            .collect();
+        if open.is_empty() {
+            return Err(NoRoute::NoEndpoint(ask.pool.clone()));
+        }
+        let ready = open.len();
+        let allowed: Vec<&EndpointSlot> = open.into_iter().filter(|s| s.allows(ask)).collect();
+        if allowed.is_empty() {
+            let pool = ask.pool.clone();
+            return Err(NoRoute::NoneAllowed { pool, ready });
+        }
+        let healthy = |slot: &&EndpointSlot| !slot.health.is_ejected(now);
+        let mut usable: Vec<&EndpointSlot> = allowed.iter().copied().filter(healthy).collect();
+        if usable.is_empty() {
+            usable = allowed;
+        }
+        let candidate = |slot| RouteCandidate {
+            slot,
+            wait: self.cost(now, slot, ask),
+        };
+        Ok(usable.into_iter().map(candidate).collect())
+    }
+
+    /// The wait at an endpoint, with what its place costs: latency to another
+    /// failure domain, and reserved capacity for work that can go to the other.
+    fn cost(&self, now: ClockTime, slot: &EndpointSlot, ask: &RouteRequest) -> TimeSpan {
+        let mut wait = slot.wait(now, &self.settings);
+        if slot.entry.failure_domain != self.failure_domain {
+            wait = wait + self.settings.domain_latency;
+        }
+        let spares_reserved = ask.priority == WorkPriority::Deferrable
+            && ask.allows_preemptible()
+            && slot.entry.capacity == CapacityKind::Reserved;
+        if spares_reserved {
+            wait = wait + prefill_time(ask.prompt_tokens, &self.settings);
+        }
+        wait
+    }
+
+    fn pick<'a>(
+        &self,
+        ask: &RouteRequest,
+        candidates: &[&RouteCandidate<'a>],
+        draws: (u64, u64),
+    ) -> Option<ChosenSlot<'a>> {
+        match ask.prefix {
+            Some(prefix) => self.by_prefix(ask, prefix, candidates),
+            None => least_loaded(candidates, draws),
+        }
+    }
+
+    /// The first in the prefix's order that is within the bound.
+    fn by_prefix<'a>(
+        &self,
+        ask: &RouteRequest,
+        prefix: u64,
+        candidates: &[&RouteCandidate<'a>],
+    ) -> Option<ChosenSlot<'a>> {
+        let count = candidates.len() as u64;
+        let total: u64 = candidates.iter().map(|c| c.wait.as_millis()).sum();
+        let mean = total.checked_div(count)?;
+        // A cached prefix saves its prefill, so waiting that long is no loss.
+        let saved = prefill_time(ask.prompt_tokens, &self.settings).as_millis();
+        let bound = mean * u64::from(100 + self.settings.load_bound) / 100 + saved;
+        let within = candidates.iter().filter(|c| c.wait.as_millis() <= bound);
+        let chosen = within.max_by_key(|c| c.slot.rendezvous(prefix))?;
+        let first = candidates
+            .iter()
+            .max_by_key(|c| c.slot.rendezvous(prefix))?;
+        let id = &chosen.slot.entry.endpoint;
+        let (wait, home) = (chosen.wait, &first.slot.entry.endpoint);
+        let reason = match id == home {
+            true => format!("`{id}` holds the prefix, wait {wait}, bound {bound}ms"),
+            false => format!(
+                "`{home}` holds the prefix but has {} to do, over {bound}ms; `{id}` is next, wait {wait}",
+                first.wait
+            ),
+        };
+        Some(ChosenSlot {
+            slot: chosen.slot,
+            wait,
+            reason,
+        })
+    }
+}
+
+/// What an entry knows of a pool as a whole.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolLoad {
+    /// Endpoints that serve and stay.
+    pub open: u32,
+    /// Requests of this entry there.
+    pub own: u64,
+    /// Requests of others there, as estimated.
+    pub others: u64,
+}
+
+/// The less loaded of two that are drawn.
+fn least_loaded<'a>(
+    candidates: &[&RouteCandidate<'a>],
+    draws: (u64, u64),
+) -> Option<ChosenSlot<'a>> {
+    let count = candidates.len() as u64;
+    let first = draws.0.checked_rem(count)?;
+    let second = match count {
+        1 => first,
+        _ => (first + 1 + draws.1 % (count - 1)) % count,
+    };
+    let (a, b) = (candidates[first as usize], candidates[second as usize]);
+    let (chosen, other) = match a.wait <= b.wait {
+        true => (a, b),
+        false => (b, a),
+    };
+    let reason = format!(
+        "`{}` waits {}, `{}` {}",
+        chosen.slot.entry.endpoint, chosen.wait, other.slot.entry.endpoint, other.wait
+    );
+    Some(ChosenSlot {
+        slot: chosen.slot,
+        wait: chosen.wait,
+        reason,
+    })
+}
+
+fn single_choice(chosen: &ChosenSlot<'_>) -> RouteChoice {
+    RouteChoice {
+        endpoint: chosen.slot.entry.endpoint.clone(),
+        prefill: None,
+        reason: chosen.reason.clone(),
+    }
+}
+
+fn split_choice(prefill: &ChosenSlot<'_>, decode: &ChosenSlot<'_>) -> RouteChoice {
+    RouteChoice {
+        endpoint: decode.slot.entry.endpoint.clone(),
+        prefill: Some(prefill.slot.entry.endpoint.clone()),
+        reason: format!("prefill: {}; decode: {}", prefill.reason, decode.reason),
+    }
+}
--- /dev/null
+++ b/crates/core/tests/retries.rs
@@ -0,0 +1,78 @@
+//! What retries cost, and when they stop.
+
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::OrganisationId,
+    retries::{RetryAnswer, RetryBudget, RetrySettings},
+};
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+fn organisation(name: &str) -> OrganisationId {
+    OrganisationId::new(name).expect("valid")
+}
+
+/// All endpoints fail for a minute while an organisation sends 100 requests a
+/// second. Without a budget each is tried three times: the load is threefold
+/// just when the fleet can carry least, and callers notice an outage that goes
+/// on after its cause is gone.
+#[test]
+fn retries_in_an_outage_stay_a_share_of_the_requests() {
+    let mut budget = RetryBudget::new(RetrySettings::default()).with_seed(1);
+    let kiosk = organisation("kiosk");
+    let mut retries = 0;
+    for number in 0..6_000 {
+        let now = at(number * 10);
+        budget.note_request(now, &kiosk);
+        let mut failed = 1;
+        while let RetryAnswer::Retry { .. } = budget.try_retry(now, &kiosk, failed) {
+            failed += 1;
+            retries += 1;
+        }
+    }
+    assert!((500..=650).contains(&retries), "{retries}");
+}
+
+#[test]
+fn a_small_organisation_always_has_a_few() {
+    let mut budget = RetryBudget::new(RetrySettings::default()).with_seed(1);
+    let small = organisation("small");
+    budget.note_request(at(0), &small);
+    for _ in 0..5 {
+        let answer = budget.try_retry(at(1), &small, 1);
+        assert!(matches!(answer, RetryAnswer::Retry { .. }), "{answer:?}");
+    }
+    let answer = budget.try_retry(at(1), &small, 1);
+    assert!(matches!(answer, RetryAnswer::GiveUp { .. }), "{answer:?}");
+    assert_eq!(budget.left(at(20_000), &small), 5);
+}
+
+#[test]
+fn one_organisation_does_not_spend_anothers_budget() {
+    let mut budget = RetryBudget::new(RetrySettings::default()).with_seed(1);
+    while let RetryAnswer::Retry { .. } = budget.try_retry(at(1), &organisation("a"), 1) {}
+    let answer = budget.try_retry(at(1), &organisation("b"), 1);
+    assert!(matches!(answer, RetryAnswer::Retry { .. }), "{answer:?}");
+}
+
+#[test]
+fn waits_grow_and_differ() {
+    let settings = RetrySettings {
+        attempts: 10,
+        minimum: 100,
+        ..RetrySettings::default()
+    };
+    let mut budget = RetryBudget::new(settings).with_seed(1);
+    let kiosk = organisation("kiosk");
+    let mut wait = |failed| match budget.try_retry(at(1), &kiosk, failed) {
+        RetryAnswer::Retry { after, .. } => after,
+        RetryAnswer::GiveUp { reason } => panic!("{reason}"),
+    };
+    let first: Vec<TimeSpan> = (0..20).map(|_| wait(1)).collect();
+    assert!(first.iter().any(|span| *span != first[0]));
+    assert!(first.iter().all(|span| *span <= TimeSpan::from_millis(50)));
+    assert!(wait(6) >= TimeSpan::from_millis(500));
+    assert!(wait(9) <= TimeSpan::from_secs(1));
+}
