Serve chat and plain calls through an entry

Cause: callers had nowhere to send a request. Change: the entry as library and program. Chat answers come as server-sent events or as one JSON text, both with signs of life so that a caller who has gone is noticed; plain calls are built from an allow-list. Attempts are a state machine whose "not run" is a type. A model's answer is put together from numbered tokens, and goes on elsewhere when its endpoint is lost. Protection: a path with dot segments is refused, because rules would be asked about another path than the one that the service sees. Ruled out: passing the caller's request through with headers removed, since a header that nobody thought of would pass.

--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -1,3 +1,6 @@
 //! The interfaces of endpoints: model engines and plain services.
 
 pub mod api;
+pub mod client;
+
+pub use client::{EndpointClient, EndpointError};
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,24 @@
-//! To be filled.
+//! The callers' side: keys, admission, routing, attempts, streams, metering.
+//!
+//! A request comes in over HTTP ([`chat`], [`plain`]), is let in by its headers
+//! ([`context::EntryContext::admit`]), and becomes a run ([`model_run`],
+//! [`plain_run`]) that sends attempts to endpoints. A model's answer reaches its
+//! caller through [`answer_body`].
+
+pub mod answer_body;
+pub mod body;
+pub mod caller;
+pub mod chat;
+pub mod context;
+pub mod directory;
+pub mod metrics;
+pub mod model_run;
+pub mod plain;
+pub mod plain_run;
+pub mod refusal;
+pub mod running;
+pub mod server;
+pub mod settings;
+
+pub use server::{RunningEntry, start};
+pub use settings::EntrySettings;
--- /dev/null
+++ b/crates/entry/src/model_run.rs
@@ -0,0 +1,410 @@
+//! One model request, from its first attempt to its end.
+//!
+//! The run is a task of its own, because Rocket does not drop a handler whose
+//! caller has gone. It puts the answer together from numbered tokens, goes on
+//! elsewhere with what was delivered when an endpoint is lost, and tells the
+//! engine when nobody waits any more.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use bluebell_core::{
+    attempts::{
+        RequestAttempts, SendPermit,
+        answer::{AnswerAssembly, EndVerdict, TokenVerdict},
+    },
+    clock::{ClockTime, TimeSpan},
+    config::WorkPriority,
+    ids::{EndpointId, ModelName, OrganisationId, RequestFingerprint},
+    units::TokenCount,
+};
+use bluebell_endpoint::{
+    EndpointError,
+    api::{FinishReason, GenerateRequest, StreamItem},
+    client::{ItemStream, ProbeResult},
+};
+use futures::StreamExt as _;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    context::{EntryContext, InFlightTicket},
+    directory::{ChosenEndpoint, EndpointNeed},
+    refusal::{Refusal, RefusalCode},
+    running::RunningTicket,
+};
+
+/// What a model is asked.
+#[derive(Clone, Debug)]
+pub struct ModelWork {
+    /// Whose request it is.
+    pub organisation: OrganisationId,
+    /// The model.
+    pub model: ModelName,
+    /// The prompt.
+    pub prompt: String,
+    /// The most output tokens.
+    pub max_tokens: TokenCount,
+    /// Whether a person waits.
+    pub priority: WorkPriority,
+    /// When the first token must be there.
+    pub deadline: ClockTime,
+    /// The longest silence between tokens.
+    pub progress_limit: TimeSpan,
+    /// Tells the request from others after a crash.
+    pub fingerprint: RequestFingerprint,
+    /// What it needs of an endpoint.
+    pub need: EndpointNeed,
+}
+
+/// How a whole answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerEnd {
+    /// Why.
+    pub finish: FinishReason,
+    /// Tokens of the prompt.
+    pub prompt_tokens: TokenCount,
+    /// Tokens of the prompt that an engine had cached.
+    pub cached_tokens: TokenCount,
+}
+
+/// What the run tells the answer's body.
+#[derive(Clone, Debug)]
+pub enum AnswerEvent {
+    /// The next token.
+    Token(String),
+    /// The answer is whole.
+    End(AnswerEnd),
+    /// The answer won't be whole.
+    Failed(Refusal),
+}
+
+/// How one attempt ended.
+enum AttemptEnd {
+    Whole(AnswerEnd),
+    GoOn,
+}
+
+/// Why an attempt brought no whole answer.
+enum AttemptLoss {
+    /// The connection or the answer was lost.
+    Broken(String),
+    /// Nothing came for longer than the limit.
+    Silent(TimeSpan),
+}
+
+/// One model request in progress.
+pub struct ModelRun {
+    context: Arc<EntryContext>,
+    work: ModelWork,
+    attempts: RequestAttempts,
+    answer: AnswerAssembly,
+    events: mpsc::Sender<AnswerEvent>,
+    chosen: Option<ChosenEndpoint>,
+    avoided: BTreeSet<EndpointId>,
+    started: ClockTime,
+}
+
+impl ModelRun {
+    /// A run that tells `events` what comes.
+    pub fn new(
+        context: Arc<EntryContext>,
+        work: ModelWork,
+        attempts: RequestAttempts,
+        events: mpsc::Sender<AnswerEvent>,
+    ) -> ModelRun {
+        let answer = AnswerAssembly::new(attempts.request().clone());
+        let started = context.now();
+        ModelRun {
+            context,
+            work,
+            attempts,
+            answer,
+            events,
+            chosen: None,
+            avoided: BTreeSet::new(),
+            started,
+        }
+    }
+
+    /// Runs to the end, or until the caller is `gone` or its key is withdrawn.
+    pub async fn run(
+        mut self,
+        gone: CancellationToken,
+        ticket: RunningTicket,
+        in_flight: InFlightTicket,
+    ) {
+        let end = tokio::select! {
+            biased;
+            () = gone.cancelled() => None,
+            () = ticket.lost().cancelled() => {
+                let message = "the key was withdrawn";
+                Some(Err(self.refusal(RefusalCode::KeyWithdrawn, message)))
+            }
+            end = self.drive() => Some(end),
+        };
+        match end {
+            None => self.note_cancelled(),
+            Some(Ok(end)) => {
+                self.attempts.end();
+                self.context
+                    .metrics
+                    .ended
+                    .with_label_values(&["whole"])
+                    .inc();
+                let _ = self.events.send(AnswerEvent::End(end)).await;
+            }
+            Some(Err(refusal)) => {
+                self.context.refused(&refusal);
+                let _ = self.events.send(AnswerEvent::Failed(refusal)).await;
+            }
+        }
+        self.abandon().await;
+        drop(in_flight);
+    }
+
+    fn note_cancelled(&self) {
+        self.context
+            .metrics
+            .ended
+            .with_label_values(&["cancelled"])
+            .inc();
+        let request = self.attempts.request().as_str();
+        let reason = format!(
+            "the caller has gone after {} tokens",
+            self.answer.tokens().len()
+        );
+        self.context.decided(&[request], "cancelled", reason);
+    }
+
+    /// Tells the engine of the attempt under way, if there is one, that nobody
+    /// waits. Without this it would go on to the answer's end for nobody.
+    async fn abandon(&mut self) {
+        let Some(chosen) = self.chosen.take() else {
+            return;
+        };
+        if !self.answer.is_whole() {
+            let _ = chosen.client.cancel(self.attempts.request()).await;
+        }
+    }
+
+    fn refusal<Message>(&self, code: RefusalCode, message: Message) -> Refusal
+    where
+        Message: Into<String>,
+    {
+        Refusal::new(code, message, &self.attempts)
+    }
+
+    async fn drive(&mut self) -> Result<AnswerEnd, Refusal> {
+        loop {
+            let chosen = self.choose()?;
+            match self.attempt(chosen).await? {
+                AttemptEnd::Whole(end) => return Ok(end),
+                AttemptEnd::GoOn => {}
+            }
+        }
+    }
+
+    fn choose(&mut self) -> Result<ChosenEndpoint, Refusal> {
+        self.check_deadline()?;
+        if self.attempts.attempt() >= self.context.settings.requests.max_attempts {
+            let message = format!("gave up after {} attempts", self.attempts.attempt());
+            return Err(self.refusal(RefusalCode::EndpointLost, message));
+        }
+        let candidates = self.context.directory.candidates(&self.work.need);
+        let usable = candidates.into_iter();
+        let usable = usable.filter(|slot| !self.avoided.contains(&slot.listing.endpoint));
+        let best = usable.min_by_key(|slot| (slot.outstanding, slot.listing.endpoint.clone()));
+        let chosen = best.and_then(|slot| self.context.directory.choose(&slot.listing.endpoint));
+        let Some(chosen) = chosen else {
+            let message = format!("no endpoint of `{}` takes work now", self.work.need.service);
+            return Err(self.refusal(RefusalCode::NoEndpoint, message));
+        };
+        let subjects = [self.attempts.request().as_str(), chosen.endpoint.as_str()];
+        let reason = "least outstanding work of this entry";
+        self.context.decided(&subjects, "chose endpoint", reason);
+        Ok(chosen)
+    }
+
+    fn check_deadline(&self) -> Result<(), Refusal> {
+        if self.answer.tokens().is_empty() && self.context.now() >= self.work.deadline {
+            let message = "no token was there before the deadline";
+            return Err(self.refusal(RefusalCode::DeadlineExceeded, message));
+        }
+        Ok(())
+    }
+
+    /// How long nothing may come. Before the first token an engine may be busy
+    /// with long prompts, so half of what is left until the deadline is allowed.
+    fn silence_limit(&self) -> TimeSpan {
+        if !self.answer.tokens().is_empty() {
+            return self.work.progress_limit;
+        }
+        let left = self.work.deadline.since(self.context.now());
+        let half = TimeSpan::from_millis(left.as_millis() / 2);
+        half.max(self.work.progress_limit).min(left)
+    }
+
+    async fn attempt(&mut self, chosen: ChosenEndpoint) -> Result<AttemptEnd, Refusal> {
+        let permit = self
+            .attempts
+            .send(&chosen.endpoint)
+            .map_err(|error| self.refusal(RefusalCode::Internal, error.to_string()))?;
+        self.context.metrics.attempts.inc();
+        self.answer.begin_attempt(permit.attempt());
+        let work = self.generate_request(&permit);
+        let client = chosen.client.clone();
+        self.chosen = Some(chosen);
+        let limit = self.silence_limit();
+        let opened = client.generate(&permit, &work);
+        let opened = tokio::time::timeout(limit.as_duration(), opened).await;
+        let items = match opened {
+            Ok(Ok(items)) => items,
+            Ok(Err(EndpointError::NotSent(message))) => {
+                self.attempts.not_sent(permit);
+                return Ok(self.try_elsewhere("failed to connect", &message));
+            }
+            Ok(Err(EndpointError::Refused { status, message })) => {
+                self.attempts.refused_before_running(permit);
+                let message = format!("status {status}: {message}");
+                return Ok(self.try_elsewhere("refused before running", &message));
+            }
+            Ok(Err(EndpointError::Lost(message))) => {
+                return self.after_loss(AttemptLoss::Broken(message)).await;
+            }
+            Err(_) => return self.after_loss(AttemptLoss::Silent(limit)).await,
+        };
+        self.attempts.answering();
+        match self.read(items).await? {
+            Ok(end) => Ok(AttemptEnd::Whole(end)),
+            Err(loss) => self.after_loss(loss).await,
+        }
+    }
+
+    fn generate_request(&self, permit: &SendPermit) -> GenerateRequest {
+        GenerateRequest {
+            request: permit.request().clone(),
+            attempt: permit.attempt(),
+            model: self.work.model.clone(),
+            prompt: self.work.prompt.clone(),
+            delivered: self.answer.tokens().to_vec(),
+            max_tokens: self.work.max_tokens,
+            priority: self.work.priority,
+            prefill_only: false,
+            import: None,
+        }
+    }
+
+    async fn read(
+        &mut self,
+        mut items: ItemStream,
+    ) -> Result<Result<AnswerEnd, AttemptLoss>, Refusal> {
+        loop {
+            let limit = self.silence_limit();
+            let item = tokio::time::timeout(limit.as_duration(), items.next()).await;
+            let item = match item {
+                Err(_) => return Ok(Err(AttemptLoss::Silent(limit))),
+                Ok(None) => return Ok(Err(broken("the answer ended without an end mark"))),
+                Ok(Some(Err(error))) => return Ok(Err(broken(&error.to_string()))),
+                Ok(Some(Ok(item))) => item,
+            };
+            match self.take(item).await {
+                Ok(None) => {}
+                Ok(Some(end)) => return Ok(Ok(end)),
+                Err(loss) => return Ok(Err(loss)),
+            }
+        }
+    }
+
+    async fn take(&mut self, item: StreamItem) -> Result<Option<AnswerEnd>, AttemptLoss> {
+        match item {
+            StreamItem::Token {
+                request,
+                attempt,
+                position,
+                text,
+            } => {
+                let verdict = self.answer.token(&request, attempt, position, &text);
+                match verdict {
+                    TokenVerdict::Next => self.pass_on(text).await,
+                    TokenVerdict::Dropped => self.context.metrics.dropped_items.inc(),
+                    TokenVerdict::Gap => return Err(broken("tokens are missing")),
+                }
+                Ok(None)
+            }
+            StreamItem::End {
+                request,
+                attempt,
+                length,
+                finish,
+                prompt_tokens,
+                cached_tokens,
+            } => {
+                if finish == FinishReason::Cancelled {
+                    return Err(broken("the engine cancelled the answer"));
+                }
+                match self.answer.end(&request, attempt, length) {
+                    EndVerdict::Whole => Ok(Some(AnswerEnd {
+                        finish,
+                        prompt_tokens,
+                        cached_tokens,
+                    })),
+                    EndVerdict::Dropped => {
+                        self.context.metrics.dropped_items.inc();
+                        Ok(None)
+                    }
+                    EndVerdict::WrongLength => Err(broken("the end mark has another length")),
+                }
+            }
+        }
+    }
+
+    async fn pass_on(&mut self, text: String) {
+        if self.answer.tokens().len() == 1 {
+            let waited = self.context.now().since(self.started);
+            let seconds = waited.as_duration().as_secs_f64();
+            self.context.metrics.first_token.observe(seconds);
+        }
+        let _ = self.events.send(AnswerEvent::Token(text)).await;
+    }
+
+    fn try_elsewhere(&mut self, decision: &str, reason: &str) -> AttemptEnd {
+        if let Some(chosen) = self.chosen.take() {
+            let subjects = [self.attempts.request().as_str(), chosen.endpoint.as_str()];
+            self.context.decided(&subjects, decision, reason);
+            self.avoided.insert(chosen.endpoint.clone());
+        }
+        AttemptEnd::GoOn
+    }
+
+    /// Decides how to go on after an attempt was lost. A silent connection is
+    /// told from a dead endpoint by a probe on a new one: if that works, only
+    /// the old connections are given up, and the endpoint may be used again.
+    async fn after_loss(&mut self, loss: AttemptLoss) -> Result<AttemptEnd, Refusal> {
+        let Some(chosen) = self.chosen.take() else {
+            return Ok(AttemptEnd::GoOn);
+        };
+        self.attempts.lost();
+        let reason = match &loss {
+            AttemptLoss::Broken(message) => message.clone(),
+            AttemptLoss::Silent(limit) => format!("nothing came for {limit}"),
+        };
+        let probe = chosen.client.probe().await;
+        let subjects = [self.attempts.request().as_str(), chosen.endpoint.as_str()];
+        let reason = format!("{reason}; probe on a new connection: {probe:?}");
+        self.context.decided(&subjects, "attempt lost", reason);
+        chosen.client.discard_connections();
+        match probe {
+            // The engine may still be at work for the old connection; it must
+            // hear the cancel before it hears of the next attempt.
+            ProbeResult::Healthy => drop(chosen.client.cancel(self.attempts.request()).await),
+            ProbeResult::ConnectionRefused | ProbeResult::Unreachable => {
+                self.avoided.insert(chosen.endpoint.clone());
+            }
+        }
+        Ok(AttemptEnd::GoOn)
+    }
+}
+
+fn broken(message: &str) -> AttemptLoss {
+    AttemptLoss::Broken(message.to_string())
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,227 @@
+//! Starting and stopping an entry.
+//!
+//! A stop takes four steps, in this order, so that it cuts no answer: the entry
+//! says that it is not ready and refuses new requests; the running answers end;
+//! what was metered is recorded; then the server stops. Rocket's own shutdown
+//! would cut streams after its grace.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use anyhow::Context as _;
+use bluebell_core::clock::{ClockSource, TimeSpan};
+use bluebell_daemon::{
+    journal::{self, DecisionJournal},
+    logs::LogLine,
+    ops::{self, OpsSource, ReadyState, RunningServer},
+};
+use bluebell_node::NodeHandle;
+use bluebell_platform::api::{InstanceListing, InstanceProgram, InstanceState};
+use prometheus::Registry;
+use rocket::{Build, Request, Rocket, catch, catchers, fairing::AdHoc, http::Header, http::Status};
+use serde_json::json;
+use tokio::task::JoinHandle;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    caller::{CallerHead, request_id},
+    chat,
+    context::EntryContext,
+    directory::EndpointDirectory,
+    metrics::EntryMetrics,
+    plain,
+    refusal::{Refusal, RefusalCode},
+    running::RunningKeys,
+    settings::EntrySettings,
+};
+
+/// The pause between two announcements on the platform's list.
+const ANNOUNCE_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
+
+/// A running entry.
+#[derive(Debug)]
+pub struct RunningEntry {
+    /// Where it answers HTTP.
+    pub http_address: SocketAddr,
+    /// Where it takes peer connections.
+    pub peer_address: SocketAddr,
+    /// Cancelled when it is to stop.
+    token: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+impl RunningEntry {
+    /// Stops it: refuses new requests, lets running answers end.
+    pub async fn stop(self) {
+        self.token.cancel();
+        let _ = self.task.await;
+    }
+
+    /// Waits until it has stopped because its token was cancelled.
+    pub async fn wait(self) {
+        let _ = self.task.await;
+    }
+}
+
+/// Starts an entry that runs until `token` is cancelled.
+pub async fn start(
+    settings: EntrySettings,
+    clock: ClockSource,
+    token: CancellationToken,
+) -> anyhow::Result<RunningEntry> {
+    // The node outlives `token`: running answers still need it.
+    let inner = CancellationToken::new();
+    let node = NodeHandle::start(settings.node.clone(), clock, &inner);
+    let registry = Registry::new();
+    let metrics = EntryMetrics::new(&registry).context("failed to register metrics")?;
+    let context = Arc::new(EntryContext {
+        directory: EndpointDirectory::new(),
+        node,
+        journal: DecisionJournal::new(),
+        metrics,
+        keys: RunningKeys::new(),
+        draining: CancellationToken::new(),
+        work: TaskTracker::new(),
+        in_flight: Default::default(),
+        settings,
+    });
+    spawn_tasks(&context, &inner);
+    let address = context.settings.node.http_address;
+    let rocket = build(&context, registry, address);
+    let server = RunningServer::start(rocket, address).await?;
+    let http_address = server.address;
+    let peer_address = context.settings.node.peer_address;
+    tokio::spawn(announce(context.clone(), http_address, inner.clone()));
+    let task = tokio::spawn(run_until(context, server, token.clone(), inner));
+    Ok(RunningEntry {
+        http_address,
+        peer_address,
+        token,
+        task,
+    })
+}
+
+fn spawn_tasks(context: &Arc<EntryContext>, token: &CancellationToken) {
+    let interval = context.settings.requests.list_interval;
+    let directory = context.directory.clone();
+    let node = context.node.clone();
+    tokio::spawn(directory.follow(node.clone(), interval, token.clone()));
+    let directory = context.directory.clone();
+    tokio::spawn(directory.watch_engines(interval, token.clone()));
+    tokio::spawn(context.keys.clone().follow(node, token.clone()));
+}
+
+fn build(context: &Arc<EntryContext>, registry: Registry, address: SocketAddr) -> Rocket<Build> {
+    let ready_context = context.clone();
+    let dump_context = context.clone();
+    let source = OpsSource::new(
+        registry,
+        move || ready(&ready_context),
+        move || dump(&dump_context),
+    );
+    let rocket = ops::server(address)
+        .manage(context.clone())
+        .mount("/", rocket::routes![chat::chat])
+        .mount("/", plain::routes())
+        .register("/", catchers![default_catcher])
+        .attach(AdHoc::on_response("request id", |request, response| {
+            Box::pin(async move {
+                let id = request_id(request).to_string();
+                response.set_header(Header::new("X-Request-Id", id));
+            })
+        }));
+    let rocket = ops::mount(rocket, source);
+    journal::mount(rocket, context.journal.clone())
+}
+
+#[catch(default)]
+fn default_catcher(status: Status, request: &Request<'_>) -> Refusal {
+    let head = CallerHead::of(request);
+    match status.code {
+        404 | 405 => {
+            let message = "no such route: see `/v1/chat/completions` and `/v1/services/…`";
+            head.refuse(RefusalCode::NotFound, message)
+        }
+        500.. => head.refuse(RefusalCode::Internal, "a fault of this program"),
+        _ => head.refuse(
+            RefusalCode::InvalidRequest,
+            format!("refused with {status}"),
+        ),
+    }
+}
+
+fn ready(context: &EntryContext) -> ReadyState {
+    if context.draining.is_cancelled() {
+        return ReadyState::NotReady("stopping".to_string());
+    }
+    if !context.node.progress().caught_up {
+        let reason = "the log has not been read to its end yet";
+        return ReadyState::NotReady(reason.to_string());
+    }
+    ReadyState::Ready
+}
+
+fn dump(context: &EntryContext) -> serde_json::Value {
+    let view = context.node.with_view(|view| serde_json::to_value(view));
+    json!({
+        "settings": context.settings,
+        "progress": context.node.progress(),
+        "draining": context.draining.is_cancelled(),
+        "in_flight": *context.in_flight.lock().expect("no holder panics"),
+        "endpoints": context.directory.slots(),
+        "view": view.unwrap_or_else(|error| json!({"error": error.to_string()})),
+    })
+}
+
+async fn announce(context: Arc<EntryContext>, http: SocketAddr, token: CancellationToken) {
+    let node = &context.settings.node;
+    let peer = node.peer_advertise.unwrap_or(node.peer_address);
+    loop {
+        let state = match context.draining.is_cancelled() {
+            true => InstanceState::Leaving,
+            false => InstanceState::Live,
+        };
+        let listing = InstanceListing {
+            instance: node.instance.clone(),
+            failure_domain: node.failure_domain.clone(),
+            program: InstanceProgram::Entry,
+            state,
+            http_address: http.to_string(),
+            peer_address: peer.to_string(),
+        };
+        if let Err(error) = context.node.platform().announce(&listing).await {
+            LogLine::new("announce_failed")
+                .with("error", &error)
+                .debug();
+        }
+        let pause = tokio::time::sleep(ANNOUNCE_INTERVAL.as_duration());
+        tokio::select! {
+            () = token.cancelled() => return,
+            () = context.draining.cancelled(), if state == InstanceState::Live => {}
+            () = pause => {}
+        }
+    }
+}
+
+async fn run_until(
+    context: Arc<EntryContext>,
+    server: RunningServer,
+    token: CancellationToken,
+    inner: CancellationToken,
+) {
+    token.cancelled().await;
+    context.draining.cancel();
+    LogLine::new("draining")
+        .with("in_progress", context.metrics.in_progress.get())
+        .info();
+    context.work.close();
+    let limit = context.settings.requests.drain_limit;
+    let drained = tokio::time::timeout(limit.as_duration(), context.work.wait()).await;
+    if drained.is_err() {
+        LogLine::new("drain_limit_reached")
+            .with("limit", limit)
+            .warn();
+    }
+    server.stop().await;
+    inner.cancel();
+    LogLine::new("stopped").info();
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,118 @@
+//! Settings of an entry.
+
+use std::path::Path;
+
+use bluebell_core::{clock::TimeSpan, units::ByteSize};
+use bluebell_daemon::settings::{SettingProblem, SettingsError};
+use bluebell_node::NodeSettings;
+use serde::{Deserialize, Serialize};
+
+/// An entry's settings file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Who it is and where the platform is.
+    pub node: NodeSettings,
+    /// How it treats requests.
+    #[serde(default)]
+    pub requests: RequestSettings,
+    /// What it meters.
+    #[serde(default)]
+    pub metering: MeterSettings,
+}
+
+/// The `[requests]` table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RequestSettings {
+    /// The longest body that a caller may send.
+    pub max_body: ByteSize,
+    /// The longest body of a plain service that is passed on.
+    pub max_answer: ByteSize,
+    /// The pause between signs of life on an answer that has nothing to say.
+    /// A caller who has gone is noticed at the second of them at the latest.
+    pub heartbeat: TimeSpan,
+    /// How long an answer waits for a refusal before its status is sent.
+    pub commit_after: TimeSpan,
+    /// How often one request may be sent to endpoints.
+    pub max_attempts: u32,
+    /// The pause between two looks at the platform's endpoint list.
+    pub list_interval: TimeSpan,
+    /// How long a stopping entry waits for its running answers.
+    pub drain_limit: TimeSpan,
+    /// How long a claim may wait for the log.
+    pub claim_patience: TimeSpan,
+    /// The longest answer that is kept with a claim for repeats.
+    pub kept_answer: ByteSize,
+}
+
+impl Default for RequestSettings {
+    fn default() -> RequestSettings {
+        RequestSettings {
+            max_body: ByteSize::new(1024 * 1024),
+            max_answer: ByteSize::new(4 * 1024 * 1024),
+            heartbeat: TimeSpan::from_millis(250),
+            commit_after: TimeSpan::from_millis(250),
+            max_attempts: 4,
+            list_interval: TimeSpan::from_secs(1),
+            drain_limit: TimeSpan::from_secs(600),
+            claim_patience: TimeSpan::from_secs(5),
+            kept_answer: ByteSize::new(4 * 1024),
+        }
+    }
+}
+
+/// The `[metering]` table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MeterSettings {
+    /// The length of a usage window; the same in all entries and controllers.
+    pub window: TimeSpan,
+    /// The pause between two records of what was metered.
+    pub flush_interval: TimeSpan,
+}
+
+impl Default for MeterSettings {
+    fn default() -> MeterSettings {
+        MeterSettings {
+            window: TimeSpan::from_secs(60),
+            flush_interval: TimeSpan::from_secs(2),
+        }
+    }
+}
+
+impl EntrySettings {
+    /// Reads and checks the file at `path`.
+    pub fn load(path: &Path) -> Result<EntrySettings, SettingsError> {
+        bluebell_daemon::settings::load(path, EntrySettings::problems)
+    }
+
+    /// All that can't be used.
+    pub fn problems(&self) -> Vec<SettingProblem> {
+        let mut problems = self.node.problems();
+        let requests = &self.requests;
+        let spans = [
+            ("requests.heartbeat", requests.heartbeat),
+            ("requests.list_interval", requests.list_interval),
+            ("requests.claim_patience", requests.claim_patience),
+            ("metering.window", self.metering.window),
+            ("metering.flush_interval", self.metering.flush_interval),
+        ];
+        for (field, span) in spans {
+            if span == TimeSpan::ZERO {
+                problems.push(SettingProblem::new(field, span, "more than `0ms`"));
+            }
+        }
+        if requests.max_attempts == 0 {
+            let problem = SettingProblem::new("requests.max_attempts", 0, "at least 1");
+            problems.push(problem);
+        }
+        let rocket_limit = 64 * 1024 * 1024;
+        if requests.max_body.count() == 0 || requests.max_body.count() > rocket_limit {
+            let expected = "from 1 to 67108864";
+            let value = requests.max_body.count();
+            problems.push(SettingProblem::new("requests.max_body", value, expected));
+        }
+        problems
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/serving.rs
@@ -0,0 +1,212 @@
+//! Requests that are served, and requests that are refused, each with a clear answer.
+
+mod support;
+
+use bluebell_platform::api::EndpointKind;
+use serde_json::Value;
+use support::{
+    TestBed,
+    endpoint::{FakeEndpoint, plain_answer},
+    listing,
+};
+
+async fn bed_with_engine(engine: &FakeEndpoint) -> TestBed {
+    let bed = TestBed::start().await;
+    let address = engine.address.to_string();
+    bed.list(vec![listing("engine-1", EndpointKind::Engine, &address)])
+        .await;
+    bed
+}
+
+#[tokio::test]
+async fn streams_and_whole_answers_are_served() {
+    let engine = FakeEndpoint::engine(3).await;
+    let bed = bed_with_engine(&engine).await;
+    let streamed = bed.chat(true, "hello").send().await.unwrap();
+    assert_eq!(streamed.headers()["content-type"], "text/event-stream");
+    assert!(streamed.headers().contains_key("x-request-id"));
+    let text = streamed.text().await.unwrap();
+    let events: Vec<&str> = text
+        .lines()
+        .filter_map(|l| l.strip_prefix("data: "))
+        .collect();
+    assert_eq!(events.len(), 5, "{text}");
+    let third: Value = serde_json::from_str(events[2]).unwrap();
+    assert_eq!(third["choices"][0]["delta"]["content"], "t2 ");
+    assert_eq!(events[4], "[DONE]");
+
+    let whole = bed.chat(false, "hello").send().await.unwrap();
+    let whole: Value = whole.json().await.unwrap();
+    assert_eq!(whole["choices"][0]["message"]["content"], "t0 t1 t2 ");
+    assert_eq!(whole["usage"]["prompt_tokens"], 7);
+    assert_eq!(whole["usage"]["completion_tokens"], 3);
+}
+
+#[tokio::test]
+async fn plain_calls_reach_the_service_without_the_callers_key() {
+    let service = FakeEndpoint::start(|_| plain_answer("201 Created", "charged")).await;
+    let bed = TestBed::start().await;
+    let address = service.address.to_string();
+    bed.list(vec![listing("pay-1", EndpointKind::Plain, &address)])
+        .await;
+    let call = bed.call("POST", "/charge?till=4").header("cookie", "c=1");
+    let answer = call
+        .header("content-type", "text/plain")
+        .body("five")
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), 201);
+    let id = answer.headers()["x-request-id"]
+        .to_str()
+        .unwrap()
+        .to_string();
+    assert_eq!(answer.text().await.unwrap(), "charged");
+    let seen = &service.seen("/charge")[0];
+    assert_eq!(seen.line, "POST /charge?till=4 HTTP/1.1");
+    assert_eq!(seen.body, "five");
+    let head = seen.head.to_ascii_lowercase();
+    assert!(head.contains(&format!("x-request-id: {id}")));
+    assert!(head.contains("content-type: text/plain"));
+    assert!(
+        !head.contains("authorization") && !head.contains("cookie"),
+        "{head}"
+    );
+}
+
+struct BadCase {
+    name: &'static str,
+    request: reqwest::RequestBuilder,
+    status: u16,
+    code: &'static str,
+}
+
+fn bad_cases(bed: &TestBed) -> Vec<BadCase> {
+    let case = |name, request, status, code| BadCase {
+        name,
+        request,
+        status,
+        code,
+    };
+    let chat = || {
+        bed.http
+            .post(bed.url("/v1/chat/completions"))
+            .bearer_auth(support::KEY)
+    };
+    let unknown = r#"{"model":"other","messages":[{"role":"user","content":"x"}]}"#;
+    let plain = r#"{"model":"pay","messages":[{"role":"user","content":"x"}]}"#;
+    let long = "x".repeat(1024 * 1024 + 1);
+    let lookup = || bed.call("GET", "/lookup");
+    vec![
+        case("bad json", chat().body("{"), 400, "invalid_request"),
+        case(
+            "no messages",
+            chat().body(r#"{"model":"chat","messages":[]}"#),
+            400,
+            "invalid_request",
+        ),
+        case("too long", chat().body(long), 413, "body_too_large"),
+        case(
+            "unknown service",
+            chat().body(unknown),
+            404,
+            "unknown_service",
+        ),
+        case("plain service", chat().body(plain), 400, "invalid_request"),
+        case(
+            "no key",
+            bed.http.get(bed.url("/v1/services/pay/x")),
+            401,
+            "invalid_key",
+        ),
+        case(
+            "wrong key",
+            bed.http.get(bed.url("/v1/services/pay/x")).bearer_auth("k"),
+            401,
+            "invalid_key",
+        ),
+        case(
+            "deadline",
+            lookup().header("x-deadline-ms", "soon"),
+            400,
+            "invalid_request",
+        ),
+        case(
+            "priority",
+            lookup().header("x-priority", "now"),
+            400,
+            "invalid_request",
+        ),
+        case(
+            "idempotency",
+            lookup().header("idempotency-key", "a b"),
+            400,
+            "invalid_request",
+        ),
+        case(
+            "slash",
+            bed.call("POST", "/lookup/..%2fcharge"),
+            400,
+            "invalid_request",
+        ),
+        case(
+            "no route",
+            bed.http.get(bed.url("/v2/x")).bearer_auth(support::KEY),
+            404,
+            "not_found",
+        ),
+        case("no endpoint", lookup(), 503, "no_endpoint"),
+    ]
+}
+
+#[tokio::test]
+async fn bad_requests_are_refused_clearly_and_the_entry_goes_on() {
+    let engine = FakeEndpoint::engine(1).await;
+    let bed = bed_with_engine(&engine).await;
+    for case in bad_cases(&bed) {
+        let answer = case.request.send().await.unwrap();
+        assert_eq!(answer.status(), case.status, "{}", case.name);
+        let id = answer.headers()["x-request-id"]
+            .to_str()
+            .unwrap()
+            .to_string();
+        let comes_back = answer.headers().contains_key("retry-after");
+        assert_eq!(comes_back, case.status == 503, "{}", case.name);
+        let body: Value = answer.json().await.unwrap();
+        assert_eq!(body["error"]["code"], case.code, "{}", case.name);
+        assert_eq!(body["error"]["ran"], "not_run", "{}", case.name);
+        assert_eq!(body["error"]["request"], id, "{}", case.name);
+    }
+    let answer = bed.chat(false, "still there?").send().await.unwrap();
+    assert_eq!(answer.status(), 200);
+    let dump = bed.http.get(bed.url("/dump")).send().await.unwrap();
+    assert!(!dump.text().await.unwrap().contains(support::KEY));
+}
+
+/// A call whose path has dot segments is matched against the rules by one path and
+/// reaches the service by another: a charge that passes for a lookup is repeated,
+/// and the customer is charged twice.
+#[tokio::test]
+async fn a_path_with_dot_segments_is_refused() {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let service = FakeEndpoint::start(|_| plain_answer("200 OK", "")).await;
+    let bed = TestBed::start().await;
+    let address = service.address.to_string();
+    bed.list(vec![listing("pay-1", EndpointKind::Plain, &address)])
+        .await;
+    for path in ["/lookup/../charge", "/lookup/%2E%2e/charge", "/lookup/.%2E"] {
+        let mut stream = tokio::net::TcpStream::connect(bed.entry.http_address)
+            .await
+            .unwrap();
+        let key = support::KEY;
+        let request = format!(
+            "POST /v1/services/pay{path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 400"), "{path}: {answer}");
+        assert!(answer.contains("invalid_request"), "{path}: {answer}");
+    }
+    assert!(service.seen("HTTP").is_empty());
+}
--- /dev/null
+++ b/crates/entry/tests/support/endpoint.rs
@@ -0,0 +1,225 @@
+//! A fake endpoint over raw TCP, so that it can break a connection anywhere.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+
+use bluebell_core::units::TokenCount;
+use bluebell_endpoint::api::{CancelRequest, FinishReason, GenerateRequest, StreamItem};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+use tokio_util::sync::CancellationToken;
+
+/// What the fake does with a request, one step after the other.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Writes raw bytes.
+    Write(String),
+    /// Writes an item on a line of its own.
+    Item(StreamItem),
+    /// Waits for a permit of [`FakeEndpoint::gate`].
+    Gate,
+    /// Says nothing more, but keeps the connection open.
+    Silence,
+    /// The whole process ends: connections break, nothing listens any more.
+    Crash,
+}
+
+/// A request as it came over the wire.
+#[derive(Clone, Debug)]
+pub struct SeenRequest {
+    pub line: String,
+    pub head: String,
+    pub body: String,
+    /// Which connection it came on, counted from 0.
+    pub connection: u64,
+}
+
+impl SeenRequest {
+    pub fn generate(&self) -> GenerateRequest {
+        serde_json::from_str(&self.body).unwrap()
+    }
+}
+
+type Script = Arc<dyn Fn(&SeenRequest) -> Vec<Step> + Send + Sync>;
+
+#[derive(Clone)]
+pub struct FakeEndpoint {
+    pub address: SocketAddr,
+    /// Lets steps of [`Step::Gate`] go on.
+    pub gate: Arc<Semaphore>,
+    seen: Arc<Mutex<Vec<SeenRequest>>>,
+    alive: CancellationToken,
+    script: Script,
+}
+
+pub const OK_HEAD: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+
+pub fn token(work: &GenerateRequest, position: u64) -> StreamItem {
+    StreamItem::Token {
+        request: work.request.clone(),
+        attempt: work.attempt,
+        position,
+        text: format!("t{position} "),
+    }
+}
+
+pub fn end(work: &GenerateRequest, length: u64) -> StreamItem {
+    StreamItem::End {
+        request: work.request.clone(),
+        attempt: work.attempt,
+        length,
+        finish: FinishReason::Stop,
+        prompt_tokens: TokenCount::new(7),
+        cached_tokens: TokenCount::ZERO,
+    }
+}
+
+/// The steps of an answer of `length` tokens that continues what was delivered.
+pub fn whole_answer(work: &GenerateRequest, length: u64) -> Vec<Step> {
+    let mut steps = vec![Step::Write(OK_HEAD.to_string())];
+    let from = work.delivered.len() as u64;
+    steps.extend((from..length).map(|position| Step::Item(token(work, position))));
+    steps.push(Step::Item(end(work, length)));
+    steps
+}
+
+/// The steps of a plain answer.
+pub fn plain_answer(status: &str, body: &str) -> Vec<Step> {
+    let length = body.len();
+    vec![Step::Write(format!(
+        "HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}"
+    ))]
+}
+
+impl FakeEndpoint {
+    /// An endpoint that answers `/generate` or a plain call as `script` says.
+    pub async fn start<Answer>(script: Answer) -> FakeEndpoint
+    where
+        Answer: Fn(&SeenRequest) -> Vec<Step> + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let endpoint = FakeEndpoint {
+            address: listener.local_addr().unwrap(),
+            gate: Arc::new(Semaphore::new(0)),
+            seen: Arc::default(),
+            alive: CancellationToken::new(),
+            script: Arc::new(script),
+        };
+        tokio::spawn(endpoint.clone().accept(listener));
+        endpoint
+    }
+
+    /// An engine that answers each request with `length` tokens.
+    pub async fn engine(length: u64) -> FakeEndpoint {
+        FakeEndpoint::start(move |seen| whole_answer(&seen.generate(), length)).await
+    }
+
+    /// The process ends.
+    pub fn crash(&self) {
+        self.alive.cancel();
+    }
+
+    pub fn seen(&self, path: &str) -> Vec<SeenRequest> {
+        let seen = self.seen.lock().unwrap();
+        let matches = |request: &&SeenRequest| request.line.contains(path);
+        seen.iter().filter(matches).cloned().collect()
+    }
+
+    pub fn cancelled(&self) -> Vec<CancelRequest> {
+        let parse = |seen: SeenRequest| serde_json::from_str(&seen.body).unwrap();
+        self.seen("/cancel").into_iter().map(parse).collect()
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        for connection in 0.. {
+            let stream = tokio::select! {
+                () = self.alive.cancelled() => return,
+                accepted = listener.accept() => accepted.unwrap().0,
+            };
+            let endpoint = self.clone();
+            tokio::spawn(async move {
+                tokio::select! {
+                    () = endpoint.alive.cancelled() => {}
+                    () = endpoint.serve(stream, connection) => {}
+                }
+            });
+        }
+    }
+
+    async fn serve(&self, mut stream: TcpStream, connection: u64) {
+        while let Some(request) = read_request(&mut stream, connection).await {
+            self.seen.lock().unwrap().push(request.clone());
+            let short = |status: &str| plain_answer(status, "");
+            let steps = match request.line.split(' ').nth(1).unwrap() {
+                "/health" | "/cancel" => short("204 No Content"),
+                "/state" | "/load" => short("404 Not Found"),
+                _ => (self.script)(&request),
+            };
+            if !self.play(&mut stream, steps).await {
+                return;
+            }
+        }
+    }
+
+    /// Plays the steps; answers whether the connection stays open.
+    async fn play(&self, stream: &mut TcpStream, steps: Vec<Step>) -> bool {
+        let mut keep = true;
+        for step in steps {
+            let text = match step {
+                Step::Write(text) => text,
+                Step::Item(item) => format!("{}\n", serde_json::to_string(&item).unwrap()),
+                Step::Gate => {
+                    self.gate.acquire().await.unwrap().forget();
+                    continue;
+                }
+                Step::Silence => std::future::pending().await,
+                Step::Crash => {
+                    self.alive.cancel();
+                    return false;
+                }
+            };
+            keep &= text != OK_HEAD;
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return false;
+            }
+        }
+        keep
+    }
+}
+
+async fn read_request(stream: &mut TcpStream, connection: u64) -> Option<SeenRequest> {
+    let mut bytes = Vec::new();
+    let head_end = loop {
+        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            break end + 4;
+        }
+        read_more(stream, &mut bytes).await?;
+    };
+    let head = String::from_utf8_lossy(&bytes[..head_end]).to_string();
+    let length = head.to_ascii_lowercase().lines().find_map(|line| {
+        let value = line.strip_prefix("content-length:")?;
+        value.trim().parse().ok()
+    });
+    let length: usize = length.unwrap_or(0);
+    while bytes.len() < head_end + length {
+        read_more(stream, &mut bytes).await?;
+    }
+    Some(SeenRequest {
+        line: head.lines().next()?.to_string(),
+        body: String::from_utf8_lossy(&bytes[head_end..]).to_string(),
+        head,
+        connection,
+    })
+}
+
+async fn read_more(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<()> {
+    let mut chunk = [0; 4096];
+    let count = stream.read(&mut chunk).await.ok()?;
+    bytes.extend_from_slice(&chunk[..count]);
+    (count > 0).then_some(())
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,260 @@
+//! An entry with a fake platform and fake endpoints around it.
+#![allow(dead_code)]
+
+pub mod endpoint;
+pub mod platform;
+
+use std::time::Duration;
+
+use bluebell_core::{
+    clock::{ClockSource, TimeSpan},
+    config::{
+        KeyUnit, OrganisationUnit, RuleUnit, ServiceTarget, ServiceUnit, UnitBody, UnitKind,
+        UnitName,
+    },
+    ids::{EndpointId, KeyDigest, ModelName, OrganisationId, ServiceName},
+    records::{CapacityKind, LogRecord, PublishRecord, UnitChange},
+    units::{ShareWeight, TokenCount},
+};
+use bluebell_entry::{EntrySettings, RunningEntry};
+use bluebell_platform::api::{EndpointKind, EndpointListing, EndpointState};
+use platform::FakePlatform;
+use tokio_util::sync::CancellationToken;
+
+/// The key that the tests' caller holds.
+pub const KEY: &str = "blank-match-kiosk-7";
+
+/// How long a test waits for what must happen.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An entry between fakes.
+pub struct TestBed {
+    pub platform: FakePlatform,
+    pub entry: RunningEntry,
+    pub http: reqwest::Client,
+}
+
+/// Settings of the entry `name` with short spans.
+pub fn settings(platform: &FakePlatform, name: &str) -> EntrySettings {
+    let text = format!(
+        r#"
+        [node]
+        instance = "{name}"
+        failure_domain = "se-a"
+        region = "se"
+        platform = "{}"
+        http_address = "127.0.0.1:0"
+        peer_address = "127.0.0.1:0"
+        append_timeout = "1s"
+        [requests]
+        heartbeat = "20ms"
+        commit_after = "100ms"
+        list_interval = "20ms"
+        claim_patience = "2s"
+        [metering]
+        flush_interval = "50ms"
+        "#,
+        platform.address
+    );
+    bluebell_daemon::settings::parse("test.toml", &text, EntrySettings::problems).unwrap()
+}
+
+pub async fn start_entry(settings: EntrySettings) -> RunningEntry {
+    let token = CancellationToken::new();
+    bluebell_entry::start(settings, ClockSource::new(), token)
+        .await
+        .unwrap()
+}
+
+impl TestBed {
+    /// An entry that has read a chat service, a plain service, an organisation
+    /// and its key.
+    pub async fn start() -> TestBed {
+        TestBed::with_settings(|_| {}).await
+    }
+
+    pub async fn with_settings<Change>(change: Change) -> TestBed
+    where
+        Change: FnOnce(&mut EntrySettings),
+    {
+        let platform = FakePlatform::start().await;
+        platform.publish(&units());
+        let mut settings = settings(&platform, "entry-1");
+        change(&mut settings);
+        let entry = start_entry(settings).await;
+        let http = reqwest::Client::new();
+        let bed = TestBed {
+            platform,
+            entry,
+            http,
+        };
+        bed.wait_ready().await;
+        bed
+    }
+
+    pub async fn wait_ready(&self) {
+        wait_ready(&self.http, &self.entry).await;
+    }
+
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.entry.http_address)
+    }
+
+    /// Lists these endpoints and waits until the entry has seen them.
+    pub async fn list(&self, listings: Vec<EndpointListing>) {
+        let ids: Vec<EndpointId> = listings.iter().map(|l| l.endpoint.clone()).collect();
+        self.platform.list(listings);
+        self.wait_dump(|dump| {
+            let known = dump["endpoints"].as_array().unwrap();
+            let known = |id: &EndpointId| {
+                known
+                    .iter()
+                    .any(|slot| slot["listing"]["endpoint"] == id.as_str())
+            };
+            ids.iter().all(known)
+        })
+        .await;
+    }
+
+    /// Waits until the entry's dump meets `test`.
+    pub async fn wait_dump<Test>(&self, test: Test)
+    where
+        Test: Fn(&serde_json::Value) -> bool,
+    {
+        let url = self.url("/dump");
+        eventually(async || {
+            let dump = self.http.get(&url).send().await.unwrap();
+            test(&dump.json().await.unwrap())
+        })
+        .await;
+    }
+
+    pub fn chat(&self, stream: bool, text: &str) -> reqwest::RequestBuilder {
+        chat_to(&self.http, &self.entry, stream, text)
+    }
+
+    pub fn call(&self, method: &str, path: &str) -> reqwest::RequestBuilder {
+        call_to(&self.http, &self.entry, method, path)
+    }
+}
+
+pub async fn wait_ready(http: &reqwest::Client, entry: &RunningEntry) {
+    let url = format!("http://{}/ready", entry.http_address);
+    eventually(async || http.get(&url).send().await.unwrap().status().is_success()).await;
+}
+
+pub fn chat_to(
+    http: &reqwest::Client,
+    entry: &RunningEntry,
+    stream: bool,
+    text: &str,
+) -> reqwest::RequestBuilder {
+    let body = serde_json::json!({
+        "model": "chat",
+        "messages": [{"role": "user", "content": text}],
+        "stream": stream,
+    });
+    http.post(format!("http://{}/v1/chat/completions", entry.http_address))
+        .bearer_auth(KEY)
+        .json(&body)
+}
+
+pub fn call_to(
+    http: &reqwest::Client,
+    entry: &RunningEntry,
+    method: &str,
+    path: &str,
+) -> reqwest::RequestBuilder {
+    let url = format!("http://{}/v1/services/pay{path}", entry.http_address);
+    let method = reqwest::Method::from_bytes(method.as_bytes()).unwrap();
+    http.request(method, url).bearer_auth(KEY)
+}
+
+/// Waits until `test` holds; fails after [`PATIENCE`].
+pub async fn eventually<Test>(mut test: Test)
+where
+    Test: AsyncFnMut() -> bool,
+{
+    let wait = async {
+        while !test().await {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait)
+        .await
+        .expect("what must happen did not");
+}
+
+fn change(kind: UnitKind, name: &str, body: UnitBody) -> UnitChange {
+    UnitChange {
+        unit: UnitName::new(kind, name).unwrap(),
+        base: None,
+        body: Some(body),
+    }
+}
+
+fn service(target: ServiceTarget) -> UnitBody {
+    UnitBody::Service(ServiceUnit {
+        target,
+        priority: Default::default(),
+        deadline: TimeSpan::from_secs(20),
+        progress_limit: TimeSpan::from_millis(300),
+        preemptible: false,
+    })
+}
+
+fn organisation(in_flight: u32) -> UnitBody {
+    UnitBody::Organisation(OrganisationUnit {
+        weight: ShareWeight::new(1),
+        services: Vec::new(),
+        max_in_flight: in_flight,
+    })
+}
+
+/// The configuration of the tests.
+pub fn units() -> LogRecord {
+    let model = ModelName::new("m1").unwrap();
+    let target = ServiceTarget::Model {
+        model,
+        max_tokens: TokenCount::new(100),
+    };
+    let key = UnitBody::Key(KeyUnit {
+        organisation: OrganisationId::new("magnolia").unwrap(),
+        digest: KeyDigest::with_key(KEY),
+    });
+    let rule = UnitBody::Rule(RuleUnit {
+        service: ServiceName::new("pay").unwrap(),
+        method: None,
+        path_prefix: "/lookup".to_string(),
+        repeatable: true,
+    });
+    LogRecord::Publish(PublishRecord {
+        publisher: "test".to_string(),
+        changes: vec![
+            change(UnitKind::Service, "chat", service(target)),
+            change(UnitKind::Service, "pay", service(ServiceTarget::Plain {})),
+            change(UnitKind::Organisation, "magnolia", organisation(50)),
+            change(UnitKind::Key, "kiosk", key),
+            change(UnitKind::Rule, "pay-lookup", rule),
+        ],
+    })
+}
+
+/// The listing of a ready endpoint of the chat or the plain service.
+pub fn listing(id: &str, kind: EndpointKind, address: &str) -> EndpointListing {
+    let (service, model) = match kind {
+        EndpointKind::Engine => ("chat", Some(ModelName::new("m1").unwrap())),
+        EndpointKind::Plain => ("pay", None),
+    };
+    EndpointListing {
+        endpoint: EndpointId::new(id).unwrap(),
+        failure_domain: "se-a".parse().unwrap(),
+        kind,
+        capacity: CapacityKind::Reserved,
+        service: ServiceName::new(service).unwrap(),
+        model,
+        address: address.to_string(),
+        state: EndpointState::Ready,
+        checks_fencing: true,
+    }
+}
