Decide orders, draining and usage windows in the log

Cause: an order, a leaving endpoint and a usage window had records, but no rule that says which of them count.

Ruled out: an intent that is written before the endpoint is drained. It would stay open for as long as requests run, and a successor could not tell an order that waits from one that may have been sent.

Window figures are the log's prefix at the first close that counts; later deltas go to the next open window. Slices offer checkpoint and restore.

Conclusion: builds clean; no test of these rules in this commit.

--- a/crates/core/src/marks/mod.rs
+++ b/crates/core/src/marks/mod.rs
@@ -1,10 +1,40 @@
 //! Endpoints that are about to leave and get no new work.
+//!
+//! A mark counts only under the fencing number of the duty that sets it, and
+//! while one duty's mark stands no other duty can change it: so the fleet never
+//! stops an engine whose role the engines' duty is about to change.
 
-use crate::{authority::LeaseState, clock::ClockTime, ids::LogOffset, records::EndpointMark};
+mod drain;
 
-/// What the log says of this duty.
+use std::collections::BTreeMap;
+
+pub use self::drain::{DrainProgress, DrainRule, DrainState, EntryProgress};
+use crate::{
+    authority::LeaseState,
+    clock::ClockTime,
+    ids::{EndpointId, LogOffset},
+    records::{CheckpointItem, DutyName, EndpointMark, MarkState},
+};
+
+/// A leaving endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct LeavingMark {
+    /// The duty that set the mark.
+    pub duty: DutyName,
+    /// The fencing number under which it was set.
+    pub fence: LogOffset,
+    /// Where the mark stands: once every entry has applied it, none chooses the
+    /// endpoint any more.
+    pub offset: LogOffset,
+    /// When this reader read it.
+    pub read_at: ClockTime,
+}
+
+/// The endpoints that are leaving.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
-pub struct LeavingMarks {}
+pub struct LeavingMarks {
+    marks: BTreeMap<EndpointId, LeavingMark>,
+}
 
 impl LeavingMarks {
     /// Nothing read yet.
@@ -12,13 +42,80 @@
         LeavingMarks::default()
     }
 
-    /// Applies a record read at `offset` at the reader's time `now`.
+    /// The endpoint's mark, if it is leaving.
+    pub fn mark(&self, endpoint: &EndpointId) -> Option<&LeavingMark> {
+        self.marks.get(endpoint)
+    }
+
+    /// Whether the endpoint gets no new work.
+    pub fn is_leaving(&self, endpoint: &EndpointId) -> bool {
+        self.marks.contains_key(endpoint)
+    }
+
+    /// All marks.
+    pub fn marks(&self) -> impl Iterator<Item = (&EndpointId, &LeavingMark)> {
+        self.marks.iter()
+    }
+
+    /// Applies a record read at `offset` at the reader's time `now`. A second
+    /// mark of a leaving endpoint changes nothing, also not its offset.
     pub fn apply(
         &mut self,
-        _now: ClockTime,
-        _offset: LogOffset,
-        _record: &EndpointMark,
-        _leases: &LeaseState,
+        now: ClockTime,
+        offset: LogOffset,
+        record: &EndpointMark,
+        leases: &LeaseState,
     ) {
+        if !leases.is_current(&record.duty, record.fence) {
+            return;
+        }
+        let foreign = self
+            .mark(&record.endpoint)
+            .is_some_and(|mark| mark.duty != record.duty);
+        if foreign {
+            return;
+        }
+        match record.state {
+            MarkState::Staying => {
+                self.marks.remove(&record.endpoint);
+            }
+            MarkState::Leaving => {
+                let mark = LeavingMark {
+                    duty: record.duty.clone(),
+                    fence: record.fence,
+                    offset,
+                    read_at: now,
+                };
+                self.marks.entry(record.endpoint.clone()).or_insert(mark);
+            }
+        }
+    }
+
+    /// The marks as items of a checkpoint.
+    pub fn checkpoint(&self) -> Vec<CheckpointItem> {
+        let item = |(endpoint, mark): (&EndpointId, &LeavingMark)| CheckpointItem::Mark {
+            mark: EndpointMark {
+                endpoint: endpoint.clone(),
+                state: MarkState::Leaving,
+                duty: mark.duty.clone(),
+                fence: mark.fence,
+            },
+            offset: mark.offset,
+        };
+        self.marks.iter().map(item).collect()
+    }
+
+    /// Takes over an item of a checkpoint.
+    pub fn restore(&mut self, now: ClockTime, item: &CheckpointItem) {
+        let CheckpointItem::Mark { mark, offset } = item else {
+            return;
+        };
+        let restored = LeavingMark {
+            duty: mark.duty.clone(),
+            fence: mark.fence,
+            offset: *offset,
+            read_at: now,
+        };
+        self.marks.entry(mark.endpoint.clone()).or_insert(restored);
     }
 }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -150,6 +150,9 @@
     Mark {
         /// The mark.
         mark: EndpointMark,
+        /// Where it stands.
+        #[serde(default)]
+        offset: LogOffset,
     },
     /// A claim with what became of it.
     Claim {
@@ -170,6 +173,17 @@
         /// The window.
         window: UsageWindow,
     },
+    /// An order that has been settled, so that a repeat of it is recognised.
+    Settled {
+        /// The duty that it belonged to.
+        duty: DutyName,
+        /// The order.
+        order: OrderId,
+        /// How it ended.
+        outcome: OrderOutcome,
+        /// Where its outcome stands.
+        offset: LogOffset,
+    },
     /// A request that crashed endpoints.
     Quarantine {
         /// One of its crashes.
@@ -457,6 +471,11 @@
         self.0
     }
 
+    /// The window after this one.
+    pub const fn next(self) -> UsageWindow {
+        UsageWindow(self.0 + 1)
+    }
+
     /// The window that `now` falls into if windows are `length` long.
     pub fn at(now: ClockTime, length: TimeSpan) -> UsageWindow {
         UsageWindow(now.as_millis() / length.as_millis().max(1))
--- a/crates/core/src/usage/mod.rs
+++ b/crates/core/src/usage/mod.rs
@@ -1,15 +1,28 @@
 //! Metering: deltas by entries, windows frozen in the log, one report each.
+//!
+//! A window's figures are the sum of the deltas that stand in the log before the
+//! record that closes it, so every process computes the same figures and no
+//! repeat of a report can differ. A delta that comes later is not lost: it counts
+//! in the first window that is still open.
+
+use std::collections::BTreeMap;
 
 use crate::{
     authority::LeaseState,
-    clock::ClockTime,
+    clock::{ClockTime, TimeSpan},
     ids::LogOffset,
-    records::{UsageDelta, UsageWindow, WindowClose},
+    records::{
+        CheckpointItem, DutyName, UsageDelta, UsageLine, UsageWindow, WindowClose, WindowFigures,
+    },
 };
 
 /// What the log says of usage.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
-pub struct UsageState {}
+pub struct UsageState {
+    open: BTreeMap<UsageWindow, Vec<UsageLine>>,
+    frozen: BTreeMap<UsageWindow, Vec<UsageLine>>,
+    last_closed: Option<UsageWindow>,
+}
 
 impl UsageState {
     /// Nothing read yet.
@@ -17,19 +30,122 @@
         UsageState::default()
     }
 
-    /// Adds what an entry metered.
-    pub fn meter(&mut self, _now: ClockTime, _offset: LogOffset, _delta: &UsageDelta) {}
+    /// Adds what an entry metered: to its own window, or, if that is closed, to
+    /// the first window after the last closed one.
+    pub fn meter(&mut self, _now: ClockTime, _offset: LogOffset, delta: &UsageDelta) {
+        let first_open = self
+            .last_closed
+            .map_or(UsageWindow::new(0), UsageWindow::next);
+        let lines = self.open.entry(delta.window.max(first_open)).or_default();
+        for line in &delta.lines {
+            add_line(lines, line);
+        }
+    }
 
-    /// Freezes a window.
+    /// Freezes a window, if the record counts: it stands under the fencing number
+    /// of the `usage` duty, and the windows are closed in order.
     pub fn close(
         &mut self,
         _now: ClockTime,
         _offset: LogOffset,
-        _close: &WindowClose,
-        _leases: &LeaseState,
+        close: &WindowClose,
+        leases: &LeaseState,
     ) {
+        if !leases.is_current(&DutyName::Usage, close.fence) {
+            return;
+        }
+        if self.last_closed.is_some_and(|last| close.window <= last) {
+            return;
+        }
+        let first = self.open.keys().next();
+        if first.is_some_and(|first| *first < close.window) {
+            return;
+        }
+        self.last_closed = Some(close.window);
+        let lines = self.open.remove(&close.window).unwrap_or_default();
+        self.frozen.insert(close.window, lines);
     }
 
     /// Notes that a window has been reported.
-    pub fn reported(&mut self, _window: UsageWindow) {}
+    pub fn reported(&mut self, window: UsageWindow) {
+        self.frozen.remove(&window);
+    }
+
+    /// The window to close next: the first with usage, once `grace` has passed
+    /// since its end.
+    pub fn next_to_close(
+        &self,
+        now: ClockTime,
+        length: TimeSpan,
+        grace: TimeSpan,
+    ) -> Option<UsageWindow> {
+        let current = UsageWindow::at(now - grace, length);
+        let first = self.open.keys().next().copied()?;
+        (first < current).then_some(first)
+    }
+
+    /// The frozen windows that no report has been settled for, oldest first.
+    pub fn unreported(&self) -> impl Iterator<Item = (UsageWindow, &Vec<UsageLine>)> {
+        self.frozen.iter().map(|(window, lines)| (*window, lines))
+    }
+
+    /// The figures of a window that is frozen and not yet reported.
+    pub fn frozen(&self, window: UsageWindow) -> Option<&Vec<UsageLine>> {
+        self.frozen.get(&window)
+    }
+
+    /// The last window that was closed.
+    pub fn last_closed(&self) -> Option<UsageWindow> {
+        self.last_closed
+    }
+
+    /// The windows as items of a checkpoint.
+    pub fn checkpoint(&self) -> Vec<CheckpointItem> {
+        let item = |frozen: bool| {
+            move |(window, lines): (&UsageWindow, &Vec<UsageLine>)| CheckpointItem::Window {
+                figures: WindowFigures {
+                    window: *window,
+                    frozen,
+                    lines: lines.clone(),
+                },
+            }
+        };
+        let closed = self
+            .last_closed
+            .map(|window| CheckpointItem::ClosedWindow { window });
+        let frozen = self.frozen.iter().map(item(true));
+        let open = self.open.iter().map(item(false));
+        closed.into_iter().chain(frozen).chain(open).collect()
+    }
+
+    /// Takes over an item of a checkpoint.
+    pub fn restore(&mut self, _now: ClockTime, item: &CheckpointItem) {
+        match item {
+            CheckpointItem::Window { figures } => {
+                let windows = match figures.frozen {
+                    true => &mut self.frozen,
+                    false => &mut self.open,
+                };
+                let lines = figures.lines.clone();
+                windows.entry(figures.window).or_insert(lines);
+            }
+            CheckpointItem::ClosedWindow { window } => {
+                self.last_closed = self.last_closed.max(Some(*window));
+            }
+            _ => {}
+        }
+    }
+}
+
+fn add_line(lines: &mut Vec<UsageLine>, line: &UsageLine) {
+    let key = |line: &UsageLine| (line.organisation.clone(), line.service.clone());
+    match lines.binary_search_by_key(&key(line), key) {
+        Ok(place) => {
+            let sum = &mut lines[place];
+            sum.requests = sum.requests.saturating_add(line.requests);
+            sum.prompt_tokens = sum.prompt_tokens + line.prompt_tokens;
+            sum.output_tokens = sum.output_tokens + line.output_tokens;
+        }
+        Err(place) => lines.insert(place, line.clone()),
+    }
 }
