Announce instances and let a node tell and know its peers

Cause: instances have to find each other, and entries need each other's outstanding work and served cost, before anything can be shared fairly.

Ruled out: instance types in the platform crate alone (the membership decisions are pure and can't depend on it; they moved to the core and are re-exported).

Conclusion: the interface stands and builds; heartbeats between peers are not part of this commit, and no test of the new slices is either.

--- /dev/null
+++ b/crates/core/src/membership/gossip.rs
@@ -0,0 +1,298 @@
+//! What instances tell of themselves and pass on of others, in bounded heartbeats.
+//!
+//! Every item carries its member's incarnation and a version that grows with
+//! each change. A receiver keeps the newest. A sender remembers per connection
+//! what it has sent and sends only what changed since, up to a number of bytes;
+//! what does not fit waits for the next heartbeat. So growth of the fleet makes
+//! news of far instances slower and never makes heartbeats larger.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{EndpointId, FailureDomain, InstanceId, LogOffset, OrganisationId},
+    membership::{
+        EndpointLoad, InstanceListing, InstanceProgram, InstanceState, LocalStatus,
+        OrganisationShare,
+    },
+    units::{TokenCount, WorkCost},
+};
+
+/// The most endpoints, and the most organisations, that one instance tells of.
+pub const OWN_ITEM_LIMIT: usize = 64;
+
+/// Bytes of an item besides its names: versions, numbers and field tags.
+const ITEM_OVERHEAD: usize = 24;
+
+/// Where an instance runs and how far it has read the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberPresence {
+    /// Where it runs.
+    pub failure_domain: FailureDomain,
+    /// What it runs.
+    pub program: InstanceProgram,
+    /// Whether it stays.
+    pub state: InstanceState,
+    /// The offset of the next entry that it will apply.
+    pub next_offset: LogOffset,
+    /// Where it answers HTTP.
+    pub http_address: String,
+    /// Where it takes peer connections.
+    pub peer_address: String,
+}
+
+impl MemberPresence {
+    /// The presence as an entry of the platform's list.
+    pub fn listing(&self, instance: &InstanceId) -> InstanceListing {
+        InstanceListing {
+            instance: instance.clone(),
+            failure_domain: self.failure_domain.clone(),
+            program: self.program,
+            state: self.state,
+            http_address: self.http_address.clone(),
+            peer_address: self.peer_address.clone(),
+        }
+    }
+}
+
+/// What an item says of its member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GossipBody {
+    /// Where it runs.
+    Presence(MemberPresence),
+    /// Its outstanding work at one endpoint; none at all once the work has ended.
+    Load(EndpointLoad),
+    /// Its work served for one organisation.
+    Share(OrganisationShare),
+}
+
+/// One statement about one member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GossipItem {
+    /// Whom it is about.
+    pub member: InstanceId,
+    /// Which of that instance's processes: later ones have greater numbers.
+    pub incarnation: u64,
+    /// Greater for later statements of one process.
+    pub version: u64,
+    /// What it says.
+    pub body: GossipBody,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ItemKey {
+    Presence,
+    Load(EndpointId),
+    Share(OrganisationId),
+}
+
+impl ItemKey {
+    fn new(body: &GossipBody) -> ItemKey {
+        match body {
+            GossipBody::Presence(_) => ItemKey::Presence,
+            GossipBody::Load(load) => ItemKey::Load(load.endpoint.clone()),
+            GossipBody::Share(share) => ItemKey::Share(share.organisation.clone()),
+        }
+    }
+}
+
+fn item_bytes(item: &GossipItem) -> usize {
+    let names = match &item.body {
+        GossipBody::Presence(presence) => {
+            presence.failure_domain.as_str().len()
+                + presence.http_address.len()
+                + presence.peer_address.len()
+        }
+        GossipBody::Load(load) => load.endpoint.as_str().len(),
+        GossipBody::Share(share) => share.organisation.as_str().len(),
+    };
+    item.member.as_str().len() + names + ITEM_OVERHEAD
+}
+
+type MemberKey = (InstanceId, ItemKey);
+
+#[derive(Clone, Debug, Default)]
+struct LinkMemory {
+    sent: BTreeMap<MemberKey, (u64, u64)>,
+    cursor: Option<MemberKey>,
+}
+
+/// All statements that an instance knows, and what it has sent to whom.
+#[derive(Clone, Debug)]
+pub struct GossipTable {
+    own: InstanceId,
+    incarnation: u64,
+    version: u64,
+    items: BTreeMap<MemberKey, GossipItem>,
+    links: BTreeMap<InstanceId, LinkMemory>,
+}
+
+impl GossipTable {
+    /// A table that knows nothing.
+    pub fn new(own: InstanceId, incarnation: u64) -> GossipTable {
+        GossipTable {
+            own,
+            incarnation,
+            version: 0,
+            items: BTreeMap::new(),
+            links: BTreeMap::new(),
+        }
+    }
+
+    /// Sets what this instance tells of itself; only what changed counts as news.
+    pub fn set_own(&mut self, presence: MemberPresence, status: &LocalStatus) {
+        self.version += 1;
+        self.put_own(GossipBody::Presence(presence));
+        let mut loads = status.loads.clone();
+        loads.sort_by_key(|load| std::cmp::Reverse(load.requests));
+        loads.truncate(OWN_ITEM_LIMIT);
+        self.clear_ended(&loads);
+        for load in loads {
+            self.put_own(GossipBody::Load(load));
+        }
+        let mut shares = status.shares.clone();
+        shares.sort_by_key(|share| std::cmp::Reverse(share.cost));
+        shares.truncate(OWN_ITEM_LIMIT);
+        for share in shares {
+            self.put_own(GossipBody::Share(share));
+        }
+    }
+
+    /// Tells that work at endpoints which are no longer named has ended.
+    fn clear_ended(&mut self, loads: &[EndpointLoad]) {
+        let ended: Vec<EndpointId> = self
+            .member_items(&self.own)
+            .filter_map(|item| match &item.body {
+                GossipBody::Load(load) if load.requests > 0 => Some(load.endpoint.clone()),
+                _ => None,
+            })
+            .filter(|endpoint| loads.iter().all(|load| load.endpoint != *endpoint))
+            .collect();
+        for endpoint in ended {
+            self.put_own(GossipBody::Load(EndpointLoad {
+                endpoint,
+                requests: 0,
+                tokens: TokenCount::ZERO,
+            }));
+        }
+    }
+
+    fn put_own(&mut self, body: GossipBody) {
+        let key = (self.own.clone(), ItemKey::new(&body));
+        if self.items.get(&key).is_some_and(|item| item.body == body) {
+            return;
+        }
+        let item = GossipItem {
+            member: self.own.clone(),
+            incarnation: self.incarnation,
+            version: self.version,
+            body,
+        };
+        self.items.insert(key, item);
+    }
+
+    /// Takes an item that came over `link`; answers whether it is news.
+    pub fn take(&mut self, link: &InstanceId, item: &GossipItem) -> bool {
+        let key = (item.member.clone(), ItemKey::new(&item.body));
+        let stamp = (item.incarnation, item.version);
+        let memory = self.links.entry(link.clone()).or_default();
+        memory.sent.insert(key.clone(), stamp);
+        let newest = self
+            .member_items(&item.member)
+            .map(|item| item.incarnation)
+            .max();
+        match newest {
+            Some(newest) if newest > item.incarnation => return false,
+            Some(newest) if newest < item.incarnation => self.forget(&item.member),
+            _ => {}
+        }
+        let known = self.items.get(&key);
+        if known.is_some_and(|known| (known.incarnation, known.version) >= stamp) {
+            return false;
+        }
+        self.items.insert(key, item.clone());
+        true
+    }
+
+    /// Forgets all that is known of `member`.
+    pub fn forget(&mut self, member: &InstanceId) {
+        self.items.retain(|(of, _), _| of != member);
+        for memory in self.links.values_mut() {
+            memory.sent.retain(|(of, _), _| of != member);
+        }
+    }
+
+    /// Forgets what was sent over `link`.
+    pub fn reset_link(&mut self, link: &InstanceId) {
+        self.links.remove(link);
+    }
+
+    /// What to send over `link` now, in about `budget` bytes: own statements
+    /// first, then others' in turn.
+    pub fn beat(&mut self, link: &InstanceId, budget: usize) -> Vec<GossipItem> {
+        let memory = self.links.entry(link.clone()).or_default();
+        let unsent = |(key, item): &(&MemberKey, &GossipItem)| {
+            let stamp = (item.incarnation, item.version);
+            key.0 != *link && memory.sent.get(*key).is_none_or(|sent| *sent < stamp)
+        };
+        let own = (self.own.clone(), ItemKey::Presence);
+        let cursor = memory.cursor.clone().unwrap_or_else(|| own.clone());
+        let first = self.items.get_key_value(&own);
+        let after = self.items.range(cursor.clone()..);
+        let before = self.items.range(..cursor);
+        let others = after.chain(before).filter(|(key, _)| **key != own);
+        let mut left = budget;
+        let mut chosen = Vec::new();
+        let mut last = None;
+        for (key, item) in first.into_iter().chain(others).filter(unsent) {
+            let bytes = item_bytes(item);
+            if bytes > left && !chosen.is_empty() {
+                last = Some(key.clone());
+                break;
+            }
+            left = left.saturating_sub(bytes);
+            chosen.push(item.clone());
+        }
+        for item in &chosen {
+            let key = (item.member.clone(), ItemKey::new(&item.body));
+            memory.sent.insert(key, (item.incarnation, item.version));
+        }
+        memory.cursor = last;
+        chosen
+    }
+
+    fn member_items(&self, member: &InstanceId) -> impl Iterator<Item = &GossipItem> {
+        let first = (member.clone(), ItemKey::Presence);
+        let of = member.clone();
+        self.items
+            .range(first..)
+            .take_while(move |((member, _), _)| *member == of)
+            .map(|(_, item)| item)
+    }
+
+    /// Where `member` runs, if it has told.
+    pub fn presence(&self, member: &InstanceId) -> Option<&MemberPresence> {
+        match &self.items.get(&(member.clone(), ItemKey::Presence))?.body {
+            GossipBody::Presence(presence) => Some(presence),
+            _ => None,
+        }
+    }
+
+    /// What is known of the work of `member`.
+    pub fn status(&self, member: &InstanceId) -> LocalStatus {
+        let mut status = LocalStatus::default();
+        for item in self.member_items(member) {
+            match &item.body {
+                GossipBody::Presence(presence) => status.state = presence.state,
+                GossipBody::Load(load) if load.requests > 0 => status.loads.push(load.clone()),
+                GossipBody::Load(_) => {}
+                GossipBody::Share(share) if share.cost > WorkCost::ZERO => {
+                    status.shares.push(share.clone());
+                }
+                GossipBody::Share(_) => {}
+            }
+        }
+        status
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/table.rs
@@ -0,0 +1,158 @@
+//! The table of known instances: who lives, who leaves, who is suspected.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    ids::InstanceId,
+    membership::{
+        GossipItem, GossipTable, InstanceListing, InstanceState, LocalStatus, PeerStatus,
+        gossip::MemberPresence,
+    },
+};
+
+/// How long a peer with a direct connection may be silent before it is suspected.
+pub const HEARTBEAT_TIMEOUT: TimeSpan = TimeSpan::from_secs(3);
+
+/// How long an instance that is heard of only through others may go unheard.
+pub const RELAYED_TIMEOUT: TimeSpan = TimeSpan::from_secs(20);
+
+/// How long an instance that nobody lists or hears is remembered.
+pub const FORGET_AFTER: TimeSpan = TimeSpan::from_secs(60);
+
+#[derive(Clone, Debug, Default)]
+struct MemberEntry {
+    listing: Option<InstanceListing>,
+    listed_at: Option<ClockTime>,
+    heard_at: Option<ClockTime>,
+    relayed_at: Option<ClockTime>,
+}
+
+/// What one instance knows of the others.
+#[derive(Clone, Debug)]
+pub struct MemberTable {
+    own: InstanceId,
+    entries: BTreeMap<InstanceId, MemberEntry>,
+    gossip: GossipTable,
+}
+
+impl MemberTable {
+    /// A table in which `own`, started as number `incarnation`, knows nobody yet.
+    pub fn new(own: InstanceId, incarnation: u64) -> MemberTable {
+        MemberTable {
+            gossip: GossipTable::new(own.clone(), incarnation),
+            own,
+            entries: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the platform's list, which was read at `now`.
+    pub fn list(&mut self, now: ClockTime, listings: &[InstanceListing]) {
+        for listing in listings.iter().filter(|l| l.instance != self.own) {
+            let entry = self.entries.entry(listing.instance.clone()).or_default();
+            entry.listing = Some(listing.clone());
+            entry.listed_at = Some(now);
+        }
+        let gossip = &mut self.gossip;
+        self.entries.retain(|instance, entry| {
+            let seen = [entry.listed_at, entry.heard_at, entry.relayed_at];
+            let seen = seen.into_iter().flatten().max();
+            let keep = seen.is_some_and(|seen| now.since(seen) <= FORGET_AFTER);
+            if !keep {
+                gossip.forget(instance);
+            }
+            keep
+        });
+    }
+
+    /// Takes items that the peer `from` sent with its heartbeat.
+    pub fn hear(&mut self, now: ClockTime, from: &InstanceId, items: &[GossipItem]) {
+        self.entries.entry(from.clone()).or_default().heard_at = Some(now);
+        for item in items.iter().filter(|item| item.member != self.own) {
+            let news = self.gossip.take(from, item);
+            if news && item.member != *from {
+                let entry = self.entries.entry(item.member.clone()).or_default();
+                entry.relayed_at = Some(now);
+            }
+        }
+    }
+
+    /// Sets what this instance tells of itself.
+    pub fn set_own(&mut self, presence: MemberPresence, status: &LocalStatus) {
+        self.gossip.set_own(presence, status);
+    }
+
+    /// The items to send to `link` with the next heartbeat, in at most about
+    /// `budget` bytes.
+    pub fn beat(&mut self, link: &InstanceId, budget: usize) -> Vec<GossipItem> {
+        self.gossip.beat(link, budget)
+    }
+
+    /// Forgets what was sent to `link`: its connection is new.
+    pub fn reset_link(&mut self, link: &InstanceId) {
+        self.gossip.reset_link(link);
+    }
+
+    /// Whether `instance` should be given no new trust at `now`: a direct peer
+    /// that fell silent, or one that neither the list nor peers know lately.
+    pub fn is_suspected(&self, now: ClockTime, instance: &InstanceId) -> bool {
+        let Some(entry) = self.entries.get(instance) else {
+            return true;
+        };
+        if let Some(heard_at) = entry.heard_at {
+            return now.since(heard_at) > HEARTBEAT_TIMEOUT;
+        }
+        let known = entry.listed_at.max(entry.relayed_at);
+        known.is_none_or(|known| now.since(known) > RELAYED_TIMEOUT)
+    }
+
+    /// Where `instance` runs and listens, as the list or its peers tell.
+    pub fn listing(&self, instance: &InstanceId) -> Option<InstanceListing> {
+        let told = self.gossip.presence(instance);
+        let entry = self.entries.get(instance)?;
+        match told {
+            Some(told) => Some(told.listing(instance)),
+            None => entry.listing.clone(),
+        }
+    }
+
+    /// All known instances, this one left out.
+    pub fn listings(&self) -> Vec<InstanceListing> {
+        self.entries
+            .keys()
+            .filter_map(|instance| self.listing(instance))
+            .collect()
+    }
+
+    /// What is known of every other instance, by instance.
+    pub fn peers(&self, now: ClockTime) -> Vec<PeerStatus> {
+        self.entries
+            .iter()
+            .filter_map(|(instance, entry)| self.peer(now, instance, entry))
+            .collect()
+    }
+
+    fn peer(
+        &self,
+        now: ClockTime,
+        instance: &InstanceId,
+        entry: &MemberEntry,
+    ) -> Option<PeerStatus> {
+        let listing = self.listing(instance)?;
+        let mut status = self.gossip.status(instance);
+        let listed_as = entry.listing.as_ref().map(|listing| listing.state);
+        if listed_as == Some(InstanceState::Leaving) {
+            status.state = InstanceState::Leaving;
+        }
+        Some(PeerStatus {
+            instance: instance.clone(),
+            failure_domain: listing.failure_domain,
+            program: listing.program,
+            state: status.state,
+            suspected: self.is_suspected(now, instance),
+            next_offset: self.gossip.presence(instance).map(|told| told.next_offset),
+            heard_at: entry.heard_at.max(entry.relayed_at),
+            status,
+        })
+    }
+}
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -1,18 +1,28 @@
 //! The handle that a daemon holds on its node.
 
-use std::sync::{Arc, Mutex};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
 
 use bluebell_core::{
     clock::{ClockSource, ClockTime, TimeSpan},
     ids::{LogOffset, WriterId},
+    membership::{
+        InstanceListing, InstanceProgram, InstanceState, LocalStatus, MemberTable, PeerStatus,
+    },
     records::{LogEntry, LogRecord, WithdrawRecord},
     view::{FleetView, ViewEvent},
 };
 use bluebell_platform::PlatformClient;
-use tokio::sync::{broadcast, mpsc, oneshot, watch};
+use tokio::{
+    net::TcpListener,
+    sync::{broadcast, mpsc, oneshot, watch},
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    announce,
     append::{AppendError, AppendJob, LogAppender},
     follow,
     settings::NodeSettings,
@@ -44,6 +54,8 @@
     events: broadcast::Sender<ViewEvent>,
     progress: watch::Sender<LogProgress>,
     appends: mpsc::Sender<AppendJob>,
+    members: Mutex<MemberTable>,
+    local: watch::Sender<LocalStatus>,
 }
 
 /// A handle on a running node; clones share it.
@@ -74,6 +86,8 @@
         );
         tokio::spawn(appender.run(jobs, token.child_token()));
         let wait = settings.read_wait;
+        let incarnation = clock.now().as_millis();
+        let members = Mutex::new(MemberTable::new(settings.instance.clone(), incarnation));
         let state = NodeState {
             settings,
             clock,
@@ -82,6 +96,8 @@
             events: broadcast::Sender::new(EVENT_BACKLOG),
             progress: watch::Sender::new(LogProgress::default()),
             appends,
+            members,
+            local: watch::Sender::new(LocalStatus::default()),
         };
         let node = NodeHandle {
             state: Arc::new(state),
@@ -90,6 +106,67 @@
         node
     }
 
+    /// Joins the other instances: takes peer connections, appears on the
+    /// platform's list as a `program` that answers HTTP at `http_address`, and
+    /// does both until `token` is cancelled. Answers the address for peers.
+    pub async fn join(
+        &self,
+        program: InstanceProgram,
+        http_address: SocketAddr,
+        token: &CancellationToken,
+    ) -> std::io::Result<SocketAddr> {
+        let settings = &self.state.settings;
+        let listener = TcpListener::bind(settings.peer_address).await?;
+        let peer_address = listener.local_addr()?;
+        let listing = InstanceListing {
+            instance: settings.instance.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            program,
+            state: InstanceState::Live,
+            http_address: http_address.to_string(),
+            peer_address: settings.peer_advertise.unwrap_or(peer_address).to_string(),
+        };
+        tokio::spawn(announce::run(self.clone(), listing, token.child_token()));
+        Ok(peer_address)
+    }
+
+    /// Sets what this process tells its peers of its work. Setting the state to
+    /// leaving is told at once, to peers and to the platform's list.
+    pub fn set_local(&self, status: LocalStatus) {
+        self.state.local.send_replace(status);
+    }
+
+    /// What this process tells its peers of its work.
+    pub fn local(&self) -> LocalStatus {
+        self.state.local.borrow().clone()
+    }
+
+    pub(crate) fn local_state(&self) -> InstanceState {
+        self.state.local.borrow().state
+    }
+
+    /// Waits until this process's own state is no longer `before`.
+    pub(crate) async fn local_changed(&self, before: InstanceState) {
+        let mut local = self.state.local.subscribe();
+        let changed = local.wait_for(|status| status.state != before).await;
+        drop(changed);
+    }
+
+    /// What is known of every other instance, by instance.
+    pub fn peers(&self) -> Vec<PeerStatus> {
+        let now = self.state.clock.now();
+        self.members().peers(now)
+    }
+
+    pub(crate) fn members(&self) -> std::sync::MutexGuard<'_, MemberTable> {
+        self.state.members.lock().expect("no holder panics")
+    }
+
+    pub(crate) fn note_listings(&self, listings: &[InstanceListing]) {
+        let now = self.state.clock.now();
+        self.members().list(now, listings);
+    }
+
     /// The node's settings.
     pub fn settings(&self) -> &NodeSettings {
         &self.state.settings
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -67,42 +67,7 @@
     pub entries: Vec<RawEntry>,
 }
 
-/// What an instance runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum InstanceProgram {
-    /// `bluebell-entry`.
-    Entry,
-    /// `bluebell-controller`.
-    Controller,
-}
-
-/// Whether an instance stays.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum InstanceState {
-    /// It runs.
-    Live,
-    /// It is being shut down.
-    Leaving,
-}
-
-/// One of our processes on the platform's list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct InstanceListing {
-    /// Which.
-    pub instance: InstanceId,
-    /// Where.
-    pub failure_domain: FailureDomain,
-    /// What it runs.
-    pub program: InstanceProgram,
-    /// Whether it stays.
-    pub state: InstanceState,
-    /// Where it answers HTTP, as `ip:port`.
-    pub http_address: String,
-    /// Where it takes peer connections, as `ip:port`.
-    pub peer_address: String,
-}
+pub use bluebell_core::membership::{InstanceListing, InstanceProgram, InstanceState};
 
 /// What an endpoint is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
