Check and publish configuration from files beside services' code

Cause: operators drive the system by short files; a mistake in one of them must change nothing.

Change: bluebell check and publish; files collected and checked as a whole before anything is sent; one record with the versions it was made from; the outcome read back from the log; live instances asked until they confirm.

Conclusion: usable against a platform; publishing against a running one is not tested in this commit.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,7 @@
-//! Entry point of `bluebell`.
+//! `bluebell`: the operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bluebell_cli::run()
+}
--- a/crates/core/src/keys/mod.rs
+++ b/crates/core/src/keys/mod.rs
@@ -64,6 +64,11 @@
         self.withdrawn.insert(record.digest.clone())
     }
 
+    /// Whether the key was withdrawn.
+    pub fn is_withdrawn(&self, digest: &KeyDigest) -> bool {
+        self.withdrawn.contains(digest)
+    }
+
     /// The organisation that the key admits, if it is in force.
     pub fn organisation(&self, digest: &KeyDigest) -> Option<&OrganisationId> {
         if self.withdrawn.contains(digest) {
--- a/crates/core/src/membership/status.rs
+++ b/crates/core/src/membership/status.rs
@@ -99,7 +99,8 @@
 }
 
 /// What an instance knows of a peer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct PeerStatus {
     /// Which.
     pub instance: InstanceId,
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -22,6 +22,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    admin::NodeReport,
     announce,
     append::{AppendError, AppendJob, LogAppender},
     follow,
@@ -167,6 +168,28 @@
         self.members().list(now, listings);
     }
 
+    /// What this node tells operators of itself.
+    pub fn report(&self) -> NodeReport {
+        let progress = self.progress();
+        NodeReport {
+            instance: self.state.settings.instance.clone(),
+            failure_domain: self.state.settings.failure_domain.clone(),
+            state: self.local_state(),
+            next_offset: progress.next,
+            caught_up: progress.caught_up,
+            freshness: self.freshness(),
+            peers: self.peers(),
+        }
+    }
+
+    /// The age of the newest confirmed knowledge of the log's end: no record
+    /// that stood in the log longer ago than this is missing from the view.
+    /// None if the end has never been confirmed.
+    pub fn freshness(&self) -> Option<TimeSpan> {
+        let read_at = self.progress().read_at?;
+        Some(self.state.clock.now().since(read_at))
+    }
+
     /// The node's settings.
     pub fn settings(&self) -> &NodeSettings {
         &self.state.settings
@@ -231,6 +254,15 @@
             .is_ok_and(|seen| seen.is_ok())
     }
 
+    /// Waits until the node has caught up; answers whether it did within `patience`.
+    pub async fn wait_caught_up(&self, patience: TimeSpan) -> bool {
+        let mut progress = self.state.progress.subscribe();
+        let caught_up = progress.wait_for(|progress| progress.caught_up);
+        tokio::time::timeout(patience.as_duration(), caught_up)
+            .await
+            .is_ok_and(|seen| seen.is_ok())
+    }
+
     /// Applies an entry, read from the log or relayed by a peer.
     pub fn apply(&self, entry: &LogEntry) {
         let now = self.state.clock.now();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 //! append under way, its sequence numbers stand in the log in order, and an
 //! append that was given up and lands late is dropped by every reader.
 
+pub mod admin;
 pub mod announce;
 pub mod append;
 pub mod follow;
