--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod api;
 pub mod client;
+pub mod reference;
 
 pub use client::{EndpointClient, EndpointError};
