Carry out orders, drains and usage reports under a lease

Cause: duties were held but nothing was done with them.

Ruled out: pooled connections to engines for orders. One that has gone silent makes the fate of an order unknown for no gain.

Change: workers for engines, fleet and usage drive the slices' steps: mark, ask entries and the endpoint, intend, read back, look at the receiver, look at the clock, send with a short timeout, settle. Reclaimed endpoints are marked at once.

Conclusion: builds clean; no test in this commit.

--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -7,17 +7,23 @@
     journal::{self, DecisionJournal},
     ops::{self, OpsSource, ReadyState, RunningServer},
 };
+use bluebell_endpoint::orders::EngineOrderClient;
 use bluebell_node::NodeHandle;
 use bluebell_platform::api::{InstanceListing, InstanceProgram, InstanceState};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    context::DutyContext,
+    directory::{self, EndpointDirectory},
     duties::DutyDesk,
+    engines,
     error::ControllerError,
+    fleet,
     members::{self, InstanceList},
     metrics::ControllerMetrics,
     settings::ControllerSettings,
+    usage,
 };
 
 /// How long a stopping controller tries to give up its leases. What it can't
@@ -67,16 +73,32 @@
     );
     let source = ops_source(&node, &desk, &metrics);
     let rocket = ops::server(settings.node.http_address);
-    let rocket = journal::mount(ops::mount(rocket, source), journal);
+    let rocket = journal::mount(ops::mount(rocket, source), journal.clone());
     let server = RunningServer::start(rocket, settings.node.http_address).await?;
     let http_address = server.address;
     let own = own_listing(&settings, http_address);
-    tokio::spawn(members::run(node, list, own, token.child_token()));
-    let leases = tokio::spawn(desk.clone().run(token.child_token()));
+    tokio::spawn(members::run(
+        node.clone(),
+        list.clone(),
+        own,
+        token.child_token(),
+    ));
+    let context = DutyContext {
+        engines: engine_client(&settings),
+        node,
+        desk: desk.clone(),
+        list,
+        directory: EndpointDirectory::new(),
+        journal,
+        metrics,
+        settings,
+    };
+    let workers = spawn_workers(&context, &token);
     let stopped = token.clone();
     let task = tokio::spawn(async move {
         stopped.cancelled().await;
-        let _ = leases.await;
+        // An order under way ends before its lease is released.
+        futures::future::join_all(workers).await;
         let release = desk.release_all();
         let _ = tokio::time::timeout(RELEASE_PATIENCE.as_duration(), release).await;
         node_token.cancel();
@@ -89,6 +111,30 @@
     })
 }
 
+fn engine_client(settings: &ControllerSettings) -> EngineOrderClient {
+    let node = &settings.node;
+    let sender = format!("bluebell/{}@{}", node.instance, node.failure_domain);
+    EngineOrderClient::new(&sender, settings.orders.timeout)
+}
+
+fn spawn_workers(context: &DutyContext, token: &CancellationToken) -> Vec<JoinHandle<()>> {
+    let context = context.clone();
+    let listings = directory::run(
+        context.node.clone(),
+        context.desk.clone(),
+        context.directory.clone(),
+        context.settings.orders.interval,
+        token.child_token(),
+    );
+    vec![
+        tokio::spawn(context.desk.clone().run(token.child_token())),
+        tokio::spawn(listings),
+        tokio::spawn(engines::run(context.clone(), token.child_token())),
+        tokio::spawn(fleet::run(context.clone(), token.child_token())),
+        tokio::spawn(usage::run(context, token.child_token())),
+    ]
+}
+
 fn own_listing(settings: &ControllerSettings, http_address: SocketAddr) -> InstanceListing {
     let node = &settings.node;
     InstanceListing {
--- /dev/null
+++ b/crates/controller/src/fleet.rs
@@ -0,0 +1,118 @@
+//! The `fleet` duty: starts and stops of endpoints, and marks of those that the
+//! platform takes back.
+
+use std::collections::BTreeMap;
+
+use bluebell_core::{
+    authority::DutyGrant,
+    ids::{EndpointId, LogOffset, OrderId},
+    orders::{ChangeRun, OrderRun},
+    records::{DutyName, OrderBody},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{context::DutyContext, engines, marks, steps};
+
+/// The orders under way.
+#[derive(Debug, Default)]
+pub struct FleetDesk {
+    fence: LogOffset,
+    stops: BTreeMap<EndpointId, ChangeRun>,
+    starts: BTreeMap<OrderId, OrderRun>,
+}
+
+impl FleetDesk {
+    fn new(fence: LogOffset) -> FleetDesk {
+        FleetDesk {
+            fence,
+            ..FleetDesk::default()
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.stops.is_empty() && self.starts.is_empty()
+    }
+
+    /// Adds an order, new or found open in the log.
+    fn add(&mut self, context: &DutyContext, order: OrderId, body: &OrderBody) {
+        let checks = context.settings.orders.platform_checks_fencing;
+        let run = OrderRun::new(order.clone(), body.clone(), checks, context.order_rule());
+        match engines::endpoint_of(body) {
+            Some(endpoint) => {
+                let rule = engines::drain_rule(context);
+                let change = ChangeRun::new(endpoint.clone(), run, rule);
+                self.stops.entry(endpoint).or_insert(change);
+            }
+            None => {
+                self.starts.entry(order).or_insert(run);
+            }
+        }
+    }
+}
+
+/// Runs the fleet while the duty is held here.
+pub async fn run(context: DutyContext, token: CancellationToken) {
+    let interval = context.settings.orders.interval.as_duration();
+    let mut desk = FleetDesk::default();
+    while !token.is_cancelled() {
+        match context.desk.grant(&DutyName::Fleet) {
+            Some(grant) => pass(&context, &grant, &mut desk).await,
+            None => {
+                desk = FleetDesk::default();
+                context.desk.set_busy(&DutyName::Fleet, false);
+            }
+        }
+        tokio::select! {
+            () = token.cancelled() => return,
+            () = tokio::time::sleep(interval) => {}
+        }
+    }
+}
+
+async fn pass(context: &DutyContext, grant: &DutyGrant, desk: &mut FleetDesk) {
+    if desk.fence != grant.fence {
+        *desk = FleetDesk::new(grant.fence);
+    }
+    if context.directory.asked_at().is_none() {
+        return;
+    }
+    marks::mark_reclaimed(context, &grant.duty).await;
+    take_over(context, desk);
+    context.desk.set_busy(&grant.duty, !desk.is_idle());
+    drive(context, &grant.duty, desk).await;
+    context.desk.set_busy(&grant.duty, !desk.is_idle());
+    let planned: Vec<&EndpointId> = desk.stops.keys().collect();
+    marks::clear_orphans(context, &grant.duty, &planned).await;
+}
+
+/// Orders that a predecessor left open come before anything new.
+fn take_over(context: &DutyContext, desk: &mut FleetDesk) {
+    let open: Vec<(OrderId, OrderBody)> = context.node.with_view(|view| {
+        let orders = view.orders.open_orders();
+        let own = orders.filter(|(_, open)| open.duty == DutyName::Fleet);
+        own.map(|(order, open)| (order.clone(), open.body.clone()))
+            .collect()
+    });
+    for (order, body) in open {
+        desk.add(context, order, &body);
+    }
+}
+
+async fn drive(context: &DutyContext, duty: &DutyName, desk: &mut FleetDesk) {
+    let starts = desk.starts.iter_mut().map(|(order, run)| async {
+        let ended = steps::drive_order(context, duty, run).await;
+        ended.then(|| order.clone())
+    });
+    let ended = futures::future::join_all(starts).await;
+    for order in ended.into_iter().flatten() {
+        desk.starts.remove(&order);
+    }
+    let stops = desk.stops.iter_mut().map(|(endpoint, change)| async {
+        let ended = steps::drive_change(context, duty, change).await;
+        ended.then(|| endpoint.clone())
+    });
+    let ended = futures::future::join_all(stops).await;
+    for endpoint in ended.into_iter().flatten() {
+        desk.stops.remove(&endpoint);
+    }
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -4,12 +4,21 @@
 //! through leases in the log ([`duties`]); whoever holds a duty does its work
 //! and stops at once when it can't count on the lease any more.
 
+pub mod context;
 pub mod daemon;
+pub mod directory;
 pub mod duties;
+pub mod engines;
 pub mod error;
+pub mod fleet;
+pub mod marks;
 pub mod members;
 pub mod metrics;
+pub mod plans;
+pub mod receivers;
 pub mod settings;
+pub mod steps;
+pub mod usage;
 
 pub use daemon::{RunningController, start};
 pub use error::ControllerError;
--- a/crates/controller/src/members.rs
+++ b/crates/controller/src/members.rs
@@ -2,7 +2,9 @@
 
 use std::sync::{Arc, Mutex};
 
-use bluebell_core::{authority::DutyCandidate, clock::TimeSpan, ids::FailureDomain};
+use bluebell_core::{
+    authority::DutyCandidate, clock::TimeSpan, ids::FailureDomain, marks::EntryProgress,
+};
 use bluebell_daemon::logs::LogLine;
 use bluebell_node::NodeHandle;
 use bluebell_platform::api::{InstanceListing, InstanceProgram, InstanceState};
@@ -46,6 +48,16 @@
         live.into_iter().map(candidate).collect()
     }
 
+    /// How far the live entries have read the log.
+    pub fn entries(&self) -> Vec<EntryProgress> {
+        let progress = |listing: InstanceListing| EntryProgress {
+            instance: listing.instance,
+            next: None,
+        };
+        let live = self.live(InstanceProgram::Entry);
+        live.into_iter().map(progress).collect()
+    }
+
     /// The failure domains that any instance runs in, sorted.
     pub fn failure_domains(&self) -> Vec<FailureDomain> {
         let listings = self.listings.lock().expect("no holder panics");
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -75,8 +75,12 @@
     pub interval: TimeSpan,
     /// How long an entry that can't be reached keeps a leaving endpoint waiting.
     pub drain_bound: TimeSpan,
-    /// How long an order to an endpoint that can't be reached stays open.
-    pub give_up: TimeSpan,
+    /// How long a request may be on its way to an endpoint whose mark its entry
+    /// has just read.
+    pub drain_settle: TimeSpan,
+    /// Whether the platform refuses start and stop orders with an old fencing
+    /// number. If it doesn't, a new holder waits before its first order.
+    pub platform_checks_fencing: bool,
 }
 
 impl Default for OrderSettings {
@@ -85,7 +89,8 @@
             timeout: TimeSpan::from_secs(1),
             interval: TimeSpan::from_millis(250),
             drain_bound: TimeSpan::from_secs(5),
-            give_up: TimeSpan::from_secs(30),
+            drain_settle: TimeSpan::from_millis(500),
+            platform_checks_fencing: true,
         }
     }
 }
--- a/crates/core/src/orders/mod.rs
+++ b/crates/core/src/orders/mod.rs
@@ -75,6 +75,8 @@
 pub struct SettledOrder {
     /// The duty that it belonged to.
     pub duty: DutyName,
+    /// What was ordered.
+    pub body: OrderBody,
     /// How it ended.
     pub outcome: OrderOutcome,
     /// Where its outcome stands.
@@ -116,6 +118,16 @@
         self.settled.get(order)
     }
 
+    /// Whether an order to stop `endpoint` has taken effect, as far back as is
+    /// remembered.
+    pub fn was_stopped(&self, endpoint: &EndpointId) -> bool {
+        self.settled.values().any(|settled| {
+            let stop =
+                matches!(&settled.body, OrderBody::StopEndpoint { endpoint: e } if e == endpoint);
+            stop && settled.outcome == OrderOutcome::Applied
+        })
+    }
+
     /// Applies an intent read at `offset`. A repeat of an open order under a
     /// later fencing number is its successor taking it over.
     pub fn intend(
@@ -169,6 +181,7 @@
         let open = self.open.remove(&record.order)?;
         let settled = SettledOrder {
             duty: open.duty,
+            body: open.body.clone(),
             outcome: record.outcome,
             offset,
         };
@@ -210,6 +223,7 @@
             .map(|(order, settled)| CheckpointItem::Settled {
                 duty: settled.duty.clone(),
                 order: order.clone(),
+                body: settled.body.clone(),
                 outcome: settled.outcome,
                 offset: settled.offset,
             });
@@ -234,11 +248,13 @@
             CheckpointItem::Settled {
                 duty,
                 order,
+                body,
                 outcome,
                 offset,
             } => {
                 let settled = SettledOrder {
                     duty: duty.clone(),
+                    body: body.clone(),
                     outcome: *outcome,
                     offset: *offset,
                 };
--- a/crates/core/src/orders/run.rs
+++ b/crates/core/src/orders/run.rs
@@ -50,6 +50,8 @@
     Done,
     /// The effect is not there.
     Absent,
+    /// Another effect stands in its place, which the order can't undo.
+    Conflicting,
     /// The receiver does not exist any more.
     Gone,
     /// The receiver could not be asked.
@@ -67,6 +69,8 @@
     Stale,
     /// The receiver refuses; the order has no effect.
     Refused,
+    /// The receiver can't take it now; the order has no effect.
+    Unavailable,
     /// Whether the receiver got it is unknown.
     Unknown,
 }
@@ -221,6 +225,10 @@
     pub fn observed(&mut self, now: ClockTime, view: &EffectView) {
         match view {
             EffectView::Done => self.verdict = Some((OrderOutcome::Applied, "seen in effect")),
+            EffectView::Conflicting => {
+                let reason = "the receiver has something else in its place";
+                self.verdict = Some((OrderOutcome::Refused, reason));
+            }
             EffectView::Gone => self.verdict = Some(self.gone_verdict()),
             EffectView::Unreachable => self.resume_at = now + self.rule.pause,
             EffectView::Absent => self.observed = true,
@@ -263,7 +271,7 @@
         self.observed = false;
         self.resume_at = now + self.rule.pause;
         match answer {
-            SendAnswer::Accepted | SendAnswer::Unknown => {}
+            SendAnswer::Accepted | SendAnswer::Unavailable | SendAnswer::Unknown => {}
             SendAnswer::Done => self.verdict = Some((OrderOutcome::Applied, "carried out")),
             SendAnswer::Refused => self.verdict = Some((OrderOutcome::Refused, "refused")),
             SendAnswer::Stale => self.stopped = Some("the receiver knows of a successor"),
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -179,6 +179,8 @@
         duty: DutyName,
         /// The order.
         order: OrderId,
+        /// What was ordered.
+        body: OrderBody,
         /// How it ended.
         outcome: OrderOutcome,
         /// Where its outcome stands.
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -1,3 +1,4 @@
 //! The interfaces of endpoints: model engines and plain services.
 
 pub mod api;
+pub mod orders;
--- /dev/null
+++ b/crates/endpoint/src/orders.rs
@@ -0,0 +1,103 @@
+//! A client for an engine's orders and status, for whoever is in charge of it.
+//!
+//! It keeps no connection open between calls: an engine is asked seldom, and a
+//! pooled connection that has gone silent would make an order's fate unknown.
+
+use std::time::Duration;
+
+use bluebell_core::clock::TimeSpan;
+use reqwest::{RequestBuilder, StatusCode};
+
+use crate::api::{EngineOrder, EngineStatus, OrderAnswer};
+
+/// Why an engine gave no usable answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum EngineOrderError {
+    /// The connection could not be opened: nothing was sent.
+    #[error("failed to connect to the engine: {0}")]
+    NotSent(String),
+    /// The call was sent, and what became of it is unknown.
+    #[error("the engine's answer was lost: {0}")]
+    Unknown(String),
+    /// The engine has seen a later fencing number; the order has no effect.
+    #[error("the engine refuses the fencing number: {0}")]
+    Stale(String),
+    /// The engine can't take an order now; the order has no effect.
+    #[error("the engine is busy")]
+    Busy,
+    /// The engine refuses; the order has no effect.
+    #[error("the engine refuses with status {status}: {message}")]
+    Refused {
+        /// The HTTP status.
+        status: u16,
+        /// What it says.
+        message: String,
+    },
+}
+
+/// A client for orders to engines.
+#[derive(Clone, Debug)]
+pub struct EngineOrderClient {
+    http: reqwest::Client,
+    timeout: TimeSpan,
+}
+
+impl EngineOrderClient {
+    /// A client that names itself `sender` and gives up after `timeout`.
+    pub fn new(sender: &str, timeout: TimeSpan) -> EngineOrderClient {
+        let http = reqwest::Client::builder()
+            .user_agent(sender)
+            .connect_timeout(Duration::from_millis(500))
+            .pool_max_idle_per_host(0)
+            .retry(reqwest::retry::never())
+            .build()
+            .expect("the client's settings are constant");
+        EngineOrderClient { http, timeout }
+    }
+
+    /// Sends an order to the engine at `address` (`ip:port`).
+    pub async fn order(
+        &self,
+        address: &str,
+        order: &EngineOrder,
+    ) -> Result<OrderAnswer, EngineOrderError> {
+        let request = self.http.post(format!("http://{address}/orders"));
+        self.call(request.json(order)).await
+    }
+
+    /// Asks the engine at `address` what it is doing now.
+    pub async fn status(&self, address: &str) -> Result<EngineStatus, EngineOrderError> {
+        self.call(self.http.get(format!("http://{address}/state")))
+            .await
+    }
+
+    async fn call<Answer>(&self, request: RequestBuilder) -> Result<Answer, EngineOrderError>
+    where
+        Answer: serde::de::DeserializeOwned,
+    {
+        let request = request.timeout(self.timeout.as_duration());
+        let response = request.send().await.map_err(|error| {
+            if error.is_connect() {
+                return EngineOrderError::NotSent(error.to_string());
+            }
+            EngineOrderError::Unknown(error.to_string())
+        })?;
+        let status = response.status();
+        if status.is_success() {
+            let unknown = |error: reqwest::Error| EngineOrderError::Unknown(error.to_string());
+            return response.json().await.map_err(unknown);
+        }
+        if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
+            return Err(EngineOrderError::Busy);
+        }
+        let message = response.text().await.unwrap_or_default();
+        Err(match status {
+            StatusCode::CONFLICT => EngineOrderError::Stale(message),
+            status if status.is_server_error() => EngineOrderError::Unknown(message),
+            status => EngineOrderError::Refused {
+                status: status.as_u16(),
+                message,
+            },
+        })
+    }
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -140,6 +140,11 @@
         send(self.post("/weights/fetch", fetch)).await.map(drop)
     }
 
+    /// The usage reports that the platform has taken.
+    pub async fn usage_reports(&self) -> Result<Vec<UsageReport>, PlatformError> {
+        json(send(self.get("/usage/reports")).await?).await
+    }
+
     /// Reports a window's usage.
     pub async fn report_usage(&self, report: &UsageReport) -> Result<(), PlatformError> {
         send(self.post("/usage/reports", report)).await.map(drop)
