--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod api;
 pub mod orders;
+pub mod reference;
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -1,18 +1,29 @@
 //! The handle that a daemon holds on its node.
 
-use std::sync::{Arc, Mutex};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
 
 use bluebell_core::{
     clock::{ClockSource, ClockTime, TimeSpan},
     ids::{LogOffset, WriterId},
+    membership::{
+        InstanceListing, InstanceProgram, InstanceState, LocalStatus, MemberTable, PeerStatus,
+    },
     records::{LogEntry, LogRecord, WithdrawRecord},
     view::{FleetView, ViewEvent},
 };
 use bluebell_platform::PlatformClient;
-use tokio::sync::{broadcast, mpsc, oneshot, watch};
+use tokio::{
+    net::TcpListener,
+    sync::{broadcast, mpsc, oneshot, watch},
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    admin::NodeReport,
+    announce,
     append::{AppendError, AppendJob, LogAppender},
     follow,
     settings::NodeSettings,
@@ -44,6 +55,8 @@
     events: broadcast::Sender<ViewEvent>,
     progress: watch::Sender<LogProgress>,
     appends: mpsc::Sender<AppendJob>,
+    members: Mutex<MemberTable>,
+    local: watch::Sender<LocalStatus>,
 }
 
 /// A handle on a running node; clones share it.
@@ -74,6 +87,8 @@
         );
         tokio::spawn(appender.run(jobs, token.child_token()));
         let wait = settings.read_wait;
+        let incarnation = clock.now().as_millis();
+        let members = Mutex::new(MemberTable::new(settings.instance.clone(), incarnation));
         let state = NodeState {
             settings,
             clock,
@@ -82,6 +97,8 @@
             events: broadcast::Sender::new(EVENT_BACKLOG),
             progress: watch::Sender::new(LogProgress::default()),
             appends,
+            members,
+            local: watch::Sender::new(LocalStatus::default()),
         };
         let node = NodeHandle {
             state: Arc::new(state),
@@ -90,6 +107,89 @@
         node
     }
 
+    /// Joins the other instances: takes peer connections, appears on the
+    /// platform's list as a `program` that answers HTTP at `http_address`, and
+    /// does both until `token` is cancelled. Answers the address for peers.
+    pub async fn join(
+        &self,
+        program: InstanceProgram,
+        http_address: SocketAddr,
+        token: &CancellationToken,
+    ) -> std::io::Result<SocketAddr> {
+        let settings = &self.state.settings;
+        let listener = TcpListener::bind(settings.peer_address).await?;
+        let peer_address = listener.local_addr()?;
+        let listing = InstanceListing {
+            instance: settings.instance.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            program,
+            state: InstanceState::Live,
+            http_address: http_address.to_string(),
+            peer_address: settings.peer_advertise.unwrap_or(peer_address).to_string(),
+        };
+        tokio::spawn(announce::run(self.clone(), listing, token.child_token()));
+        Ok(peer_address)
+    }
+
+    /// Sets what this process tells its peers of its work. Setting the state to
+    /// leaving is told at once, to peers and to the platform's list.
+    pub fn set_local(&self, status: LocalStatus) {
+        self.state.local.send_replace(status);
+    }
+
+    /// What this process tells its peers of its work.
+    pub fn local(&self) -> LocalStatus {
+        self.state.local.borrow().clone()
+    }
+
+    pub(crate) fn local_state(&self) -> InstanceState {
+        self.state.local.borrow().state
+    }
+
+    /// Waits until this process's own state is no longer `before`.
+    pub(crate) async fn local_changed(&self, before: InstanceState) {
+        let mut local = self.state.local.subscribe();
+        let changed = local.wait_for(|status| status.state != before).await;
+        drop(changed);
+    }
+
+    /// What is known of every other instance, by instance.
+    pub fn peers(&self) -> Vec<PeerStatus> {
+        let now = self.state.clock.now();
+        self.members().peers(now)
+    }
+
+    pub(crate) fn members(&self) -> std::sync::MutexGuard<'_, MemberTable> {
+        self.state.members.lock().expect("no holder panics")
+    }
+
+    pub(crate) fn note_listings(&self, listings: &[InstanceListing]) {
+        let now = self.state.clock.now();
+        self.members().list(now, listings);
+    }
+
+    /// What this node tells operators of itself.
+    pub fn report(&self) -> NodeReport {
+        let progress = self.progress();
+        NodeReport {
+            instance: self.state.settings.instance.clone(),
+            failure_domain: self.state.settings.failure_domain.clone(),
+            state: self.local_state(),
+            next_offset: progress.next,
+            caught_up: progress.caught_up,
+            freshness: self.freshness(),
+            peers: self.peers(),
+        }
+    }
+
+    /// The age of the newest confirmed knowledge of the log's end: no record
+    /// that stood in the log longer ago than this is missing from the view.
+    /// None if the end has never been confirmed.
+    pub fn freshness(&self) -> Option<TimeSpan> {
+        let read_at = self.progress().read_at?;
+        Some(self.state.clock.now().since(read_at))
+    }
+
     /// The node's settings.
     pub fn settings(&self) -> &NodeSettings {
         &self.state.settings
@@ -154,6 +254,15 @@
             .is_ok_and(|seen| seen.is_ok())
     }
 
+    /// Waits until the node has caught up; answers whether it did within `patience`.
+    pub async fn wait_caught_up(&self, patience: TimeSpan) -> bool {
+        let mut progress = self.state.progress.subscribe();
+        let caught_up = progress.wait_for(|progress| progress.caught_up);
+        tokio::time::timeout(patience.as_duration(), caught_up)
+            .await
+            .is_ok_and(|seen| seen.is_ok())
+    }
+
     /// Applies an entry, read from the log or relayed by a peer.
     pub fn apply(&self, entry: &LogEntry) {
         let now = self.state.clock.now();
