Decide racing publishes, keys, gaps and checkpoints by the log alone

Cause: the log forgets, operators race, and a second copy of an append may land late; each could bring back an older configuration or a withdrawn key.

Ruled out: remembering writers by time (readers read at different times and would forget different ones; the table forgets by count, in the log's order); letting two key units hold one digest (which one admits would depend on their names); keeping a checkpoint's items in every view (only a process that starts late needs them).

Change: a publish is refused for a version that was never in force, for one unit twice, and for a key that another unit holds; an entry beyond a gap is not applied; a bounded table of writers; checkpoints in bounded parts, complete under one fencing number only, due by count, by time and by what the log keeps.

Conclusion: views agree at equal offsets however a process came to them, for configuration, keys and writers; the other slices' state is not in checkpoints at this commit.

--- a/crates/core/src/keys/mod.rs
+++ b/crates/core/src/keys/mod.rs
@@ -9,7 +9,7 @@
     config::{KeyUnit, UnitBody},
     ids::{KeyDigest, OrganisationId},
     publication::ConfigurationState,
-    records::{PublishRecord, WithdrawRecord},
+    records::{CheckpointItem, PublishRecord, WithdrawRecord},
 };
 
 /// The keys in force.
@@ -69,6 +69,32 @@
         self.withdrawn.contains(digest)
     }
 
+    /// The withdrawn keys as checkpoint items; granted ones are units of the
+    /// configuration.
+    pub fn checkpoint(&self) -> Vec<CheckpointItem> {
+        let item = |digest: &KeyDigest| CheckpointItem::Withdrawn {
+            digest: digest.clone(),
+        };
+        self.withdrawn.iter().map(item).collect()
+    }
+
+    /// Takes over a checkpoint item, if it is about a key.
+    pub fn restore(&mut self, item: &CheckpointItem) {
+        match item {
+            CheckpointItem::Withdrawn { digest } => {
+                self.withdrawn.insert(digest.clone());
+            }
+            CheckpointItem::Unit {
+                body: Some(UnitBody::Key(key)),
+                ..
+            } => {
+                let organisation = key.organisation.clone();
+                self.granted.insert(key.digest.clone(), organisation);
+            }
+            _ => {}
+        }
+    }
+
     /// The organisation that the key admits, if it is in force.
     pub fn organisation(&self, digest: &KeyDigest) -> Option<&OrganisationId> {
         if self.withdrawn.contains(digest) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,3 +33,4 @@
 pub mod units;
 pub mod usage;
 pub mod view;
+pub mod writers;
--- a/crates/core/src/publication/mod.rs
+++ b/crates/core/src/publication/mod.rs
@@ -5,12 +5,12 @@
 //! that race the first in the log wins and the second gets a refusal that
 //! names the winner. Versions are offsets, and nothing applies an older one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    config::{OrganisationUnit, RuleUnit, ServiceUnit, UnitBody, UnitName},
-    ids::{LogOffset, OrganisationId, ServiceName},
-    records::PublishRecord,
+    config::{OrganisationUnit, RuleUnit, ServiceUnit, UnitBody, UnitKind, UnitName},
+    ids::{KeyDigest, LogOffset, OrganisationId, ServiceName},
+    records::{CheckpointItem, PublishRecord, UnitChange},
 };
 
 /// A unit in force, or the memory of a removed one.
@@ -45,12 +45,37 @@
         /// The unit.
         unit: UnitName,
     },
+    /// The publish was made from a version that the log never held.
+    #[error("`{unit}` is changed from version {base}, which was never in force")]
+    UnknownBase {
+        /// The unit.
+        unit: UnitName,
+        /// The version that the publish names.
+        base: LogOffset,
+    },
+    /// The record changes a unit twice.
+    #[error("`{unit}` is changed twice by one publish")]
+    Doubled {
+        /// The unit.
+        unit: UnitName,
+    },
+    /// Two units would hold one key, and whose requests it admits would depend
+    /// on their names.
+    #[error("`{unit}` holds the same key as `{holder}`")]
+    DigestTaken {
+        /// The unit.
+        unit: UnitName,
+        /// The unit that holds the key.
+        holder: UnitName,
+    },
 }
 
 /// The configuration in force.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct ConfigurationState {
     units: BTreeMap<UnitName, UnitVersion>,
+    #[serde(skip)]
+    holders: BTreeMap<KeyDigest, UnitName>,
 }
 
 impl ConfigurationState {
@@ -65,21 +90,74 @@
         offset: LogOffset,
         record: &PublishRecord,
     ) -> Result<(), PublishRefusal> {
+        let mut changed = BTreeSet::new();
         for change in &record.changes {
             self.check_change(change)?;
+            if !changed.insert(&change.unit) {
+                let unit = change.unit.clone();
+                return Err(PublishRefusal::Doubled { unit });
+            }
         }
+        self.check_digests(record, &changed)?;
         for change in &record.changes {
             let version = UnitVersion {
                 version: offset,
                 publisher: record.publisher.clone(),
                 body: change.body.clone(),
             };
-            self.units.insert(change.unit.clone(), version);
+            self.release_digest(&change.unit);
+            self.put(change.unit.clone(), version);
+        }
+        // A unit that hands its key to another of the same record has been
+        // released after the other took it.
+        for change in &record.changes {
+            self.hold_digest(&change.unit, change.body.as_ref());
         }
         Ok(())
     }
 
-    fn check_change(&self, change: &crate::records::UnitChange) -> Result<(), PublishRefusal> {
+    fn put(&mut self, name: UnitName, version: UnitVersion) {
+        self.hold_digest(&name, version.body.as_ref());
+        self.units.insert(name, version);
+    }
+
+    fn hold_digest(&mut self, name: &UnitName, body: Option<&UnitBody>) {
+        if let Some(UnitBody::Key(key)) = body {
+            self.holders.insert(key.digest.clone(), name.clone());
+        }
+    }
+
+    fn release_digest(&mut self, name: &UnitName) {
+        let current = self.units.get(name).and_then(|unit| unit.body.as_ref());
+        if let Some(UnitBody::Key(key)) = current {
+            self.holders.remove(&key.digest);
+        }
+    }
+
+    fn check_digests(
+        &self,
+        record: &PublishRecord,
+        changed: &BTreeSet<&UnitName>,
+    ) -> Result<(), PublishRefusal> {
+        let mut taken: BTreeMap<&KeyDigest, &UnitName> = BTreeMap::new();
+        for change in &record.changes {
+            let Some(UnitBody::Key(key)) = &change.body else {
+                continue;
+            };
+            let stays = |holder: &&UnitName| **holder != change.unit && !changed.contains(holder);
+            let holder = self.holders.get(&key.digest).filter(stays);
+            let holder = holder.or(taken.insert(&key.digest, &change.unit));
+            if let Some(holder) = holder {
+                return Err(PublishRefusal::DigestTaken {
+                    unit: change.unit.clone(),
+                    holder: holder.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_change(&self, change: &UnitChange) -> Result<(), PublishRefusal> {
         let unit = change.unit.clone();
         if change
             .body
@@ -89,7 +167,10 @@
             return Err(PublishRefusal::WrongKind { unit });
         }
         let Some(current) = self.units.get(&change.unit) else {
-            return Ok(());
+            return match change.base {
+                None => Ok(()),
+                Some(base) => Err(PublishRefusal::UnknownBase { unit, base }),
+            };
         };
         if change.base == Some(current.version) {
             return Ok(());
@@ -102,6 +183,36 @@
         })
     }
 
+    /// The configuration as checkpoint items. Removed units are among them: one
+    /// that is made anew must not be taken for one that never was.
+    pub fn checkpoint(&self) -> Vec<CheckpointItem> {
+        let item = |(unit, version): (&UnitName, &UnitVersion)| CheckpointItem::Unit {
+            unit: unit.clone(),
+            version: version.version,
+            publisher: version.publisher.clone(),
+            body: version.body.clone(),
+        };
+        self.units.iter().map(item).collect()
+    }
+
+    /// Takes over a checkpoint item, if it is a unit.
+    pub fn restore(&mut self, item: &CheckpointItem) {
+        if let CheckpointItem::Unit {
+            unit,
+            version,
+            publisher,
+            body,
+        } = item
+        {
+            let version = UnitVersion {
+                version: *version,
+                publisher: publisher.clone(),
+                body: body.clone(),
+            };
+            self.put(unit.clone(), version);
+        }
+    }
+
     /// The unit as it is in force, removed ones included.
     pub fn unit(&self, name: &UnitName) -> Option<&UnitVersion> {
         self.units.get(name)
@@ -112,14 +223,14 @@
         self.units.iter()
     }
 
-    fn body(&self, kind: crate::config::UnitKind, name: &str) -> Option<&UnitBody> {
+    fn body(&self, kind: UnitKind, name: &str) -> Option<&UnitBody> {
         let name = UnitName::new(kind, name).ok()?;
         self.units.get(&name)?.body.as_ref()
     }
 
     /// The service of this name.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceUnit> {
-        match self.body(crate::config::UnitKind::Service, name.as_str())? {
+        match self.body(UnitKind::Service, name.as_str())? {
             UnitBody::Service(service) => Some(service),
             _ => None,
         }
@@ -127,7 +238,7 @@
 
     /// The organisation of this name.
     pub fn organisation(&self, name: &OrganisationId) -> Option<&OrganisationUnit> {
-        match self.body(crate::config::UnitKind::Organisation, name.as_str())? {
+        match self.body(UnitKind::Organisation, name.as_str())? {
             UnitBody::Organisation(organisation) => Some(organisation),
             _ => None,
         }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -119,6 +119,9 @@
         unit: UnitName,
         /// The offset of the publish that it came with.
         version: LogOffset,
+        /// Who published it.
+        #[serde(default)]
+        publisher: String,
         /// Its content; none remembers the version of a removed unit.
         body: Option<UnitBody>,
     },
@@ -126,7 +129,14 @@
     Withdrawn {
         /// The digest of the key.
         digest: KeyDigest,
-        /// Where the withdrawal stands.
+    },
+    /// The last record of a writer, to drop second copies.
+    Writer {
+        /// The writer.
+        writer: WriterId,
+        /// The writer's own number for it.
+        sequence: u64,
+        /// Where it stands.
         offset: LogOffset,
     },
     /// A lease in force.
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -4,21 +4,20 @@
 //! the same offset agree on configuration, leases, claims and usage, however
 //! the entries reached them (read from the platform or relayed by a peer).
 
-use std::collections::BTreeMap;
-
 use crate::{
     authority::LeaseState,
     checkpoint::CheckpointReader,
     claims::ClaimState,
     clock::ClockTime,
-    ids::{EndpointId, KeyDigest, LogOffset, WriterId},
+    ids::{EndpointId, KeyDigest, LogOffset},
     keys::KeyState,
     marks::LeavingMarks,
     orders::OrderState,
     publication::{ConfigurationState, PublishRefusal},
     quarantine::QuarantineState,
-    records::{LogEntry, LogRecord, WithdrawRecord},
+    records::{CheckpointItem, LogEntry, LogRecord, WithdrawRecord},
     usage::UsageState,
+    writers::WriterTable,
 };
 
 /// What changed by applying an entry, for those who must act at once.
@@ -52,7 +51,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct FleetView {
     next: LogOffset,
-    writers: BTreeMap<WriterId, u64>,
+    /// The last record of each writer.
+    pub writers: WriterTable,
     /// Configuration in force.
     pub configuration: ConfigurationState,
     /// Keys in force.
@@ -89,24 +89,54 @@
         offset < self.next
     }
 
+    /// Whether `offset` is the next to apply. A later one means that the log has
+    /// forgotten what lies between, or that a relay left it out: applying it
+    /// would lose a publish or a claim without anyone noticing, so it must be
+    /// read or restored from a checkpoint first.
+    pub fn is_next(&self, offset: LogOffset) -> bool {
+        offset == self.next
+    }
+
     /// Applies an entry. One that has been applied is passed over; so is the
-    /// second copy of an append whose answer was lost.
+    /// second copy of an append whose answer was lost, and an entry beyond the
+    /// next (see [`FleetView::is_next`]).
     pub fn apply(&mut self, now: ClockTime, entry: &LogEntry) -> Vec<ViewEvent> {
-        if entry.offset < self.next {
+        if !self.is_next(entry.offset) {
             return Vec::new();
         }
         self.next = entry.offset.next();
-        if self.is_second_copy(entry) {
+        let counts = self
+            .writers
+            .accept(&entry.writer, entry.sequence, entry.offset);
+        if !counts {
             return Vec::new();
         }
-        self.writers.insert(entry.writer.clone(), entry.sequence);
         self.apply_record(now, entry.offset, &entry.record)
     }
 
-    fn is_second_copy(&self, entry: &LogEntry) -> bool {
-        self.writers
-            .get(&entry.writer)
-            .is_some_and(|last| entry.sequence <= *last)
+    /// The live state as checkpoint items: that after applying everything before
+    /// [`FleetView::next_offset`].
+    pub fn checkpoint(&self) -> Vec<CheckpointItem> {
+        let mut items = self.configuration.checkpoint();
+        items.extend(self.keys.checkpoint());
+        items.extend(self.writers.checkpoint());
+        items
+    }
+
+    /// The view after everything up to and with `as_of`, from the items of a
+    /// complete checkpoint that were read at `now`.
+    pub fn with_checkpoint<'a, Items>(_now: ClockTime, as_of: LogOffset, items: Items) -> FleetView
+    where
+        Items: IntoIterator<Item = &'a CheckpointItem>,
+    {
+        let mut view = FleetView::new();
+        view.next = as_of.next();
+        for item in items {
+            view.configuration.restore(item);
+            view.keys.restore(item);
+            view.writers.restore(item);
+        }
+        view
     }
 
     fn apply_record(
--- /dev/null
+++ b/crates/core/tests/checkpoint.rs
@@ -0,0 +1,241 @@
+//! Restoring from a checkpoint gives what reading the whole log gives.
+//!
+//! Logs are random, from fixed seeds; `BLUEBELL_SEEDS=N` runs N seeds instead.
+
+use bluebell_core::{
+    checkpoint::{CheckpointReader, CheckpointSchedule, CheckpointWriter, KeptRange},
+    clock::{ClockTime, TimeSpan},
+    config::{KeyUnit, OrganisationUnit, UnitBody, UnitKind, UnitName},
+    ids::{KeyDigest, LogOffset, OrganisationId, WriterId},
+    records::{LogEntry, LogRecord, PublishRecord, UnitChange, WithdrawRecord},
+    units::{ByteSize, ShareWeight},
+    view::FleetView,
+};
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+
+const NOW: ClockTime = ClockTime::from_millis(1_000);
+
+fn seeds() -> u64 {
+    let asked = std::env::var("BLUEBELL_SEEDS").ok();
+    asked.and_then(|text| text.parse().ok()).unwrap_or(40)
+}
+
+struct RandomLog {
+    random: ChaCha8Rng,
+    entries: Vec<LogEntry>,
+    view: FleetView,
+    sequences: [u64; 3],
+    writing: Option<CheckpointWriter>,
+}
+
+impl RandomLog {
+    fn with_seed(seed: u64) -> RandomLog {
+        RandomLog {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            entries: Vec::new(),
+            view: FleetView::new(),
+            sequences: [0; 3],
+            writing: None,
+        }
+    }
+
+    fn grow(&mut self, records: usize) {
+        for _ in 0..records {
+            match self.random.random_range(0..10) {
+                0 | 1 => self.write_checkpoint(),
+                2 => self.append_copy(),
+                3 => {
+                    let digest = KeyDigest::with_key(self.pick(&["k1", "k2", "k3"]));
+                    let publisher = "op".to_string();
+                    self.append(LogRecord::Withdraw(WithdrawRecord { digest, publisher }));
+                }
+                _ => self.publish(),
+            }
+        }
+    }
+
+    fn pick(&mut self, from: &[&'static str]) -> &'static str {
+        from.choose(&mut self.random).expect("not empty")
+    }
+
+    fn append(&mut self, record: LogRecord) {
+        let writer = self.random.random_range(0..3);
+        self.sequences[writer] += 1;
+        let sequence = self.sequences[writer];
+        self.push(writer, sequence, record);
+    }
+
+    fn push(&mut self, writer: usize, sequence: u64, record: LogRecord) {
+        let entry = LogEntry {
+            offset: self.view.next_offset(),
+            writer: WriterId::new(format!("writer-{writer}")).expect("valid"),
+            sequence,
+            record,
+        };
+        self.view.apply(NOW, &entry);
+        self.entries.push(entry);
+    }
+
+    /// The second copy of an earlier append, which readers must drop.
+    fn append_copy(&mut self) {
+        let Some(earlier) = self.entries.choose(&mut self.random).cloned() else {
+            return;
+        };
+        let entry = LogEntry {
+            offset: self.view.next_offset(),
+            ..earlier
+        };
+        self.view.apply(NOW, &entry);
+        self.entries.push(entry);
+    }
+
+    fn publish(&mut self) {
+        let unit = match self.random.random_bool(0.5) {
+            true => UnitName::new(UnitKind::Organisation, self.pick(&["a", "b", "c"])),
+            false => UnitName::new(UnitKind::Key, self.pick(&["x", "y"])),
+        };
+        let unit = unit.expect("valid");
+        let current = self.view.configuration.unit(&unit).map(|u| u.version);
+        let base = match self.random.random_bool(0.8) {
+            true => current,
+            false => Some(LogOffset::new(self.random.random_range(0..20))),
+        };
+        let body = match (self.random.random_bool(0.2), unit.kind()) {
+            (true, _) => None,
+            (false, UnitKind::Key) => Some(UnitBody::Key(KeyUnit {
+                organisation: OrganisationId::new(self.pick(&["a", "b"])).expect("valid"),
+                digest: KeyDigest::with_key(self.pick(&["k1", "k2", "k3", "k4"])),
+            })),
+            (false, _) => Some(UnitBody::Organisation(OrganisationUnit {
+                weight: ShareWeight::new(self.random.random_range(1..9)),
+                services: Vec::new(),
+                max_in_flight: 4,
+            })),
+        };
+        let publisher = self.pick(&["ada", "ben"]).to_string();
+        let changes = vec![UnitChange { unit, base, body }];
+        self.append(LogRecord::Publish(PublishRecord { publisher, changes }));
+    }
+
+    /// Appends the next part of a checkpoint, now and then giving one up halfway.
+    fn write_checkpoint(&mut self) {
+        if self.writing.is_none() || self.random.random_bool(0.1) {
+            let fence = LogOffset::new(self.random.random_range(0..3));
+            self.writing = CheckpointWriter::new(fence, &self.view, ByteSize::new(300));
+        }
+        let part = self.writing.as_mut().and_then(CheckpointWriter::next_part);
+        match part {
+            Some(part) => self.append(LogRecord::Checkpoint(part)),
+            None => self.writing = None,
+        }
+    }
+}
+
+/// The view of a process that starts when the log keeps entries from `first_kept` on.
+fn restored(entries: &[LogEntry], first_kept: usize) -> Option<FleetView> {
+    let mut reader = CheckpointReader::with_items();
+    for entry in &entries[first_kept..] {
+        if let LogRecord::Checkpoint(part) = &entry.record {
+            reader.apply(NOW, entry.offset, part);
+        }
+    }
+    let checkpoint = reader.into_usable(LogOffset::new(first_kept as u64))?;
+    let mut view = FleetView::with_checkpoint(NOW, checkpoint.as_of, &checkpoint.items);
+    for entry in entries {
+        view.apply(NOW, entry);
+    }
+    Some(view)
+}
+
+/// The log forgets its oldest records and a new process starts. What it restores
+/// must be what everybody else has, or a withdrawn key would work again there, an
+/// older configuration come back, or a second copy of an append be counted.
+#[test]
+fn a_restored_view_is_the_view_of_the_whole_log() {
+    let mut restorations = 0;
+    for seed in 0..seeds() {
+        let mut log = RandomLog::with_seed(seed);
+        log.grow(150);
+        for end in 1..=log.entries.len() {
+            let entries = &log.entries[..end];
+            let first_kept = log.random.random_range(0..end);
+            let Some(view) = restored(entries, first_kept) else {
+                continue;
+            };
+            restorations += 1;
+            let mut whole = FleetView::new();
+            for entry in entries {
+                whole.apply(NOW, entry);
+            }
+            assert_eq!(view.next_offset(), whole.next_offset());
+            assert_eq!(view.configuration, whole.configuration, "seed {seed}");
+            assert_eq!(view.keys, whole.keys, "seed {seed}");
+            assert_eq!(view.writers, whole.writers, "seed {seed}");
+            assert_eq!(view.checkpoint(), whole.checkpoint(), "seed {seed}");
+        }
+    }
+    assert!(restorations > 100, "{restorations} restorations");
+}
+
+fn written(fence: u64, log: &RandomLog) -> Vec<LogRecord> {
+    let fence = LogOffset::new(fence);
+    let mut writer =
+        CheckpointWriter::new(fence, &log.view, ByteSize::new(300)).expect("not empty");
+    std::iter::from_fn(|| writer.next_part())
+        .map(LogRecord::Checkpoint)
+        .collect()
+}
+
+/// The holder of the `log` duty is frozen halfway through a checkpoint, and its
+/// successor writes one too. Parts of the two must not be taken for one whole.
+#[test]
+fn parts_of_two_holders_make_no_checkpoint() {
+    let mut log = RandomLog::with_seed(7);
+    log.grow(60);
+    let first = written(1, &log);
+    let second = written(2, &log);
+    assert!(first.len() >= 2, "the state fills several parts");
+    let mut reader = CheckpointReader::with_items();
+    let mixed = first[..1].iter().chain(&second[1..]);
+    for (number, record) in mixed.enumerate() {
+        if let LogRecord::Checkpoint(part) = record {
+            reader.apply(NOW, LogOffset::new(1_000 + number as u64), part);
+        }
+    }
+    assert_eq!(reader.newest(), None);
+}
+
+/// Nobody publishes for a long time while the log forgets by age: the checkpoint
+/// itself would be forgotten, and the next process to start would find nothing.
+#[test]
+fn a_checkpoint_is_due_by_count_by_time_and_by_what_the_log_keeps() {
+    let minute = TimeSpan::from_secs(60);
+    let schedule = CheckpointSchedule::new(NOW, 1_000, minute);
+    let kept = |first: u64, end: u64| KeptRange {
+        first_kept: LogOffset::new(first),
+        end: LogOffset::new(end),
+    };
+    let next = LogOffset::new(10);
+    assert!(!schedule.is_due(NOW, next, kept(0, 10), None));
+    assert!(schedule.is_due(NOW + minute, next, kept(0, 10), None));
+    assert!(schedule.is_due(NOW, LogOffset::new(1_000), kept(0, 1_000), None));
+    assert!(!schedule.is_due(NOW, LogOffset::new(200), kept(0, 200), None));
+    assert!(schedule.is_due(NOW, LogOffset::new(200), kept(1, 200), None));
+    assert!(!schedule.is_due(NOW + minute, LogOffset::START, kept(0, 0), None));
+}
+
+/// One writer's late copy is dropped by all readers or by none, however many
+/// writers there have been: the table forgets by the log alone.
+#[test]
+fn the_table_of_writers_is_bounded_by_the_log_alone() {
+    use bluebell_core::writers::{WRITER_LIMIT, WriterTable};
+    let writer = |n: usize| WriterId::new(format!("w-{n}")).expect("valid");
+    let mut table = WriterTable::new();
+    for n in 0..=WRITER_LIMIT {
+        assert!(table.accept(&writer(n), 1, LogOffset::new(n as u64)));
+    }
+    assert_eq!(table.standing(&writer(0)), None);
+    assert!(!table.accept(&writer(1), 1, LogOffset::new(WRITER_LIMIT as u64 + 1)));
+    assert_eq!(table.checkpoint().len(), WRITER_LIMIT);
+}
