--- a/crates/core/tests/checkpoint.rs
+++ b/crates/core/tests/checkpoint.rs
@@ -6,9 +6,16 @@
     checkpoint::{CheckpointReader, CheckpointSchedule, CheckpointWriter, KeptRange},
     clock::{ClockTime, TimeSpan},
     config::{KeyUnit, OrganisationUnit, UnitBody, UnitKind, UnitName},
-    ids::{KeyDigest, LogOffset, OrganisationId, WriterId},
-    records::{LogEntry, LogRecord, PublishRecord, UnitChange, WithdrawRecord},
-    units::{ByteSize, ShareWeight},
+    ids::{
+        EndpointId, InstanceId, KeyDigest, LogOffset, OrderId, OrganisationId, ServiceName,
+        WriterId,
+    },
+    records::{
+        DutyName, EndpointMark, IntentRecord, LeaseAction, LeaseRecord, LogEntry, LogRecord,
+        MarkState, OrderBody, OrderOutcome, OutcomeRecord, PublishRecord, UnitChange, UsageDelta,
+        UsageLine, UsageWindow, WindowClose, WithdrawRecord,
+    },
+    units::{ByteSize, ShareWeight, TokenCount},
     view::FleetView,
 };
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
@@ -42,7 +49,7 @@
 
     fn grow(&mut self, records: usize) {
         for _ in 0..records {
-            match self.random.random_range(0..10) {
+            match self.random.random_range(0..16) {
                 0 | 1 => self.write_checkpoint(),
                 2 => self.append_copy(),
                 3 => {
@@ -50,7 +57,11 @@
                     let publisher = "op".to_string();
                     self.append(LogRecord::Withdraw(WithdrawRecord { digest, publisher }));
                 }
-                _ => self.publish(),
+                4..=8 => self.publish(),
+                _ => {
+                    let record = self.duty_record();
+                    self.append(record);
+                }
             }
         }
     }
@@ -118,6 +129,73 @@
         self.append(LogRecord::Publish(PublishRecord { publisher, changes }));
     }
 
+    fn duty_record(&mut self) -> LogRecord {
+        let duty = match self.random.random_bool(0.5) {
+            true => DutyName::Usage,
+            false => DutyName::Fleet,
+        };
+        let held = self.view.leases.held(&duty).cloned();
+        let fence = held.as_ref().map_or(LogOffset::START, |held| held.fence);
+        let endpoint = EndpointId::new(self.pick(&["e1", "e2"])).expect("valid");
+        let order = OrderId::new(self.pick(&["o1", "o2", "o3"])).expect("valid");
+        let window = UsageWindow::new(self.random.random_range(1..6));
+        match self.random.random_range(0..7) {
+            0 => {
+                let action = match (&held, self.random.random_range(0..4)) {
+                    (Some(_), 0) => LeaseAction::Release { fence },
+                    (Some(_), 1) => LeaseAction::Renew { fence },
+                    _ => LeaseAction::Claim,
+                };
+                LogRecord::Lease(LeaseRecord {
+                    duty,
+                    holder: InstanceId::new(self.pick(&["i1", "i2"])).expect("valid"),
+                    action,
+                    duration: TimeSpan::from_secs(3),
+                    supersedes: held.map(|held| held.latest),
+                })
+            }
+            1 => {
+                let body = OrderBody::StopEndpoint { endpoint };
+                LogRecord::Intent(IntentRecord {
+                    duty,
+                    fence,
+                    order,
+                    body,
+                })
+            }
+            2 => LogRecord::Outcome(OutcomeRecord {
+                duty,
+                fence,
+                order,
+                outcome: OrderOutcome::Applied,
+            }),
+            3 => {
+                let state = match self.random.random_bool(0.6) {
+                    true => MarkState::Leaving,
+                    false => MarkState::Staying,
+                };
+                LogRecord::Mark(EndpointMark {
+                    endpoint,
+                    state,
+                    duty,
+                    fence,
+                })
+            }
+            4 => LogRecord::WindowClose(WindowClose { window, fence }),
+            _ => LogRecord::Usage(UsageDelta {
+                entry: InstanceId::new("i1").expect("valid"),
+                window,
+                lines: vec![UsageLine {
+                    organisation: OrganisationId::new(self.pick(&["a", "b"])).expect("valid"),
+                    service: ServiceName::new("chat").expect("valid"),
+                    requests: 1,
+                    prompt_tokens: TokenCount::new(10),
+                    output_tokens: TokenCount::new(5),
+                }],
+            }),
+        }
+    }
+
     /// Appends the next part of a checkpoint, now and then giving one up halfway.
     fn write_checkpoint(&mut self) {
         if self.writing.is_none() || self.random.random_bool(0.1) {
@@ -156,7 +234,7 @@
     let mut restorations = 0;
     for seed in 0..seeds() {
         let mut log = RandomLog::with_seed(seed);
-        log.grow(150);
+        log.grow(200);
         for end in 1..=log.entries.len() {
             let entries = &log.entries[..end];
             let first_kept = log.random.random_range(0..end);
@@ -172,6 +250,9 @@
             assert_eq!(view.configuration, whole.configuration, "seed {seed}");
             assert_eq!(view.keys, whole.keys, "seed {seed}");
             assert_eq!(view.writers, whole.writers, "seed {seed}");
+            assert_eq!(view.leases, whole.leases, "seed {seed}");
+            assert_eq!(view.marks, whole.marks, "seed {seed}");
+            assert_eq!(view.usage, whole.usage, "seed {seed}");
             assert_eq!(view.checkpoint(), whole.checkpoint(), "seed {seed}");
         }
     }
