--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -119,6 +119,9 @@
         unit: UnitName,
         /// The offset of the publish that it came with.
         version: LogOffset,
+        /// Who published it.
+        #[serde(default)]
+        publisher: String,
         /// Its content; none remembers the version of a removed unit.
         body: Option<UnitBody>,
     },
@@ -126,7 +129,14 @@
     Withdrawn {
         /// The digest of the key.
         digest: KeyDigest,
-        /// Where the withdrawal stands.
+    },
+    /// The last record of a writer, to drop second copies.
+    Writer {
+        /// The writer.
+        writer: WriterId,
+        /// The writer's own number for it.
+        sequence: u64,
+        /// Where it stands.
         offset: LogOffset,
     },
     /// A lease in force.
@@ -135,6 +145,9 @@
         lease: LeaseRecord,
         /// The fencing number: the offset of the claim.
         fence: LogOffset,
+        /// The offset of the claim or of the last renewal.
+        #[serde(default)]
+        latest: LogOffset,
     },
     /// An order that may still have an effect.
     Intent {
@@ -147,6 +160,9 @@
     Mark {
         /// The mark.
         mark: EndpointMark,
+        /// Where it stands.
+        #[serde(default)]
+        offset: LogOffset,
     },
     /// A claim with what became of it.
     Claim {
@@ -167,6 +183,19 @@
         /// The window.
         window: UsageWindow,
     },
+    /// An order that has been settled, so that a repeat of it is recognised.
+    Settled {
+        /// The duty that it belonged to.
+        duty: DutyName,
+        /// The order.
+        order: OrderId,
+        /// What was ordered.
+        body: OrderBody,
+        /// How it ended.
+        outcome: OrderOutcome,
+        /// Where its outcome stands.
+        offset: LogOffset,
+    },
     /// A request that crashed endpoints.
     Quarantine {
         /// One of its crashes.
@@ -229,6 +258,10 @@
     pub action: LeaseAction,
     /// How long the lease runs from a claim or renewal.
     pub duration: TimeSpan,
+    /// For a claim: the last claim or renewal of the lease that it follows; none
+    /// if the duty was free. The claim loses if that has changed meanwhile.
+    #[serde(default)]
+    pub supersedes: Option<LogOffset>,
 }
 
 /// What an engine does in a fleet with separate prefill and decode.
@@ -450,6 +483,11 @@
         self.0
     }
 
+    /// The window after this one.
+    pub const fn next(self) -> UsageWindow {
+        UsageWindow(self.0 + 1)
+    }
+
     /// The window that `now` falls into if windows are `length` long.
     pub fn at(now: ClockTime, length: TimeSpan) -> UsageWindow {
         UsageWindow(now.as_millis() / length.as_millis().max(1))
