--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -18,6 +18,7 @@
 //! The slice draws randomness only from its seed (jitter of `Retry-After`, so
 //! that those refused together don't return together).
 
+pub mod baselines;
 mod counters;
 mod messages;
 mod pool;
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -175,6 +175,40 @@
     pub fn choose(&mut self, now: ClockTime, ask: &RouteRequest) -> Result<RouteChoice, NoRoute> {
         let draws = (self.random.random(), self.random.random());
         let choice = self.decide(now, ask, draws)?;
+        self.send(now, ask, &choice);
+        Ok(choice)
+    }
+
+    /// Lets `pick` choose among the endpoints that may run the request; what
+    /// [`baselines`](crate::routing::baselines) are measured through.
+    pub fn choose_by<Pick>(
+        &mut self,
+        now: ClockTime,
+        ask: &RouteRequest,
+        pick: Pick,
+    ) -> Result<RouteChoice, NoRoute>
+    where
+        Pick: FnOnce(&[EndpointSnapshot]) -> Option<usize>,
+    {
+        let candidates = self.candidates(now, ask)?;
+        let snapshots: Vec<EndpointSnapshot> = candidates
+            .iter()
+            .map(|candidate| candidate.slot.snapshot(now, &self.settings))
+            .collect();
+        let chosen = pick(&snapshots).and_then(|index| snapshots.get(index));
+        let Some(chosen) = chosen else {
+            return Err(NoRoute::NoEndpoint(ask.pool.clone()));
+        };
+        let choice = RouteChoice {
+            endpoint: chosen.endpoint.clone(),
+            prefill: None,
+            reason: "picked by the caller's rule".to_string(),
+        };
+        self.send(now, ask, &choice);
+        Ok(choice)
+    }
+
+    fn send(&mut self, now: ClockTime, ask: &RouteRequest, choice: &RouteChoice) {
         let prefill = choice.prefill.as_ref().unwrap_or(&choice.endpoint).clone();
         let life = self.settings.report_life;
         if let Some(slot) = self.table.slot_mut(&prefill) {
@@ -191,7 +225,6 @@
             unfilled: ask.prompt_tokens,
         };
         self.sent.insert(ask.request.clone(), attempt);
-        Ok(choice)
     }
 
     /// The first token came: the prompt is no longer in the way of others.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,3 +1,5 @@
 //! Entry point of `bluebell-lab`.
 
-fn main() {}
+fn main() -> anyhow::Result<()> {
+    bluebell_lab::commands::run()
+}
