Add test support: processes, fleets, links, history checks

Cause: failures of separate processes can only be shown by running them as such, and what must always hold can only be shown on what callers, endpoints and the platform saw. Change: `ProgramProcess` (kills by its own process id, also on panic), `TestFleet`, `CutLink`, and one check per promise. Each check has a test in which it finds a history that breaks its promise and passes one that keeps it. Conclusion: ready for process tests.

--- /dev/null
+++ b/crates/testkit/src/fleet.rs
@@ -0,0 +1,326 @@
+//! A whole fleet as separate processes on loopback.
+
+use anyhow::Context;
+use bluebell_core::{
+    clock::TimeSpan,
+    config::{KeyUnit, OrganisationUnit, RuleUnit, ServiceTarget, ServiceUnit, UnitBody, UnitName},
+    ids::{
+        EndpointId, FailureDomain, InstanceId, KeyDigest, LogOffset, ModelName, OrganisationId,
+        ServiceName, WriterId,
+    },
+    records::{CapacityKind, LogRecord, PublishRecord, UnitChange, WithdrawRecord},
+    units::{ShareWeight, TokenCount},
+};
+use bluebell_platform::{
+    PlatformClient,
+    api::{AppendRequest, EndpointKind, EndpointListing, EndpointState},
+};
+
+use crate::{control, process::ProgramProcess, settings::NodePlace, wait};
+
+/// The model service of a test fleet.
+pub const CHAT_SERVICE: &str = "assistant";
+
+/// The plain service of a test fleet.
+pub const PLAIN_SERVICE: &str = "rental";
+
+/// The model that its engines have loaded.
+pub const CHAT_MODEL: &str = "small-chat";
+
+/// How large a fleet is and how it is set.
+#[derive(Clone, Debug)]
+pub struct FleetShape {
+    /// The failure domains.
+    pub domains: Vec<String>,
+    /// Entries in each.
+    pub entries: usize,
+    /// Controllers in each.
+    pub controllers: usize,
+    /// Engines in each.
+    pub engines: usize,
+    /// Plain service replicas in each.
+    pub services: usize,
+    /// More settings of the platform, in TOML.
+    pub platform_settings: String,
+    /// More settings of engines, in TOML.
+    pub engine_settings: String,
+    /// More settings of entries, in TOML.
+    pub entry_settings: String,
+    /// More settings of controllers, in TOML.
+    pub controller_settings: String,
+}
+
+impl FleetShape {
+    /// One failure domain with one entry, one engine, one plain service.
+    pub fn new() -> FleetShape {
+        FleetShape {
+            domains: vec!["zone-a".to_string()],
+            entries: 1,
+            controllers: 0,
+            engines: 1,
+            services: 1,
+            platform_settings: "list_lag = \"200ms\"".to_string(),
+            engine_settings: "[costs]\nspeed = 10".to_string(),
+            entry_settings: String::new(),
+            controller_settings: String::new(),
+        }
+    }
+
+    /// The same over these failure domains.
+    pub fn with_domains(mut self, domains: &[&str]) -> FleetShape {
+        self.domains = domains.iter().map(ToString::to_string).collect();
+        self
+    }
+}
+
+impl Default for FleetShape {
+    fn default() -> FleetShape {
+        FleetShape::new()
+    }
+}
+
+/// One process of the fleet.
+#[derive(Debug)]
+pub struct FleetMember {
+    /// Its name: an instance id or an endpoint id.
+    pub name: String,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+    /// The process.
+    pub process: ProgramProcess,
+}
+
+/// A running fleet; its processes are killed when it is dropped.
+#[derive(Debug)]
+pub struct TestFleet {
+    /// How large it is.
+    pub shape: FleetShape,
+    /// The platform.
+    pub platform: ProgramProcess,
+    /// The engines.
+    pub engines: Vec<FleetMember>,
+    /// The plain service's replicas.
+    pub services: Vec<FleetMember>,
+    /// The entries.
+    pub entries: Vec<FleetMember>,
+    /// The controllers.
+    pub controllers: Vec<FleetMember>,
+    client: PlatformClient,
+    appends: u64,
+}
+
+impl TestFleet {
+    /// Starts a fleet and publishes [`CHAT_SERVICE`] and [`PLAIN_SERVICE`], whose
+    /// calls below `/lookup` may be repeated.
+    pub async fn start(shape: FleetShape) -> anyhow::Result<TestFleet> {
+        let platform = ProgramProcess::start("standin-platform", &shape.platform_settings).await?;
+        let operator = InstanceId::new("operator")?;
+        let outside = FailureDomain::new("outside")?;
+        let client = PlatformClient::new(platform.http(), &operator, &outside);
+        let mut fleet = TestFleet {
+            shape,
+            platform,
+            engines: Vec::new(),
+            services: Vec::new(),
+            entries: Vec::new(),
+            controllers: Vec::new(),
+            client,
+            appends: 0,
+        };
+        fleet.publish_services().await?;
+        for domain in fleet.shape.domains.clone() {
+            fleet.start_domain(&FailureDomain::new(domain)?).await?;
+        }
+        Ok(fleet)
+    }
+
+    async fn start_domain(&mut self, domain: &FailureDomain) -> anyhow::Result<()> {
+        for number in 0..self.shape.engines {
+            let name = format!("engine-{domain}-{number}");
+            let settings = self.shape.engine_settings.clone();
+            let member = member("standin-engine", &name, domain, &settings).await?;
+            self.register(&member, EndpointKind::Engine).await?;
+            self.engines.push(member);
+        }
+        for number in 0..self.shape.services {
+            let name = format!("service-{domain}-{number}");
+            let member = member("standin-service", &name, domain, "").await?;
+            self.register(&member, EndpointKind::Plain).await?;
+            self.services.push(member);
+        }
+        for number in 0..self.shape.entries {
+            let name = format!("entry-{domain}-{number}");
+            self.start_entry(&name, domain).await?;
+        }
+        for number in 0..self.shape.controllers {
+            let name = format!("controller-{domain}-{number}");
+            self.start_controller(&name, domain).await?;
+        }
+        Ok(())
+    }
+
+    /// Starts one more entry.
+    pub async fn start_entry(&mut self, name: &str, domain: &FailureDomain) -> anyhow::Result<()> {
+        let settings = self.place(name, domain)?;
+        let settings = settings.settings(&self.shape.entry_settings);
+        let entry = member("bluebell-entry", name, domain, &settings).await?;
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    /// Starts one more controller.
+    pub async fn start_controller(
+        &mut self,
+        name: &str,
+        domain: &FailureDomain,
+    ) -> anyhow::Result<()> {
+        let settings = self.place(name, domain)?;
+        let settings = settings.settings(&self.shape.controller_settings);
+        let controller = member("bluebell-controller", name, domain, &settings).await?;
+        self.controllers.push(controller);
+        Ok(())
+    }
+
+    fn place(&self, name: &str, domain: &FailureDomain) -> anyhow::Result<NodePlace> {
+        Ok(NodePlace {
+            instance: InstanceId::new(name)?,
+            failure_domain: domain.clone(),
+            platform: self.platform.http().to_string(),
+            peer_advertise: None,
+        })
+    }
+
+    async fn register(&self, member: &FleetMember, kind: EndpointKind) -> anyhow::Result<()> {
+        let (service, model) = match kind {
+            EndpointKind::Engine => (CHAT_SERVICE, Some(ModelName::new(CHAT_MODEL)?)),
+            EndpointKind::Plain => (PLAIN_SERVICE, None),
+        };
+        let listing = EndpointListing {
+            endpoint: EndpointId::new(member.name.clone())?,
+            failure_domain: member.failure_domain.clone(),
+            kind,
+            capacity: CapacityKind::Reserved,
+            service: ServiceName::new(service)?,
+            model,
+            address: member.process.http().to_string(),
+            state: EndpointState::Ready,
+            checks_fencing: true,
+        };
+        control::post(self.platform.http(), "/control/endpoints", &listing).await
+    }
+
+    /// Appends a record as an operator does.
+    pub async fn append(&mut self, record: &LogRecord) -> anyhow::Result<LogOffset> {
+        self.appends += 1;
+        let request = AppendRequest {
+            writer: WriterId::new("operator")?,
+            sequence: self.appends,
+            payload: serde_json::to_string(record)?,
+        };
+        Ok(self.client.append(&request).await?.offset)
+    }
+
+    /// Publishes units that are new.
+    pub async fn publish(&mut self, units: Vec<(UnitName, UnitBody)>) -> anyhow::Result<LogOffset> {
+        let change = |(unit, body)| UnitChange {
+            unit,
+            base: None,
+            body: Some(body),
+        };
+        let record = PublishRecord {
+            publisher: "operator".to_string(),
+            changes: units.into_iter().map(change).collect(),
+        };
+        self.append(&LogRecord::Publish(record)).await
+    }
+
+    async fn publish_services(&mut self) -> anyhow::Result<()> {
+        let chat = ServiceUnit {
+            target: ServiceTarget::Model {
+                model: ModelName::new(CHAT_MODEL)?,
+                max_tokens: TokenCount::new(4_096),
+            },
+            priority: Default::default(),
+            deadline: TimeSpan::from_secs(60),
+            progress_limit: TimeSpan::from_secs(2),
+            preemptible: false,
+        };
+        let plain = ServiceUnit {
+            target: ServiceTarget::Plain {},
+            ..chat.clone()
+        };
+        let lookups = RuleUnit {
+            service: ServiceName::new(PLAIN_SERVICE)?,
+            method: None,
+            path_prefix: "/lookup".to_string(),
+            repeatable: true,
+        };
+        let units = vec![
+            (unit("service", CHAT_SERVICE)?, UnitBody::Service(chat)),
+            (unit("service", PLAIN_SERVICE)?, UnitBody::Service(plain)),
+            (unit("rule", "rental-lookups")?, UnitBody::Rule(lookups)),
+        ];
+        self.publish(units).await.map(drop)
+    }
+
+    /// Publishes an organisation with one key.
+    pub async fn add_organisation(&mut self, name: &str, key: &str) -> anyhow::Result<LogOffset> {
+        let organisation = OrganisationUnit {
+            weight: ShareWeight::new(1),
+            services: Vec::new(),
+            max_in_flight: 1_000,
+        };
+        let grant = KeyUnit {
+            organisation: OrganisationId::new(name)?,
+            digest: KeyDigest::with_key(key),
+        };
+        let units = vec![
+            (
+                unit("organisation", name)?,
+                UnitBody::Organisation(organisation),
+            ),
+            (unit("key", &format!("{name}-key"))?, UnitBody::Key(grant)),
+        ];
+        self.publish(units).await
+    }
+
+    /// Withdraws a key.
+    pub async fn withdraw_key(&mut self, key: &str) -> anyhow::Result<LogOffset> {
+        let record = WithdrawRecord {
+            digest: KeyDigest::with_key(key),
+            publisher: "operator".to_string(),
+        };
+        self.append(&LogRecord::Withdraw(record)).await
+    }
+
+    /// Waits until every entry says that it is ready.
+    pub async fn entries_ready(&self) -> anyhow::Result<()> {
+        for entry in &self.entries {
+            let url = format!("http://{}/ready", entry.process.http());
+            let event = format!("`{}` is ready", entry.name);
+            let ready = wait::until(&event, || async {
+                let response = reqwest::get(&url).await.ok()?;
+                response.status().is_success().then_some(())
+            });
+            ready.await.with_context(|| entry.process.log())?;
+        }
+        Ok(())
+    }
+}
+
+async fn member(
+    program: &str,
+    name: &str,
+    domain: &FailureDomain,
+    settings: &str,
+) -> anyhow::Result<FleetMember> {
+    Ok(FleetMember {
+        name: name.to_string(),
+        failure_domain: domain.clone(),
+        process: ProgramProcess::start(program, settings).await?,
+    })
+}
+
+fn unit(kind: &str, name: &str) -> anyhow::Result<UnitName> {
+    Ok(format!("{kind}/{name}").parse()?)
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,1 +1,14 @@
-//! To be filled.
+//! Support for tests that run the programs as processes.
+//!
+//! [`process::ProgramProcess`] runs one program, [`fleet::TestFleet`] a whole
+//! fleet on loopback, [`link::CutLink`] breaks connections between them, and
+//! [`histories`] checks afterwards that what callers, endpoints and the
+//! platform saw keeps the system's promises.
+
+pub mod control;
+pub mod fleet;
+pub mod histories;
+pub mod link;
+pub mod process;
+pub mod settings;
+pub mod wait;
