--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -4,21 +4,22 @@
 //! the same offset agree on configuration, leases, claims and usage, however
 //! the entries reached them (read from the platform or relayed by a peer).
 
-use std::collections::BTreeMap;
-
 use crate::{
     authority::LeaseState,
     checkpoint::CheckpointReader,
     claims::ClaimState,
     clock::ClockTime,
-    ids::{EndpointId, KeyDigest, LogOffset, WriterId},
+    ids::{EndpointId, KeyDigest, LogOffset},
     keys::KeyState,
     marks::LeavingMarks,
     orders::OrderState,
     publication::{ConfigurationState, PublishRefusal},
     quarantine::QuarantineState,
-    records::{LogEntry, LogRecord, WithdrawRecord},
+    records::{
+        CheckpointItem, LogEntry, LogRecord, OrderBody, OrderOutcome, OutcomeRecord, WithdrawRecord,
+    },
     usage::UsageState,
+    writers::WriterTable,
 };
 
 /// What changed by applying an entry, for those who must act at once.
@@ -52,7 +53,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct FleetView {
     next: LogOffset,
-    writers: BTreeMap<WriterId, u64>,
+    /// The last record of each writer.
+    pub writers: WriterTable,
     /// Configuration in force.
     pub configuration: ConfigurationState,
     /// Keys in force.
@@ -89,24 +91,62 @@
         offset < self.next
     }
 
+    /// Whether `offset` is the next to apply. A later one means that the log has
+    /// forgotten what lies between, or that a relay left it out: applying it
+    /// would lose a publish or a claim without anyone noticing, so it must be
+    /// read or restored from a checkpoint first.
+    pub fn is_next(&self, offset: LogOffset) -> bool {
+        offset == self.next
+    }
+
     /// Applies an entry. One that has been applied is passed over; so is the
-    /// second copy of an append whose answer was lost.
+    /// second copy of an append whose answer was lost, and an entry beyond the
+    /// next (see [`FleetView::is_next`]).
     pub fn apply(&mut self, now: ClockTime, entry: &LogEntry) -> Vec<ViewEvent> {
-        if entry.offset < self.next {
+        if !self.is_next(entry.offset) {
             return Vec::new();
         }
         self.next = entry.offset.next();
-        if self.is_second_copy(entry) {
+        let counts = self
+            .writers
+            .accept(&entry.writer, entry.sequence, entry.offset);
+        if !counts {
             return Vec::new();
         }
-        self.writers.insert(entry.writer.clone(), entry.sequence);
         self.apply_record(now, entry.offset, &entry.record)
     }
 
-    fn is_second_copy(&self, entry: &LogEntry) -> bool {
-        self.writers
-            .get(&entry.writer)
-            .is_some_and(|last| entry.sequence <= *last)
+    /// The live state as checkpoint items: that after applying everything before
+    /// [`FleetView::next_offset`].
+    pub fn checkpoint(&self) -> Vec<CheckpointItem> {
+        let mut items = self.configuration.checkpoint();
+        items.extend(self.keys.checkpoint());
+        items.extend(self.writers.checkpoint());
+        items.extend(self.leases.checkpoint());
+        items.extend(self.orders.checkpoint());
+        items.extend(self.marks.checkpoint());
+        items.extend(self.usage.checkpoint());
+        items
+    }
+
+    /// The view after everything up to and with `as_of`, from the items of a
+    /// complete checkpoint that were read at `now`.
+    pub fn with_checkpoint<'a, Items>(now: ClockTime, as_of: LogOffset, items: Items) -> FleetView
+    where
+        Items: IntoIterator<Item = &'a CheckpointItem>,
+    {
+        let mut view = FleetView::new();
+        view.next = as_of.next();
+        for item in items {
+            view.configuration.restore(item);
+            view.keys.restore(item);
+            view.writers.restore(item);
+            view.leases.restore(now, item);
+            view.orders.restore(now, item);
+            view.marks.restore(now, item);
+            view.usage.restore(now, item);
+        }
+        view
     }
 
     fn apply_record(
@@ -136,11 +176,11 @@
                 Vec::new()
             }
             LogRecord::Intent(intent) => {
-                self.orders.intend(now, offset, intent);
+                self.orders.intend(now, offset, intent, &self.leases);
                 Vec::new()
             }
             LogRecord::Outcome(outcome) => {
-                self.orders.settle(now, offset, outcome);
+                self.settle(now, offset, outcome);
                 Vec::new()
             }
             LogRecord::Claims(batch) => {
@@ -152,7 +192,7 @@
                 Vec::new()
             }
             LogRecord::Mark(mark) => {
-                self.marks.apply(now, offset, mark);
+                self.marks.apply(now, offset, mark, &self.leases);
                 vec![ViewEvent::Marked {
                     endpoint: mark.endpoint.clone(),
                 }]
@@ -162,7 +202,7 @@
                 Vec::new()
             }
             LogRecord::WindowClose(close) => {
-                self.usage.close(now, offset, close);
+                self.usage.close(now, offset, close, &self.leases);
                 Vec::new()
             }
             LogRecord::Quarantine(quarantine) => {
@@ -172,6 +212,16 @@
         }
     }
 
+    fn settle(&mut self, now: ClockTime, offset: LogOffset, outcome: &OutcomeRecord) {
+        let settled = self.orders.settle(now, offset, outcome, &self.leases);
+        let Some(OrderBody::ReportUsage { window }) = settled else {
+            return;
+        };
+        if outcome.outcome == OrderOutcome::Applied {
+            self.usage.reported(window);
+        }
+    }
+
     /// Takes a withdrawal, read from the log or told by a peer while the log is
     /// down. It is monotone, so its place in the log does not matter.
     pub fn withdraw(&mut self, withdrawal: &WithdrawRecord) -> Vec<ViewEvent> {
