Test the whole path from caller to endpoint as separate processes

Ruled out: waiting for the command line to publish; the records are appended through the platform's client, as the command does. Change: `process-tests/tests/whole_path.rs`: a streamed and a whole chat answer and a plain call through one entry, with a published service, organisation and key. The plain service's history holds no caller's key.

--- /dev/null
+++ b/crates/process-tests/tests/whole_path.rs
@@ -0,0 +1,71 @@
+//! From a caller through an entry to an endpoint and back.
+
+use bluebell_load::{
+    caller::{self, ChatAsk, ChatEnd},
+    verdict::{AnswerVerdict, judge},
+};
+use bluebell_testkit::{
+    control,
+    fleet::{CHAT_SERVICE, FleetShape, PLAIN_SERVICE, TestFleet},
+    wait,
+};
+use standin_service::{ServiceAnswer, history::ServiceHistory};
+
+const KEY: &str = "key-of-acme";
+
+async fn fleet() -> anyhow::Result<TestFleet> {
+    let mut fleet = TestFleet::start(FleetShape::new()).await?;
+    fleet.add_organisation("acme", KEY).await?;
+    fleet.entries_ready().await?;
+    Ok(fleet)
+}
+
+/// Asks until the entry knows the key and the engine, and answers the first
+/// answer that came whole.
+async fn first_answer(ask: &ChatAsk) -> anyhow::Result<caller::ChatAnswer> {
+    let http = reqwest::Client::new();
+    wait::until("a chat answer", || async {
+        let answer = caller::send(&http, ask).await;
+        matches!(answer.end, ChatEnd::Whole { .. }).then_some(answer)
+    })
+    .await
+}
+
+#[tokio::test]
+async fn a_chat_answer_comes_back_whole() -> anyhow::Result<()> {
+    let fleet = fleet().await?;
+    let entry = fleet.entries[0].process.http();
+    let mut ask = ChatAsk::new(entry, KEY, CHAT_SERVICE, "is my bank returned? len=30");
+    let answer = first_answer(&ask).await?;
+    assert_eq!(answer.tokens.len(), 30);
+    assert_eq!(judge(&ask, &answer), AnswerVerdict::Right);
+    assert!(answer.request.is_some());
+
+    ask.stream = false;
+    let answer = first_answer(&ask).await?;
+    assert_eq!(judge(&ask, &answer), AnswerVerdict::Right);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_plain_call_comes_back() -> anyhow::Result<()> {
+    let fleet = fleet().await?;
+    let entry = fleet.entries[0].process.http();
+    let url = format!("http://{entry}/v1/services/{PLAIN_SERVICE}/lookup/bank?id=7");
+    let http = reqwest::Client::new();
+    let answer = wait::until("a plain answer", || async {
+        let call = http.post(&url).bearer_auth(KEY).body("which bay");
+        let response = call.send().await.ok()?;
+        response.json::<ServiceAnswer>().await.ok()
+    })
+    .await?;
+    assert_eq!(answer.method, "POST");
+    assert_eq!(answer.path, "/lookup/bank?id=7");
+    assert_eq!(answer.body, "which bay");
+
+    let service = fleet.services[0].process.http();
+    let seen: ServiceHistory = control::history(service).await?;
+    let headers = seen.executions[0].headers.concat();
+    assert!(!headers.contains(KEY), "the key reached the endpoint");
+    Ok(())
+}
