--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -15,7 +15,9 @@
     orders::OrderState,
     publication::{ConfigurationState, PublishRefusal},
     quarantine::QuarantineState,
-    records::{CheckpointItem, LogEntry, LogRecord, WithdrawRecord},
+    records::{
+        CheckpointItem, LogEntry, LogRecord, OrderBody, OrderOutcome, OutcomeRecord, WithdrawRecord,
+    },
     usage::UsageState,
     writers::WriterTable,
 };
@@ -120,12 +122,16 @@
         let mut items = self.configuration.checkpoint();
         items.extend(self.keys.checkpoint());
         items.extend(self.writers.checkpoint());
+        items.extend(self.leases.checkpoint());
+        items.extend(self.orders.checkpoint());
+        items.extend(self.marks.checkpoint());
+        items.extend(self.usage.checkpoint());
         items
     }
 
     /// The view after everything up to and with `as_of`, from the items of a
     /// complete checkpoint that were read at `now`.
-    pub fn with_checkpoint<'a, Items>(_now: ClockTime, as_of: LogOffset, items: Items) -> FleetView
+    pub fn with_checkpoint<'a, Items>(now: ClockTime, as_of: LogOffset, items: Items) -> FleetView
     where
         Items: IntoIterator<Item = &'a CheckpointItem>,
     {
@@ -135,6 +141,10 @@
             view.configuration.restore(item);
             view.keys.restore(item);
             view.writers.restore(item);
+            view.leases.restore(now, item);
+            view.orders.restore(now, item);
+            view.marks.restore(now, item);
+            view.usage.restore(now, item);
         }
         view
     }
@@ -166,11 +176,11 @@
                 Vec::new()
             }
             LogRecord::Intent(intent) => {
-                self.orders.intend(now, offset, intent);
+                self.orders.intend(now, offset, intent, &self.leases);
                 Vec::new()
             }
             LogRecord::Outcome(outcome) => {
-                self.orders.settle(now, offset, outcome);
+                self.settle(now, offset, outcome);
                 Vec::new()
             }
             LogRecord::Claims(batch) => {
@@ -182,7 +192,7 @@
                 Vec::new()
             }
             LogRecord::Mark(mark) => {
-                self.marks.apply(now, offset, mark);
+                self.marks.apply(now, offset, mark, &self.leases);
                 vec![ViewEvent::Marked {
                     endpoint: mark.endpoint.clone(),
                 }]
@@ -192,7 +202,7 @@
                 Vec::new()
             }
             LogRecord::WindowClose(close) => {
-                self.usage.close(now, offset, close);
+                self.usage.close(now, offset, close, &self.leases);
                 Vec::new()
             }
             LogRecord::Quarantine(quarantine) => {
@@ -202,6 +212,16 @@
         }
     }
 
+    fn settle(&mut self, now: ClockTime, offset: LogOffset, outcome: &OutcomeRecord) {
+        let settled = self.orders.settle(now, offset, outcome, &self.leases);
+        let Some(OrderBody::ReportUsage { window }) = settled else {
+            return;
+        };
+        if outcome.outcome == OrderOutcome::Applied {
+            self.usage.reported(window);
+        }
+    }
+
     /// Takes a withdrawal, read from the log or told by a peer while the log is
     /// down. It is monotone, so its place in the log does not matter.
     pub fn withdraw(&mut self, withdrawal: &WithdrawRecord) -> Vec<ViewEvent> {
