--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -25,7 +25,7 @@
 /// Bytes of an item besides its names: versions, numbers and field tags.
 const ITEM_OVERHEAD: usize = 24;
 
-/// Where an instance runs and how far it has read the log.
+/// Where an instance runs and listens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberPresence {
     /// Where it runs.
@@ -34,8 +34,6 @@
     pub program: InstanceProgram,
     /// Whether it stays.
     pub state: InstanceState,
-    /// The offset of the next entry that it will apply.
-    pub next_offset: LogOffset,
     /// Where it answers HTTP.
     pub http_address: String,
     /// Where it takes peer connections.
@@ -61,6 +59,8 @@
 pub enum GossipBody {
     /// Where it runs.
     Presence(MemberPresence),
+    /// The offset of the next entry that it will apply.
+    Progress(LogOffset),
     /// Its outstanding work at one endpoint; none at all once the work has ended.
     Load(EndpointLoad),
     /// Its work served for one organisation.
@@ -83,6 +83,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum ItemKey {
     Presence,
+    Progress,
     Load(EndpointId),
     Share(OrganisationId),
 }
@@ -91,6 +92,7 @@
     fn new(body: &GossipBody) -> ItemKey {
         match body {
             GossipBody::Presence(_) => ItemKey::Presence,
+            GossipBody::Progress(_) => ItemKey::Progress,
             GossipBody::Load(load) => ItemKey::Load(load.endpoint.clone()),
             GossipBody::Share(share) => ItemKey::Share(share.organisation.clone()),
         }
@@ -104,6 +106,7 @@
                 + presence.http_address.len()
                 + presence.peer_address.len()
         }
+        GossipBody::Progress(_) => 0,
         GossipBody::Load(load) => load.endpoint.as_str().len(),
         GossipBody::Share(share) => share.organisation.as_str().len(),
     };
@@ -141,9 +144,10 @@
     }
 
     /// Sets what this instance tells of itself; only what changed counts as news.
-    pub fn set_own(&mut self, presence: MemberPresence, status: &LocalStatus) {
+    pub fn set_own(&mut self, presence: MemberPresence, next: LogOffset, status: &LocalStatus) {
         self.version += 1;
         self.put_own(GossipBody::Presence(presence));
+        self.put_own(GossipBody::Progress(next));
         let mut loads = status.loads.clone();
         loads.sort_by_key(|load| std::cmp::Reverse(load.requests));
         loads.truncate(OWN_ITEM_LIMIT);
@@ -279,6 +283,14 @@
         }
     }
 
+    /// The offset of the next entry that `member` will apply, if it has told.
+    pub fn progress(&self, member: &InstanceId) -> Option<LogOffset> {
+        match &self.items.get(&(member.clone(), ItemKey::Progress))?.body {
+            GossipBody::Progress(next) => Some(*next),
+            _ => None,
+        }
+    }
+
     /// What is known of the work of `member`.
     pub fn status(&self, member: &InstanceId) -> LocalStatus {
         let mut status = LocalStatus::default();
@@ -286,7 +298,7 @@
             match &item.body {
                 GossipBody::Presence(presence) => status.state = presence.state,
                 GossipBody::Load(load) if load.requests > 0 => status.loads.push(load.clone()),
-                GossipBody::Load(_) => {}
+                GossipBody::Load(_) | GossipBody::Progress(_) => {}
                 GossipBody::Share(share) if share.cost > WorkCost::ZERO => {
                     status.shares.push(share.clone());
                 }
