Keep the queue at the entries and prefixes at their engines

What waits, waited in the engines, which know no shares: the batch was full at some and half empty at others, and in the phase of long prompts each prefix that spilled over evicted others.

Change: a window of started requests without a first token, which grows while first tokens come within a target and shrinks when they don't; the wait of a debt estimated by how fast the floor rises; a handicap instead of strict priority between classes; routing by wait plus what the cache lacks, five times, with slots counted.

--- a/crates/core/src/admission/counters.rs
+++ b/crates/core/src/admission/counters.rs
@@ -94,6 +94,21 @@
         *counter = (*counter + (real - charged)).min(most.max(*counter));
     }
 
+    /// The counter units of `cost` at weight 1.
+    pub fn units(cost: TokenCount) -> u64 {
+        units(cost, ShareWeight::new(1))
+    }
+
+    /// The floor, in counter units.
+    pub fn floor(&self) -> u64 {
+        self.floor
+    }
+
+    /// How far the organisation is ahead of the floor, in counter units.
+    pub fn ahead(&self, organisation: &OrganisationId) -> u64 {
+        self.counter(organisation).saturating_sub(self.floor)
+    }
+
     /// How far the organisation is ahead of the floor, as cost at its weight.
     pub fn debt(&self, organisation: &OrganisationId, weight: ShareWeight) -> TokenCount {
         let ahead = self.counter(organisation).saturating_sub(self.floor);
--- a/crates/core/src/admission/messages.rs
+++ b/crates/core/src/admission/messages.rs
@@ -28,8 +28,13 @@
     /// Percent of a pool's slots that deferrable work never takes, so that
     /// interactive work finds a free one.
     pub interactive_reserve: u32,
+    /// By how much cost an organisation must be behind before its deferrable work
+    /// goes before others' interactive work.
+    pub deferrable_handicap: TokenCount,
     /// The most cost by which work at other entries puts an organisation behind.
     pub debt_limit: TokenCount,
+    /// How soon after its start a request should have its first token.
+    pub start_target: TimeSpan,
     /// The least `Retry-After`.
     pub least_retry_after: TimeSpan,
     /// The greatest `Retry-After`.
@@ -42,7 +47,9 @@
     fn default() -> AdmissionSettings {
         AdmissionSettings {
             interactive_reserve: 10,
+            deferrable_handicap: TokenCount::new(4_000),
             debt_limit: TokenCount::new(200_000),
+            start_target: TimeSpan::from_millis(300),
             least_retry_after: TimeSpan::from_secs(1),
             most_retry_after: TimeSpan::from_secs(60),
             default_limits: OrganisationLimits::default(),
@@ -79,7 +86,7 @@
     /// measured as soon as there is a queue.
     pub token_rate: TokenRate,
     /// The time from a start to the first token or, for plain services, to the
-    /// answer.
+    /// answer. Only a start value, too, where first tokens are noted.
     pub first_token: TimeSpan,
 }
 
@@ -217,6 +224,8 @@
     pub slots: u32,
     /// Requests that run.
     pub running: u32,
+    /// Started requests that may be without a first token.
+    pub window: u64,
     /// Requests that wait.
     pub queued: usize,
     /// Organisations that wait.
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -12,6 +12,9 @@
 //!   spreading a flood over all entries gains nothing.
 //! * **Deadlines.** Work that can't meet its deadline is refused at once with a
 //!   time after which asking again makes sense. Nothing is held back.
+//! * **The queue is here.** No more is started than engines turn into first
+//!   tokens in time ([`AdmissionQueue::note_first_token`]), as their own queues
+//!   know neither shares nor deadlines.
 //! * **Costs are corrected.** An estimate is charged at the start and replaced
 //!   by what was delivered at the end, as most callers cancel.
 //!
@@ -23,6 +26,7 @@
 mod messages;
 mod pool;
 mod queue;
+mod window;
 
 pub use counters::FairCounters;
 pub use messages::{
--- a/crates/core/src/admission/pool.rs
+++ b/crates/core/src/admission/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    admission::{FairCounters, PoolCapacity},
+    admission::{AdmissionSettings, FairCounters, PoolCapacity, window::StartWindow},
     clock::{ClockTime, TimeSpan},
     config::WorkPriority,
     ids::{OrganisationId, RequestId},
@@ -71,6 +71,7 @@
     pub capacity: PoolCapacity,
     pub counters: FairCounters,
     pub running: u32,
+    pub window: StartWindow,
     queues: BTreeMap<OrganisationId, OrganisationQueue>,
     interactive_order: BTreeSet<(u64, OrganisationId)>,
     deferrable_order: BTreeSet<(u64, OrganisationId)>,
@@ -82,6 +83,9 @@
     window_start: ClockTime,
     window_cost: u64,
     window_saturated: bool,
+    window_floor: u64,
+    /// Counter units by which the floor rises in a second; zero until measured.
+    floor_rate: u64,
 }
 
 impl PoolQueue {
@@ -90,6 +94,7 @@
             capacity,
             counters: FairCounters::new(),
             running: 0,
+            window: StartWindow::new(capacity.slots, capacity.first_token),
             queues: BTreeMap::new(),
             interactive_order: BTreeSet::new(),
             deferrable_order: BTreeSet::new(),
@@ -101,6 +106,8 @@
             window_start: now,
             window_cost: 0,
             window_saturated: false,
+            window_floor: 0,
+            floor_rate: 0,
         }
     }
 
@@ -112,6 +119,10 @@
             (0, _) | (_, 0) => capacity.token_rate.count().max(1),
             _ => (self.rate * u64::from(new) / u64::from(old)).max(1),
         };
+        match old {
+            0 => self.window = StartWindow::new(new, capacity.first_token),
+            _ => self.window.rescale(old, new),
+        }
         self.capacity = capacity;
     }
 
@@ -137,7 +148,8 @@
         priority: WorkPriority,
         ahead: u64,
     ) -> TimeSpan {
-        if self.running < self.capacity.slots && self.queued == 0 {
+        let starts = self.running < self.capacity.slots && self.window.admits(priority);
+        if starts && self.queued == 0 {
             return TimeSpan::ZERO;
         }
         let weight_count = weight.count().max(1);
@@ -145,8 +157,16 @@
             true => self.waiting_weight,
             false => self.waiting_weight + weight_count,
         };
-        let owed = self.counters.debt(organisation, weight).count();
-        let by_share = (ahead + owed).saturating_mul(others) / weight_count;
+        let by_share = ahead.saturating_mul(others) / weight_count;
+        // What it owes is worked off as the floor rises, and the floor rises with
+        // what all entries serve, not this one alone.
+        let owed_time = match self.floor_rate {
+            0 => {
+                let owed = self.counters.debt(organisation, weight).count();
+                owed.saturating_mul(others) * 1_000 / weight_count / self.rate
+            }
+            rate => self.counters.ahead(organisation).saturating_mul(1_000) / rate,
+        };
         let queue_cost = match priority {
             WorkPriority::Interactive => self.interactive_cost,
             WorkPriority::Deferrable => self.interactive_cost + self.deferrable_cost,
@@ -155,7 +175,9 @@
             WorkPriority::Interactive => by_share.min(queue_cost),
             WorkPriority::Deferrable => (by_share + self.interactive_cost).min(queue_cost),
         };
-        TimeSpan::from_millis(before.saturating_mul(1_000) / self.rate)
+        let whole = queue_cost.saturating_mul(1_000) / self.rate;
+        let wait = before.saturating_mul(1_000) / self.rate + owed_time;
+        TimeSpan::from_millis(wait.min(whole))
     }
 
     /// What `organisation` has queued that would start before a new request.
@@ -233,26 +255,46 @@
         Some(work)
     }
 
-    /// The next request that may start: interactive before deferrable, and in
-    /// each the organisation that was served least. `reserve` percent of the
-    /// slots are kept from deferrable work.
-    pub fn pop(&mut self, reserve: u32, debt_limit: TokenCount) -> Option<StartedWork> {
-        let slots = self.capacity.slots;
-        if self.running >= slots {
+    /// The next request that may start: of the organisation that was served
+    /// least, interactive before deferrable. Deferrable work goes first only
+    /// where its organisation is behind by the handicap, or another's flood of
+    /// interactive work would keep it out for good.
+    pub fn pop(&mut self, settings: &AdmissionSettings) -> Option<StartedWork> {
+        let slots = u64::from(self.capacity.slots);
+        let running = u64::from(self.running);
+        if running >= slots {
             return None;
         }
-        let reserved = u64::from(slots) * u64::from(reserve) / 100;
-        let deferrable_slots = u64::from(slots) - reserved;
-        if let Some(started) = self.pop_class(WorkPriority::Interactive, debt_limit) {
-            return Some(started);
-        }
-        if u64::from(self.running) >= deferrable_slots.max(1) {
-            return None;
+        let limit = settings.debt_limit;
+        let reserved = slots * u64::from(settings.interactive_reserve) / 100;
+        if running >= (slots - reserved).max(1) {
+            return self.pop_class(WorkPriority::Interactive, limit);
         }
-        self.pop_class(WorkPriority::Deferrable, debt_limit)
+        let first = match self.is_behind(settings.deferrable_handicap) {
+            true => [WorkPriority::Deferrable, WorkPriority::Interactive],
+            false => [WorkPriority::Interactive, WorkPriority::Deferrable],
+        };
+        first
+            .into_iter()
+            .find_map(|priority| self.pop_class(priority, limit))
+    }
+
+    /// Whether the organisation that is first among the deferrable is behind the
+    /// first among the interactive by `handicap`.
+    fn is_behind(&self, handicap: TokenCount) -> bool {
+        let (Some(interactive), Some(deferrable)) = (
+            self.interactive_order.first(),
+            self.deferrable_order.first(),
+        ) else {
+            return false;
+        };
+        deferrable.0 + FairCounters::units(handicap) < interactive.0
     }
 
     fn pop_class(&mut self, priority: WorkPriority, limit: TokenCount) -> Option<StartedWork> {
+        if !self.window.admits(priority) {
+            return None;
+        }
         let (counter, organisation) = self.order(priority).first()?.clone();
         let queue = self.queues.get(&organisation)?;
         let weight = queue.weight;
@@ -261,6 +303,7 @@
         let work = self.remove(&organisation, priority, place)?;
         self.counters.start(counter);
         self.running += 1;
+        self.window.start(priority);
         let charged = self.recount(&organisation, |counters| {
             counters.charge(&organisation, work.cost, weight, limit.max(work.cost))
         });
@@ -292,6 +335,18 @@
         answer
     }
 
+    /// A started request got its first token, or ended without one.
+    pub fn answered(
+        &mut self,
+        now: ClockTime,
+        priority: WorkPriority,
+        took: Option<TimeSpan>,
+        target: TimeSpan,
+    ) {
+        let slots = self.capacity.slots;
+        self.window.answer(now, priority, took, target, slots);
+    }
+
     /// Counts finished work for the measured rate.
     pub fn finish(&mut self, now: ClockTime, cost: TokenCount) {
         self.running = self.running.saturating_sub(1);
@@ -312,6 +367,13 @@
             let kept = self.rate * (100 - RATE_GAIN);
             self.rate = ((kept + measured * RATE_GAIN) / 100).max(1);
         }
+        let risen = self.counters.floor().saturating_sub(self.window_floor);
+        let risen = risen.saturating_mul(1_000) / elapsed.as_millis().max(1);
+        if self.window_saturated {
+            let kept = self.floor_rate * (100 - RATE_GAIN);
+            self.floor_rate = (kept + risen * RATE_GAIN) / 100;
+        }
+        self.window_floor = self.counters.floor();
         self.window_start = now;
         self.window_cost = 0;
         self.window_saturated = self.queued > 0;
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -40,6 +40,8 @@
     place: Option<QueuePlace>,
     /// The counter units that it was charged at its start.
     charged: u64,
+    /// When it started, until its first token came.
+    unanswered_since: Option<ClockTime>,
 }
 
 /// Decides who starts at one entry, and whom it refuses.
@@ -131,6 +133,23 @@
         actions
     }
 
+    /// The first token of a started request came. Entries that never say so start
+    /// as many requests as they have slots.
+    pub fn note_first_token(
+        &mut self,
+        now: ClockTime,
+        request: &RequestId,
+    ) -> Vec<AdmissionAction> {
+        if let Some(known) = self.requests.get_mut(request)
+            && let Some(started) = known.unanswered_since.take()
+            && let Some(pool) = self.pools.get_mut(&known.ask.pool)
+        {
+            let took = Some(now.since(started));
+            pool.answered(now, known.ask.priority, took, self.settings.start_target);
+        }
+        self.advance(now)
+    }
+
     /// The caller is gone. Queued work is dropped; running work counts as ended
     /// with `delivered` output tokens.
     pub fn cancel(
@@ -239,6 +258,7 @@
             pool: pool.clone(),
             slots: queue.capacity.slots,
             running: queue.running,
+            window: queue.window.limit(),
             queued: queue.queued(),
             waiting_organisations: queue.waiting_organisations(),
             token_rate: TokenRate::new(queue.rate()),
@@ -276,7 +296,7 @@
         let place = (ask.deadline, self.next_place);
         let ahead = pool.own_ahead(&ask.organisation, ask.priority, place);
         let wait = pool.wait(&ask.organisation, limits.weight, ask.priority, ahead);
-        let latest_start = ask.deadline - pool.capacity.first_token;
+        let latest_start = ask.deadline - pool.window.first_token();
         let allowed = latest_start.since(now);
         if now > latest_start || wait > allowed {
             let reason = RefuseReason::DeadlineUnreachable { wait, allowed };
@@ -289,6 +309,7 @@
             latest_start,
             place: Some(place),
             charged: 0,
+            unanswered_since: None,
         })
     }
 
@@ -359,6 +380,9 @@
         let limit = self.settings.debt_limit;
         if let Some(pool) = self.pools.get_mut(&ask.pool) {
             pool.finish(now, known.cost);
+            if known.unanswered_since.is_some() {
+                pool.answered(now, ask.priority, None, self.settings.start_target);
+            }
             pool.recount(&ask.organisation, |counters| {
                 counters.correct(&ask.organisation, known.charged, real, weight, limit);
             });
@@ -453,16 +477,15 @@
     }
 
     fn start_ready(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
-        let reserve = self.settings.interactive_reserve;
-        let limit = self.settings.debt_limit;
         for (name, pool) in &mut self.pools {
-            while let Some(started) = pool.pop(reserve, limit) {
+            while let Some(started) = pool.pop(&self.settings) {
                 let request = started.work.request;
                 let Some(known) = self.requests.get_mut(&request) else {
                     continue;
                 };
                 known.place = None;
                 known.charged = started.charged;
+                known.unanswered_since = Some(now);
                 self.deadlines
                     .remove(&(known.latest_start, request.clone()));
                 let waited = now.since(started.work.queued_at);
--- a/crates/core/src/routing/messages.rs
+++ b/crates/core/src/routing/messages.rs
@@ -46,13 +46,22 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RoutingSettings {
-    /// By how many percent an endpoint's load may exceed the pool's mean before
-    /// a prefix goes to the next one in its order.
+    /// By how many percent an endpoint may cost more than the least costly one
+    /// before a prefix goes to the next one in its order.
     pub load_bound: u32,
+    /// Percent of a prompt that a prefix cache saves.
+    pub cached_percent: u32,
+    /// How many times the prefill of what a cache lacks counts: it keeps others
+    /// waiting, too, and evicts what others need.
+    pub miss_weight: u32,
     /// Prompt tokens that an engine prefills in a second.
     pub prefill_rate: TokenRate,
     /// What a running request adds to another's wait for its first token.
     pub running_cost: TimeSpan,
+    /// Requests that an endpoint runs at once; more wait for one to end.
+    pub endpoint_slots: u32,
+    /// What each request beyond the slots adds to another's wait.
+    pub overflow_cost: TimeSpan,
     /// What an endpoint of another failure domain costs in latency.
     pub domain_latency: TimeSpan,
     /// What it costs to hand a prompt's KV cache over.
@@ -72,9 +81,13 @@
 impl Default for RoutingSettings {
     fn default() -> RoutingSettings {
         RoutingSettings {
-            load_bound: 25,
+            load_bound: 10,
+            cached_percent: 80,
+            miss_weight: 5,
             prefill_rate: TokenRate::new(8_000),
             running_cost: TimeSpan::from_millis(8),
+            endpoint_slots: 24,
+            overflow_cost: TimeSpan::from_millis(150),
             domain_latency: TimeSpan::from_millis(1),
             handover_cost: TimeSpan::from_millis(40),
             eject_after: 3,
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -33,15 +33,25 @@
 struct RouteCandidate<'a> {
     slot: &'a EndpointSlot,
     wait: TimeSpan,
+    /// The place in the prefix's order; the greatest comes first.
+    rendezvous: u64,
 }
 
 /// A candidate that was chosen, and why.
 struct ChosenSlot<'a> {
     slot: &'a EndpointSlot,
     wait: TimeSpan,
+    /// Prompt tokens that the prefix cache is not expected to hold.
+    uncached: TokenCount,
     reason: String,
 }
 
+/// A choice and what it is expected to cost.
+struct WeighedChoice {
+    choice: RouteChoice,
+    uncached: TokenCount,
+}
+
 /// Chooses endpoints at one entry.
 #[derive(Clone, Debug)]
 pub struct RequestRouter {
@@ -155,6 +165,7 @@
                 continue;
             }
             load.open += 1;
+            load.slots += self.settings.endpoint_slots;
             load.own += slot.load.own().requests;
             load.others += slot.load.others(now, self.settings.report_life).requests;
         }
@@ -174,9 +185,9 @@
     /// the first has been finished.
     pub fn choose(&mut self, now: ClockTime, ask: &RouteRequest) -> Result<RouteChoice, NoRoute> {
         let draws = (self.random.random(), self.random.random());
-        let choice = self.decide(now, ask, draws)?;
-        self.send(now, ask, &choice);
-        Ok(choice)
+        let weighed = self.decide(now, ask, draws)?;
+        self.send(now, ask, &weighed);
+        Ok(weighed.choice)
     }
 
     /// Lets `pick` choose among the endpoints that may run the request; what
@@ -204,15 +215,23 @@
             prefill: None,
             reason: "picked by the caller's rule".to_string(),
         };
-        self.send(now, ask, &choice);
-        Ok(choice)
+        let weighed = WeighedChoice {
+            choice,
+            uncached: ask.prompt_tokens,
+        };
+        self.send(now, ask, &weighed);
+        Ok(weighed.choice)
     }
 
-    fn send(&mut self, now: ClockTime, ask: &RouteRequest, choice: &RouteChoice) {
+    fn send(&mut self, now: ClockTime, ask: &RouteRequest, weighed: &WeighedChoice) {
+        let WeighedChoice { choice, uncached } = weighed;
         let prefill = choice.prefill.as_ref().unwrap_or(&choice.endpoint).clone();
         let life = self.settings.report_life;
         if let Some(slot) = self.table.slot_mut(&prefill) {
-            slot.load.sent(now, ask.prompt_tokens, life);
+            slot.load.sent(now, *uncached, life);
+            if let Some(prefix) = ask.prefix {
+                slot.remember(prefix);
+            }
         }
         if prefill != choice.endpoint
             && let Some(slot) = self.table.slot_mut(&choice.endpoint)
@@ -222,7 +241,7 @@
         let attempt = SentAttempt {
             endpoint: choice.endpoint.clone(),
             prefill,
-            unfilled: ask.prompt_tokens,
+            unfilled: *uncached,
         };
         self.sent.insert(ask.request.clone(), attempt);
     }
@@ -286,7 +305,7 @@
         now: ClockTime,
         ask: &RouteRequest,
         draws: (u64, u64),
-    ) -> Result<RouteChoice, NoRoute> {
+    ) -> Result<WeighedChoice, NoRoute> {
         let candidates = self.candidates(now, ask)?;
         let with_role = |role: EngineRole| -> Vec<&RouteCandidate<'_>> {
             let fits = |c: &&RouteCandidate<'_>| c.slot.entry.role == role;
@@ -294,7 +313,7 @@
         };
         let mixed = self.pick(ask, &with_role(EngineRole::Mixed), draws);
         let prefill = self.pick(ask, &with_role(EngineRole::Prefill), draws);
-        let decode = least_loaded(&with_role(EngineRole::Decode), draws);
+        let decode = least_loaded(ask, &with_role(EngineRole::Decode), draws);
         let choice = match (mixed, prefill, decode) {
             (Some(mixed), Some(prefill), Some(decode)) => {
                 let split_wait = prefill.wait.max(decode.wait) + self.settings.handover_cost;
@@ -344,6 +363,7 @@
         let candidate = |slot| RouteCandidate {
             slot,
             wait: self.cost(now, slot, ask),
+            rendezvous: ask.prefix.map_or(0, |prefix| slot.rendezvous(prefix)),
         };
         Ok(usable.into_iter().map(candidate).collect())
     }
@@ -372,43 +392,62 @@
     ) -> Option<ChosenSlot<'a>> {
         match ask.prefix {
             Some(prefix) => self.by_prefix(ask, prefix, candidates),
-            None => least_loaded(candidates, draws),
+            None => least_loaded(ask, candidates, draws),
         }
     }
 
-    /// The first in the prefix's order that is within the bound.
+    /// The first in the prefix's order that costs little more than the least
+    /// costly: its wait, and the part of the prompt that its cache lacks.
     fn by_prefix<'a>(
         &self,
         ask: &RouteRequest,
         prefix: u64,
         candidates: &[&RouteCandidate<'a>],
     ) -> Option<ChosenSlot<'a>> {
-        let count = candidates.len() as u64;
-        let total: u64 = candidates.iter().map(|c| c.wait.as_millis()).sum();
-        let mean = total.checked_div(count)?;
-        // A cached prefix saves its prefill, so waiting that long is no loss.
-        let saved = prefill_time(ask.prompt_tokens, &self.settings).as_millis();
-        let bound = mean * u64::from(100 + self.settings.load_bound) / 100 + saved;
-        let within = candidates.iter().filter(|c| c.wait.as_millis() <= bound);
-        let chosen = within.max_by_key(|c| c.slot.rendezvous(prefix))?;
-        let first = candidates
-            .iter()
-            .max_by_key(|c| c.slot.rendezvous(prefix))?;
-        let id = &chosen.slot.entry.endpoint;
-        let (wait, home) = (chosen.wait, &first.slot.entry.endpoint);
-        let reason = match id == home {
-            true => format!("`{id}` holds the prefix, wait {wait}, bound {bound}ms"),
+        let home = candidates.iter().max_by_key(|c| c.rendezvous)?;
+        let uncached = |candidate: &RouteCandidate<'_>| {
+            let cached =
+                candidate.rendezvous == home.rendezvous || candidate.slot.remembers(prefix);
+            self.uncached(ask.prompt_tokens, cached)
+        };
+        let cost = |candidate: &RouteCandidate<'_>| {
+            let miss = prefill_time(uncached(candidate), &self.settings);
+            candidate.wait + miss.times(u64::from(self.settings.miss_weight))
+        };
+        let least = candidates.iter().map(|c| cost(c)).min()?;
+        let slack = least.as_millis() * u64::from(self.settings.load_bound) / 100;
+        let bound = least + TimeSpan::from_millis(slack) + self.settings.running_cost.times(2);
+        let within = candidates.iter().filter(|c| cost(c) <= bound);
+        let chosen = within.max_by_key(|c| c.rendezvous)?;
+        let (id, home_id) = (&chosen.slot.entry.endpoint, &home.slot.entry.endpoint);
+        let reason = match id == home_id {
+            true => format!(
+                "`{id}` holds the prefix, cost {}, bound {bound}",
+                cost(chosen)
+            ),
             false => format!(
-                "`{home}` holds the prefix but has {} to do, over {bound}ms; `{id}` is next, wait {wait}",
-                first.wait
+                "`{home_id}` holds the prefix but costs {}, over {bound}; `{id}` is next, cost {}",
+                cost(home),
+                cost(chosen)
             ),
         };
         Some(ChosenSlot {
             slot: chosen.slot,
-            wait,
+            wait: cost(chosen),
+            uncached: uncached(chosen),
             reason,
         })
     }
+
+    fn uncached(&self, prompt: TokenCount, cached: bool) -> TokenCount {
+        match cached {
+            true => {
+                let missing = 100 - u64::from(self.settings.cached_percent.min(100));
+                TokenCount::new(prompt.count() * missing / 100)
+            }
+            false => prompt,
+        }
+    }
 }
 
 /// What an entry knows of a pool as a whole.
@@ -416,6 +455,8 @@
 pub struct PoolLoad {
     /// Endpoints that serve and stay.
     pub open: u32,
+    /// Requests that those run at once.
+    pub slots: u32,
     /// Requests of this entry there.
     pub own: u64,
     /// Requests of others there, as estimated.
@@ -424,6 +465,7 @@
 
 /// The less loaded of two that are drawn.
 fn least_loaded<'a>(
+    ask: &RouteRequest,
     candidates: &[&RouteCandidate<'a>],
     draws: (u64, u64),
 ) -> Option<ChosenSlot<'a>> {
@@ -445,22 +487,31 @@
     Some(ChosenSlot {
         slot: chosen.slot,
         wait: chosen.wait,
+        uncached: ask.prompt_tokens,
         reason,
     })
 }
 
-fn single_choice(chosen: &ChosenSlot<'_>) -> RouteChoice {
-    RouteChoice {
+fn single_choice(chosen: &ChosenSlot<'_>) -> WeighedChoice {
+    let choice = RouteChoice {
         endpoint: chosen.slot.entry.endpoint.clone(),
         prefill: None,
         reason: chosen.reason.clone(),
+    };
+    WeighedChoice {
+        choice,
+        uncached: chosen.uncached,
     }
 }
 
-fn split_choice(prefill: &ChosenSlot<'_>, decode: &ChosenSlot<'_>) -> RouteChoice {
-    RouteChoice {
+fn split_choice(prefill: &ChosenSlot<'_>, decode: &ChosenSlot<'_>) -> WeighedChoice {
+    let choice = RouteChoice {
         endpoint: decode.slot.entry.endpoint.clone(),
         prefill: Some(prefill.slot.entry.endpoint.clone()),
         reason: format!("prefill: {}; decode: {}", prefill.reason, decode.reason),
+    };
+    WeighedChoice {
+        choice,
+        uncached: prefill.uncached,
     }
 }
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -1,6 +1,6 @@
 //! The endpoints that an entry knows, by pool.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -16,6 +16,9 @@
     units::TokenCount,
 };
 
+/// How many prompt starts are remembered for an endpoint.
+const RECENT_PREFIXES: usize = 8;
+
 /// One endpoint with all that a choice reads.
 #[derive(Clone, Debug)]
 pub(super) struct EndpointSlot {
@@ -23,6 +26,8 @@
     pub load: EndpointLoad,
     pub health: EndpointHealth,
     hash: u64,
+    /// Prompt starts that this entry sent there last.
+    recent: VecDeque<u64>,
 }
 
 impl EndpointSlot {
@@ -47,12 +52,35 @@
         xxh3_64(&bytes)
     }
 
+    /// Whether this entry sent the prefix here lately.
+    pub fn remembers(&self, prefix: u64) -> bool {
+        self.recent.contains(&prefix)
+    }
+
+    /// Notes that the prefix is sent here.
+    pub fn remember(&mut self, prefix: u64) {
+        self.recent.retain(|known| *known != prefix);
+        self.recent.push_back(prefix);
+        if self.recent.len() > RECENT_PREFIXES {
+            self.recent.pop_front();
+        }
+    }
+
+    /// Forgets what was sent: the endpoint starts with an empty cache.
+    pub fn forget_prefixes(&mut self) {
+        self.recent.clear();
+    }
+
     /// The estimated time until a request sent now would have the engine's
     /// attention, stretched while the endpoint starts slowly.
     pub fn wait(&self, now: ClockTime, settings: &RoutingSettings) -> TimeSpan {
         let own = self.load.own();
         let others = self.load.others(now, settings.report_life);
-        let wait = work_time(own, settings) + work_time(others, settings);
+        let all = OutstandingWork {
+            requests: own.requests + others.requests,
+            prefill: own.prefill + others.prefill,
+        };
+        let wait = work_time(all, settings);
         let share = u64::from(self.health.share(now, settings));
         if share == 100 {
             return wait;
@@ -90,7 +118,8 @@
 
 fn work_time(work: OutstandingWork, settings: &RoutingSettings) -> TimeSpan {
     let running = settings.running_cost.times(work.requests);
-    running + prefill_time(work.prefill, settings)
+    let beyond = (work.requests + 1).saturating_sub(u64::from(settings.endpoint_slots));
+    running + settings.overflow_cost.times(beyond) + prefill_time(work.prefill, settings)
 }
 
 /// All endpoints, by pool and in the order of their ids.
@@ -121,6 +150,7 @@
                 let opens = !slot.is_open() && entry.ready && !entry.leaving;
                 if opens {
                     slot.health = start;
+                    slot.forget_prefixes();
                 }
                 slot.entry = entry;
             }
@@ -131,6 +161,7 @@
                     load: EndpointLoad::new(),
                     health: start,
                     hash,
+                    recent: VecDeque::new(),
                 };
                 pool.insert(index, slot);
             }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -363,3 +363,51 @@
     }
     assert!(queue.remembered_organisations() < 5_000);
 }
+
+/// The engines' queues fill up: first tokens come later and later although
+/// little waits here. What waits there waits in the order of arrival, so a
+/// flood that got in first is served first.
+#[test]
+fn no_more_is_started_than_gets_its_first_token_in_time() {
+    let mut queue = queue(40, 1_000_000);
+    for number in 0..120 {
+        queue.offer(at(0), ask("flood", number, 600_000));
+    }
+    assert_eq!(queue.status()[0].running, 40);
+    for number in 0..80 {
+        let request = RequestId::new(format!("flood-{number}")).expect("valid");
+        let now = at(1_000 + number * 400);
+        queue.note_first_token(now, &request);
+        queue.finish(now, &request, TokenCount::ZERO);
+    }
+    let slow = queue.status().remove(0);
+    assert!(slow.window <= 4 && slow.running <= 8, "{slow:?}");
+    for number in 80..120 {
+        let request = RequestId::new(format!("flood-{number}")).expect("valid");
+        for later in 0..8 {
+            let number = number * 100 + later;
+            queue.offer(at(100_000), ask("more", number, 600_000));
+        }
+        queue.note_first_token(at(100_000), &request);
+        queue.finish(at(100_000), &request, TokenCount::ZERO);
+    }
+}
+
+/// Deferrable work of one organisation waits while another floods with
+/// interactive work. Its deadline is minutes away, but strict priority would
+/// never let it start.
+#[test]
+fn a_flood_of_interactive_work_does_not_keep_others_deferrable_work_out() {
+    let mut queue = queue(1, 1_000_000);
+    queue.offer(at(0), ask("flood", 0, 600_000));
+    let mut later = ask("history", 0, 600_000);
+    later.priority = WorkPriority::Deferrable;
+    queue.offer(at(0), later);
+    for number in 1..100 {
+        queue.offer(at(0), ask("flood", number, 600_000));
+    }
+    let order = run_one_by_one(&mut queue, "flood-0".to_string());
+    let place = order.iter().position(|request| request == "history-0");
+    // Behind by the handicap of 4,000 after about 40 requests of 100 tokens.
+    assert!((35..=45).contains(&place.expect("it ran")), "{place:?}");
+}
--- a/crates/lab/src/world/entry.rs
+++ b/crates/lab/src/world/entry.rs
@@ -88,6 +88,15 @@
         }
     }
 
+    /// The first token of a request came.
+    pub fn first_token(&mut self, now: ClockTime, request: &RequestId) -> Vec<AdmissionAction> {
+        self.router.note_first_token(now, request);
+        match &mut self.queue {
+            EntryQueue::Fair(queue) => queue.note_first_token(now, request),
+            EntryQueue::Arrival(_) => Vec::new(),
+        }
+    }
+
     /// A request ended.
     pub fn finish(
         &mut self,
