Test entries' failures, and the stand-ins against their interfaces

Cause: promises towards callers (whole answers, true refusals, no stream cut by a shutdown) were shown by nothing yet, and the stand-ins only by hand. Ruled out: tests within the entry's crate (its process has to end, and to be told to end, for real). A mute stream of the engine now stays open to the end of its work: before, it closed as soon as the batch was done with it, so "silent" tests passed in 0.9 s without any silence (seen because their run was shorter than the progress limit of 2 s). Conclusion: an engine that breaks all its streams is tried four times though another one is idle; that is reported, and the test for it asks only that no answer passes for whole that is not.

--- a/crates/process-tests/tests/whole_path.rs
+++ b/crates/process-tests/tests/whole_path.rs
@@ -1,10 +1,11 @@
 //! From a caller through an entry to an endpoint and back.
 
 use bluebell_load::{
-    caller::{self, ChatAsk, ChatEnd},
+    caller::ChatAsk,
     verdict::{AnswerVerdict, judge},
 };
 use bluebell_testkit::{
+    callers::first_answer,
     control,
     fleet::{CHAT_SERVICE, FleetShape, PLAIN_SERVICE, TestFleet},
     wait,
@@ -20,17 +21,6 @@
     Ok(fleet)
 }
 
-/// Asks until the entry knows the key and the engine, and answers the first
-/// answer that came whole.
-async fn first_answer(ask: &ChatAsk) -> anyhow::Result<caller::ChatAnswer> {
-    let http = reqwest::Client::new();
-    wait::until("a chat answer", || async {
-        let answer = caller::send(&http, ask).await;
-        matches!(answer.end, ChatEnd::Whole { .. }).then_some(answer)
-    })
-    .await
-}
-
 #[tokio::test]
 async fn a_chat_answer_comes_back_whole() -> anyhow::Result<()> {
     let fleet = fleet().await?;
--- a/crates/standin-engine/src/state.rs
+++ b/crates/standin-engine/src/state.rs
@@ -47,6 +47,7 @@
     pub(crate) address: OnceLock<SocketAddr>,
     pub(crate) wake: Notify,
     pub(crate) silences: watch::Sender<u64>,
+    pub(crate) losses: watch::Sender<u64>,
     pub(crate) http: reqwest::Client,
     parts: Mutex<EngineParts>,
     crashes: mpsc::UnboundedSender<DownTime>,
@@ -80,6 +81,7 @@
             address: OnceLock::new(),
             wake: Notify::new(),
             silences: watch::Sender::new(0),
+            losses: watch::Sender::new(0),
             http: reqwest::Client::new(),
             parts: Mutex::new(parts),
             crashes,
@@ -108,6 +110,7 @@
             parts.orders = OrderDesk::new(&self.settings);
             parts.samples = LoadSamples::default();
         }
+        self.losses.send_modify(|losses| *losses += 1);
         let _ = self.crashes.send(down);
     }
 
--- a/crates/standin-engine/src/stream.rs
+++ b/crates/standin-engine/src/stream.rs
@@ -21,6 +21,7 @@
     attempt: u32,
     items: mpsc::UnboundedReceiver<StreamItem>,
     silences: watch::Receiver<u64>,
+    losses: watch::Receiver<u64>,
     fault: Option<StreamFault>,
     mute: bool,
     tokens: u64,
@@ -36,6 +37,7 @@
     ) -> AnswerStream {
         AnswerStream {
             silences: state.silences.subscribe(),
+            losses: state.losses.subscribe(),
             state,
             request: work.request.clone(),
             attempt: work.attempt,
@@ -50,8 +52,12 @@
     /// The next lines to send; none at the end of the stream, whole or not.
     pub(crate) async fn next(&mut self) -> Option<Vec<u8>> {
         while self.end.is_none() {
+            if self.mute {
+                self.hold_open().await;
+                return None;
+            }
             let item = tokio::select! {
-                _ = self.silences.changed(), if !self.mute => {
+                _ = self.silences.changed() => {
                     self.mute = true;
                     continue;
                 }
@@ -62,9 +68,6 @@
                 self.end = Some(AttemptEnd::Cut);
                 return None;
             };
-            if self.mute {
-                continue;
-            }
             if let Some(lines) = self.take(item) {
                 return Some(lines);
             }
@@ -72,6 +75,16 @@
         None
     }
 
+    /// Keeps a mute connection open until the engine is lost. The batch works on
+    /// for it, as a real engine would.
+    async fn hold_open(&mut self) {
+        tokio::select! {
+            () = self.state.token.cancelled() => {}
+            _ = self.losses.changed() => {}
+        }
+        self.end = Some(AttemptEnd::Cut);
+    }
+
     /// Turns an item into the lines to send, or none if a fault swallows it.
     fn take(&mut self, item: StreamItem) -> Option<Vec<u8>> {
         if let StreamItem::End { finish, .. } = item {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`histories`] checks afterwards that what callers, endpoints and the
 //! platform saw keeps the system's promises.
 
+pub mod callers;
 pub mod control;
 pub mod fleet;
 pub mod histories;
