--- a/crates/controller/src/context.rs
+++ b/crates/controller/src/context.rs
@@ -12,10 +12,14 @@
 };
 use bluebell_endpoint::orders::EngineOrderClient;
 use bluebell_node::NodeHandle;
+use bluebell_platform::api::EndpointKind;
 
 use crate::{
-    directory::EndpointDirectory, duties::DutyDesk, members::InstanceList,
-    metrics::ControllerMetrics, settings::ControllerSettings,
+    directory::EndpointDirectory,
+    duties::DutyDesk,
+    members::{InstanceList, OutstandingWork},
+    metrics::ControllerMetrics,
+    settings::ControllerSettings,
 };
 
 /// How long a worker waits to read its own record back before it looks again.
@@ -80,11 +84,19 @@
         }
     }
 
-    /// How many requests are in flight at the endpoint; none if it can't be told.
-    pub async fn in_flight(&self, endpoint: &EndpointId) -> Option<u64> {
+    /// The work that the endpoint still has; none if it can't be told. An engine
+    /// says so itself, of a plain service the entries do.
+    pub async fn outstanding(&self, endpoint: &EndpointId) -> Option<OutstandingWork> {
         let listing = self.directory.listing(endpoint)?;
+        if listing.kind == EndpointKind::Plain {
+            return self.list.outstanding(endpoint);
+        }
+        let heard_at = self.now();
         let status = self.engines.status(&listing.address).await.ok()?;
-        Some(status.in_flight)
+        Some(OutstandingWork {
+            heard_at,
+            requests: status.in_flight,
+        })
     }
 
     /// Remembers a decision and logs it.
--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -2,14 +2,16 @@
 
 use std::net::SocketAddr;
 
-use bluebell_core::clock::{ClockSource, TimeSpan};
+use bluebell_core::{
+    clock::{ClockSource, TimeSpan},
+    membership::InstanceProgram,
+};
 use bluebell_daemon::{
     journal::{self, DecisionJournal},
     ops::{self, OpsSource, ReadyState, RunningServer},
 };
 use bluebell_endpoint::orders::EngineOrderClient;
-use bluebell_node::NodeHandle;
-use bluebell_platform::api::{InstanceListing, InstanceProgram, InstanceState};
+use bluebell_node::{NodeHandle, admin};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
@@ -20,7 +22,7 @@
     engines,
     error::ControllerError,
     fleet,
-    members::{self, InstanceList},
+    members::InstanceList,
     metrics::ControllerMetrics,
     settings::ControllerSettings,
     usage,
@@ -35,6 +37,8 @@
 pub struct RunningController {
     /// Where it answers HTTP.
     pub http_address: SocketAddr,
+    /// Where it takes peer connections.
+    pub peer_address: SocketAddr,
     token: CancellationToken,
     task: JoinHandle<()>,
 }
@@ -60,10 +64,10 @@
 ) -> Result<RunningController, ControllerError> {
     let metrics = ControllerMetrics::new()?;
     let journal = DecisionJournal::new();
-    let list = InstanceList::new();
     // The node outlives the duties, which need it to release their leases.
     let node_token = CancellationToken::new();
     let node = NodeHandle::start(settings.node.clone(), clock, &node_token);
+    let list = InstanceList::new(node.clone());
     let desk = DutyDesk::new(
         node.clone(),
         list.clone(),
@@ -74,15 +78,11 @@
     let source = ops_source(&node, &desk, &metrics);
     let rocket = ops::server(settings.node.http_address);
     let rocket = journal::mount(ops::mount(rocket, source), journal.clone());
+    let rocket = admin::mount(rocket, node.clone());
     let server = RunningServer::start(rocket, settings.node.http_address).await?;
     let http_address = server.address;
-    let own = own_listing(&settings, http_address);
-    tokio::spawn(members::run(
-        node.clone(),
-        list.clone(),
-        own,
-        token.child_token(),
-    ));
+    let program = InstanceProgram::Controller;
+    let peer_address = node.join(program, http_address, &token).await?;
     let context = DutyContext {
         engines: engine_client(&settings),
         node,
@@ -106,6 +106,7 @@
     });
     Ok(RunningController {
         http_address,
+        peer_address,
         token,
         task,
     })
@@ -135,18 +136,6 @@
     ]
 }
 
-fn own_listing(settings: &ControllerSettings, http_address: SocketAddr) -> InstanceListing {
-    let node = &settings.node;
-    InstanceListing {
-        instance: node.instance.clone(),
-        failure_domain: node.failure_domain.clone(),
-        program: InstanceProgram::Controller,
-        state: InstanceState::Live,
-        http_address: http_address.to_string(),
-        peer_address: node.peer_advertise.unwrap_or(node.peer_address).to_string(),
-    }
-}
-
 fn ops_source(node: &NodeHandle, desk: &DutyDesk, metrics: &ControllerMetrics) -> OpsSource {
     let ready_node = node.clone();
     let dump_node = node.clone();
--- a/crates/controller/src/duties.rs
+++ b/crates/controller/src/duties.rs
@@ -6,7 +6,7 @@
 };
 
 use bluebell_core::{
-    authority::{DutyCandidate, DutyGrant, DutyKeeper, DutySeat, duty_rank},
+    authority::{DutyGrant, DutyKeeper, DutySeat, duty_rank},
     clock::TimeSpan,
     records::{DutyName, LeaseAction, LeaseRecord, LogRecord},
 };
@@ -87,10 +87,7 @@
     }
 
     fn duties(&self) -> Vec<DutyName> {
-        let mut domains = self.list.failure_domains();
-        if domains.is_empty() {
-            domains.push(self.node.settings().failure_domain.clone());
-        }
+        let domains = self.list.failure_domains();
         let engines = domains.into_iter().map(DutyName::Engines);
         [DutyName::Fleet, DutyName::Usage, DutyName::Log]
             .into_iter()
@@ -112,11 +109,7 @@
     }
 
     async fn pass(&self) {
-        let settings = self.node.settings();
-        let me = DutyCandidate {
-            instance: settings.instance.clone(),
-            failure_domain: settings.failure_domain.clone(),
-        };
+        let me = self.list.own_candidate();
         let candidates = self.list.candidates();
         for duty in self.duties() {
             let rank = duty_rank(&duty, &me, &candidates);
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -45,7 +45,10 @@
     let token = CancellationToken::new();
     shutdown::cancel_on_signal(token.clone())?;
     let controller = bluebell_controller::start(settings, ClockSource::new(), token).await?;
-    println!("listening http={}", controller.http_address);
+    println!(
+        "listening http={} peer={}",
+        controller.http_address, controller.peer_address
+    );
     controller.wait().await;
     Ok(())
 }
--- a/crates/controller/src/members.rs
+++ b/crates/controller/src/members.rs
@@ -1,97 +1,110 @@
-//! Which instances are live, as far as the platform's lagging list tells.
-
-use std::sync::{Arc, Mutex};
+//! The other instances, as this controller's node knows them.
 
 use bluebell_core::{
-    authority::DutyCandidate, clock::TimeSpan, ids::FailureDomain, marks::EntryProgress,
+    authority::DutyCandidate,
+    clock::ClockTime,
+    ids::{EndpointId, FailureDomain},
+    marks::EntryProgress,
+    membership::{InstanceProgram, InstanceState, PeerStatus},
+    records::DutyName,
 };
-use bluebell_daemon::logs::LogLine;
 use bluebell_node::NodeHandle;
-use bluebell_platform::api::{InstanceListing, InstanceProgram, InstanceState};
-use tokio_util::sync::CancellationToken;
-
-/// How often the list is read and this instance announced.
-const REFRESH_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
 
-/// The instances on the platform's list; clones share it.
-#[derive(Clone, Debug, Default)]
+/// The other instances; clones share them.
+#[derive(Clone)]
 pub struct InstanceList {
-    listings: Arc<Mutex<Vec<InstanceListing>>>,
+    node: NodeHandle,
+}
+
+/// What entries say of the work that they have at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OutstandingWork {
+    /// How old the oldest word is.
+    pub heard_at: ClockTime,
+    /// Requests sent and not ended.
+    pub requests: u64,
 }
 
 impl InstanceList {
-    /// An empty list.
-    pub fn new() -> InstanceList {
-        InstanceList::default()
+    /// The instances that `node` knows of.
+    pub fn new(node: NodeHandle) -> InstanceList {
+        InstanceList { node }
     }
 
-    fn replace(&self, listings: Vec<InstanceListing>) {
-        *self.listings.lock().expect("no holder panics") = listings;
+    fn peers(&self, program: InstanceProgram) -> impl Iterator<Item = PeerStatus> {
+        let peers = self.node.peers().into_iter();
+        peers.filter(move |peer| peer.program == program)
     }
 
-    /// The live instances that run `program`.
-    pub fn live(&self, program: InstanceProgram) -> Vec<InstanceListing> {
-        let listings = self.listings.lock().expect("no holder panics");
-        let wanted = |listing: &&InstanceListing| {
-            listing.program == program && listing.state == InstanceState::Live
-        };
-        listings.iter().filter(wanted).cloned().collect()
+    /// This controller as a candidate for duties.
+    pub fn own_candidate(&self) -> DutyCandidate {
+        let settings = self.node.settings();
+        DutyCandidate {
+            instance: settings.instance.clone(),
+            failure_domain: settings.failure_domain.clone(),
+        }
     }
 
-    /// The controllers that could hold a duty.
+    /// The controllers that could hold a duty, this one left out.
     pub fn candidates(&self) -> Vec<DutyCandidate> {
-        let candidate = |listing: InstanceListing| DutyCandidate {
-            instance: listing.instance,
-            failure_domain: listing.failure_domain,
+        let live = self
+            .peers(InstanceProgram::Controller)
+            .filter(|peer| peer.state == InstanceState::Live && !peer.suspected);
+        let candidate = |peer: PeerStatus| DutyCandidate {
+            instance: peer.instance,
+            failure_domain: peer.failure_domain,
         };
-        let live = self.live(InstanceProgram::Controller);
-        live.into_iter().map(candidate).collect()
+        live.map(candidate).collect()
     }
 
-    /// How far the live entries have read the log.
+    /// How far the entries have read the log. One that is leaving counts too: it
+    /// may still repeat work elsewhere.
     pub fn entries(&self) -> Vec<EntryProgress> {
-        let progress = |listing: InstanceListing| EntryProgress {
-            instance: listing.instance,
-            next: None,
+        let progress = |peer: PeerStatus| EntryProgress {
+            next: peer.next_offset.filter(|_| !peer.suspected),
+            instance: peer.instance,
+        };
+        self.peers(InstanceProgram::Entry).map(progress).collect()
+    }
+
+    /// The work that entries have at an endpoint which can't say so itself. None
+    /// while any entry can't be reached: its work may still run there.
+    pub fn outstanding(&self, endpoint: &EndpointId) -> Option<OutstandingWork> {
+        let mut work = OutstandingWork {
+            heard_at: self.node.clock().now(),
+            requests: 0,
         };
-        let live = self.live(InstanceProgram::Entry);
-        live.into_iter().map(progress).collect()
+        for peer in self.peers(InstanceProgram::Entry) {
+            let heard_at = peer.heard_at.filter(|_| !peer.suspected)?;
+            work.heard_at = work.heard_at.min(heard_at);
+            let loads = peer.status.loads.iter();
+            let own = loads.filter(|load| load.endpoint == *endpoint);
+            work.requests += own.map(|load| load.requests).sum::<u64>();
+        }
+        Some(work)
     }
 
-    /// The failure domains that any instance runs in, sorted.
+    /// The failure domains that instances run in or that somebody is in charge
+    /// of, sorted.
     pub fn failure_domains(&self) -> Vec<FailureDomain> {
-        let listings = self.listings.lock().expect("no holder panics");
-        let mut domains: Vec<FailureDomain> = listings
-            .iter()
-            .map(|listing| listing.failure_domain.clone())
-            .collect();
+        let mut domains: Vec<FailureDomain> = self.node.with_view(|view| {
+            let duties = view.leases.leases().map(|(duty, _)| duty);
+            duties
+                .filter_map(|duty| match duty {
+                    DutyName::Engines(domain) => Some(domain.clone()),
+                    DutyName::Fleet | DutyName::Usage | DutyName::Log => None,
+                })
+                .collect()
+        });
+        domains.push(self.node.settings().failure_domain.clone());
+        domains.extend(
+            self.node
+                .peers()
+                .into_iter()
+                .map(|peer| peer.failure_domain),
+        );
         domains.sort();
         domains.dedup();
         domains
     }
 }
-
-/// Announces `own` and keeps `list` up to date until `token` is cancelled.
-pub async fn run(
-    node: NodeHandle,
-    list: InstanceList,
-    own: InstanceListing,
-    token: CancellationToken,
-) {
-    loop {
-        if let Err(error) = node.platform().announce(&own).await {
-            let line = LogLine::new("announce_failed").with("error", &error);
-            line.debug();
-        }
-        match node.platform().instances().await {
-            Ok(listings) => list.replace(listings),
-            Err(error) => LogLine::new("instances_failed")
-                .with("error", &error)
-                .debug(),
-        }
-        tokio::select! {
-            () = token.cancelled() => return,
-            () = tokio::time::sleep(REFRESH_INTERVAL.as_duration()) => {}
-        }
-    }
-}
--- a/crates/controller/src/steps.rs
+++ b/crates/controller/src/steps.rs
@@ -82,9 +82,8 @@
 async fn ask_around(context: &DutyContext, change: &mut ChangeRun) -> StepResult {
     let now = context.now();
     change.hear_entries(now, &context.list.entries());
-    let in_flight = context.in_flight(change.endpoint()).await;
-    if let Some(in_flight) = in_flight {
-        change.hear_endpoint(now, in_flight);
+    if let Some(work) = context.outstanding(change.endpoint()).await {
+        change.hear_endpoint(work.heard_at, work.requests);
     }
     match change.drain_state() {
         Some(DrainState::Empty) => StepResult::Again,
