--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod journal;
 pub mod logs;
 pub mod ops;
+pub mod program;
 pub mod settings;
 pub mod shutdown;
