Run marked charges at most once through claims in the log

Cause: a caller that got no answer sends its charge again, to another entry and perhaps at once; nothing kept it from running twice. The entry batches claims and settlements, refuses "not run" without the log, sends work that must run at most once on a connection of its own, and goes on for 60 s after its caller's deadline to record a late outcome. An instance that has not heard of the log for 5 s refuses such work. Ruled out: a retention window by time, since log entries carry no time that all readers agree on; freeing a key whose holder is certainly gone, since nobody knows whether it had sent.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,11 +1,14 @@
 //! What all handlers and tasks of one entry share.
 
-use std::{collections::BTreeMap, sync::Mutex};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Mutex,
+};
 
 use bluebell_core::{
     clock::ClockTime,
     config::{OrganisationUnit, ServiceUnit},
-    ids::{KeyDigest, OrganisationId, ServiceName},
+    ids::{EndpointId, KeyDigest, OrganisationId, ServiceName},
 };
 use bluebell_daemon::journal::{DecisionJournal, DecisionRecord};
 use bluebell_node::NodeHandle;
@@ -13,7 +16,8 @@
 
 use crate::{
     caller::{CallerHead, CallerWish},
-    directory::EndpointDirectory,
+    claims::ClaimBatcher,
+    directory::{ChosenEndpoint, EndpointDirectory, EndpointNeed},
     metrics::EntryMetrics,
     refusal::{Refusal, RefusalCode},
     running::{RunningKeys, RunningTicket},
@@ -30,6 +34,8 @@
     pub journal: DecisionJournal,
     /// The endpoints.
     pub directory: EndpointDirectory,
+    /// The way to claims in the log.
+    pub claims: ClaimBatcher,
     /// What it counts.
     pub metrics: EntryMetrics,
     /// Requests in progress by key.
@@ -151,6 +157,24 @@
         Ok((name, unit))
     }
 
+    /// Chooses an endpoint that stays and that is not among those avoided.
+    pub fn choose(
+        &self,
+        need: &EndpointNeed,
+        avoided: &BTreeSet<EndpointId>,
+    ) -> Option<ChosenEndpoint> {
+        let mut candidates = self.directory.candidates(need);
+        self.node.with_view(|view| {
+            candidates.retain(|slot| !view.marks.is_leaving(&slot.listing.endpoint));
+        });
+        candidates.retain(|slot| !avoided.contains(&slot.listing.endpoint));
+        let load = |slot: &crate::directory::EndpointSlot| {
+            (slot.outstanding, slot.listing.endpoint.clone())
+        };
+        let best = candidates.into_iter().min_by_key(load)?;
+        self.directory.choose(&best.listing.endpoint)
+    }
+
     /// Counts a request in progress, or refuses one too many.
     pub fn enter(
         self: &std::sync::Arc<Self>,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod body;
 pub mod caller;
 pub mod chat;
+pub mod claims;
 pub mod context;
 pub mod directory;
 pub mod metrics;
--- a/crates/entry/src/model_run.rs
+++ b/crates/entry/src/model_run.rs
@@ -210,11 +210,7 @@
             let message = format!("gave up after {} attempts", self.attempts.attempt());
             return Err(self.refusal(RefusalCode::EndpointLost, message));
         }
-        let candidates = self.context.directory.candidates(&self.work.need);
-        let usable = candidates.into_iter();
-        let usable = usable.filter(|slot| !self.avoided.contains(&slot.listing.endpoint));
-        let best = usable.min_by_key(|slot| (slot.outstanding, slot.listing.endpoint.clone()));
-        let chosen = best.and_then(|slot| self.context.directory.choose(&slot.listing.endpoint));
+        let chosen = self.context.choose(&self.work.need, &self.avoided);
         let Some(chosen) = chosen else {
             let message = format!("no endpoint of `{}` takes work now", self.work.need.service);
             return Err(self.refusal(RefusalCode::NoEndpoint, message));
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -3,10 +3,10 @@
 use std::{io::Cursor, sync::Arc};
 
 use bluebell_core::{attempts::WorkKind, config::ServiceTarget, ids::RequestFingerprint};
-use bluebell_endpoint::client::{PlainAnswer, PlainCall};
+use bluebell_endpoint::client::PlainCall;
 use rocket::{
     Data, Request, Response, Route,
-    http::{ContentType, Header, Method, Status},
+    http::{Header, Method, Status},
     route::{Handler, Outcome},
 };
 
@@ -15,7 +15,7 @@
     caller::CallerHead,
     context::EntryContext,
     directory::EndpointNeed,
-    plain_run::{PlainRun, PlainWork},
+    plain_run::{CallAnswer, PlainRun, PlainWork},
     refusal::{Refusal, RefusalCode},
 };
 
@@ -49,13 +49,15 @@
     }
 }
 
-fn respond(answer: PlainAnswer) -> Response<'static> {
+fn respond(call: CallAnswer) -> Response<'static> {
+    let answer = call.answer;
     let mut response = Response::new();
     response.set_status(Status::new(answer.status));
     if let Some(content_type) = answer.content_type {
         response.set_header(Header::new("Content-Type", content_type));
-    } else {
-        response.set_header(ContentType::Binary);
+    }
+    if call.replayed {
+        response.set_header(Header::new("Idempotent-Replayed", "true"));
     }
     response.set_sized_body(answer.body.len(), Cursor::new(answer.body));
     response
@@ -103,7 +105,7 @@
     head: &CallerHead,
     request: &Request<'_>,
     data: Data<'_>,
-) -> Result<PlainAnswer, Refusal> {
+) -> Result<CallAnswer, Refusal> {
     let _work = context.work.token();
     let caller = context.admit(head)?;
     let target = CallTarget::of(head, request)?;
--- a/crates/entry/src/plain_run.rs
+++ b/crates/entry/src/plain_run.rs
@@ -1,16 +1,29 @@
-//! One call of a plain service, from its first attempt to its end.
+//! One call of a plain service, from its claim to its settlement.
+//!
+//! The run is a task of its own: a call that must run at most once and was sent
+//! goes on when its caller's deadline passes, so that the outcome can still be
+//! recorded for a repeat with the same idempotency key.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use bluebell_core::{
-    attempts::{RequestAttempts, WorkKind},
-    clock::ClockTime,
-    ids::{EndpointId, OrganisationId, RequestFingerprint},
+    attempts::{AttemptPhase, RequestAttempts, RunOutcome, WorkKind},
+    claims::ClaimVerdict,
+    clock::{ClockTime, TimeSpan},
+    ids::{EndpointId, IdempotencyKey, OrganisationId, RequestFingerprint},
+    records::{IdempotencyClaim, SettledResult},
 };
 use bluebell_endpoint::{
     EndpointError,
     client::{PlainAnswer, PlainCall},
 };
+use tokio::sync::oneshot;
 
 use crate::{
     context::{EntryContext, InFlightTicket},
@@ -19,6 +32,10 @@
     running::RunningTicket,
 };
 
+/// How long the answer to a call is waited for after its caller was told that
+/// the outcome is unknown.
+const LATE_ANSWER_LIMIT: TimeSpan = TimeSpan::from_secs(60);
+
 /// What a plain service is asked.
 #[derive(Clone, Debug)]
 pub struct PlainWork {
@@ -36,93 +53,261 @@
     pub call: PlainCall,
 }
 
+/// What the caller gets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallAnswer {
+    /// The service's answer.
+    pub answer: PlainAnswer,
+    /// Whether it is that of an earlier request with the same idempotency key.
+    pub replayed: bool,
+}
+
 /// One call in progress.
 pub struct PlainRun {
     context: Arc<EntryContext>,
     work: PlainWork,
-    attempts: RequestAttempts,
-    avoided: BTreeSet<EndpointId>,
+    attempts: Mutex<RequestAttempts>,
+    claim: Option<IdempotencyClaim>,
+    claimed: AtomicBool,
 }
 
 impl PlainRun {
     /// A run of `work`.
     pub fn new(context: Arc<EntryContext>, work: PlainWork, attempts: RequestAttempts) -> PlainRun {
+        let key = work.call.idempotency_key.as_ref();
+        let key = key.filter(|_| work.kind == WorkKind::AtMostOnce);
+        let claim = key.map(|key| claim_of(&context, &work, &attempts, key));
         PlainRun {
             context,
             work,
-            attempts,
-            avoided: BTreeSet::new(),
+            attempts: Mutex::new(attempts),
+            claim,
+            claimed: AtomicBool::new(false),
         }
     }
 
     /// Runs the call and answers its caller.
     pub async fn answer(
-        mut self,
+        self,
         ticket: RunningTicket,
         in_flight: InFlightTicket,
-    ) -> Result<PlainAnswer, Refusal> {
+    ) -> Result<CallAnswer, Refusal> {
+        let (reply, answer) = oneshot::channel();
+        let lost = self.refusal(RefusalCode::Internal, "a fault of this program");
+        let lost = lost.with_outcome_unknown();
+        let context = self.context.clone();
+        context.work.spawn(self.run(ticket, in_flight, reply));
+        answer.await.unwrap_or(Err(lost))
+    }
+
+    async fn run(
+        self,
+        ticket: RunningTicket,
+        in_flight: InFlightTicket,
+        reply: oneshot::Sender<Result<CallAnswer, Refusal>>,
+    ) {
         let left = self.work.deadline.since(self.context.now());
-        let end = tokio::select! {
+        let mut work = Box::pin(self.work());
+        let interruption = tokio::select! {
             biased;
-            () = ticket.lost().cancelled() => {
-                Err(self.refusal(RefusalCode::KeyWithdrawn, "the key was withdrawn"))
-            }
+            () = ticket.lost().cancelled() => (RefusalCode::KeyWithdrawn, "the key was withdrawn"),
             () = tokio::time::sleep(left.as_duration()) => {
-                let message = "the answer was not there before the deadline";
-                Err(self.refusal(RefusalCode::DeadlineExceeded, message))
+                (RefusalCode::DeadlineExceeded, "the answer was not there before the deadline")
+            }
+            end = &mut work => {
+                self.settle(&end);
+                let _ = reply.send(end);
+                return;
             }
-            end = self.drive() => end,
         };
+        let (code, message) = interruption;
+        let refusal = self.refusal(code, message);
+        let ran = refusal.ran;
+        let _ = reply.send(Err(refusal.clone()));
         drop(in_flight);
-        end
+        // Work that has not been sent is dropped here, before it can be: what the
+        // caller was told stays true. Work that was sent may still be settled.
+        if ran == RunOutcome::Unknown && self.claim.is_some() {
+            let late = tokio::time::timeout(LATE_ANSWER_LIMIT.as_duration(), &mut work).await;
+            self.settle(&late.unwrap_or(Err(refusal)));
+            return;
+        }
+        drop(work);
+        self.settle(&Err(refusal));
     }
 
     fn refusal<Message>(&self, code: RefusalCode, message: Message) -> Refusal
     where
         Message: Into<String>,
     {
-        Refusal::new(code, message, &self.attempts)
+        let attempts = self.attempts.lock().expect("no holder panics");
+        Refusal::new(code, message, &attempts)
     }
 
-    async fn drive(&mut self) -> Result<PlainAnswer, Refusal> {
+    fn change<Change, Answer>(&self, change: Change) -> Answer
+    where
+        Change: FnOnce(&mut RequestAttempts) -> Answer,
+    {
+        change(&mut self.attempts.lock().expect("no holder panics"))
+    }
+
+    /// Records what became of the claimed action. If the claim turned out not to
+    /// be the standing one, readers pass over the settlement.
+    fn settle(&self, end: &Result<CallAnswer, Refusal>) {
+        let claimed = self.claimed.load(Ordering::Relaxed);
+        let Some(claim) = self.claim.as_ref().filter(|_| claimed) else {
+            return;
+        };
+        let result = match end {
+            Ok(answer) if answer.replayed => return,
+            Ok(answer) => self.recorded(&answer.answer),
+            Err(_) => match self.change(|attempts| attempts.outcome()) {
+                RunOutcome::NotRun(_) => SettledResult::NotRun,
+                RunOutcome::Unknown => SettledResult::Unknown,
+            },
+        };
+        self.context.claims.settle(claim, result);
+    }
+
+    fn recorded(&self, answer: &PlainAnswer) -> SettledResult {
+        let limit = self.context.settings.requests.kept_answer.count() as usize;
+        let short = answer.body.len() <= limit;
+        let body = short.then(|| String::from_utf8(answer.body.to_vec()).ok());
+        SettledResult::Answered {
+            status: answer.status,
+            content_type: answer.content_type.clone().unwrap_or_default(),
+            body: body.flatten(),
+        }
+    }
+
+    async fn work(&self) -> Result<CallAnswer, Refusal> {
+        if self.work.kind == WorkKind::AtMostOnce {
+            self.check_freshness()?;
+        }
+        let recorded = match &self.claim {
+            Some(claim) => self.claim_key(claim).await?,
+            None => None,
+        };
+        if let Some(recorded) = recorded {
+            return Ok(recorded);
+        }
+        let answer = self.drive().await?;
+        Ok(CallAnswer {
+            answer,
+            replayed: false,
+        })
+    }
+
+    /// Refuses work that must run at most once on an instance that has not heard
+    /// of the log for long: it may be cut off, and its keys withdrawn elsewhere.
+    fn check_freshness(&self) -> Result<(), Refusal> {
+        let bound = self.context.settings.requests.freshness_bound;
+        if self
+            .context
+            .node
+            .freshness()
+            .is_some_and(|age| age <= bound)
+        {
+            return Ok(());
+        }
+        let message = format!("this instance has not heard of the log for more than {bound}");
+        Err(self.refusal(RefusalCode::ConfigurationStale, message))
+    }
+
+    /// Claims the key. Answers an earlier request's outcome, or nothing if this
+    /// request may send.
+    async fn claim_key(&self, claim: &IdempotencyClaim) -> Result<Option<CallAnswer>, Refusal> {
+        match self.verdict(claim) {
+            ClaimVerdict::Free => {}
+            verdict => return self.follow_verdict(verdict),
+        }
+        let unavailable = |message: String| {
+            let message = format!("the idempotency key could not be claimed: {message}");
+            self.refusal(RefusalCode::ClaimUnavailable, message)
+        };
+        self.claimed.store(true, Ordering::Relaxed);
+        let appended = self.context.claims.claim(claim.clone()).await;
+        let offset = appended.map_err(|error| unavailable(error.to_string()))?;
+        let patience = self.context.settings.requests.claim_patience;
+        if !self.context.node.wait_applied(offset, patience).await {
+            return Err(unavailable(format!("not read back within {patience}")));
+        }
+        self.follow_verdict(self.verdict(claim))
+    }
+
+    fn verdict(&self, claim: &IdempotencyClaim) -> ClaimVerdict {
+        self.context.node.with_view(|view| {
+            view.claims.verdict(
+                &claim.organisation,
+                &claim.key,
+                &claim.request,
+                &claim.fingerprint,
+            )
+        })
+    }
+
+    fn follow_verdict(&self, verdict: ClaimVerdict) -> Result<Option<CallAnswer>, Refusal> {
+        let request = self.change(|attempts| attempts.request().to_string());
+        self.context
+            .decided(&[&request], "read the claim", format!("{verdict:?}"));
+        match verdict {
+            ClaimVerdict::Mine => Ok(None),
+            ClaimVerdict::Recorded(result) => match replay(result) {
+                Some(answer) => Ok(Some(answer)),
+                None => Err(self.unknown()),
+            },
+            ClaimVerdict::Unknown => Err(self.unknown()),
+            ClaimVerdict::OtherContent => {
+                let message = "the idempotency key was used for another request";
+                Err(self.refusal(RefusalCode::IdempotencyKeyReused, message))
+            }
+            ClaimVerdict::Free => {
+                let message = "the claim of the idempotency key no longer stands";
+                Err(self.refusal(RefusalCode::ClaimUnavailable, message))
+            }
+        }
+    }
+
+    fn unknown(&self) -> Refusal {
+        let message = "an earlier request with this idempotency key may have run";
+        let refusal = self.refusal(RefusalCode::OutcomeUnknown, message);
+        refusal.with_outcome_unknown()
+    }
+
+    async fn drive(&self) -> Result<PlainAnswer, Refusal> {
+        let mut avoided = BTreeSet::new();
         loop {
-            let chosen = self.choose()?;
+            let chosen = self.choose(&avoided)?;
             if let Some(answer) = self.attempt(&chosen).await? {
-                self.attempts.end();
-                self.context
-                    .metrics
-                    .ended
-                    .with_label_values(&["whole"])
-                    .inc();
+                self.change(RequestAttempts::end);
+                let ended = &self.context.metrics.ended;
+                ended.with_label_values(&["whole"]).inc();
                 return Ok(answer);
             }
+            avoided.insert(chosen.endpoint.clone());
         }
     }
 
-    fn choose(&mut self) -> Result<ChosenEndpoint, Refusal> {
-        if self.attempts.attempt() >= self.context.settings.requests.max_attempts {
-            let message = format!("gave up after {} attempts", self.attempts.attempt());
+    fn choose(&self, avoided: &BTreeSet<EndpointId>) -> Result<ChosenEndpoint, Refusal> {
+        let attempt = self.change(|attempts| attempts.attempt());
+        if attempt >= self.context.settings.requests.max_attempts {
+            let message = format!("gave up after {attempt} attempts");
             return Err(self.refusal(RefusalCode::EndpointLost, message));
         }
-        let candidates = self.context.directory.candidates(&self.work.need);
-        let usable = candidates.into_iter();
-        let usable = usable.filter(|slot| !self.avoided.contains(&slot.listing.endpoint));
-        let best = usable.min_by_key(|slot| (slot.outstanding, slot.listing.endpoint.clone()));
-        let chosen = best.and_then(|slot| self.context.directory.choose(&slot.listing.endpoint));
-        let Some(chosen) = chosen else {
+        let Some(chosen) = self.context.choose(&self.work.need, avoided) else {
             let message = format!("no endpoint of `{}` takes work now", self.work.need.service);
             return Err(self.refusal(RefusalCode::NoEndpoint, message));
         };
-        let subjects = [self.attempts.request().as_str(), chosen.endpoint.as_str()];
+        let request = self.change(|attempts| attempts.request().to_string());
+        let subjects = [request.as_str(), chosen.endpoint.as_str()];
         let reason = "least outstanding work of this entry";
         self.context.decided(&subjects, "chose endpoint", reason);
         Ok(chosen)
     }
 
-    async fn attempt(&mut self, chosen: &ChosenEndpoint) -> Result<Option<PlainAnswer>, Refusal> {
+    async fn attempt(&self, chosen: &ChosenEndpoint) -> Result<Option<PlainAnswer>, Refusal> {
         let permit = self
-            .attempts
-            .send(&chosen.endpoint)
+            .change(|attempts| attempts.send(&chosen.endpoint))
             .map_err(|error| self.refusal(RefusalCode::EndpointLost, error.to_string()))?;
         self.context.metrics.attempts.inc();
         let limit = self.context.settings.requests.max_answer.count() as usize;
@@ -130,23 +315,54 @@
             Ok(answer) => return Ok(Some(answer)),
             Err(error) => error,
         };
-        let subjects = [self.attempts.request().as_str(), chosen.endpoint.as_str()];
+        let subjects = [permit.request().as_str(), chosen.endpoint.as_str()];
         self.context
             .decided(&subjects, "attempt failed", error.to_string());
-        self.avoided.insert(chosen.endpoint.clone());
-        match error {
-            EndpointError::NotSent(_) => self.attempts.not_sent(permit),
-            EndpointError::Refused { .. } | EndpointError::Lost(_) => self.attempts.lost(),
-        }
-        if self.work.kind == WorkKind::AtMostOnce && self.is_over() {
+        self.change(|attempts| match error {
+            EndpointError::NotSent(_) => attempts.not_sent(permit),
+            EndpointError::Refused { .. } | EndpointError::Lost(_) => attempts.lost(),
+        });
+        if self.change(|attempts| *attempts.phase() == AttemptPhase::Done) {
             let message =
                 format!("the endpoint was lost, and the call may not be repeated: {error}");
             return Err(self.refusal(RefusalCode::EndpointLost, message));
         }
         Ok(None)
     }
+}
 
-    fn is_over(&self) -> bool {
-        *self.attempts.phase() == bluebell_core::attempts::AttemptPhase::Done
+fn claim_of(
+    context: &EntryContext,
+    work: &PlainWork,
+    attempts: &RequestAttempts,
+    key: &IdempotencyKey,
+) -> IdempotencyClaim {
+    IdempotencyClaim {
+        organisation: work.organisation.clone(),
+        key: key.clone(),
+        request: attempts.request().clone(),
+        fingerprint: work.fingerprint.clone(),
+        entry: context.settings.node.instance.clone(),
     }
 }
+
+/// The recorded answer; none if it was too long to be recorded whole.
+fn replay(result: SettledResult) -> Option<CallAnswer> {
+    let SettledResult::Answered {
+        status,
+        content_type,
+        body,
+    } = result
+    else {
+        return None;
+    };
+    let content_type = Some(content_type).filter(|text| !text.is_empty());
+    Some(CallAnswer {
+        answer: PlainAnswer {
+            status,
+            content_type,
+            body: body.unwrap_or_default().into(),
+        },
+        replayed: true,
+    })
+}
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -56,6 +56,8 @@
     OutcomeUnknown,
     /// The log can't be reached, so the claim can't be made.
     ClaimUnavailable,
+    /// This instance has not heard of the log for too long.
+    ConfigurationStale,
     /// This instance has not read the configuration yet.
     NotReady,
     /// This instance is stopping.
@@ -85,6 +87,7 @@
             RefusalCode::IdempotencyKeyReused => "idempotency_key_reused",
             RefusalCode::OutcomeUnknown => "outcome_unknown",
             RefusalCode::ClaimUnavailable => "claim_unavailable",
+            RefusalCode::ConfigurationStale => "configuration_stale",
             RefusalCode::NotReady => "not_ready",
             RefusalCode::Draining => "draining",
             RefusalCode::Internal => "internal",
@@ -108,6 +111,7 @@
             | RefusalCode::NoEndpoint
             | RefusalCode::SuspectWaiting
             | RefusalCode::ClaimUnavailable
+            | RefusalCode::ConfigurationStale
             | RefusalCode::NotReady
             | RefusalCode::Draining => 503,
             RefusalCode::DeadlineExceeded => 504,
@@ -172,6 +176,13 @@
         self
     }
 
+    /// The same for an action that another request may have run. An outcome can
+    /// only be weakened so, never made to say "not run".
+    pub fn with_outcome_unknown(mut self) -> Refusal {
+        self.ran = RunOutcome::Unknown;
+        self
+    }
+
     /// The refusal's JSON.
     pub fn json(&self) -> String {
         let body = ErrorBody {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -8,14 +8,16 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use anyhow::Context as _;
-use bluebell_core::clock::{ClockSource, TimeSpan};
+use bluebell_core::{
+    clock::{ClockSource, TimeSpan},
+    membership::{InstanceProgram, InstanceState},
+};
 use bluebell_daemon::{
     journal::{self, DecisionJournal},
     logs::LogLine,
     ops::{self, OpsSource, ReadyState, RunningServer},
 };
 use bluebell_node::NodeHandle;
-use bluebell_platform::api::{InstanceListing, InstanceProgram, InstanceState};
 use prometheus::Registry;
 use rocket::{Build, Request, Rocket, catch, catchers, fairing::AdHoc, http::Header, http::Status};
 use serde_json::json;
@@ -25,6 +27,7 @@
 use crate::{
     caller::{CallerHead, request_id},
     chat,
+    claims::ClaimBatcher,
     context::EntryContext,
     directory::EndpointDirectory,
     metrics::EntryMetrics,
@@ -34,8 +37,8 @@
     settings::EntrySettings,
 };
 
-/// The pause between two announcements on the platform's list.
-const ANNOUNCE_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
+/// How long a stopping entry waits for the log to take what is to be recorded.
+const FLUSH_LIMIT: TimeSpan = TimeSpan::from_secs(10);
 
 /// A running entry.
 #[derive(Debug)]
@@ -73,7 +76,9 @@
     let node = NodeHandle::start(settings.node.clone(), clock, &inner);
     let registry = Registry::new();
     let metrics = EntryMetrics::new(&registry).context("failed to register metrics")?;
+    let (claims, claim_queues) = ClaimBatcher::new();
     let context = Arc::new(EntryContext {
+        claims,
         directory: EndpointDirectory::new(),
         node,
         journal: DecisionJournal::new(),
@@ -84,13 +89,17 @@
         in_flight: Default::default(),
         settings,
     });
+    claim_queues.spawn(&context.node, context.claims.clone(), &inner);
     spawn_tasks(&context, &inner);
     let address = context.settings.node.http_address;
     let rocket = build(&context, registry, address);
     let server = RunningServer::start(rocket, address).await?;
     let http_address = server.address;
-    let peer_address = context.settings.node.peer_address;
-    tokio::spawn(announce(context.clone(), http_address, inner.clone()));
+    let joined = context
+        .node
+        .join(InstanceProgram::Entry, http_address, &inner)
+        .await;
+    let peer_address = joined.context("failed to listen for peers")?;
     let task = tokio::spawn(run_until(context, server, token.clone(), inner));
     Ok(RunningEntry {
         http_address,
@@ -172,36 +181,6 @@
     })
 }
 
-async fn announce(context: Arc<EntryContext>, http: SocketAddr, token: CancellationToken) {
-    let node = &context.settings.node;
-    let peer = node.peer_advertise.unwrap_or(node.peer_address);
-    loop {
-        let state = match context.draining.is_cancelled() {
-            true => InstanceState::Leaving,
-            false => InstanceState::Live,
-        };
-        let listing = InstanceListing {
-            instance: node.instance.clone(),
-            failure_domain: node.failure_domain.clone(),
-            program: InstanceProgram::Entry,
-            state,
-            http_address: http.to_string(),
-            peer_address: peer.to_string(),
-        };
-        if let Err(error) = context.node.platform().announce(&listing).await {
-            LogLine::new("announce_failed")
-                .with("error", &error)
-                .debug();
-        }
-        let pause = tokio::time::sleep(ANNOUNCE_INTERVAL.as_duration());
-        tokio::select! {
-            () = token.cancelled() => return,
-            () = context.draining.cancelled(), if state == InstanceState::Live => {}
-            () = pause => {}
-        }
-    }
-}
-
 async fn run_until(
     context: Arc<EntryContext>,
     server: RunningServer,
@@ -210,6 +189,9 @@
 ) {
     token.cancelled().await;
     context.draining.cancel();
+    let mut local = context.node.local();
+    local.state = InstanceState::Leaving;
+    context.node.set_local(local);
     LogLine::new("draining")
         .with("in_progress", context.metrics.in_progress.get())
         .info();
@@ -221,6 +203,7 @@
             .with("limit", limit)
             .warn();
     }
+    context.claims.flush(FLUSH_LIMIT).await;
     server.stop().await;
     inner.cancel();
     LogLine::new("stopped").info();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -42,6 +42,9 @@
     pub drain_limit: TimeSpan,
     /// How long a claim may wait for the log.
     pub claim_patience: TimeSpan,
+    /// How long ago this instance must have heard of the log to run work that
+    /// must run at most once.
+    pub freshness_bound: TimeSpan,
     /// The longest answer that is kept with a claim for repeats.
     pub kept_answer: ByteSize,
 }
@@ -57,7 +60,8 @@
             list_interval: TimeSpan::from_secs(1),
             drain_limit: TimeSpan::from_secs(600),
             claim_patience: TimeSpan::from_secs(5),
-            kept_answer: ByteSize::new(4 * 1024),
+            freshness_bound: TimeSpan::from_secs(5),
+            kept_answer: ByteSize::new(2 * 1024),
         }
     }
 }
--- /dev/null
+++ b/crates/entry/tests/at_most_once.rs
@@ -0,0 +1,310 @@
+//! Charges, cut orders and unlocks: at most once, and true refusals.
+
+mod support;
+
+use std::time::Duration;
+
+use bluebell_core::{
+    ids::{IdempotencyKey, OrganisationId, RequestFingerprint, RequestId},
+    records::{ClaimBatch, IdempotencyClaim, LogRecord, SettledResult},
+};
+use bluebell_platform::api::EndpointKind;
+use reqwest::{RequestBuilder, Response};
+use serde_json::Value;
+use support::{
+    TestBed, call_to,
+    endpoint::{FakeEndpoint, SeenRequest, Step, plain_answer},
+    eventually, listing, settings, start_entry, wait_ready,
+};
+
+async fn bed_with(services: &[&FakeEndpoint]) -> TestBed {
+    let bed = TestBed::start().await;
+    let number = |(number, service): (usize, &&FakeEndpoint)| {
+        let address = service.address.to_string();
+        listing(&format!("pay-{number}"), EndpointKind::Plain, &address)
+    };
+    let listings = services.iter().enumerate().map(number).collect();
+    bed.list(listings).await;
+    bed
+}
+
+async fn charging() -> FakeEndpoint {
+    FakeEndpoint::start(|_| plain_answer("201 Created", "charged")).await
+}
+
+fn charge(bed: &TestBed, key: &str) -> RequestBuilder {
+    bed.call("POST", "/charge")
+        .header("idempotency-key", key)
+        .body("five")
+}
+
+struct ErrorSeen {
+    status: u16,
+    code: String,
+    ran: String,
+}
+
+async fn error(answer: Response) -> ErrorSeen {
+    let status = answer.status().as_u16();
+    let body: Value = answer.json().await.unwrap();
+    let text = |name: &str| body["error"][name].as_str().unwrap().to_string();
+    ErrorSeen {
+        status,
+        code: text("code"),
+        ran: text("ran"),
+    }
+}
+
+async fn expect_error(request: RequestBuilder, status: u16, code: &str, ran: &str) {
+    let seen = error(request.send().await.unwrap()).await;
+    let expected = (status, code.to_string(), ran.to_string());
+    assert_eq!((seen.status, seen.code, seen.ran), expected);
+}
+
+fn settled(bed: &TestBed, wanted: impl Fn(&SettledResult) -> bool) -> bool {
+    bed.platform.records().iter().any(|record| match record {
+        LogRecord::Settlements(batch) => batch.settlements.iter().any(|s| wanted(&s.result)),
+        _ => false,
+    })
+}
+
+/// The service dies after it has read a charge. Whether the customer was charged
+/// nobody knows; a second try elsewhere could charge twice.
+#[tokio::test]
+async fn a_charge_whose_service_dies_is_not_sent_again() {
+    let dying = FakeEndpoint::start(|_| vec![Step::Crash]).await;
+    let other = charging().await;
+    let bed = bed_with(&[&dying, &other]).await;
+    expect_error(charge(&bed, "k1"), 502, "endpoint_lost", "unknown").await;
+    expect_error(charge(&bed, "k1"), 409, "outcome_unknown", "unknown").await;
+    let unmarked = bed.call("POST", "/charge").send().await.unwrap();
+    assert_eq!(
+        unmarked.status(),
+        201,
+        "the dead service refuses connections"
+    );
+    assert_eq!(dying.seen("/charge").len() + other.seen("/charge").len(), 2);
+}
+
+/// HTTP libraries repeat a request when the kept connection that they chose turns
+/// out closed. Here the service closes its connections after each second request,
+/// as services do that restart; a repeat by the library would charge twice.
+#[tokio::test]
+async fn no_library_repeats_a_charge() {
+    let service = FakeEndpoint::start(|seen: &SeenRequest| {
+        if seen.body.contains("last") {
+            return vec![Step::Crash];
+        }
+        plain_answer("200 OK", "")
+    })
+    .await;
+    let bed = bed_with(&[&service]).await;
+    for number in 0..5 {
+        let call = bed.call("POST", "/charge").body(number.to_string());
+        assert_eq!(call.send().await.unwrap().status(), 200);
+    }
+    let last = bed.call("POST", "/charge").body("last");
+    expect_error(last, 502, "endpoint_lost", "unknown").await;
+    let seen = service.seen("/charge");
+    assert_eq!(seen.len(), 6);
+    let mut connections: Vec<u64> = seen.iter().map(|request| request.connection).collect();
+    connections.dedup();
+    assert_eq!(
+        connections.len(),
+        6,
+        "each charge has a connection of its own"
+    );
+}
+
+/// A lookup that is lost may be repeated, and is.
+#[tokio::test]
+async fn a_lookup_goes_on_elsewhere() {
+    let dying = FakeEndpoint::start(|_| vec![Step::Crash]).await;
+    let other = FakeEndpoint::start(|_| plain_answer("200 OK", "found")).await;
+    let bed = bed_with(&[&dying, &other]).await;
+    let answer = bed.call("GET", "/lookup/3").send().await.unwrap();
+    assert_eq!(answer.text().await.unwrap(), "found");
+    assert_eq!(dying.seen("/lookup").len(), 1);
+}
+
+/// Nothing listens at the chosen replica. No byte left, so even a charge may go
+/// to another one, and the caller notices nothing.
+#[tokio::test]
+async fn a_charge_that_found_no_connection_goes_elsewhere() {
+    let dead = charging().await;
+    let other = charging().await;
+    let bed = bed_with(&[&dead, &other]).await;
+    dead.crash();
+    eventually(async || tokio::net::TcpStream::connect(dead.address).await.is_err()).await;
+    let answer = charge(&bed, "k1").send().await.unwrap();
+    assert_eq!(answer.status(), 201);
+    assert_eq!(other.seen("/charge").len(), 1);
+}
+
+#[tokio::test]
+async fn a_repeat_gets_the_recorded_answer() {
+    let service = charging().await;
+    let bed = bed_with(&[&service]).await;
+    let first = charge(&bed, "k1").send().await.unwrap();
+    assert_eq!(first.status(), 201);
+    assert!(!first.headers().contains_key("idempotent-replayed"));
+    eventually(async || {
+        let repeat = charge(&bed, "k1").send().await.unwrap();
+        repeat.status() == 201 && repeat.text().await.unwrap() == "charged"
+    })
+    .await;
+    let other = bed.call("POST", "/charge").header("idempotency-key", "k1");
+    expect_error(other.body("six"), 422, "idempotency_key_reused", "not_run").await;
+    assert_eq!(service.seen("/charge").len(), 1);
+}
+
+/// The caller loses patience and sends the same charge to a second entry while
+/// the first one is still at it. Two charges would be a refund dispute.
+#[tokio::test]
+async fn one_key_at_two_entries_at_once_is_sent_once() {
+    let service = FakeEndpoint::start(|_| {
+        let mut steps = vec![Step::Gate];
+        steps.extend(plain_answer("201 Created", "charged"));
+        steps
+    })
+    .await;
+    let bed = bed_with(&[&service]).await;
+    let second = start_entry(settings(&bed.platform, "entry-2")).await;
+    wait_ready(&bed.http, &second).await;
+    let mut answers = Vec::new();
+    for number in 0..10 {
+        let entry = if number % 2 == 0 { &bed.entry } else { &second };
+        let call = call_to(&bed.http, entry, "POST", "/charge");
+        let call = call.header("idempotency-key", "k1").body("five");
+        answers.push(tokio::spawn(call.send()));
+    }
+    eventually(async || answers.iter().filter(|answer| answer.is_finished()).count() == 9).await;
+    service.gate.add_permits(10);
+    let mut charged = 0;
+    for answer in answers {
+        let answer = answer.await.unwrap().unwrap();
+        match answer.status().as_u16() {
+            201 => charged += 1,
+            _ => assert_eq!(error(answer).await.code, "outcome_unknown"),
+        }
+    }
+    assert_eq!(charged, 1);
+    assert_eq!(service.seen("/charge").len(), 1);
+}
+
+/// An entry is killed somewhere between its claim and the answer; its caller sends
+/// the charge to another entry. The claim stands for good: nobody can tell whether
+/// the charge was sent.
+#[tokio::test]
+async fn a_claim_of_a_killed_entry_is_not_taken_over() {
+    let service = charging().await;
+    let bed = bed_with(&[&service]).await;
+    let organisation = OrganisationId::new("magnolia").unwrap();
+    let content = b"pay\0POST\0/charge\0five";
+    bed.platform.publish(&LogRecord::Claims(ClaimBatch {
+        claims: vec![IdempotencyClaim {
+            key: IdempotencyKey::new("k1").unwrap(),
+            request: RequestId::new("r-of-the-dead").unwrap(),
+            fingerprint: RequestFingerprint::with_content(&organisation, content),
+            entry: "entry-9".parse().unwrap(),
+            organisation,
+        }],
+    }));
+    for _ in 0..3 {
+        expect_error(charge(&bed, "k1"), 409, "outcome_unknown", "unknown").await;
+    }
+    assert!(service.seen("/charge").is_empty());
+}
+
+/// The log is down. A claim can't be made, so nothing may be sent, and the refusal
+/// must say so truly: the caller may try again at once elsewhere.
+#[tokio::test]
+async fn without_the_log_a_marked_charge_is_refused_as_not_run() {
+    let service = charging().await;
+    let bed = bed_with(&[&service]).await;
+    bed.platform.set_appends_down(true);
+    expect_error(charge(&bed, "k1"), 503, "claim_unavailable", "not_run").await;
+    assert!(service.seen("/charge").is_empty());
+    bed.platform.set_appends_down(false);
+    let answer = charge(&bed, "k1").send().await.unwrap();
+    assert_eq!(answer.status(), 201);
+}
+
+/// The log takes a claim, but its answer is lost. The entry may not send, because
+/// another's claim may have come first; and once it has said "not run", the key
+/// must not stay blocked as if something had been sent.
+#[tokio::test]
+async fn a_claim_of_unknown_fate_sends_nothing_and_frees_the_key() {
+    let service = charging().await;
+    let bed = bed_with(&[&service]).await;
+    bed.platform.set_lose_answers(true);
+    expect_error(charge(&bed, "k1"), 503, "claim_unavailable", "not_run").await;
+    assert!(service.seen("/charge").is_empty());
+    bed.platform.set_lose_answers(false);
+    eventually(async || settled(&bed, |result| *result == SettledResult::NotRun)).await;
+    eventually(async || charge(&bed, "k1").send().await.unwrap().status() == 201).await;
+    assert_eq!(service.seen("/charge").len(), 1);
+}
+
+/// The log is slow, and the caller's patience ends while its claim still waits. It
+/// is told "not run", and when the claim lands later, that must not block the key.
+#[tokio::test]
+async fn a_claim_that_lands_after_its_caller_left_frees_the_key() {
+    let service = charging().await;
+    let bed = bed_with(&[&service]).await;
+    bed.platform.set_hold_appends(true);
+    let first = tokio::spawn(charge(&bed, "k0").send());
+    eventually(async || bed.platform.held() > 0).await;
+    let call = charge(&bed, "k1").header("x-deadline-ms", "400");
+    expect_error(call, 504, "deadline_exceeded", "not_run").await;
+    bed.platform.set_hold_appends(false);
+    eventually(async || charge(&bed, "k1").send().await.unwrap().status() == 201).await;
+    drop(first.await);
+    let seen = service.seen("/charge");
+    let marked = seen.iter().filter(|request| request.head.contains("k1"));
+    assert_eq!(marked.count(), 1);
+}
+
+/// An instance that is cut off from the log can't learn of withdrawn keys.
+#[tokio::test]
+async fn a_cut_off_instance_refuses_charges_but_serves_lookups() {
+    let service = charging().await;
+    let bed = TestBed::with_settings(|settings| {
+        settings.requests.freshness_bound = bluebell_core::clock::TimeSpan::from_millis(600);
+    })
+    .await;
+    let address = service.address.to_string();
+    bed.list(vec![listing("pay-1", EndpointKind::Plain, &address)])
+        .await;
+    bed.platform.set_reads_down(true);
+    eventually(async || {
+        let call = bed.call("POST", "/charge").send().await.unwrap();
+        call.status() == 503 && error(call).await.code == "configuration_stale"
+    })
+    .await;
+    let lookup = bed.call("GET", "/lookup").send().await.unwrap();
+    assert_eq!(lookup.status(), 201);
+}
+
+/// The service takes longer than the caller waits. The caller is told that the
+/// outcome is unknown; when it asks again with the same key, it gets the outcome.
+#[tokio::test]
+async fn a_late_outcome_is_recorded_for_the_repeat() {
+    let service = FakeEndpoint::start(|_| {
+        let mut steps = vec![Step::Gate];
+        steps.extend(plain_answer("201 Created", "charged"));
+        steps
+    })
+    .await;
+    let bed = bed_with(&[&service]).await;
+    let call = charge(&bed, "k1").header("x-deadline-ms", "1500");
+    expect_error(call, 504, "deadline_exceeded", "unknown").await;
+    service.gate.add_permits(5);
+    eventually(async || {
+        let answer = charge(&bed, "k1").send().await.unwrap();
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        answer.status() == 201 && answer.headers().contains_key("idempotent-replayed")
+    })
+    .await;
+    assert_eq!(service.seen("/charge").len(), 1);
+}
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -25,6 +25,8 @@
     appends_down: bool,
     reads_down: bool,
     lose_answers: bool,
+    hold_appends: bool,
+    held: u64,
 }
 
 type Shared = Arc<Mutex<Inner>>;
@@ -79,6 +81,16 @@
         self.inner.lock().unwrap().lose_answers = lose;
     }
 
+    /// Appends wait until they are let go.
+    pub fn set_hold_appends(&self, hold: bool) {
+        self.inner.lock().unwrap().hold_appends = hold;
+    }
+
+    /// How many appends had to wait.
+    pub fn held(&self) -> u64 {
+        self.inner.lock().unwrap().held
+    }
+
     pub fn records(&self) -> Vec<LogRecord> {
         let inner = self.inner.lock().unwrap();
         let decode = |entry: &RawEntry| serde_json::from_str(&entry.payload).unwrap();
@@ -102,10 +114,15 @@
 }
 
 #[post("/log/append", data = "<request>")]
-fn append(
+async fn append(
     shared: &State<Shared>,
     request: Json<AppendRequest>,
 ) -> Result<Json<AppendAnswer>, Status> {
+    let hold = shared.lock().unwrap().hold_appends;
+    shared.lock().unwrap().held += u64::from(hold);
+    while shared.lock().unwrap().hold_appends {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
     let mut inner = shared.lock().unwrap();
     if inner.appends_down {
         return Err(Status::ServiceUnavailable);
