--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -6,11 +6,13 @@
 //! [`LinkPlan`] says who keeps a connection to whom and who reads the log from
 //! the platform.
 
+mod freshness;
 mod gossip;
 mod links;
 mod status;
 mod table;
 
+pub use freshness::{EndConfirmation, LogKnowledge};
 pub use gossip::{GossipBody, GossipItem, GossipTable, MemberPresence, OWN_ITEM_LIMIT};
 pub use links::{LinkPlan, PlanMember};
 pub use status::{
--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::{ClockTime, TimeSpan},
-    ids::InstanceId,
+    ids::{InstanceId, LogOffset},
     membership::{
         GossipItem, GossipTable, InstanceListing, InstanceState, LocalStatus, PeerStatus,
         gossip::MemberPresence,
@@ -78,8 +78,8 @@
     }
 
     /// Sets what this instance tells of itself.
-    pub fn set_own(&mut self, presence: MemberPresence, status: &LocalStatus) {
-        self.gossip.set_own(presence, status);
+    pub fn set_own(&mut self, presence: MemberPresence, next: LogOffset, status: &LocalStatus) {
+        self.gossip.set_own(presence, next, status);
     }
 
     /// The items to send to `link` with the next heartbeat, in at most about
@@ -88,6 +88,16 @@
         self.gossip.beat(link, budget)
     }
 
+    /// Notes that no direct connection to `instance` is wanted any more: its
+    /// silence then means nothing, and others tell of it.
+    pub fn unlink(&mut self, now: ClockTime, instance: &InstanceId) {
+        if let Some(entry) = self.entries.get_mut(instance)
+            && entry.heard_at.take().is_some()
+        {
+            entry.relayed_at = Some(now);
+        }
+    }
+
     /// Forgets what was sent to `link`: its connection is new.
     pub fn reset_link(&mut self, link: &InstanceId) {
         self.gossip.reset_link(link);
@@ -150,7 +160,7 @@
             program: listing.program,
             state: status.state,
             suspected: self.is_suspected(now, instance),
-            next_offset: self.gossip.presence(instance).map(|told| told.next_offset),
+            next_offset: self.gossip.progress(instance),
             heard_at: entry.heard_at.max(entry.relayed_at),
             status,
         })
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod client;
+pub mod orders;
 pub mod reference;
 
 pub use client::{EndpointClient, EndpointError};
