--- a/crates/core/tests/checkpoint.rs
+++ b/crates/core/tests/checkpoint.rs
@@ -253,6 +253,13 @@
             assert_eq!(view.leases, whole.leases, "seed {seed}");
             assert_eq!(view.marks, whole.marks, "seed {seed}");
             assert_eq!(view.usage, whole.usage, "seed {seed}");
+            let open = |view: &FleetView| -> Vec<_> {
+                let orders = view.orders.open_orders();
+                orders
+                    .map(|(id, order)| (id.clone(), order.clone()))
+                    .collect()
+            };
+            assert_eq!(open(&view), open(&whole), "seed {seed}");
             assert_eq!(view.checkpoint(), whole.checkpoint(), "seed {seed}");
         }
     }
