Choose prefill and decode in one order, and measure roles

Slots of engines that only prefill were counted as slots for answers.

Change: one rendezvous order over all engines that take prompts, a handover costs what it costs; slots counted where answers are; headroom 1.3; engines are given a prefill or decode role only; the long window is 45 s. In the lab, an answer whose tokens come slower than 32 ms apart is not served.

--- a/crates/core/src/roles/demand.rs
+++ b/crates/core/src/roles/demand.rs
@@ -15,7 +15,7 @@
 /// The short window: what is asked for now.
 pub const SHORT_WINDOW: TimeSpan = TimeSpan::from_secs(15);
 /// The long window: what has been asked for all along.
-pub const LONG_WINDOW: TimeSpan = TimeSpan::from_secs(60);
+pub const LONG_WINDOW: TimeSpan = TimeSpan::from_secs(45);
 /// The share of the allowed output that is expected at first, in thousandths.
 const FIRST_OUTPUT_SHARE: u64 = 500;
 /// How much a new answer's length counts for the expected output, in thousandths.
--- a/crates/core/src/roles/planner.rs
+++ b/crates/core/src/roles/planner.rs
@@ -10,6 +10,10 @@
 };
 
 const ROLES: [EngineRole; 3] = [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode];
+/// Roles that engines are given. In a fleet of separate roles an engine that
+/// does both answers slowest of all, as its prompts interrupt its answers: which
+/// engines mix is for operators to set up.
+const NEW_ROLES: [EngineRole; 2] = [EngineRole::Prefill, EngineRole::Decode];
 
 /// When a change of role is worth it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,7 +38,7 @@
             horizon: TimeSpan::from_secs(90),
             change_time: TimeSpan::from_secs(8),
             rest: TimeSpan::from_secs(45),
-            enough: 1_200,
+            enough: 1_300,
             least_gain: 20,
         }
     }
@@ -153,7 +157,7 @@
             let Some(engine) = free.iter().find(|engine| engine.role == from) else {
                 continue;
             };
-            for to in ROLES.into_iter().filter(|to| *to != from) {
+            for to in NEW_ROLES.into_iter().filter(|to| *to != from) {
                 let Some(gain) = self.gain(from, to, counts, inputs) else {
                     continue;
                 };
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -30,6 +30,7 @@
 }
 
 /// One endpoint that could be chosen.
+#[derive(Clone, Copy)]
 struct RouteCandidate<'a> {
     slot: &'a EndpointSlot,
     wait: TimeSpan,
@@ -165,6 +166,10 @@
                 continue;
             }
             load.open += 1;
+            // Prompts leave an engine that only prefills; answers keep slots.
+            if slot.entry.role == EngineRole::Prefill {
+                continue;
+            }
             load.slots += self.settings.endpoint_slots;
             load.own += slot.load.own().requests;
             load.others += slot.load.others(now, self.settings.report_life).requests;
@@ -306,31 +311,36 @@
         ask: &RouteRequest,
         draws: (u64, u64),
     ) -> Result<WeighedChoice, NoRoute> {
-        let candidates = self.candidates(now, ask)?;
-        let with_role = |role: EngineRole| -> Vec<&RouteCandidate<'_>> {
-            let fits = |c: &&RouteCandidate<'_>| c.slot.entry.role == role;
-            candidates.iter().filter(fits).collect()
-        };
-        let mixed = self.pick(ask, &with_role(EngineRole::Mixed), draws);
-        let prefill = self.pick(ask, &with_role(EngineRole::Prefill), draws);
-        let decode = least_loaded(ask, &with_role(EngineRole::Decode), draws);
-        let choice = match (mixed, prefill, decode) {
-            (Some(mixed), Some(prefill), Some(decode)) => {
-                let split_wait = prefill.wait.max(decode.wait) + self.settings.handover_cost;
-                match split_wait < mixed.wait {
-                    true => split_choice(&prefill, &decode),
-                    false => single_choice(&mixed),
-                }
+        let mut candidates = self.candidates(now, ask)?;
+        let has_role = |role| move |c: &RouteCandidate<'_>| c.slot.entry.role == role;
+        let decodes = has_role(EngineRole::Decode);
+        let mut answering: Vec<_> = candidates.iter().filter(|c| decodes(c)).copied().collect();
+        if answering.is_empty() {
+            let mixes = has_role(EngineRole::Mixed);
+            answering = candidates.iter().filter(|c| mixes(c)).copied().collect();
+        }
+        candidates.retain(|c| !decodes(c));
+        let mut prompting = candidates;
+        // Whoever answers after a handover, it costs that much more than to
+        // answer where the prompt is.
+        let decode = least_loaded(ask, &answering, draws);
+        if let Some(decode) = &decode {
+            let extra = decode.wait + self.settings.handover_cost;
+            let only_prefills =
+                |c: &&mut RouteCandidate<'_>| c.slot.entry.role == EngineRole::Prefill;
+            for candidate in prompting.iter_mut().filter(only_prefills) {
+                candidate.wait = candidate.wait + extra;
             }
-            (None, Some(prefill), Some(decode)) => split_choice(&prefill, &decode),
-            (Some(mixed), _, _) => single_choice(&mixed),
-            // Any engine can do the other role's work, only slower.
-            (None, Some(single), None) | (None, None, Some(single)) => single_choice(&single),
-            (None, None, None) => {
-                return Err(NoRoute::NoEndpoint(ask.pool.clone()));
+        }
+        let first = self.pick(ask, &prompting, draws);
+        match (first, decode) {
+            (Some(first), Some(decode)) if first.slot.entry.role == EngineRole::Prefill => {
+                Ok(split_choice(&first, &decode))
             }
-        };
-        Ok(choice)
+            // An engine can do the other role's work, only slower.
+            (Some(single), _) | (None, Some(single)) => Ok(single_choice(&single)),
+            (None, None) => Err(NoRoute::NoEndpoint(ask.pool.clone())),
+        }
     }
 
     /// The endpoints that may run the request. Ejected ones only if there is no
@@ -387,7 +397,7 @@
     fn pick<'a>(
         &self,
         ask: &RouteRequest,
-        candidates: &[&RouteCandidate<'a>],
+        candidates: &[RouteCandidate<'a>],
         draws: (u64, u64),
     ) -> Option<ChosenSlot<'a>> {
         match ask.prefix {
@@ -402,7 +412,7 @@
         &self,
         ask: &RouteRequest,
         prefix: u64,
-        candidates: &[&RouteCandidate<'a>],
+        candidates: &[RouteCandidate<'a>],
     ) -> Option<ChosenSlot<'a>> {
         let home = candidates.iter().max_by_key(|c| c.rendezvous)?;
         let uncached = |candidate: &RouteCandidate<'_>| {
@@ -466,7 +476,7 @@
 /// The less loaded of two that are drawn.
 fn least_loaded<'a>(
     ask: &RouteRequest,
-    candidates: &[&RouteCandidate<'a>],
+    candidates: &[RouteCandidate<'a>],
     draws: (u64, u64),
 ) -> Option<ChosenSlot<'a>> {
     let count = candidates.len() as u64;
@@ -475,7 +485,7 @@
         1 => first,
         _ => (first + 1 + draws.1 % (count - 1)) % count,
     };
-    let (a, b) = (candidates[first as usize], candidates[second as usize]);
+    let (a, b) = (&candidates[first as usize], &candidates[second as usize]);
     let (chosen, other) = match a.wait <= b.wait {
         true => (a, b),
         false => (b, a),
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -54,6 +54,11 @@
 /// What happened at an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EngineEvent {
+    /// A prompt was prefilled; its start was in the cache, or not.
+    Filled {
+        /// Whether it was.
+        cached: bool,
+    },
     /// The first token of a request came.
     FirstToken(usize),
     /// The prompt of a request is ready to be handed over.
@@ -194,6 +199,9 @@
                 return;
             }
             if let Some(work) = self.waiting.pop_front() {
+                if !work.job.imported {
+                    events.push(EngineEvent::Filled { cached });
+                }
                 self.prefilled(work.job, events);
             }
         }
--- a/crates/lab/src/tables/mod.rs
+++ b/crates/lab/src/tables/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fairness;
 mod print;
+pub mod roles;
 pub mod routing;
 
 pub use print::{MedianRange, TextTable};
@@ -24,4 +25,8 @@
         name: "routing",
         run: routing::table,
     },
+    LabTable {
+        name: "roles",
+        run: roles::table,
+    },
 ];
--- a/crates/lab/src/world/result.rs
+++ b/crates/lab/src/world/result.rs
@@ -8,6 +8,8 @@
 pub enum RequestEnd {
     /// The first token came in time and the caller got all that it stayed for.
     Served,
+    /// The first token came in time, but the others too slowly to be read along.
+    Slow,
     /// The caller left before the first token.
     Late,
     /// It was refused at once.
@@ -23,6 +25,8 @@
     pub offered: u64,
     /// Requests served in time.
     pub served: u64,
+    /// Requests whose tokens came too slowly.
+    pub slow: u64,
     /// Requests whose callers left before the first token.
     pub late: u64,
     /// Requests refused at once.
@@ -96,6 +100,7 @@
                 count.served += 1;
                 second.served += 1;
             }
+            RequestEnd::Slow => count.slow += 1,
             RequestEnd::Late => count.late += 1,
             RequestEnd::Refused => count.refused += 1,
             RequestEnd::Cut => count.cut += 1,
@@ -142,6 +147,11 @@
         self.share_of(|count| count.refused)
     }
 
+    /// Requests whose tokens came too slowly, of all.
+    pub fn slow_percent(&self) -> f64 {
+        self.share_of(|count| count.slow)
+    }
+
     /// Requests whose callers left before the first token, of all.
     pub fn late_percent(&self) -> f64 {
         self.share_of(|count| count.late)
--- a/crates/lab/src/world/run.rs
+++ b/crates/lab/src/world/run.rs
@@ -30,6 +30,12 @@
 const LIST_LAG: TimeSpan = TimeSpan::from_secs(5);
 /// The notice of a reclaim.
 const RECLAIM_NOTICE: TimeSpan = TimeSpan::from_secs(3);
+/// The longest mean time between tokens that a caller can read along with.
+const TOKEN_TIME: TimeSpan = TimeSpan::from_millis(32);
+/// Answers of fewer tokens are there at once.
+const SHORT_ANSWER: u64 = 8;
+/// How much a prefilled prompt counts for the measured share of cache hits.
+const HIT_GAIN: f64 = 0.01;
 /// How often roles are planned.
 const ROLE_PERIOD: u64 = 5_000;
 /// The percent of the engines' slots that entries use, as their load is never
@@ -58,6 +64,7 @@
     phase: RequestPhase,
     attempts: u32,
     excluded: Vec<EndpointId>,
+    answered_at: Option<ClockTime>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -145,6 +152,7 @@
             phase: RequestPhase::Queued,
             attempts: 0,
             excluded: Vec::new(),
+            answered_at: None,
         };
         let role = |index: usize| policy.first_roles.get(index).copied().unwrap_or_default();
         let count = scenario.engines.len();
@@ -505,6 +513,10 @@
     fn engine_event(&mut self, now: ClockTime, engine: usize, event: EngineEvent) {
         match event {
             EngineEvent::FirstToken(number) => self.first_token(now, engine, number),
+            EngineEvent::Filled { cached } => {
+                let hit = f64::from(u8::from(cached));
+                self.cached_share += (hit - self.cached_share) * HIT_GAIN;
+            }
             EngineEvent::Prefilled(number) => {
                 self.steps
                     .insert((now + HANDOVER, LateStep::Handover(number)));
@@ -515,7 +527,8 @@
                 let pool = model_pool();
                 let (most, got) = (TokenCount::new(max_output), TokenCount::new(delivered));
                 self.demand.note_end(&pool, most, got);
-                self.end(number, RequestEnd::Served);
+                let end = self.answer_end(now, number);
+                self.end(number, end);
                 let entry = self.states[number].entry;
                 let id = request_id(number);
                 self.entries[entry]
@@ -526,8 +539,19 @@
         }
     }
 
+    fn answer_end(&self, now: ClockTime, number: usize) -> RequestEnd {
+        let tokens = self.requests[number].stays_for;
+        let began = self.states[number].answered_at.unwrap_or(now);
+        let reads_along = tokens < SHORT_ANSWER || now.since(began) <= TOKEN_TIME.times(tokens);
+        match reads_along {
+            true => RequestEnd::Served,
+            false => RequestEnd::Slow,
+        }
+    }
+
     fn first_token(&mut self, now: ClockTime, engine: usize, number: usize) {
         self.states[number].phase = RequestPhase::Answering { engine };
+        self.states[number].answered_at = Some(now);
         let request = &self.requests[number];
         if request.patience < TimeSpan::from_secs(10) {
             let took = now.since(request.at).as_millis().max(1);
