--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -111,7 +111,7 @@
 
 impl TestFleet {
     /// Starts a fleet and publishes [`CHAT_SERVICE`] and [`PLAIN_SERVICE`], whose
-    /// calls below `/lookup` may be repeated.
+    /// calls below `lookup` may be repeated.
     pub async fn start(shape: FleetShape) -> anyhow::Result<TestFleet> {
         let platform = ProgramProcess::start("standin-platform", &shape.platform_settings).await?;
         let operator = InstanceId::new("operator")?;
@@ -252,7 +252,7 @@
         let lookups = RuleUnit {
             service: ServiceName::new(PLAIN_SERVICE)?,
             method: None,
-            path_prefix: "/lookup".to_string(),
+            path_prefix: "lookup".to_string(),
             repeatable: true,
         };
         let units = vec![
