--- a/crates/core/src/keys/mod.rs
+++ b/crates/core/src/keys/mod.rs
@@ -64,6 +64,21 @@
         self.withdrawn.insert(record.digest.clone())
     }
 
+    /// Keeps withdrawn what was withdrawn in `former`.
+    pub fn keep_withdrawn(&mut self, former: &KeyState) {
+        self.withdrawn.extend(former.withdrawn.iter().cloned());
+    }
+
+    /// The digests that admitted somebody here and admit nobody, or somebody
+    /// else, in `later`.
+    pub fn lost_in(&self, later: &KeyState) -> Vec<KeyDigest> {
+        let lost = |digest: &&KeyDigest| {
+            let before = self.organisation(digest);
+            before.is_some() && before != later.organisation(digest)
+        };
+        self.granted.keys().filter(lost).cloned().collect()
+    }
+
     /// Whether the key was withdrawn.
     pub fn is_withdrawn(&self, digest: &KeyDigest) -> bool {
         self.withdrawn.contains(digest)
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -149,6 +149,23 @@
         view
     }
 
+    /// Takes over from `former`, an earlier view: what was withdrawn there stays
+    /// withdrawn. Answers what changed, as if the entries between had been read.
+    pub fn take_over(&mut self, former: &FleetView) -> Vec<ViewEvent> {
+        self.keys.keep_withdrawn(&former.keys);
+        let offset = self.next;
+        let lost = former.keys.lost_in(&self.keys);
+        let lost = lost.into_iter().map(|digest| ViewEvent::KeyLost { digest });
+        let marked = self.marks.marks().chain(former.marks.marks());
+        let marked = marked.map(|(endpoint, _)| ViewEvent::Marked {
+            endpoint: endpoint.clone(),
+        });
+        std::iter::once(ViewEvent::Published { offset })
+            .chain(lost)
+            .chain(marked)
+            .collect()
+    }
+
     fn apply_record(
         &mut self,
         now: ClockTime,
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,383 @@
+//! Who is connected to whom, what heartbeats carry, and what silence means.
+//!
+//! Schedules are random, from fixed seeds; `BLUEBELL_SEEDS=N` runs N seeds instead.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::{EndpointId, FailureDomain, InstanceId, LogOffset, OrganisationId},
+    membership::{
+        EndConfirmation, EndpointLoad, GossipTable, HEARTBEAT_TIMEOUT, InstanceListing,
+        InstanceProgram, InstanceState, LinkPlan, LocalStatus, LogKnowledge, MemberPresence,
+        MemberTable, OrganisationShare, PlanMember,
+    },
+    units::{TokenCount, WorkCost},
+};
+use rand::{Rng, SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+
+fn seeds() -> u64 {
+    let asked = std::env::var("BLUEBELL_SEEDS").ok();
+    asked.and_then(|text| text.parse().ok()).unwrap_or(40)
+}
+
+fn instance(name: &str) -> InstanceId {
+    InstanceId::new(name).expect("valid")
+}
+
+fn presence(domain: &str) -> MemberPresence {
+    MemberPresence {
+        failure_domain: FailureDomain::new(domain).expect("valid"),
+        program: InstanceProgram::Entry,
+        state: InstanceState::Live,
+        http_address: "10.0.0.1:8000".to_string(),
+        peer_address: "10.0.0.1:8001".to_string(),
+    }
+}
+
+fn members(domains: usize, each: usize) -> Vec<PlanMember> {
+    let member = |n: usize| PlanMember {
+        failure_domain: FailureDomain::new(format!("domain-{}", n % domains)).expect("valid"),
+        instance: instance(&format!("instance-{n}")),
+    };
+    (0..domains * each).map(member).collect()
+}
+
+fn plans(members: &[PlanMember]) -> BTreeMap<InstanceId, LinkPlan> {
+    let plan = |own: &PlanMember| (own.instance.clone(), LinkPlan::new(own, members));
+    members.iter().map(plan).collect()
+}
+
+fn reached(plans: &BTreeMap<InstanceId, LinkPlan>) -> usize {
+    let mut seen: BTreeSet<InstanceId> = plans.keys().take(1).cloned().collect();
+    let mut open: Vec<InstanceId> = seen.iter().cloned().collect();
+    while let Some(instance) = open.pop() {
+        for neighbour in &plans[&instance].neighbours {
+            if seen.insert(neighbour.clone()) {
+                open.push(neighbour.clone());
+            }
+        }
+    }
+    seen.len()
+}
+
+/// Instances that plan different connections would leave some without any, and a
+/// withdrawal would not reach those.
+#[test]
+fn planned_connections_are_mutual_and_reach_everyone() {
+    for (domains, each) in [
+        (1, 1),
+        (1, 3),
+        (3, 3),
+        (3, 6),
+        (3, 16),
+        (3, 17),
+        (3, 117),
+        (39, 9),
+    ] {
+        let members = members(domains, each);
+        let plans = plans(&members);
+        for (own, plan) in &plans {
+            assert!(!plan.neighbours.contains(own));
+            for neighbour in &plan.neighbours {
+                let mutual = plans[neighbour].neighbours.contains(own);
+                assert!(mutual, "{own} and {neighbour} of {domains} x {each}");
+            }
+        }
+        assert_eq!(reached(&plans), members.len(), "{domains} x {each}");
+    }
+}
+
+/// 350 instances that all read the log, or all talk to all, would take the
+/// platform's log and their own machines down.
+#[test]
+fn a_large_fleet_keeps_few_connections_and_few_readers() {
+    let plans = plans(&members(3, 117));
+    let readers = plans.values().filter(|plan| plan.reads).count();
+    assert_eq!(readers, 3 * 8);
+    let most = plans.values().map(|plan| plan.neighbours.len()).max();
+    assert!(most.is_some_and(|most| most <= 64), "{most:?} connections");
+    for plan in plans.values().filter(|plan| !plan.reads) {
+        assert_eq!(plan.readers.len(), 2);
+        assert!(plan.neighbours.len() <= 6);
+    }
+}
+
+/// A reader is lost: everybody must choose the next one alike, without asking.
+#[test]
+fn every_follower_has_a_reader_after_one_is_lost() {
+    let mut members = members(1, 40);
+    let lost = plans(&members)
+        .into_iter()
+        .find(|(_, plan)| plan.reads)
+        .expect("somebody reads");
+    members.retain(|member| member.instance != lost.0);
+    let plans = plans(&members);
+    for plan in plans.values().filter(|plan| !plan.reads) {
+        assert!(plan.readers.iter().all(|reader| plans[reader].reads));
+        assert_eq!(plan.readers.len(), 2);
+    }
+}
+
+fn status(requests: u64, cost: u64) -> LocalStatus {
+    let load = |n: u64| EndpointLoad {
+        endpoint: EndpointId::new(format!("engine-{n}")).expect("valid"),
+        requests,
+        tokens: TokenCount::new(requests * 100),
+    };
+    let share = |n: u64| OrganisationShare {
+        organisation: OrganisationId::new(format!("organisation-{n}")).expect("valid"),
+        cost: WorkCost::new(cost + n),
+    };
+    LocalStatus {
+        state: InstanceState::Live,
+        loads: (0..12).map(load).collect(),
+        shares: (0..8).map(share).collect(),
+    }
+}
+
+/// A heartbeat that grew with the fleet would use up the few kilobytes a second
+/// that control may take; one that left items out for good would let entries
+/// believe in load that has ended.
+#[test]
+fn heartbeats_are_bounded_and_still_tell_everything_in_turn() {
+    let (a, b) = (instance("a"), instance("b"));
+    let mut sender = GossipTable::new(a.clone(), 1);
+    let mut receiver = GossipTable::new(b.clone(), 1);
+    sender.set_own(presence("x"), LogOffset::new(7), &status(3, 50));
+    let mut beats = 0;
+    loop {
+        let items = sender.beat(&b, 200);
+        assert!(items.len() <= 8, "{} items", items.len());
+        if items.is_empty() {
+            break;
+        }
+        beats += 1;
+        for item in &items {
+            receiver.take(&a, item);
+        }
+    }
+    assert!(beats > 1);
+    assert_eq!(receiver.status(&a).loads.len(), 12);
+    assert_eq!(receiver.status(&a).shares.len(), 8);
+    sender.set_own(presence("x"), LogOffset::new(7), &LocalStatus::default());
+    for _ in 0..beats {
+        for item in sender.beat(&b, 200) {
+            receiver.take(&a, &item);
+        }
+    }
+    assert_eq!(receiver.status(&a).loads, Vec::new());
+}
+
+/// An instance is replaced under its old name. What its former process told is
+/// void, also where it arrives later over a slow path.
+#[test]
+fn an_earlier_process_does_not_speak_for_a_later_one() {
+    let (a, b) = (instance("a"), instance("b"));
+    let mut former = GossipTable::new(a.clone(), 1);
+    let mut latter = GossipTable::new(a.clone(), 2);
+    let mut receiver = GossipTable::new(b.clone(), 1);
+    former.set_own(presence("x"), LogOffset::new(9), &status(3, 50));
+    latter.set_own(presence("x"), LogOffset::new(2), &LocalStatus::default());
+    let late = former.beat(&b, 4_000);
+    for item in latter.beat(&b, 4_000).iter().chain(&late) {
+        receiver.take(&instance("c"), item);
+    }
+    assert_eq!(receiver.progress(&a), Some(LogOffset::new(2)));
+    assert_eq!(receiver.status(&a).loads, Vec::new());
+}
+
+/// News travels over several connections, reordered and doubled; all instances
+/// must end with the same, newest picture.
+#[test]
+fn news_reaches_everyone_whatever_the_order() {
+    for seed in 0..seeds() {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let names: Vec<InstanceId> = ["a", "b", "c", "d"].map(instance).to_vec();
+        let mut tables: Vec<GossipTable> = names
+            .iter()
+            .map(|name| GossipTable::new(name.clone(), 1))
+            .collect();
+        let paths = [(0, 1), (1, 3), (0, 2), (2, 3)];
+        let mut late = Vec::new();
+        for round in 0..60u64 {
+            if round < 10 {
+                let next = LogOffset::new(round);
+                tables[0].set_own(presence("x"), next, &status(round, round));
+            }
+            let (from, to) = paths[random.random_range(0..paths.len())];
+            let (from, to) = match random.random_bool(0.5) {
+                true => (from, to),
+                false => (to, from),
+            };
+            let mut items = tables[from].beat(&names[to], 1_000);
+            items.shuffle(&mut random);
+            late.push((from, to, items));
+            if late.len() > 3 {
+                let (from, to, items) = late.swap_remove(random.random_range(0..late.len()));
+                for item in items {
+                    tables[to].take(&names[from], &item);
+                }
+            }
+        }
+        for (from, to, items) in late.into_iter().rev() {
+            for item in items {
+                tables[to].take(&names[from], &item);
+            }
+        }
+        for _ in 0..10 {
+            for (from, to) in paths {
+                for item in tables[from].beat(&names[to], 1_000) {
+                    tables[to].take(&names[from], &item);
+                }
+            }
+        }
+        for table in &tables[1..] {
+            assert_eq!(table.progress(&names[0]), Some(LogOffset::new(9)));
+            assert_eq!(table.status(&names[0]).loads[0].requests, 9, "seed {seed}");
+        }
+    }
+}
+
+fn listing(name: &str) -> InstanceListing {
+    presence("x").listing(&instance(name))
+}
+
+/// A peer is killed. The platform's list still shows it for many seconds; its
+/// silence on a direct connection tells sooner.
+#[test]
+fn a_direct_peer_that_falls_silent_is_suspected_although_it_is_listed() {
+    let peer = instance("peer");
+    let mut table = MemberTable::new(instance("own"), 1);
+    let start = ClockTime::from_millis(10_000);
+    table.list(start, &[listing("peer")]);
+    assert!(!table.is_suspected(start, &peer));
+    table.hear(start, &peer, &[]);
+    let later = start + HEARTBEAT_TIMEOUT + TimeSpan::from_millis(1);
+    table.list(later, &[listing("peer")]);
+    assert!(table.is_suspected(later, &peer));
+    table.hear(later, &peer, &[]);
+    assert!(!table.is_suspected(later, &peer));
+}
+
+/// A record stands in the log at a time; nobody who says that its knowledge is
+/// younger than that may be missing it. Otherwise a cut-off failure domain would
+/// go on admitting a withdrawn key while believing itself up to date.
+#[test]
+fn knowledge_of_the_log_is_never_younger_than_it_claims() {
+    for seed in 0..seeds() {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut fleet = KnowledgeFleet::new();
+        for _ in 0..400 {
+            fleet.step(&mut random);
+        }
+        assert!(fleet.claims > 50, "seed {seed}: {} claims", fleet.claims);
+    }
+}
+
+/// A reader A, a follower B, and messages that take their time. All times are the
+/// script's; each process's clock has an origin of its own.
+struct KnowledgeFleet {
+    time: u64,
+    stands_at: Vec<u64>,
+    a: LogKnowledge,
+    a_next: u64,
+    b: LogKnowledge,
+    b_next: u64,
+    reads: Vec<(u64, u64, u64)>,
+    stamps: Vec<(u64, u64)>,
+    last_stamp: Option<u64>,
+    beats: Vec<(u64, u64, TimeSpan, u64)>,
+    claims: u64,
+}
+
+const A_ORIGIN: u64 = 5_000_000;
+const B_ORIGIN: u64 = 80_000;
+
+impl KnowledgeFleet {
+    fn new() -> KnowledgeFleet {
+        KnowledgeFleet {
+            time: 10_000,
+            stands_at: Vec::new(),
+            a: LogKnowledge::new(),
+            a_next: 0,
+            b: LogKnowledge::new(),
+            b_next: 0,
+            reads: Vec::new(),
+            stamps: Vec::new(),
+            last_stamp: None,
+            beats: Vec::new(),
+            claims: 0,
+        }
+    }
+
+    fn a_now(&self) -> ClockTime {
+        ClockTime::from_millis(A_ORIGIN + self.time)
+    }
+
+    fn b_now(&self) -> ClockTime {
+        ClockTime::from_millis(B_ORIGIN + self.time)
+    }
+
+    fn step(&mut self, random: &mut ChaCha8Rng) {
+        self.time += random.random_range(1..200);
+        match random.random_range(0..6) {
+            0 => self.stands_at.push(self.time),
+            // A asks for the log's end; the answer takes up to two seconds.
+            1 => {
+                let end = self.stands_at.len() as u64;
+                let arrives = self.time + random.random_range(0..2_000);
+                self.reads.push((arrives, self.time, end));
+            }
+            // B stamps a heartbeat to A.
+            2 => self
+                .stamps
+                .push((self.time + random.random_range(0..1_500), self.time)),
+            // A sends a heartbeat to B.
+            3 => {
+                let age = self.a.age(self.a_now());
+                if let (Some(age), Some(stamp)) = (age, self.last_stamp) {
+                    let arrives = self.time + random.random_range(0..3_000);
+                    self.beats.push((arrives, stamp, age, self.a_next));
+                }
+            }
+            // A and B apply entries.
+            4 => self.a_next = (self.a_next + 1).min(self.stands_at.len() as u64),
+            _ => self.b_next = (self.b_next + 2).min(self.a_next.max(self.b_next)),
+        }
+        self.deliver();
+        self.a.advance(LogOffset::new(self.a_next));
+        self.b.advance(LogOffset::new(self.b_next));
+        let (a_age, b_age) = (self.a.age(self.a_now()), self.b.age(self.b_now()));
+        self.check(a_age, self.a_next);
+        self.check(b_age, self.b_next);
+    }
+
+    fn deliver(&mut self) {
+        let time = self.time;
+        for (_, asked, end) in self.reads.extract_if(.., |read| read.0 <= time) {
+            let confirmation = EndConfirmation {
+                at: ClockTime::from_millis(A_ORIGIN + asked),
+                end: LogOffset::new(end),
+            };
+            self.a.confirm(confirmation, LogOffset::new(self.a_next));
+        }
+        for (_, stamp) in self.stamps.extract_if(.., |stamp| stamp.0 <= time) {
+            self.last_stamp = self.last_stamp.max(Some(stamp));
+        }
+        for (_, stamp, age, next) in self.beats.extract_if(.., |beat| beat.0 <= time) {
+            let echoed = ClockTime::from_millis(B_ORIGIN + stamp);
+            let confirmation = EndConfirmation::with_heartbeat(echoed, age, LogOffset::new(next));
+            self.b.confirm(confirmation, LogOffset::new(self.b_next));
+        }
+    }
+
+    fn check(&mut self, age: Option<TimeSpan>, next: u64) {
+        let Some(age) = age else { return };
+        self.claims += 1;
+        let known_at = self.time.saturating_sub(age.as_millis());
+        let stood = self.stands_at.iter().filter(|at| **at < known_at).count() as u64;
+        assert!(stood <= next, "{stood} records stood, {next} applied");
+    }
+}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -30,8 +30,14 @@
     pub next_offset: LogOffset,
     /// Whether it has caught up with the log or with its peers since its start.
     pub caught_up: bool,
+    /// Why it has not caught up.
+    pub obstacle: Option<String>,
     /// How old its newest confirmed knowledge of the log's end is.
     pub freshness: Option<TimeSpan>,
+    /// Whether it reads the log from the platform rather than from a peer.
+    pub reads_log: bool,
+    /// Whom it is connected to.
+    pub links: Vec<InstanceId>,
     /// What it knows of its peers.
     pub peers: Vec<PeerStatus>,
 }
--- a/crates/node/src/append.rs
+++ b/crates/node/src/append.rs
@@ -24,13 +24,25 @@
     Unknown(String),
 }
 
+/// Where an append landed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AppendedRecord {
+    /// The offset that the platform answered.
+    pub offset: LogOffset,
+    /// The writer's own number for it.
+    pub sequence: u64,
+    /// Whether an answer was lost before, so that an earlier copy may stand too:
+    /// readers count that one and drop the one at `offset`.
+    pub may_stand_twice: bool,
+}
+
 /// One append that waits for its turn.
 #[derive(Debug)]
 pub struct AppendJob {
     /// The record.
     pub record: LogRecord,
     /// Who wants to know.
-    pub reply: oneshot::Sender<Result<LogOffset, AppendError>>,
+    pub reply: oneshot::Sender<Result<AppendedRecord, AppendError>>,
 }
 
 /// The task that appends.
@@ -73,7 +85,7 @@
         }
     }
 
-    async fn append(&mut self, record: &LogRecord) -> Result<LogOffset, AppendError> {
+    async fn append(&mut self, record: &LogRecord) -> Result<AppendedRecord, AppendError> {
         let payload = serde_json::to_string(record)
             .map_err(|error| AppendError::NotAppended(error.to_string()))?;
         self.sequence += 1;
@@ -86,7 +98,13 @@
         let mut may_have_effect = false;
         loop {
             let error = match self.client.append(&request).await {
-                Ok(answer) => return Ok(answer.offset),
+                Ok(answer) => {
+                    return Ok(AppendedRecord {
+                        offset: answer.offset,
+                        sequence: self.sequence,
+                        may_stand_twice: may_have_effect,
+                    });
+                }
                 Err(error) => error,
             };
             let message = error.to_string();
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -1,55 +1,198 @@
-//! Reading the log in order and folding it into the view.
+//! Following the log: read from the platform, or relayed by a peer that reads it.
+//!
+//! A few instances per failure domain read directly (see
+//! [`bluebell_core::membership::LinkPlan`]); the others take the entries from
+//! one of those. A follower reads directly, too, while it has no such peer,
+//! while its knowledge of the log's end is old, and when somebody waits for an
+//! entry that has not come: the relay saves reads and is trusted with nothing.
+
+use std::sync::atomic::Ordering;
 
 use bluebell_core::{
     clock::TimeSpan,
+    ids::{InstanceId, LogOffset},
     records::{LogEntry, LogRecord},
 };
 use bluebell_daemon::logs::LogLine;
 use bluebell_platform::{
-    PlatformClient,
+    PlatformClient, PlatformError,
     api::{RawEntry, ReadAnswer},
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::handle::NodeHandle;
+use crate::{
+    handle::{NodeHandle, hold},
+    peers::wire::{PeerBody, PullMessage, SnapshotPullMessage},
+    restore,
+};
 
 /// The most entries of one read.
-const READ_LIMIT: usize = 500;
+pub(crate) const READ_LIMIT: usize = 500;
 
 /// The pause after a read that failed.
 const FAILURE_PAUSE: TimeSpan = TimeSpan::from_millis(200);
 
+/// How old a follower's knowledge of the log's end may grow before it reads the
+/// log itself. Two heartbeats and a long poll, which is what a relay that works
+/// costs, stay below it.
+const RELAY_LAG_LIMIT: TimeSpan = TimeSpan::from_secs(4);
+
+/// How often a follower looks whether its relay still serves it.
+const RELAY_CHECK: TimeSpan = TimeSpan::from_millis(250);
+
+/// The time after which a wish for entries is sent again.
+const PULL_AGAIN: TimeSpan = TimeSpan::from_secs(1);
+
+/// How long a new process waits for peers to appear before it takes the
+/// greatest offset among those it reached for the greatest there is.
+const PEER_GATHERING: TimeSpan = TimeSpan::from_secs(2);
+
 /// Follows the log until `token` is cancelled.
-pub async fn run(
-    node: NodeHandle,
-    client: PlatformClient,
-    wait: TimeSpan,
-    token: CancellationToken,
-) {
-    loop {
-        let from = node.with_view(|view| view.next_offset());
-        let answer = tokio::select! {
-            () = token.cancelled() => return,
-            answer = client.read(from, READ_LIMIT, wait) => answer,
-        };
-        match answer {
-            Ok(answer) => take(&node, &answer),
-            Err(error) => {
-                node.note_read_failure();
-                LogLine::new("log_read_failed")
-                    .with("error", &error)
-                    .debug();
-                tokio::time::sleep(FAILURE_PAUSE.as_duration()).await;
+pub async fn run(node: NodeHandle, client: PlatformClient, token: CancellationToken) {
+    let follow = async {
+        loop {
+            match node.upstream() {
+                Some(upstream) => follow_peer(&node, &upstream).await,
+                None => read_platform(&node, &client).await,
             }
         }
+    };
+    tokio::select! {
+        () = token.cancelled() => {}
+        () = follow => {}
     }
 }
 
-fn take(node: &NodeHandle, answer: &ReadAnswer) {
-    for raw in &answer.entries {
-        node.apply(&decode(raw));
+async fn follow_peer(node: &NodeHandle, upstream: &InstanceId) {
+    node.pull(upstream);
+    let mut wanted = node.state.wanted.subscribe();
+    let mut plan = node.state.plan.subscribe();
+    tokio::select! {
+        _ = wanted.changed() => {}
+        _ = plan.changed() => {}
+        () = tokio::time::sleep(RELAY_CHECK.as_duration()) => {}
+    }
+}
+
+async fn read_platform(node: &NodeHandle, client: &PlatformClient) {
+    let from = node.progress().next;
+    let asked = node.clock().now();
+    node.state.log_reads.fetch_add(1, Ordering::Relaxed);
+    match client
+        .read(from, READ_LIMIT, node.settings().read_wait)
+        .await
+    {
+        Ok(answer) if answer.first_kept > node.progress().next => {
+            restore::restore(node, client, answer.first_kept).await;
+        }
+        Ok(answer) => {
+            let end = answer.end;
+            take(node, answer);
+            node.note_read(asked, end);
+        }
+        Err(error) => {
+            note_failure(node, &error);
+            tokio::time::sleep(FAILURE_PAUSE.as_duration()).await;
+        }
+    }
+}
+
+pub(crate) fn note_failure(node: &NodeHandle, error: &PlatformError) {
+    LogLine::new("log_read_failed").with("error", error).debug();
+    node.follow_best_peer();
+    node.consider_peers();
+    let ready = node.has_ready_peer();
+    node.note_obstacle(match ready {
+        true => format!("the log can't be read ({error}); catching up with peers"),
+        false => format!("the log can't be read ({error}) and no peer that is ready is in reach"),
+    });
+}
+
+fn take(node: &NodeHandle, answer: ReadAnswer) {
+    for raw in answer.entries {
+        node.apply_raw(raw);
+    }
+}
+
+impl NodeHandle {
+    /// The peer to take the log from, if it may be relied on now.
+    fn upstream(&self) -> Option<InstanceId> {
+        let plan = self.state.plan.borrow().clone();
+        let progress = self.progress();
+        let wanted = *self.state.wanted.borrow();
+        if plan.reads || !progress.caught_up || wanted > progress.next {
+            return None;
+        }
+        if self.freshness().is_none_or(|age| age > RELAY_LAG_LIMIT) {
+            return None;
+        }
+        let links = hold(&self.state.links);
+        let serves = |reader: &&InstanceId| links.link(reader).is_some_and(|l| l.caught_up);
+        plan.readers.iter().find(serves).cloned()
+    }
+
+    /// Asks `peer` for entries, unless it was asked a moment ago.
+    pub(crate) fn pull(&self, peer: &InstanceId) {
+        let now = self.state.clock.now();
+        let mut links = hold(&self.state.links);
+        let Some(link) = links.link_mut(peer) else {
+            return;
+        };
+        if link.pulled_at.is_some_and(|at| now.since(at) < PULL_AGAIN) {
+            return;
+        }
+        link.pulled_at = Some(now);
+        let from = self.progress().next.number();
+        links.send(peer, PeerBody::Pull(PullMessage { from }));
+    }
+
+    /// Asks the peer that is furthest ahead, if any is ahead.
+    pub(crate) fn follow_best_peer(&self) {
+        if let Some((peer, next)) = self.best_peer()
+            && next > self.progress().next
+        {
+            self.pull(&peer);
+        }
+    }
+
+    fn best_peer(&self) -> Option<(InstanceId, LogOffset)> {
+        let links = hold(&self.state.links);
+        let told = links
+            .links()
+            .filter_map(|(peer, link)| Some((peer.clone(), link.next_offset?)));
+        told.max_by_key(|(_, next)| *next)
+    }
+
+    /// Asks the peer that is furthest ahead for the whole state.
+    pub(crate) fn pull_snapshot(&self) -> bool {
+        let Some((peer, next)) = self.best_peer() else {
+            return false;
+        };
+        let body = PeerBody::SnapshotPull(SnapshotPullMessage {});
+        next > self.progress().next && hold(&self.state.links).send(&peer, body)
+    }
+
+    pub(crate) fn has_ready_peer(&self) -> bool {
+        let links = hold(&self.state.links);
+        links.links().any(|(_, link)| link.caught_up)
+    }
+
+    /// While the log can't be read: counts as caught up with the greatest offset
+    /// among the peers in reach, if one of them has caught up itself. Without
+    /// any, a new process knows nothing and must not serve: it would not know
+    /// a withdrawn key or an idempotency key that is taken.
+    pub(crate) fn consider_peers(&self) {
+        let gathered = self.state.clock.now().since(self.state.started) >= PEER_GATHERING;
+        if !gathered || !self.has_ready_peer() {
+            return;
+        }
+        let reached = self
+            .best_peer()
+            .is_some_and(|(_, next)| next <= self.progress().next);
+        if reached {
+            self.note_caught_up();
+        }
     }
-    node.note_read(answer.end);
 }
 
 /// Decodes an entry. One that this version does not understand counts as an
@@ -73,3 +216,13 @@
         record,
     }
 }
+
+/// The entry as the platform keeps it.
+pub fn encode(entry: &LogEntry) -> RawEntry {
+    RawEntry {
+        offset: entry.offset,
+        writer: entry.writer.clone(),
+        sequence: entry.sequence,
+        payload: serde_json::to_string(&entry.record).unwrap_or_default(),
+    }
+}
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -1,32 +1,26 @@
-//! The handle that a daemon holds on its node.
+//! The handle that a daemon holds on its node: the view, its changes, appends.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use bluebell_core::{
     clock::{ClockSource, ClockTime, TimeSpan},
     ids::{LogOffset, WriterId},
-    membership::{
-        InstanceListing, InstanceProgram, InstanceState, LocalStatus, MemberTable, PeerStatus,
-    },
-    records::{LogEntry, LogRecord, WithdrawRecord},
+    membership::{EndConfirmation, LinkPlan, LocalStatus, LogKnowledge, MemberTable},
+    records::{LogEntry, LogRecord},
     view::{FleetView, ViewEvent},
 };
-use bluebell_platform::PlatformClient;
-use tokio::{
-    net::TcpListener,
-    sync::{broadcast, mpsc, oneshot, watch},
-};
+use bluebell_platform::{PlatformClient, api::RawEntry};
+use tokio::sync::{broadcast, mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    admin::NodeReport,
-    announce,
     append::{AppendError, AppendJob, LogAppender},
+    buffer::RelayBuffer,
     follow,
+    notes::NoteMemory,
+    peers::board::LinkBoard,
     settings::NodeSettings,
+    withdraw::PendingWithdrawals,
 };
 
 /// How many events a slow subscriber may lag behind before it must look at the
@@ -36,33 +30,64 @@
 /// How many appends may wait.
 const APPEND_BACKLOG: usize = 1_024;
 
+/// How long a wait for an entry trusts the relay before the log is read directly.
+const RELAY_PATIENCE: TimeSpan = TimeSpan::from_millis(50);
+
 /// What a node knows of its own place in the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct LogProgress {
     /// The offset of the next entry to apply.
     pub next: LogOffset,
-    /// Whether the log's end has been reached since the node started.
+    /// Whether the log's end, or in an outage the greatest offset of the peers
+    /// within reach, has been reached since the node started.
     pub caught_up: bool,
     /// When the log was last read with success.
     pub read_at: Option<ClockTime>,
 }
 
-struct NodeState {
-    settings: NodeSettings,
-    clock: ClockSource,
-    client: PlatformClient,
-    view: Mutex<FleetView>,
-    events: broadcast::Sender<ViewEvent>,
-    progress: watch::Sender<LogProgress>,
-    appends: mpsc::Sender<AppendJob>,
-    members: Mutex<MemberTable>,
-    local: watch::Sender<LocalStatus>,
+/// Everything that changes with an entry, under one lock: a reader never sees
+/// a view without the relayed entries that led to it.
+pub(crate) struct LogState {
+    pub(crate) view: FleetView,
+    pub(crate) buffer: RelayBuffer,
+    pub(crate) knowledge: LogKnowledge,
+}
+
+pub(crate) struct NodeState {
+    pub(crate) settings: NodeSettings,
+    pub(crate) clock: ClockSource,
+    pub(crate) started: ClockTime,
+    pub(crate) client: PlatformClient,
+    pub(crate) log: Mutex<LogState>,
+    pub(crate) events: broadcast::Sender<ViewEvent>,
+    pub(crate) progress: watch::Sender<LogProgress>,
+    /// An offset that somebody waits for, to be read directly if need be.
+    pub(crate) wanted: watch::Sender<LogOffset>,
+    pub(crate) appends: mpsc::Sender<AppendJob>,
+    pub(crate) writer: WriterId,
+    pub(crate) members: Mutex<MemberTable>,
+    pub(crate) plan: watch::Sender<LinkPlan>,
+    pub(crate) links: Mutex<LinkBoard>,
+    pub(crate) notes: Mutex<NoteMemory>,
+    pub(crate) note_events: broadcast::Sender<LogRecord>,
+    pub(crate) withdrawals: Mutex<PendingWithdrawals>,
+    pub(crate) local: watch::Sender<LocalStatus>,
+    /// Why the node has not caught up, for operators.
+    pub(crate) obstacle: Mutex<String>,
+    /// Counts up to make all connections send a heartbeat at once.
+    pub(crate) beats: watch::Sender<u64>,
+    pub(crate) peer_bytes: std::sync::atomic::AtomicU64,
+    pub(crate) log_reads: std::sync::atomic::AtomicU64,
 }
 
 /// A handle on a running node; clones share it.
 #[derive(Clone)]
 pub struct NodeHandle {
-    state: Arc<NodeState>,
+    pub(crate) state: Arc<NodeState>,
+}
+
+pub(crate) fn hold<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().expect("no holder panics")
 }
 
 impl NodeHandle {
@@ -82,114 +107,49 @@
         let appender = LogAppender::new(
             client.clone(),
             clock.clone(),
-            writer,
+            writer.clone(),
             settings.append_timeout,
         );
         tokio::spawn(appender.run(jobs, token.child_token()));
-        let wait = settings.read_wait;
-        let incarnation = clock.now().as_millis();
-        let members = Mutex::new(MemberTable::new(settings.instance.clone(), incarnation));
+        let started = clock.now();
+        let members = MemberTable::new(settings.instance.clone(), started.as_millis());
         let state = NodeState {
-            settings,
             clock,
+            started,
             client: client.clone(),
-            view: Mutex::new(FleetView::new()),
+            log: Mutex::new(LogState {
+                view: FleetView::new(),
+                buffer: RelayBuffer::new(),
+                knowledge: LogKnowledge::new(),
+            }),
             events: broadcast::Sender::new(EVENT_BACKLOG),
             progress: watch::Sender::new(LogProgress::default()),
+            wanted: watch::Sender::new(LogOffset::START),
             appends,
-            members,
+            writer,
+            members: Mutex::new(members),
+            plan: watch::Sender::new(LinkPlan {
+                reads: true,
+                ..LinkPlan::default()
+            }),
+            links: Mutex::new(LinkBoard::new()),
+            notes: Mutex::new(NoteMemory::new()),
+            note_events: broadcast::Sender::new(EVENT_BACKLOG),
+            withdrawals: Mutex::new(PendingWithdrawals::new()),
             local: watch::Sender::new(LocalStatus::default()),
+            obstacle: Mutex::new("the log has not been read yet".to_string()),
+            beats: watch::Sender::new(0),
+            peer_bytes: Default::default(),
+            log_reads: Default::default(),
+            settings,
         };
         let node = NodeHandle {
             state: Arc::new(state),
         };
-        tokio::spawn(follow::run(node.clone(), client, wait, token.child_token()));
+        tokio::spawn(follow::run(node.clone(), client, token.child_token()));
         node
     }
 
-    /// Joins the other instances: takes peer connections, appears on the
-    /// platform's list as a `program` that answers HTTP at `http_address`, and
-    /// does both until `token` is cancelled. Answers the address for peers.
-    pub async fn join(
-        &self,
-        program: InstanceProgram,
-        http_address: SocketAddr,
-        token: &CancellationToken,
-    ) -> std::io::Result<SocketAddr> {
-        let settings = &self.state.settings;
-        let listener = TcpListener::bind(settings.peer_address).await?;
-        let peer_address = listener.local_addr()?;
-        let listing = InstanceListing {
-            instance: settings.instance.clone(),
-            failure_domain: settings.failure_domain.clone(),
-            program,
-            state: InstanceState::Live,
-            http_address: http_address.to_string(),
-            peer_address: settings.peer_advertise.unwrap_or(peer_address).to_string(),
-        };
-        tokio::spawn(announce::run(self.clone(), listing, token.child_token()));
-        Ok(peer_address)
-    }
-
-    /// Sets what this process tells its peers of its work. Setting the state to
-    /// leaving is told at once, to peers and to the platform's list.
-    pub fn set_local(&self, status: LocalStatus) {
-        self.state.local.send_replace(status);
-    }
-
-    /// What this process tells its peers of its work.
-    pub fn local(&self) -> LocalStatus {
-        self.state.local.borrow().clone()
-    }
-
-    pub(crate) fn local_state(&self) -> InstanceState {
-        self.state.local.borrow().state
-    }
-
-    /// Waits until this process's own state is no longer `before`.
-    pub(crate) async fn local_changed(&self, before: InstanceState) {
-        let mut local = self.state.local.subscribe();
-        let changed = local.wait_for(|status| status.state != before).await;
-        drop(changed);
-    }
-
-    /// What is known of every other instance, by instance.
-    pub fn peers(&self) -> Vec<PeerStatus> {
-        let now = self.state.clock.now();
-        self.members().peers(now)
-    }
-
-    pub(crate) fn members(&self) -> std::sync::MutexGuard<'_, MemberTable> {
-        self.state.members.lock().expect("no holder panics")
-    }
-
-    pub(crate) fn note_listings(&self, listings: &[InstanceListing]) {
-        let now = self.state.clock.now();
-        self.members().list(now, listings);
-    }
-
-    /// What this node tells operators of itself.
-    pub fn report(&self) -> NodeReport {
-        let progress = self.progress();
-        NodeReport {
-            instance: self.state.settings.instance.clone(),
-            failure_domain: self.state.settings.failure_domain.clone(),
-            state: self.local_state(),
-            next_offset: progress.next,
-            caught_up: progress.caught_up,
-            freshness: self.freshness(),
-            peers: self.peers(),
-        }
-    }
-
-    /// The age of the newest confirmed knowledge of the log's end: no record
-    /// that stood in the log longer ago than this is missing from the view.
-    /// None if the end has never been confirmed.
-    pub fn freshness(&self) -> Option<TimeSpan> {
-        let read_at = self.progress().read_at?;
-        Some(self.state.clock.now().since(read_at))
-    }
-
     /// The node's settings.
     pub fn settings(&self) -> &NodeSettings {
         &self.state.settings
@@ -205,18 +165,21 @@
         &self.state.client
     }
 
+    /// The name under which this process appends.
+    pub fn writer(&self) -> &WriterId {
+        &self.state.writer
+    }
+
+    pub(crate) fn log(&self) -> MutexGuard<'_, LogState> {
+        hold(&self.state.log)
+    }
+
     /// Lets `read` look at the view. It must not block.
     pub fn with_view<Answer, Read>(&self, read: Read) -> Answer
     where
         Read: FnOnce(&FleetView) -> Answer,
     {
-        read(
-            &self
-                .state
-                .view
-                .lock()
-                .expect("no reader of the view panics"),
-        )
+        read(&self.log().view)
     }
 
     /// What changes from now on.
@@ -229,8 +192,29 @@
         *self.state.progress.borrow()
     }
 
+    /// The age of the newest confirmed knowledge of the log's end, read by this
+    /// node or relayed: no record that stood in the log longer ago than this is
+    /// missing from the view. None if the end has never been confirmed.
+    pub fn freshness(&self) -> Option<TimeSpan> {
+        let now = self.state.clock.now();
+        self.log().knowledge.age(now)
+    }
+
+    /// Why the node has not caught up yet; none if it has.
+    pub fn obstacle(&self) -> Option<String> {
+        match self.progress().caught_up {
+            true => None,
+            false => Some(hold(&self.state.obstacle).clone()),
+        }
+    }
+
+    pub(crate) fn note_obstacle(&self, obstacle: String) {
+        *hold(&self.state.obstacle) = obstacle;
+    }
+
     /// Appends a record and waits until its fate is known or the settings'
-    /// patience ends.
+    /// patience ends. The offset is that at which readers count the record: if
+    /// the answer to a first try was lost and the record stands twice, the first.
     pub async fn append(&self, record: LogRecord) -> Result<LogOffset, AppendError> {
         let (reply, answer) = oneshot::channel();
         let stopped = || AppendError::NotAppended("the node is stopping".to_string());
@@ -239,19 +223,46 @@
             .send(AppendJob { record, reply })
             .await
             .map_err(|_| stopped())?;
-        answer
+        let appended = answer
             .await
-            .unwrap_or_else(|_| Err(AppendError::Unknown("the node stopped".to_string())))
+            .unwrap_or_else(|_| Err(AppendError::Unknown("the node stopped".to_string())))?;
+        if !appended.may_stand_twice {
+            return Ok(appended.offset);
+        }
+        let patience = self.state.settings.append_timeout;
+        if !self.wait_applied(appended.offset, patience).await {
+            let message = format!("it may stand twice, up to offset {}", appended.offset);
+            return Err(AppendError::Unknown(message));
+        }
+        let standing = self.with_view(|view| view.writers.standing(&self.state.writer));
+        match standing {
+            Some(mark) if mark.sequence == appended.sequence => Ok(mark.offset),
+            // The writer has appended since; only the first copy can have been
+            // taken before that, and its offset is no longer remembered.
+            _ => Err(AppendError::Unknown("it stands twice".to_string())),
+        }
     }
 
     /// Waits until the entry at `offset` has been applied; answers whether it
     /// was within `patience`.
     pub async fn wait_applied(&self, offset: LogOffset, patience: TimeSpan) -> bool {
         let mut progress = self.state.progress.subscribe();
-        let applied = progress.wait_for(|progress| offset < progress.next);
-        tokio::time::timeout(patience.as_duration(), applied)
-            .await
-            .is_ok_and(|seen| seen.is_ok())
+        let mut applied = async |patience: TimeSpan| {
+            let applied = progress.wait_for(|progress| offset < progress.next);
+            tokio::time::timeout(patience.as_duration(), applied)
+                .await
+                .is_ok_and(|seen| seen.is_ok())
+        };
+        if applied(patience.min(RELAY_PATIENCE)).await {
+            return true;
+        }
+        // The relay lags: somebody waits for this very entry, so read the log.
+        self.state.wanted.send_if_modified(|wanted| {
+            let further = *wanted <= offset;
+            *wanted = (*wanted).max(offset.next());
+            further
+        });
+        applied(patience.less(RELAY_PATIENCE)).await
     }
 
     /// Waits until the node has caught up; answers whether it did within `patience`.
@@ -263,44 +274,78 @@
             .is_ok_and(|seen| seen.is_ok())
     }
 
-    /// Applies an entry, read from the log or relayed by a peer.
+    /// Applies an entry, read from the log or relayed by a peer. One beyond the
+    /// next is left out (see [`FleetView::is_next`]).
     pub fn apply(&self, entry: &LogEntry) {
+        self.apply_with(entry, || follow::encode(entry));
+    }
+
+    pub(crate) fn apply_raw(&self, raw: RawEntry) {
+        let entry = follow::decode(&raw);
+        self.apply_with(&entry, || raw);
+    }
+
+    fn apply_with<Raw>(&self, entry: &LogEntry, raw: Raw)
+    where
+        Raw: FnOnce() -> RawEntry,
+    {
         let now = self.state.clock.now();
-        let (events, next) = {
-            let mut view = self
-                .state
-                .view
-                .lock()
-                .expect("no reader of the view panics");
-            (view.apply(now, entry), view.next_offset())
+        let events = {
+            let mut log = self.log();
+            if !log.view.is_next(entry.offset) {
+                return;
+            }
+            log.buffer.push(raw());
+            let events = log.view.apply(now, entry);
+            let next = log.view.next_offset();
+            log.knowledge.advance(next);
+            events
         };
-        self.state.progress.send_if_modified(|progress| {
-            let moved = progress.next != next;
-            progress.next = next;
-            moved
-        });
+        if let LogRecord::Withdraw(withdrawal) = &entry.record {
+            hold(&self.state.withdrawals).settle(&withdrawal.digest);
+        }
+        self.note_next();
         self.tell(events);
     }
 
-    /// Takes a withdrawal that a peer or an operator told of before the log did.
-    pub fn withdraw(&self, withdrawal: &WithdrawRecord) {
-        let events = self
-            .state
-            .view
-            .lock()
-            .expect("no reader panics")
-            .withdraw(withdrawal);
+    /// Takes over a view that was restored from a checkpoint, if it is further
+    /// than the present one. What was withdrawn in the present one stays so.
+    pub(crate) fn replace_view(&self, mut restored: FleetView) -> bool {
+        let events = {
+            let mut log = self.log();
+            if restored.next_offset() <= log.view.next_offset() {
+                return false;
+            }
+            let events = restored.take_over(&log.view);
+            let next = restored.next_offset();
+            log.view = restored;
+            log.buffer = RelayBuffer::new();
+            log.knowledge.advance(next);
+            events
+        };
+        self.note_next();
         self.tell(events);
+        true
+    }
+
+    fn note_next(&self) {
+        let next = self.with_view(FleetView::next_offset);
+        self.state.progress.send_if_modified(|progress| {
+            let moved = progress.next < next;
+            progress.next = progress.next.max(next);
+            moved
+        });
     }
 
-    fn tell(&self, events: Vec<ViewEvent>) {
+    pub(crate) fn tell(&self, events: Vec<ViewEvent>) {
         for event in events {
             let _ = self.state.events.send(event);
         }
     }
 
-    /// Notes a read of the log that succeeded, with the log's end at `end`.
-    pub(crate) fn note_read(&self, end: LogOffset) {
+    /// Notes a read of the log that was asked for at `asked` and found its end.
+    pub(crate) fn note_read(&self, asked: ClockTime, end: LogOffset) {
+        self.confirm(EndConfirmation { at: asked, end });
         let now = self.state.clock.now();
         self.state.progress.send_modify(|progress| {
             progress.read_at = Some(now);
@@ -308,9 +353,32 @@
         });
     }
 
-    /// Notes a read of the log that failed.
-    pub(crate) fn note_read_failure(&self) {
-        self.state.progress.send_modify(|_| {});
+    pub(crate) fn confirm(&self, confirmation: EndConfirmation) {
+        let mut log = self.log();
+        let next = log.view.next_offset();
+        log.knowledge.confirm(confirmation, next);
+    }
+
+    pub(crate) fn note_caught_up(&self) {
+        self.state.progress.send_if_modified(|progress| {
+            let news = !progress.caught_up;
+            progress.caught_up = true;
+            news
+        });
+    }
+
+    /// Bytes of peer traffic sent and received since the start.
+    pub fn peer_bytes(&self) -> u64 {
+        self.state
+            .peer_bytes
+            .load(std::sync::atomic::Ordering::Relaxed)
+    }
+
+    /// Reads of the platform's log since the start.
+    pub fn log_reads(&self) -> u64 {
+        self.state
+            .log_reads
+            .load(std::sync::atomic::Ordering::Relaxed)
     }
 }
 
--- /dev/null
+++ b/crates/node/src/notes.rs
@@ -0,0 +1,45 @@
+//! Records that can't wait for the log, passed on by all to all.
+//!
+//! Withdrawals, quarantines and marks are told to peers at once. Each process
+//! passes on what it has not seen before, so a note reaches everyone that any
+//! path leads to, and ends.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use xxhash_rust::xxh3::xxh3_128;
+
+/// How many notes are remembered, to pass on to new peers and to stop repeats.
+const NOTE_LIMIT: usize = 1_024;
+
+/// The notes that this process has seen lately.
+#[derive(Clone, Debug, Default)]
+pub struct NoteMemory {
+    seen: BTreeSet<u128>,
+    recent: VecDeque<String>,
+}
+
+impl NoteMemory {
+    /// No note seen yet.
+    pub fn new() -> NoteMemory {
+        NoteMemory::default()
+    }
+
+    /// Takes a note; answers whether it has not been seen before.
+    pub fn take(&mut self, payload: &str) -> bool {
+        if !self.seen.insert(xxh3_128(payload.as_bytes())) {
+            return false;
+        }
+        self.recent.push_back(payload.to_string());
+        if self.recent.len() > NOTE_LIMIT
+            && let Some(oldest) = self.recent.pop_front()
+        {
+            self.seen.remove(&xxh3_128(oldest.as_bytes()));
+        }
+        true
+    }
+
+    /// The notes to tell a new peer.
+    pub fn recent(&self) -> impl Iterator<Item = &String> {
+        self.recent.iter()
+    }
+}
--- /dev/null
+++ b/crates/node/src/peers/mod.rs
@@ -0,0 +1,119 @@
+//! Connections between instances: who keeps one to whom, and how it is opened.
+//!
+//! Either side may open one. The instance with the smaller name does so at
+//! once, the other only after a while, so that two seldom cross; where they do,
+//! the newer takes the place of the older.
+
+pub mod board;
+mod link;
+mod messages;
+pub mod wire;
+
+use std::collections::BTreeMap;
+
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::InstanceId,
+    membership::InstanceListing,
+};
+use bluebell_daemon::logs::LogLine;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use crate::handle::{NodeHandle, hold};
+
+/// How often the wanted connections are looked at.
+const KEEP_EVERY: TimeSpan = TimeSpan::from_millis(500);
+
+/// How long the instance with the greater name leaves it to the other to connect.
+const PATIENCE: TimeSpan = TimeSpan::from_secs(2);
+
+/// The time between two tries to connect to one peer.
+const DIAL_EVERY: TimeSpan = TimeSpan::from_secs(1);
+
+/// How long a connection may take to open.
+const DIAL_TIMEOUT: TimeSpan = TimeSpan::from_secs(1);
+
+/// Takes connections from peers until `token` is cancelled.
+pub(crate) async fn accept(node: NodeHandle, listener: TcpListener, token: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            () = token.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let token = token.child_token();
+                tokio::spawn(link::run(node.clone(), stream, false, token));
+            }
+            Err(error) => {
+                LogLine::new("peer_accept_failed")
+                    .with("error", error)
+                    .warn();
+                tokio::time::sleep(KEEP_EVERY.as_duration()).await;
+            }
+        }
+    }
+}
+
+/// Keeps the planned connections open until `token` is cancelled.
+pub(crate) async fn keep(node: NodeHandle, own: InstanceListing, token: CancellationToken) {
+    let mut tries: BTreeMap<InstanceId, ClockTime> = BTreeMap::new();
+    let mut missing: BTreeMap<InstanceId, ClockTime> = BTreeMap::new();
+    loop {
+        node.refresh_own(&own);
+        let wanted = node.replan();
+        let now = node.clock().now();
+        close_unwanted(&node);
+        missing.retain(|peer, _| wanted.iter().any(|l| l.instance == *peer));
+        for listing in wanted {
+            let peer = &listing.instance;
+            if hold(&node.state.links).link(peer).is_some() {
+                missing.remove(peer);
+                continue;
+            }
+            let since = *missing.entry(peer.clone()).or_insert(now);
+            let tried = tries
+                .get(peer)
+                .is_some_and(|at| now.since(*at) < DIAL_EVERY);
+            let ours = own.instance < *peer || now.since(since) >= PATIENCE;
+            if ours && !tried {
+                tries.insert(peer.clone(), now);
+                tokio::spawn(dial(node.clone(), listing, token.child_token()));
+            }
+        }
+        let state = node.local_state();
+        tokio::select! {
+            () = token.cancelled() => return,
+            () = node.local_changed(state) => {
+                node.refresh_own(&own);
+                node.beat_now();
+            }
+            () = tokio::time::sleep(KEEP_EVERY.as_duration()) => {}
+        }
+    }
+}
+
+/// Ends connections that this process opened and the plan no longer wants.
+fn close_unwanted(node: &NodeHandle) {
+    let plan = node.state.plan.borrow().clone();
+    for (peer, link) in hold(&node.state.links).links() {
+        if link.dialled && !plan.neighbours.contains(peer) {
+            link.token.cancel();
+        }
+    }
+}
+
+async fn dial(node: NodeHandle, listing: InstanceListing, token: CancellationToken) {
+    let connect = TcpStream::connect(&listing.peer_address);
+    match tokio::time::timeout(DIAL_TIMEOUT.as_duration(), connect).await {
+        Ok(Ok(stream)) => link::run(node, stream, true, token).await,
+        Ok(Err(error)) => LogLine::new("peer_connect_failed")
+            .with("peer", &listing.instance)
+            .with("error", error)
+            .debug(),
+        Err(_) => LogLine::new("peer_connect_timed_out")
+            .with("peer", &listing.instance)
+            .debug(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/withdraw.rs
@@ -0,0 +1,118 @@
+//! Withdrawals that don't wait for the log.
+//!
+//! A withdrawal is monotone: taking it early or twice does no harm. So it takes
+//! effect where an operator's command arrives, is passed on to all peers, and is
+//! appended until it stands in the log. Whoever was told of it appends it too,
+//! later: the process that took it first may be lost before the log is back.
+
+use std::collections::BTreeMap;
+
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::{InstanceId, KeyDigest},
+    records::{LogRecord, WithdrawRecord},
+};
+use bluebell_daemon::logs::LogLine;
+use tokio_util::sync::CancellationToken;
+
+use crate::handle::{NodeHandle, hold};
+
+/// The time between two tries to append.
+const TRY_EVERY: TimeSpan = TimeSpan::from_secs(1);
+
+/// How long those who were told by a peer leave the append to whoever told.
+const PEER_DELAY: TimeSpan = TimeSpan::from_secs(10);
+
+#[derive(Clone, Debug)]
+struct PendingWithdrawal {
+    record: WithdrawRecord,
+    due: ClockTime,
+}
+
+/// Withdrawals that are in force here and not yet seen in the log.
+#[derive(Clone, Debug, Default)]
+pub struct PendingWithdrawals {
+    pending: BTreeMap<KeyDigest, PendingWithdrawal>,
+}
+
+impl PendingWithdrawals {
+    /// None pending.
+    pub fn new() -> PendingWithdrawals {
+        PendingWithdrawals::default()
+    }
+
+    fn add(&mut self, record: &WithdrawRecord, due: ClockTime) {
+        let pending = PendingWithdrawal {
+            record: record.clone(),
+            due,
+        };
+        let digest = record.digest.clone();
+        self.pending.entry(digest).or_insert(pending);
+    }
+
+    /// Notes that the withdrawal stands in the log.
+    pub fn settle(&mut self, digest: &KeyDigest) {
+        self.pending.remove(digest);
+    }
+
+    fn due(&self, now: ClockTime) -> Vec<WithdrawRecord> {
+        let due = self.pending.values().filter(|pending| pending.due <= now);
+        due.map(|pending| pending.record.clone()).collect()
+    }
+
+    /// All that are pending.
+    pub fn records(&self) -> impl Iterator<Item = &WithdrawRecord> {
+        self.pending.values().map(|pending| &pending.record)
+    }
+}
+
+impl NodeHandle {
+    /// Takes a withdrawal from an operator: it is in force here when this
+    /// returns, is passed on to peers at once, and is appended until it stands.
+    pub fn withdraw(&self, withdrawal: &WithdrawRecord) {
+        let now = self.state.clock.now();
+        self.take_withdrawal(withdrawal, now);
+        self.push_note(&LogRecord::Withdraw(withdrawal.clone()));
+    }
+
+    /// Takes a withdrawal that a peer has passed on.
+    pub(crate) fn take_peer_withdrawal(&self, withdrawal: &WithdrawRecord, from: &InstanceId) {
+        let now = self.state.clock.now();
+        LogLine::new("key_withdrawn_by_peer")
+            .with("digest", withdrawal.digest.short())
+            .with("peer", from)
+            .info();
+        self.take_withdrawal(withdrawal, now + PEER_DELAY);
+    }
+
+    fn take_withdrawal(&self, withdrawal: &WithdrawRecord, due: ClockTime) {
+        hold(&self.state.withdrawals).add(withdrawal, due);
+        let events = self.log().view.withdraw(withdrawal);
+        self.tell(events);
+    }
+}
+
+/// Appends pending withdrawals until each stands in the log.
+pub async fn run(node: NodeHandle, token: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            () = tokio::time::sleep(TRY_EVERY.as_duration()) => {}
+        }
+        let now = node.clock().now();
+        let due = hold(&node.state.withdrawals).due(now);
+        for record in due {
+            let digest = record.digest.clone();
+            match node.append(LogRecord::Withdraw(record)).await {
+                Ok(offset) => LogLine::new("withdrawal_appended")
+                    .with("digest", digest.short())
+                    .with("offset", offset)
+                    .info(),
+                Err(error) => LogLine::new("withdrawal_pending")
+                    .with("digest", digest.short())
+                    .with("error", error)
+                    .warn(),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/peers.rs
@@ -0,0 +1,211 @@
+//! Nodes that find each other, over real sockets on loopback.
+
+mod support;
+
+use bluebell_core::{
+    ids::{EndpointId, FailureDomain, OrganisationId, RequestFingerprint},
+    membership::{EndpointLoad, InstanceState, LocalStatus, OrganisationShare},
+    records::{LogRecord, QuarantineRecord},
+    units::{TokenCount, WorkCost},
+};
+use standin_platform::faults::PlatformFaults;
+use support::{PATIENCE, TestPlatform, key, organisation, until, withdrawal};
+
+fn status(state: InstanceState) -> LocalStatus {
+    LocalStatus {
+        state,
+        loads: vec![EndpointLoad {
+            endpoint: EndpointId::new("engine-1").expect("valid"),
+            requests: 3,
+            tokens: TokenCount::new(300),
+        }],
+        shares: vec![OrganisationShare {
+            organisation: OrganisationId::new("one").expect("valid"),
+            cost: WorkCost::new(42),
+        }],
+    }
+}
+
+/// Entries that don't know of each other's work send all of it to the same
+/// endpoint and serve one organisation several times its share.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_tell_their_work_to_all_also_across_failure_domains() {
+    let platform = TestPlatform::start(10_000).await;
+    let mut nodes = Vec::new();
+    for (name, domain) in [("a", "x"), ("b", "x"), ("c", "y"), ("d", "z"), ("e", "z")] {
+        nodes.push(platform.join(name, domain).await);
+    }
+    nodes[0].node.set_local(status(InstanceState::Live));
+    let knows = |node: &support::TestNode| {
+        let peers = node.node.peers();
+        peers
+            .iter()
+            .any(|peer| peer.instance.as_str() == "a" && peer.status == status(InstanceState::Live))
+    };
+    for node in &nodes[1..] {
+        until("the work of `a`", || knows(node)).await;
+    }
+    nodes[0].node.set_local(status(InstanceState::Leaving));
+    let leaving = |node: &support::TestNode| {
+        let peers = node.node.peers();
+        peers
+            .iter()
+            .any(|p| p.instance.as_str() == "a" && p.state == InstanceState::Leaving)
+    };
+    for node in &nodes[1..] {
+        until("`a` leaving", || leaving(node)).await;
+    }
+}
+
+/// A failure domain's way to the platform is cut for some of its instances. They
+/// take the log from those that still read it, and stay fresh.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_without_the_platform_follows_the_log_through_its_peers() {
+    let platform = TestPlatform::start(10_000).await;
+    let a = platform.join("a", "x").await;
+    let b = platform.join("b", "x").await;
+    let c = platform.join("c", "y").await;
+    for node in [&a, &b, &c] {
+        assert!(node.node.wait_caught_up(PATIENCE).await);
+    }
+    until("links of `c`", || c.has_peer(&a) || c.has_peer(&b)).await;
+    until("link of `a` and `b`", || a.has_peer(&b)).await;
+    let mut faults = PlatformFaults::default();
+    faults
+        .cut_domains
+        .insert(FailureDomain::new("y").expect("valid"));
+    platform.set(faults).await;
+    let cut_at = c.node.clock().now();
+    // A read that was under way when the path was cut may still bring the first.
+    let first = a.publish(organisation("one", None, 5)).await;
+    assert!(c.node.wait_applied(first, PATIENCE).await);
+    let second = a.publish(organisation("one", Some(first), 6)).await;
+    assert!(c.node.wait_applied(second, PATIENCE).await);
+    assert_eq!(c.weight("one"), Some(6));
+    until("knowledge from after the cut", || {
+        let now = c.node.clock().now();
+        c.node.freshness().is_some_and(|age| now - age > cut_at)
+    })
+    .await;
+}
+
+/// All but a few instances of a failure domain leave the log to those few. When
+/// one of the few is gone the others must take over without anybody asking.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_instances_of_a_failure_domain_read_the_log_for_all() {
+    let platform = TestPlatform::start(10_000).await;
+    let mut nodes = Vec::new();
+    for name in ["a", "b", "c", "d", "e"] {
+        nodes.push(platform.join(name, "x").await);
+    }
+    let readers = |nodes: &[support::TestNode]| {
+        let reads = |node: &&support::TestNode| node.node.report().reads_log;
+        nodes.iter().filter(reads).count()
+    };
+    until("two readers", || readers(&nodes) == 2).await;
+    let offset = nodes[0].publish(organisation("one", None, 5)).await;
+    for node in &nodes {
+        assert!(node.node.wait_applied(offset, PATIENCE).await);
+    }
+    let gone = nodes.iter().position(|node| node.node.report().reads_log);
+    drop(nodes.remove(gone.expect("two read")));
+    until("two readers again", || readers(&nodes) == 2).await;
+    let base = Some(offset);
+    let offset = nodes[0].publish(organisation("one", base, 6)).await;
+    for node in &nodes {
+        assert!(node.node.wait_applied(offset, PATIENCE).await);
+        assert_eq!(node.weight("one"), Some(6));
+    }
+}
+
+/// A key is stolen while the log is down. Its withdrawal reaches every instance
+/// all the same, ends the key's work there, and stands in the log once that is
+/// back, also if the instance that took it has been lost meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawal_reaches_everyone_while_the_log_is_down() {
+    let platform = TestPlatform::start(10_000).await;
+    let a = platform.join("a", "x").await;
+    let b = platform.join("b", "x").await;
+    let c = platform.join("c", "y").await;
+    let offset = a.publish(key("k", "secret")).await;
+    for node in [&b, &c] {
+        assert!(node.node.wait_applied(offset, PATIENCE).await);
+        assert!(node.admits("secret"));
+    }
+    until("links", || {
+        a.has_peer(&b) && (c.has_peer(&a) || c.has_peer(&b))
+    })
+    .await;
+    platform.log_down().await;
+    a.node.withdraw(&withdrawal("secret"));
+    assert!(!a.admits("secret"));
+    for node in [&b, &c] {
+        until("the withdrawal", || !node.admits("secret")).await;
+    }
+    drop(a);
+    let late = platform.join("late", "y").await;
+    until("the withdrawal at a late peer", || {
+        late.node
+            .with_view(|view| view.keys.is_withdrawn(&withdrawal("secret").digest))
+    })
+    .await;
+    platform.heal().await;
+    let outside = platform.follow("outside");
+    until("the withdrawal in the log", || {
+        outside
+            .node
+            .with_view(|view| view.keys.is_withdrawn(&withdrawal("secret").digest))
+    })
+    .await;
+}
+
+/// A request that crashes engines is sent again to another entry while the log
+/// is down; that entry must have heard of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_note_reaches_peers_without_the_log() {
+    let platform = TestPlatform::start(10_000).await;
+    let a = platform.join("a", "x").await;
+    let b = platform.join("b", "y").await;
+    until("a link", || a.has_peer(&b) && b.has_peer(&a)).await;
+    platform.log_down().await;
+    let mut notes = b.node.subscribe_notes();
+    let one = OrganisationId::new("one").expect("valid");
+    let record = LogRecord::Quarantine(QuarantineRecord {
+        fingerprint: RequestFingerprint::with_content(&one, b"poison"),
+        endpoint: EndpointId::new("engine-1").expect("valid"),
+        entry: a.node.settings().instance.clone(),
+    });
+    a.node.push_note(&record);
+    let told = tokio::time::timeout(PATIENCE.as_duration(), notes.recv()).await;
+    assert_eq!(told.expect("told in time").expect("told"), record);
+}
+
+/// Something between two instances loses track of their connection: it stays
+/// open at both ends and carries nothing any more, while new ones would work.
+/// Without a limit on silence, the two would never hear of each other again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_goes_silent_is_replaced_by_a_new_one() {
+    let platform = TestPlatform::start(10_000).await;
+    let path = support::SilentPath::start().await;
+    let mut settings = platform.settings("b", "y");
+    settings.peer_advertise = Some(path.address);
+    let a = platform.join("a", "x").await;
+    let b = platform.join_with(settings).await;
+    path.lead_to(b.peer_address);
+    until("a link", || a.has_peer(&b) && b.has_peer(&a)).await;
+    let before = a.node.link_number(b.name());
+    path.silence();
+    until("another link", || {
+        let now = a.node.link_number(b.name());
+        now.is_some() && now != before
+    })
+    .await;
+    a.node.set_local(status(InstanceState::Live));
+    until("news over the new link", || {
+        let peers = b.node.peers();
+        peers
+            .iter()
+            .any(|peer| peer.instance.as_str() == "a" && !peer.status.loads.is_empty())
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/node/tests/restore.rs
@@ -0,0 +1,178 @@
+//! Starting with and without the log, and where the log has forgotten.
+
+mod support;
+
+use bluebell_core::{
+    checkpoint::{CheckpointWriter, PART_SIZE},
+    ids::LogOffset,
+    records::LogRecord,
+};
+use bluebell_node::AppendError;
+use standin_platform::faults::{EffectCall, LossKind, LostAnswers, PlatformFaults};
+use support::{PATIENCE, TestNode, TestPlatform, key, organisation, until, withdrawal};
+
+/// Makes the log forget everything up to now.
+async fn fill(node: &TestNode, records: usize) {
+    for _ in 0..records {
+        let record = LogRecord::Withdraw(withdrawal("some other key"));
+        node.node.append(record).await.expect("appended");
+    }
+}
+
+async fn checkpoint(node: &TestNode) {
+    let writer = node.node.with_view(|view| {
+        CheckpointWriter::new(LogOffset::START, view, PART_SIZE).expect("not empty")
+    });
+    let mut writer = writer;
+    while let Some(part) = writer.next_part() {
+        let record = LogRecord::Checkpoint(part);
+        node.node.append(record).await.expect("appended");
+    }
+}
+
+/// Everything is restarted at once after the log has forgotten the publishes: the
+/// configuration must come back as it was last accepted, and an operator whose
+/// files are older must not be able to undo it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restart_of_all_instances_after_retention_reverts_nothing() {
+    let platform = TestPlatform::start(30).await;
+    let before = platform.join("before", "x").await;
+    let first = before.publish(organisation("one", None, 1)).await;
+    let second = before.publish(organisation("one", Some(first), 2)).await;
+    before.publish(key("k", "secret")).await;
+    before.node.withdraw(&withdrawal("secret"));
+    fill(&before, 25).await;
+    checkpoint(&before).await;
+    fill(&before, 20).await;
+    drop(before);
+    let after = platform.join("after", "x").await;
+    assert!(after.node.wait_caught_up(PATIENCE).await);
+    assert_eq!(after.weight("one"), Some(2));
+    assert!(!after.admits("secret"));
+    let record = LogRecord::Publish(bluebell_core::records::PublishRecord {
+        publisher: "late".to_string(),
+        changes: vec![organisation("one", Some(first), 1)],
+    });
+    let offset = after.node.append(record).await.expect("appended");
+    assert!(after.node.wait_applied(offset, PATIENCE).await);
+    assert_eq!(after.weight("one"), Some(2));
+    after.publish(organisation("one", Some(second), 3)).await;
+    assert_eq!(after.weight("one"), Some(3));
+}
+
+/// The log has forgotten and holds no checkpoint. Reading on from the oldest entry
+/// would give a process without services, keys and claims that believes itself
+/// up to date; it stays not ready and says why.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gap_that_nothing_closes_is_told_and_not_skipped() {
+    let platform = TestPlatform::start(10).await;
+    let before = platform.follow("before");
+    before.publish(organisation("one", None, 1)).await;
+    fill(&before, 20).await;
+    let after = platform.join("after", "x").await;
+    until("the obstacle", || {
+        let obstacle = after.node.obstacle();
+        obstacle.is_some_and(|obstacle| obstacle.contains("neither a complete checkpoint"))
+    })
+    .await;
+    assert!(!after.node.progress().caught_up);
+    assert_eq!(after.node.progress().next, LogOffset::START);
+}
+
+/// As before, but another instance still runs. It has itself started from a
+/// checkpoint, so it can't relay what came before; a new one takes its state over.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gap_is_closed_by_the_state_of_a_peer() {
+    let platform = TestPlatform::start(30).await;
+    let oldest = platform.follow("oldest");
+    oldest.publish(organisation("one", None, 7)).await;
+    fill(&oldest, 25).await;
+    checkpoint(&oldest).await;
+    fill(&oldest, 10).await;
+    let before = platform.join("before", "x").await;
+    assert!(before.node.wait_caught_up(PATIENCE).await);
+    fill(&oldest, 30).await;
+    drop(oldest);
+    let after = platform.join("after", "x").await;
+    assert!(after.node.wait_caught_up(PATIENCE).await);
+    assert_eq!(after.weight("one"), Some(7));
+}
+
+/// An instance is replaced while the log is down. With peers that have read it
+/// the new one serves; with none it would not know what is withdrawn or claimed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_instance_starts_from_peers_while_the_log_is_down() {
+    let platform = TestPlatform::start(10_000).await;
+    let before = platform.join("before", "x").await;
+    before.publish(organisation("one", None, 7)).await;
+    assert!(before.node.wait_caught_up(PATIENCE).await);
+    platform.log_down().await;
+    let after = platform.join("after", "y").await;
+    assert!(after.node.wait_caught_up(PATIENCE).await);
+    assert_eq!(after.weight("one"), Some(7));
+    assert_eq!(after.node.progress().next, before.node.progress().next);
+}
+
+/// Every instance was lost while the log is down: nobody may serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_log_and_without_a_peer_that_is_ready_nobody_is_ready() {
+    let platform = TestPlatform::start(10_000).await;
+    platform.log_down().await;
+    let a = platform.join("a", "x").await;
+    let b = platform.join("b", "x").await;
+    until("a link", || a.has_peer(&b) && b.has_peer(&a)).await;
+    for node in [&a, &b] {
+        until("the obstacle", || {
+            let obstacle = node.node.obstacle();
+            obstacle.is_some_and(|obstacle| obstacle.contains("no peer that is ready"))
+        })
+        .await;
+        let gathered = node.node.clock().now() + bluebell_core::clock::TimeSpan::from_secs(3);
+        until("time to gather peers", || {
+            node.node.clock().now() > gathered
+        })
+        .await;
+        assert!(!node.node.progress().caught_up);
+    }
+    platform.heal().await;
+    assert!(a.node.wait_caught_up(PATIENCE).await);
+}
+
+/// The answer to an append is lost and the record is sent again. Whoever goes by
+/// the second copy's offset believes in a fencing number that no reader knows.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_append_that_stands_twice_is_known_by_its_first_copy() {
+    let platform = TestPlatform::start(10_000).await;
+    let node = platform.follow("a");
+    node.publish(organisation("one", None, 1)).await;
+    platform
+        .set(PlatformFaults {
+            lost_answers: vec![LostAnswers {
+                call: EffectCall::Append,
+                loss: LossKind::Broken,
+                every: 1,
+                count: Some(1),
+            }],
+            ..PlatformFaults::default()
+        })
+        .await;
+    let offset = node.publish(organisation("two", None, 2)).await;
+    let version = node.node.with_view(|view| {
+        let unit = organisation("two", None, 2).unit;
+        view.configuration.unit(&unit).map(|unit| unit.version)
+    });
+    assert_eq!(version, Some(offset));
+    assert_eq!(offset, LogOffset::new(1));
+    assert!(node.node.progress().next > offset.next());
+}
+
+/// The log refuses for longer than an append may take: it is told as not done.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_append_that_was_refused_throughout_is_told_as_not_done() {
+    let platform = TestPlatform::start(10_000).await;
+    let node = platform.follow("a");
+    platform.log_down().await;
+    let record = LogRecord::Withdraw(withdrawal("k"));
+    let error = node.node.append(record).await.expect_err("the log is down");
+    assert!(matches!(error, AppendError::NotAppended(_)), "{error}");
+}
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,259 @@
+//! A platform stand-in and nodes on loopback.
+
+#![allow(dead_code)]
+
+use std::{net::SocketAddr, time::Duration};
+
+use bluebell_core::{
+    clock::{ClockSource, TimeSpan},
+    config::{KeyUnit, OrganisationUnit, UnitBody, UnitKind, UnitName},
+    ids::{FailureDomain, InstanceId, KeyDigest, LogOffset, OrganisationId, RegionId},
+    membership::InstanceProgram,
+    records::{LogRecord, PublishRecord, UnitChange, WithdrawRecord},
+    units::ShareWeight,
+};
+use bluebell_node::{NodeHandle, NodeSettings};
+use standin_platform::{
+    PlatformSettings, RunningPlatform,
+    faults::{OutageKind, PlatformFaults},
+};
+use tokio_util::sync::CancellationToken;
+
+/// How long a test waits for an event before it fails. No verdict depends on
+/// how much of it passes.
+pub const PATIENCE: TimeSpan = TimeSpan::from_secs(60);
+
+pub struct TestPlatform {
+    pub running: RunningPlatform,
+    http: reqwest::Client,
+}
+
+impl TestPlatform {
+    pub async fn start(kept_records: usize) -> TestPlatform {
+        let settings = PlatformSettings {
+            kept_records,
+            appends_per_second: 100_000,
+            list_lag: TimeSpan::ZERO,
+            ..PlatformSettings::default()
+        };
+        let token = CancellationToken::new();
+        let running = standin_platform::start(settings, ClockSource::new(), token).await;
+        TestPlatform {
+            running: running.expect("the stand-in starts"),
+            http: reqwest::Client::new(),
+        }
+    }
+
+    pub async fn set(&self, faults: PlatformFaults) {
+        let url = format!("http://{}/control/faults", self.running.http_address);
+        let answer = self.http.post(url).json(&faults).send().await;
+        answer
+            .and_then(|answer| answer.error_for_status())
+            .expect("the stand-in takes faults");
+    }
+
+    pub async fn log_down(&self) {
+        self.set(PlatformFaults {
+            log_outage: Some(OutageKind::Refuse),
+            ..PlatformFaults::default()
+        })
+        .await;
+    }
+
+    pub async fn heal(&self) {
+        self.set(PlatformFaults::default()).await;
+    }
+
+    pub fn settings(&self, name: &str, domain: &str) -> NodeSettings {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        NodeSettings {
+            instance: InstanceId::new(name).expect("valid"),
+            failure_domain: FailureDomain::new(domain).expect("valid"),
+            region: RegionId::new("region").expect("valid"),
+            platform: self.running.http_address.to_string(),
+            http_address: any,
+            peer_address: any,
+            peer_advertise: None,
+            read_wait: TimeSpan::from_millis(200),
+            append_timeout: TimeSpan::from_secs(2),
+        }
+    }
+
+    pub fn follow(&self, name: &str) -> TestNode {
+        let token = CancellationToken::new();
+        let settings = self.settings(name, "outside");
+        let node = NodeHandle::start(settings, ClockSource::new(), &token);
+        TestNode {
+            node,
+            token,
+            peer_address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        }
+    }
+
+    pub async fn join(&self, name: &str, domain: &str) -> TestNode {
+        self.join_with(self.settings(name, domain)).await
+    }
+
+    pub async fn join_with(&self, settings: NodeSettings) -> TestNode {
+        let token = CancellationToken::new();
+        let node = NodeHandle::start(settings, ClockSource::new(), &token);
+        let http = SocketAddr::from(([127, 0, 0, 1], 1));
+        let joined = node.join(InstanceProgram::Entry, http, &token).await;
+        TestNode {
+            node,
+            token,
+            peer_address: joined.expect("the node joins"),
+        }
+    }
+}
+
+pub struct TestNode {
+    pub node: NodeHandle,
+    pub token: CancellationToken,
+    pub peer_address: SocketAddr,
+}
+
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        self.token.cancel();
+    }
+}
+
+impl TestNode {
+    pub async fn publish(&self, change: UnitChange) -> LogOffset {
+        let record = LogRecord::Publish(PublishRecord {
+            publisher: "test".to_string(),
+            changes: vec![change],
+        });
+        let offset = self.node.append(record).await.expect("appended");
+        assert!(self.node.wait_applied(offset, PATIENCE).await);
+        offset
+    }
+
+    pub fn name(&self) -> &InstanceId {
+        &self.node.settings().instance
+    }
+
+    pub fn weight(&self, name: &str) -> Option<u64> {
+        let name = OrganisationId::new(name).expect("valid");
+        self.node.with_view(|view| {
+            let unit = view.configuration.organisation(&name)?;
+            Some(unit.weight.count())
+        })
+    }
+
+    pub fn admits(&self, key: &str) -> bool {
+        let digest = KeyDigest::with_key(key);
+        self.node
+            .with_view(|view| view.keys.organisation(&digest).is_some())
+    }
+
+    pub fn has_peer(&self, other: &TestNode) -> bool {
+        let name = &other.node.settings().instance;
+        self.node.report().links.contains(name)
+    }
+}
+
+pub fn organisation(name: &str, base: Option<LogOffset>, weight: u64) -> UnitChange {
+    UnitChange {
+        unit: UnitName::new(UnitKind::Organisation, name).expect("valid"),
+        base,
+        body: Some(UnitBody::Organisation(OrganisationUnit {
+            weight: ShareWeight::new(weight),
+            services: Vec::new(),
+            max_in_flight: 4,
+        })),
+    }
+}
+
+pub fn key(name: &str, text: &str) -> UnitChange {
+    UnitChange {
+        unit: UnitName::new(UnitKind::Key, name).expect("valid"),
+        base: None,
+        body: Some(UnitBody::Key(KeyUnit {
+            organisation: OrganisationId::new("one").expect("valid"),
+            digest: KeyDigest::with_key(text),
+        })),
+    }
+}
+
+pub fn withdrawal(text: &str) -> WithdrawRecord {
+    WithdrawRecord {
+        digest: KeyDigest::with_key(text),
+        publisher: "test".to_string(),
+    }
+}
+
+/// Waits until `holds` does; fails after [`PATIENCE`].
+#[track_caller]
+pub fn until<Holds>(what: &str, holds: Holds) -> impl Future<Output = ()>
+where
+    Holds: Fn() -> bool,
+{
+    let place = std::panic::Location::caller();
+    let what = what.to_string();
+    async move {
+        let waiting = async {
+            while !holds() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let waited = tokio::time::timeout(PATIENCE.as_duration(), waiting).await;
+        assert!(waited.is_ok(), "{place}: not seen: {what}");
+    }
+}
+
+/// A path between two instances that can lose track of the connections it
+/// carries: they stay open and carry nothing, while new ones work.
+pub struct SilentPath {
+    pub address: SocketAddr,
+    target: std::sync::Arc<std::sync::Mutex<Option<SocketAddr>>>,
+    era: tokio::sync::watch::Sender<u64>,
+}
+
+impl SilentPath {
+    pub async fn start() -> SilentPath {
+        let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await;
+        let listener = listener.expect("a free port");
+        let path = SilentPath {
+            address: listener.local_addr().expect("bound"),
+            target: Default::default(),
+            era: tokio::sync::watch::Sender::new(0),
+        };
+        let (target, era) = (path.target.clone(), path.era.clone());
+        tokio::spawn(async move {
+            while let Ok((inner, _)) = listener.accept().await {
+                let target = *target.lock().expect("no holder panics");
+                let Some(target) = target else { continue };
+                let Ok(outer) = tokio::net::TcpStream::connect(target).await else {
+                    continue;
+                };
+                tokio::spawn(carry(inner, outer, era.subscribe()));
+            }
+        });
+        path
+    }
+
+    pub fn lead_to(&self, target: SocketAddr) {
+        *self.target.lock().expect("no holder panics") = Some(target);
+    }
+
+    pub fn silence(&self) {
+        self.era.send_modify(|era| *era += 1);
+    }
+}
+
+async fn carry(
+    mut inner: tokio::net::TcpStream,
+    mut outer: tokio::net::TcpStream,
+    mut era: tokio::sync::watch::Receiver<u64>,
+) {
+    let lost = tokio::select! {
+        _ = tokio::io::copy_bidirectional(&mut inner, &mut outer) => false,
+        _ = era.changed() => true,
+    };
+    if lost {
+        // Both ends stay open and hear nothing.
+        std::future::pending::<()>().await;
+    }
+}
