Write checkpoints of the log and end changes of lost engines

Cause: nobody wrote checkpoints, and a change of an engine that is gone before its intent would wait for it to be empty for good.

Ruled out: asking the node for what the log keeps; it does not know, and one short read a second by the duty's holder tells.

Change: the holder of the log duty appends the parts when the schedule says so, and stops between parts when it can't count on the duty. Settings in [checkpoint]. Changes without an intent end with their engine.

--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    checkpoints,
     context::DutyContext,
     directory::{self, EndpointDirectory},
     duties::DutyDesk,
@@ -132,6 +133,7 @@
         tokio::spawn(listings),
         tokio::spawn(engines::run(context.clone(), token.child_token())),
         tokio::spawn(fleet::run(context.clone(), token.child_token())),
+        tokio::spawn(checkpoints::run(context.clone(), token.child_token())),
         tokio::spawn(usage::run(context, token.child_token())),
     ]
 }
--- a/crates/controller/src/engines.rs
+++ b/crates/controller/src/engines.rs
@@ -60,6 +60,7 @@
     if context.directory.asked_at().is_none() {
         return;
     }
+    drop_lost(context, desk);
     take_over(context, duty, desk);
     if desk.changes.is_empty() {
         plan(context, duty, desk).await;
@@ -78,6 +79,19 @@
     marks::clear_orphans(context, duty, &planned).await;
 }
 
+/// Ends changes that have not come to an intent and whose engine no longer serves:
+/// it would never be seen empty.
+fn drop_lost(context: &DutyContext, desk: &mut EngineDesk) {
+    desk.changes.retain(|endpoint, change| {
+        let order = change.run().order();
+        let open = context
+            .node
+            .with_view(|view| view.orders.open(order).is_some());
+        let listing = context.directory.listing(endpoint);
+        open || listing.is_some_and(|listing| is_ready_engine(&listing))
+    });
+}
+
 /// Orders that a predecessor left open come before anything new.
 fn take_over(context: &DutyContext, duty: &DutyName, desk: &mut EngineDesk) {
     let open: Vec<(OrderId, OrderBody)> = context.node.with_view(|view| {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -4,6 +4,7 @@
 //! through leases in the log ([`duties`]); whoever holds a duty does its work
 //! and stops at once when it can't count on the lease any more.
 
+pub mod checkpoints;
 pub mod context;
 pub mod daemon;
 pub mod directory;
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -22,6 +22,9 @@
     /// Usage windows and their reports.
     #[serde(default)]
     pub usage: UsageSettings,
+    /// Checkpoints of the log.
+    #[serde(default)]
+    pub checkpoint: CheckpointSettings,
 }
 
 /// The `[lease]` table. All controllers of a fleet should have the same.
@@ -115,6 +118,26 @@
     }
 }
 
+/// The `[checkpoint]` table. Both limits must lie well below what the platform's
+/// log keeps; a checkpoint in the older half of that is renewed in any case.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CheckpointSettings {
+    /// After how many records a checkpoint is due.
+    pub every_records: u64,
+    /// After how long a checkpoint is due.
+    pub every: TimeSpan,
+}
+
+impl Default for CheckpointSettings {
+    fn default() -> CheckpointSettings {
+        CheckpointSettings {
+            every_records: 20_000,
+            every: TimeSpan::from_secs(600),
+        }
+    }
+}
+
 impl ControllerSettings {
     /// Settings of a controller that is `node` and has defaults otherwise.
     pub fn with_node(node: NodeSettings) -> ControllerSettings {
@@ -123,6 +146,7 @@
             lease: LeaseSettings::default(),
             orders: OrderSettings::default(),
             usage: UsageSettings::default(),
+            checkpoint: CheckpointSettings::default(),
         }
     }
 
--- a/crates/controller/tests/controller/duties.rs
+++ b/crates/controller/tests/controller/duties.rs
@@ -77,3 +77,18 @@
     second.stop().await;
     stage.stop().await;
 }
+
+/// The log keeps records for a limited time only. A process that starts later
+/// would know nothing of what was published before.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_holder_of_the_log_writes_checkpoints() {
+    let stage = Stage::start().await;
+    let first = stage.controller("c1").await;
+    stage
+        .until_view("a checkpoint stands in the log", |view| {
+            view.checkpoint.newest().is_some()
+        })
+        .await;
+    first.stop().await;
+    stage.stop().await;
+}
