Follow the plans of roles and fleet, by what arrives at entries

Cause: the duties held their leases and moved models, but no plan was asked.

Ruled out: a sum of demand that leaves an entry out. It looks like falling demand and takes capacity away from callers; there is no plan until every live entry has told what arrives.

Change: the controller asks entries at GET /demand, sums it up, and lets the role and fleet planners decide. Starts are planned only once none is under way and after a fresh look at the list; refused or reclaimed preemptible capacity is remembered.

Conclusion: the fleet's plan is carried out over the stand-ins; the roles' plan is not part of a test in this commit.

--- a/crates/controller/src/context.rs
+++ b/crates/controller/src/context.rs
@@ -15,10 +15,12 @@
 use bluebell_platform::api::EndpointKind;
 
 use crate::{
+    demand::DemandBoard,
     directory::EndpointDirectory,
     duties::DutyDesk,
     members::{InstanceList, OutstandingWork},
     metrics::ControllerMetrics,
+    role_plan::RoleMemory,
     settings::ControllerSettings,
 };
 
@@ -36,6 +38,10 @@
     pub list: InstanceList,
     /// The endpoints.
     pub directory: EndpointDirectory,
+    /// What arrives at entries.
+    pub demand: DemandBoard,
+    /// Since when engines have their roles.
+    pub roles: RoleMemory,
     /// Orders to engines.
     pub engines: EngineOrderClient,
     /// The decisions taken here.
--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -18,6 +18,7 @@
 use crate::{
     checkpoints,
     context::DutyContext,
+    demand::{self, DemandBoard},
     directory::{self, EndpointDirectory},
     duties::DutyDesk,
     engines,
@@ -25,6 +26,7 @@
     fleet,
     members::InstanceList,
     metrics::ControllerMetrics,
+    role_plan::RoleMemory,
     settings::ControllerSettings,
     usage,
 };
@@ -90,6 +92,8 @@
         desk: desk.clone(),
         list,
         directory: EndpointDirectory::new(),
+        demand: DemandBoard::new(),
+        roles: RoleMemory::new(),
         journal,
         metrics,
         settings,
@@ -131,6 +135,7 @@
     vec![
         tokio::spawn(context.desk.clone().run(token.child_token())),
         tokio::spawn(listings),
+        tokio::spawn(demand::run(context.clone(), token.child_token())),
         tokio::spawn(engines::run(context.clone(), token.child_token())),
         tokio::spawn(fleet::run(context.clone(), token.child_token())),
         tokio::spawn(checkpoints::run(context.clone(), token.child_token())),
--- a/crates/controller/src/engines.rs
+++ b/crates/controller/src/engines.rs
@@ -113,7 +113,7 @@
 /// One change at a time in a failure domain, so that its capacity never falls by
 /// more than one engine for a planned change.
 async fn plan(context: &DutyContext, duty: &DutyName, desk: &mut EngineDesk) {
-    let Some(body) = plans::next_engine_order(context, duty).await else {
+    let Some((body, reason)) = plans::next_engine_order(context, duty).await else {
         return;
     };
     let Some(endpoint) = endpoint_of(&body) else {
@@ -122,6 +122,8 @@
     desk.orders += 1;
     let order = OrderId::new(format!("order:{}:{}", desk.fence, desk.orders));
     let order = order.expect("numbers make a valid id");
+    let subjects = [order.to_string(), endpoint.to_string()];
+    context.decide(duty, &subjects, &format!("planned {body:?}"), &reason);
     let change = new_change(context, &endpoint, order, body);
     desk.changes.insert(endpoint, change);
 }
--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -5,18 +5,27 @@
 
 use bluebell_core::{
     authority::DutyGrant,
+    clock::ClockTime,
     ids::{EndpointId, LogOffset, OrderId},
     orders::{ChangeRun, OrderRun},
-    records::{DutyName, OrderBody},
+    records::{DutyName, OrderBody, OrderOutcome},
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{context::DutyContext, engines, marks, steps};
+use crate::{
+    context::DutyContext,
+    engines,
+    fleet_plan::{self, FleetMemory},
+    marks, steps,
+};
 
 /// The orders under way.
 #[derive(Debug, Default)]
 pub struct FleetDesk {
     fence: LogOffset,
+    orders: u64,
+    planned_at: Option<ClockTime>,
+    memory: FleetMemory,
     stops: BTreeMap<EndpointId, ChangeRun>,
     starts: BTreeMap<OrderId, OrderRun>,
 }
@@ -78,6 +87,7 @@
     }
     marks::mark_reclaimed(context, &grant.duty).await;
     take_over(context, desk);
+    plan(context, &grant.duty, desk).await;
     context.desk.set_busy(&grant.duty, !desk.is_idle());
     drive(context, &grant.duty, desk).await;
     context.desk.set_busy(&grant.duty, !desk.is_idle());
@@ -98,6 +108,47 @@
     }
 }
 
+/// Plans once no start is under way: one whose outcome is unknown may have brought
+/// an endpoint that the list does not show yet, and would be ordered again.
+async fn plan(context: &DutyContext, duty: &DutyName, desk: &mut FleetDesk) {
+    let now = context.now();
+    let every = context.settings.fleet.every;
+    let rested = desk.planned_at.is_none_or(|at| now >= at + every);
+    if !desk.starts.is_empty() || !rested {
+        return;
+    }
+    context.directory.refresh(&context.node).await;
+    if context
+        .directory
+        .asked_at()
+        .is_none_or(|asked_at| asked_at < now)
+    {
+        return;
+    }
+    desk.planned_at = Some(now);
+    let stopping = desk.stops.keys().cloned().collect();
+    for (body, reason) in fleet_plan::next_changes(context, &mut desk.memory, &stopping) {
+        desk.orders += 1;
+        let order = OrderId::new(format!("order:{}:{}", desk.fence, desk.orders));
+        let order = order.expect("numbers make a valid id");
+        let mut subjects = vec![order.to_string()];
+        subjects.extend(engines::endpoint_of(&body).map(|endpoint| endpoint.to_string()));
+        context.decide(duty, &subjects, &format!("planned {body:?}"), &reason);
+        desk.add(context, order, &body);
+    }
+}
+
+/// Remembers where the cheaper kind was refused.
+fn note_refusal(context: &DutyContext, desk: &mut FleetDesk, order: &OrderId, body: &OrderBody) {
+    let refused = context.node.with_view(|view| {
+        let settled = view.orders.settled(order);
+        settled.is_some_and(|settled| settled.outcome == OrderOutcome::Refused)
+    });
+    if let (true, Some(domain)) = (refused, fleet_plan::preemptible_domain(body)) {
+        desk.memory.note_lost(context.now(), domain);
+    }
+}
+
 async fn drive(context: &DutyContext, duty: &DutyName, desk: &mut FleetDesk) {
     let starts = desk.starts.iter_mut().map(|(order, run)| async {
         let ended = steps::drive_order(context, duty, run).await;
@@ -105,7 +156,9 @@
     });
     let ended = futures::future::join_all(starts).await;
     for order in ended.into_iter().flatten() {
-        desk.starts.remove(&order);
+        if let Some(run) = desk.starts.remove(&order) {
+            note_refusal(context, desk, &order, run.body());
+        }
     }
     let stops = desk.stops.iter_mut().map(|(endpoint, change)| async {
         let ended = steps::drive_change(context, duty, change).await;
--- a/crates/controller/src/plans.rs
+++ b/crates/controller/src/plans.rs
@@ -8,10 +8,14 @@
 use bluebell_daemon::logs::LogLine;
 use bluebell_platform::api::{EndpointListing, WeightFetch};
 
-use crate::{context::DutyContext, engines};
+use crate::{context::DutyContext, engines, role_plan};
 
-/// The next order to an engine of the duty's failure domain, if any is wanted.
-pub async fn next_engine_order(context: &DutyContext, duty: &DutyName) -> Option<OrderBody> {
+/// The next order to an engine of the duty's failure domain, if any is wanted,
+/// with its reason. Models come before roles.
+pub async fn next_engine_order(
+    context: &DutyContext,
+    duty: &DutyName,
+) -> Option<(OrderBody, String)> {
     let DutyName::Engines(domain) = duty else {
         return None;
     };
@@ -23,11 +27,12 @@
         if let Some(model) = model_to_load(context, listing)
             && fetch_weights(context, listing, &model).await
         {
+            let reason = format!("`{}` is served by `{model}`", listing.service);
             let endpoint = listing.endpoint.clone();
-            return Some(OrderBody::LoadModel { endpoint, model });
+            return Some((OrderBody::LoadModel { endpoint, model }, reason));
         }
     }
-    None
+    role_plan::next_role(context, domain).await
 }
 
 /// The model that the configuration wants where another is loaded.
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -2,7 +2,12 @@
 
 use std::path::Path;
 
-use bluebell_core::{authority::LeaseTiming, clock::TimeSpan};
+use bluebell_core::{
+    authority::LeaseTiming,
+    clock::TimeSpan,
+    fleet::FleetSettings,
+    roles::{EngineRates, RoleSettings},
+};
 use bluebell_daemon::settings::{SettingProblem, SettingsError};
 use bluebell_node::NodeSettings;
 use serde::{Deserialize, Serialize};
@@ -25,6 +30,12 @@
     /// Checkpoints of the log.
     #[serde(default)]
     pub checkpoint: CheckpointSettings,
+    /// The plan of engines' roles.
+    #[serde(default)]
+    pub roles: RolePlanSettings,
+    /// The plan of the fleet's size.
+    #[serde(default)]
+    pub fleet: FleetPlanSettings,
 }
 
 /// The `[lease]` table. All controllers of a fleet should have the same.
@@ -138,6 +149,50 @@
     }
 }
 
+/// The `[roles]` table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RolePlanSettings {
+    /// Whether roles follow demand at all.
+    pub enabled: bool,
+    /// When a change of role is worth it.
+    pub planner: RoleSettings,
+    /// What one engine does in a second.
+    pub rates: EngineRates,
+}
+
+impl Default for RolePlanSettings {
+    fn default() -> RolePlanSettings {
+        RolePlanSettings {
+            enabled: true,
+            planner: RoleSettings::default(),
+            rates: EngineRates::default(),
+        }
+    }
+}
+
+/// The `[fleet]` table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FleetPlanSettings {
+    /// Whether the fleet's size follows demand at all.
+    pub enabled: bool,
+    /// How often the plan is made.
+    pub every: TimeSpan,
+    /// How the fleet is sized.
+    pub planner: FleetSettings,
+}
+
+impl Default for FleetPlanSettings {
+    fn default() -> FleetPlanSettings {
+        FleetPlanSettings {
+            enabled: true,
+            every: TimeSpan::from_secs(2),
+            planner: FleetSettings::default(),
+        }
+    }
+}
+
 impl ControllerSettings {
     /// Settings of a controller that is `node` and has defaults otherwise.
     pub fn with_node(node: NodeSettings) -> ControllerSettings {
@@ -147,6 +202,8 @@
             orders: OrderSettings::default(),
             usage: UsageSettings::default(),
             checkpoint: CheckpointSettings::default(),
+            roles: RolePlanSettings::default(),
+            fleet: FleetPlanSettings::default(),
         }
     }
 
--- a/crates/controller/tests/controller/changes.rs
+++ b/crates/controller/tests/controller/changes.rs
@@ -6,7 +6,9 @@
     config::WorkPriority,
     ids::{EndpointId, ModelName, OrganisationId, RequestId, ServiceName},
     records::{CapacityKind, LogRecord, UsageDelta, UsageLine, UsageWindow},
-    units::TokenCount,
+    roles::{PoolDemand, TokenDemand},
+    routing::RoutePool,
+    units::{TokenCount, TokenRate},
 };
 use bluebell_endpoint::api::{EngineStatus, GenerateRequest, StreamItem};
 use bluebell_testkit::{control, wait};
@@ -14,6 +16,7 @@
 use standin_platform::{
     ReclaimRequest,
     faults::{EffectCall, LossKind, LostAnswers, PlatformFaults},
+    history::EndpointOrder,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -187,3 +190,60 @@
     second.stop().await;
     stage.stop().await;
 }
+
+/// More work arrives than the fleet can do, and the answer to the first start
+/// order is lost after it took effect. Ordered again under another id it would
+/// bring an endpoint that nobody needs and everybody pays for.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_whose_answer_was_lost_starts_one_endpoint() {
+    let mut stage = Stage::start().await;
+    let faults = PlatformFaults {
+        lost_answers: vec![LostAnswers {
+            call: EffectCall::Endpoint,
+            loss: LossKind::Withheld,
+            every: 1,
+            count: Some(1),
+        }],
+        ..PlatformFaults::default()
+    };
+    let switched = control::set_faults(&stage.address(), &faults).await;
+    switched.expect("the platform takes it");
+    stage.publish_model("small-chat", None).await;
+    let engine = engine().await;
+    let address = engine.http_address.to_string();
+    stage
+        .list_engine("engine-1", address.clone(), CapacityKind::Reserved)
+        .await;
+    stage.add_spare("engine-2", address.clone()).await;
+    stage.add_spare("engine-3", address.clone()).await;
+    let arriving = TokenDemand {
+        prefill: TokenRate::new(4_000),
+        decode: TokenRate::new(600),
+    };
+    let demand = PoolDemand {
+        pool: RoutePool::Model(ModelName::new("small-chat").expect("valid")),
+        short: arriving,
+        long: arriving,
+    };
+    let entry = stage.list_entry(vec![demand]).await;
+    let controller = stage.controller("c1").await;
+    let started = wait::until("an endpoint is started and settled", || async {
+        let settled = stage.view().await.orders.open_orders().count() == 0;
+        let orders = stage.history().await.orders;
+        (settled && orders.len() > 1).then_some(orders)
+    });
+    let orders = started.await.expect("it is");
+    let ids: Vec<String> = orders
+        .iter()
+        .map(|seen| match &seen.order {
+            EndpointOrder::Start(start) => start.order.to_string(),
+            EndpointOrder::Stop(stop) => stop.order.to_string(),
+        })
+        .collect();
+    assert_eq!(ids[0], ids[1], "the repeat has another id");
+    assert_eq!([orders[0].effect, orders[1].effect], [true, false]);
+    controller.stop().await;
+    entry.stop().await;
+    engine.stop().await;
+    stage.stop().await;
+}
--- a/crates/controller/tests/controller/stage.rs
+++ b/crates/controller/tests/controller/stage.rs
@@ -1,5 +1,7 @@
 //! A platform and controllers inside the test's own process.
 
+use std::net::SocketAddr;
+
 use bluebell_controller::{ControllerSettings, RunningController};
 use bluebell_core::{
     clock::{ClockSource, TimeSpan},
@@ -8,19 +10,28 @@
         EndpointId, FailureDomain, InstanceId, LogOffset, ModelName, RegionId, ServiceName,
         WriterId,
     },
+    membership::{InstanceListing, InstanceProgram, InstanceState},
     records::{CapacityKind, LogEntry, LogRecord, PublishRecord, UnitChange},
+    roles::PoolDemand,
     units::TokenCount,
     view::FleetView,
 };
+use bluebell_daemon::ops::{self, RunningServer};
 use bluebell_node::NodeSettings;
 use bluebell_platform::{
     PlatformClient,
     api::{AppendRequest, EndpointKind, EndpointListing, EndpointState},
 };
 use bluebell_testkit::{control, wait};
+use rocket::{State, serde::json::Json};
 use standin_platform::{PlatformSettings, RunningPlatform, history::PlatformHistory};
 use tokio_util::sync::CancellationToken;
 
+#[rocket::get("/demand")]
+fn demand_route(demand: &State<Vec<PoolDemand>>) -> Json<Vec<PoolDemand>> {
+    Json(demand.inner().clone())
+}
+
 /// A platform with a client that appends to its log.
 pub struct Stage {
     platform: RunningPlatform,
@@ -63,6 +74,8 @@
             .expect("the settings are valid"),
             usage: toml::from_str("window = \"1s\"\ngrace = \"200ms\"").expect("valid"),
             checkpoint: toml::from_str("every_records = 50").expect("valid"),
+            roles: Default::default(),
+            fleet: Default::default(),
         };
         assert_eq!(settings.problems(), []);
         let token = CancellationToken::new();
@@ -120,6 +133,17 @@
 
     /// Lists an endpoint of the service `assistant`.
     pub async fn list_engine(&self, name: &str, address: String, capacity: CapacityKind) {
+        self.post_engine("/control/endpoints", name, address, capacity)
+            .await;
+    }
+
+    /// Gives the platform a spare that it can start as the service `assistant`.
+    pub async fn add_spare(&self, name: &str, address: String) {
+        self.post_engine("/control/spares", name, address, CapacityKind::Reserved)
+            .await;
+    }
+
+    async fn post_engine(&self, path: &str, name: &str, address: String, capacity: CapacityKind) {
         let listing = EndpointListing {
             endpoint: EndpointId::new(name).expect("the name is valid"),
             failure_domain: domain(),
@@ -131,10 +155,31 @@
             state: EndpointState::Ready,
             checks_fencing: true,
         };
-        let posted = control::post(&self.address(), "/control/endpoints", &listing).await;
+        let posted = control::post(&self.address(), path, &listing).await;
         posted.expect("the platform takes it");
     }
 
+    /// Lists an entry that tells `demand` for good.
+    pub async fn list_entry(&self, demand: Vec<PoolDemand>) -> RunningServer {
+        let local = SocketAddr::from(([127, 0, 0, 1], 0));
+        let rocket = ops::server(local)
+            .mount("/", rocket::routes![demand_route])
+            .manage(demand);
+        let server = RunningServer::start(rocket, local).await;
+        let server = server.expect("the entry listens");
+        let listing = InstanceListing {
+            instance: instance("entry-1"),
+            failure_domain: domain(),
+            program: InstanceProgram::Entry,
+            state: InstanceState::Live,
+            http_address: server.address.to_string(),
+            peer_address: "127.0.0.1:1".to_string(),
+        };
+        let announced = self.client.announce(&listing).await;
+        announced.expect("the platform lists it");
+        server
+    }
+
     /// All that reached the platform.
     pub async fn history(&self) -> PlatformHistory {
         let history = control::history(&self.address()).await;
