--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     clock::{ClockSource, TimeSpan},
-    membership::InstanceProgram,
+    membership::{InstanceProgram, InstanceState, LocalStatus},
 };
 use bluebell_daemon::{
     journal::{self, DecisionJournal},
@@ -85,7 +85,7 @@
     let server = RunningServer::start(rocket, settings.node.http_address).await?;
     let http_address = server.address;
     let program = InstanceProgram::Controller;
-    let peer_address = node.join(program, http_address, &token).await?;
+    let peer_address = node.join(program, http_address, &node_token).await?;
     let context = DutyContext {
         engines: engine_client(&settings),
         node,
@@ -99,9 +99,14 @@
         settings,
     };
     let workers = spawn_workers(&context, &token);
+    let leaving_node = context.node.clone();
     let stopped = token.clone();
     let task = tokio::spawn(async move {
         stopped.cancelled().await;
+        leaving_node.set_local(LocalStatus {
+            state: InstanceState::Leaving,
+            ..leaving_node.local()
+        });
         // An order under way ends before its lease is released.
         futures::future::join_all(workers).await;
         let release = desk.release_all();
