--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     clock::{ClockSource, TimeSpan},
-    membership::InstanceProgram,
+    membership::{InstanceProgram, InstanceState, LocalStatus},
 };
 use bluebell_daemon::{
     journal::{self, DecisionJournal},
@@ -16,7 +16,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    checkpoints,
     context::DutyContext,
+    demand::{self, DemandBoard},
     directory::{self, EndpointDirectory},
     duties::DutyDesk,
     engines,
@@ -24,6 +26,7 @@
     fleet,
     members::InstanceList,
     metrics::ControllerMetrics,
+    role_plan::RoleMemory,
     settings::ControllerSettings,
     usage,
 };
@@ -82,21 +85,28 @@
     let server = RunningServer::start(rocket, settings.node.http_address).await?;
     let http_address = server.address;
     let program = InstanceProgram::Controller;
-    let peer_address = node.join(program, http_address, &token).await?;
+    let peer_address = node.join(program, http_address, &node_token).await?;
     let context = DutyContext {
         engines: engine_client(&settings),
         node,
         desk: desk.clone(),
         list,
         directory: EndpointDirectory::new(),
+        demand: DemandBoard::new(),
+        roles: RoleMemory::new(),
         journal,
         metrics,
         settings,
     };
     let workers = spawn_workers(&context, &token);
+    let leaving_node = context.node.clone();
     let stopped = token.clone();
     let task = tokio::spawn(async move {
         stopped.cancelled().await;
+        leaving_node.set_local(LocalStatus {
+            state: InstanceState::Leaving,
+            ..leaving_node.local()
+        });
         // An order under way ends before its lease is released.
         futures::future::join_all(workers).await;
         let release = desk.release_all();
@@ -130,8 +140,10 @@
     vec![
         tokio::spawn(context.desk.clone().run(token.child_token())),
         tokio::spawn(listings),
+        tokio::spawn(demand::run(context.clone(), token.child_token())),
         tokio::spawn(engines::run(context.clone(), token.child_token())),
         tokio::spawn(fleet::run(context.clone(), token.child_token())),
+        tokio::spawn(checkpoints::run(context.clone(), token.child_token())),
         tokio::spawn(usage::run(context, token.child_token())),
     ]
 }
--- a/crates/controller/src/engines.rs
+++ b/crates/controller/src/engines.rs
@@ -60,6 +60,7 @@
     if context.directory.asked_at().is_none() {
         return;
     }
+    drop_lost(context, desk);
     take_over(context, duty, desk);
     if desk.changes.is_empty() {
         plan(context, duty, desk).await;
@@ -78,6 +79,19 @@
     marks::clear_orphans(context, duty, &planned).await;
 }
 
+/// Ends changes that have not come to an intent and whose engine no longer serves:
+/// it would never be seen empty.
+fn drop_lost(context: &DutyContext, desk: &mut EngineDesk) {
+    desk.changes.retain(|endpoint, change| {
+        let order = change.run().order();
+        let open = context
+            .node
+            .with_view(|view| view.orders.open(order).is_some());
+        let listing = context.directory.listing(endpoint);
+        open || listing.is_some_and(|listing| is_ready_engine(&listing))
+    });
+}
+
 /// Orders that a predecessor left open come before anything new.
 fn take_over(context: &DutyContext, duty: &DutyName, desk: &mut EngineDesk) {
     let open: Vec<(OrderId, OrderBody)> = context.node.with_view(|view| {
@@ -99,7 +113,7 @@
 /// One change at a time in a failure domain, so that its capacity never falls by
 /// more than one engine for a planned change.
 async fn plan(context: &DutyContext, duty: &DutyName, desk: &mut EngineDesk) {
-    let Some(body) = plans::next_engine_order(context, duty).await else {
+    let Some((body, reason)) = plans::next_engine_order(context, duty).await else {
         return;
     };
     let Some(endpoint) = endpoint_of(&body) else {
@@ -108,6 +122,8 @@
     desk.orders += 1;
     let order = OrderId::new(format!("order:{}:{}", desk.fence, desk.orders));
     let order = order.expect("numbers make a valid id");
+    let subjects = [order.to_string(), endpoint.to_string()];
+    context.decide(duty, &subjects, &format!("planned {body:?}"), &reason);
     let change = new_change(context, &endpoint, order, body);
     desk.changes.insert(endpoint, change);
 }
