Meter what was delivered, and record it once

Cause: bills need figures of what callers got. Change: a token counts when Rocket asks for what comes after it, a plain answer when its body was read to the end. A record whose fate is unknown is given up and counted in a metric. Ruled out: counting tokens as engines send them (a cancelled caller would pay for what it never got); sending a record of unknown fate again under another number (both could count).

--- a/crates/entry/src/answer_body.rs
+++ b/crates/entry/src/answer_body.rs
@@ -25,6 +25,8 @@
 
 use crate::{
     context::EntryContext,
+    delivered::DeliveryTicket,
+    metering::UsageOwner,
     model_run::{AnswerEnd, AnswerEvent},
     refusal::{Refusal, RefusalCode},
 };
@@ -58,6 +60,7 @@
     queued: VecDeque<AnswerEvent>,
     text: String,
     tokens: u64,
+    delivery: DeliveryTicket,
     heartbeat: Interval,
     ended: bool,
     _gone: DropGuard,
@@ -76,6 +79,11 @@
     ) -> AnswerBody {
         let period = context.settings.requests.heartbeat.as_duration();
         let mut heartbeat = tokio::time::interval(period);
+        let owner = UsageOwner {
+            organisation: head.organisation.clone(),
+            service: head.service.clone(),
+        };
+        let delivery = DeliveryTicket::new(context.clone(), owner);
         heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         AnswerBody {
             context,
@@ -85,6 +93,7 @@
             queued: VecDeque::new(),
             text: String::new(),
             tokens: 0,
+            delivery,
             heartbeat,
             ended: false,
             _gone: gone.drop_guard(),
@@ -122,6 +131,7 @@
     }
 
     async fn next_chunk(&mut self) -> Option<String> {
+        self.delivery.taken();
         if self.ended {
             return None;
         }
@@ -171,13 +181,21 @@
             }
             (AnswerEvent::Token(text), AnswerFormat::Sse) => {
                 self.tokens += 1;
+                self.delivery.hand_over(0, 1);
                 Some(self.sse_chunk(&json!({"content": text}), None, None))
             }
             (AnswerEvent::End(end), format) => {
                 self.ended = true;
+                let prompt_tokens = end.prompt_tokens.count();
                 Some(match format {
-                    AnswerFormat::Sse => self.sse_end(end),
-                    AnswerFormat::Whole => self.whole(end),
+                    AnswerFormat::Sse => {
+                        self.delivery.hand_over(prompt_tokens, 0);
+                        self.sse_end(end)
+                    }
+                    AnswerFormat::Whole => {
+                        self.delivery.hand_over(prompt_tokens, self.tokens);
+                        self.whole(end)
+                    }
                 })
             }
             (AnswerEvent::Failed(refusal), format) => {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -18,6 +18,7 @@
     caller::{CallerHead, CallerWish},
     claims::ClaimBatcher,
     directory::{ChosenEndpoint, EndpointDirectory, EndpointNeed},
+    metering::UsageMeter,
     metrics::EntryMetrics,
     refusal::{Refusal, RefusalCode},
     running::{RunningKeys, RunningTicket},
@@ -36,6 +37,8 @@
     pub directory: EndpointDirectory,
     /// The way to claims in the log.
     pub claims: ClaimBatcher,
+    /// What was delivered and is not recorded yet.
+    pub meter: UsageMeter,
     /// What it counts.
     pub metrics: EntryMetrics,
     /// Requests in progress by key.
--- /dev/null
+++ b/crates/entry/src/delivered.rs
@@ -0,0 +1,104 @@
+//! Counting what Rocket took off a body.
+
+use std::{
+    io::{Cursor, SeekFrom},
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+};
+
+use bytes::Bytes;
+use tokio::io::{AsyncRead, AsyncSeek, ReadBuf};
+
+use crate::{
+    context::EntryContext,
+    metering::{UsageCount, UsageOwner},
+};
+
+/// What was handed to Rocket and is counted once Rocket asks for more.
+#[derive(Debug)]
+pub struct DeliveryTicket {
+    context: Arc<EntryContext>,
+    owner: UsageOwner,
+    pending: UsageCount,
+    counted_request: bool,
+}
+
+impl DeliveryTicket {
+    /// Nothing handed over yet.
+    pub fn new(context: Arc<EntryContext>, owner: UsageOwner) -> DeliveryTicket {
+        DeliveryTicket {
+            context,
+            owner,
+            pending: UsageCount::default(),
+            counted_request: false,
+        }
+    }
+
+    /// Notes that this many tokens are being handed over.
+    pub fn hand_over(&mut self, prompt_tokens: u64, output_tokens: u64) {
+        let first = !std::mem::replace(&mut self.counted_request, true);
+        self.pending.requests += u64::from(first);
+        self.pending.prompt_tokens += prompt_tokens;
+        self.pending.output_tokens += output_tokens;
+    }
+
+    /// Counts what was handed over before.
+    pub fn taken(&mut self) {
+        let count = std::mem::take(&mut self.pending);
+        self.context
+            .meter
+            .add(self.context.now(), &self.owner, count);
+    }
+}
+
+/// A whole body that is counted when it was read to its end.
+#[derive(Debug)]
+pub struct MeteredBody {
+    bytes: Cursor<Bytes>,
+    ticket: DeliveryTicket,
+}
+
+impl MeteredBody {
+    /// The body `bytes` of one answer.
+    pub fn new(bytes: Bytes, mut ticket: DeliveryTicket) -> MeteredBody {
+        ticket.hand_over(0, 0);
+        if bytes.is_empty() {
+            // Rocket does not read empty bodies.
+            ticket.taken();
+        }
+        MeteredBody {
+            bytes: Cursor::new(bytes),
+            ticket,
+        }
+    }
+}
+
+impl AsyncRead for MeteredBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.bytes).poll_read(context, buffer))?;
+        let at_end = buffer.filled().len() == before && buffer.remaining() > 0;
+        if at_end {
+            self.ticket.taken();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncSeek for MeteredBody {
+    fn start_seek(mut self: Pin<&mut Self>, position: SeekFrom) -> std::io::Result<()> {
+        Pin::new(&mut self.bytes).start_seek(position)
+    }
+
+    fn poll_complete(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<u64>> {
+        Pin::new(&mut self.bytes).poll_complete(context)
+    }
+}
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -14,7 +14,9 @@
     body,
     caller::CallerHead,
     context::EntryContext,
+    delivered::{DeliveryTicket, MeteredBody},
     directory::EndpointNeed,
+    metering::UsageOwner,
     plain_run::{CallAnswer, PlainRun, PlainWork},
     refusal::{Refusal, RefusalCode},
 };
@@ -40,7 +42,7 @@
         };
         let head = CallerHead::of(request);
         match call(context, &head, request, data).await {
-            Ok(answer) => Outcome::Success(respond(answer)),
+            Ok(metered) => Outcome::Success(respond(metered)),
             Err(refusal) => {
                 context.refused(&refusal);
                 Outcome::from(request, refusal)
@@ -49,7 +51,14 @@
     }
 }
 
-fn respond(call: CallAnswer) -> Response<'static> {
+/// An answer with what counts it.
+struct MeteredAnswer {
+    call: CallAnswer,
+    ticket: DeliveryTicket,
+}
+
+fn respond(metered: MeteredAnswer) -> Response<'static> {
+    let MeteredAnswer { call, ticket } = metered;
     let answer = call.answer;
     let mut response = Response::new();
     response.set_status(Status::new(answer.status));
@@ -59,7 +68,12 @@
     if call.replayed {
         response.set_header(Header::new("Idempotent-Replayed", "true"));
     }
-    response.set_sized_body(answer.body.len(), Cursor::new(answer.body));
+    let length = answer.body.len();
+    match call.replayed {
+        // The first answer was counted when it was delivered.
+        true => response.set_sized_body(length, Cursor::new(answer.body)),
+        false => response.set_sized_body(length, MeteredBody::new(answer.body, ticket)),
+    }
     response
 }
 
@@ -105,7 +119,7 @@
     head: &CallerHead,
     request: &Request<'_>,
     data: Data<'_>,
-) -> Result<CallAnswer, Refusal> {
+) -> Result<MeteredAnswer, Refusal> {
     let _work = context.work.token();
     let caller = context.admit(head)?;
     let target = CallTarget::of(head, request)?;
@@ -145,6 +159,12 @@
             body,
         },
     };
+    let owner = UsageOwner {
+        organisation: caller.organisation,
+        service: work.need.service.clone(),
+    };
+    let ticket = DeliveryTicket::new(context.clone(), owner);
     let run = PlainRun::new(context.clone(), work, head.attempts(kind));
-    run.answer(caller.ticket, in_flight).await
+    let call = run.answer(caller.ticket, in_flight).await?;
+    Ok(MeteredAnswer { call, ticket })
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -30,6 +30,7 @@
     claims::ClaimBatcher,
     context::EntryContext,
     directory::EndpointDirectory,
+    metering::UsageMeter,
     metrics::EntryMetrics,
     plain,
     refusal::{Refusal, RefusalCode},
@@ -77,8 +78,11 @@
     let registry = Registry::new();
     let metrics = EntryMetrics::new(&registry).context("failed to register metrics")?;
     let (claims, claim_queues) = ClaimBatcher::new();
+    let in_doubt = metrics.usage_in_doubt.clone();
+    let meter = UsageMeter::new(settings.metering.window, in_doubt);
     let context = Arc::new(EntryContext {
         claims,
+        meter,
         directory: EndpointDirectory::new(),
         node,
         journal: DecisionJournal::new(),
@@ -116,7 +120,9 @@
     tokio::spawn(directory.follow(node.clone(), interval, token.clone()));
     let directory = context.directory.clone();
     tokio::spawn(directory.watch_engines(interval, token.clone()));
-    tokio::spawn(context.keys.clone().follow(node, token.clone()));
+    tokio::spawn(context.keys.clone().follow(node.clone(), token.clone()));
+    let interval = context.settings.metering.flush_interval;
+    tokio::spawn(context.meter.clone().run(node, interval, token.clone()));
 }
 
 fn build(context: &Arc<EntryContext>, registry: Registry, address: SocketAddr) -> Rocket<Build> {
@@ -204,6 +210,7 @@
             .warn();
     }
     context.claims.flush(FLUSH_LIMIT).await;
+    context.meter.flush_all(&context.node, FLUSH_LIMIT).await;
     server.stop().await;
     inner.cancel();
     LogLine::new("stopped").info();
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -139,6 +139,16 @@
         .await;
     }
 
+    /// Waits until the entry's metrics have this line.
+    pub async fn wait_metric(&self, line: &str) {
+        let url = self.url("/metrics");
+        eventually(async || {
+            let text = self.http.get(&url).send().await.unwrap().text().await;
+            text.unwrap().lines().any(|shown| shown == line)
+        })
+        .await;
+    }
+
     pub fn chat(&self, stream: bool, text: &str) -> reqwest::RequestBuilder {
         chat_to(&self.http, &self.entry, stream, text)
     }
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -27,6 +27,7 @@
     lose_answers: bool,
     hold_appends: bool,
     held: u64,
+    refused: u64,
 }
 
 type Shared = Arc<Mutex<Inner>>;
@@ -86,6 +87,11 @@
         self.inner.lock().unwrap().hold_appends = hold;
     }
 
+    /// How many appends were refused.
+    pub fn refused(&self) -> u64 {
+        self.inner.lock().unwrap().refused
+    }
+
     /// How many appends had to wait.
     pub fn held(&self) -> u64 {
         self.inner.lock().unwrap().held
@@ -125,6 +131,7 @@
     }
     let mut inner = shared.lock().unwrap();
     if inner.appends_down {
+        inner.refused += 1;
         return Err(Status::ServiceUnavailable);
     }
     let offset = push(&mut inner, request.into_inner());
