Decide which requests crash their endpoints; checkpoint claims

Cause: a request that crashes each engine that runs it is sent again by its caller; and claims were not part of a checkpoint, so an entry that started from one could have run a claimed charge again. Claims and crashes are written to and read from checkpoints. Ruled out: condemning by two crashes alone (bystanders that go on elsewhere together are condemned together); trying suspects one at a time over all entries through the log (a killed entry would block the rest).

--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -200,6 +200,9 @@
     Quarantine {
         /// One of its crashes.
         quarantine: QuarantineRecord,
+        /// Where the last record of it stands.
+        #[serde(default)]
+        offset: LogOffset,
     },
 }
 
@@ -566,6 +569,13 @@
     pub fingerprint: RequestFingerprint,
     /// The endpoint that was lost while it ran there.
     pub endpoint: EndpointId,
+    /// Which of the endpoint's starts was lost, as far as known: an endpoint can
+    /// be lost more than once.
+    #[serde(default)]
+    pub incarnation: u64,
     /// The entry that saw it.
     pub entry: InstanceId,
+    /// Whether the request ran to its end there instead: it is no suspect any more.
+    #[serde(default)]
+    pub cleared: bool,
 }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -126,6 +126,8 @@
         items.extend(self.orders.checkpoint());
         items.extend(self.marks.checkpoint());
         items.extend(self.usage.checkpoint());
+        items.extend(self.claims.checkpoint());
+        items.extend(self.quarantine.checkpoint());
         items
     }
 
@@ -145,6 +147,8 @@
             view.orders.restore(now, item);
             view.marks.restore(now, item);
             view.usage.restore(now, item);
+            view.claims.restore(now, item);
+            view.quarantine.restore(now, item);
         }
         view
     }
