Name all fields of a quarantine record in the peers' test

Cause: two slices met; the record had gained an incarnation and a clearing. Ruled out: defaults in the type, which would hide the next such case. Change: the test names both fields. Nothing it checks has changed. Conclusion: the merged slices build.

--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -173,7 +173,9 @@
     let record = LogRecord::Quarantine(QuarantineRecord {
         fingerprint: RequestFingerprint::with_content(&one, b"poison"),
         endpoint: EndpointId::new("engine-1").expect("valid"),
+        incarnation: 1,
         entry: a.node.settings().instance.clone(),
+        cleared: false,
     });
     a.node.push_note(&record);
     let told = tokio::time::timeout(PATIENCE.as_duration(), notes.recv()).await;
