--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -2,7 +2,12 @@
 
 use std::path::Path;
 
-use bluebell_core::{authority::LeaseTiming, clock::TimeSpan};
+use bluebell_core::{
+    authority::LeaseTiming,
+    clock::TimeSpan,
+    fleet::FleetSettings,
+    roles::{EngineRates, RoleSettings},
+};
 use bluebell_daemon::settings::{SettingProblem, SettingsError};
 use bluebell_node::NodeSettings;
 use serde::{Deserialize, Serialize};
@@ -22,6 +27,15 @@
     /// Usage windows and their reports.
     #[serde(default)]
     pub usage: UsageSettings,
+    /// Checkpoints of the log.
+    #[serde(default)]
+    pub checkpoint: CheckpointSettings,
+    /// The plan of engines' roles.
+    #[serde(default)]
+    pub roles: RolePlanSettings,
+    /// The plan of the fleet's size.
+    #[serde(default)]
+    pub fleet: FleetPlanSettings,
 }
 
 /// The `[lease]` table. All controllers of a fleet should have the same.
@@ -115,6 +129,70 @@
     }
 }
 
+/// The `[checkpoint]` table. Both limits must lie well below what the platform's
+/// log keeps; a checkpoint in the older half of that is renewed in any case.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CheckpointSettings {
+    /// After how many records a checkpoint is due.
+    pub every_records: u64,
+    /// After how long a checkpoint is due.
+    pub every: TimeSpan,
+}
+
+impl Default for CheckpointSettings {
+    fn default() -> CheckpointSettings {
+        CheckpointSettings {
+            every_records: 20_000,
+            every: TimeSpan::from_secs(600),
+        }
+    }
+}
+
+/// The `[roles]` table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RolePlanSettings {
+    /// Whether roles follow demand at all.
+    pub enabled: bool,
+    /// When a change of role is worth it.
+    pub planner: RoleSettings,
+    /// What one engine does in a second.
+    pub rates: EngineRates,
+}
+
+impl Default for RolePlanSettings {
+    fn default() -> RolePlanSettings {
+        RolePlanSettings {
+            enabled: true,
+            planner: RoleSettings::default(),
+            rates: EngineRates::default(),
+        }
+    }
+}
+
+/// The `[fleet]` table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FleetPlanSettings {
+    /// Whether the fleet's size follows demand at all.
+    pub enabled: bool,
+    /// How often the plan is made.
+    pub every: TimeSpan,
+    /// How the fleet is sized.
+    pub planner: FleetSettings,
+}
+
+impl Default for FleetPlanSettings {
+    fn default() -> FleetPlanSettings {
+        FleetPlanSettings {
+            enabled: true,
+            every: TimeSpan::from_secs(2),
+            planner: FleetSettings::default(),
+        }
+    }
+}
+
 impl ControllerSettings {
     /// Settings of a controller that is `node` and has defaults otherwise.
     pub fn with_node(node: NodeSettings) -> ControllerSettings {
@@ -123,6 +201,9 @@
             lease: LeaseSettings::default(),
             orders: OrderSettings::default(),
             usage: UsageSettings::default(),
+            checkpoint: CheckpointSettings::default(),
+            roles: RolePlanSettings::default(),
+            fleet: FleetPlanSettings::default(),
         }
     }
 
--- a/crates/controller/tests/controller/changes.rs
+++ b/crates/controller/tests/controller/changes.rs
@@ -1,12 +1,16 @@
 //! Orders to engines, reclaimed endpoints and usage reports, over stand-ins.
 
 use crate::stage::{Stage, domain, instance};
+use std::collections::BTreeMap;
+
 use bluebell_core::{
     clock::{ClockSource, TimeSpan},
     config::WorkPriority,
-    ids::{EndpointId, ModelName, OrganisationId, RequestId, ServiceName},
-    records::{CapacityKind, LogRecord, UsageDelta, UsageLine, UsageWindow},
-    units::TokenCount,
+    ids::{EndpointId, ModelName, OrderId, OrganisationId, RequestId, ServiceName},
+    records::{CapacityKind, EngineRole, LogRecord, UsageDelta, UsageLine, UsageWindow},
+    roles::{PoolDemand, TokenDemand},
+    routing::RoutePool,
+    units::{TokenCount, TokenRate},
 };
 use bluebell_endpoint::api::{EngineStatus, GenerateRequest, StreamItem};
 use bluebell_testkit::{control, wait};
@@ -14,12 +18,14 @@
 use standin_platform::{
     ReclaimRequest,
     faults::{EffectCall, LossKind, LostAnswers, PlatformFaults},
+    history::EndpointOrder,
 };
 use tokio_util::sync::CancellationToken;
 
 async fn engine() -> RunningEngine {
     let settings = EngineSettings {
         model_load: TimeSpan::from_millis(200),
+        role_change: TimeSpan::from_millis(200),
         ..EngineSettings::default()
     };
     let engine = standin_engine::start(settings, ClockSource::new(), CancellationToken::new());
@@ -40,6 +46,14 @@
     }
 }
 
+fn demand(arriving: TokenDemand) -> PoolDemand {
+    PoolDemand {
+        pool: RoutePool::Model(ModelName::new("small-chat").expect("the name is valid")),
+        short: arriving,
+        long: arriving,
+    }
+}
+
 /// An operator publishes a new model version while a caller's answer is being
 /// written. The engine must load it, and the caller must get the whole answer.
 #[tokio::test(flavor = "multi_thread")]
@@ -187,3 +201,95 @@
     second.stop().await;
     stage.stop().await;
 }
+
+/// More work arrives than the fleet can do, and the answer to the first start
+/// order is lost after it took effect. Ordered again under another id it would
+/// bring an endpoint that nobody needs and everybody pays for.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_whose_answer_was_lost_starts_one_endpoint() {
+    let mut stage = Stage::start().await;
+    let faults = PlatformFaults {
+        lost_answers: vec![LostAnswers {
+            call: EffectCall::Endpoint,
+            loss: LossKind::Withheld,
+            every: 1,
+            count: Some(1),
+        }],
+        ..PlatformFaults::default()
+    };
+    let switched = control::set_faults(&stage.address(), &faults).await;
+    switched.expect("the platform takes it");
+    stage.publish_model("small-chat", None).await;
+    let engine = engine().await;
+    let address = engine.http_address.to_string();
+    stage
+        .list_engine("engine-1", address.clone(), CapacityKind::Reserved)
+        .await;
+    stage.add_spare("engine-2", address.clone()).await;
+    stage.add_spare("engine-3", address.clone()).await;
+    let arriving = TokenDemand {
+        prefill: TokenRate::new(4_000),
+        decode: TokenRate::new(600),
+    };
+    let entry = stage.list_entry(vec![demand(arriving)]).await;
+    let controller = stage.controller("c1").await;
+    let started = wait::until("a start is sent again and settled", || async {
+        let settled = stage.view().await.orders.open_orders().count() == 0;
+        let mut effects: BTreeMap<OrderId, Vec<bool>> = BTreeMap::new();
+        for seen in stage.history().await.orders {
+            let EndpointOrder::Start(start) = seen.order else {
+                continue;
+            };
+            effects.entry(start.order).or_default().push(seen.effect);
+        }
+        let repeated = effects.values().any(|sent| sent.len() > 1);
+        (settled && repeated).then_some(effects)
+    });
+    for (order, sent) in started.await.expect("it is") {
+        let taken = sent.iter().filter(|effect| **effect).count();
+        assert!(taken <= 1, "`{order}` took effect {sent:?}");
+        assert!(sent.len() == 1 || taken == 1, "`{order}` was lost");
+    }
+    controller.stop().await;
+    entry.stop().await;
+    engine.stop().await;
+    stage.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_role_changes_when_the_work_that_arrives_asks_for_it() {
+    let mut stage = Stage::start().await;
+    stage.publish_model("small-chat", None).await;
+    let mut engines = Vec::new();
+    for name in ["engine-1", "engine-2", "engine-3"] {
+        let engine = engine().await;
+        let address = engine.http_address.to_string();
+        stage
+            .list_engine(name, address, CapacityKind::Reserved)
+            .await;
+        engines.push(engine);
+    }
+    let arriving = TokenDemand {
+        prefill: TokenRate::new(12_000),
+        decode: TokenRate::new(300),
+    };
+    let entry = stage.list_entry(vec![demand(arriving)]).await;
+    let controller = stage.controller("c1").await;
+    let changed = wait::until("an engine only prefills", || async {
+        for engine in &engines {
+            let address = engine.http_address.to_string();
+            let status: EngineStatus = control::get(&address, "/state").await.ok()?;
+            if status.role == EngineRole::Prefill && !status.changing {
+                return Some(());
+            }
+        }
+        None
+    });
+    changed.await.expect("it does");
+    controller.stop().await;
+    entry.stop().await;
+    for engine in engines {
+        engine.stop().await;
+    }
+    stage.stop().await;
+}
