Test unlocks, outages, cut-off domains and paused controllers as processes

Cause: the promises on at-most-once actions, withdrawn keys during an outage, a cut-off failure domain and a holder that wakes past its lease need separate processes that are killed, paused and cut off.

--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -16,7 +16,15 @@
     api::{AppendRequest, EndpointKind, EndpointListing, EndpointState},
 };
 
-use crate::{control, process::ProgramProcess, settings::NodePlace, wait};
+use tokio::net::TcpListener;
+
+use crate::{
+    control,
+    link::{CutLink, LinkMode},
+    process::ProgramProcess,
+    settings::NodePlace,
+    wait,
+};
 
 /// The model service of a test fleet.
 pub const CHAT_SERVICE: &str = "assistant";
@@ -40,6 +48,8 @@
     pub engines: usize,
     /// Plain service replicas in each.
     pub services: usize,
+    /// Whether peers reach each other through links that can be cut.
+    pub peer_links: bool,
     /// More settings of the platform, in TOML.
     pub platform_settings: String,
     /// More settings of engines, in TOML.
@@ -59,6 +69,7 @@
             controllers: 0,
             engines: 1,
             services: 1,
+            peer_links: false,
             platform_settings: "list_lag = \"200ms\"".to_string(),
             engine_settings: "[costs]\nspeed = 10".to_string(),
             entry_settings: String::new(),
@@ -88,6 +99,8 @@
     pub failure_domain: FailureDomain,
     /// The process.
     pub process: ProgramProcess,
+    /// The link by which peers reach it, if there is one.
+    pub link: Option<CutLink>,
 }
 
 /// A running fleet; its processes are killed when it is dropped.
@@ -161,9 +174,10 @@
 
     /// Starts one more entry.
     pub async fn start_entry(&mut self, name: &str, domain: &FailureDomain) -> anyhow::Result<()> {
-        let settings = self.place(name, domain)?;
-        let settings = settings.settings(&self.shape.entry_settings);
-        let entry = member("bluebell-entry", name, domain, &settings).await?;
+        let (place, link) = self.place(name, domain).await?;
+        let settings = place.settings(&self.shape.entry_settings);
+        let mut entry = member("bluebell-entry", name, domain, &settings).await?;
+        entry.link = link;
         self.entries.push(entry);
         Ok(())
     }
@@ -174,20 +188,43 @@
         name: &str,
         domain: &FailureDomain,
     ) -> anyhow::Result<()> {
-        let settings = self.place(name, domain)?;
-        let settings = settings.settings(&self.shape.controller_settings);
-        let controller = member("bluebell-controller", name, domain, &settings).await?;
+        let (place, link) = self.place(name, domain).await?;
+        let settings = place.settings(&self.shape.controller_settings);
+        let mut controller = member("bluebell-controller", name, domain, &settings).await?;
+        controller.link = link;
         self.controllers.push(controller);
         Ok(())
     }
 
-    fn place(&self, name: &str, domain: &FailureDomain) -> anyhow::Result<NodePlace> {
-        Ok(NodePlace {
+    async fn place(
+        &self,
+        name: &str,
+        domain: &FailureDomain,
+    ) -> anyhow::Result<(NodePlace, Option<CutLink>)> {
+        let mut place = NodePlace {
             instance: InstanceId::new(name)?,
             failure_domain: domain.clone(),
             platform: self.platform.http().to_string(),
+            peer_address: "127.0.0.1:0".to_string(),
             peer_advertise: None,
-        })
+        };
+        if !self.shape.peer_links {
+            return Ok((place, None));
+        }
+        // The link must know the peer address before the process has one.
+        let free = TcpListener::bind("127.0.0.1:0").await?.local_addr()?;
+        let link = CutLink::start(free).await?;
+        place.peer_address = free.to_string();
+        place.peer_advertise = Some(link.address.to_string());
+        Ok((place, Some(link)))
+    }
+
+    /// Changes what all links between peers do.
+    pub fn set_peer_links(&self, mode: LinkMode) {
+        let members = self.entries.iter().chain(&self.controllers);
+        for link in members.filter_map(|member| member.link.as_ref()) {
+            link.set(mode);
+        }
     }
 
     async fn register(&self, member: &FleetMember, kind: EndpointKind) -> anyhow::Result<()> {
@@ -293,6 +330,14 @@
         self.append(&LogRecord::Withdraw(record)).await
     }
 
+    /// What our own processes logged, to be read when a test fails.
+    pub fn logs(&self) -> String {
+        let members = self.entries.iter().chain(&self.controllers);
+        members
+            .map(|member| format!("--- {}\n{}", member.name, member.process.log()))
+            .collect()
+    }
+
     /// Waits until every entry says that it is ready.
     pub async fn entries_ready(&self) -> anyhow::Result<()> {
         for entry in &self.entries {
@@ -318,6 +363,7 @@
         name: name.to_string(),
         failure_domain: domain.clone(),
         process: ProgramProcess::start(program, settings).await?,
+        link: None,
     })
 }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod link;
 pub mod process;
 pub mod settings;
+pub mod unlocks;
 pub mod wait;
--- a/crates/testkit/src/settings.rs
+++ b/crates/testkit/src/settings.rs
@@ -12,6 +12,8 @@
     pub failure_domain: FailureDomain,
     /// The platform, as `ip:port`.
     pub platform: String,
+    /// Where it takes peer connections, as `ip:port`.
+    pub peer_address: String,
     /// What it tells others as its peer address, if not its own.
     pub peer_advertise: Option<String>,
 }
@@ -28,7 +30,7 @@
         set("region", "loopback");
         set("platform", &self.platform);
         set("http_address", "127.0.0.1:0");
-        set("peer_address", "127.0.0.1:0");
+        set("peer_address", &self.peer_address);
         if let Some(address) = &self.peer_advertise {
             set("peer_advertise", address);
         }
