Stop endpoints for real when the platform takes them back

Cause: an endpoint that the platform stopped or reclaimed went on serving, so no test showed what its loss does to running work; and a crashing engine ended its streams while new connections still worked, so a probe called it healthy. Ruled out: the platform ending processes (a process starts and ends no other). Change: the platform tells engines and services to stop and start through `POST /control/power`; a stopped one answers 502 and has cut its work. A crash closes the port first and ends the streams then. A repeated reclaim no longer lengthens the notice.

--- a/crates/standin-engine/src/control.rs
+++ b/crates/standin-engine/src/control.rs
@@ -5,7 +5,10 @@
 use rocket::{Route, State, get, http::Status, post, routes, serde::json::Json};
 use serde::{Deserialize, Serialize};
 
-use crate::{faults::EngineFaults, history::EngineEvent, orders::OrderResult, state::SharedState};
+use crate::{
+    faults::EngineFaults, history::EngineEvent, orders::OrderResult, power::PoweredOn,
+    state::SharedState,
+};
 
 /// A crash at once.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +21,7 @@
 #[post("/orders", data = "<order>")]
 fn order(
     state: &State<SharedState>,
+    _power: PoweredOn,
     order: Json<EngineOrder>,
 ) -> Result<Json<OrderAnswer>, Status> {
     let order = order.into_inner();
@@ -51,7 +55,7 @@
 }
 
 #[get("/state")]
-fn status(state: &State<SharedState>) -> Json<EngineStatus> {
+fn status(state: &State<SharedState>, _power: PoweredOn) -> Json<EngineStatus> {
     let now = state.clock.now();
     let parts = state.lock();
     Json(EngineStatus {
@@ -66,7 +70,7 @@
 }
 
 #[get("/health")]
-fn health() -> Status {
+fn health(_power: PoweredOn) -> Status {
     Status::NoContent
 }
 
--- a/crates/standin-engine/src/generate.rs
+++ b/crates/standin-engine/src/generate.rs
@@ -20,6 +20,7 @@
     batch::BatchSequence,
     faults::StreamFault,
     history::EngineEvent,
+    power::PoweredOn,
     state::{EngineParts, EngineState, SharedState},
     stream::AnswerStream,
 };
@@ -179,6 +180,7 @@
 #[post("/generate", data = "<work>")]
 async fn generate(
     state: &State<SharedState>,
+    _power: PoweredOn,
     headers: CallHeaders,
     work: Json<GenerateRequest>,
 ) -> Result<ByteStream![Vec<u8>], WorkRefusal> {
@@ -197,7 +199,7 @@
 }
 
 #[post("/cancel", data = "<cancel>")]
-fn cancel(state: &State<SharedState>, cancel: Json<CancelRequest>) -> Status {
+fn cancel(state: &State<SharedState>, _power: PoweredOn, cancel: Json<CancelRequest>) -> Status {
     let cancel = cancel.into_inner();
     state.lock().batch.cancel(&cancel.request);
     Status::NoContent
--- a/crates/standin-engine/src/lib.rs
+++ b/crates/standin-engine/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod history;
 mod kv;
 pub mod orders;
+pub mod power;
 mod reports;
 mod scheduler;
 mod server;
--- a/crates/standin-engine/src/reports.rs
+++ b/crates/standin-engine/src/reports.rs
@@ -6,7 +6,10 @@
 use bluebell_endpoint::api::{CacheEvent, LoadReport};
 use rocket::{Route, State, get, routes, serde::json::Json};
 
-use crate::state::{EngineState, SharedState};
+use crate::{
+    power::PoweredOn,
+    state::{EngineState, SharedState},
+};
 
 /// How often the load is sampled.
 const SAMPLE_PAUSE: Duration = Duration::from_millis(100);
@@ -65,7 +68,7 @@
 }
 
 #[get("/load")]
-fn load(state: &State<SharedState>) -> Json<LoadReport> {
+fn load(state: &State<SharedState>, _power: PoweredOn) -> Json<LoadReport> {
     let now = state.clock.now();
     let report = state.lock().samples.report(now, state.settings.report_lag);
     Json(report.unwrap_or_else(|| current(state)))
--- a/crates/standin-engine/src/scheduler.rs
+++ b/crates/standin-engine/src/scheduler.rs
@@ -51,7 +51,7 @@
 
 fn begin(state: &EngineState) -> StepStart {
     let mut parts = state.lock();
-    if parts.faults.stalled {
+    if parts.faults.stalled || parts.crashing {
         return StepStart::Stalled;
     }
     let factor = parts.faults.slow_factor.unwrap_or(1);
--- a/crates/standin-engine/src/server.rs
+++ b/crates/standin-engine/src/server.rs
@@ -8,11 +8,11 @@
     ops::{ListenError, RunningServer, server},
 };
 use rocket::{Build, Rocket};
-use tokio::{sync::mpsc, task::JoinHandle};
+use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    control, generate, kv, reports, scheduler,
+    control, generate, kv, power, reports, scheduler,
     settings::EngineSettings,
     state::{DownTime, EngineState, SharedState},
 };
@@ -20,6 +20,12 @@
 /// The pause before the port is tried again after a crash.
 const LISTEN_PAUSE: Duration = Duration::from_millis(100);
 
+/// How often a crashing engine looks whether its port is closed.
+const REFUSAL_LOOKS: usize = 1_000;
+
+/// The pause between two of these looks.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(2);
+
 /// A running stand-in.
 #[derive(Debug)]
 pub struct RunningEngine {
@@ -70,10 +76,23 @@
         .mount("/", control::routes())
         .mount("/", reports::routes())
         .mount("/", kv::routes())
+        .mount("/", power::routes())
         .manage(state.clone());
     RunningServer::start(rocket, address).await
 }
 
+/// Waits until new connections to `address` are refused, as they are as soon as
+/// a real process has ended.
+async fn wait_refused(address: SocketAddr) {
+    for _ in 0..REFUSAL_LOOKS {
+        if TcpStream::connect(address).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(REFUSAL_PAUSE).await;
+    }
+    LogLine::new("engine_port_stays_open").warn();
+}
+
 /// Takes the server down at a crash and up again, until the engine stops.
 async fn supervise(
     state: SharedState,
@@ -86,13 +105,15 @@
             () = state.token.cancelled() => return server.stop().await,
             Some(down) = crashed.recv() => down,
         };
-        server.stop().await;
+        let stopping = tokio::spawn(server.stop());
+        wait_refused(address).await;
+        state.lose_memory();
+        let _ = stopping.await;
         match down {
             None => return state.token.cancelled().await,
             Some(down) => tokio::time::sleep(down.as_duration()).await,
         }
-        // Crashes that came in while it was down are the same one.
-        while crashed.try_recv().is_ok() {}
+        state.lock().crashing = false;
         server = loop {
             match listen(&state, address).await {
                 Ok(server) => break server,
--- a/crates/standin-engine/src/state.rs
+++ b/crates/standin-engine/src/state.rs
@@ -37,6 +37,8 @@
     pub(crate) faults: EngineFaults,
     pub(crate) history: EventHistory,
     pub(crate) incarnation: u64,
+    pub(crate) powered: bool,
+    pub(crate) crashing: bool,
 }
 
 /// The engine.
@@ -73,6 +75,8 @@
             faults: EngineFaults::default(),
             history: EventHistory::default(),
             incarnation: rand::random::<u32>().into(),
+            powered: true,
+            crashing: false,
         };
         EngineState {
             settings,
@@ -95,14 +99,31 @@
             .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    /// Loses all work and memory, and takes the server down for `down`.
+    /// Whether the engine does anything at all.
+    pub(crate) fn runs(&self) -> bool {
+        let parts = self.lock();
+        parts.powered && !parts.crashing
+    }
+
+    /// Begins a crash after which the engine is down for `down`. The server goes
+    /// first and then the work: if open streams ended while new connections still
+    /// worked, their callers would take the engine for a healthy one.
     pub(crate) fn crash(&self, down: DownTime) {
         let at = self.clock.now();
+        let mut parts = self.lock();
+        if std::mem::replace(&mut parts.crashing, true) {
+            return;
+        }
+        let incarnation = parts.incarnation;
+        parts.history.push(EngineEvent::Crashed { at, incarnation });
+        let _ = self.crashes.send(down);
+    }
+
+    /// Loses all work and memory; open streams end.
+    pub(crate) fn lose_memory(&self) {
         {
             let memory = self.settings.memory;
             let mut parts = self.lock();
-            let incarnation = parts.incarnation;
-            parts.history.push(EngineEvent::Crashed { at, incarnation });
             parts.incarnation += 1;
             parts.batch.clear();
             parts.cache = PrefixCache::new(memory.cache_blocks, self.settings.event_gap);
@@ -111,7 +132,6 @@
             parts.samples = LoadSamples::default();
         }
         self.losses.send_modify(|losses| *losses += 1);
-        let _ = self.crashes.send(down);
     }
 
     /// Keeps the KV cache of prefilled requests for export.
--- a/crates/standin-engine/tests/engine.rs
+++ b/crates/standin-engine/tests/engine.rs
@@ -197,6 +197,21 @@
     engine.stop().await;
 }
 
+#[tokio::test]
+async fn a_stopped_engine_answers_nothing_until_it_is_started() {
+    let engine = engine(|_| {}).await;
+    let health = format!("http://{}/health", engine.http_address);
+    post(&engine, "/control/power", json!({"on": false})).await;
+    let stopped = post(&engine, "/generate", work("hello", json!({}))).await;
+    assert_eq!(stopped.status(), StatusCode::BAD_GATEWAY);
+    let down = reqwest::get(&health).await.unwrap();
+    assert_eq!(down.status(), StatusCode::BAD_GATEWAY);
+    post(&engine, "/control/power", json!({"on": true})).await;
+    let up = reqwest::get(&health).await.unwrap();
+    assert_eq!(up.status(), StatusCode::NO_CONTENT);
+    engine.stop().await;
+}
+
 #[tokio::test]
 async fn a_crash_takes_the_port_down_and_a_new_incarnation_comes_up() {
     let engine = engine(|_| {}).await;
--- a/crates/standin-platform/src/endpoints.rs
+++ b/crates/standin-platform/src/endpoints.rs
@@ -22,6 +22,7 @@
 use crate::{
     faults::EffectCall,
     history::{EndpointOrder, OrderSeen},
+    power,
     sender::CallSender,
     settings::PlatformSettings,
     state::{PlatformState, hold},
@@ -171,10 +172,10 @@
         self.entries[&endpoint].listing(now)
     }
 
-    /// Stops an endpoint; answers whether that had an effect.
-    fn stop(&mut self, order: &StopEndpoint) -> Result<bool, Status> {
+    /// Stops an endpoint; answers its address if that had an effect.
+    fn stop(&mut self, order: &StopEndpoint) -> Result<Option<String>, Status> {
         if self.stopped.contains_key(&order.order) {
-            return Ok(false);
+            return Ok(None);
         }
         self.check_fence(order.fence)?;
         let entry = self
@@ -183,12 +184,13 @@
             .ok_or(Status::NotFound)?;
         let was_gone = matches!(entry.life, LifeState::Gone);
         entry.life = LifeState::Gone;
+        let address = entry.listing.address.clone();
         if entry.from_pool && !was_gone {
             self.spares.push(entry.listing.clone());
         }
         self.stopped
             .insert(order.order.clone(), order.endpoint.clone());
-        Ok(!was_gone)
+        Ok((!was_gone).then_some(address))
     }
 
     fn reclaim(&mut self, now: ClockTime, request: &ReclaimRequest) -> Vec<EndpointListing> {
@@ -198,7 +200,7 @@
             let listing = &entry.listing;
             let concerned = listing.failure_domain == request.failure_domain
                 && listing.capacity == CapacityKind::Preemptible
-                && !matches!(entry.life, LifeState::Gone);
+                && !matches!(entry.life, LifeState::Gone | LifeState::Reclaimed { .. });
             if !concerned {
                 continue;
             }
@@ -277,6 +279,7 @@
             book.install(now, &order, listing)
         }
     };
+    power::switch(&state.http, &listing.address, true).await;
     state.answer(EffectCall::Endpoint, Json(listing)).await
 }
 
@@ -293,12 +296,14 @@
     let result = {
         let mut book = hold(&state.endpoints);
         let result = book.stop(&order);
-        let effect = result == Ok(true);
+        let effect = matches!(result, Ok(Some(_)));
         let seen = EndpointOrder::Stop(order.into_inner());
         book.note(now, sender.instance, seen, effect);
         result
     };
-    result?;
+    if let Some(address) = result? {
+        power::switch(&state.http, &address, false).await;
+    }
     state.answer(EffectCall::Endpoint, Status::NoContent).await
 }
 
@@ -315,12 +320,20 @@
 }
 
 #[post("/control/reclaim", data = "<request>")]
-fn reclaim(
+async fn reclaim(
     state: &State<PlatformState>,
     request: Json<ReclaimRequest>,
 ) -> Json<Vec<EndpointListing>> {
     let request = request.into_inner();
-    Json(hold(&state.endpoints).reclaim(state.now(), &request))
+    let reclaimed = hold(&state.endpoints).reclaim(state.now(), &request);
+    for listing in &reclaimed {
+        let (http, address) = (state.http.clone(), listing.address.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(request.notice.as_duration()).await;
+            power::switch(&http, &address, false).await;
+        });
+    }
+    Json(reclaimed)
 }
 
 pub(crate) fn routes() -> Vec<Route> {
--- a/crates/standin-platform/src/lib.rs
+++ b/crates/standin-platform/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod history;
 mod instances;
 mod log;
+mod power;
 mod rate;
 mod sender;
 pub mod server;
--- a/crates/standin-service/src/call.rs
+++ b/crates/standin-service/src/call.rs
@@ -94,6 +94,9 @@
     if !body.is_complete() {
         return CallAnswer::empty(Status::PayloadTooLarge);
     }
+    if !state.is_powered() {
+        return CallAnswer::empty(Status::BadGateway);
+    }
     if state.faults().stalled {
         state.hang().await;
     }
--- a/crates/standin-service/src/control.rs
+++ b/crates/standin-service/src/control.rs
@@ -2,10 +2,29 @@
 
 use rocket::{Route, State, get, http::Status, post, routes, serde::json::Json};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{faults::ServiceFaults, history::ServiceHistory, state::ServiceState};
 
+/// Starts or stops the replica.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PowerRequest {
+    on: bool,
+}
+
 #[get("/health")]
-fn health() -> Status {
+fn health(state: &State<ServiceState>) -> Status {
+    match state.is_powered() {
+        true => Status::NoContent,
+        false => Status::BadGateway,
+    }
+}
+
+#[post("/control/power", data = "<power>")]
+fn set_power(state: &State<ServiceState>, power: Json<PowerRequest>) -> Status {
+    let PowerRequest { on } = power.into_inner();
+    state.set_power(on);
     Status::NoContent
 }
 
@@ -26,5 +45,5 @@
 }
 
 pub(crate) fn routes() -> Vec<Route> {
-    routes![health, set_faults, show_faults, history]
+    routes![health, set_power, set_faults, show_faults, history]
 }
--- a/crates/standin-service/src/state.rs
+++ b/crates/standin-service/src/state.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Mutex, MutexGuard},
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use bluebell_core::clock::{ClockSource, TimeSpan};
@@ -23,6 +26,7 @@
     pub(crate) settings: ServiceSettings,
     pub(crate) clock: ClockSource,
     token: CancellationToken,
+    powered: AtomicBool,
     faults: watch::Sender<ServiceFaults>,
     history: Mutex<ServiceHistory>,
 }
@@ -37,11 +41,21 @@
             settings,
             clock,
             token,
+            powered: AtomicBool::new(true),
             faults: watch::Sender::new(ServiceFaults::default()),
             history: Mutex::new(ServiceHistory::default()),
         }
     }
 
+    /// Whether the replica runs at all.
+    pub(crate) fn is_powered(&self) -> bool {
+        self.powered.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_power(&self, on: bool) {
+        self.powered.store(on, Ordering::Relaxed);
+    }
+
     pub(crate) fn faults(&self) -> ServiceFaults {
         self.faults.borrow().clone()
     }
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -46,6 +46,8 @@
     pub controllers: usize,
     /// Engines in each.
     pub engines: usize,
+    /// How many of these can be reclaimed.
+    pub preemptible_engines: usize,
     /// Plain service replicas in each.
     pub services: usize,
     /// Whether peers reach each other through links that can be cut.
@@ -68,6 +70,7 @@
             entries: 1,
             controllers: 0,
             engines: 1,
+            preemptible_engines: 0,
             services: 1,
             peer_links: false,
             platform_settings: "list_lag = \"200ms\"".to_string(),
@@ -152,13 +155,20 @@
             let name = format!("engine-{domain}-{number}");
             let settings = self.shape.engine_settings.clone();
             let member = member("standin-engine", &name, domain, &settings).await?;
-            self.register(&member, EndpointKind::Engine).await?;
+            let capacity = match number < self.shape.preemptible_engines {
+                true => CapacityKind::Preemptible,
+                false => CapacityKind::Reserved,
+            };
+            self.register(&member, EndpointKind::Engine, capacity)
+                .await?;
             self.engines.push(member);
         }
         for number in 0..self.shape.services {
             let name = format!("service-{domain}-{number}");
             let member = member("standin-service", &name, domain, "").await?;
-            self.register(&member, EndpointKind::Plain).await?;
+            let capacity = CapacityKind::Reserved;
+            self.register(&member, EndpointKind::Plain, capacity)
+                .await?;
             self.services.push(member);
         }
         for number in 0..self.shape.entries {
@@ -227,7 +237,12 @@
         }
     }
 
-    async fn register(&self, member: &FleetMember, kind: EndpointKind) -> anyhow::Result<()> {
+    async fn register(
+        &self,
+        member: &FleetMember,
+        kind: EndpointKind,
+        capacity: CapacityKind,
+    ) -> anyhow::Result<()> {
         let (service, model) = match kind {
             EndpointKind::Engine => (CHAT_SERVICE, Some(ModelName::new(CHAT_MODEL)?)),
             EndpointKind::Plain => (PLAIN_SERVICE, None),
@@ -236,7 +251,7 @@
             endpoint: EndpointId::new(member.name.clone())?,
             failure_domain: member.failure_domain.clone(),
             kind,
-            capacity: CapacityKind::Reserved,
+            capacity,
             service: ServiceName::new(service)?,
             model,
             address: member.process.http().to_string(),
@@ -280,10 +295,11 @@
             priority: Default::default(),
             deadline: TimeSpan::from_secs(60),
             progress_limit: TimeSpan::from_secs(2),
-            preemptible: false,
+            preemptible: self.shape.preemptible_engines > 0,
         };
         let plain = ServiceUnit {
             target: ServiceTarget::Plain {},
+            preemptible: false,
             ..chat.clone()
         };
         let lookups = RuleUnit {
