--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -126,6 +126,7 @@
         items.extend(self.orders.checkpoint());
         items.extend(self.marks.checkpoint());
         items.extend(self.usage.checkpoint());
+        items.extend(self.claims.checkpoint());
         items
     }
 
@@ -145,6 +146,7 @@
             view.orders.restore(now, item);
             view.marks.restore(now, item);
             view.usage.restore(now, item);
+            view.claims.restore(now, item);
         }
         view
     }
--- a/crates/core/tests/checkpoint.rs
+++ b/crates/core/tests/checkpoint.rs
@@ -7,12 +7,13 @@
     clock::{ClockTime, TimeSpan},
     config::{KeyUnit, OrganisationUnit, UnitBody, UnitKind, UnitName},
     ids::{
-        EndpointId, InstanceId, KeyDigest, LogOffset, OrderId, OrganisationId, ServiceName,
-        WriterId,
+        EndpointId, IdempotencyKey, InstanceId, KeyDigest, LogOffset, OrderId, OrganisationId,
+        RequestFingerprint, RequestId, ServiceName, WriterId,
     },
     records::{
-        DutyName, EndpointMark, IntentRecord, LeaseAction, LeaseRecord, LogEntry, LogRecord,
-        MarkState, OrderBody, OrderOutcome, OutcomeRecord, PublishRecord, UnitChange, UsageDelta,
+        ClaimBatch, ClaimSettlement, DutyName, EndpointMark, IdempotencyClaim, IntentRecord,
+        LeaseAction, LeaseRecord, LogEntry, LogRecord, MarkState, OrderBody, OrderOutcome,
+        OutcomeRecord, PublishRecord, SettledResult, SettlementBatch, UnitChange, UsageDelta,
         UsageLine, UsageWindow, WindowClose, WithdrawRecord,
     },
     units::{ByteSize, ShareWeight, TokenCount},
@@ -139,7 +140,7 @@
         let endpoint = EndpointId::new(self.pick(&["e1", "e2"])).expect("valid");
         let order = OrderId::new(self.pick(&["o1", "o2", "o3"])).expect("valid");
         let window = UsageWindow::new(self.random.random_range(1..6));
-        match self.random.random_range(0..7) {
+        match self.random.random_range(0..11) {
             0 => {
                 let action = match (&held, self.random.random_range(0..4)) {
                     (Some(_), 0) => LeaseAction::Release { fence },
@@ -182,6 +183,29 @@
                 })
             }
             4 => LogRecord::WindowClose(WindowClose { window, fence }),
+            5 | 6 => LogRecord::Claims(ClaimBatch {
+                claims: vec![IdempotencyClaim {
+                    organisation: OrganisationId::new("a").expect("valid"),
+                    key: IdempotencyKey::new(self.pick(&["c1", "c2", "c3"])).expect("valid"),
+                    request: RequestId::new(self.pick(&["r1", "r2"])).expect("valid"),
+                    fingerprint: RequestFingerprint::with_content(
+                        &OrganisationId::new("a").expect("valid"),
+                        self.pick(&["x", "y"]).as_bytes(),
+                    ),
+                    entry: InstanceId::new("i1").expect("valid"),
+                }],
+            }),
+            7 | 8 => LogRecord::Settlements(SettlementBatch {
+                settlements: vec![ClaimSettlement {
+                    organisation: OrganisationId::new("a").expect("valid"),
+                    key: IdempotencyKey::new(self.pick(&["c1", "c2", "c3"])).expect("valid"),
+                    request: RequestId::new(self.pick(&["r1", "r2"])).expect("valid"),
+                    result: match self.random.random_bool(0.5) {
+                        true => SettledResult::NotRun,
+                        false => SettledResult::Unknown,
+                    },
+                }],
+            }),
             _ => LogRecord::Usage(UsageDelta {
                 entry: InstanceId::new("i1").expect("valid"),
                 window,
@@ -252,6 +276,7 @@
             assert_eq!(view.writers, whole.writers, "seed {seed}");
             assert_eq!(view.leases, whole.leases, "seed {seed}");
             assert_eq!(view.marks, whole.marks, "seed {seed}");
+            assert_eq!(view.claims, whole.claims, "seed {seed}");
             assert_eq!(view.usage, whole.usage, "seed {seed}");
             let open = |view: &FleetView| -> Vec<_> {
                 let orders = view.orders.open_orders();
