Judge an engine's model by its own word

Cause: the platform's list named the model that an engine had when it was started, and the controller ordered the same model again and again, draining the engine each time.

Ruled out: settling it by the last order in the log; an engine that crashed comes back with its first model, and the log does not say so.

Conclusion: one order for each model.

--- a/crates/controller/src/engines.rs
+++ b/crates/controller/src/engines.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use bluebell_core::{
+    clock::ClockTime,
     ids::{EndpointId, LogOffset, OrderId},
     marks::DrainRule,
     orders::{ChangeRun, OrderRun},
@@ -13,11 +14,15 @@
 
 use crate::{context::DutyContext, marks, plans, steps};
 
+/// Plans are made once in so many looks: each asks every engine.
+const PLAN_EVERY: u64 = 4;
+
 /// The changes under way of one failure domain's engines.
 #[derive(Debug)]
 struct EngineDesk {
     fence: LogOffset,
     orders: u64,
+    planned_at: Option<ClockTime>,
     changes: BTreeMap<EndpointId, ChangeRun>,
 }
 
@@ -40,6 +45,7 @@
                 let desk = EngineDesk {
                     fence: grant.fence,
                     orders: 0,
+                    planned_at: None,
                     changes: BTreeMap::new(),
                 };
                 desks.entry(grant.duty.clone()).or_insert(desk);
@@ -113,6 +119,12 @@
 /// One change at a time in a failure domain, so that its capacity never falls by
 /// more than one engine for a planned change.
 async fn plan(context: &DutyContext, duty: &DutyName, desk: &mut EngineDesk) {
+    let now = context.now();
+    let every = context.settings.orders.interval.times(PLAN_EVERY);
+    if desk.planned_at.is_some_and(|at| now < at + every) {
+        return;
+    }
+    desk.planned_at = Some(now);
     let Some((body, reason)) = plans::next_engine_order(context, duty).await else {
         return;
     };
--- a/crates/controller/src/plans.rs
+++ b/crates/controller/src/plans.rs
@@ -6,6 +6,7 @@
     records::{DutyName, OrderBody},
 };
 use bluebell_daemon::logs::LogLine;
+use bluebell_endpoint::api::EngineStatus;
 use bluebell_platform::api::{EndpointListing, WeightFetch};
 
 use crate::{context::DutyContext, engines, role_plan};
@@ -19,12 +20,12 @@
     let DutyName::Engines(domain) = duty else {
         return None;
     };
-    let listings = context.directory.listings();
-    let own = listings
+    let asked = ask_engines(context).await;
+    let own = asked
         .iter()
-        .filter(|listing| listing.failure_domain == *domain && engines::is_ready_engine(listing));
-    for listing in own {
-        if let Some(model) = model_to_load(context, listing)
+        .filter(|asked| asked.listing.failure_domain == *domain);
+    for AskedEngine { listing, status } in own {
+        if let Some(model) = model_to_load(context, listing, status.as_ref())
             && fetch_weights(context, listing, &model).await
         {
             let reason = format!("`{}` is served by `{model}`", listing.service);
@@ -32,11 +33,39 @@
             return Some((OrderBody::LoadModel { endpoint, model }, reason));
         }
     }
-    role_plan::next_role(context, domain).await
+    role_plan::next_role(context, domain, &asked)
+}
+
+/// An engine that the platform lists as ready, and what it says of itself.
+#[derive(Clone, Debug)]
+pub struct AskedEngine {
+    /// Its listing.
+    pub listing: EndpointListing,
+    /// Its own word; none if it can't be asked.
+    pub status: Option<EngineStatus>,
+}
+
+/// Asks all engines that the platform lists as ready. The list may name the model
+/// that an engine had when it was started: an engine that is judged by it would
+/// be ordered to load a model again and again.
+async fn ask_engines(context: &DutyContext) -> Vec<AskedEngine> {
+    let listings = context.directory.listings().into_iter();
+    let asked = listings
+        .filter(engines::is_ready_engine)
+        .map(|listing| async {
+            let status = context.engines.status(&listing.address).await.ok();
+            AskedEngine { listing, status }
+        });
+    futures::future::join_all(asked).await
 }
 
 /// The model that the configuration wants where another is loaded.
-fn model_to_load(context: &DutyContext, listing: &EndpointListing) -> Option<ModelName> {
+fn model_to_load(
+    context: &DutyContext,
+    listing: &EndpointListing,
+    status: Option<&EngineStatus>,
+) -> Option<ModelName> {
+    let status = status?;
     let wanted = context.node.with_view(|view| {
         let service = view.configuration.service(&listing.service)?;
         match &service.target {
@@ -44,7 +73,7 @@
             ServiceTarget::Plain {} => None,
         }
     })?;
-    (listing.model.as_ref() != Some(&wanted)).then_some(wanted)
+    (status.model != wanted && !status.changing).then_some(wanted)
 }
 
 /// The weights are fetched before the engine is drained: the store is limited in
--- a/crates/controller/src/role_plan.rs
+++ b/crates/controller/src/role_plan.rs
@@ -15,7 +15,7 @@
 use bluebell_endpoint::api::EngineStatus;
 use bluebell_platform::api::{EndpointListing, EndpointState};
 
-use crate::{context::DutyContext, engines};
+use crate::{context::DutyContext, plans::AskedEngine};
 
 /// Since when engines are known to have their roles; clones share it.
 #[derive(Clone, Debug, Default)]
@@ -42,9 +42,10 @@
 }
 
 /// The next change of role in `domain`, if any pays for itself.
-pub async fn next_role(
+pub fn next_role(
     context: &DutyContext,
     domain: &FailureDomain,
+    asked: &[AskedEngine],
 ) -> Option<(OrderBody, String)> {
     if !context.settings.roles.enabled {
         return None;
@@ -55,7 +56,7 @@
             continue;
         };
         let inputs = RoleInputs {
-            engines: engines_of(context, model).await?,
+            engines: engines_of(context, model, asked)?,
             short: demand.short,
             long: demand.long,
             rates: context.settings.roles.rates,
@@ -79,23 +80,23 @@
     None
 }
 
-/// The model's engines; none if one that the platform lists as ready can't be
+/// The model's engines; none if one that the platform lists with it can't be
 /// asked: a plan without it would take its share for lost.
-async fn engines_of(context: &DutyContext, model: &ModelName) -> Option<Vec<RoleEngine>> {
-    let listings = context.directory.listings();
-    let own: Vec<&EndpointListing> = listings
-        .iter()
-        .filter(|listing| {
-            listing.model.as_ref() == Some(model) && engines::is_ready_engine(listing)
-        })
-        .collect();
-    let asked = own
-        .iter()
-        .map(|listing| context.engines.status(&listing.address));
-    let answers = futures::future::join_all(asked).await;
+fn engines_of(
+    context: &DutyContext,
+    model: &ModelName,
+    asked: &[AskedEngine],
+) -> Option<Vec<RoleEngine>> {
     let mut engines = Vec::new();
-    for (listing, answer) in own.into_iter().zip(answers) {
-        engines.push(role_engine(context, listing, &answer.ok()?));
+    for AskedEngine { listing, status } in asked {
+        match status {
+            Some(status) if status.model == *model => {
+                engines.push(role_engine(context, listing, status));
+            }
+            Some(_) => {}
+            None if listing.model.as_ref() == Some(model) => return None,
+            None => {}
+        }
     }
     Some(engines)
 }
--- a/crates/controller/tests/controller/changes.rs
+++ b/crates/controller/tests/controller/changes.rs
@@ -7,10 +7,11 @@
     clock::{ClockSource, TimeSpan},
     config::WorkPriority,
     ids::{EndpointId, ModelName, OrderId, OrganisationId, RequestId, ServiceName},
-    records::{CapacityKind, EngineRole, LogRecord, UsageDelta, UsageLine, UsageWindow},
+    records::{CapacityKind, DutyName, EngineRole, LogRecord, UsageDelta, UsageLine, UsageWindow},
     roles::{PoolDemand, TokenDemand},
     routing::RoutePool,
     units::{TokenCount, TokenRate},
+    view::FleetView,
 };
 use bluebell_endpoint::api::{EngineStatus, GenerateRequest, StreamItem};
 use bluebell_testkit::{control, wait};
@@ -54,6 +55,34 @@
     }
 }
 
+/// Waits until the engine serves `model` and gets work again.
+async fn until_serving(stage: &Stage, address: &str, model: &str) {
+    let loaded = wait::until("the engine serves the new model", || async {
+        let status: EngineStatus = control::get(address, "/state").await.ok()?;
+        let wanted = status.model.as_str() == model && !status.changing;
+        wanted.then_some(())
+    });
+    loaded.await.expect("it does");
+    stage
+        .until_view("the engine gets work again", |view| {
+            view.marks.marks().count() == 0 && view.orders.open_orders().count() == 0
+        })
+        .await;
+}
+
+/// Waits for a renewal of the engines' duty, between which its holder looks at
+/// the engines several times.
+async fn until_renewed(stage: &Stage) {
+    let latest = |view: &FleetView| {
+        let lease = view.leases.held(&DutyName::Engines(domain()));
+        lease.map(|lease| lease.latest)
+    };
+    let before = latest(&stage.view().await);
+    stage
+        .until_view("the duty is renewed", |view| latest(view) > before)
+        .await;
+}
+
 /// An operator publishes a new model version while a caller's answer is being
 /// written. The engine must load it, and the caller must get the whole answer.
 #[tokio::test(flavor = "multi_thread")]
@@ -76,7 +105,7 @@
     };
     let switched = control::set_faults(&address, &stalled).await;
     switched.expect("the engine takes it");
-    stage.publish_model("large-chat", None).await;
+    let first = stage.publish_model("large-chat", None).await;
     let controller = stage.controller("c1").await;
     stage
         .until_view("the engine is marked", |view| {
@@ -91,17 +120,10 @@
     let last = body.lines().last().expect("the answer has lines");
     let last: StreamItem = serde_json::from_str(last).expect("lines are JSON");
     assert!(matches!(last, StreamItem::End { .. }), "{last:?}");
-    let loaded = wait::until("the engine serves the new model", || async {
-        let status: EngineStatus = control::get(&address, "/state").await.ok()?;
-        let wanted = status.model.as_str() == "large-chat" && !status.changing;
-        wanted.then_some(())
-    });
-    loaded.await.expect("it does");
-    stage
-        .until_view("the engine gets work again", |view| {
-            view.marks.marks().count() == 0 && view.orders.open_orders().count() == 0
-        })
-        .await;
+    until_serving(&stage, &address, "large-chat").await;
+    until_renewed(&stage).await;
+    stage.publish_model("huge-chat", Some(first)).await;
+    until_serving(&stage, &address, "huge-chat").await;
     let events: Vec<EngineEvent> = control::history(&address).await.expect("it tells");
     let orders: Vec<(bool, u64)> = events
         .iter()
@@ -110,7 +132,7 @@
             _ => None,
         })
         .collect();
-    assert_eq!(orders, [(true, 0)]);
+    assert_eq!(orders, [(true, 0), (true, 0)], "one order for each model");
     controller.stop().await;
     engine.stop().await;
     stage.stop().await;
