--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -126,6 +126,8 @@
         items.extend(self.orders.checkpoint());
         items.extend(self.marks.checkpoint());
         items.extend(self.usage.checkpoint());
+        items.extend(self.claims.checkpoint());
+        items.extend(self.quarantine.checkpoint());
         items
     }
 
@@ -145,10 +147,29 @@
             view.orders.restore(now, item);
             view.marks.restore(now, item);
             view.usage.restore(now, item);
+            view.claims.restore(now, item);
+            view.quarantine.restore(now, item);
         }
         view
     }
 
+    /// Takes over from `former`, an earlier view: what was withdrawn there stays
+    /// withdrawn. Answers what changed, as if the entries between had been read.
+    pub fn take_over(&mut self, former: &FleetView) -> Vec<ViewEvent> {
+        self.keys.keep_withdrawn(&former.keys);
+        let offset = self.next;
+        let lost = former.keys.lost_in(&self.keys);
+        let lost = lost.into_iter().map(|digest| ViewEvent::KeyLost { digest });
+        let marked = self.marks.marks().chain(former.marks.marks());
+        let marked = marked.map(|(endpoint, _)| ViewEvent::Marked {
+            endpoint: endpoint.clone(),
+        });
+        std::iter::once(ViewEvent::Published { offset })
+            .chain(lost)
+            .chain(marked)
+            .collect()
+    }
+
     fn apply_record(
         &mut self,
         now: ClockTime,
