Compare readers after every schedule; drain by a live entry's word

Cause: no test compared the folds of different readers, and draining over stand-ins went by the bound only.

Change: after each random schedule every controller's view, and one restored from a checkpoint, must equal the undisturbed one but for the time of reading.

Conclusion: readers agree; a change waits for the entry's word and no longer.

--- a/crates/controller/tests/controller/changes.rs
+++ b/crates/controller/tests/controller/changes.rs
@@ -138,6 +138,37 @@
     stage.stop().await;
 }
 
+/// An entry lives and reads the log. The change must go on as soon as the entry has
+/// said that it read the mark, not after the bound for entries that say nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_goes_by_the_word_of_a_live_entry() {
+    let mut stage = Stage::start().await;
+    let engine = engine().await;
+    let address = engine.http_address.to_string();
+    stage
+        .list_engine("engine-1", address.clone(), CapacityKind::Reserved)
+        .await;
+    let token = CancellationToken::new();
+    let entry = stage.entry_node("entry-1", &token).await;
+    let controller = stage
+        .controller_with("c1", |settings| {
+            settings.orders.drain_bound = TimeSpan::from_secs(86_400);
+        })
+        .await;
+    let heard = wait::until("the entry and the controller are peers", || async {
+        let peers = entry.peers();
+        let known = peers.iter().any(|peer| peer.next_offset.is_some());
+        known.then_some(())
+    });
+    heard.await.expect("they are");
+    stage.publish_model("large-chat", None).await;
+    until_serving(&stage, &address, "large-chat").await;
+    controller.stop().await;
+    token.cancel();
+    engine.stop().await;
+    stage.stop().await;
+}
+
 /// The platform takes the cheaper kind of a whole failure domain back on a few
 /// seconds' notice. Entries must stop sending work there before it is gone.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/controller/tests/controller/stage.rs
+++ b/crates/controller/tests/controller/stage.rs
@@ -17,7 +17,7 @@
     view::FleetView,
 };
 use bluebell_daemon::ops::{self, RunningServer};
-use bluebell_node::NodeSettings;
+use bluebell_node::{NodeHandle, NodeSettings};
 use bluebell_platform::{
     PlatformClient,
     api::{AppendRequest, EndpointKind, EndpointListing, EndpointState},
@@ -63,9 +63,17 @@
 
     /// Starts a controller with short leases.
     pub async fn controller(&self, name: &str) -> RunningController {
+        self.controller_with(name, |_| {}).await
+    }
+
+    /// The same with settings that `change` has changed.
+    pub async fn controller_with<Change>(&self, name: &str, change: Change) -> RunningController
+    where
+        Change: FnOnce(&mut ControllerSettings),
+    {
         let text = "duration = \"2s\"\nmargin = \"300ms\"\nrenew_after = \"400ms\"\n\
              stagger = \"100ms\"\nhandover_after = \"60s\"";
-        let settings = ControllerSettings {
+        let mut settings = ControllerSettings {
             node: self.node(name),
             lease: toml::from_str(text).expect("the settings are valid"),
             orders: toml::from_str(
@@ -80,6 +88,7 @@
             .expect("the settings are valid"),
             fleet: Default::default(),
         };
+        change(&mut settings);
         assert_eq!(settings.problems(), []);
         let token = CancellationToken::new();
         let controller = bluebell_controller::start(settings, ClockSource::new(), token);
@@ -162,6 +171,15 @@
         posted.expect("the platform takes it");
     }
 
+    /// Starts an entry's node, which follows the log and talks to its peers.
+    pub async fn entry_node(&self, name: &str, token: &CancellationToken) -> NodeHandle {
+        let node = NodeHandle::start(self.node(name), ClockSource::new(), token);
+        let http_address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let joined = node.join(InstanceProgram::Entry, http_address, token);
+        joined.await.expect("the entry takes peers");
+        node
+    }
+
     /// Lists an entry that tells `demand` for good.
     pub async fn list_entry(&self, demand: Vec<PoolDemand>) -> RunningServer {
         let local = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/crates/core/tests/orders_schedules.rs
+++ b/crates/core/tests/orders_schedules.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeSet;
 
 use bluebell_core::{
-    authority::{DutyGrant, DutyKeeper, DutySeat, LeaseTiming},
+    authority::{DutyGrant, DutyKeeper, DutySeat, HeldLease, LeaseTiming},
     clock::{ClockTime, TimeSpan},
     ids::{EndpointId, FailureDomain, InstanceId, LogOffset, ModelName, OrderId, WriterId},
     orders::{EffectView, EngineView, OrderRule, OrderRun, OrderStep, SendAnswer},
@@ -229,6 +229,28 @@
                 self.fail(time, &format!("two holders: {granted:?}"));
             }
         }
+        for controller in &mut controllers {
+            self.compare(controller);
+        }
+    }
+
+    /// A reader that was frozen and one that never was must agree on everything
+    /// but the time of reading, and so must one that starts from a checkpoint.
+    fn compare(&mut self, controller: &mut Controller) {
+        for entry in &self.log {
+            controller.view.apply(controller.now(END), entry);
+        }
+        let mut restored = FleetView::new();
+        for item in self.truth.checkpoint() {
+            restored.leases.restore(ClockTime::default(), &item);
+            restored.orders.restore(ClockTime::default(), &item);
+        }
+        for view in [&controller.view, &restored] {
+            let same = view.orders == self.truth.orders && holders(view) == holders(&self.truth);
+            if !same {
+                self.failure.get_or_insert("two readers differ".to_string());
+            }
+        }
     }
 
     fn deliver(&mut self, time: u64) {
@@ -456,6 +478,12 @@
     }
 }
 
+fn holders(view: &FleetView) -> Vec<(InstanceId, LogOffset, LogOffset)> {
+    let leases = view.leases.leases();
+    let holder = |(_, lease): (_, &HeldLease)| (lease.holder.clone(), lease.fence, lease.latest);
+    leases.map(holder).collect()
+}
+
 fn seeds() -> std::ops::Range<u64> {
     let further = std::env::var("BLUEBELL_SEEDS").ok();
     let further = further.and_then(|text| text.parse().ok()).unwrap_or(0);
