Take a planned stop back when the work returns

Cause: an endpoint that was being emptied for a stop was stopped although a start for the same service, place and kind was wanted meanwhile.

Ruled out: doing so after the intent. It may have been sent.

Change: a start that is planned while such a stop has no intent yet takes the stop back; the mark is cleared.

Conclusion: no stop and start for one lull.

--- a/crates/controller/src/fleet.rs
+++ b/crates/controller/src/fleet.rs
@@ -10,6 +10,7 @@
     orders::{ChangeRun, OrderRun},
     records::{DutyName, OrderBody, OrderOutcome},
 };
+use bluebell_platform::api::EndpointState;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -128,6 +129,11 @@
     desk.planned_at = Some(now);
     let stopping = desk.stops.keys().cloned().collect();
     for (body, reason) in fleet_plan::next_changes(context, &mut desk.memory, &stopping) {
+        if let Some(endpoint) = take_back(context, desk, &body) {
+            let subjects = [endpoint.to_string()];
+            context.decide(duty, &subjects, "planned stop taken back", &reason);
+            continue;
+        }
         desk.orders += 1;
         let order = OrderId::new(format!("order:{}:{}", desk.fence, desk.orders));
         let order = order.expect("numbers make a valid id");
@@ -138,6 +144,34 @@
     }
 }
 
+/// Takes back the stop of an endpoint that would do what `body` starts one for, as
+/// long as no intent to stop it stands in the log. Its mark is cleared as one
+/// without a change.
+fn take_back(context: &DutyContext, desk: &mut FleetDesk, body: &OrderBody) -> Option<EndpointId> {
+    let OrderBody::StartEndpoint {
+        failure_domain,
+        capacity,
+        service,
+    } = body
+    else {
+        return None;
+    };
+    let endpoint = desk.stops.iter().find_map(|(endpoint, change)| {
+        let listing = context.directory.listing(endpoint)?;
+        let order = change.run().order();
+        let open = context
+            .node
+            .with_view(|view| view.orders.open(order).is_some());
+        let same = listing.failure_domain == *failure_domain
+            && listing.capacity == *capacity
+            && listing.service == *service
+            && listing.state == EndpointState::Ready;
+        (same && !open).then(|| endpoint.clone())
+    })?;
+    desk.stops.remove(&endpoint);
+    Some(endpoint)
+}
+
 /// Remembers where the cheaper kind was refused.
 fn note_refusal(context: &DutyContext, desk: &mut FleetDesk, order: &OrderId, body: &OrderBody) {
     let refused = context.node.with_view(|view| {
--- a/crates/controller/tests/controller/changes.rs
+++ b/crates/controller/tests/controller/changes.rs
@@ -1,7 +1,10 @@
 //! Orders to engines, reclaimed endpoints and usage reports, over stand-ins.
 
-use crate::stage::{Stage, domain, instance};
-use std::collections::BTreeMap;
+use crate::stage::{Stage, ToldDemand, domain, instance};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+};
 
 use bluebell_core::{
     clock::{ClockSource, TimeSpan},
@@ -47,12 +50,13 @@
     }
 }
 
-fn demand(arriving: TokenDemand) -> PoolDemand {
-    PoolDemand {
+fn demand(arriving: TokenDemand) -> ToldDemand {
+    let demand = PoolDemand {
         pool: RoutePool::Model(ModelName::new("small-chat").expect("the name is valid")),
         short: arriving,
         long: arriving,
-    }
+    };
+    Arc::new(Mutex::new(demand))
 }
 
 /// Waits until the engine serves `model` and gets work again.
@@ -284,7 +288,7 @@
         prefill: TokenRate::new(4_000),
         decode: TokenRate::new(600),
     };
-    let entry = stage.list_entry(vec![demand(arriving)]).await;
+    let entry = stage.list_entry(demand(arriving)).await;
     let controller = stage.controller("c1").await;
     let started = wait::until("a start is sent again and settled", || async {
         let settled = stage.view().await.orders.open_orders().count() == 0;
@@ -326,7 +330,7 @@
         prefill: TokenRate::new(12_000),
         decode: TokenRate::new(300),
     };
-    let entry = stage.list_entry(vec![demand(arriving)]).await;
+    let entry = stage.list_entry(demand(arriving)).await;
     let controller = stage.controller("c1").await;
     let changed = wait::until("an engine only prefills", || async {
         for engine in &engines {
@@ -346,3 +350,66 @@
     }
     stage.stop().await;
 }
+
+/// Fewer callers come, and the fleet begins to give an engine up that still writes
+/// an answer; then they come back. Stopping it now and starting another would
+/// leave callers waiting for the new one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_is_taken_back_when_the_work_returns() {
+    let mut stage = Stage::start().await;
+    stage.publish_model("small-chat", None).await;
+    let mut engines = Vec::new();
+    for name in ["engine-1", "engine-2"] {
+        let engine = engine().await;
+        let address = engine.http_address.to_string();
+        let stalled = EngineFaults {
+            stalled: true,
+            ..EngineFaults::default()
+        };
+        let switched = control::set_faults(&address, &stalled).await;
+        switched.expect("the engine takes it");
+        stage
+            .list_engine(name, address, CapacityKind::Reserved)
+            .await;
+        engines.push(engine);
+    }
+    let client = reqwest::Client::new();
+    let mut answers = Vec::new();
+    for engine in &engines {
+        let url = format!("http://{}/generate", engine.http_address);
+        let answer = client.post(url).json(&long_request()).send().await;
+        answers.push(answer.expect("the engine accepts"));
+    }
+    let told = demand(TokenDemand::default());
+    let entry = stage.list_entry(told.clone()).await;
+    let controller = stage
+        .controller_with("c1", |settings| {
+            settings.fleet.planner.least_life = TimeSpan::ZERO;
+            settings.fleet.every = TimeSpan::from_millis(100);
+            settings.roles.enabled = false;
+        })
+        .await;
+    stage
+        .until_view("one engine is marked", |view| {
+            view.marks.marks().count() == 1
+        })
+        .await;
+    let much = TokenDemand {
+        prefill: TokenRate::new(2_000),
+        decode: TokenRate::new(300),
+    };
+    told.lock().expect("no holder panics").short = much;
+    stage
+        .until_view("no engine is marked", |view| {
+            view.marks.marks().count() == 0
+        })
+        .await;
+    assert_eq!(stage.history().await.orders, []);
+    drop(answers);
+    controller.stop().await;
+    entry.stop().await;
+    for engine in engines {
+        engine.stop().await;
+    }
+    stage.stop().await;
+}
--- a/crates/controller/tests/controller/stage.rs
+++ b/crates/controller/tests/controller/stage.rs
@@ -1,6 +1,9 @@
 //! A platform and controllers inside the test's own process.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
 
 use bluebell_controller::{ControllerSettings, RunningController};
 use bluebell_core::{
@@ -27,9 +30,13 @@
 use standin_platform::{PlatformSettings, RunningPlatform, history::PlatformHistory};
 use tokio_util::sync::CancellationToken;
 
+/// What an entry tells of the work that arrives.
+pub type ToldDemand = Arc<Mutex<PoolDemand>>;
+
 #[rocket::get("/demand")]
-fn demand_route(demand: &State<Vec<PoolDemand>>) -> Json<Vec<PoolDemand>> {
-    Json(demand.inner().clone())
+fn demand_route(demand: &State<ToldDemand>) -> Json<Vec<PoolDemand>> {
+    let demand = demand.lock().expect("no holder panics");
+    Json(vec![demand.clone()])
 }
 
 /// A platform with a client that appends to its log.
@@ -180,8 +187,8 @@
         node
     }
 
-    /// Lists an entry that tells `demand` for good.
-    pub async fn list_entry(&self, demand: Vec<PoolDemand>) -> RunningServer {
+    /// Lists an entry that tells what `demand` holds.
+    pub async fn list_entry(&self, demand: ToldDemand) -> RunningServer {
         let local = SocketAddr::from(([127, 0, 0, 1], 0));
         let rocket = ops::server(local)
             .mount("/", rocket::routes![demand_route])
