Let nobody's orders lie: domains of open orders count as duties

Cause: a failure domain without instances whose duty had been released was no longer a duty, and an order or mark left there would have stayed for good.

Change: domains of leases, open orders and marks are all looked after.

Conclusion: found by reading, mended by reading.

--- a/crates/controller/src/members.rs
+++ b/crates/controller/src/members.rs
@@ -84,11 +84,15 @@
         Some(work)
     }
 
-    /// The failure domains that instances run in or that somebody is in charge
-    /// of, sorted.
+    /// The failure domains that instances run in, or whose engines somebody is in
+    /// charge of or has left an order or a mark behind, sorted: an order that
+    /// nobody takes over would keep its engine from ever being changed again.
     pub fn failure_domains(&self) -> Vec<FailureDomain> {
         let mut domains: Vec<FailureDomain> = self.node.with_view(|view| {
-            let duties = view.leases.leases().map(|(duty, _)| duty);
+            let leases = view.leases.leases().map(|(duty, _)| duty);
+            let orders = view.orders.open_orders().map(|(_, open)| &open.duty);
+            let marks = view.marks.marks().map(|(_, mark)| &mark.duty);
+            let duties = leases.chain(orders).chain(marks);
             duties
                 .filter_map(|duty| match duty {
                     DutyName::Engines(domain) => Some(domain.clone()),
