Admit, route and retry by the slices; keep suspects apart

Cause: the entry chose by its own least outstanding work, gave every retry for free, and knew nothing of peers, marks, deadlines or crashing requests. Change: the fair queue, the router and the retry budget decide, fed from the platform's list, the log's marks, the engines' reports and the peers. A request is refused at once if its deadline can't be met. Where engines have roles, the prompt's KV cache is handed over. A crash under a request is told from a cut and from a planned end, recorded before the next try, and suspects run apart. If all endpoints of a pool rest after failures, the pool keeps its slots: with none, a single replica's failures refused everything for seconds. Tests changed: three tests took the first endpoint by name for the chosen one; the router draws, so they now list the dying endpoint alone first, or send until both were chosen, and check all answers. The test of two entries waits until the second one routes.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -30,7 +30,9 @@
     io::StreamReader,
 };
 
-use crate::api::{CancelRequest, EngineStatus, GenerateRequest, LoadReport, StreamItem};
+use crate::api::{
+    CancelRequest, EngineStatus, GenerateRequest, KvExport, KvHandle, LoadReport, StreamItem,
+};
 
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
@@ -201,6 +203,16 @@
         short(call).await.map(drop)
     }
 
+    /// Asks an engine for the KV cache of a prompt that it has prefilled.
+    pub async fn export(&self, request: &RequestId) -> Result<KvHandle, EndpointError> {
+        let body = KvExport {
+            request: request.clone(),
+        };
+        let call = self.pooled().post(format!("{}/kv/export", self.base));
+        let response = short(call.json(&body)).await?;
+        response.json().await.map_err(|error| from_send(&error))
+    }
+
     /// Asks on a new connection whether the endpoint answers.
     pub async fn probe(&self) -> ProbeResult {
         let call = self.fresh.get(format!("{}/health", self.base));
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -13,7 +13,6 @@
     body,
     caller::CallerHead,
     context::EntryContext,
-    directory::EndpointNeed,
     model_run::{ModelRun, ModelWork},
     refusal::{Refusal, RefusalCode},
 };
@@ -84,7 +83,7 @@
         let message = "`max_tokens` is 0: expected at least 1";
         return Err(head.refuse(RefusalCode::InvalidRequest, message));
     }
-    let in_flight = context.enter(head, &caller)?;
+    let in_flight = context.enter();
     let prompt = chat.prompt();
     let content = format!("{service}\0{asked}\0{prompt}");
     let work = ModelWork {
@@ -95,11 +94,9 @@
         deadline: context.now() + caller.wish.deadline.unwrap_or(unit.deadline),
         progress_limit: unit.progress_limit,
         fingerprint: RequestFingerprint::with_content(&caller.organisation, content.as_bytes()),
-        need: EndpointNeed {
-            service: service.clone(),
-            target: unit.target.clone(),
-            preemptible: unit.preemptible,
-        },
+        service: service.clone(),
+        preemptible: unit.preemptible,
+        limits: caller.limits(),
         prompt,
     };
     let (events_sender, events) = tokio::sync::mpsc::channel(ANSWER_BACKLOG);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod chat;
 pub mod claims;
 pub mod context;
+pub mod crash;
 pub mod delivered;
 pub mod directory;
 pub mod metering;
@@ -22,6 +23,8 @@
 pub mod running;
 pub mod server;
 pub mod settings;
+pub mod traffic;
+pub mod traffic_feed;
 
 pub use server::{RunningEntry, start};
 pub use settings::EntrySettings;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -15,7 +15,6 @@
     caller::CallerHead,
     context::EntryContext,
     delivered::{DeliveryTicket, MeteredBody},
-    directory::EndpointNeed,
     metering::UsageOwner,
     plain_run::{CallAnswer, PlainRun, PlainWork},
     refusal::{Refusal, RefusalCode},
@@ -138,7 +137,7 @@
         true => WorkKind::Repeatable,
         false => WorkKind::AtMostOnce,
     };
-    let in_flight = context.enter(head, &caller)?;
+    let in_flight = context.enter();
     let mut content = format!("{service}\0{method}\0{}\0", target.path_and_query).into_bytes();
     content.extend_from_slice(&body);
     let work = PlainWork {
@@ -146,11 +145,10 @@
         kind,
         deadline: context.now() + caller.wish.deadline.unwrap_or(unit.deadline),
         fingerprint: RequestFingerprint::with_content(&caller.organisation, &content),
-        need: EndpointNeed {
-            service,
-            target: unit.target,
-            preemptible: unit.preemptible && repeatable,
-        },
+        service: service.clone(),
+        priority: caller.wish.priority.unwrap_or(unit.priority),
+        preemptible: unit.preemptible,
+        limits: caller.limits(),
         call: PlainCall {
             method: method.to_string(),
             path: target.path_and_query,
@@ -161,7 +159,7 @@
     };
     let owner = UsageOwner {
         organisation: caller.organisation,
-        service: work.need.service.clone(),
+        service,
     };
     let ticket = DeliveryTicket::new(context.clone(), owner);
     let run = PlainRun::new(context.clone(), work, head.attempts(kind));
--- a/crates/entry/src/plain_run.rs
+++ b/crates/entry/src/plain_run.rs
@@ -4,20 +4,23 @@
 //! goes on when its caller's deadline passes, so that the outcome can still be
 //! recorded for a repeat with the same idempotency key.
 
-use std::{
-    collections::BTreeSet,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
-    },
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, Ordering},
 };
 
 use bluebell_core::{
+    admission::{AdmissionRequest, OrganisationLimits},
     attempts::{AttemptPhase, RequestAttempts, RunOutcome, WorkKind},
     claims::ClaimVerdict,
     clock::{ClockTime, TimeSpan},
-    ids::{EndpointId, IdempotencyKey, OrganisationId, RequestFingerprint},
+    config::WorkPriority,
+    ids::{EndpointId, IdempotencyKey, OrganisationId, RequestFingerprint, ServiceName},
+    quarantine::CrashStanding,
     records::{IdempotencyClaim, SettledResult},
+    retries::RetryAnswer,
+    routing::{RouteOutcome, RoutePool, RouteRequest},
+    units::TokenCount,
 };
 use bluebell_endpoint::{
     EndpointError,
@@ -26,8 +29,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    context::{EntryContext, InFlightTicket},
-    directory::{ChosenEndpoint, EndpointNeed},
+    context::{EntryContext, InFlightTicket, RoutedAttempt},
     refusal::{Refusal, RefusalCode},
     running::RunningTicket,
 };
@@ -47,8 +49,14 @@
     pub deadline: ClockTime,
     /// Tells the call from others.
     pub fingerprint: RequestFingerprint,
-    /// What it needs of an endpoint.
-    pub need: EndpointNeed,
+    /// The service.
+    pub service: ServiceName,
+    /// Whether a person waits.
+    pub priority: WorkPriority,
+    /// Whether capacity that can be reclaimed will do.
+    pub preemptible: bool,
+    /// What the organisation may have.
+    pub limits: OrganisationLimits,
     /// What is sent.
     pub call: PlainCall,
 }
@@ -184,6 +192,12 @@
         if self.work.kind == WorkKind::AtMostOnce {
             self.check_freshness()?;
         }
+        self.check_quarantine()?;
+        let attempts = self.change(|attempts| attempts.clone());
+        let started = self
+            .context
+            .start_work(self.admission(), self.work.limits, &attempts);
+        let _ticket = started.await?;
         let recorded = match &self.claim {
             Some(claim) => self.claim_key(claim).await?,
             None => None,
@@ -274,54 +288,109 @@
         refusal.with_outcome_unknown()
     }
 
+    fn check_quarantine(&self) -> Result<(), Refusal> {
+        if self.context.standing(&self.work.fingerprint) != CrashStanding::Quarantined {
+            return Ok(());
+        }
+        let message = "the request crashed endpoints and is not run again";
+        Err(self.refusal(RefusalCode::RequestQuarantined, message))
+    }
+
+    fn admission(&self) -> AdmissionRequest {
+        AdmissionRequest {
+            request: self.change(|attempts| attempts.request().clone()),
+            organisation: self.work.organisation.clone(),
+            pool: RoutePool::Plain(self.work.service.clone()),
+            priority: self.work.priority,
+            deadline: self.work.deadline,
+            prompt_tokens: TokenCount::new(1),
+            max_output: TokenCount::ZERO,
+        }
+    }
+
     async fn drive(&self) -> Result<PlainAnswer, Refusal> {
-        let mut avoided = BTreeSet::new();
+        let mut avoided = Vec::new();
+        self.context.traffic.note_request(&self.work.organisation);
         loop {
-            let chosen = self.choose(&avoided)?;
-            if let Some(answer) = self.attempt(&chosen).await? {
+            let routed = self.choose(&avoided)?;
+            avoided.push(routed.chosen.endpoint.clone());
+            if let Some(answer) = self.attempt(routed).await? {
                 self.change(RequestAttempts::end);
                 let ended = &self.context.metrics.ended;
                 ended.with_label_values(&["whole"]).inc();
                 return Ok(answer);
             }
-            avoided.insert(chosen.endpoint.clone());
+            self.check_quarantine()?;
+            self.pause_before_retry().await?;
         }
     }
 
-    fn choose(&self, avoided: &BTreeSet<EndpointId>) -> Result<ChosenEndpoint, Refusal> {
-        let attempt = self.change(|attempts| attempts.attempt());
-        if attempt >= self.context.settings.requests.max_attempts {
-            let message = format!("gave up after {attempt} attempts");
-            return Err(self.refusal(RefusalCode::EndpointLost, message));
+    async fn pause_before_retry(&self) -> Result<(), Refusal> {
+        let failed = self.change(|attempts| attempts.attempt());
+        match self
+            .context
+            .traffic
+            .try_retry(&self.work.organisation, failed)
+        {
+            RetryAnswer::Retry { after, .. } => {
+                tokio::time::sleep(after.as_duration()).await;
+                Ok(())
+            }
+            RetryAnswer::GiveUp { reason } => {
+                let code = match self.change(|attempts| attempts.outcome()) {
+                    RunOutcome::NotRun(_) => RefusalCode::NoEndpoint,
+                    RunOutcome::Unknown => RefusalCode::EndpointLost,
+                };
+                Err(self.refusal(code, reason))
+            }
         }
-        let Some(chosen) = self.context.choose(&self.work.need, avoided) else {
-            let message = format!("no endpoint of `{}` takes work now", self.work.need.service);
-            return Err(self.refusal(RefusalCode::NoEndpoint, message));
+    }
+
+    fn choose(&self, avoided: &[EndpointId]) -> Result<RoutedAttempt, Refusal> {
+        let ask = RouteRequest {
+            request: self.change(|attempts| attempts.request().clone()),
+            pool: RoutePool::Plain(self.work.service.clone()),
+            prefix: None,
+            prompt_tokens: TokenCount::ZERO,
+            priority: self.work.priority,
+            repeatable: self.work.kind == WorkKind::Repeatable,
+            preemptible: self.work.preemptible,
+            excluded: avoided.to_vec(),
         };
-        let request = self.change(|attempts| attempts.request().to_string());
-        let subjects = [request.as_str(), chosen.endpoint.as_str()];
-        let reason = "least outstanding work of this entry";
-        self.context.decided(&subjects, "chose endpoint", reason);
-        Ok(chosen)
+        let routed = self.context.route(&ask);
+        routed.map_err(|error| self.refusal(RefusalCode::NoEndpoint, error.to_string()))
     }
 
-    async fn attempt(&self, chosen: &ChosenEndpoint) -> Result<Option<PlainAnswer>, Refusal> {
+    async fn attempt(&self, routed: RoutedAttempt) -> Result<Option<PlainAnswer>, Refusal> {
+        let RoutedAttempt { chosen, ticket, .. } = routed;
         let permit = self
             .change(|attempts| attempts.send(&chosen.endpoint))
             .map_err(|error| self.refusal(RefusalCode::EndpointLost, error.to_string()))?;
         self.context.metrics.attempts.inc();
         let limit = self.context.settings.requests.max_answer.count() as usize;
         let error = match chosen.client.call(&permit, &self.work.call, limit).await {
-            Ok(answer) => return Ok(Some(answer)),
+            Ok(answer) => {
+                ticket.ended(RouteOutcome::Answered);
+                return Ok(Some(answer));
+            }
             Err(error) => error,
         };
+        ticket.ended(RouteOutcome::Failed);
         let subjects = [permit.request().as_str(), chosen.endpoint.as_str()];
         self.context
             .decided(&subjects, "attempt failed", error.to_string());
-        self.change(|attempts| match error {
-            EndpointError::NotSent(_) => attempts.not_sent(permit),
-            EndpointError::Refused { .. } | EndpointError::Lost(_) => attempts.lost(),
+        let was_sent = !matches!(error, EndpointError::NotSent(_));
+        self.change(|attempts| match was_sent {
+            true => attempts.lost(),
+            false => attempts.not_sent(permit),
         });
+        if was_sent {
+            let probe = chosen.client.probe().await;
+            if self.context.has_crashed(&chosen, probe).await {
+                let noted = self.context.note_crash(&self.work.fingerprint, &chosen);
+                noted.await;
+            }
+        }
         if self.change(|attempts| *attempts.phase() == AttemptPhase::Done) {
             let message =
                 format!("the endpoint was lost, and the call may not be repeated: {error}");
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -2,7 +2,10 @@
 
 use std::path::Path;
 
-use bluebell_core::{clock::TimeSpan, units::ByteSize};
+use bluebell_core::{
+    admission::AdmissionSettings, clock::TimeSpan, retries::RetrySettings,
+    routing::RoutingSettings, units::ByteSize,
+};
 use bluebell_daemon::settings::{SettingProblem, SettingsError};
 use bluebell_node::NodeSettings;
 use serde::{Deserialize, Serialize};
@@ -16,6 +19,9 @@
     /// How it treats requests.
     #[serde(default)]
     pub requests: RequestSettings,
+    /// Who may start, and where it goes.
+    #[serde(default)]
+    pub traffic: TrafficSettings,
     /// What it meters.
     #[serde(default)]
     pub metering: MeterSettings,
@@ -34,8 +40,6 @@
     pub heartbeat: TimeSpan,
     /// How long an answer waits for a refusal before its status is sent.
     pub commit_after: TimeSpan,
-    /// How often one request may be sent to endpoints.
-    pub max_attempts: u32,
     /// The pause between two looks at the platform's endpoint list.
     pub list_interval: TimeSpan,
     /// How long a stopping entry waits for its running answers.
@@ -56,7 +60,6 @@
             max_answer: ByteSize::new(4 * 1024 * 1024),
             heartbeat: TimeSpan::from_millis(250),
             commit_after: TimeSpan::from_millis(250),
-            max_attempts: 4,
             list_interval: TimeSpan::from_secs(1),
             drain_limit: TimeSpan::from_secs(600),
             claim_patience: TimeSpan::from_secs(5),
@@ -66,6 +69,46 @@
     }
 }
 
+/// The `[traffic]` table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TrafficSettings {
+    /// Requests that one engine runs at once.
+    pub engine_slots: u32,
+    /// Calls that one replica of a plain service runs at once.
+    pub plain_slots: u32,
+    /// The time from a start to an idle engine's first token.
+    pub first_token: TimeSpan,
+    /// The time from a start to an idle replica's answer.
+    pub plain_answer: TimeSpan,
+    /// Fair queueing and deadlines.
+    pub admission: AdmissionSettings,
+    /// The choice of endpoints.
+    pub routing: RoutingSettings,
+    /// The budgets of retries.
+    pub retries: RetrySettings,
+}
+
+impl Default for TrafficSettings {
+    fn default() -> TrafficSettings {
+        TrafficSettings {
+            engine_slots: 32,
+            plain_slots: 64,
+            first_token: TimeSpan::from_millis(50),
+            plain_answer: TimeSpan::from_millis(5),
+            admission: AdmissionSettings::default(),
+            routing: RoutingSettings::default(),
+            retries: RetrySettings {
+                share: 20,
+                minimum: 20,
+                most: 100,
+                attempts: 4,
+                ..RetrySettings::default()
+            },
+        }
+    }
+}
+
 /// The `[metering]` table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -92,6 +135,7 @@
             node,
             requests: RequestSettings::default(),
             metering: MeterSettings::default(),
+            traffic: TrafficSettings::default(),
         }
     }
 
@@ -116,9 +160,14 @@
                 problems.push(SettingProblem::new(field, span, "more than `0ms`"));
             }
         }
-        if requests.max_attempts == 0 {
-            let problem = SettingProblem::new("requests.max_attempts", 0, "at least 1");
-            problems.push(problem);
+        for (field, count) in [
+            ("traffic.engine_slots", self.traffic.engine_slots),
+            ("traffic.plain_slots", self.traffic.plain_slots),
+            ("traffic.retries.attempts", self.traffic.retries.attempts),
+        ] {
+            if count == 0 {
+                problems.push(SettingProblem::new(field, count, "at least 1"));
+            }
         }
         let rocket_limit = 64 * 1024 * 1024;
         if requests.max_body.count() == 0 || requests.max_body.count() > rocket_limit {
