--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use bluebell_core::{
+    clock::TimeSpan,
     ids::{EndpointId, InstanceId, RequestFingerprint},
     quarantine::{CrashSite, CrashStanding, CrashTrials, TrialChoice},
     records::{LogRecord, QuarantineRecord},
@@ -14,6 +15,9 @@
 
 use crate::{context::EntryContext, directory::ChosenEndpoint, traffic_feed::live_entries};
 
+/// How long a waiting suspect may not notice that endpoints have changed.
+const RECHECK_PAUSE: TimeSpan = TimeSpan::from_millis(100);
+
 /// The suspects that this entry runs, and those that wait for their turn.
 #[derive(Debug)]
 pub struct CrashWatch {
@@ -48,7 +52,8 @@
         self.trials.lock().expect("no holder panics")
     }
 
-    /// Waits until some suspect's run has ended after `check` answered nothing.
+    /// Asks `check` until it answers: at once, when a suspect's run ends, and now
+    /// and then, since endpoints come and go.
     pub async fn wait_for<Found, Check>(&self, mut check: Check) -> Found
     where
         Check: FnMut() -> Option<Found>,
@@ -60,7 +65,7 @@
             if let Some(found) = check() {
                 return found;
             }
-            freed.await;
+            let _ = tokio::time::timeout(RECHECK_PAUSE.as_duration(), freed).await;
         }
     }
 
--- a/crates/entry/src/model_run.rs
+++ b/crates/entry/src/model_run.rs
@@ -306,17 +306,23 @@
     async fn wait_for_trial(&mut self) -> Result<Vec<EndpointId>, Refusal> {
         let context = self.context.clone();
         let pool = self.work.pool();
-        let mut usable = context.open_endpoints(&pool);
-        usable.retain(|endpoint| !self.avoided.contains(endpoint));
         let fingerprint = self.work.fingerprint.clone();
         let watch = context.crashes.clone();
-        let found = watch.wait_for(|| match context.trial_choice(&fingerprint, &usable) {
-            TrialChoice::Among(free) => {
-                let endpoint = free.into_iter().next()?;
-                let ticket = watch.begin(&fingerprint, &endpoint);
-                Some((endpoint, ticket))
+        let avoided = self.avoided.clone();
+        let found = watch.wait_for(|| {
+            let mut usable = context.open_endpoints(&pool);
+            usable.retain(|endpoint| !avoided.contains(endpoint));
+            if usable.is_empty() {
+                return Some(None);
+            }
+            match context.trial_choice(&fingerprint, &usable) {
+                TrialChoice::Among(free) => {
+                    let endpoint = free.into_iter().next()?;
+                    let ticket = watch.begin(&fingerprint, &endpoint);
+                    Some(Some((endpoint, ticket)))
+                }
+                TrialChoice::Wait => None,
             }
-            TrialChoice::Wait => None,
         });
         let left = self.work.deadline.since(context.now());
         let patience = match self.answer.tokens().is_empty() {
@@ -324,9 +330,13 @@
             false => TRIAL_PATIENCE,
         };
         let found = tokio::time::timeout(patience.as_duration(), found).await;
-        let Ok((endpoint, ticket)) = found else {
+        let found = found.map_err(|_| {
             let message = "it may have crashed an endpoint, and no other was free to try it alone";
-            return Err(self.refusal(RefusalCode::SuspectWaiting, message));
+            self.refusal(RefusalCode::SuspectWaiting, message)
+        })?;
+        let Some((endpoint, ticket)) = found else {
+            let message = format!("no endpoint of `{}` takes work now", self.work.service);
+            return Err(self.refusal(RefusalCode::NoEndpoint, message));
         };
         self.trial = Some(ticket);
         let all = context.open_endpoints(&pool);
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -195,6 +195,7 @@
         "draining": context.draining.is_cancelled(),
         "in_progress": context.metrics.in_progress.get(),
         "routed": context.traffic.endpoints(),
+        "closed": context.traffic.closed_endpoints(),
         "pools": context.traffic.status(),
         "endpoints": context.directory.slots(),
         "view": view.unwrap_or_else(|error| json!({"error": error.to_string()})),
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -234,6 +234,16 @@
         self.lock().queue.status()
     }
 
+    /// The endpoints that get no new work.
+    pub fn closed_endpoints(&self) -> Vec<EndpointId> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let pools = state.queue.status().into_iter();
+        let snapshots = pools.flat_map(|status| state.router.snapshots(now, &status.pool));
+        let closed = snapshots.filter(|snapshot| !snapshot.open);
+        closed.map(|snapshot| snapshot.endpoint).collect()
+    }
+
     /// The endpoints known.
     pub fn endpoints(&self) -> Vec<EndpointId> {
         self.lock().router.endpoints()
--- a/crates/entry/tests/support/endpoint.rs
+++ b/crates/entry/tests/support/endpoint.rs
@@ -119,6 +119,11 @@
         FakeEndpoint::start(move |seen| whole_answer(&seen.generate(), length)).await
     }
 
+    /// Whether the process has ended.
+    pub fn is_gone(&self) -> bool {
+        self.alive.is_cancelled()
+    }
+
     /// The process ends.
     pub fn crash(&self) {
         self.alive.cancel();
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -174,6 +174,8 @@
         fingerprint: RequestFingerprint::with_content(&one, b"poison"),
         endpoint: EndpointId::new("engine-1").expect("valid"),
         entry: a.node.settings().instance.clone(),
+        incarnation: 0,
+        cleared: false,
     });
     a.node.push_note(&record);
     let told = tokio::time::timeout(PATIENCE.as_duration(), notes.recv()).await;
