--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -173,8 +173,8 @@
     let record = LogRecord::Quarantine(QuarantineRecord {
         fingerprint: RequestFingerprint::with_content(&one, b"poison"),
         endpoint: EndpointId::new("engine-1").expect("valid"),
+        incarnation: 1,
         entry: a.node.settings().instance.clone(),
-        incarnation: 0,
         cleared: false,
     });
     a.node.push_note(&record);
