--- a/crates/controller/tests/controller/stage.rs
+++ b/crates/controller/tests/controller/stage.rs
@@ -1,6 +1,9 @@
 //! A platform and controllers inside the test's own process.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
 
 use bluebell_controller::{ControllerSettings, RunningController};
 use bluebell_core::{
@@ -17,7 +20,7 @@
     view::FleetView,
 };
 use bluebell_daemon::ops::{self, RunningServer};
-use bluebell_node::NodeSettings;
+use bluebell_node::{NodeHandle, NodeSettings};
 use bluebell_platform::{
     PlatformClient,
     api::{AppendRequest, EndpointKind, EndpointListing, EndpointState},
@@ -27,9 +30,13 @@
 use standin_platform::{PlatformSettings, RunningPlatform, history::PlatformHistory};
 use tokio_util::sync::CancellationToken;
 
+/// What an entry tells of the work that arrives.
+pub type ToldDemand = Arc<Mutex<PoolDemand>>;
+
 #[rocket::get("/demand")]
-fn demand_route(demand: &State<Vec<PoolDemand>>) -> Json<Vec<PoolDemand>> {
-    Json(demand.inner().clone())
+fn demand_route(demand: &State<ToldDemand>) -> Json<Vec<PoolDemand>> {
+    let demand = demand.lock().expect("no holder panics");
+    Json(vec![demand.clone()])
 }
 
 /// A platform with a client that appends to its log.
@@ -63,9 +70,17 @@
 
     /// Starts a controller with short leases.
     pub async fn controller(&self, name: &str) -> RunningController {
+        self.controller_with(name, |_| {}).await
+    }
+
+    /// The same with settings that `change` has changed.
+    pub async fn controller_with<Change>(&self, name: &str, change: Change) -> RunningController
+    where
+        Change: FnOnce(&mut ControllerSettings),
+    {
         let text = "duration = \"2s\"\nmargin = \"300ms\"\nrenew_after = \"400ms\"\n\
              stagger = \"100ms\"\nhandover_after = \"60s\"";
-        let settings = ControllerSettings {
+        let mut settings = ControllerSettings {
             node: self.node(name),
             lease: toml::from_str(text).expect("the settings are valid"),
             orders: toml::from_str(
@@ -80,6 +95,7 @@
             .expect("the settings are valid"),
             fleet: Default::default(),
         };
+        change(&mut settings);
         assert_eq!(settings.problems(), []);
         let token = CancellationToken::new();
         let controller = bluebell_controller::start(settings, ClockSource::new(), token);
@@ -162,8 +178,17 @@
         posted.expect("the platform takes it");
     }
 
-    /// Lists an entry that tells `demand` for good.
-    pub async fn list_entry(&self, demand: Vec<PoolDemand>) -> RunningServer {
+    /// Starts an entry's node, which follows the log and talks to its peers.
+    pub async fn entry_node(&self, name: &str, token: &CancellationToken) -> NodeHandle {
+        let node = NodeHandle::start(self.node(name), ClockSource::new(), token);
+        let http_address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let joined = node.join(InstanceProgram::Entry, http_address, token);
+        joined.await.expect("the entry takes peers");
+        node
+    }
+
+    /// Lists an entry that tells what `demand` holds.
+    pub async fn list_entry(&self, demand: ToldDemand) -> RunningServer {
         let local = SocketAddr::from(([127, 0, 0, 1], 0));
         let rocket = ops::server(local)
             .mount("/", rocket::routes![demand_route])
