--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The command line: one file for each command.
 
+pub mod capacity;
 pub mod tables;
 
 use bpaf::{OptionParser, Parser};
@@ -7,6 +8,7 @@
 /// A command with its arguments.
 enum LabCommand {
     Tables(tables::TablesArgs),
+    Capacity(capacity::CapacityArgs),
 }
 
 fn parser() -> OptionParser<LabCommand> {
@@ -15,7 +17,12 @@
         .to_options()
         .descr("Prints all tables of docs/MEASUREMENTS.md")
         .command("tables");
-    tables
+    let capacity = capacity::args()
+        .map(LabCommand::Capacity)
+        .to_options()
+        .descr("Measures the slopes of docs/CAPACITY.md")
+        .command("capacity");
+    bpaf::construct!([tables, capacity])
         .to_options()
         .descr("Policy experiments in virtual time")
 }
@@ -24,5 +31,6 @@
 pub fn run() -> anyhow::Result<()> {
     match parser().run() {
         LabCommand::Tables(args) => tables::exec(&args),
+        LabCommand::Capacity(args) => capacity::exec(&args),
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod fluid;
 pub mod policy;
 pub mod scenario;
+pub mod slopes;
 pub mod tables;
 pub mod world;
