--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -424,7 +424,7 @@
             let miss = prefill_time(uncached(candidate), &self.settings);
             candidate.wait + miss.times(u64::from(self.settings.miss_weight))
         };
-        let least = candidates.iter().map(|c| cost(c)).min()?;
+        let least = candidates.iter().map(&cost).min()?;
         let slack = least.as_millis() * u64::from(self.settings.load_bound) / 100;
         let bound = least + TimeSpan::from_millis(slack) + self.settings.running_cost.times(2);
         let within = candidates.iter().filter(|c| cost(c) <= bound);
