Test requests that crash engines, and an engine that breaks all its streams

Cause: one request must not take a fleet down, and bystanders must not be taken for it; and an engine that answers probes but breaks every stream must not cost answers that another engine can give. Ruled out: counting crashes inside the entry; the engines' own histories are counted. Change: two process tests.

--- a/crates/process-tests/tests/endpoint_failures.rs
+++ b/crates/process-tests/tests/endpoint_failures.rs
@@ -1,4 +1,4 @@
-//! Capacity that is taken back.
+//! Requests that crash engines, and capacity that is taken back.
 
 use bluebell_core::clock::ClockSource;
 use bluebell_load::caller::{ChatAsk, ChatEnd};
@@ -52,6 +52,49 @@
         .collect()
 }
 
+/// One customer's question crashes every engine that runs it, and the kiosk
+/// sends it again each time, now here, now there. Left alone, it would take the
+/// whole fleet down. Others' requests run beside it all the time; they must get
+/// their answers, and must not be taken for the culprit.
+#[tokio::test]
+async fn a_request_that_crashes_engines_is_stopped_after_two() -> anyhow::Result<()> {
+    let mut shape = FleetShape::new();
+    shape.entries = 2;
+    shape.engines = 4;
+    let fleet = serving_fleet(shape).await?;
+    let crash = json!({"crash": {"text": "poison", "down_for": "200ms"}});
+    for engine in &fleet.engines {
+        control::set_faults(engine.process.http(), &crash).await?;
+    }
+    let bystanders = (0..8).map(|number| {
+        let content = format!("bystander {number} len=400");
+        ask(&fleet, number % 2, &content)
+    });
+    let running = record_all(&ClockSource::new(), bystanders.collect());
+    for number in 0..6 {
+        let asks = vec![ask(&fleet, number % 2, "poison len=5")];
+        let records = record_all(&ClockSource::new(), asks).await?;
+        let end = &records[0].answer.end;
+        assert!(matches!(end, ChatEnd::Refused(_)), "{end:?}");
+    }
+    let records = running.await?;
+    assert_eq!(whole_answers(&records), []);
+    assert_eq!(broken_ends(&records), [] as [&ChatEnd; 0]);
+    let again = (0..8).map(|number| {
+        let content = format!("bystander {number} len=400");
+        ask(&fleet, number % 2, &content)
+    });
+    let records = record_all(&ClockSource::new(), again.collect()).await?;
+    assert_eq!(broken_ends(&records), [] as [&ChatEnd; 0], "later");
+    let events = all_events(&fleet).await?;
+    let crashes = events
+        .iter()
+        .filter(|e| matches!(e, EngineEvent::Crashed { .. }));
+    let crashes = crashes.count();
+    assert!(crashes <= 2, "one request crashed {crashes} engines");
+    Ok(())
+}
+
 /// The platform takes back a failure domain's cheaper engines on half a second's
 /// notice, while answers come from them. Nobody at a screen may notice.
 #[tokio::test]
--- a/crates/process-tests/tests/entry_failures.rs
+++ b/crates/process-tests/tests/entry_failures.rs
@@ -144,6 +144,24 @@
     Ok(())
 }
 
+/// One engine breaks each of its streams, and another one is fine. The first
+/// answers probes as if nothing were wrong, so an entry that trusts those would
+/// try it until it gives up, and the person at the screen would go without an
+/// answer that the other engine could give.
+#[tokio::test]
+async fn an_engine_that_breaks_all_streams_does_not_cost_the_answer() -> anyhow::Result<()> {
+    let fleet = serving_fleet(2).await?;
+    for kind in STREAM_FAULTS {
+        let records = ask_with_fault(&fleet, &json!({"kind": kind, "after": 3})).await?;
+        assert_eq!(whole_answers(&records), [], "{kind}");
+        for record in &records {
+            let end = &record.answer.end;
+            assert!(matches!(end, ChatEnd::Whole { .. }), "{kind}: {end:?}");
+        }
+    }
+    Ok(())
+}
+
 /// A caller walks away while its request is at the engine. If the engine were
 /// not told, it would go on working for nobody, and others would wait for it.
 #[tokio::test]
