Leave engines that break streams; serve demand; hear peers of crashes

Cause: an engine that answers probes but breaks every stream was chosen for all attempts of a request while a healthy one stood idle; controllers had nothing to plan roles and fleet from; a crash was known to peers only through the log; a mark that came while a prompt was handed over was not looked at again. Change: a request prefers endpoints that have not lost an attempt of it; GET /demand; crash notes to and from peers; marks are looked at just before sending; engines are routed by the model that they say they have loaded; a cancelled answer's cost is what was delivered (it counted as nothing). Seen failing without: the preference (its test).

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -26,6 +26,7 @@
     running::{RunningKeys, RunningTicket},
     settings::EntrySettings,
     traffic::{RouteTicket, TrafficControl, WorkTicket},
+    traffic_feed::sync_endpoints,
 };
 
 /// What all handlers and tasks of one entry share.
@@ -207,9 +208,20 @@
         Err(refused.with_retry_after(refusal.retry_after))
     }
 
-    /// Chooses an endpoint for an attempt.
+    /// Whether the endpoint gets no new work, by the log as it is read now.
+    pub fn is_leaving(&self, endpoint: &EndpointId) -> bool {
+        self.node.with_view(|view| view.marks.is_leaving(endpoint))
+    }
+
+    /// Chooses an endpoint for an attempt. The router hears of marks a moment
+    /// after they were read; a choice that a mark overtook is made again.
     pub fn route(&self, ask: &RouteRequest) -> Result<RoutedAttempt, NoRoute> {
-        let (choice, ticket) = self.traffic.route(ask)?;
+        let (mut choice, mut ticket) = self.traffic.route(ask)?;
+        if self.is_leaving(&choice.endpoint) {
+            drop(ticket);
+            sync_endpoints(self);
+            (choice, ticket) = self.traffic.route(ask)?;
+        }
         let Some(chosen) = self.directory.choose(&choice.endpoint) else {
             return Err(NoRoute::NoEndpoint(ask.pool.clone()));
         };
--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -11,7 +11,8 @@
 };
 use bluebell_endpoint::client::ProbeResult;
 use bluebell_platform::api::EndpointState;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, broadcast::error::RecvError};
+use tokio_util::sync::CancellationToken;
 
 use crate::{context::EntryContext, directory::ChosenEndpoint, traffic_feed::live_entries};
 
@@ -152,7 +153,9 @@
             "suspects the request",
             "it ran when the endpoint crashed",
         );
-        let appended = self.node.append(LogRecord::Quarantine(record));
+        let record = LogRecord::Quarantine(record);
+        self.node.push_note(&record);
+        let appended = self.node.append(record);
         let limit = self.settings.requests.claim_patience;
         let _ = tokio::time::timeout(limit.as_duration(), appended).await;
     }
@@ -164,7 +167,35 @@
         record.cleared = true;
         let subjects = [fingerprint.as_str(), endpoint.as_str()];
         self.decided(&subjects, "cleared the request", "it ran to its end");
-        let _ = self.node.append(LogRecord::Quarantine(record)).await;
+        let record = LogRecord::Quarantine(record);
+        self.node.push_note(&record);
+        let _ = self.node.append(record).await;
+    }
+
+    /// Takes peers' word of crashes, which comes before the log's and also while
+    /// the log is down, until `token` is cancelled.
+    pub async fn hear_crashes(self: Arc<Self>, token: CancellationToken) {
+        let mut notes = self.node.subscribe_notes();
+        loop {
+            let note = tokio::select! {
+                () = token.cancelled() => return,
+                note = notes.recv() => note,
+            };
+            match note {
+                Ok(LogRecord::Quarantine(record)) if !record.cleared => {
+                    let site = CrashSite {
+                        endpoint: record.endpoint,
+                        incarnation: record.incarnation,
+                    };
+                    self.crashes.lock().crashed(&record.fingerprint, site);
+                }
+                Ok(LogRecord::Quarantine(record)) => {
+                    self.crashes.lock().cleared(&record.fingerprint);
+                }
+                Ok(_) | Err(RecvError::Lagged(_)) => {}
+                Err(RecvError::Closed) => return,
+            }
+        }
     }
 
     fn crash_record(
--- a/crates/entry/src/model_run.rs
+++ b/crates/entry/src/model_run.rs
@@ -36,7 +36,7 @@
     directory::ChosenEndpoint,
     refusal::{Refusal, RefusalCode},
     running::RunningTicket,
-    traffic::RouteTicket,
+    traffic::{RouteTicket, WorkTicket},
 };
 
 /// How many bytes of a prompt make a token, on average.
@@ -109,6 +109,7 @@
 enum AttemptEnd {
     Whole(AnswerEnd),
     GoOn,
+    ChooseAgain,
 }
 
 /// Why an attempt brought no whole answer.
@@ -127,9 +128,11 @@
     answer: AnswerAssembly,
     events: mpsc::Sender<AnswerEvent>,
     chosen: Option<ChosenEndpoint>,
+    ticket: Option<WorkTicket>,
     route: Option<RouteTicket>,
     trial: Option<TrialTicket>,
     avoided: BTreeSet<EndpointId>,
+    lossy: BTreeSet<EndpointId>,
     import: Option<KvHandle>,
     started: ClockTime,
 }
@@ -151,9 +154,11 @@
             answer,
             events,
             chosen: None,
+            ticket: None,
             route: None,
             trial: None,
             avoided: BTreeSet::new(),
+            lossy: BTreeSet::new(),
             import: None,
             started,
         }
@@ -175,6 +180,9 @@
             }
             end = self.drive() => Some(end),
         };
+        if let Some(mut ticket) = self.ticket.take() {
+            ticket.note_delivered(self.answer.tokens().len() as u64);
+        }
         match end {
             None => self.note_cancelled(),
             Some(Ok(end)) => {
@@ -240,17 +248,16 @@
         let started = self
             .context
             .start_work(ask, self.work.limits, &self.attempts);
-        let mut ticket = started.await?;
+        self.ticket = Some(started.await?);
         let organisation = self.work.organisation.clone();
         self.context.traffic.note_request(&organisation);
         loop {
             let routed = self.choose().await?;
             self.prefill(routed.prefill.as_ref()).await?;
-            let end = self.attempt(routed).await;
-            ticket.note_delivered(self.answer.tokens().len() as u64);
-            match end? {
+            match self.attempt(routed).await? {
                 AttemptEnd::Whole(end) => return Ok(end),
                 AttemptEnd::GoOn => self.pause_before_retry().await?,
+                AttemptEnd::ChooseAgain => self.trial = None,
             }
         }
     }
@@ -280,14 +287,14 @@
     async fn choose(&mut self) -> Result<RoutedAttempt, Refusal> {
         self.check_deadline()?;
         let excluded = match self.context.standing(&self.work.fingerprint) {
-            CrashStanding::Clean => self.avoided.iter().cloned().collect(),
+            CrashStanding::Clean => self.avoided.union(&self.lossy).cloned().collect(),
             CrashStanding::Suspect => self.wait_for_trial().await?,
             CrashStanding::Quarantined => {
                 let message = "the request crashed endpoints and is not run again";
                 return Err(self.refusal(RefusalCode::RequestQuarantined, message));
             }
         };
-        let ask = RouteRequest {
+        let mut ask = RouteRequest {
             request: self.attempts.request().clone(),
             pool: self.work.pool(),
             prefix: Some(prefix_digest(&self.work.prompt)),
@@ -297,7 +304,12 @@
             preemptible: self.work.preemptible,
             excluded,
         };
-        let routed = self.context.route(&ask);
+        let mut routed = self.context.route(&ask);
+        if routed.is_err() && !self.lossy.is_empty() && self.trial.is_none() {
+            // Whoever lost an attempt but answers probes is better than nobody.
+            ask.excluded = self.avoided.iter().cloned().collect();
+            routed = self.context.route(&ask);
+        }
         routed.map_err(|error| self.refusal(RefusalCode::NoEndpoint, error.to_string()))
     }
 
@@ -406,6 +418,10 @@
 
     async fn attempt(&mut self, routed: RoutedAttempt) -> Result<AttemptEnd, Refusal> {
         let chosen = routed.chosen;
+        if self.context.is_leaving(&chosen.endpoint) {
+            // A mark came while the prompt was handed over.
+            return Ok(AttemptEnd::ChooseAgain);
+        }
         self.route = Some(routed.ticket);
         let permit = self
             .attempts
@@ -588,7 +604,10 @@
         match probe {
             // The engine may still be at work for the old connection; it must
             // hear the cancel before it hears of the next attempt.
-            ProbeResult::Healthy => drop(chosen.client.cancel(self.attempts.request()).await),
+            ProbeResult::Healthy => {
+                drop(chosen.client.cancel(self.attempts.request()).await);
+                self.lossy.insert(chosen.endpoint.clone());
+            }
             ProbeResult::ConnectionRefused | ProbeResult::Unreachable => {
                 self.avoided.insert(chosen.endpoint.clone());
             }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -11,6 +11,7 @@
 use bluebell_core::{
     clock::{ClockSource, TimeSpan},
     membership::{InstanceProgram, InstanceState},
+    roles::PoolDemand,
 };
 use bluebell_daemon::{
     journal::{self, DecisionJournal},
@@ -19,7 +20,13 @@
 };
 use bluebell_node::NodeHandle;
 use prometheus::Registry;
-use rocket::{Build, Request, Rocket, catch, catchers, fairing::AdHoc, http::Header, http::Status};
+use rocket::{
+    Build, Request, Rocket, State, catch, catchers,
+    fairing::AdHoc,
+    get,
+    http::{Header, Status},
+    serde::json::Json,
+};
 use serde_json::json;
 use tokio::task::JoinHandle;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -130,6 +137,7 @@
     let directory = context.directory.clone();
     let node = context.node.clone();
     tokio::spawn(directory.follow(node.clone(), interval, token.clone()));
+    tokio::spawn(context.clone().hear_crashes(token.clone()));
     tokio::spawn(traffic_feed::run(context.clone(), token.clone()));
     tokio::spawn(traffic_feed::watch_engines(context.clone(), token.clone()));
     tokio::spawn(context.keys.clone().follow(node.clone(), token.clone()));
@@ -147,7 +155,7 @@
     );
     let rocket = ops::server(address)
         .manage(context.clone())
-        .mount("/", rocket::routes![chat::chat])
+        .mount("/", rocket::routes![chat::chat, demand])
         .mount("/", plain::routes())
         .register("/", catchers![default_catcher])
         .attach(AdHoc::on_response("request id", |request, response| {
@@ -160,6 +168,12 @@
     journal::mount(rocket, context.journal.clone())
 }
 
+/// What is asked for at this entry, for the controllers' plans of roles and fleet.
+#[get("/demand")]
+fn demand(context: &State<Arc<EntryContext>>) -> Json<Vec<PoolDemand>> {
+    Json(context.traffic.demands())
+}
+
 #[catch(default)]
 fn default_catcher(status: Status, request: &Request<'_>) -> Refusal {
     let head = CallerHead::of(request);
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -18,7 +18,8 @@
     clock::{ClockSource, TimeSpan},
     ids::{EndpointId, FailureDomain, OrganisationId, RequestId},
     retries::{RetryAnswer, RetryBudget},
-    routing::{NoRoute, RequestRouter, RouteChoice, RouteOutcome, RouteRequest},
+    roles::{DemandEstimator, PoolDemand},
+    routing::{NoRoute, RequestRouter, RouteChoice, RouteOutcome, RoutePool, RouteRequest},
     units::TokenCount,
 };
 use tokio::sync::oneshot;
@@ -41,6 +42,7 @@
     pub router: RequestRouter,
     pub queue: AdmissionQueue,
     budget: RetryBudget,
+    demand: DemandEstimator,
     waiting: BTreeMap<RequestId, oneshot::Sender<StartAnswer>>,
     /// The cost served by this entry since its start, for its peers.
     pub served: BTreeMap<OrganisationId, u64>,
@@ -78,10 +80,22 @@
     state: Mutex<TrafficState>,
 }
 
+/// How far work came, for the estimate of demand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WorkStage {
+    Queued,
+    Refused,
+    Started,
+}
+
 /// Work that started, until it is dropped.
 pub struct WorkTicket {
     traffic: Arc<TrafficControl>,
     request: RequestId,
+    pool: RoutePool,
+    prompt: TokenCount,
+    max_output: TokenCount,
+    stage: WorkStage,
     delivered: u64,
     /// Why it started when it did.
     pub reason: String,
@@ -100,6 +114,17 @@
         let delivered = TokenCount::new(self.delivered);
         let mut state = self.traffic.lock();
         state.waiting.remove(&self.request);
+        match self.stage {
+            WorkStage::Queued => {
+                let demand = &mut state.demand;
+                demand.note_queued_cancel(now, &self.pool, self.prompt, self.max_output);
+            }
+            WorkStage::Started => {
+                let demand = &mut state.demand;
+                demand.note_end(&self.pool, self.max_output, delivered);
+            }
+            WorkStage::Refused => {}
+        }
         let actions = state.queue.finish(now, &self.request, delivered);
         state.carry_out(actions);
     }
@@ -152,6 +177,7 @@
             router: router.with_seed(seed),
             queue: AdmissionQueue::new(settings.admission.clone()).with_seed(seed),
             budget: RetryBudget::new(settings.retries).with_seed(seed),
+            demand: DemandEstimator::new(),
             waiting: BTreeMap::new(),
             served: BTreeMap::new(),
         };
@@ -176,12 +202,23 @@
         let mut ticket = WorkTicket {
             traffic: self.clone(),
             request: ask.request.clone(),
+            pool: ask.pool.clone(),
+            prompt: ask.prompt_tokens,
+            max_output: ask.max_output,
+            stage: WorkStage::Queued,
             delivered: 0,
             reason: String::new(),
         };
         {
             let now = self.clock.now();
             let mut state = self.lock();
+            state.demand.note_arrival(
+                now,
+                &ask.pool,
+                ask.prompt_tokens,
+                TokenCount::ZERO,
+                ask.max_output,
+            );
             state.queue.set_limits(ask.organisation.clone(), limits);
             state.waiting.insert(ask.request.clone(), sender);
             let actions = state.queue.offer(now, ask);
@@ -191,7 +228,12 @@
             reason: RefuseReason::NoCapacity,
             retry_after: TimeSpan::from_secs(1),
         };
-        ticket.reason = answer.await.map_err(lost)??;
+        let answer = answer.await.map_err(lost).flatten();
+        ticket.stage = match answer.is_ok() {
+            true => WorkStage::Started,
+            false => WorkStage::Refused,
+        };
+        ticket.reason = answer?;
         Ok(ticket)
     }
 
@@ -229,6 +271,11 @@
         state.carry_out(actions);
     }
 
+    /// What is asked for here, by pool.
+    pub fn demands(&self) -> Vec<PoolDemand> {
+        self.lock().demand.demands(self.clock.now())
+    }
+
     /// The pools' state, for the dump.
     pub fn status(&self) -> Vec<PoolStatus> {
         self.lock().queue.status()
--- a/crates/entry/src/traffic_feed.rs
+++ b/crates/entry/src/traffic_feed.rs
@@ -77,7 +77,9 @@
 
 /// The pool that an endpoint belongs to.
 pub fn pool_of(slot: &EndpointSlot) -> RoutePool {
-    match &slot.listing.model {
+    // The list may still name the model that the engine had before an order.
+    let loaded = slot.status.as_ref().map(|status| &status.model);
+    match loaded.or(slot.listing.model.as_ref()) {
         Some(model) => RoutePool::Model(model.clone()),
         None => RoutePool::Plain(slot.listing.service.clone()),
     }
--- a/crates/entry/tests/answers.rs
+++ b/crates/entry/tests/answers.rs
@@ -113,6 +113,29 @@
     assert!(resumed <= 2 && work.attempt == 2, "{work:?}");
 }
 
+/// An engine answers probes but breaks every stream, while another one is healthy.
+/// The shopper must get the answer from the other one.
+#[tokio::test]
+async fn an_engine_that_breaks_all_streams_is_left_for_another() {
+    let breaking = FakeEndpoint::start(|seen| {
+        let work = seen.generate();
+        vec![
+            head(),
+            Step::Item(token(&work, work.delivered.len() as u64)),
+        ]
+    })
+    .await;
+    let healthy = FakeEndpoint::engine(4).await;
+    let bed = bed_with(&[&breaking, &healthy]).await;
+    while breaking.seen("/generate").is_empty() {
+        for number in 0..20 {
+            let answer = bed.chat(true, &number.to_string()).send().await.unwrap();
+            let read = read_stream(answer).await;
+            assert!(read.done && read.text == "t0 t1 t2 t3 ");
+        }
+    }
+}
+
 /// A connection ends early without any error that TCP would show, and nobody else
 /// can finish. A caller must not take the half answer for the whole.
 #[tokio::test]
--- a/crates/entry/tests/serving.rs
+++ b/crates/entry/tests/serving.rs
@@ -40,6 +40,9 @@
     assert_eq!(whole["choices"][0]["message"]["content"], "t0 t1 t2 ");
     assert_eq!(whole["usage"]["prompt_tokens"], 7);
     assert_eq!(whole["usage"]["completion_tokens"], 3);
+    let demand = bed.http.get(bed.url("/demand")).send().await.unwrap();
+    let demand: Value = demand.json().await.unwrap();
+    assert_eq!(demand[0]["pool"], serde_json::json!({"model": "m1"}));
 }
 
 #[tokio::test]
