--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -16,7 +16,15 @@
     api::{AppendRequest, EndpointKind, EndpointListing, EndpointState},
 };
 
-use crate::{control, process::ProgramProcess, settings::NodePlace, wait};
+use tokio::net::TcpListener;
+
+use crate::{
+    control,
+    link::{CutLink, LinkMode},
+    process::ProgramProcess,
+    settings::NodePlace,
+    wait,
+};
 
 /// The model service of a test fleet.
 pub const CHAT_SERVICE: &str = "assistant";
@@ -38,8 +46,12 @@
     pub controllers: usize,
     /// Engines in each.
     pub engines: usize,
+    /// How many of these can be reclaimed.
+    pub preemptible_engines: usize,
     /// Plain service replicas in each.
     pub services: usize,
+    /// Whether peers reach each other through links that can be cut.
+    pub peer_links: bool,
     /// More settings of the platform, in TOML.
     pub platform_settings: String,
     /// More settings of engines, in TOML.
@@ -58,7 +70,9 @@
             entries: 1,
             controllers: 0,
             engines: 1,
+            preemptible_engines: 0,
             services: 1,
+            peer_links: false,
             platform_settings: "list_lag = \"200ms\"".to_string(),
             engine_settings: "[costs]\nspeed = 10".to_string(),
             entry_settings: String::new(),
@@ -88,6 +102,8 @@
     pub failure_domain: FailureDomain,
     /// The process.
     pub process: ProgramProcess,
+    /// The link by which peers reach it, if there is one.
+    pub link: Option<CutLink>,
 }
 
 /// A running fleet; its processes are killed when it is dropped.
@@ -139,13 +155,20 @@
             let name = format!("engine-{domain}-{number}");
             let settings = self.shape.engine_settings.clone();
             let member = member("standin-engine", &name, domain, &settings).await?;
-            self.register(&member, EndpointKind::Engine).await?;
+            let capacity = match number < self.shape.preemptible_engines {
+                true => CapacityKind::Preemptible,
+                false => CapacityKind::Reserved,
+            };
+            self.register(&member, EndpointKind::Engine, capacity)
+                .await?;
             self.engines.push(member);
         }
         for number in 0..self.shape.services {
             let name = format!("service-{domain}-{number}");
             let member = member("standin-service", &name, domain, "").await?;
-            self.register(&member, EndpointKind::Plain).await?;
+            let capacity = CapacityKind::Reserved;
+            self.register(&member, EndpointKind::Plain, capacity)
+                .await?;
             self.services.push(member);
         }
         for number in 0..self.shape.entries {
@@ -161,9 +184,10 @@
 
     /// Starts one more entry.
     pub async fn start_entry(&mut self, name: &str, domain: &FailureDomain) -> anyhow::Result<()> {
-        let settings = self.place(name, domain)?;
-        let settings = settings.settings(&self.shape.entry_settings);
-        let entry = member("bluebell-entry", name, domain, &settings).await?;
+        let (place, link) = self.place(name, domain).await?;
+        let settings = place.settings(&self.shape.entry_settings);
+        let mut entry = member("bluebell-entry", name, domain, &settings).await?;
+        entry.link = link;
         self.entries.push(entry);
         Ok(())
     }
@@ -174,23 +198,51 @@
         name: &str,
         domain: &FailureDomain,
     ) -> anyhow::Result<()> {
-        let settings = self.place(name, domain)?;
-        let settings = settings.settings(&self.shape.controller_settings);
-        let controller = member("bluebell-controller", name, domain, &settings).await?;
+        let (place, link) = self.place(name, domain).await?;
+        let settings = place.settings(&self.shape.controller_settings);
+        let mut controller = member("bluebell-controller", name, domain, &settings).await?;
+        controller.link = link;
         self.controllers.push(controller);
         Ok(())
     }
 
-    fn place(&self, name: &str, domain: &FailureDomain) -> anyhow::Result<NodePlace> {
-        Ok(NodePlace {
+    async fn place(
+        &self,
+        name: &str,
+        domain: &FailureDomain,
+    ) -> anyhow::Result<(NodePlace, Option<CutLink>)> {
+        let mut place = NodePlace {
             instance: InstanceId::new(name)?,
             failure_domain: domain.clone(),
             platform: self.platform.http().to_string(),
+            peer_address: "127.0.0.1:0".to_string(),
             peer_advertise: None,
-        })
+        };
+        if !self.shape.peer_links {
+            return Ok((place, None));
+        }
+        // The link must know the peer address before the process has one.
+        let free = TcpListener::bind("127.0.0.1:0").await?.local_addr()?;
+        let link = CutLink::start(free).await?;
+        place.peer_address = free.to_string();
+        place.peer_advertise = Some(link.address.to_string());
+        Ok((place, Some(link)))
+    }
+
+    /// Changes what all links between peers do.
+    pub fn set_peer_links(&self, mode: LinkMode) {
+        let members = self.entries.iter().chain(&self.controllers);
+        for link in members.filter_map(|member| member.link.as_ref()) {
+            link.set(mode);
+        }
     }
 
-    async fn register(&self, member: &FleetMember, kind: EndpointKind) -> anyhow::Result<()> {
+    async fn register(
+        &self,
+        member: &FleetMember,
+        kind: EndpointKind,
+        capacity: CapacityKind,
+    ) -> anyhow::Result<()> {
         let (service, model) = match kind {
             EndpointKind::Engine => (CHAT_SERVICE, Some(ModelName::new(CHAT_MODEL)?)),
             EndpointKind::Plain => (PLAIN_SERVICE, None),
@@ -199,7 +251,7 @@
             endpoint: EndpointId::new(member.name.clone())?,
             failure_domain: member.failure_domain.clone(),
             kind,
-            capacity: CapacityKind::Reserved,
+            capacity,
             service: ServiceName::new(service)?,
             model,
             address: member.process.http().to_string(),
@@ -243,10 +295,11 @@
             priority: Default::default(),
             deadline: TimeSpan::from_secs(60),
             progress_limit: TimeSpan::from_secs(2),
-            preemptible: false,
+            preemptible: self.shape.preemptible_engines > 0,
         };
         let plain = ServiceUnit {
             target: ServiceTarget::Plain {},
+            preemptible: false,
             ..chat.clone()
         };
         let lookups = RuleUnit {
@@ -293,6 +346,14 @@
         self.append(&LogRecord::Withdraw(record)).await
     }
 
+    /// What our own processes logged, to be read when a test fails.
+    pub fn logs(&self) -> String {
+        let members = self.entries.iter().chain(&self.controllers);
+        members
+            .map(|member| format!("--- {}\n{}", member.name, member.process.log()))
+            .collect()
+    }
+
     /// Waits until every entry says that it is ready.
     pub async fn entries_ready(&self) -> anyhow::Result<()> {
         for entry in &self.entries {
@@ -318,6 +379,7 @@
         name: name.to_string(),
         failure_domain: domain.clone(),
         process: ProgramProcess::start(program, settings).await?,
+        link: None,
     })
 }
 
