--- a/crates/entry/tests/answers.rs
+++ b/crates/entry/tests/answers.rs
@@ -126,7 +126,12 @@
     })
     .await;
     let healthy = FakeEndpoint::engine(4).await;
-    let bed = bed_with(&[&breaking, &healthy]).await;
+    // Otherwise the router's rests after failures would mend it in the end.
+    let bed = TestBed::with_settings(|settings| {
+        settings.traffic.routing.eject_after = 1_000;
+    })
+    .await;
+    bed.list(listings(&[&breaking, &healthy])).await;
     while breaking.seen("/generate").is_empty() {
         for number in 0..20 {
             let answer = bed.chat(true, &number.to_string()).send().await.unwrap();
