Make the shutdown test outlast Rocket's grace; freeze a controller mid-report

Cause: with the entry's drain taken out on a scratch basis, the SIGTERM test still passed: its streams were shorter than Rocket's grace and mercy. Ruled out: shorter grace in the entry (it is not what the test is about). A second test of a paused controller, with a report intended and unsent. Not seen failing: both tests of paused controllers pass even with the lease's clock and fence checks taken out of the controller, because it looks at what the platform already has before it sends; they show the promise, not that mechanism. Conclusion: a test that needs the lease check alone is missing; the checks' own tests are those of the authority slice.

--- a/crates/process-tests/tests/controllers.rs
+++ b/crates/process-tests/tests/controllers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use anyhow::Context;
+use bluebell_core::records::{IntentRecord, LogRecord, OrderBody, UsageWindow};
 use bluebell_load::caller::ChatAsk;
 use bluebell_testkit::{
     callers::first_answer,
@@ -14,6 +15,7 @@
     },
     wait,
 };
+use serde_json::json;
 use standin_engine::history::EngineEvent;
 use standin_platform::history::PlatformHistory;
 
@@ -110,6 +112,62 @@
     Ok(())
 }
 
+/// The windows whose report stands in the log as an intent and has not reached
+/// the platform.
+fn intended_windows(history: &PlatformHistory) -> Vec<UsageWindow> {
+    let reported: BTreeSet<UsageWindow> = history
+        .reports
+        .iter()
+        .filter(|seen| seen.accepted)
+        .map(|seen| seen.report.window)
+        .collect();
+    let records = history.appends.iter();
+    let records = records.filter_map(|entry| serde_json::from_str(&entry.payload).ok());
+    let intended = records.filter_map(|record| match record {
+        LogRecord::Intent(IntentRecord {
+            body: OrderBody::ReportUsage { window },
+            ..
+        }) => Some(window),
+        _ => None,
+    });
+    intended
+        .filter(|window| !reported.contains(window))
+        .collect()
+}
+
+/// The platform's intake is out, so a report stands in the log as intended and
+/// unsent; then its sender is frozen. Another controller sends it once the
+/// intake is back. The first wakes with the report still in its hands, and the
+/// customer would be billed by two processes.
+#[tokio::test]
+async fn a_controller_frozen_with_an_unsent_report_does_not_send_it_late() -> anyhow::Result<()> {
+    let mut shape = FleetShape::new();
+    shape.controllers = 2;
+    shape.controller_settings = CONTROLLER_SETTINGS.to_string();
+    shape.entry_settings = ENTRY_SETTINGS.to_string();
+    let mut fleet = TestFleet::start(shape).await?;
+    fleet.add_organisation("acme", KEY).await?;
+    fleet.entries_ready().await?;
+    let first = next_reporter(&fleet, &BTreeSet::new()).await?;
+    let platform = fleet.platform.http();
+    control::set_faults(platform, &json!({"usage_outage": true})).await?;
+    wait::until("a report is intended and unsent", || async {
+        use_some(&fleet).await.ok()?;
+        let open = intended_windows(&history(&fleet).await.ok()?);
+        (!open.is_empty()).then_some(())
+    })
+    .await?;
+    controller(&fleet, &first)?.process.pause()?;
+    control::set_faults(platform, &json!({})).await?;
+    next_reporter(&fleet, &BTreeSet::from([first.clone()])).await?;
+    controller(&fleet, &first)?.process.resume()?;
+    for _ in 0..3 {
+        next_reporter(&fleet, &BTreeSet::new()).await?;
+    }
+    assert_eq!(one_usage_report(&history(&fleet).await?.reports), []);
+    Ok(())
+}
+
 /// Controllers are told to end one after another, as in an upgrade. Each gives
 /// its duties up at once and exits cleanly, and reports go on.
 #[tokio::test]
--- a/crates/process-tests/tests/entry_failures.rs
+++ b/crates/process-tests/tests/entry_failures.rs
@@ -1,7 +1,7 @@
 //! What callers see when entries end, connections go silent, or requests are bad.
 
 use anyhow::Context;
-use bluebell_core::clock::ClockSource;
+use bluebell_core::{clock::ClockSource, units::TokenCount};
 use bluebell_load::{
     caller::{ChatAsk, ChatEnd},
     verdict::{AnswerVerdict, judge},
@@ -53,7 +53,13 @@
 #[tokio::test]
 async fn an_entry_told_to_end_finishes_its_streams() -> anyhow::Result<()> {
     let mut fleet = serving_fleet(2).await?;
-    let asks = (0..8).map(|number| ask(&fleet, &format!("long story {number} len=600")));
+    // Rocket's own grace and mercy are two seconds together; these answers take
+    // longer than that.
+    let asks = (0..8).map(|number| {
+        let mut ask = ask(&fleet, &format!("long story {number} len=4000"));
+        ask.max_tokens = TokenCount::new(4_000);
+        ask
+    });
     let clock = ClockSource::new();
     let running = record_all(&clock, asks.collect());
     wait::until("all streams are at engines", || async {
