Write checkpoints from the log duty; grant, withdraw, status, dump, explain

Cause: the log forgets, and somebody has to write the state again before; keys change while traffic runs and while the log is down; operators ask what was decided and why.

Ruled out: a withdrawal by the log alone (it would wait for the log's outage to end); telling one instance only (its loss would lose the withdrawal); checkpoints by count alone (an idle log that forgets by age would forget the checkpoint).

Change: the holder of the log duty writes checkpoints by count, by time and by what the log still keeps; bluebell key grant|withdraw, status, dump, explain; entries answer GET /node and POST /admin/withdraw and say in /ready what they wait for.

--- a/crates/cli/src/commands/publish.rs
+++ b/crates/cli/src/commands/publish.rs
@@ -33,11 +33,7 @@
     let dry_run = long("dry-run")
         .help("Show the difference and send nothing")
         .switch();
-    let wait = long("wait")
-        .help("How long to wait until every live instance has confirmed")
-        .argument::<TimeSpan>("SPAN")
-        .fallback(TimeSpan::from_secs(10))
-        .display_fallback();
+    let wait = commands::wait();
     let json = commands::json();
     let directories = positional::<PathBuf>("DIR")
         .help("Directories with `bluebell.toml` files, at any depth")
--- a/crates/cli/src/ops/mod.rs
+++ b/crates/cli/src/ops/mod.rs
@@ -4,6 +4,8 @@
 pub mod collect;
 pub mod confirm;
 pub mod difference;
+pub mod fleet;
+pub mod keys;
 pub mod publish;
 pub mod session;
 
--- a/crates/controller/src/daemon.rs
+++ b/crates/controller/src/daemon.rs
@@ -5,13 +5,14 @@
 use bluebell_core::{
     clock::{ClockSource, TimeSpan},
     membership::InstanceProgram,
+    records::DutyName,
 };
 use bluebell_daemon::{
     journal::{self, DecisionJournal},
     ops::{self, OpsSource, ReadyState, RunningServer},
 };
 use bluebell_endpoint::orders::EngineOrderClient;
-use bluebell_node::{NodeHandle, admin};
+use bluebell_node::{NodeHandle, admin, checkpoint};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
@@ -127,7 +128,16 @@
         context.settings.orders.interval,
         token.child_token(),
     );
+    let desk = context.desk.clone();
+    let fence = move || desk.grant(&DutyName::Log).map(|grant| grant.fence);
+    let checkpoints = checkpoint::run(
+        context.node.clone(),
+        context.settings.checkpoints.clone(),
+        fence,
+        token.child_token(),
+    );
     vec![
+        tokio::spawn(checkpoints),
         tokio::spawn(context.desk.clone().run(token.child_token())),
         tokio::spawn(listings),
         tokio::spawn(engines::run(context.clone(), token.child_token())),
--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{authority::LeaseTiming, clock::TimeSpan};
 use bluebell_daemon::settings::{SettingProblem, SettingsError};
-use bluebell_node::NodeSettings;
+use bluebell_node::{NodeSettings, checkpoint::CheckpointSettings};
 use serde::{Deserialize, Serialize};
 
 /// A controller's settings file.
@@ -22,6 +22,9 @@
     /// Usage windows and their reports.
     #[serde(default)]
     pub usage: UsageSettings,
+    /// When checkpoints of the log are due.
+    #[serde(default)]
+    pub checkpoints: CheckpointSettings,
 }
 
 /// The `[lease]` table. All controllers of a fleet should have the same.
@@ -123,6 +126,7 @@
             lease: LeaseSettings::default(),
             orders: OrderSettings::default(),
             usage: UsageSettings::default(),
+            checkpoints: CheckpointSettings::default(),
         }
     }
 
@@ -134,6 +138,7 @@
     /// All that can't be used.
     pub fn problems(&self) -> Vec<SettingProblem> {
         let mut problems = self.node.problems();
+        problems.extend(self.checkpoints.problems());
         let mut check = |bad: bool, field: &str, value: TimeSpan, expected: &str| {
             if bad {
                 problems.push(SettingProblem::new(field, value, expected));
--- a/crates/controller/tests/controller/stage.rs
+++ b/crates/controller/tests/controller/stage.rs
@@ -62,6 +62,7 @@
             )
             .expect("the settings are valid"),
             usage: toml::from_str("window = \"1s\"\ngrace = \"200ms\"").expect("valid"),
+            checkpoints: Default::default(),
         };
         assert_eq!(settings.problems(), []);
         let token = CancellationToken::new();
--- a/crates/core/src/checkpoint/reader.rs
+++ b/crates/core/src/checkpoint/reader.rs
@@ -15,7 +15,7 @@
 const OPEN_LIMIT: usize = 4;
 
 /// A checkpoint of which all parts have been read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub struct CompleteCheckpoint {
     /// The state is that after everything up to and with this offset.
     pub as_of: LogOffset,
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -17,7 +17,7 @@
     logs::LogLine,
     ops::{self, OpsSource, ReadyState, RunningServer},
 };
-use bluebell_node::NodeHandle;
+use bluebell_node::{NodeHandle, admin};
 use prometheus::Registry;
 use rocket::{Build, Request, Rocket, catch, catchers, fairing::AdHoc, http::Header, http::Status};
 use serde_json::json;
@@ -139,6 +139,7 @@
             })
         }));
     let rocket = ops::mount(rocket, source);
+    let rocket = admin::mount(rocket, context.node.clone());
     journal::mount(rocket, context.journal.clone())
 }
 
@@ -162,9 +163,8 @@
     if context.draining.is_cancelled() {
         return ReadyState::NotReady("stopping".to_string());
     }
-    if !context.node.progress().caught_up {
-        let reason = "the log has not been read to its end yet";
-        return ReadyState::NotReady(reason.to_string());
+    if let Some(obstacle) = context.node.obstacle() {
+        return ReadyState::NotReady(obstacle);
     }
     ReadyState::Ready
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod announce;
 pub mod append;
 pub mod buffer;
+pub mod checkpoint;
 pub mod follow;
 pub mod handle;
 mod membership;
--- a/crates/node/tests/restore.rs
+++ b/crates/node/tests/restore.rs
@@ -2,12 +2,11 @@
 
 mod support;
 
-use bluebell_core::{
-    checkpoint::{CheckpointWriter, PART_SIZE},
-    ids::LogOffset,
-    records::LogRecord,
+use bluebell_core::{clock::TimeSpan, ids::LogOffset, records::LogRecord};
+use bluebell_node::{
+    AppendError,
+    checkpoint::{self, CheckpointSettings},
 };
-use bluebell_node::AppendError;
 use standin_platform::faults::{EffectCall, LossKind, LostAnswers, PlatformFaults};
 use support::{PATIENCE, TestNode, TestPlatform, key, organisation, until, withdrawal};
 
@@ -20,14 +19,8 @@
 }
 
 async fn checkpoint(node: &TestNode) {
-    let writer = node.node.with_view(|view| {
-        CheckpointWriter::new(LogOffset::START, view, PART_SIZE).expect("not empty")
-    });
-    let mut writer = writer;
-    while let Some(part) = writer.next_part() {
-        let record = LogRecord::Checkpoint(part);
-        node.node.append(record).await.expect("appended");
-    }
+    let written = checkpoint::write(&node.node, LogOffset::START, || true).await;
+    assert!(written.expect("written") > 0);
 }
 
 /// Everything is restarted at once after the log has forgotten the publishes: the
@@ -127,7 +120,7 @@
             obstacle.is_some_and(|obstacle| obstacle.contains("no peer that is ready"))
         })
         .await;
-        let gathered = node.node.clock().now() + bluebell_core::clock::TimeSpan::from_secs(3);
+        let gathered = node.node.clock().now() + TimeSpan::from_secs(3);
         until("time to gather peers", || {
             node.node.clock().now() > gathered
         })
@@ -176,3 +169,29 @@
     let error = node.node.append(record).await.expect_err("the log is down");
     assert!(matches!(error, AppendError::NotAppended(_)), "{error}");
 }
+
+/// Nobody writes checkpoints by hand: the holder of the `log` duty must do so
+/// before the log forgets, and go on doing so while nothing is published.
+#[tokio::test(flavor = "multi_thread")]
+async fn checkpoints_are_written_before_the_log_forgets() {
+    let platform = TestPlatform::start(40).await;
+    let writer = platform.follow("writer");
+    writer.publish(organisation("one", None, 7)).await;
+    let settings = CheckpointSettings {
+        every_records: 10,
+        every: TimeSpan::from_secs(60),
+    };
+    let fence = || Some(LogOffset::START);
+    let token = writer.token.child_token();
+    tokio::spawn(checkpoint::run(writer.node.clone(), settings, fence, token));
+    let mut seen = None;
+    for _ in 0..4 {
+        fill(&writer, 12).await;
+        let newest = || writer.node.with_view(|view| view.checkpoint.newest());
+        until("a newer checkpoint", || newest() > seen).await;
+        seen = newest();
+    }
+    let after = platform.follow("after");
+    assert!(after.node.wait_caught_up(PATIENCE).await);
+    assert_eq!(after.weight("one"), Some(7));
+}
