--- a/crates/entry/src/plain_run.rs
+++ b/crates/entry/src/plain_run/mod.rs
@@ -4,20 +4,18 @@
 //! goes on when its caller's deadline passes, so that the outcome can still be
 //! recorded for a repeat with the same idempotency key.
 
-use std::sync::{
-    Arc, Mutex,
-    atomic::{AtomicBool, Ordering},
-};
+mod claim;
+
+use std::sync::{Arc, Mutex, atomic::AtomicBool};
 
 use bluebell_core::{
     admission::{AdmissionRequest, OrganisationLimits},
     attempts::{AttemptPhase, RequestAttempts, RunOutcome, WorkKind},
-    claims::ClaimVerdict,
     clock::{ClockTime, TimeSpan},
     config::WorkPriority,
-    ids::{EndpointId, IdempotencyKey, OrganisationId, RequestFingerprint, ServiceName},
+    ids::{EndpointId, OrganisationId, RequestFingerprint, ServiceName},
     quarantine::CrashStanding,
-    records::{IdempotencyClaim, SettledResult},
+    records::IdempotencyClaim,
     retries::RetryAnswer,
     routing::{RouteOutcome, RoutePool, RouteRequest},
     units::TokenCount,
@@ -28,6 +26,7 @@
 };
 use tokio::sync::oneshot;
 
+use self::claim::claim_of;
 use crate::{
     context::{EntryContext, InFlightTicket, RoutedAttempt},
     refusal::{Refusal, RefusalCode},
@@ -159,35 +158,6 @@
         change(&mut self.attempts.lock().expect("no holder panics"))
     }
 
-    /// Records what became of the claimed action. If the claim turned out not to
-    /// be the standing one, readers pass over the settlement.
-    fn settle(&self, end: &Result<CallAnswer, Refusal>) {
-        let claimed = self.claimed.load(Ordering::Relaxed);
-        let Some(claim) = self.claim.as_ref().filter(|_| claimed) else {
-            return;
-        };
-        let result = match end {
-            Ok(answer) if answer.replayed => return,
-            Ok(answer) => self.recorded(&answer.answer),
-            Err(_) => match self.change(|attempts| attempts.outcome()) {
-                RunOutcome::NotRun(_) => SettledResult::NotRun,
-                RunOutcome::Unknown => SettledResult::Unknown,
-            },
-        };
-        self.context.claims.settle(claim, result);
-    }
-
-    fn recorded(&self, answer: &PlainAnswer) -> SettledResult {
-        let limit = self.context.settings.requests.kept_answer.count() as usize;
-        let short = answer.body.len() <= limit;
-        let body = short.then(|| String::from_utf8(answer.body.to_vec()).ok());
-        SettledResult::Answered {
-            status: answer.status,
-            content_type: answer.content_type.clone().unwrap_or_default(),
-            body: body.flatten(),
-        }
-    }
-
     async fn work(&self) -> Result<CallAnswer, Refusal> {
         if self.work.kind == WorkKind::AtMostOnce {
             self.check_freshness()?;
@@ -228,66 +198,6 @@
         Err(self.refusal(RefusalCode::ConfigurationStale, message))
     }
 
-    /// Claims the key. Answers an earlier request's outcome, or nothing if this
-    /// request may send.
-    async fn claim_key(&self, claim: &IdempotencyClaim) -> Result<Option<CallAnswer>, Refusal> {
-        match self.verdict(claim) {
-            ClaimVerdict::Free => {}
-            verdict => return self.follow_verdict(verdict),
-        }
-        let unavailable = |message: String| {
-            let message = format!("the idempotency key could not be claimed: {message}");
-            self.refusal(RefusalCode::ClaimUnavailable, message)
-        };
-        self.claimed.store(true, Ordering::Relaxed);
-        let appended = self.context.claims.claim(claim.clone()).await;
-        let offset = appended.map_err(|error| unavailable(error.to_string()))?;
-        let patience = self.context.settings.requests.claim_patience;
-        if !self.context.node.wait_applied(offset, patience).await {
-            return Err(unavailable(format!("not read back within {patience}")));
-        }
-        self.follow_verdict(self.verdict(claim))
-    }
-
-    fn verdict(&self, claim: &IdempotencyClaim) -> ClaimVerdict {
-        self.context.node.with_view(|view| {
-            view.claims.verdict(
-                &claim.organisation,
-                &claim.key,
-                &claim.request,
-                &claim.fingerprint,
-            )
-        })
-    }
-
-    fn follow_verdict(&self, verdict: ClaimVerdict) -> Result<Option<CallAnswer>, Refusal> {
-        let request = self.change(|attempts| attempts.request().to_string());
-        self.context
-            .decided(&[&request], "read the claim", format!("{verdict:?}"));
-        match verdict {
-            ClaimVerdict::Mine => Ok(None),
-            ClaimVerdict::Recorded(result) => match replay(result) {
-                Some(answer) => Ok(Some(answer)),
-                None => Err(self.unknown()),
-            },
-            ClaimVerdict::Unknown => Err(self.unknown()),
-            ClaimVerdict::OtherContent => {
-                let message = "the idempotency key was used for another request";
-                Err(self.refusal(RefusalCode::IdempotencyKeyReused, message))
-            }
-            ClaimVerdict::Free => {
-                let message = "the claim of the idempotency key no longer stands";
-                Err(self.refusal(RefusalCode::ClaimUnavailable, message))
-            }
-        }
-    }
-
-    fn unknown(&self) -> Refusal {
-        let message = "an earlier request with this idempotency key may have run";
-        let refusal = self.refusal(RefusalCode::OutcomeUnknown, message);
-        refusal.with_outcome_unknown()
-    }
-
     fn check_quarantine(&self) -> Result<(), Refusal> {
         if self.context.standing(&self.work.fingerprint) != CrashStanding::Quarantined {
             return Ok(());
@@ -399,39 +309,3 @@
         Ok(None)
     }
 }
-
-fn claim_of(
-    context: &EntryContext,
-    work: &PlainWork,
-    attempts: &RequestAttempts,
-    key: &IdempotencyKey,
-) -> IdempotencyClaim {
-    IdempotencyClaim {
-        organisation: work.organisation.clone(),
-        key: key.clone(),
-        request: attempts.request().clone(),
-        fingerprint: work.fingerprint.clone(),
-        entry: context.settings.node.instance.clone(),
-    }
-}
-
-/// The recorded answer; none if it was too long to be recorded whole.
-fn replay(result: SettledResult) -> Option<CallAnswer> {
-    let SettledResult::Answered {
-        status,
-        content_type,
-        body,
-    } = result
-    else {
-        return None;
-    };
-    let content_type = Some(content_type).filter(|text| !text.is_empty());
-    Some(CallAnswer {
-        answer: PlainAnswer {
-            status,
-            content_type,
-            body: body.unwrap_or_default().into(),
-        },
-        replayed: true,
-    })
-}
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -16,10 +16,13 @@
         RefuseReason,
     },
     clock::{ClockSource, TimeSpan},
-    ids::{EndpointId, FailureDomain, OrganisationId, RequestId},
+    ids::{FailureDomain, OrganisationId, RequestId},
     retries::{RetryAnswer, RetryBudget},
     roles::{DemandEstimator, PoolDemand},
-    routing::{NoRoute, RequestRouter, RouteChoice, RouteOutcome, RoutePool, RouteRequest},
+    routing::{
+        EndpointSnapshot, NoRoute, RequestRouter, RouteChoice, RouteOutcome, RoutePool,
+        RouteRequest,
+    },
     units::TokenCount,
 };
 use tokio::sync::oneshot;
@@ -281,18 +284,12 @@
         self.lock().queue.status()
     }
 
-    /// The endpoints that get no new work.
-    pub fn closed_endpoints(&self) -> Vec<EndpointId> {
+    /// The endpoints as the router sees them, for the dump.
+    pub fn routes(&self) -> Vec<EndpointSnapshot> {
         let now = self.clock.now();
         let state = self.lock();
         let pools = state.queue.status().into_iter();
         let snapshots = pools.flat_map(|status| state.router.snapshots(now, &status.pool));
-        let closed = snapshots.filter(|snapshot| !snapshot.open);
-        closed.map(|snapshot| snapshot.endpoint).collect()
-    }
-
-    /// The endpoints known.
-    pub fn endpoints(&self) -> Vec<EndpointId> {
-        self.lock().router.endpoints()
+        snapshots.collect()
     }
 }
--- a/crates/entry/tests/at_most_once.rs
+++ b/crates/entry/tests/at_most_once.rs
@@ -93,8 +93,8 @@
 }
 
 /// HTTP libraries repeat a request when the kept connection that they chose turns
-/// out closed. Here the service closes its connections after each second request,
-/// as services do that restart; a repeat by the library would charge twice.
+/// out closed. Here the service keeps connections open and ends just after it has
+/// read a charge; a repeat by the library would charge twice.
 #[tokio::test]
 async fn no_library_repeats_a_charge() {
     let service = FakeEndpoint::start(|seen: &SeenRequest| {
--- a/crates/entry/tests/crashes.rs
+++ b/crates/entry/tests/crashes.rs
@@ -174,9 +174,8 @@
     })
     .await;
     bed.wait_dump(|dump| {
-        dump["closed"]
-            .as_array()
-            .is_some_and(|closed| closed.len() == 1)
+        let routes = dump["routes"].as_array().unwrap();
+        routes.iter().filter(|route| route["open"] == false).count() == 1
     })
     .await;
     for number in 0..20 {
--- a/crates/entry/tests/serving.rs
+++ b/crates/entry/tests/serving.rs
@@ -2,11 +2,12 @@
 
 mod support;
 
+use bluebell_core::records::EngineRole;
 use bluebell_platform::api::EndpointKind;
 use serde_json::Value;
 use support::{
     TestBed,
-    endpoint::{FakeEndpoint, plain_answer},
+    endpoint::{self, FakeEndpoint, OK_HEAD, Step, plain_answer},
     listing,
 };
 
@@ -213,3 +214,42 @@
     }
     assert!(service.seen("HTTP").is_empty());
 }
+
+/// Where engines have roles, one takes the prompt and hands its KV cache to the one
+/// that answers; if that fails, the answer must still come whole.
+#[tokio::test]
+async fn a_prompt_is_handed_over_from_prefill_to_decode() {
+    for export in ["200 OK", "500 Internal Server Error"] {
+        let handle = r#"{"address":"127.0.0.1:1","request":"r","size":1}"#;
+        let prefill = FakeEndpoint::start(move |seen| {
+            if seen.line.contains("/kv/export") {
+                return plain_answer(export, handle);
+            }
+            let work = seen.generate();
+            assert!(work.prefill_only);
+            let head = Step::Write(OK_HEAD.to_string());
+            vec![head, Step::Item(endpoint::end(&work, 0))]
+        })
+        .await;
+        let decode = FakeEndpoint::engine(3).await;
+        prefill.set_role(EngineRole::Prefill);
+        decode.set_role(EngineRole::Decode);
+        let bed = TestBed::start().await;
+        let listed = [("p", &prefill), ("d", &decode)]
+            .map(|(id, engine)| listing(id, EndpointKind::Engine, &engine.address.to_string()));
+        bed.list(listed.to_vec()).await;
+        bed.wait_dump(|dump| {
+            let slots = dump["endpoints"].as_array().unwrap();
+            slots.iter().all(|slot| !slot["status"].is_null())
+        })
+        .await;
+        // The router hears of the roles at its next tick.
+        bed.wait_roles(2).await;
+        let whole = bed.chat(false, "hello").send().await.unwrap();
+        let whole: Value = whole.json().await.unwrap();
+        assert_eq!(whole["choices"][0]["message"]["content"], "t0 t1 t2 ");
+        let work = decode.seen("/generate")[0].generate();
+        assert_eq!(work.import.is_some(), export == "200 OK");
+        assert_eq!(prefill.seen("/generate").len(), 1);
+    }
+}
--- a/crates/entry/tests/support/endpoint.rs
+++ b/crates/entry/tests/support/endpoint.rs
@@ -5,8 +5,14 @@
     sync::{Arc, Mutex},
 };
 
-use bluebell_core::units::TokenCount;
-use bluebell_endpoint::api::{CancelRequest, FinishReason, GenerateRequest, StreamItem};
+use bluebell_core::{
+    ids::{LogOffset, ModelName},
+    records::EngineRole,
+    units::TokenCount,
+};
+use bluebell_endpoint::api::{
+    CancelRequest, EngineStatus, FinishReason, GenerateRequest, StreamItem,
+};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
@@ -53,6 +59,7 @@
     /// Lets steps of [`Step::Gate`] go on.
     pub gate: Arc<Semaphore>,
     seen: Arc<Mutex<Vec<SeenRequest>>>,
+    status: Arc<Mutex<Option<EngineStatus>>>,
     alive: CancellationToken,
     script: Script,
 }
@@ -107,6 +114,7 @@
             address: listener.local_addr().unwrap(),
             gate: Arc::new(Semaphore::new(0)),
             seen: Arc::default(),
+            status: Arc::default(),
             alive: CancellationToken::new(),
             script: Arc::new(script),
         };
@@ -119,6 +127,19 @@
         FakeEndpoint::start(move |seen| whole_answer(&seen.generate(), length)).await
     }
 
+    /// What the engine says of itself from now on.
+    pub fn set_role(&self, role: EngineRole) {
+        *self.status.lock().unwrap() = Some(EngineStatus {
+            incarnation: 1,
+            role,
+            model: ModelName::new("m1").unwrap(),
+            changing: false,
+            in_flight: 0,
+            fence: LogOffset::START,
+            last_order: None,
+        });
+    }
+
     /// Whether the process has ended.
     pub fn is_gone(&self) -> bool {
         self.alive.is_cancelled()
@@ -162,7 +183,11 @@
             let short = |status: &str| plain_answer(status, "");
             let steps = match request.line.split(' ').nth(1).unwrap() {
                 "/health" | "/cancel" => short("204 No Content"),
-                "/state" | "/load" => short("404 Not Found"),
+                "/state" => match self.status.lock().unwrap().as_ref() {
+                    Some(status) => plain_answer("200 OK", &serde_json::to_string(status).unwrap()),
+                    None => short("404 Not Found"),
+                },
+                "/load" => short("404 Not Found"),
                 _ => (self.script)(&request),
             };
             if !self.play(&mut stream, steps).await {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -129,6 +129,19 @@
         .await;
     }
 
+    /// Waits until the router knows of so many engines that don't mix.
+    pub async fn wait_roles(&self, count: usize) {
+        self.wait_dump(|dump| {
+            let routes = dump["routes"].as_array().unwrap();
+            routes
+                .iter()
+                .filter(|route| route["role"] != "mixed")
+                .count()
+                == count
+        })
+        .await;
+    }
+
     /// Waits until the entry's metrics have this line.
     pub async fn wait_metric(&self, line: &str) {
         let url = self.url("/metrics");
@@ -163,13 +176,13 @@
     eventually(async || {
         let dump = http.get(&url).send().await.unwrap();
         let dump: serde_json::Value = dump.json().await.unwrap();
-        let routed = dump["routed"].as_array().unwrap();
+        let routed = dump["routes"].as_array().unwrap();
         let pools = dump["pools"].as_array().unwrap();
         let serving = pools.iter().any(|pool| pool["slots"] != 0);
         let known = |listing: &EndpointListing| {
             routed
                 .iter()
-                .any(|routed| routed == listing.endpoint.as_str())
+                .any(|routed| routed["endpoint"] == listing.endpoint.as_str())
         };
         serving && listings.iter().all(known)
     })
