Stop an endpoint whose order's answer was lost

Change: a test over the stand-in platform with the first answer withheld.

With the look at the list taken out (a listing that is gone counts as not asked), the test failed: the order was never settled. It does not fail if a lost answer is taken for a refusal; the tests of the lost start and the lost report do.

Conclusion: one engine is stopped, the order is settled by what exists.

--- a/crates/controller/tests/controller/changes.rs
+++ b/crates/controller/tests/controller/changes.rs
@@ -59,6 +59,22 @@
     Arc::new(Mutex::new(demand))
 }
 
+/// Lets the platform carry out the first such call and not answer it.
+async fn lose_first_answer(stage: &Stage, call: EffectCall) {
+    let lost = LostAnswers {
+        call,
+        loss: LossKind::Withheld,
+        every: 1,
+        count: Some(1),
+    };
+    let faults = PlatformFaults {
+        lost_answers: vec![lost],
+        ..PlatformFaults::default()
+    };
+    let switched = control::set_faults(&stage.address(), &faults).await;
+    switched.expect("the platform takes it");
+}
+
 /// Waits until the engine serves `model` and gets work again.
 async fn until_serving(stage: &Stage, address: &str, model: &str) {
     let loaded = wait::until("the engine serves the new model", || async {
@@ -265,17 +281,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_start_whose_answer_was_lost_starts_one_endpoint() {
     let mut stage = Stage::start().await;
-    let faults = PlatformFaults {
-        lost_answers: vec![LostAnswers {
-            call: EffectCall::Endpoint,
-            loss: LossKind::Withheld,
-            every: 1,
-            count: Some(1),
-        }],
-        ..PlatformFaults::default()
-    };
-    let switched = control::set_faults(&stage.address(), &faults).await;
-    switched.expect("the platform takes it");
+    lose_first_answer(&stage, EffectCall::Endpoint).await;
     stage.publish_model("small-chat", None).await;
     let engine = engine().await;
     let address = engine.http_address.to_string();
@@ -413,3 +419,39 @@
     }
     stage.stop().await;
 }
+
+/// An engine that nobody needs is stopped, and the answer to the order is lost.
+/// Its bill must end, and the engine that is left must not be stopped in its place.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_whose_answer_was_lost_stops_one_engine() {
+    let mut stage = Stage::start().await;
+    lose_first_answer(&stage, EffectCall::Endpoint).await;
+    stage.publish_model("small-chat", None).await;
+    let engine = engine().await;
+    let address = engine.http_address.to_string();
+    for name in ["engine-1", "engine-2"] {
+        stage
+            .list_engine(name, address.clone(), CapacityKind::Reserved)
+            .await;
+    }
+    let entry = stage.list_entry(demand(TokenDemand::default())).await;
+    let controller = stage
+        .controller_with("c1", |settings| {
+            settings.fleet.planner.least_life = TimeSpan::ZERO;
+            settings.fleet.every = TimeSpan::from_millis(100);
+        })
+        .await;
+    let stopped = wait::until("an engine is stopped and forgotten", || async {
+        let orders = stage.history().await.orders;
+        let view = stage.view().await;
+        let done = view.orders.open_orders().count() == 0 && view.marks.marks().count() == 0;
+        (done && !orders.is_empty()).then_some(orders)
+    });
+    let effects = stopped.await.expect("it is");
+    let effects = effects.iter().filter(|seen| seen.effect);
+    assert_eq!(effects.count(), 1);
+    controller.stop().await;
+    entry.stop().await;
+    engine.stop().await;
+    stage.stop().await;
+}
