--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -11,6 +11,7 @@
 use bluebell_core::{
     clock::{ClockSource, TimeSpan},
     membership::{InstanceProgram, InstanceState},
+    roles::PoolDemand,
 };
 use bluebell_daemon::{
     journal::{self, DecisionJournal},
@@ -19,7 +20,13 @@
 };
 use bluebell_node::NodeHandle;
 use prometheus::Registry;
-use rocket::{Build, Request, Rocket, catch, catchers, fairing::AdHoc, http::Header, http::Status};
+use rocket::{
+    Build, Request, Rocket, State, catch, catchers,
+    fairing::AdHoc,
+    get,
+    http::{Header, Status},
+    serde::json::Json,
+};
 use serde_json::json;
 use tokio::task::JoinHandle;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -29,6 +36,7 @@
     chat,
     claims::ClaimBatcher,
     context::EntryContext,
+    crash::CrashWatch,
     directory::EndpointDirectory,
     metering::UsageMeter,
     metrics::EntryMetrics,
@@ -36,6 +44,8 @@
     refusal::{Refusal, RefusalCode},
     running::RunningKeys,
     settings::EntrySettings,
+    traffic::TrafficControl,
+    traffic_feed,
 };
 
 /// How long a stopping entry waits for the log to take what is to be recorded.
@@ -80,6 +90,14 @@
     let (claims, claim_queues) = ClaimBatcher::new();
     let in_doubt = metrics.usage_in_doubt.clone();
     let meter = UsageMeter::new(settings.metering.window, in_doubt);
+    let traffic = TrafficControl::new(
+        &settings.traffic,
+        settings.node.failure_domain.clone(),
+        node.clock().clone(),
+        rand::random(),
+    );
+    let traffic = Arc::new(traffic);
+    let crashes = Arc::new(CrashWatch::new(settings.node.instance.clone()));
     let context = Arc::new(EntryContext {
         claims,
         meter,
@@ -90,7 +108,8 @@
         keys: RunningKeys::new(),
         draining: CancellationToken::new(),
         work: TaskTracker::new(),
-        in_flight: Default::default(),
+        traffic,
+        crashes,
         settings,
     });
     claim_queues.spawn(&context.node, context.claims.clone(), &inner);
@@ -118,8 +137,9 @@
     let directory = context.directory.clone();
     let node = context.node.clone();
     tokio::spawn(directory.follow(node.clone(), interval, token.clone()));
-    let directory = context.directory.clone();
-    tokio::spawn(directory.watch_engines(interval, token.clone()));
+    tokio::spawn(context.clone().hear_crashes(token.clone()));
+    tokio::spawn(traffic_feed::run(context.clone(), token.clone()));
+    tokio::spawn(traffic_feed::watch_engines(context.clone(), token.clone()));
     tokio::spawn(context.keys.clone().follow(node.clone(), token.clone()));
     let interval = context.settings.metering.flush_interval;
     tokio::spawn(context.meter.clone().run(node, interval, token.clone()));
@@ -135,7 +155,7 @@
     );
     let rocket = ops::server(address)
         .manage(context.clone())
-        .mount("/", rocket::routes![chat::chat])
+        .mount("/", rocket::routes![chat::chat, demand])
         .mount("/", plain::routes())
         .register("/", catchers![default_catcher])
         .attach(AdHoc::on_response("request id", |request, response| {
@@ -148,6 +168,12 @@
     journal::mount(rocket, context.journal.clone())
 }
 
+/// What is asked for at this entry, for the controllers' plans of roles and fleet.
+#[get("/demand")]
+fn demand(context: &State<Arc<EntryContext>>) -> Json<Vec<PoolDemand>> {
+    Json(context.traffic.demands())
+}
+
 #[catch(default)]
 fn default_catcher(status: Status, request: &Request<'_>) -> Refusal {
     let head = CallerHead::of(request);
@@ -181,7 +207,10 @@
         "settings": context.settings,
         "progress": context.node.progress(),
         "draining": context.draining.is_cancelled(),
-        "in_flight": *context.in_flight.lock().expect("no holder panics"),
+        "in_progress": context.metrics.in_progress.get(),
+        "routed": context.traffic.endpoints(),
+        "closed": context.traffic.closed_endpoints(),
+        "pools": context.traffic.status(),
         "endpoints": context.directory.slots(),
         "view": view.unwrap_or_else(|error| json!({"error": error.to_string()})),
     })
--- a/crates/entry/tests/answers.rs
+++ b/crates/entry/tests/answers.rs
@@ -14,7 +14,7 @@
     records::{LogRecord, WithdrawRecord},
 };
 use bluebell_endpoint::api::{GenerateRequest, StreamItem};
-use bluebell_platform::api::EndpointKind;
+use bluebell_platform::api::{EndpointKind, EndpointListing};
 use futures::StreamExt as _;
 use reqwest::Response;
 use serde_json::Value;
@@ -24,14 +24,17 @@
     eventually, listing,
 };
 
-async fn bed_with(engines: &[&FakeEndpoint]) -> TestBed {
-    let bed = TestBed::start().await;
+fn listings(engines: &[&FakeEndpoint]) -> Vec<EndpointListing> {
     let number = |(number, engine): (usize, &&FakeEndpoint)| {
         let address = engine.address.to_string();
         listing(&format!("engine-{number}"), EndpointKind::Engine, &address)
     };
-    let listings = engines.iter().enumerate().map(number).collect();
-    bed.list(listings).await;
+    engines.iter().enumerate().map(number).collect()
+}
+
+async fn bed_with(engines: &[&FakeEndpoint]) -> TestBed {
+    let bed = TestBed::start().await;
+    bed.list(listings(engines)).await;
     bed
 }
 
@@ -98,14 +101,46 @@
     })
     .await;
     let other = FakeEndpoint::engine(4).await;
-    let bed = bed_with(&[&dying, &other]).await;
+    let bed = bed_with(&[&dying]).await;
+    let answer = bed.chat(true, "x").send().await.unwrap();
+    bed.list(listings(&[&dying, &other])).await;
     dying.gate.add_permits(1);
-    expect_whole(&bed).await;
+    let read = read_stream(answer).await;
+    assert_eq!(read.text, "t0 t1 t2 t3 ");
+    assert!(read.done && read.errors.is_empty());
     let work = other.seen("/generate")[0].generate();
     let resumed = work.delivered.len() as u64;
     assert!(resumed <= 2 && work.attempt == 2, "{work:?}");
 }
 
+/// An engine answers probes but breaks every stream, while another one is healthy.
+/// The shopper must get the answer from the other one.
+#[tokio::test]
+async fn an_engine_that_breaks_all_streams_is_left_for_another() {
+    let breaking = FakeEndpoint::start(|seen| {
+        let work = seen.generate();
+        vec![
+            head(),
+            Step::Item(token(&work, work.delivered.len() as u64)),
+        ]
+    })
+    .await;
+    let healthy = FakeEndpoint::engine(4).await;
+    // Otherwise the router's rests after failures would mend it in the end.
+    let bed = TestBed::with_settings(|settings| {
+        settings.traffic.routing.eject_after = 1_000;
+    })
+    .await;
+    bed.list(listings(&[&breaking, &healthy])).await;
+    while breaking.seen("/generate").is_empty() {
+        for number in 0..20 {
+            let answer = bed.chat(true, &number.to_string()).send().await.unwrap();
+            let read = read_stream(answer).await;
+            assert!(read.done && read.text == "t0 t1 t2 t3 ");
+        }
+    }
+}
+
 /// A connection ends early without any error that TCP would show, and nobody else
 /// can finish. A caller must not take the half answer for the whole.
 #[tokio::test]
--- a/crates/lab/src/tables/mod.rs
+++ b/crates/lab/src/tables/mod.rs
@@ -1,7 +1,11 @@
 //! The experiments, one file for each table.
 
 pub mod fairness;
+pub mod fleet;
 mod print;
+pub mod recovery;
+pub mod retries;
+pub mod roles;
 pub mod routing;
 
 pub use print::{MedianRange, TextTable};
@@ -24,4 +28,20 @@
         name: "routing",
         run: routing::table,
     },
+    LabTable {
+        name: "roles",
+        run: roles::table,
+    },
+    LabTable {
+        name: "fleet",
+        run: fleet::table,
+    },
+    LabTable {
+        name: "retries",
+        run: retries::table,
+    },
+    LabTable {
+        name: "recovery",
+        run: recovery::table,
+    },
 ];
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -276,9 +276,6 @@
 
     /// Applies an entry, read from the log or relayed by a peer. One beyond the
     /// next is left out (see [`FleetView::is_next`]).
-    ///
-    /// Events go out under the view's lock and before the progress does: whoever
-    /// waits for an offset and then looks for its event would otherwise miss it.
     pub fn apply(&self, entry: &LogEntry) {
         self.apply_with(entry, || follow::encode(entry));
     }
@@ -288,52 +285,51 @@
         self.apply_with(&entry, || raw);
     }
 
+    /// Events go out before the progress does, and both under the view's lock:
+    /// whoever waits for an offset and then looks for its event would otherwise
+    /// miss it, and of two entries applied at once the older could set the
+    /// progress back.
     fn apply_with<Raw>(&self, entry: &LogEntry, raw: Raw)
     where
         Raw: FnOnce() -> RawEntry,
     {
         let now = self.state.clock.now();
-        {
-            let mut log = self.log();
-            if !log.view.is_next(entry.offset) {
-                return;
-            }
-            log.buffer.push(raw());
-            let events = log.view.apply(now, entry);
-            let next = log.view.next_offset();
-            log.knowledge.advance(next);
-            self.tell(events);
+        let mut log = self.log();
+        if !log.view.is_next(entry.offset) {
+            return;
         }
         if let LogRecord::Withdraw(withdrawal) = &entry.record {
             hold(&self.state.withdrawals).settle(&withdrawal.digest);
         }
-        self.note_next();
+        log.buffer.push(raw());
+        let events = log.view.apply(now, entry);
+        self.tell_change(&mut log, events);
     }
 
     /// Takes over a view that was restored from a checkpoint, if it is further
     /// than the present one. What was withdrawn in the present one stays so.
     pub(crate) fn replace_view(&self, mut restored: FleetView) -> bool {
-        {
-            let mut log = self.log();
-            if restored.next_offset() <= log.view.next_offset() {
-                return false;
-            }
-            let events = restored.take_over(&log.view);
-            let next = restored.next_offset();
-            log.view = restored;
-            log.buffer = RelayBuffer::new();
-            log.knowledge.advance(next);
-            self.tell(events);
+        let mut log = self.log();
+        if restored.next_offset() <= log.view.next_offset() {
+            return false;
         }
-        self.note_next();
+        let events = restored.take_over(&log.view);
+        log.view = restored;
+        log.buffer = RelayBuffer::new();
+        self.tell_change(&mut log, events);
         true
     }
 
-    fn note_next(&self) {
-        let next = self.with_view(FleetView::next_offset);
+    /// Tells what changed, and then how far the view has come, while the view's
+    /// lock is held: whoever waits for an offset and then looks for its event would
+    /// otherwise miss it.
+    fn tell_change(&self, log: &mut LogState, events: Vec<ViewEvent>) {
+        let next = log.view.next_offset();
+        log.knowledge.advance(next);
+        self.tell(events);
         self.state.progress.send_if_modified(|progress| {
-            let moved = progress.next < next;
-            progress.next = progress.next.max(next);
+            let moved = progress.next != next;
+            progress.next = next;
             moved
         });
     }
