--- a/crates/controller/tests/controller/stage.rs
+++ b/crates/controller/tests/controller/stage.rs
@@ -88,7 +88,7 @@
             )
             .expect("the settings are valid"),
             usage: toml::from_str("window = \"1s\"\ngrace = \"200ms\"").expect("valid"),
-            checkpoint: toml::from_str("every_records = 50").expect("valid"),
+            checkpoints: toml::from_str("every_records = 50").expect("valid"),
             roles: toml::from_str(
                 "planner = { rest = \"0ms\", least_gain = 1 }\nrates = { mixed_percent = 40 }",
             )
