Send lookups on silent connections again on new ones

Cause: a lookup on a kept connection that had gone silent for good waited out its deadline, as would every next one on it; a lone replica that had lost an attempt was not tried again although it answered probes. Change: calls that may be repeated wait for the service's progress limit, then the kept connections are given up and the call is sent again, elsewhere first. Ruled out: a limit for calls that run at most once: they have connections of their own, and could not be sent again.

--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -144,6 +144,7 @@
         organisation: caller.organisation.clone(),
         kind,
         deadline: context.now() + caller.wish.deadline.unwrap_or(unit.deadline),
+        progress_limit: unit.progress_limit,
         fingerprint: RequestFingerprint::with_content(&caller.organisation, &content),
         service: service.clone(),
         priority: caller.wish.priority.unwrap_or(unit.priority),
--- a/crates/entry/src/plain_run/mod.rs
+++ b/crates/entry/src/plain_run/mod.rs
@@ -4,31 +4,32 @@
 //! goes on when its caller's deadline passes, so that the outcome can still be
 //! recorded for a repeat with the same idempotency key.
 
+mod attempt;
 mod claim;
 
 use std::sync::{Arc, Mutex, atomic::AtomicBool};
 
 use bluebell_core::{
     admission::{AdmissionRequest, OrganisationLimits},
-    attempts::{AttemptPhase, RequestAttempts, RunOutcome, WorkKind},
+    attempts::{RequestAttempts, RunOutcome, WorkKind},
     clock::{ClockTime, TimeSpan},
     config::WorkPriority,
-    ids::{EndpointId, OrganisationId, RequestFingerprint, ServiceName},
+    ids::{OrganisationId, RequestFingerprint, ServiceName},
     quarantine::CrashStanding,
     records::IdempotencyClaim,
     retries::RetryAnswer,
-    routing::{RouteOutcome, RoutePool, RouteRequest},
+    routing::RoutePool,
     units::TokenCount,
 };
-use bluebell_endpoint::{
-    EndpointError,
-    client::{PlainAnswer, PlainCall},
-};
+use bluebell_endpoint::client::{PlainAnswer, PlainCall};
 use tokio::sync::oneshot;
 
-use self::claim::claim_of;
+use self::{
+    attempt::{CallEnd, TriedEndpoints},
+    claim::claim_of,
+};
 use crate::{
-    context::{EntryContext, InFlightTicket, RoutedAttempt},
+    context::{EntryContext, InFlightTicket},
     refusal::{Refusal, RefusalCode},
     running::RunningTicket,
 };
@@ -46,6 +47,9 @@
     pub kind: WorkKind,
     /// When the whole answer must be there.
     pub deadline: ClockTime,
+    /// How long a call that may be repeated waits for an answer before it is sent
+    /// on a new connection.
+    pub progress_limit: TimeSpan,
     /// Tells the call from others.
     pub fingerprint: RequestFingerprint,
     /// The service.
@@ -219,16 +223,20 @@
     }
 
     async fn drive(&self) -> Result<PlainAnswer, Refusal> {
-        let mut avoided = Vec::new();
+        let mut tried = TriedEndpoints::default();
         self.context.traffic.note_request(&self.work.organisation);
         loop {
-            let routed = self.choose(&avoided)?;
-            avoided.push(routed.chosen.endpoint.clone());
-            if let Some(answer) = self.attempt(routed).await? {
-                self.change(RequestAttempts::end);
-                let ended = &self.context.metrics.ended;
-                ended.with_label_values(&["whole"]).inc();
-                return Ok(answer);
+            let routed = self.choose(&tried)?;
+            let endpoint = routed.chosen.endpoint.clone();
+            match self.attempt(routed).await? {
+                CallEnd::Answered(answer) => {
+                    self.change(RequestAttempts::end);
+                    let ended = &self.context.metrics.ended;
+                    ended.with_label_values(&["whole"]).inc();
+                    return Ok(answer);
+                }
+                CallEnd::LostButHealthy => tried.lossy.push(endpoint),
+                CallEnd::Failed => tried.failed.push(endpoint),
             }
             self.check_quarantine()?;
             self.pause_before_retry().await?;
@@ -255,57 +263,4 @@
             }
         }
     }
-
-    fn choose(&self, avoided: &[EndpointId]) -> Result<RoutedAttempt, Refusal> {
-        let ask = RouteRequest {
-            request: self.change(|attempts| attempts.request().clone()),
-            pool: RoutePool::Plain(self.work.service.clone()),
-            prefix: None,
-            prompt_tokens: TokenCount::ZERO,
-            priority: self.work.priority,
-            repeatable: self.work.kind == WorkKind::Repeatable,
-            preemptible: self.work.preemptible,
-            excluded: avoided.to_vec(),
-        };
-        let routed = self.context.route(&ask);
-        routed.map_err(|error| self.refusal(RefusalCode::NoEndpoint, error.to_string()))
-    }
-
-    async fn attempt(&self, routed: RoutedAttempt) -> Result<Option<PlainAnswer>, Refusal> {
-        let RoutedAttempt { chosen, ticket, .. } = routed;
-        let permit = self
-            .change(|attempts| attempts.send(&chosen.endpoint))
-            .map_err(|error| self.refusal(RefusalCode::EndpointLost, error.to_string()))?;
-        self.context.metrics.attempts.inc();
-        let limit = self.context.settings.requests.max_answer.count() as usize;
-        let error = match chosen.client.call(&permit, &self.work.call, limit).await {
-            Ok(answer) => {
-                ticket.ended(RouteOutcome::Answered);
-                return Ok(Some(answer));
-            }
-            Err(error) => error,
-        };
-        ticket.ended(RouteOutcome::Failed);
-        let subjects = [permit.request().as_str(), chosen.endpoint.as_str()];
-        self.context
-            .decided(&subjects, "attempt failed", error.to_string());
-        let was_sent = !matches!(error, EndpointError::NotSent(_));
-        self.change(|attempts| match was_sent {
-            true => attempts.lost(),
-            false => attempts.not_sent(permit),
-        });
-        if was_sent {
-            let probe = chosen.client.probe().await;
-            if self.context.has_crashed(&chosen, probe).await {
-                let noted = self.context.note_crash(&self.work.fingerprint, &chosen);
-                noted.await;
-            }
-        }
-        if self.change(|attempts| *attempts.phase() == AttemptPhase::Done) {
-            let message =
-                format!("the endpoint was lost, and the call may not be repeated: {error}");
-            return Err(self.refusal(RefusalCode::EndpointLost, message));
-        }
-        Ok(None)
-    }
 }
--- a/crates/entry/tests/at_most_once.rs
+++ b/crates/entry/tests/at_most_once.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use bluebell_core::{
+    clock::TimeSpan,
     ids::{IdempotencyKey, OrganisationId, RequestFingerprint, RequestId},
     records::{ClaimBatch, IdempotencyClaim, LogRecord, SettledResult},
 };
@@ -132,6 +133,23 @@
     }
 }
 
+/// A kept connection to the only replica goes silent for good, while new ones work.
+/// Without a limit all lookups on it would wait out their deadlines.
+#[tokio::test]
+async fn a_lookup_on_a_silent_connection_is_sent_on_a_new_one() {
+    let service = FakeEndpoint::start(|seen| match seen.connection {
+        0 => vec![Step::Silence],
+        _ => plain_answer("200 OK", "found"),
+    })
+    .await;
+    let limit = TimeSpan::from_millis(200);
+    let bed = TestBed::with_progress_limit(limit, |_| {}).await;
+    bed.list(listings(&[&service])).await;
+    let answer = bed.call("GET", "/lookup/3").send().await.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(service.seen("/lookup").len(), 2);
+}
+
 /// Nothing listens at the chosen replica. No byte left, so even a charge may go
 /// to another one, and the caller notices nothing.
 #[tokio::test]
@@ -279,7 +297,7 @@
 async fn a_cut_off_instance_refuses_charges_but_serves_lookups() {
     let service = charging().await;
     let bed = TestBed::with_settings(|settings| {
-        settings.requests.freshness_bound = bluebell_core::clock::TimeSpan::from_millis(600);
+        settings.requests.freshness_bound = TimeSpan::from_millis(600);
     })
     .await;
     let address = service.address.to_string();
