Spread duties evenly over controllers

Cause: by hashes alone, one of four controllers was first for all four duties. Found by a test in which later controllers get their part.

Ruled out: other hashes. With this few duties any hash does that now and then.

Change: a candidate that has its even share comes after those that don't, the same failure domain still first for engines. All controllers compute the same from the same list.

Conclusion: duties move to controllers that start later.

--- a/crates/controller/src/duties.rs
+++ b/crates/controller/src/duties.rs
@@ -6,7 +6,7 @@
 };
 
 use bluebell_core::{
-    authority::{DutyGrant, DutyKeeper, DutySeat, duty_rank},
+    authority::{DutyGrant, DutyKeeper, DutySeat, duty_ranks},
     clock::TimeSpan,
     records::{DutyName, LeaseAction, LeaseRecord, LogRecord},
 };
@@ -110,9 +110,10 @@
 
     async fn pass(&self) {
         let me = self.list.own_candidate();
-        let candidates = self.list.candidates();
-        for duty in self.duties() {
-            let rank = duty_rank(&duty, &me, &candidates);
+        let mut candidates = self.list.candidates();
+        candidates.push(me.clone());
+        let ranks = duty_ranks(&self.duties(), &me.instance, &candidates);
+        for (duty, rank) in ranks {
             if let Some(record) = self.next_record(&duty, rank) {
                 self.append(record).await;
             }
--- a/crates/controller/tests/controller/duties.rs
+++ b/crates/controller/tests/controller/duties.rs
@@ -1,8 +1,10 @@
 //! Controllers that share duties out over a platform.
 
 use crate::stage::{Stage, domain, instance};
-use bluebell_controller::RunningController;
-use bluebell_core::{ids::InstanceId, records::DutyName, view::FleetView};
+use std::collections::BTreeSet;
+
+use bluebell_controller::{ControllerSettings, RunningController};
+use bluebell_core::{clock::TimeSpan, ids::InstanceId, records::DutyName, view::FleetView};
 use bluebell_testkit::{control, wait};
 use standin_platform::faults::PlatformFaults;
 
@@ -92,3 +94,33 @@
     first.stop().await;
     stage.stop().await;
 }
+
+/// The first controller to start takes everything. Were it to keep it, the loss of
+/// that one instance would stop every duty at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_controller_that_starts_later_gets_its_part_of_the_duties() {
+    let stage = Stage::start().await;
+    let soon = |settings: &mut ControllerSettings| {
+        settings.lease.handover_after = TimeSpan::from_millis(500);
+    };
+    let first = stage.controller_with("c1", soon).await;
+    stage
+        .until_view("`c1` holds all duties", |view| holds_all(view, "c1"))
+        .await;
+    let mut others = Vec::new();
+    for name in ["c2", "c3", "c4"] {
+        others.push(stage.controller_with(name, soon).await);
+    }
+    stage
+        .until_view("three controllers hold duties", |view| {
+            let leases = view.leases.leases();
+            let holders: BTreeSet<&InstanceId> = leases.map(|(_, lease)| &lease.holder).collect();
+            view.leases.leases().count() == 4 && holders.len() > 2
+        })
+        .await;
+    first.stop().await;
+    for controller in others {
+        controller.stop().await;
+    }
+    stage.stop().await;
+}
--- a/crates/core/src/authority/mod.rs
+++ b/crates/core/src/authority/mod.rs
@@ -20,7 +20,7 @@
 
 pub use self::{
     keeper::{DutyGrant, DutyKeeper, DutySeat, LeaseTiming},
-    spread::{DutyCandidate, duty_rank},
+    spread::{DutyCandidate, duty_ranks},
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
--- a/crates/core/src/authority/spread.rs
+++ b/crates/core/src/authority/spread.rs
@@ -1,5 +1,7 @@
 //! Which controller should hold which duty, so that no one holds them all.
 
+use std::collections::BTreeMap;
+
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -16,21 +18,47 @@
     pub failure_domain: FailureDomain,
 }
 
-/// The place of `me` among `candidates` for `duty`, from 0, by rendezvous
-/// hashing. For a failure domain's engines its own controllers come first: they
-/// still reach the engines when the domain is cut off from the others.
-pub fn duty_rank(duty: &DutyName, me: &DutyCandidate, candidates: &[DutyCandidate]) -> usize {
-    let own = preference(duty, me);
-    let before =
-        |other: &&DutyCandidate| other.instance != me.instance && preference(duty, other) < own;
-    candidates.iter().filter(before).count()
+/// The place of `me`, from 0, among `candidates` for each of `duties`.
+///
+/// The order is that of rendezvous hashing, but one that has its even share of
+/// duties comes after those that don't: there are few duties, and by hashes alone
+/// one controller would now and then be first for all of them. For a failure
+/// domain's engines its own controllers come before all others: they still reach
+/// the engines when the domain is cut off.
+pub fn duty_ranks(
+    duties: &[DutyName],
+    me: &InstanceId,
+    candidates: &[DutyCandidate],
+) -> BTreeMap<DutyName, usize> {
+    let mut duties: Vec<&DutyName> = duties.iter().collect();
+    duties.sort_by_key(|duty| (!matches!(duty, DutyName::Engines(_)), *duty));
+    let share = duties.len().div_ceil(candidates.len().max(1));
+    let mut held: BTreeMap<&InstanceId, usize> = BTreeMap::new();
+    let mut ranks = BTreeMap::new();
+    for duty in duties {
+        let mut ranked: Vec<&DutyCandidate> = candidates.iter().collect();
+        ranked.sort_by_cached_key(|candidate| {
+            let has_share = held.get(&candidate.instance).is_some_and(|n| *n >= share);
+            preference(duty, candidate, has_share)
+        });
+        if let Some(first) = ranked.first() {
+            *held.entry(&first.instance).or_default() += 1;
+        }
+        let rank = ranked.iter().position(|c| c.instance == *me);
+        ranks.insert(duty.clone(), rank.unwrap_or(ranked.len()));
+    }
+    ranks
 }
 
-fn preference(duty: &DutyName, candidate: &DutyCandidate) -> (bool, u64, InstanceId) {
+fn preference(
+    duty: &DutyName,
+    candidate: &DutyCandidate,
+    has_share: bool,
+) -> (bool, bool, u64, InstanceId) {
     let foreign = match duty {
         DutyName::Engines(domain) => *domain != candidate.failure_domain,
         DutyName::Fleet | DutyName::Usage | DutyName::Log => false,
     };
     let hash = xxh3_64(format!("{duty} {}", candidate.instance).as_bytes());
-    (foreign, hash, candidate.instance.clone())
+    (foreign, has_share, hash, candidate.instance.clone())
 }
--- a/crates/core/tests/authority.rs
+++ b/crates/core/tests/authority.rs
@@ -1,7 +1,9 @@
 //! Leases: who is in charge, as the log and the clocks tell.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use bluebell_core::{
-    authority::{DutyCandidate, DutyKeeper, DutySeat, LeaseState, LeaseTiming, duty_rank},
+    authority::{DutyCandidate, DutyKeeper, DutySeat, LeaseState, LeaseTiming, duty_ranks},
     clock::{ClockTime, TimeSpan},
     ids::{FailureDomain, InstanceId, LogOffset},
     records::{DutyName, LeaseAction, LeaseRecord},
@@ -180,24 +182,27 @@
             failure_domain: domains[index % 3].clone(),
         })
         .collect();
-    let preferred = |duty: &DutyName| {
-        let ranked = candidates
-            .iter()
-            .map(|c| (duty_rank(duty, c, &candidates), c));
-        ranked
-            .min_by_key(|(rank, _)| *rank)
-            .expect("there are some")
-            .1
-    };
-    for domain in &domains {
-        let holder = preferred(&DutyName::Engines(domain.clone()));
-        assert_eq!(holder.failure_domain, *domain);
-    }
-    let others = [DutyName::Fleet, DutyName::Usage, DutyName::Log];
-    let mut holders: Vec<_> = others
-        .iter()
-        .map(|duty| &preferred(duty).instance)
+    let engines = domains.iter().cloned().map(DutyName::Engines);
+    let duties: Vec<DutyName> = [DutyName::Fleet, DutyName::Usage, DutyName::Log]
+        .into_iter()
+        .chain(engines)
         .collect();
-    holders.dedup();
-    assert!(holders.len() > 1, "one controller would hold {holders:?}");
+    let mut first = BTreeMap::new();
+    for candidate in &candidates {
+        for (duty, rank) in duty_ranks(&duties, &candidate.instance, &candidates) {
+            if rank == 0 {
+                assert_eq!(first.insert(duty, candidate), None, "two are first");
+            }
+        }
+    }
+    let holders: BTreeSet<&InstanceId> = first.values().map(|first| &first.instance).collect();
+    assert_eq!(
+        holders.len(),
+        duties.len(),
+        "somebody is first for two duties"
+    );
+    for domain in domains {
+        let duty = DutyName::Engines(domain.clone());
+        assert_eq!(first[&duty].failure_domain, domain);
+    }
 }
