--- a/crates/controller/tests/controller/stage.rs
+++ b/crates/controller/tests/controller/stage.rs
@@ -1,5 +1,10 @@
 //! A platform and controllers inside the test's own process.
 
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+
 use bluebell_controller::{ControllerSettings, RunningController};
 use bluebell_core::{
     clock::{ClockSource, TimeSpan},
@@ -8,19 +13,32 @@
         EndpointId, FailureDomain, InstanceId, LogOffset, ModelName, RegionId, ServiceName,
         WriterId,
     },
+    membership::{InstanceListing, InstanceProgram, InstanceState},
     records::{CapacityKind, LogEntry, LogRecord, PublishRecord, UnitChange},
+    roles::PoolDemand,
     units::TokenCount,
     view::FleetView,
 };
-use bluebell_node::NodeSettings;
+use bluebell_daemon::ops::{self, RunningServer};
+use bluebell_node::{NodeHandle, NodeSettings};
 use bluebell_platform::{
     PlatformClient,
     api::{AppendRequest, EndpointKind, EndpointListing, EndpointState},
 };
 use bluebell_testkit::{control, wait};
+use rocket::{State, serde::json::Json};
 use standin_platform::{PlatformSettings, RunningPlatform, history::PlatformHistory};
 use tokio_util::sync::CancellationToken;
 
+/// What an entry tells of the work that arrives.
+pub type ToldDemand = Arc<Mutex<PoolDemand>>;
+
+#[rocket::get("/demand")]
+fn demand_route(demand: &State<ToldDemand>) -> Json<Vec<PoolDemand>> {
+    let demand = demand.lock().expect("no holder panics");
+    Json(vec![demand.clone()])
+}
+
 /// A platform with a client that appends to its log.
 pub struct Stage {
     platform: RunningPlatform,
@@ -52,9 +70,17 @@
 
     /// Starts a controller with short leases.
     pub async fn controller(&self, name: &str) -> RunningController {
+        self.controller_with(name, |_| {}).await
+    }
+
+    /// The same with settings that `change` has changed.
+    pub async fn controller_with<Change>(&self, name: &str, change: Change) -> RunningController
+    where
+        Change: FnOnce(&mut ControllerSettings),
+    {
         let text = "duration = \"2s\"\nmargin = \"300ms\"\nrenew_after = \"400ms\"\n\
              stagger = \"100ms\"\nhandover_after = \"60s\"";
-        let settings = ControllerSettings {
+        let mut settings = ControllerSettings {
             node: self.node(name),
             lease: toml::from_str(text).expect("the settings are valid"),
             orders: toml::from_str(
@@ -62,8 +88,14 @@
             )
             .expect("the settings are valid"),
             usage: toml::from_str("window = \"1s\"\ngrace = \"200ms\"").expect("valid"),
-            checkpoints: Default::default(),
+            checkpoint: toml::from_str("every_records = 50").expect("valid"),
+            roles: toml::from_str(
+                "planner = { rest = \"0ms\", least_gain = 1 }\nrates = { mixed_percent = 40 }",
+            )
+            .expect("the settings are valid"),
+            fleet: Default::default(),
         };
+        change(&mut settings);
         assert_eq!(settings.problems(), []);
         let token = CancellationToken::new();
         let controller = bluebell_controller::start(settings, ClockSource::new(), token);
@@ -120,6 +152,17 @@
 
     /// Lists an endpoint of the service `assistant`.
     pub async fn list_engine(&self, name: &str, address: String, capacity: CapacityKind) {
+        self.post_engine("/control/endpoints", name, address, capacity)
+            .await;
+    }
+
+    /// Gives the platform a spare that it can start as the service `assistant`.
+    pub async fn add_spare(&self, name: &str, address: String) {
+        self.post_engine("/control/spares", name, address, CapacityKind::Reserved)
+            .await;
+    }
+
+    async fn post_engine(&self, path: &str, name: &str, address: String, capacity: CapacityKind) {
         let listing = EndpointListing {
             endpoint: EndpointId::new(name).expect("the name is valid"),
             failure_domain: domain(),
@@ -131,10 +174,40 @@
             state: EndpointState::Ready,
             checks_fencing: true,
         };
-        let posted = control::post(&self.address(), "/control/endpoints", &listing).await;
+        let posted = control::post(&self.address(), path, &listing).await;
         posted.expect("the platform takes it");
     }
 
+    /// Starts an entry's node, which follows the log and talks to its peers.
+    pub async fn entry_node(&self, name: &str, token: &CancellationToken) -> NodeHandle {
+        let node = NodeHandle::start(self.node(name), ClockSource::new(), token);
+        let http_address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let joined = node.join(InstanceProgram::Entry, http_address, token);
+        joined.await.expect("the entry takes peers");
+        node
+    }
+
+    /// Lists an entry that tells what `demand` holds.
+    pub async fn list_entry(&self, demand: ToldDemand) -> RunningServer {
+        let local = SocketAddr::from(([127, 0, 0, 1], 0));
+        let rocket = ops::server(local)
+            .mount("/", rocket::routes![demand_route])
+            .manage(demand);
+        let server = RunningServer::start(rocket, local).await;
+        let server = server.expect("the entry listens");
+        let listing = InstanceListing {
+            instance: instance("entry-1"),
+            failure_domain: domain(),
+            program: InstanceProgram::Entry,
+            state: InstanceState::Live,
+            http_address: server.address.to_string(),
+            peer_address: "127.0.0.1:1".to_string(),
+        };
+        let announced = self.client.announce(&listing).await;
+        announced.expect("the platform lists it");
+        server
+    }
+
     /// All that reached the platform.
     pub async fn history(&self) -> PlatformHistory {
         let history = control::history(&self.address()).await;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -127,6 +127,7 @@
         items.extend(self.marks.checkpoint());
         items.extend(self.usage.checkpoint());
         items.extend(self.claims.checkpoint());
+        items.extend(self.quarantine.checkpoint());
         items
     }
 
@@ -147,6 +148,7 @@
             view.marks.restore(now, item);
             view.usage.restore(now, item);
             view.claims.restore(now, item);
+            view.quarantine.restore(now, item);
         }
         view
     }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -29,12 +29,16 @@
     chat,
     claims::ClaimBatcher,
     context::EntryContext,
+    crash::CrashWatch,
     directory::EndpointDirectory,
+    metering::UsageMeter,
     metrics::EntryMetrics,
     plain,
     refusal::{Refusal, RefusalCode},
     running::RunningKeys,
     settings::EntrySettings,
+    traffic::TrafficControl,
+    traffic_feed,
 };
 
 /// How long a stopping entry waits for the log to take what is to be recorded.
@@ -77,8 +81,19 @@
     let registry = Registry::new();
     let metrics = EntryMetrics::new(&registry).context("failed to register metrics")?;
     let (claims, claim_queues) = ClaimBatcher::new();
+    let in_doubt = metrics.usage_in_doubt.clone();
+    let meter = UsageMeter::new(settings.metering.window, in_doubt);
+    let traffic = TrafficControl::new(
+        &settings.traffic,
+        settings.node.failure_domain.clone(),
+        node.clock().clone(),
+        rand::random(),
+    );
+    let traffic = Arc::new(traffic);
+    let crashes = Arc::new(CrashWatch::new(settings.node.instance.clone()));
     let context = Arc::new(EntryContext {
         claims,
+        meter,
         directory: EndpointDirectory::new(),
         node,
         journal: DecisionJournal::new(),
@@ -86,7 +101,8 @@
         keys: RunningKeys::new(),
         draining: CancellationToken::new(),
         work: TaskTracker::new(),
-        in_flight: Default::default(),
+        traffic,
+        crashes,
         settings,
     });
     claim_queues.spawn(&context.node, context.claims.clone(), &inner);
@@ -114,9 +130,11 @@
     let directory = context.directory.clone();
     let node = context.node.clone();
     tokio::spawn(directory.follow(node.clone(), interval, token.clone()));
-    let directory = context.directory.clone();
-    tokio::spawn(directory.watch_engines(interval, token.clone()));
-    tokio::spawn(context.keys.clone().follow(node, token.clone()));
+    tokio::spawn(traffic_feed::run(context.clone(), token.clone()));
+    tokio::spawn(traffic_feed::watch_engines(context.clone(), token.clone()));
+    tokio::spawn(context.keys.clone().follow(node.clone(), token.clone()));
+    let interval = context.settings.metering.flush_interval;
+    tokio::spawn(context.meter.clone().run(node, interval, token.clone()));
 }
 
 fn build(context: &Arc<EntryContext>, registry: Registry, address: SocketAddr) -> Rocket<Build> {
@@ -175,7 +193,10 @@
         "settings": context.settings,
         "progress": context.node.progress(),
         "draining": context.draining.is_cancelled(),
-        "in_flight": *context.in_flight.lock().expect("no holder panics"),
+        "in_progress": context.metrics.in_progress.get(),
+        "routed": context.traffic.endpoints(),
+        "closed": context.traffic.closed_endpoints(),
+        "pools": context.traffic.status(),
         "endpoints": context.directory.slots(),
         "view": view.unwrap_or_else(|error| json!({"error": error.to_string()})),
     })
@@ -204,6 +225,7 @@
             .warn();
     }
     context.claims.flush(FLUSH_LIMIT).await;
+    context.meter.flush_all(&context.node, FLUSH_LIMIT).await;
     server.stop().await;
     inner.cancel();
     LogLine::new("stopped").info();
--- a/crates/lab/src/world/run.rs
+++ b/crates/lab/src/world/run.rs
@@ -30,8 +30,17 @@
 const LIST_LAG: TimeSpan = TimeSpan::from_secs(5);
 /// The notice of a reclaim.
 const RECLAIM_NOTICE: TimeSpan = TimeSpan::from_secs(3);
+/// The longest mean time between tokens that a caller can read along with.
+const TOKEN_TIME: TimeSpan = TimeSpan::from_millis(32);
+/// Answers of fewer tokens are there at once.
+const SHORT_ANSWER: u64 = 8;
+/// How much a prefilled prompt counts for the measured share of cache hits.
+const HIT_GAIN: f64 = 0.01;
 /// How often roles are planned.
 const ROLE_PERIOD: u64 = 5_000;
+/// The percent of the engines' slots that entries use, as their load is never
+/// quite even.
+const SLOT_PERCENT: u32 = 90;
 /// The speed of all engines.
 pub const SPEED: EngineSpeed = EngineSpeed {
     prefill: 8_000.0,
@@ -55,6 +64,7 @@
     phase: RequestPhase,
     attempts: u32,
     excluded: Vec<EndpointId>,
+    answered_at: Option<ClockTime>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -142,6 +152,7 @@
             phase: RequestPhase::Queued,
             attempts: 0,
             excluded: Vec::new(),
+            answered_at: None,
         };
         let role = |index: usize| policy.first_roles.get(index).copied().unwrap_or_default();
         let count = scenario.engines.len();
@@ -274,8 +285,11 @@
 
     fn arrive(&mut self, now: ClockTime, number: usize) {
         let request = self.requests[number].clone();
+        let home = self.scenario.organisations[request.organisation].home;
+        let domains = self.scenario.failure_domains.len();
         let live: Vec<usize> = (0..self.entries.len())
             .filter(|index| self.entries[*index].alive)
+            .filter(|index| home.is_none_or(|domain| index % domains == domain))
             .collect();
         let entry = live[request.entry_draw % live.len()];
         self.states[number].entry = entry;
@@ -499,6 +513,10 @@
     fn engine_event(&mut self, now: ClockTime, engine: usize, event: EngineEvent) {
         match event {
             EngineEvent::FirstToken(number) => self.first_token(now, engine, number),
+            EngineEvent::Filled { cached } => {
+                let hit = f64::from(u8::from(cached));
+                self.cached_share += (hit - self.cached_share) * HIT_GAIN;
+            }
             EngineEvent::Prefilled(number) => {
                 self.steps
                     .insert((now + HANDOVER, LateStep::Handover(number)));
@@ -509,7 +527,8 @@
                 let pool = model_pool();
                 let (most, got) = (TokenCount::new(max_output), TokenCount::new(delivered));
                 self.demand.note_end(&pool, most, got);
-                self.end(number, RequestEnd::Served);
+                let end = self.answer_end(now, number);
+                self.end(number, end);
                 let entry = self.states[number].entry;
                 let id = request_id(number);
                 self.entries[entry]
@@ -520,8 +539,19 @@
         }
     }
 
+    fn answer_end(&self, now: ClockTime, number: usize) -> RequestEnd {
+        let tokens = self.requests[number].stays_for;
+        let began = self.states[number].answered_at.unwrap_or(now);
+        let reads_along = tokens < SHORT_ANSWER || now.since(began) <= TOKEN_TIME.times(tokens);
+        match reads_along {
+            true => RequestEnd::Served,
+            false => RequestEnd::Slow,
+        }
+    }
+
     fn first_token(&mut self, now: ClockTime, engine: usize, number: usize) {
         self.states[number].phase = RequestPhase::Answering { engine };
+        self.states[number].answered_at = Some(now);
         let request = &self.requests[number];
         if request.patience < TimeSpan::from_secs(10) {
             let took = now.since(request.at).as_millis().max(1);
@@ -529,7 +559,8 @@
         }
         let entry = self.states[number].entry;
         let id = request_id(number);
-        self.entries[entry].router.note_first_token(now, &id);
+        let actions = self.entries[entry].first_token(now, &id);
+        self.act(now, actions);
     }
 
     /// What happens at fixed times: reports, gossip, capacity, roles.
@@ -580,7 +611,7 @@
                 continue;
             }
             let load = entry.router.pool_load(now, &model_pool());
-            let total = load.open * SPEED.batch as u32;
+            let total = load.slots * SLOT_PERCENT / 100;
             let (own, others) = (load.own as u32, load.others as u32);
             let slots = PoolCapacity::shared_slots(total, live, own, others);
             let rate = u64::from(load.open) * 6_000 / u64::from(live);
--- a/crates/node/src/handle.rs
+++ b/crates/node/src/handle.rs
@@ -320,6 +320,9 @@
         true
     }
 
+    /// Tells what changed, and then how far the view has come, while the view's
+    /// lock is held: whoever waits for an offset and then looks for its event would
+    /// otherwise miss it.
     fn tell_change(&self, log: &mut LogState, events: Vec<ViewEvent>) {
         let next = log.view.next_offset();
         log.knowledge.advance(next);
