--- a/crates/node/src/peers/wire.rs
+++ b/crates/node/src/peers/wire.rs
@@ -80,6 +80,10 @@
     /// News of the sender and of others.
     #[prost(message, repeated, tag = "6")]
     pub items: Vec<ItemMessage>,
+    /// How many bytes of news the sender takes from the receiver each second:
+    /// few, if it has many connections.
+    #[prost(uint64, optional, tag = "7")]
+    pub news_share: Option<u64>,
 }
 
 /// A wish for entries: answered as soon as there are any.
