Let a refusal reach a caller that is still sending its body

Cause: `bad_requests_get_clear_errors_and_leave_the_entry_serving` failed once under load. The entry answered an oversized body without reading the rest of it; the server then closes the connection on unread bytes, the caller's side is reset, and the refusal may be lost on the way: the caller can't tell that nothing ran.

--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     answer_body::{AnswerBody, AnswerFormat, AnswerHead, AnswerResponse},
-    body,
+    body::CallerBody,
     caller::CallerHead,
     context::EntryContext,
     model_run::{ModelRun, ModelWork},
@@ -53,18 +53,25 @@
     head: CallerHead,
     data: Data<'_>,
 ) -> Result<AnswerResponse, Refusal> {
-    let answer = begin(context.inner(), &head, data).await;
-    answer.inspect_err(|refusal| context.refused(refusal))
+    // Held until the refusal's way is clear: a stopping entry waits for it.
+    let _work = context.work.token();
+    let mut body = CallerBody::new(context, data);
+    let answer = begin(context.inner(), &head, &mut body).await;
+    if let Err(refusal) = &answer {
+        context.refused(refusal);
+        body.discard().await;
+    }
+    answer
 }
 
 async fn begin(
     context: &Arc<EntryContext>,
     head: &CallerHead,
-    data: Data<'_>,
+    body: &mut CallerBody<'_>,
 ) -> Result<AnswerResponse, Refusal> {
     let work_token = context.work.token();
     let caller = context.admit(head)?;
-    let body = body::read(context, head, data).await?;
+    let body = body.read(head).await?;
     let chat: ChatRequest = serde_json::from_slice(&body).map_err(|error| {
         let message = format!("the body is no chat request: {error}");
         head.refuse(RefusalCode::InvalidRequest, message)
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    body,
+    body::CallerBody,
     caller::CallerHead,
     context::EntryContext,
     delivered::{DeliveryTicket, MeteredBody},
@@ -40,10 +40,14 @@
             return Outcome::error(Status::InternalServerError);
         };
         let head = CallerHead::of(request);
-        match call(context, &head, request, data).await {
+        // Held until the refusal's way is clear: a stopping entry waits for it.
+        let _work = context.work.token();
+        let mut body = CallerBody::new(context, data);
+        match call(context, &head, request, &mut body).await {
             Ok(metered) => Outcome::Success(respond(metered)),
             Err(refusal) => {
                 context.refused(&refusal);
+                body.discard().await;
                 Outcome::from(request, refusal)
             }
         }
@@ -117,9 +121,8 @@
     context: &Arc<EntryContext>,
     head: &CallerHead,
     request: &Request<'_>,
-    data: Data<'_>,
+    body: &mut CallerBody<'_>,
 ) -> Result<MeteredAnswer, Refusal> {
-    let _work = context.work.token();
     let caller = context.admit(head)?;
     let target = CallTarget::of(head, request)?;
     let (service, unit) = context.service(head, &caller, &target.service)?;
@@ -127,7 +130,7 @@
         let message = format!("`{service}` is a model: use `/v1/chat/completions`");
         return Err(head.refuse(RefusalCode::InvalidRequest, message));
     }
-    let body = body::read(context, head, data).await?;
+    let body = body.read(head).await?;
     let method = request.method().as_str();
     let repeatable = context.node.with_view(|view| {
         view.configuration
