End work everywhere when its deadline passes

Cause: a request without a first token at its deadline was taken for a lost attempt: the engine was probed, its failure counted against it, a retry was paid for, and only then the caller was told. Change: a deadline that passed ends the run; the engine hears the cancel. What is remembered of gone peers' shares is dropped.

--- a/crates/entry/src/model_run/attempt.rs
+++ b/crates/entry/src/model_run/attempt.rs
@@ -101,6 +101,11 @@
     /// told from a dead endpoint by a probe on a new one: if that works, only
     /// the old connections are given up, and the endpoint may be used again.
     pub(super) async fn after_loss(&mut self, loss: AttemptLoss) -> Result<AttemptEnd, Refusal> {
+        if matches!(loss, AttemptLoss::Silent(_)) {
+            // A deadline that passed says nothing against the endpoint, which
+            // still hears the cancel when the run ends.
+            self.check_deadline()?;
+        }
         let Some(chosen) = self.chosen.take() else {
             return Ok(AttemptEnd::GoOn);
         };
--- a/crates/entry/src/traffic_feed.rs
+++ b/crates/entry/src/traffic_feed.rs
@@ -154,6 +154,9 @@
         state.router.forget_peer(gone);
         state.queue.forget_peer(gone);
     }
+    memory
+        .peer_shares
+        .retain(|(peer, _), _| known.contains(peer));
     memory.peers = known;
     for peer in peers {
         let outstanding: Vec<PeerOutstanding> = peer.status.loads.iter().map(outstanding).collect();
--- a/crates/entry/tests/answers.rs
+++ b/crates/entry/tests/answers.rs
@@ -358,3 +358,22 @@
     let refused = bed.chat(true, "x").send().await.unwrap();
     assert_eq!(refused.status(), 401);
 }
+
+/// The deadline passes before the first token. The caller has left for its train, so
+/// the engine must stop, and no other one must start.
+#[tokio::test]
+async fn work_ends_everywhere_when_its_deadline_passes() {
+    let engines = [
+        FakeEndpoint::start(|_| vec![head(), Step::Silence]).await,
+        FakeEndpoint::start(|_| vec![head(), Step::Silence]).await,
+    ];
+    let bed = bed_with(&[&engines[0], &engines[1]]).await;
+    let answer = bed.chat(false, "x").header("x-deadline-ms", "500");
+    let answer: Value = answer.send().await.unwrap().json().await.unwrap();
+    assert_eq!(answer["error"]["code"], "deadline_exceeded");
+    assert_eq!(answer["error"]["ran"], "unknown");
+    let seen = |path: &str| engines.iter().map(|e| e.seen(path).len()).sum::<usize>();
+    eventually(async || seen("/cancel") == 1).await;
+    assert_eq!(seen("/generate"), 1);
+    assert_eq!(seen("/health"), 0);
+}
