--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -9,7 +9,7 @@
     roles::{EngineRates, RoleSettings},
 };
 use bluebell_daemon::settings::{SettingProblem, SettingsError};
-use bluebell_node::{NodeSettings, checkpoint::CheckpointSettings};
+use bluebell_node::NodeSettings;
 use serde::{Deserialize, Serialize};
 
 /// A controller's settings file.
@@ -27,15 +27,15 @@
     /// Usage windows and their reports.
     #[serde(default)]
     pub usage: UsageSettings,
+    /// Checkpoints of the log.
+    #[serde(default)]
+    pub checkpoint: CheckpointSettings,
     /// The plan of engines' roles.
     #[serde(default)]
     pub roles: RolePlanSettings,
     /// The plan of the fleet's size.
     #[serde(default)]
     pub fleet: FleetPlanSettings,
-    /// When checkpoints of the log are due.
-    #[serde(default)]
-    pub checkpoints: CheckpointSettings,
 }
 
 /// The `[lease]` table. All controllers of a fleet should have the same.
@@ -129,6 +129,26 @@
     }
 }
 
+/// The `[checkpoint]` table. Both limits must lie well below what the platform's
+/// log keeps; a checkpoint in the older half of that is renewed in any case.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CheckpointSettings {
+    /// After how many records a checkpoint is due.
+    pub every_records: u64,
+    /// After how long a checkpoint is due.
+    pub every: TimeSpan,
+}
+
+impl Default for CheckpointSettings {
+    fn default() -> CheckpointSettings {
+        CheckpointSettings {
+            every_records: 20_000,
+            every: TimeSpan::from_secs(600),
+        }
+    }
+}
+
 /// The `[roles]` table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -181,9 +201,9 @@
             lease: LeaseSettings::default(),
             orders: OrderSettings::default(),
             usage: UsageSettings::default(),
+            checkpoint: CheckpointSettings::default(),
             roles: RolePlanSettings::default(),
             fleet: FleetPlanSettings::default(),
-            checkpoints: CheckpointSettings::default(),
         }
     }
 
@@ -195,7 +215,6 @@
     /// All that can't be used.
     pub fn problems(&self) -> Vec<SettingProblem> {
         let mut problems = self.node.problems();
-        problems.extend(self.checkpoints.problems());
         let mut check = |bad: bool, field: &str, value: TimeSpan, expected: &str| {
             if bad {
                 problems.push(SettingProblem::new(field, value, expected));
@@ -226,12 +245,22 @@
             self.orders.interval,
             "more than `0ms`",
         );
+        check(
+            self.checkpoint.every < TimeSpan::from_secs(1),
+            "checkpoint.every",
+            self.checkpoint.every,
+            "at least `1s`",
+        );
         check(
             self.usage.window == TimeSpan::ZERO,
             "usage.window",
             self.usage.window,
             "more than `0ms`",
         );
+        if self.checkpoint.every_records == 0 {
+            let field = "checkpoint.every_records";
+            problems.push(SettingProblem::new(field, 0, "at least `1`"));
+        }
         problems
     }
 }
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -16,17 +16,24 @@
 /// The time between two announcements.
 pub const ANNOUNCE_EVERY: TimeSpan = TimeSpan::from_secs(1);
 
+/// The time between two reads of the list, per instance on it. The list's size
+/// grows with the fleet: read every second it would cost 350 instances tens of
+/// kilobytes a second each. Peers tell of new instances sooner.
+const LIST_PAUSE: TimeSpan = TimeSpan::from_millis(100);
+
+/// The longest time between two reads of the list.
+const LIST_LIMIT: TimeSpan = TimeSpan::from_secs(30);
+
 /// Announces `listing` and reads the list until `token` is cancelled, then
 /// announces that this process leaves.
 pub async fn run(node: NodeHandle, listing: InstanceListing, token: CancellationToken) {
+    let mut next_read = node.clock().now();
     loop {
         let state = node.local_state();
         announce(&node, &listing, state).await;
-        match node.platform().instances().await {
-            Ok(listings) => node.note_listings(&listings),
-            Err(error) => LogLine::new("instance_list_failed")
-                .with("error", error)
-                .debug(),
+        if node.clock().now() >= next_read {
+            let pause = read_list(&node).await;
+            next_read = node.clock().now() + pause;
         }
         tokio::select! {
             () = token.cancelled() => break,
@@ -44,3 +51,19 @@
         LogLine::new("announce_failed").with("error", error).debug();
     }
 }
+
+/// Reads the list; answers when to read it again.
+async fn read_list(node: &NodeHandle) -> TimeSpan {
+    match node.platform().instances().await {
+        Ok(listings) => {
+            node.note_listings(&listings);
+            LIST_PAUSE.times(listings.len() as u64).min(LIST_LIMIT)
+        }
+        Err(error) => {
+            LogLine::new("instance_list_failed")
+                .with("error", error)
+                .debug();
+            TimeSpan::ZERO
+        }
+    }
+}
