Test that entries hear of each other's work; count answers' attempts alone

Cause: nothing showed that peers' loads reach the router; the handover of a prompt counted as an attempt, so fleets with roles had half the attempts. Change: the test, over the fake platform's list and real peer connections; the retry budget counts attempts to answer.

--- a/crates/entry/src/model_run/attempt.rs
+++ b/crates/entry/src/model_run/attempt.rs
@@ -22,6 +22,7 @@
             .send(&chosen.endpoint)
             .map_err(|error| self.refusal(RefusalCode::Internal, error.to_string()))?;
         self.context.metrics.attempts.inc();
+        self.tries += 1;
         self.answer.begin_attempt(permit.attempt());
         let work = self.generate_request(&permit);
         let client = chosen.client.clone();
--- a/crates/entry/src/model_run/mod.rs
+++ b/crates/entry/src/model_run/mod.rs
@@ -126,6 +126,8 @@
     avoided: BTreeSet<EndpointId>,
     lossy: BTreeSet<EndpointId>,
     import: Option<KvHandle>,
+    /// Attempts to answer; handovers of the prompt are not among them.
+    tries: u32,
     started: ClockTime,
 }
 
@@ -152,6 +154,7 @@
             avoided: BTreeSet::new(),
             lossy: BTreeSet::new(),
             import: None,
+            tries: 0,
             started,
         }
     }
@@ -256,11 +259,10 @@
 
     async fn pause_before_retry(&mut self) -> Result<(), Refusal> {
         self.trial = None;
-        let failed = self.attempts.attempt();
         match self
             .context
             .traffic
-            .try_retry(&self.work.organisation, failed)
+            .try_retry(&self.work.organisation, self.tries)
         {
             RetryAnswer::Retry { after, .. } => {
                 tokio::time::sleep(after.as_duration()).await;
--- a/crates/entry/tests/serving.rs
+++ b/crates/entry/tests/serving.rs
@@ -253,3 +253,40 @@
         assert_eq!(prefill.seen("/generate").len(), 1);
     }
 }
+
+/// Two entries serve one organisation. What one of them has running counts at the
+/// other, or an organisation that spreads its work over entries gets more than its
+/// share, and an engine that one entry has filled looks idle to the other.
+#[tokio::test]
+async fn entries_hear_of_each_others_work() {
+    let engine = FakeEndpoint::start(|seen| {
+        let mut steps = endpoint::whole_answer(&seen.generate(), 3);
+        steps.insert(2, Step::Gate);
+        steps
+    })
+    .await;
+    let bed = TestBed::start().await;
+    let address = engine.address.to_string();
+    bed.list(vec![listing("engine-1", EndpointKind::Engine, &address)])
+        .await;
+    let second = support::start_entry(support::settings(&bed.platform, "entry-2")).await;
+    support::wait_ready(&bed.http, &second).await;
+    let running = bed.chat(true, "hello").send().await.unwrap();
+    let url = format!("http://{}/dump", second.http_address);
+    let others = async || {
+        let dump: Value = bed
+            .http
+            .get(&url)
+            .send()
+            .await
+            .unwrap()
+            .json()
+            .await
+            .unwrap();
+        dump["routes"][0]["other_requests"].as_u64()
+    };
+    support::eventually(async || others().await == Some(1)).await;
+    engine.gate.add_permits(1);
+    assert!(running.text().await.unwrap().contains("[DONE]"));
+    support::eventually(async || others().await == Some(0)).await;
+}
--- a/crates/entry/tests/support/platform.rs
+++ b/crates/entry/tests/support/platform.rs
@@ -2,13 +2,14 @@
 //! of endpoints.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
 use bluebell_core::{
-    ids::{LogOffset, WriterId},
+    ids::{InstanceId, LogOffset, WriterId},
     records::LogRecord,
 };
 use bluebell_daemon::ops::{self, RunningServer};
@@ -181,6 +182,11 @@
 }
 
 #[get("/instances")]
-fn instances() -> Json<Vec<InstanceListing>> {
-    Json(Vec::new())
+fn instances(shared: &State<Shared>) -> Json<Vec<InstanceListing>> {
+    let inner = shared.lock().unwrap();
+    let mut newest: BTreeMap<InstanceId, InstanceListing> = BTreeMap::new();
+    for listing in &inner.announced {
+        newest.insert(listing.instance.clone(), listing.clone());
+    }
+    Json(newest.into_values().collect())
 }
