Put quarantines into checkpoints; test a cut-off instance's knowledge

Change: quarantines are restored from checkpoints, and the property test draws them; a follower reads the log itself once its knowledge is three seconds old, to stay below the entries' bound of five; the decision on freshness says what is built: repeatable work has no limit in a cut.

The test of a cut-off instance passed at first although failed reads were counted as knowledge; it now waits for reads that began after the withdrawal and fails then.

Conclusion: every slice that keeps something of the log is in the checkpoint.

--- a/crates/core/tests/checkpoint.rs
+++ b/crates/core/tests/checkpoint.rs
@@ -13,8 +13,8 @@
     records::{
         ClaimBatch, ClaimSettlement, DutyName, EndpointMark, IdempotencyClaim, IntentRecord,
         LeaseAction, LeaseRecord, LogEntry, LogRecord, MarkState, OrderBody, OrderOutcome,
-        OutcomeRecord, PublishRecord, SettledResult, SettlementBatch, UnitChange, UsageDelta,
-        UsageLine, UsageWindow, WindowClose, WithdrawRecord,
+        OutcomeRecord, PublishRecord, QuarantineRecord, SettledResult, SettlementBatch, UnitChange,
+        UsageDelta, UsageLine, UsageWindow, WindowClose, WithdrawRecord,
     },
     units::{ByteSize, ShareWeight, TokenCount},
     view::FleetView,
@@ -140,7 +140,7 @@
         let endpoint = EndpointId::new(self.pick(&["e1", "e2"])).expect("valid");
         let order = OrderId::new(self.pick(&["o1", "o2", "o3"])).expect("valid");
         let window = UsageWindow::new(self.random.random_range(1..6));
-        match self.random.random_range(0..11) {
+        match self.random.random_range(0..13) {
             0 => {
                 let action = match (&held, self.random.random_range(0..4)) {
                     (Some(_), 0) => LeaseAction::Release { fence },
@@ -195,6 +195,16 @@
                     entry: InstanceId::new("i1").expect("valid"),
                 }],
             }),
+            11 | 12 => LogRecord::Quarantine(QuarantineRecord {
+                fingerprint: RequestFingerprint::with_content(
+                    &OrganisationId::new("a").expect("valid"),
+                    self.pick(&["x", "y"]).as_bytes(),
+                ),
+                endpoint,
+                incarnation: self.random.random_range(0..2),
+                entry: InstanceId::new("i1").expect("valid"),
+                cleared: self.random.random_bool(0.2),
+            }),
             7 | 8 => LogRecord::Settlements(SettlementBatch {
                 settlements: vec![ClaimSettlement {
                     organisation: OrganisationId::new("a").expect("valid"),
@@ -276,6 +286,7 @@
             assert_eq!(view.writers, whole.writers, "seed {seed}");
             assert_eq!(view.leases, whole.leases, "seed {seed}");
             assert_eq!(view.marks, whole.marks, "seed {seed}");
+            assert_eq!(view.quarantine, whole.quarantine, "seed {seed}");
             assert_eq!(view.claims, whole.claims, "seed {seed}");
             assert_eq!(view.usage, whole.usage, "seed {seed}");
             let open = |view: &FleetView| -> Vec<_> {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -35,7 +35,7 @@
 /// How old a follower's knowledge of the log's end may grow before it reads the
 /// log itself. Two heartbeats and a long poll, which is what a relay that works
 /// costs, stay below it.
-const RELAY_LAG_LIMIT: TimeSpan = TimeSpan::from_secs(4);
+const RELAY_LAG_LIMIT: TimeSpan = TimeSpan::from_secs(3);
 
 /// How often a follower looks whether its relay still serves it.
 const RELAY_CHECK: TimeSpan = TimeSpan::from_millis(250);
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use bluebell_core::{
+    clock::TimeSpan,
     ids::{EndpointId, FailureDomain, OrganisationId, RequestFingerprint},
     membership::{EndpointLoad, InstanceState, LocalStatus, OrganisationShare},
     records::{LogRecord, QuarantineRecord},
@@ -211,3 +212,44 @@
     })
     .await;
 }
+
+/// A failure domain is cut off from the platform and from its peers while a key
+/// is withdrawn elsewhere. It can't know; it must know that it can't.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_off_instance_knows_how_old_its_knowledge_is() {
+    let platform = TestPlatform::start(10_000).await;
+    let a = platform.join("a", "x").await;
+    let alone = platform.follow("alone");
+    let offset = a.publish(key("k", "secret")).await;
+    assert!(alone.node.wait_applied(offset, PATIENCE).await);
+    let mut faults = PlatformFaults::default();
+    faults.cut_instances.insert(alone.name().clone());
+    platform.set(faults).await;
+    // The read that was under way when the path was cut has ended once two more
+    // have begun.
+    let reads = alone.node.log_reads();
+    until("refused reads", || alone.node.log_reads() >= reads + 2).await;
+    let withdrawn_at = alone.node.clock().now();
+    a.node.withdraw(&withdrawal("secret"));
+    let bound = TimeSpan::from_secs(1);
+    let reads = alone.node.log_reads();
+    until("refused reads after it", || {
+        alone.node.log_reads() >= reads + 3
+    })
+    .await;
+    until("old knowledge", || {
+        alone.node.freshness().is_some_and(|age| age > bound)
+    })
+    .await;
+    let age = alone.node.freshness().expect("it knew the log once");
+    assert!(alone.node.clock().now() - age <= withdrawn_at);
+    assert!(alone.admits("secret"));
+    platform.heal().await;
+    until("the withdrawal", || !alone.admits("secret")).await;
+    until("fresh knowledge", || {
+        let now = alone.node.clock().now();
+        let age = alone.node.freshness();
+        age.is_some_and(|age| now - age > withdrawn_at)
+    })
+    .await;
+}
