--- a/crates/controller/src/settings.rs
+++ b/crates/controller/src/settings.rs
@@ -245,12 +245,22 @@
             self.orders.interval,
             "more than `0ms`",
         );
+        check(
+            self.checkpoint.every < TimeSpan::from_secs(1),
+            "checkpoint.every",
+            self.checkpoint.every,
+            "at least `1s`",
+        );
         check(
             self.usage.window == TimeSpan::ZERO,
             "usage.window",
             self.usage.window,
             "more than `0ms`",
         );
+        if self.checkpoint.every_records == 0 {
+            let field = "checkpoint.every_records";
+            problems.push(SettingProblem::new(field, 0, "at least `1`"));
+        }
         problems
     }
 }
--- a/crates/core/src/membership/links.rs
+++ b/crates/core/src/membership/links.rs
@@ -15,7 +15,7 @@
 pub const FULL_MESH_LIMIT: usize = 16;
 
 /// In a larger one, each reader serves about this many others.
-const FOLLOWERS_PER_READER: usize = 16;
+const FOLLOWERS_PER_READER: usize = 8;
 
 /// The fewest instances per failure domain that read from the platform: with
 /// two, the loss of one delays nobody.
--- a/crates/entry/tests/answers.rs
+++ b/crates/entry/tests/answers.rs
@@ -113,6 +113,34 @@
     assert!(resumed <= 2 && work.attempt == 2, "{work:?}");
 }
 
+/// An engine answers probes but breaks every stream, while another one is healthy.
+/// The shopper must get the answer from the other one.
+#[tokio::test]
+async fn an_engine_that_breaks_all_streams_is_left_for_another() {
+    let breaking = FakeEndpoint::start(|seen| {
+        let work = seen.generate();
+        vec![
+            head(),
+            Step::Item(token(&work, work.delivered.len() as u64)),
+        ]
+    })
+    .await;
+    let healthy = FakeEndpoint::engine(4).await;
+    // Otherwise the router's rests after failures would mend it in the end.
+    let bed = TestBed::with_settings(|settings| {
+        settings.traffic.routing.eject_after = 1_000;
+    })
+    .await;
+    bed.list(listings(&[&breaking, &healthy])).await;
+    while breaking.seen("/generate").is_empty() {
+        for number in 0..20 {
+            let answer = bed.chat(true, &number.to_string()).send().await.unwrap();
+            let read = read_stream(answer).await;
+            assert!(read.done && read.text == "t0 t1 t2 t3 ");
+        }
+    }
+}
+
 /// A connection ends early without any error that TCP would show, and nobody else
 /// can finish. A caller must not take the half answer for the whole.
 #[tokio::test]
@@ -330,3 +358,22 @@
     let refused = bed.chat(true, "x").send().await.unwrap();
     assert_eq!(refused.status(), 401);
 }
+
+/// The deadline passes before the first token. The caller has left for its train, so
+/// the engine must stop, and no other one must start.
+#[tokio::test]
+async fn work_ends_everywhere_when_its_deadline_passes() {
+    let engines = [
+        FakeEndpoint::start(|_| vec![head(), Step::Silence]).await,
+        FakeEndpoint::start(|_| vec![head(), Step::Silence]).await,
+    ];
+    let bed = bed_with(&[&engines[0], &engines[1]]).await;
+    let answer = bed.chat(false, "x").header("x-deadline-ms", "500");
+    let answer: Value = answer.send().await.unwrap().json().await.unwrap();
+    assert_eq!(answer["error"]["code"], "deadline_exceeded");
+    assert_eq!(answer["error"]["ran"], "unknown");
+    let seen = |path: &str| engines.iter().map(|e| e.seen(path).len()).sum::<usize>();
+    eventually(async || seen("/cancel") == 1).await;
+    assert_eq!(seen("/generate"), 1);
+    assert_eq!(seen("/health"), 0);
+}
--- a/crates/node/src/peers/link.rs
+++ b/crates/node/src/peers/link.rs
@@ -64,6 +64,10 @@
     framed: Framed<TcpStream, LengthDelimitedCodec>,
     /// The last stamp that the peer sent, to echo.
     pub(crate) echo: Option<u64>,
+    /// How many bytes of news the peer takes in a second.
+    pub(crate) peer_share: usize,
+    /// How many bytes of news may be sent with the next heartbeat.
+    pub(crate) credit: usize,
     /// From which offset on the peer wants entries.
     pub(crate) pull: Option<LogOffset>,
     /// Parts of the state that was asked for.
@@ -101,6 +105,8 @@
         peer: peer.clone(),
         framed,
         echo: None,
+        peer_share: usize::MAX,
+        credit: 0,
         pull: None,
         snapshot: bluebell_core::checkpoint::CheckpointReader::with_items(),
     };
