--- a/crates/lab/src/slopes/gossip.rs
+++ b/crates/lab/src/slopes/gossip.rs
@@ -20,10 +20,11 @@
 const WARM_UP: u64 = 20;
 /// Heartbeats measured.
 const BEATS: u64 = 10;
-/// Bytes of news per second that an instance sends over all its links, and over
-/// one link at least and at most, as `bluebell-node` has them.
-const NEWS_BYTES: usize = 1_000;
-const MIN_NEWS: usize = 48;
+/// Bytes of news that an instance sends and takes in a second over all its
+/// links, the fewest that news is sent for and the most in one heartbeat, as
+/// `bluebell-node` has them.
+const NEWS_BYTES: usize = 500;
+const MIN_NEWS: usize = 64;
 const MAX_NEWS: usize = 400;
 /// Endpoints that an instance has work at, and organisations that it serves, in
 /// a second.
@@ -80,6 +81,11 @@
     }
 }
 
+fn news_bytes(sender: &InstanceId, items: &[GossipItem]) -> usize {
+    let size = |item| ItemMessage::new(sender, item).encoded_len();
+    items.iter().map(size).sum()
+}
+
 fn frame_bytes(sender: &InstanceId, items: &[GossipItem]) -> usize {
     let heartbeat = HeartbeatMessage {
         stamp: 86_400_000,
@@ -88,6 +94,7 @@
         knowledge_age: Some(100),
         caught_up: true,
         items: items.iter().map(|i| ItemMessage::new(sender, i)).collect(),
+        news_share: Some(NEWS_BYTES as u64),
     };
     let frame = PeerFrame {
         body: Some(PeerBody::Heartbeat(heartbeat)),
@@ -120,6 +127,7 @@
         })
         .collect();
     let mut sent = vec![0_usize; members.len()];
+    let mut credits: BTreeMap<(usize, usize), usize> = BTreeMap::new();
     let mut round = |members: &mut Vec<Member>, beat: u64, counted: bool| {
         for (number, member) in members.iter_mut().enumerate() {
             let next = LogOffset::new(beat * 100);
@@ -129,11 +137,17 @@
                 .set_own(own, next, &status(number as u64, beat));
         }
         for sender in 0..members.len() {
-            let links = neighbours[sender].len().max(1);
-            let budget = (NEWS_BYTES / links).clamp(MIN_NEWS, MAX_NEWS);
             for receiver in &neighbours[sender] {
                 let to = plans[*receiver].instance.clone();
-                let items = members[sender].table.beat(&to, budget);
+                let links = neighbours[sender].len().max(neighbours[*receiver].len());
+                let credit = credits.entry((sender, *receiver)).or_insert(0_usize);
+                *credit = (*credit + NEWS_BYTES / links.max(1)).min(MAX_NEWS);
+                let mut items = Vec::new();
+                if *credit >= MIN_NEWS {
+                    items = members[sender].table.beat(&to, *credit);
+                    let bytes = news_bytes(&plans[sender].instance, &items);
+                    *credit = credit.saturating_sub(bytes);
+                }
                 if counted {
                     sent[sender] += frame_bytes(&plans[sender].instance, &items);
                 }
