Split the largest files of the stand-in platform, load and test support

Ruled out: splitting the HTTP routes further; each is a few lines. Change: the endpoints' book apart from its routes, times apart from the report, publishing apart from the fleet. No behaviour changes.

--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     caller::{self, ChatAsk, ChatEnd},
-    report::{TimePercentiles, TimeStats},
+    times::{TimePercentiles, TimeStats},
 };
 
 /// The kernel's clock ticks in a second, as `/proc` counts processor time.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod plan;
 pub mod report;
 pub mod run;
+pub mod times;
 pub mod verdict;
--- a/crates/standin-platform/src/lib.rs
+++ b/crates/standin-platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! reached it can be read back at `GET /control/history`
 //! ([`history::PlatformHistory`]).
 
+mod book;
 mod endpoints;
 pub mod faults;
 pub mod history;
@@ -21,6 +22,6 @@
 mod usage;
 mod weights;
 
-pub use endpoints::ReclaimRequest;
+pub use book::ReclaimRequest;
 pub use server::{PlatformStandin, RunningPlatform, start};
 pub use settings::PlatformSettings;
--- a/crates/standin-platform/src/server.rs
+++ b/crates/standin-platform/src/server.rs
@@ -10,8 +10,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    endpoints::{self, EndpointBook, EndpointStarter},
-    faults, history, instances, log,
+    book::{EndpointBook, EndpointStarter},
+    endpoints, faults, history, instances, log,
     settings::PlatformSettings,
     state::PlatformState,
     usage, weights,
--- a/crates/standin-platform/src/state.rs
+++ b/crates/standin-platform/src/state.rs
@@ -8,7 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    endpoints::EndpointBook,
+    book::EndpointBook,
     faults::{EffectCall, FaultState, LossKind, PlatformFaults},
     instances::InstanceList,
     log::RecordLog,
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod histories;
 pub mod link;
 pub mod process;
+mod publish;
 pub mod settings;
 pub mod unlocks;
 pub mod wait;
