--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -6,17 +6,20 @@
 };
 
 use bluebell_cli::ops::{
-    confirm,
+    confirm, fleet,
     keys::{self, KeyChoice, WithdrawRequest},
     publish::{self, PublishError, PublishRequest},
     session::FleetSession,
 };
 use bluebell_core::{
-    clock::{ClockSource, TimeSpan},
+    clock::{ClockSource, ClockTime, TimeSpan},
     ids::{FailureDomain, InstanceId, KeyDigest, OrganisationId, RegionId},
     membership::{InstanceListing, InstanceProgram, InstanceState},
 };
-use bluebell_daemon::ops::{RunningServer, server};
+use bluebell_daemon::{
+    journal::{self, DecisionJournal, DecisionRecord},
+    ops::{self, OpsSource, ReadyState, RunningServer, server},
+};
 use bluebell_node::{NodeHandle, NodeSettings, admin};
 use standin_platform::{
     PlatformSettings, RunningPlatform,
@@ -31,6 +34,7 @@
     platform: RunningPlatform,
     nodes: Vec<NodeHandle>,
     servers: Vec<RunningServer>,
+    journals: Vec<DecisionJournal>,
     token: CancellationToken,
 }
 
@@ -42,6 +46,18 @@
 
 impl TestFleet {
     async fn start(instances: usize) -> TestFleet {
+        let mut fleet = TestFleet::empty().await;
+        for number in 0..instances {
+            fleet.add(number).await;
+        }
+        let client = fleet.nodes[0].platform().clone();
+        while client.instances().await.expect("listed").len() < instances {
+            tokio::time::sleep(TimeSpan::from_millis(10).as_duration()).await;
+        }
+        fleet
+    }
+
+    async fn empty() -> TestFleet {
         let settings = PlatformSettings {
             appends_per_second: 100_000,
             list_lag: TimeSpan::ZERO,
@@ -49,20 +65,13 @@
         };
         let token = CancellationToken::new();
         let platform = standin_platform::start(settings, ClockSource::new(), token.child_token());
-        let mut fleet = TestFleet {
+        TestFleet {
             platform: platform.await.expect("the stand-in starts"),
             nodes: Vec::new(),
             servers: Vec::new(),
+            journals: Vec::new(),
             token,
-        };
-        for number in 0..instances {
-            fleet.add(number).await;
-        }
-        let client = fleet.nodes[0].platform().clone();
-        while client.instances().await.expect("listed").len() < instances {
-            tokio::time::sleep(TimeSpan::from_millis(10).as_duration()).await;
         }
-        fleet
     }
 
     async fn add(&mut self, number: usize) {
@@ -79,7 +88,17 @@
             append_timeout: TimeSpan::from_secs(2),
         };
         let node = NodeHandle::start(settings, ClockSource::new(), &self.token);
-        let rocket = admin::mount(server(any), node.clone());
+        let ready_node = node.clone();
+        let ready = move || match ready_node.obstacle() {
+            Some(obstacle) => ReadyState::NotReady(obstacle),
+            None => ReadyState::Ready,
+        };
+        let dump = move || serde_json::json!({ "number": number });
+        let source = OpsSource::new(prometheus::Registry::new(), ready, dump);
+        let rocket = admin::mount(ops::mount(server(any), source), node.clone());
+        let journal = DecisionJournal::new();
+        let rocket = journal::mount(rocket, journal.clone());
+        self.journals.push(journal);
         let running = RunningServer::start(rocket, any).await.expect("listens");
         node.join(InstanceProgram::Entry, running.address, &self.token)
             .await
@@ -222,3 +241,73 @@
             .contains("exists")
     );
 }
+
+fn decision(at: u64, text: &str) -> DecisionRecord {
+    DecisionRecord {
+        at: ClockTime::from_millis(at),
+        subjects: vec!["engine a/1".to_string()],
+        decision: text.to_string(),
+        reason: "a test".to_string(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn decisions_of_all_instances_are_merged_by_time() {
+    let running = TestFleet::start(2).await;
+    running.journals[1].record(decision(10, "first"));
+    running.journals[0].record(decision(20, "second"));
+    running.journals[1].record(decision(30, "third"));
+    let listings = running.nodes[0]
+        .platform()
+        .instances()
+        .await
+        .expect("listed");
+    let explanation = fleet::explain(&listings, "engine a/1").await;
+    let told = explanation.decisions.iter();
+    let told: Vec<&str> = told.map(|d| d.record.decision.as_str()).collect();
+    assert_eq!(told, ["first", "second", "third"]);
+    assert_eq!(explanation.unasked, Vec::<String>::new());
+    let dump = fleet::dump(&listings[1]).await.expect("it answers");
+    assert_eq!(dump["number"], 1);
+}
+
+/// An instance that was started in an outage takes no work. The operator sees
+/// which and why, and the command fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_status_names_an_instance_that_is_not_ready_and_why() {
+    let mut running = TestFleet::empty().await;
+    running
+        .set(&PlatformFaults {
+            log_outage: Some(OutageKind::Refuse),
+            ..PlatformFaults::default()
+        })
+        .await;
+    running.add(0).await;
+    let client = running.nodes[0].platform().clone();
+    let told = |instances: &[fleet::InstanceStatus]| {
+        let mut reasons = instances.iter().filter_map(|i| i.ready.as_ref().err());
+        reasons.any(|reason| reason.contains("no peer that is ready"))
+    };
+    let instances = loop {
+        let instances = fleet::instances(&client).await.expect("listed");
+        if told(&instances) {
+            break instances;
+        }
+        tokio::time::sleep(TimeSpan::from_millis(10).as_duration()).await;
+    };
+    let status = fleet::FleetStatus {
+        instances,
+        duties: Some(Vec::new()),
+        endpoints: Some(Vec::new()),
+    };
+    assert_eq!(status.exit_code(), 1);
+    assert!(
+        status
+            .to_string()
+            .contains("not ready: the log can't be read")
+    );
+    running.set(&PlatformFaults::default()).await;
+    assert!(running.nodes[0].wait_caught_up(PATIENCE).await);
+    let instances = fleet::instances(&client).await.expect("listed");
+    assert_eq!(instances[0].ready, Ok(()));
+}
--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -15,10 +15,10 @@
 pub const HEARTBEAT_TIMEOUT: TimeSpan = TimeSpan::from_secs(3);
 
 /// How long an instance that is heard of only through others may go unheard.
-pub const RELAYED_TIMEOUT: TimeSpan = TimeSpan::from_secs(20);
+pub const RELAYED_TIMEOUT: TimeSpan = TimeSpan::from_secs(60);
 
 /// How long an instance that nobody lists or hears is remembered.
-pub const FORGET_AFTER: TimeSpan = TimeSpan::from_secs(60);
+pub const FORGET_AFTER: TimeSpan = TimeSpan::from_secs(180);
 
 #[derive(Clone, Debug, Default)]
 struct MemberEntry {
--- a/crates/node/src/peers/messages.rs
+++ b/crates/node/src/peers/messages.rs
@@ -9,6 +9,7 @@
     view::FleetView,
 };
 use bluebell_daemon::logs::LogLine;
+use prost::Message;
 use tokio::sync::broadcast;
 
 use crate::{
@@ -22,11 +23,15 @@
     },
 };
 
-/// Bytes of news that one process sends in a second, over all its connections.
-const NEWS_BYTES: usize = 1_000;
+/// Bytes of news that one process sends, and takes, in a second over all its
+/// connections.
+const NEWS_BYTES: usize = 500;
 
-/// The fewest and the most bytes of news in one heartbeat.
-const MIN_NEWS: usize = 48;
+/// The fewest bytes that news is sent for: with many connections, a heartbeat
+/// without any goes between.
+const MIN_NEWS: usize = 64;
+
+/// The most bytes of news in one heartbeat.
 const MAX_NEWS: usize = 400;
 
 impl PeerConnection {
@@ -56,10 +61,9 @@
     }
 
     pub(crate) async fn send_heartbeat(&mut self) -> Result<(), LinkError> {
-        let links = hold(&self.node.state.links).len().max(1);
-        let budget = (NEWS_BYTES / links).clamp(MIN_NEWS, MAX_NEWS);
         let own = self.node.settings().instance.clone();
-        let items = self.node.members().beat(&self.peer, budget);
+        let share = NEWS_BYTES / hold(&self.node.state.links).len().max(1);
+        let items = self.news(&own, share);
         let now = self.node.clock().now();
         let progress = self.node.progress();
         let heartbeat = HeartbeatMessage {
@@ -68,16 +72,34 @@
             next_offset: progress.next.number(),
             knowledge_age: self.node.freshness().map(TimeSpan::as_millis),
             caught_up: progress.caught_up,
-            items: items
-                .iter()
-                .map(|item| ItemMessage::new(&own, item))
-                .collect(),
+            items,
+            news_share: Some(share as u64),
         };
         self.send(PeerBody::Heartbeat(heartbeat)).await
     }
 
+    /// The news to send now: what this process may send over one connection and
+    /// its peer takes, saved up until it is worth sending.
+    fn news(&mut self, own: &InstanceId, share: usize) -> Vec<ItemMessage> {
+        self.credit = (self.credit + share.min(self.peer_share)).min(MAX_NEWS);
+        if self.credit < MIN_NEWS {
+            return Vec::new();
+        }
+        let items = self.node.members().beat(&self.peer, self.credit);
+        let items: Vec<ItemMessage> = items
+            .iter()
+            .map(|item| ItemMessage::new(own, item))
+            .collect();
+        let bytes: usize = items.iter().map(Message::encoded_len).sum();
+        self.credit = self.credit.saturating_sub(bytes);
+        items
+    }
+
     fn take_heartbeat(&mut self, heartbeat: HeartbeatMessage) {
         self.echo = Some(heartbeat.stamp);
+        if let Some(share) = heartbeat.news_share {
+            self.peer_share = share as usize;
+        }
         let next = LogOffset::new(heartbeat.next_offset);
         let now = self.node.clock().now();
         if let Some(link) = hold(&self.node.state.links).link_mut(&self.peer) {
