Test that no key is seen behind an entry, and unlocks under SIGTERM

Cause: keys were checked at the plain service only, and a graceful end only under streams. Ruled out: a search of memory; what is checked is what leaves the process. Change: two process tests. Histories of endpoints and platform, logs, dump, metrics and decisions of the entry hold no key, right or wrong; an entry told to end answers four unlocks that are still at the service.

--- a/crates/process-tests/tests/at_most_once.rs
+++ b/crates/process-tests/tests/at_most_once.rs
@@ -32,9 +32,9 @@
     Ok(fleet)
 }
 
-async fn set_faults(fleet: &TestFleet, faults: serde_json::Value) -> anyhow::Result<()> {
+async fn set_faults(fleet: &TestFleet, faults: &serde_json::Value) -> anyhow::Result<()> {
     for service in &fleet.services {
-        control::set_faults(service.process.http(), &faults).await?;
+        control::set_faults(service.process.http(), faults).await?;
     }
     Ok(())
 }
@@ -53,7 +53,7 @@
 #[tokio::test]
 async fn an_unlock_sent_again_after_its_entry_died_runs_once() -> anyhow::Result<()> {
     let fleet = serving_fleet().await?;
-    set_faults(&fleet, json!({"lose_answers": "withheld"})).await?;
+    set_faults(&fleet, &json!({"lose_answers": "withheld"})).await?;
     let first = fleet.entries[0].process.http().to_string();
     let lost = tokio::spawn(async move { unlock(&first, KEY, Some("mark-1"), 7).await });
     wait::until("the unlock has run", || async {
@@ -63,7 +63,7 @@
     .await?;
     fleet.entries[0].process.kill()?;
     assert!(matches!(lost.await?, UnlockEnd::Lost(_)));
-    set_faults(&fleet, json!({})).await?;
+    set_faults(&fleet, &json!({})).await?;
     let second = fleet.entries[1].process.http();
     let end = unlock(second, KEY, Some("mark-1"), 7).await;
     let UnlockEnd::Refused { ran, .. } = &end else {
@@ -80,7 +80,7 @@
 #[tokio::test]
 async fn an_unlock_that_runs_late_is_not_run_again() -> anyhow::Result<()> {
     let fleet = serving_fleet().await?;
-    set_faults(&fleet, json!({"stalled": true})).await?;
+    set_faults(&fleet, &json!({"stalled": true})).await?;
     let first = fleet.entries[0].process.http().to_string();
     let lost = tokio::spawn(async move { unlock(&first, KEY, Some("mark-2"), 7).await });
     let platform = fleet.platform.http();
@@ -99,7 +99,7 @@
     let end = unlock(second, KEY, Some("mark-2"), 7).await;
     let unknown = matches!(&end, UnlockEnd::Refused { ran, .. } if ran == "unknown");
     assert!(unknown, "{end:?}");
-    set_faults(&fleet, json!({})).await?;
+    set_faults(&fleet, &json!({})).await?;
     let last = unlock(second, KEY, Some("mark-2"), 7).await;
     assert!(!matches!(last, UnlockEnd::Lost(_)), "{last:?}");
     assert!(marked_executions(&fleet, "mark-2").await? <= 1);
@@ -141,12 +141,44 @@
     Ok(())
 }
 
+/// An instance is replaced while unlocks are at the service. Each renter must be
+/// told what became of theirs before the entry ends.
+#[tokio::test]
+async fn an_entry_told_to_end_answers_its_unlocks_first() -> anyhow::Result<()> {
+    let mut fleet = serving_fleet().await?;
+    set_faults(&fleet, &json!({"stalled": true})).await?;
+    let entry = fleet.entries[0].process.http().to_string();
+    let calls = (0..4).map(|bay| {
+        let entry = entry.clone();
+        tokio::spawn(async move { unlock(&entry, KEY, Some(&format!("end-{bay}")), bay).await })
+    });
+    let calls: Vec<_> = calls.collect();
+    let platform = fleet.platform.http();
+    wait::until("all unlocks are claimed in the log", || async {
+        let history: PlatformHistory = control::history(platform).await.ok()?;
+        let claimed = |mark: String| history.appends.iter().any(|e| e.payload.contains(&mark));
+        (0..4)
+            .all(|bay| claimed(format!("end-{bay}")))
+            .then_some(())
+    })
+    .await?;
+    fleet.entries[0].process.terminate()?;
+    set_faults(&fleet, &json!({"slower_by": "3s"})).await?;
+    for call in calls {
+        let end = call.await?;
+        assert!(!matches!(end, UnlockEnd::Lost(_)), "{end:?}");
+    }
+    assert_eq!(fleet.entries[0].process.ended().await?.code(), Some(0));
+    assert_eq!(at_most_once(&executions(&fleet).await?), []);
+    Ok(())
+}
+
 /// A replica executes an unlock and its answer gets lost. Nobody can know then
 /// whether it ran, and trying the other replica would charge the member twice.
 #[tokio::test]
 async fn an_unlock_whose_answer_is_lost_is_not_tried_elsewhere() -> anyhow::Result<()> {
     let fleet = serving_fleet().await?;
-    set_faults(&fleet, json!({"lose_answers": "broken"})).await?;
+    set_faults(&fleet, &json!({"lose_answers": "broken"})).await?;
     let entry = fleet.entries[0].process.http();
     let end = unlock(entry, KEY, None, 9).await;
     let unknown = matches!(&end, UnlockEnd::Refused { ran, .. } if ran == "unknown");
--- a/crates/process-tests/tests/whole_path.rs
+++ b/crates/process-tests/tests/whole_path.rs
@@ -8,6 +8,8 @@
     callers::first_answer,
     control,
     fleet::{CHAT_SERVICE, FleetShape, PLAIN_SERVICE, TestFleet},
+    histories::endpoints::no_key_seen,
+    unlocks::unlock,
     wait,
 };
 use standin_service::{ServiceAnswer, history::ServiceHistory};
@@ -59,3 +61,32 @@
     assert!(!headers.contains(KEY), "the key reached the endpoint");
     Ok(())
 }
+
+/// A key that turned up in a log line, a dump or an endpoint's request could be
+/// read by whoever runs those, and used for the organisation's money.
+#[tokio::test]
+async fn no_key_is_seen_behind_the_entry() -> anyhow::Result<()> {
+    let fleet = fleet().await?;
+    let entry = fleet.entries[0].process.http();
+    let ask = ChatAsk::new(entry, KEY, CHAT_SERVICE, "hello len=3");
+    first_answer(&ask).await?;
+    unlock(entry, KEY, Some("mark-1"), 1).await;
+    unlock(entry, "a-wrong-key", Some("mark-2"), 1).await;
+    let http = reqwest::Client::new();
+    let mut texts = vec![fleet.logs()];
+    let engine = fleet.engines[0].process.http();
+    let service = fleet.services[0].process.http();
+    for (address, path) in [
+        (engine, "/control/history"),
+        (service, "/control/history"),
+        (fleet.platform.http(), "/control/history"),
+        (entry, "/dump"),
+        (entry, "/metrics"),
+        (entry, "/explain?subject=acme"),
+    ] {
+        let response = http.get(format!("http://{address}{path}")).send().await?;
+        texts.push(response.error_for_status()?.text().await?);
+    }
+    assert_eq!(no_key_seen(&[KEY, "a-wrong-key"], &texts), []);
+    Ok(())
+}
