Let operators limit how long a cut-off instance serves at all

Cause: an instance that is cut off refuses work that must run at most once, but serves the rest for as long as the cut lasts, and with it a withdrawn key. Ruled out: a limit by default. While the log itself is away, which may be for hours, withdrawals still travel between peers, and a limit would refuse all work everywhere for no gain. Conclusion: both users can choose; the default serves what it can.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -127,6 +127,7 @@
             let message = "this instance has not read the configuration yet";
             return Err(head.refuse(RefusalCode::NotReady, message));
         }
+        self.check_grace(head)?;
         // The ticket comes before the look at the keys: a withdrawal in between
         // would otherwise find nothing to end, and the request would run on.
         let ticket = self.keys.enter(&wish.key);
@@ -142,6 +143,19 @@
         })
     }
 
+    /// Refuses everything on an instance that has not heard of the log for longer
+    /// than its operators allow: a key may have been withdrawn all that time ago.
+    fn check_grace(&self, head: &CallerHead) -> Result<(), Refusal> {
+        let Some(grace) = self.settings.requests.freshness_grace else {
+            return Ok(());
+        };
+        if self.node.freshness().is_some_and(|age| age <= grace) {
+            return Ok(());
+        }
+        let message = format!("this instance has not heard of the log for more than {grace}");
+        Err(head.refuse(RefusalCode::ConfigurationStale, message))
+    }
+
     fn organisation(&self, key: &KeyDigest) -> Option<(OrganisationId, OrganisationUnit)> {
         self.node.with_view(|view| {
             let organisation = view.keys.organisation(key)?;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -49,6 +49,9 @@
     /// How long ago this instance must have heard of the log to run work that
     /// must run at most once.
     pub freshness_bound: TimeSpan,
+    /// How long ago it must have heard of the log to run anything at all; without
+    /// it, work that may be repeated goes on however long the log is away.
+    pub freshness_grace: Option<TimeSpan>,
     /// The longest answer that is kept with a claim for repeats.
     pub kept_answer: ByteSize,
 }
@@ -64,6 +67,7 @@
             drain_limit: TimeSpan::from_secs(600),
             claim_patience: TimeSpan::from_secs(5),
             freshness_bound: TimeSpan::from_secs(5),
+            freshness_grace: None,
             kept_answer: ByteSize::new(2 * 1024),
         }
     }
@@ -170,6 +174,16 @@
             }
         }
         let rocket_limit = 64 * 1024 * 1024;
+        if let Some(grace) = requests.freshness_grace
+            && grace < requests.freshness_bound
+        {
+            let expected = "at least `requests.freshness_bound`";
+            problems.push(SettingProblem::new(
+                "requests.freshness_grace",
+                grace,
+                expected,
+            ));
+        }
         if requests.max_body.count() == 0 || requests.max_body.count() > rocket_limit {
             let expected = "from 1 to 67108864";
             let value = requests.max_body.count();
--- a/crates/entry/tests/at_most_once.rs
+++ b/crates/entry/tests/at_most_once.rs
@@ -313,6 +313,29 @@
     assert_eq!(lookup.status(), 201);
 }
 
+/// An operator allows a cut-off instance to serve lookups for a while only: a
+/// stolen key must not ask questions for as long as a cut may last.
+#[tokio::test]
+async fn a_cut_off_instance_refuses_lookups_after_its_grace() {
+    let service = charging().await;
+    let bed = TestBed::with_settings(|settings| {
+        settings.requests.freshness_bound = TimeSpan::from_millis(600);
+        settings.requests.freshness_grace = Some(TimeSpan::from_secs(2));
+    })
+    .await;
+    let address = service.address.to_string();
+    bed.list(vec![listing("pay-1", EndpointKind::Plain, &address)])
+        .await;
+    bed.platform.set_reads_down(true);
+    eventually(async || {
+        let lookup = bed.call("GET", "/lookup").send().await.unwrap();
+        lookup.status() == 503 && error(lookup).await.code == "configuration_stale"
+    })
+    .await;
+    bed.platform.set_reads_down(false);
+    eventually(async || bed.call("GET", "/lookup").send().await.unwrap().status() == 201).await;
+}
+
 /// The service takes longer than the caller waits. The caller is told that the
 /// outcome is unknown; when it asks again with the same key, it gets the outcome.
 #[tokio::test]
