--- a/crates/lab/src/slopes/gossip.rs
+++ b/crates/lab/src/slopes/gossip.rs
@@ -88,6 +88,7 @@
         knowledge_age: Some(100),
         caught_up: true,
         items: items.iter().map(|i| ItemMessage::new(sender, i)).collect(),
+        news_share: Some(3_000),
     };
     let frame = PeerFrame {
         body: Some(PeerBody::Heartbeat(heartbeat)),
