--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -21,6 +21,7 @@
 //! when handing the KV cache over costs less than a mixed engine's wait.
 
 pub mod baselines;
+mod choice;
 pub mod health;
 pub mod load;
 mod messages;
