--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -1,15 +1,18 @@
 //! The admission queue of one entry: its pools, its organisations' limits and
 //! what it served of each.
 
+mod refusals;
+mod shares;
+
 use std::collections::{BTreeMap, BTreeSet};
 
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
     admission::{
-        AdmissionAction, AdmissionRequest, AdmissionSettings, OrganisationLimits, PeerShare,
-        PoolCapacity, PoolStatus, RefuseReason, ShareReport,
+        AdmissionAction, AdmissionRequest, AdmissionSettings, OrganisationLimits, PoolCapacity,
+        PoolStatus,
         pool::{PoolQueue, QueuePlace, QueuedWork},
         token_cost,
     },
@@ -202,54 +205,6 @@
         Some(review.map_or(expiry, |review| review.min(expiry)))
     }
 
-    /// What was served and not yet told, for the peers: the `limit` largest
-    /// shares. Smaller ones add up until they are among the largest.
-    pub fn take_shares(&mut self, now: ClockTime, limit: usize) -> ShareReport {
-        let mut largest: Vec<(u64, ShareKey)> = self
-            .unsent
-            .iter()
-            .map(|(key, served)| (*served, key.clone()))
-            .collect();
-        largest.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        largest.truncate(limit);
-        let mut shares = Vec::with_capacity(largest.len());
-        for (served, key) in largest {
-            self.unsent.remove(&key);
-            let (pool, organisation) = key;
-            let served = TokenCount::new(served);
-            shares.push(PeerShare {
-                pool,
-                organisation,
-                served,
-            });
-        }
-        ShareReport {
-            made_at: now,
-            shares,
-        }
-    }
-
-    /// Takes in what a peer served. A repeat of a report changes nothing; a lost
-    /// one only makes the counters a little too low.
-    pub fn note_peer_shares(&mut self, peer: &InstanceId, report: &ShareReport) {
-        if self
-            .peers
-            .get(peer)
-            .is_some_and(|last| report.made_at <= *last)
-        {
-            return;
-        }
-        self.peers.insert(peer.clone(), report.made_at);
-        for share in &report.shares {
-            self.charge_remote(share);
-        }
-    }
-
-    /// Forgets a peer that is gone.
-    pub fn forget_peer(&mut self, peer: &InstanceId) {
-        self.peers.remove(peer);
-    }
-
     /// The state of each pool, for dumps and metrics.
     pub fn status(&self) -> Vec<PoolStatus> {
         let nobody = OrganisationId::new("-").expect("a dash is an identifier");
@@ -279,40 +234,6 @@
             .unwrap_or(self.settings.default_limits)
     }
 
-    fn check(
-        &mut self,
-        now: ClockTime,
-        ask: &AdmissionRequest,
-    ) -> Result<KnownRequest, (RefuseReason, TimeSpan)> {
-        let limits = self.limits_of(&ask.organisation);
-        let in_flight = self.in_flight.get(&ask.organisation).copied().unwrap_or(0);
-        if in_flight >= limits.max_in_flight {
-            let limit = limits.max_in_flight;
-            return Err((RefuseReason::InFlightLimit { limit }, TimeSpan::ZERO));
-        }
-        let Some(pool) = self.pools.get(&ask.pool).filter(|p| p.capacity.slots > 0) else {
-            return Err((RefuseReason::NoCapacity, self.settings.least_retry_after));
-        };
-        let place = (ask.deadline, self.next_place);
-        let ahead = pool.own_ahead(&ask.organisation, ask.priority, place);
-        let wait = pool.wait(&ask.organisation, limits.weight, ask.priority, ahead);
-        let latest_start = ask.deadline - pool.window.first_token();
-        let allowed = latest_start.since(now);
-        if now > latest_start || wait > allowed {
-            let reason = RefuseReason::DeadlineUnreachable { wait, allowed };
-            return Err((reason, wait.less(allowed)));
-        }
-        let cost = self.expected_cost(ask);
-        Ok(KnownRequest {
-            ask: ask.clone(),
-            cost,
-            latest_start,
-            place: Some(place),
-            charged: 0,
-            unanswered_since: None,
-        })
-    }
-
     fn expected_cost(&self, ask: &AdmissionRequest) -> TokenCount {
         let share = self.output_share.get(&ask.pool).copied();
         let share = share.unwrap_or(FIRST_OUTPUT_SHARE);
@@ -403,79 +324,6 @@
         *known = (*known * (1_000 - OUTPUT_SHARE_GAIN) + share * OUTPUT_SHARE_GAIN) / 1_000;
     }
 
-    fn charge_remote(&mut self, share: &PeerShare) {
-        let weight = self.limits_of(&share.organisation).weight;
-        let limit = self.settings.debt_limit;
-        let Some(pool) = self.pools.get_mut(&share.pool) else {
-            return;
-        };
-        pool.recount(&share.organisation, |counters| {
-            counters.charge(&share.organisation, share.served, weight, limit)
-        });
-    }
-
-    fn refuse_expired(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
-        while let Some((latest, request)) = self.deadlines.first().cloned() {
-            if now <= latest {
-                break;
-            }
-            self.refuse_queued(&request, TimeSpan::ZERO, TimeSpan::ZERO, actions);
-        }
-    }
-
-    /// Refuses queued work as soon as it is clear that it would start too late,
-    /// for instance because an endpoint was lost. Without this its callers would
-    /// learn of the refusal only when their deadline is over.
-    fn review(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
-        let requests = &self.requests;
-        let latest = |request: &RequestId| requests.get(request).map(|known| known.latest_start);
-        let mut late = Vec::new();
-        for pool in self.pools.values_mut() {
-            pool.measure(now);
-            late.extend(pool.late(now, latest));
-        }
-        for (request, wait) in late {
-            let Some(known) = self.requests.get(&request) else {
-                continue;
-            };
-            let allowed = known.latest_start.since(now);
-            self.refuse_queued(&request, wait, allowed, actions);
-        }
-    }
-
-    fn refuse_queued(
-        &mut self,
-        request: &RequestId,
-        wait: TimeSpan,
-        allowed: TimeSpan,
-        actions: &mut Vec<AdmissionAction>,
-    ) {
-        if self.unqueue(request).is_none() {
-            return;
-        }
-        let reason = RefuseReason::DeadlineUnreachable { wait, allowed };
-        let refusal = self.refusal(request.clone(), reason, wait.less(allowed));
-        actions.push(refusal);
-    }
-
-    fn refusal(
-        &mut self,
-        request: RequestId,
-        reason: RefuseReason,
-        wait: TimeSpan,
-    ) -> AdmissionAction {
-        let least = self.settings.least_retry_after;
-        let most = self.settings.most_retry_after;
-        let base = wait.max(least).as_millis();
-        let jitter = self.random.random_range(0..=base / 2);
-        let retry_after = TimeSpan::from_millis(base + jitter).min(most);
-        AdmissionAction::Refuse {
-            request,
-            reason,
-            retry_after,
-        }
-    }
-
     fn start_ready(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
         for (name, pool) in &mut self.pools {
             while let Some(started) = pool.pop(&self.settings) {
