Refuse a publish that peers can't relay

Cause: an entry of the log that is larger than a frame between peers would reach only the instances that read the log themselves, and end the relay's connections again and again.

Ruled out: splitting a publish into several records (it takes effect as a whole or not at all); larger frames (an answer would hold up heartbeats).

Change: the command refuses a record above 512 KiB before it is sent and says what to do.

Conclusion: a record of another program could still be that large; entries and controllers batch far below.

--- a/crates/cli/src/ops/publish.rs
+++ b/crates/cli/src/ops/publish.rs
@@ -7,6 +7,7 @@
     ids::LogOffset,
     publication::PublishRefusal,
     records::{LogRecord, PublishRecord, UnitChange},
+    units::ByteSize,
     view::ViewEvent,
 };
 use bluebell_node::AppendError;
@@ -23,6 +24,10 @@
 /// How long a command waits to read its own record back.
 const READ_BACK_PATIENCE: TimeSpan = TimeSpan::from_secs(10);
 
+/// The largest record. One that no relay between instances can carry would reach
+/// only those that read the log themselves.
+const RECORD_LIMIT: ByteSize = ByteSize::new(512 * 1024);
+
 /// What to publish.
 #[derive(Clone, Debug)]
 pub struct PublishRequest {
@@ -49,6 +54,14 @@
     /// Another change came first.
     #[error("not published: {0}; look at the difference again and repeat")]
     Refused(PublishRefusal),
+    /// The record would be too large.
+    #[error(
+        "not published: the change has {size} as one record, expected at most {RECORD_LIMIT}; publish fewer directories at a time, services before what names them"
+    )]
+    TooLarge {
+        /// Its size.
+        size: ByteSize,
+    },
     /// The record was not appended.
     #[error("not published: {0}; nothing has changed, repeat when the platform answers")]
     NotAppended(String),
@@ -125,6 +138,11 @@
         publisher: session.publisher.clone(),
         changes,
     });
+    let size = serde_json::to_string(&record).map_or(0, |text| text.len() as u64);
+    let size = ByteSize::new(size);
+    if size > RECORD_LIMIT {
+        return Err(PublishError::TooLarge { size });
+    }
     let offset = match session.node.append(record).await {
         Ok(offset) => offset,
         Err(AppendError::NotAppended(message)) => return Err(PublishError::NotAppended(message)),
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -13,8 +13,11 @@
 };
 use bluebell_core::{
     clock::{ClockSource, ClockTime, TimeSpan},
-    ids::{FailureDomain, InstanceId, KeyDigest, OrganisationId, RegionId},
+    config::{OrganisationUnit, UnitBody, UnitKind, UnitName},
+    ids::{FailureDomain, InstanceId, KeyDigest, LogOffset, OrganisationId, RegionId},
     membership::{InstanceListing, InstanceProgram, InstanceState},
+    records::UnitChange,
+    units::ShareWeight,
 };
 use bluebell_daemon::{
     journal::{self, DecisionJournal, DecisionRecord},
@@ -51,9 +54,13 @@
             fleet.add(number).await;
         }
         let client = fleet.nodes[0].platform().clone();
-        while client.instances().await.expect("listed").len() < instances {
-            tokio::time::sleep(TimeSpan::from_millis(10).as_duration()).await;
-        }
+        let listed = async {
+            while client.instances().await.expect("listed").len() < instances {
+                tokio::time::sleep(TimeSpan::from_millis(10).as_duration()).await;
+            }
+        };
+        let listed = tokio::time::timeout(PATIENCE.as_duration(), listed).await;
+        listed.expect("all instances are listed in time");
         fleet
     }
 
@@ -175,6 +182,32 @@
     assert_eq!(confirmation.exit_code(), 3);
 }
 
+/// A whole chain's organisations are published at once. A record that peers can't
+/// relay would reach some instances and not others; the operator is told before
+/// anything is sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_record_that_is_too_large_is_refused_before_it_is_sent() {
+    let fleet = TestFleet::start(1).await;
+    let session = fleet.session("ada").await;
+    let change = |number: usize| UnitChange {
+        unit: UnitName::new(UnitKind::Organisation, &format!("o-{number}")).expect("valid"),
+        base: None,
+        body: Some(UnitBody::Organisation(OrganisationUnit {
+            weight: ShareWeight::new(1),
+            services: Vec::new(),
+            max_in_flight: 4,
+        })),
+    };
+    let changes = (0..10_000).map(change).collect();
+    let error = publish::append_changes(&session, changes).await;
+    let error = error.expect_err("it is too large").to_string();
+    assert!(
+        error.contains("expected at most 524288B; publish fewer"),
+        "{error}"
+    );
+    assert_eq!(fleet.nodes[0].progress().next, LogOffset::START);
+}
+
 /// Two operators publish at once. The second is told who came first, and what the
 /// first published stays.
 #[tokio::test(flavor = "multi_thread")]
@@ -288,13 +321,17 @@
         let mut reasons = instances.iter().filter_map(|i| i.ready.as_ref().err());
         reasons.any(|reason| reason.contains("no peer that is ready"))
     };
-    let instances = loop {
-        let instances = fleet::instances(&client).await.expect("listed");
-        if told(&instances) {
-            break instances;
+    let asked = async {
+        loop {
+            let instances = fleet::instances(&client).await.expect("listed");
+            if told(&instances) {
+                return instances;
+            }
+            tokio::time::sleep(TimeSpan::from_millis(10).as_duration()).await;
         }
-        tokio::time::sleep(TimeSpan::from_millis(10).as_duration()).await;
     };
+    let instances = tokio::time::timeout(PATIENCE.as_duration(), asked).await;
+    let instances = instances.expect("the reason is told in time");
     let status = fleet::FleetStatus {
         instances,
         duties: Some(Vec::new()),
