--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod admin;
 pub mod announce;
 pub mod append;
+mod apply;
 pub mod buffer;
 pub mod follow;
 pub mod handle;
