--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -146,15 +146,11 @@
         self.outcome = outcome;
     }
 
-    /// Notes that the first token came. How late it came tells the queue how many
-    /// requests may be started: without that they would pile up in the engines,
-    /// where nobody can be put before anybody else.
+    /// Notes that the first token came.
     pub fn first_token(&self) {
         let now = self.traffic.clock.now();
         let mut state = self.traffic.lock();
         state.router.note_first_token(now, &self.request);
-        let actions = state.queue.note_first_token(now, &self.request);
-        state.carry_out(actions);
     }
 }
 
