Keep the index of keys up to date instead of building it anew

Cause: each publish that touched a key rebuilt the whole map of granted keys, so folding 33,000 organisations took minutes (the slope run was ended after ten), and a plain call looked for its rule through all units. Ruled out: a second incremental map beside the configuration's index of key holders; that index already says all the map said. Rules are looked up from the first rule on. Three tests call the lookup by its new name; what they check is unchanged.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -132,7 +132,7 @@
     fn admits(&self, key: &str) -> Vec<bool> {
         let digest = KeyDigest::with_key(key);
         let admits =
-            |node: &NodeHandle| node.with_view(|view| view.keys.organisation(&digest).is_some());
+            |node: &NodeHandle| node.with_view(|view| view.key_organisation(&digest).is_some());
         self.nodes.iter().map(admits).collect()
     }
 }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -67,6 +67,14 @@
         })
     }
 
+    /// What sorts before all units of this kind and after those of the kinds before.
+    pub fn first_of(kind: UnitKind) -> UnitName {
+        UnitName {
+            kind,
+            name: String::new(),
+        }
+    }
+
     /// The unit's kind.
     pub fn kind(&self) -> UnitKind {
         self.kind
--- a/crates/core/src/publication/mod.rs
+++ b/crates/core/src/publication/mod.rs
@@ -5,10 +5,13 @@
 //! that race the first in the log wins and the second gets a refusal that
 //! names the winner. Versions are offsets, and nothing applies an older one.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Bound::{Included, Unbounded},
+};
 
 use crate::{
-    config::{OrganisationUnit, RuleUnit, ServiceUnit, UnitBody, UnitKind, UnitName},
+    config::{KeyUnit, OrganisationUnit, RuleUnit, ServiceUnit, UnitBody, UnitKind, UnitName},
     ids::{KeyDigest, LogOffset, OrganisationId, ServiceName},
     records::{CheckpointItem, PublishRecord, UnitChange},
 };
@@ -84,12 +87,13 @@
         ConfigurationState::default()
     }
 
-    /// Applies a publish record read at `offset`, as a whole or not at all.
+    /// Applies a publish record read at `offset`, as a whole or not at all; answers
+    /// the keys that admit nobody, or somebody else, from now on.
     pub fn apply(
         &mut self,
         offset: LogOffset,
         record: &PublishRecord,
-    ) -> Result<(), PublishRefusal> {
+    ) -> Result<Vec<KeyDigest>, PublishRefusal> {
         let mut changed = BTreeSet::new();
         for change in &record.changes {
             self.check_change(change)?;
@@ -99,6 +103,11 @@
             }
         }
         self.check_digests(record, &changed)?;
+        let before = record
+            .changes
+            .iter()
+            .filter_map(|change| self.key_of(&change.unit));
+        let before: Vec<KeyUnit> = before.cloned().collect();
         for change in &record.changes {
             let version = UnitVersion {
                 version: offset,
@@ -113,7 +122,27 @@
         for change in &record.changes {
             self.hold_digest(&change.unit, change.body.as_ref());
         }
-        Ok(())
+        let lost = |key: &KeyUnit| self.organisation_of(&key.digest) != Some(&key.organisation);
+        let lost = before.into_iter().filter(lost);
+        Ok(lost.map(|key| key.digest).collect())
+    }
+
+    fn key_of(&self, name: &UnitName) -> Option<&KeyUnit> {
+        match self.units.get(name)?.body.as_ref()? {
+            UnitBody::Key(key) => Some(key),
+            _ => None,
+        }
+    }
+
+    /// The organisation that a key is granted to, whether or not it was withdrawn.
+    pub fn organisation_of(&self, digest: &KeyDigest) -> Option<&OrganisationId> {
+        let key = self.key_of(self.holders.get(digest)?)?;
+        Some(&key.organisation)
+    }
+
+    /// The digests of all granted keys.
+    pub fn key_digests(&self) -> impl Iterator<Item = &KeyDigest> {
+        self.holders.keys()
     }
 
     fn put(&mut self, name: UnitName, version: UnitVersion) {
@@ -128,9 +157,8 @@
     }
 
     fn release_digest(&mut self, name: &UnitName) {
-        let current = self.units.get(name).and_then(|unit| unit.body.as_ref());
-        if let Some(UnitBody::Key(key)) = current {
-            self.holders.remove(&key.digest);
+        if let Some(digest) = self.key_of(name).map(|key| key.digest.clone()) {
+            self.holders.remove(&digest);
         }
     }
 
@@ -247,10 +275,13 @@
     /// Whether rules say that a call of `service` may be repeated: the longest
     /// matching prefix decides, and without any match it may not.
     pub fn repeatable(&self, service: &ServiceName, method: &str, path: &str) -> bool {
-        let rules = self.units.values().filter_map(|unit| match &unit.body {
-            Some(UnitBody::Rule(rule)) => Some(rule),
-            _ => None,
+        let first = Included(UnitName::first_of(UnitKind::Rule));
+        let from_rules_on = self.units.range((first, Unbounded));
+        let rules = from_rules_on.map_while(|(name, unit)| match &unit.body {
+            Some(UnitBody::Rule(rule)) => Some(Some(rule)),
+            _ => (name.kind() == UnitKind::Rule).then_some(None),
         });
+        let rules = rules.flatten();
         rules
             .filter(|rule| rule_matches(rule, service, method, path))
             .max_by_key(|rule| {
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -9,7 +9,7 @@
     checkpoint::CheckpointReader,
     claims::ClaimState,
     clock::ClockTime,
-    ids::{EndpointId, KeyDigest, LogOffset},
+    ids::{EndpointId, KeyDigest, LogOffset, OrganisationId},
     keys::KeyState,
     marks::LeavingMarks,
     orders::OrderState,
@@ -116,6 +116,14 @@
         self.apply_record(now, entry.offset, &entry.record)
     }
 
+    /// The organisation that a key admits: granted, and not withdrawn.
+    pub fn key_organisation(&self, digest: &KeyDigest) -> Option<&OrganisationId> {
+        if self.keys.is_withdrawn(digest) {
+            return None;
+        }
+        self.configuration.organisation_of(digest)
+    }
+
     /// The live state as checkpoint items: that after applying everything before
     /// [`FleetView::next_offset`].
     pub fn checkpoint(&self) -> Vec<CheckpointItem> {
@@ -158,8 +166,14 @@
     pub fn take_over(&mut self, former: &FleetView) -> Vec<ViewEvent> {
         self.keys.keep_withdrawn(&former.keys);
         let offset = self.next;
-        let lost = former.keys.lost_in(&self.keys);
-        let lost = lost.into_iter().map(|digest| ViewEvent::KeyLost { digest });
+        let admitted = former.configuration.key_digests();
+        let lost = admitted.filter(|digest| {
+            let before = former.key_organisation(digest);
+            before.is_some() && before != self.key_organisation(digest)
+        });
+        let lost = lost.map(|digest| ViewEvent::KeyLost {
+            digest: digest.clone(),
+        });
         let marked = self.marks.marks().chain(former.marks.marks());
         let marked = marked.map(|(endpoint, _)| ViewEvent::Marked {
             endpoint: endpoint.clone(),
@@ -178,8 +192,7 @@
     ) -> Vec<ViewEvent> {
         match record {
             LogRecord::Publish(publish) => match self.configuration.apply(offset, publish) {
-                Ok(()) => {
-                    let lost = self.keys.publish(publish, &self.configuration);
+                Ok(lost) => {
                     let lost = lost.into_iter().map(|digest| ViewEvent::KeyLost { digest });
                     std::iter::once(ViewEvent::Published { offset })
                         .chain(lost)
--- a/crates/core/tests/publication.rs
+++ b/crates/core/tests/publication.rs
@@ -52,7 +52,7 @@
     }
 
     fn admits(&self, key: &str) -> Option<String> {
-        let organisation = self.view.keys.organisation(&KeyDigest::with_key(key))?;
+        let organisation = self.view.key_organisation(&KeyDigest::with_key(key))?;
         Some(organisation.to_string())
     }
 }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -158,7 +158,7 @@
 
     fn organisation(&self, key: &KeyDigest) -> Option<(OrganisationId, OrganisationUnit)> {
         self.node.with_view(|view| {
-            let organisation = view.keys.organisation(key)?;
+            let organisation = view.key_organisation(key)?;
             let unit = view.configuration.organisation(organisation)?;
             Some((organisation.clone(), unit.clone()))
         })
--- a/crates/entry/src/running.rs
+++ b/crates/entry/src/running.rs
@@ -85,7 +85,7 @@
         let keys = self.keys.lock().expect("no holder panics");
         node.with_view(|view| {
             for (key, running) in keys.iter() {
-                if view.keys.organisation(key).is_none() {
+                if view.key_organisation(key).is_none() {
                     running.lost.cancel();
                 }
             }
--- a/crates/lab/src/slopes/view.rs
+++ b/crates/lab/src/slopes/view.rs
@@ -14,7 +14,7 @@
     tables::TextTable,
 };
 
-const SIZES: [u64; 4] = [100, 300, 1_000, 3_000];
+const SIZES: [u64; 5] = [100, 300, 1_000, 3_000, 33_000];
 
 /// The publish of an organisation with one key, as two units in one record.
 pub fn publish(number: u64) -> LogEntry {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -145,7 +145,7 @@
     pub fn admits(&self, key: &str) -> bool {
         let digest = KeyDigest::with_key(key);
         self.node
-            .with_view(|view| view.keys.organisation(&digest).is_some())
+            .with_view(|view| view.key_organisation(&digest).is_some())
     }
 
     pub fn has_peer(&self, other: &TestNode) -> bool {
