Split what had grown large; write what stood twice once

Ruled out: moving records into the slices' own folders (the fold and the platform's followers read them all from one place). Change: `records/` by duty, re-exported as before; `RateMeter` out of the pool; one `streams_at_engines`, one `losses`.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -26,6 +26,7 @@
 mod messages;
 mod pool;
 mod queue;
+mod rate;
 mod window;
 
 pub use counters::FairCounters;
--- a/crates/core/src/admission/pool.rs
+++ b/crates/core/src/admission/pool.rs
@@ -3,18 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    admission::{AdmissionSettings, FairCounters, PoolCapacity, window::StartWindow},
+    admission::{
+        AdmissionSettings, FairCounters, PoolCapacity, rate::RateMeter, window::StartWindow,
+    },
     clock::{ClockTime, TimeSpan},
     config::WorkPriority,
     ids::{OrganisationId, RequestId},
     units::{ShareWeight, TokenCount},
 };
 
-/// How much a new measurement of the rate counts, in percent.
-const RATE_GAIN: u64 = 30;
-/// How long a measurement of the rate takes.
-const RATE_WINDOW: TimeSpan = TimeSpan::from_secs(1);
-
 /// A place in an organisation's queue: the earliest deadline first.
 pub(super) type QueuePlace = (ClockTime, u64);
 
@@ -79,13 +76,7 @@
     interactive_cost: u64,
     deferrable_cost: u64,
     waiting_weight: u64,
-    rate: u64,
-    window_start: ClockTime,
-    window_cost: u64,
-    window_saturated: bool,
-    window_floor: u64,
-    /// Counter units by which the floor rises in a second; zero until measured.
-    floor_rate: u64,
+    meter: RateMeter,
 }
 
 impl PoolQueue {
@@ -102,23 +93,14 @@
             interactive_cost: 0,
             deferrable_cost: 0,
             waiting_weight: 0,
-            rate: capacity.token_rate.count().max(1),
-            window_start: now,
-            window_cost: 0,
-            window_saturated: false,
-            window_floor: 0,
-            floor_rate: 0,
+            meter: RateMeter::new(now, capacity.token_rate.count()),
         }
     }
 
-    /// Takes a new capacity; the measured rate is scaled with the slots, as a
-    /// lost endpoint takes its part of the rate along.
+    /// Takes a new capacity; the measured rate is scaled with the slots.
     pub fn set_capacity(&mut self, capacity: PoolCapacity) {
         let (old, new) = (self.capacity.slots, capacity.slots);
-        self.rate = match (old, new) {
-            (0, _) | (_, 0) => capacity.token_rate.count().max(1),
-            _ => (self.rate * u64::from(new) / u64::from(old)).max(1),
-        };
+        self.meter.rescale(old, new, capacity.token_rate.count());
         match old {
             0 => self.window = StartWindow::new(new, capacity.first_token),
             _ => self.window.rescale(old, new),
@@ -135,7 +117,7 @@
     }
 
     pub fn rate(&self) -> u64 {
-        self.rate
+        self.meter.rate()
     }
 
     /// The estimated time until work of `organisation` that has `ahead` of its
@@ -160,10 +142,10 @@
         let by_share = ahead.saturating_mul(others) / weight_count;
         // What it owes is worked off as the floor rises, and the floor rises with
         // what all entries serve, not this one alone.
-        let owed_time = match self.floor_rate {
+        let owed_time = match self.meter.floor_rate() {
             0 => {
                 let owed = self.counters.debt(organisation, weight).count();
-                owed.saturating_mul(others) * 1_000 / weight_count / self.rate
+                owed.saturating_mul(others) * 1_000 / weight_count / self.rate()
             }
             rate => self.counters.ahead(organisation).saturating_mul(1_000) / rate,
         };
@@ -175,8 +157,8 @@
             WorkPriority::Interactive => by_share.min(queue_cost),
             WorkPriority::Deferrable => (by_share + self.interactive_cost).min(queue_cost),
         };
-        let whole = queue_cost.saturating_mul(1_000) / self.rate;
-        let wait = before.saturating_mul(1_000) / self.rate + owed_time;
+        let whole = queue_cost.saturating_mul(1_000) / self.rate();
+        let wait = before.saturating_mul(1_000) / self.rate() + owed_time;
         TimeSpan::from_millis(wait.min(whole))
     }
 
@@ -350,33 +332,14 @@
     /// Counts finished work for the measured rate.
     pub fn finish(&mut self, now: ClockTime, cost: TokenCount) {
         self.running = self.running.saturating_sub(1);
-        self.window_cost += cost.count();
+        self.meter.finish(cost.count());
         self.measure(now);
     }
 
-    /// Ends the window of measurement when its time has come. A window in which
-    /// the pool was not full tells only a lower bound of the rate.
+    /// Lets the meter end its measurement when the time for it has come.
     pub fn measure(&mut self, now: ClockTime) {
-        let elapsed = now.since(self.window_start);
-        if elapsed < RATE_WINDOW {
-            self.window_saturated &= self.queued > 0;
-            return;
-        }
-        let measured = self.window_cost * 1_000 / elapsed.as_millis().max(1);
-        if self.window_saturated || measured > self.rate {
-            let kept = self.rate * (100 - RATE_GAIN);
-            self.rate = ((kept + measured * RATE_GAIN) / 100).max(1);
-        }
-        let risen = self.counters.floor().saturating_sub(self.window_floor);
-        let risen = risen.saturating_mul(1_000) / elapsed.as_millis().max(1);
-        if self.window_saturated {
-            let kept = self.floor_rate * (100 - RATE_GAIN);
-            self.floor_rate = (kept + risen * RATE_GAIN) / 100;
-        }
-        self.window_floor = self.counters.floor();
-        self.window_start = now;
-        self.window_cost = 0;
-        self.window_saturated = self.queued > 0;
+        let floor = self.counters.floor();
+        self.meter.measure(now, self.queued > 0, floor);
     }
 
     /// The requests that would now start too late, with their estimated waits,
--- /dev/null
+++ b/crates/core/src/records/usage.rs
@@ -0,0 +1,100 @@
+//! What entries metered, and the ends of usage windows.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    ids::{InstanceId, LogOffset, OrganisationId, ServiceName},
+    units::TokenCount,
+};
+
+/// The number of a usage window, counted from the wall clock's origin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct UsageWindow(u64);
+
+impl UsageWindow {
+    /// The window with this number.
+    pub const fn new(number: u64) -> UsageWindow {
+        UsageWindow(number)
+    }
+
+    /// The window's number.
+    pub const fn number(self) -> u64 {
+        self.0
+    }
+
+    /// The window after this one.
+    pub const fn next(self) -> UsageWindow {
+        UsageWindow(self.0 + 1)
+    }
+
+    /// The window that `now` falls into if windows are `length` long.
+    pub fn at(now: ClockTime, length: TimeSpan) -> UsageWindow {
+        UsageWindow(now.as_millis() / length.as_millis().max(1))
+    }
+}
+
+impl std::fmt::Display for UsageWindow {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl std::str::FromStr for UsageWindow {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<UsageWindow, std::num::ParseIntError> {
+        text.parse().map(UsageWindow)
+    }
+}
+
+/// What one organisation used of one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UsageLine {
+    /// The organisation.
+    pub organisation: OrganisationId,
+    /// The service.
+    pub service: ServiceName,
+    /// Answers delivered, in whole or in part.
+    pub requests: u64,
+    /// Prompt tokens of those.
+    pub prompt_tokens: TokenCount,
+    /// Output tokens delivered to the caller.
+    pub output_tokens: TokenCount,
+}
+
+/// What one entry metered since its last delta.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UsageDelta {
+    /// The entry.
+    pub entry: InstanceId,
+    /// The window in which it was metered.
+    pub window: UsageWindow,
+    /// The lines.
+    pub lines: Vec<UsageLine>,
+}
+
+/// The end of a window: its figures are those of the log before this record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WindowClose {
+    /// The window.
+    pub window: UsageWindow,
+    /// The fencing number of the `usage` duty's holder.
+    pub fence: LogOffset,
+}
+
+/// The figures of a window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WindowFigures {
+    /// The window.
+    pub window: UsageWindow,
+    /// Whether a close record froze the figures.
+    pub frozen: bool,
+    /// The lines, by organisation and service.
+    pub lines: Vec<UsageLine>,
+}
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -141,6 +141,17 @@
     ]
 }
 
+/// An engine is lost for a while, and later the preemptible engines of a failure
+/// domain.
+fn losses() -> Vec<(ClockTime, WorldEvent)> {
+    vec![
+        (at(150), WorldEvent::EngineLost(1)),
+        (at(200), WorldEvent::EngineBack(1)),
+        (at(260), WorldEvent::Reclaimed(0)),
+        (at(320), WorldEvent::Restored(0)),
+    ]
+}
+
 impl LabScenario {
     /// Magnolia: 12 model replicas, 8 organisations of which two are large.
     pub fn magnolia() -> LabScenario {
@@ -151,12 +162,7 @@
             engines: engines(9, 3),
             organisations: organisations("chain", &[21.0, 17.0, 5.6, 4.2, 3.5, 2.8, 1.4, 0.7]),
             mixes: swinging(),
-            events: vec![
-                (at(150), WorldEvent::EngineLost(1)),
-                (at(200), WorldEvent::EngineBack(1)),
-                (at(260), WorldEvent::Reclaimed(0)),
-                (at(320), WorldEvent::Restored(0)),
-            ],
+            events: losses(),
             length: TimeSpan::from_secs(420),
         }
         .with_flood(0, at(120), at(300), 4.0)
@@ -171,12 +177,7 @@
             engines: engines(6, 3),
             organisations: organisations("commons", &[14.0, 11.2, 4.9, 4.2, 2.8, 2.1, 1.4, 0.7]),
             mixes: swinging(),
-            events: vec![
-                (at(150), WorldEvent::EngineLost(1)),
-                (at(200), WorldEvent::EngineBack(1)),
-                (at(260), WorldEvent::Reclaimed(0)),
-                (at(320), WorldEvent::Restored(0)),
-            ],
+            events: losses(),
             length: TimeSpan::from_secs(420),
         }
         .with_flood(0, at(120), at(300), 4.0)
--- a/crates/process-tests/tests/entry_failures.rs
+++ b/crates/process-tests/tests/entry_failures.rs
@@ -47,6 +47,15 @@
     Ok(all)
 }
 
+/// Waits until engines have accepted so many requests since their start.
+async fn streams_at_engines(fleet: &TestFleet, count: usize) -> anyhow::Result<()> {
+    wait::until("all streams are at engines", || async {
+        let events = engine_events(fleet).await.ok()?;
+        (accepted_requests(&events).len() == count).then_some(())
+    })
+    .await
+}
+
 /// An instance is replaced while people read their answers. If the entry closed
 /// its connections when it is told to end, each of them would see an answer
 /// that stops in the middle of a sentence.
@@ -62,11 +71,7 @@
     });
     let clock = ClockSource::new();
     let running = record_all(&clock, asks.collect());
-    wait::until("all streams are at engines", || async {
-        let events = engine_events(&fleet).await.ok()?;
-        (accepted_requests(&events).len() == 9).then_some(())
-    })
-    .await?;
+    streams_at_engines(&fleet, 9).await?;
     fleet.entries[0].process.terminate()?;
     let records = running.await?;
     assert_eq!(no_shutdown_cut(&records), []);
@@ -87,11 +92,7 @@
     let asks = (0..4).map(|number| ask(&fleet, &format!("question {number} len=400")));
     let clock = ClockSource::new();
     let running = record_all(&clock, asks.collect());
-    wait::until("all streams are at engines", || async {
-        let events = engine_events(&fleet).await.ok()?;
-        (accepted_requests(&events).len() == 5).then_some(())
-    })
-    .await?;
+    streams_at_engines(&fleet, 5).await?;
     for engine in &fleet.engines {
         control::post(engine.process.http(), "/control/silence", &json!({})).await?;
     }
@@ -255,11 +256,7 @@
     let asks = (0..6).map(|number| ask(&fleet, &format!("tale {number} len=300")));
     let clock = ClockSource::new();
     let running = record_all(&clock, asks.collect());
-    wait::until("all streams are at engines", || async {
-        let events = engine_events(&fleet).await.ok()?;
-        (accepted_requests(&events).len() == 7).then_some(())
-    })
-    .await?;
+    streams_at_engines(&fleet, 7).await?;
     fleet.engines[0].process.kill()?;
     let records = running.await?;
     assert_eq!(whole_answers(&records), []);
