--- /dev/null
+++ b/crates/core/src/directory/mod.rs
@@ -0,0 +1,171 @@
+//! Which endpoints may get work: their registrations in the store, and what an
+//! outage of the store says and doesn't say about them.
+//!
+//! An endpoint's registration lapses when it falls silent, also when the store
+//! itself was away and heard nobody. An entry that dropped every lapsed endpoint
+//! as the store returns would have nowhere to send its callers' requests until
+//! all had registered again; one that kept them for good would send work to the
+//! dead. So registrations that lapse around an outage are kept for a short time
+//! after the store is back, within which live endpoints register again.
+
+mod registration;
+
+use std::collections::BTreeMap;
+
+pub use self::registration::{EndpointRegistration, EngineStage};
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    ids::{EndpointId, ServiceName},
+};
+
+/// How long a lapsed registration is kept after the store's return. The users
+/// say that live endpoints are back within about two seconds.
+pub const LAPSE_GRACE: TimeSpan = TimeSpan::from_millis(2_000);
+
+/// What a new registration changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DirectoryChange {
+    /// A new endpoint, or a new start of a known one.
+    Started,
+    /// Something about a known one.
+    Updated,
+    /// It leaves: it gets nothing new.
+    Leaving,
+    /// Its registration is gone.
+    Gone,
+    /// Its registration is gone, but so was the store: it is kept for now.
+    Lapsed,
+    /// Nothing.
+    Same,
+}
+
+#[derive(Clone, Debug)]
+struct KnownEndpoint {
+    registration: EndpointRegistration,
+    /// Dropped at this time unless it registers again.
+    lapses_at: Option<ClockTime>,
+}
+
+/// All registered endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointDirectory {
+    endpoints: BTreeMap<EndpointId, KnownEndpoint>,
+    /// Since when no read of the registrations has come back.
+    outage_since: Option<ClockTime>,
+    returned_at: Option<ClockTime>,
+}
+
+impl EndpointDirectory {
+    /// No endpoint.
+    pub fn new() -> EndpointDirectory {
+        EndpointDirectory::default()
+    }
+
+    /// A read of the registrations failed.
+    pub fn note_outage(&mut self, now: ClockTime) {
+        self.outage_since.get_or_insert(now);
+    }
+
+    /// A read of the registrations came back.
+    pub fn note_return(&mut self, now: ClockTime) {
+        if self.outage_since.take().is_some() {
+            self.returned_at = Some(now);
+        }
+    }
+
+    /// Takes a registration as it was read.
+    pub fn register(&mut self, registration: EndpointRegistration) -> DirectoryChange {
+        let id = registration.id.clone();
+        let known = self.endpoints.get(&id);
+        let change = match known {
+            None => DirectoryChange::Started,
+            Some(known) if known.registration.start != registration.start => {
+                DirectoryChange::Started
+            }
+            Some(known) if known.registration.same_apart_from_sequence(&registration) => {
+                DirectoryChange::Same
+            }
+            Some(known) if registration.is_leaving && !known.registration.is_leaving => {
+                DirectoryChange::Leaving
+            }
+            Some(_) => DirectoryChange::Updated,
+        };
+        let known = KnownEndpoint {
+            registration,
+            lapses_at: None,
+        };
+        self.endpoints.insert(id, known);
+        change
+    }
+
+    /// The registration of `id` is gone from the store.
+    pub fn unregister(&mut self, now: ClockTime, id: &EndpointId) -> DirectoryChange {
+        let Some(known) = self.endpoints.get_mut(id) else {
+            return DirectoryChange::Same;
+        };
+        if known.registration.is_leaving {
+            self.endpoints.remove(id);
+            return DirectoryChange::Gone;
+        }
+        let grace_end = self.returned_at.map(|returned| returned + LAPSE_GRACE);
+        match grace_end {
+            Some(end) if now < end => {
+                known.lapses_at = Some(end);
+                DirectoryChange::Lapsed
+            }
+            _ => {
+                self.endpoints.remove(id);
+                DirectoryChange::Gone
+            }
+        }
+    }
+
+    /// Keeps what is listed and treats the others as unregistered: the listing
+    /// stands for everything in the store.
+    pub fn keep_only<Listed>(&mut self, now: ClockTime, listed: Listed) -> Vec<EndpointId>
+    where
+        Listed: Fn(&EndpointId) -> bool,
+    {
+        let missing = self.endpoints.keys().filter(|id| !listed(id));
+        let missing: Vec<EndpointId> = missing.cloned().collect();
+        for id in &missing {
+            self.unregister(now, id);
+        }
+        missing
+    }
+
+    /// The endpoint answered under another name: whoever had the address is gone.
+    pub fn drop_endpoint(&mut self, id: &EndpointId) {
+        self.endpoints.remove(id);
+    }
+
+    /// Drops what lapsed and did not register again; answers their ids.
+    pub fn advance(&mut self, now: ClockTime) -> Vec<EndpointId> {
+        let lapsed = |known: &KnownEndpoint| known.lapses_at.is_some_and(|at| now >= at);
+        let ids = self.endpoints.iter().filter(|(_, known)| lapsed(known));
+        let ids: Vec<EndpointId> = ids.map(|(id, _)| id.clone()).collect();
+        for id in &ids {
+            self.endpoints.remove(id);
+        }
+        ids
+    }
+
+    /// The registration of `id`.
+    pub fn get(&self, id: &EndpointId) -> Option<&EndpointRegistration> {
+        self.endpoints.get(id).map(|known| &known.registration)
+    }
+
+    /// The endpoints of a service that may get new work.
+    pub fn open_for<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a EndpointRegistration> {
+        self.iter()
+            .filter(move |entry| entry.service == *service && !entry.is_leaving)
+    }
+
+    /// All registrations, by id.
+    pub fn iter(&self) -> impl Iterator<Item = &EndpointRegistration> {
+        self.endpoints.values().map(|known| &known.registration)
+    }
+}
--- /dev/null
+++ b/crates/core/src/ingress/belief.rs
@@ -0,0 +1,79 @@
+//! Which configuration is in force here, and how old that knowledge is.
+
+use std::sync::Arc;
+
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    ingress::{IngressConfiguration, RouteTable},
+};
+
+/// What became of a configuration that was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AcceptedVersion {
+    /// It is newer and now in force.
+    Newer,
+    /// It is the one in force.
+    Same,
+    /// It is older than the one in force and was dropped.
+    Older,
+}
+
+/// The configuration in force and its freshness.
+///
+/// Times are of a clock that goes on while the process is suspended: an instance
+/// that wakes after some seconds must not take its old keys for fresh.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigurationBelief {
+    table: Option<Arc<RouteTable>>,
+    fresh_at: Option<ClockTime>,
+}
+
+impl ConfigurationBelief {
+    /// Nothing read yet.
+    pub fn new() -> ConfigurationBelief {
+        ConfigurationBelief::default()
+    }
+
+    /// Takes a configuration that was read.
+    ///
+    /// Reads overtake each other and a peer may be behind. Were an older version
+    /// put in force again, a withdrawn key would work again and requests would
+    /// run at a service that their route has left; so versions only rise.
+    pub fn offer(&mut self, configuration: IngressConfiguration) -> AcceptedVersion {
+        match self.version() {
+            Some(version) if configuration.version == version => AcceptedVersion::Same,
+            Some(version) if configuration.version < version => AcceptedVersion::Older,
+            _ => {
+                self.table = Some(Arc::new(RouteTable::new(configuration)));
+                AcceptedVersion::Newer
+            }
+        }
+    }
+
+    /// A read that was sent at `sent` came back complete and has been applied:
+    /// whatever stood in the store at that moment is known here.
+    pub fn confirm(&mut self, sent: ClockTime) {
+        self.fresh_at = self.fresh_at.max(Some(sent));
+    }
+
+    /// The table in force.
+    pub fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    /// The version in force.
+    pub fn version(&self) -> Option<u64> {
+        let table = self.table.as_ref()?;
+        Some(table.configuration().version)
+    }
+
+    /// How old the newest confirmation is; nothing if there was none.
+    pub fn age(&self, now: ClockTime) -> Option<TimeSpan> {
+        self.fresh_at.map(|fresh_at| now.since(fresh_at))
+    }
+
+    /// Whether keys may be trusted: the newest confirmation is younger than `limit`.
+    pub fn is_fresh(&self, now: ClockTime, limit: TimeSpan) -> bool {
+        self.age(now).is_some_and(|age| age < limit)
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/mod.rs
@@ -0,0 +1,21 @@
+//! Which endpoints run a request.
+//!
+//! For model engines ([`EngineBooks`]) the load is prompts: a long prompt takes
+//! an engine for a tenth of a second, and half of it may lie there already from
+//! an earlier request. So the first question is which engine holds the shared
+//! parts, the second how long its prefill queue is, the third whether an engine
+//! that only prefills should do it and hand over. Replicas of plain services
+//! ([`ReplicaBooks`]) differ in speed and fail in parts; the least busy sound one
+//! is taken.
+
+mod engine;
+mod parts;
+mod prompt;
+mod replicas;
+
+pub use self::{
+    engine::{EngineBooks, EnginePlan, EngineTarget, NoEngine, PlanRequest, PlannedPrefill},
+    parts::PartPlaces,
+    prompt::{ParsePromptError, PromptPart, PromptWork},
+    replicas::{ReplicaBooks, ReplicaChoice},
+};
--- a/crates/core/src/retries/mod.rs
+++ b/crates/core/src/retries/mod.rs
@@ -8,12 +8,15 @@
 //! at once. One notices a storm by attempts far above requests; with
 //! the budget they can't exceed them by more than the share and the minimum.
 
+mod shared;
+
 use std::collections::BTreeMap;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
+pub use self::shared::{SharedAllowance, SharedBudget};
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::OrganisationId,
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -28,6 +28,7 @@
 mod router;
 mod table;
 
+pub use self::health::EndpointHealth;
 pub use messages::{
     EndpointEntry, EndpointSnapshot, NoRoute, PeerOutstanding, ReportedLoad, RouteChoice,
     RouteOutcome, RoutePool, RouteRequest, RoutingSettings, prefix_digest,
--- /dev/null
+++ b/crates/core/src/usage/metered.rs
@@ -0,0 +1,110 @@
+//! Counting requests by window at the entries, and adding the counts up.
+//!
+//! An entry may be killed at any moment and has no disk, so it publishes its
+//! counts several times in a window, always in full: a count that is published
+//! twice, or whose acknowledgement was lost, is not added twice.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    ids::{InstanceId, OrganisationId},
+    records::UsageWindow,
+};
+
+/// How many windows back an entry goes on publishing: an outage of the store may
+/// outlast some.
+const WINDOWS_KEPT: usize = 8;
+
+/// The requests of each organisation that began to run in a window.
+pub type MeteredCounts = BTreeMap<OrganisationId, u64>;
+
+/// Who counted: an instance and which of its starts.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MeterWriter {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Tells its starts apart.
+    pub start: u64,
+}
+
+/// The counts of one entry.
+#[derive(Clone, Debug, Default)]
+pub struct UsageMeter {
+    windows: BTreeMap<UsageWindow, MeteredCounts>,
+    unpublished: BTreeMap<UsageWindow, u64>,
+}
+
+impl UsageMeter {
+    /// Nothing counted.
+    pub fn new() -> UsageMeter {
+        UsageMeter::default()
+    }
+
+    /// A request of the organisation began to run in `window`.
+    pub fn count(&mut self, window: UsageWindow, organisation: &OrganisationId) {
+        let counts = self.windows.entry(window).or_default();
+        *counts.entry(organisation.clone()).or_default() += 1;
+        *self.unpublished.entry(window).or_default() += 1;
+        while self.windows.len() > WINDOWS_KEPT {
+            if let Some((oldest, _)) = self.windows.pop_first() {
+                self.unpublished.remove(&oldest);
+            }
+        }
+    }
+
+    /// The windows with news, in full. They stay news until [`UsageMeter::published`].
+    pub fn news(&self) -> Vec<(UsageWindow, MeteredCounts)> {
+        let windows = self.windows.iter();
+        let changed = windows.filter(|(window, _)| self.unpublished.contains_key(window));
+        changed
+            .map(|(window, counts)| (*window, counts.clone()))
+            .collect()
+    }
+
+    /// The store acknowledged these.
+    pub fn published(&mut self, news: &[(UsageWindow, MeteredCounts)]) {
+        for (window, counts) in news {
+            if self.windows.get(window) == Some(counts) {
+                self.unpublished.remove(window);
+            }
+        }
+    }
+}
+
+/// The counts of all entries, as published.
+#[derive(Clone, Debug, Default)]
+pub struct UsageLedger {
+    windows: BTreeMap<UsageWindow, BTreeMap<MeterWriter, MeteredCounts>>,
+}
+
+impl UsageLedger {
+    /// Nothing published.
+    pub fn new() -> UsageLedger {
+        UsageLedger::default()
+    }
+
+    /// Takes what was published; later words of a writer replace earlier ones.
+    pub fn take(&mut self, window: UsageWindow, writer: MeterWriter, counts: MeteredCounts) {
+        let writers = self.windows.entry(window).or_default();
+        writers.insert(writer, counts);
+        while self.windows.len() > 2 * WINDOWS_KEPT {
+            self.windows.pop_first();
+        }
+    }
+
+    /// The sum of a window.
+    pub fn sum(&self, window: UsageWindow) -> MeteredCounts {
+        let mut sum = MeteredCounts::new();
+        for counts in self
+            .windows
+            .get(&window)
+            .into_iter()
+            .flat_map(|w| w.values())
+        {
+            for (organisation, count) in counts {
+                *sum.entry(organisation.clone()).or_default() += count;
+            }
+        }
+        sum
+    }
+}
--- a/crates/core/src/usage/mod.rs
+++ b/crates/core/src/usage/mod.rs
@@ -5,8 +5,11 @@
 //! repeat of a report can differ. A delta that comes later is not lost: it counts
 //! in the first window that is still open.
 
+mod metered;
+
 use std::collections::BTreeMap;
 
+pub use self::metered::{MeterWriter, MeteredCounts, UsageLedger, UsageMeter};
 use crate::{
     authority::LeaseState,
     clock::{ClockTime, TimeSpan},
--- /dev/null
+++ b/crates/ingress/src/believe/configuration.rs
@@ -0,0 +1,125 @@
+//! Following the operator's configuration.
+
+use std::sync::Arc;
+
+use bluebell_adapter::{
+    CallError,
+    configuration::{self, KEY, TOPIC},
+    store::{ReadAnswer, TopicPart},
+};
+use bluebell_core::{clock::TimeSpan, ids::LogOffset, ingress::AcceptedVersion};
+use bluebell_daemon::logs::LogLine;
+
+use crate::{
+    believe::{READ_TIMEOUT, StorePath},
+    context::EntryContext,
+};
+
+const PART: TopicPart = TopicPart::first(TOPIC);
+
+/// How long the store may hold a read back until there is a record. Knowledge of
+/// keys counts from when a read was sent, so a third of the time for which they
+/// may be trusted leaves room for a read that gets lost.
+const READ_WAIT: TimeSpan = TimeSpan::from_millis(1_400);
+
+/// How much longer than the wait the answer may take.
+const READ_SLACK: TimeSpan = TimeSpan::from_millis(700);
+
+/// Keeps the configuration in force up to date, for good.
+pub async fn follow(context: Arc<EntryContext>) {
+    let mut path = StorePath::new("configuration");
+    let mut next = None;
+    loop {
+        let step = match next {
+            None => read_newest(&context).await,
+            Some(from) => read_on(&context, from).await,
+        };
+        match step {
+            Ok(from) => {
+                path.answered(&context);
+                next = from;
+            }
+            Err(error) => path.failed(&context, &error).await,
+        }
+    }
+}
+
+/// Reads the newest configuration; answers where to read on.
+async fn read_newest(context: &EntryContext) -> Result<Option<LogOffset>, CallError> {
+    let sent = context.now();
+    let page = context.store.newest(PART, None, READ_TIMEOUT).await?;
+    for item in page.items.iter().filter(|item| item.key == KEY) {
+        take(context, &item.value);
+    }
+    confirm(context, sent);
+    Ok(Some(page.end))
+}
+
+/// Reads records from `from` on; answers where to go on, or nothing if they are
+/// gone and the newest has to be read instead.
+async fn read_on(context: &EntryContext, from: LogOffset) -> Result<Option<LogOffset>, CallError> {
+    let sent = context.now();
+    let timeout = READ_WAIT + READ_SLACK;
+    match context.store.read(PART, from, READ_WAIT, timeout).await? {
+        ReadAnswer::Forgotten { first } => {
+            LogLine::new("configuration_history_lost")
+                .with("from", from)
+                .with("first", first)
+                .info();
+            Ok(None)
+        }
+        ReadAnswer::Records { records, end } => {
+            let next = records.last().map_or(from, |record| record.offset.next());
+            for record in &records {
+                match record.keyed() {
+                    Some((key, Some(value))) if key == KEY.as_bytes() => take(context, value),
+                    _ => {}
+                }
+            }
+            if next < end {
+                // The answer was full; what follows is not known yet.
+                return Ok(Some(next));
+            }
+            confirm(context, sent);
+            Ok(Some(next.max(end)))
+        }
+    }
+}
+
+fn confirm(context: &EntryContext, sent: bluebell_core::clock::ClockTime) {
+    let mut belief = context.belief.lock();
+    if belief.table().is_some() {
+        belief.confirm(sent);
+    }
+}
+
+fn take(context: &EntryContext, value: &[u8]) {
+    let configuration = match configuration::decode(value) {
+        Ok(configuration) => configuration,
+        Err(error) => {
+            LogLine::new("configuration_rejected")
+                .with("error", error)
+                .warn();
+            return;
+        }
+    };
+    let version = configuration.version;
+    let (routes, services) = (configuration.routes.len(), configuration.services.len());
+    let accepted = context.belief.lock().offer(configuration);
+    match accepted {
+        AcceptedVersion::Newer => {
+            context.metrics.configuration_version.set(version as i64);
+            LogLine::new("configuration")
+                .with("version", version)
+                .with("routes", routes)
+                .with("services", services)
+                .with("outcome", "in_force")
+                .info();
+        }
+        AcceptedVersion::Same => {}
+        AcceptedVersion::Older => LogLine::new("configuration")
+            .with("version", version)
+            .with("outcome", "older_than_in_force")
+            .info(),
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/believe/mod.rs
@@ -0,0 +1,81 @@
+//! Following the store: what is in force, and which endpoints there are.
+
+mod configuration;
+mod endpoints;
+
+use std::{sync::Arc, time::Duration};
+
+use bluebell_adapter::CallError;
+use bluebell_core::clock::TimeSpan;
+use bluebell_daemon::logs::LogLine;
+use tokio_util::sync::CancellationToken;
+
+use crate::context::EntryContext;
+
+/// The first wait after a call to the store failed; it doubles up to the last.
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
+/// The longest wait after a failed call: keys that stopped working for lack of
+/// news must work again soon after the store is back.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(400);
+
+/// How long a read that does not wait may take. The store answers in 4 ms, and in
+/// 0.2 s while it is slow.
+pub const READ_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
+
+/// Starts all followers; they end with `stop`.
+pub fn follow(context: &Arc<EntryContext>, stop: &CancellationToken) {
+    let configuration = configuration::follow(Arc::clone(context));
+    let endpoints = endpoints::follow(Arc::clone(context));
+    for follower in [
+        Box::pin(configuration) as std::pin::Pin<Box<dyn Future<Output = ()> + Send>>,
+        Box::pin(endpoints),
+    ] {
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            stop.run_until_cancelled(follower).await;
+        });
+    }
+}
+
+/// One call's way to the store: tells of losing and regaining it, and how long to
+/// wait before the next try.
+#[derive(Debug)]
+pub struct StorePath {
+    call: &'static str,
+    failures: u32,
+}
+
+impl StorePath {
+    /// A way that works, as far as known.
+    pub fn new(call: &'static str) -> StorePath {
+        StorePath { call, failures: 0 }
+    }
+
+    /// Notes an answer.
+    pub fn answered(&mut self, context: &EntryContext) {
+        let counters = &context.metrics.store_calls;
+        counters.with_label_values(&[self.call, "answered"]).inc();
+        if self.failures > 0 {
+            LogLine::new("store_regained")
+                .with("call", self.call)
+                .with("failures", self.failures)
+                .info();
+        }
+        self.failures = 0;
+    }
+
+    /// Notes a failure and waits before the next try.
+    pub async fn failed(&mut self, context: &EntryContext, error: &CallError) {
+        let counters = &context.metrics.store_calls;
+        counters.with_label_values(&[self.call, "failed"]).inc();
+        if self.failures == 0 {
+            LogLine::new("store_lost")
+                .with("call", self.call)
+                .with("error", error)
+                .warn();
+        }
+        let wait = FIRST_BACKOFF * 2_u32.pow(self.failures.min(8));
+        self.failures += 1;
+        tokio::time::sleep(wait.min(LONGEST_BACKOFF)).await;
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/context.rs
@@ -0,0 +1,146 @@
+//! What all parts of an entry share.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use bluebell_adapter::{engines::EngineClient, settings::InstanceSettings, store::StoreClient};
+use bluebell_core::{
+    clock::{ClockSource, ClockTime, TimeSpan},
+    directory::EndpointDirectory,
+    ingress::ConfigurationBelief,
+    placement::{EngineBooks, ReplicaBooks},
+    retries::{SharedAllowance, SharedBudget},
+    routing::RoutingSettings,
+    usage::{MeterWriter, UsageMeter},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{forward::ConnectionPools, metrics::EntryMetrics};
+
+/// How much sooner than the operators ask a key stops working that nothing has
+/// been heard of: clocks drift, and a request takes some ms to get here.
+const WITHDRAWAL_MARGIN: TimeSpan = TimeSpan::from_millis(250);
+
+/// Among how many entries the extra of the retry budget is divided. The users
+/// run 9 entries now.
+const ENTRIES_ASSUMED: f64 = 16.0;
+
+/// How long an endpoint that failed is left alone first. Replicas that crash are
+/// back after some 4 s.
+const FIRST_EJECTION: TimeSpan = TimeSpan::from_millis(1_000);
+
+/// The longest ejection: a few replicas carry a whole service.
+const LONGEST_EJECTION: TimeSpan = TimeSpan::from_millis(8_000);
+
+/// How long a returning endpoint takes to get its full share.
+const SLOW_START: TimeSpan = TimeSpan::from_millis(2_000);
+
+/// A mutex whose data stays usable if a holder panicked: each slice keeps its own
+/// invariants between calls.
+#[derive(Debug, Default)]
+pub struct Shared<Data>(Mutex<Data>);
+
+impl<Data> Shared<Data> {
+    /// Wraps `data`.
+    pub fn new(data: Data) -> Shared<Data> {
+        Shared(Mutex::new(data))
+    }
+
+    /// Locks; never held across a wait.
+    pub fn lock(&self) -> MutexGuard<'_, Data> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Everything that requests, followers and duties share.
+#[derive(Debug)]
+pub struct EntryContext {
+    /// What the platform told this instance.
+    pub settings: InstanceSettings,
+    /// The clock that goes on while the instance is suspended.
+    pub clock: ClockSource,
+    /// This start of this instance, as others see it.
+    pub writer: MeterWriter,
+    /// The store.
+    pub store: StoreClient,
+    /// Control calls to engines.
+    pub engine_client: EngineClient,
+    /// The configuration in force.
+    pub belief: Shared<ConfigurationBelief>,
+    /// The endpoints.
+    pub directory: Shared<EndpointDirectory>,
+    /// The engines' queues and memories.
+    pub engines: Shared<EngineBooks>,
+    /// The replicas of plain services.
+    pub replicas: Shared<ReplicaBooks>,
+    /// The budget of repeats.
+    pub budget: Shared<SharedBudget>,
+    /// Counts for usage windows.
+    pub meter: Shared<UsageMeter>,
+    /// Connections to endpoints.
+    pub pools: ConnectionPools,
+    /// Counters.
+    pub metrics: EntryMetrics,
+    /// Set when the process is asked to end: nothing is begun that can wait.
+    pub stopping: CancellationToken,
+}
+
+impl EntryContext {
+    /// An entry that knows nothing yet.
+    pub fn new(
+        settings: InstanceSettings,
+        clock: ClockSource,
+        store: StoreClient,
+        engine_client: EngineClient,
+        metrics: EntryMetrics,
+    ) -> EntryContext {
+        let routing = RoutingSettings {
+            eject_first: FIRST_EJECTION,
+            eject_most: LONGEST_EJECTION,
+            slow_start: SLOW_START,
+            ..RoutingSettings::default()
+        };
+        let bounds = settings.bounds;
+        let allowance = SharedAllowance {
+            share: bounds.retry_share,
+            extra: f64::from(bounds.retry_extra) / ENTRIES_ASSUMED,
+            window: bounds.retry_window,
+        };
+        let writer = MeterWriter {
+            instance: settings.instance.clone(),
+            start: crate::time::wall_time().as_millis(),
+        };
+        let seed = rand::random();
+        EntryContext {
+            settings,
+            clock,
+            writer,
+            store,
+            engine_client,
+            belief: Shared::new(ConfigurationBelief::new()),
+            directory: Shared::new(EndpointDirectory::new()),
+            engines: Shared::new(EngineBooks::new(routing.clone()).with_seed(seed)),
+            replicas: Shared::new(ReplicaBooks::new(routing).with_seed(seed)),
+            budget: Shared::new(SharedBudget::new(allowance)),
+            meter: Shared::new(UsageMeter::new()),
+            pools: ConnectionPools::new(),
+            metrics,
+            stopping: CancellationToken::new(),
+        }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> ClockTime {
+        self.clock.now()
+    }
+
+    /// How old knowledge of keys may be.
+    pub fn freshness_limit(&self) -> TimeSpan {
+        self.settings.bounds.withdrawal.less(WITHDRAWAL_MARGIN)
+    }
+
+    /// Whether requests with keys may be served.
+    pub fn keys_are_fresh(&self, now: ClockTime) -> bool {
+        let limit = self.freshness_limit();
+        !self.settings.bounds.fail_closed || self.belief.lock().is_fresh(now, limit)
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/forward/generate.rs
@@ -0,0 +1,427 @@
+//! Requests to model engines: the prefill, the hand-over, the run.
+
+use std::sync::Arc;
+
+use bluebell_adapter::{engines, headers};
+use bluebell_core::{
+    attempts::{RequestAttempts, WorkKind},
+    clock::TimeSpan,
+    ids::EndpointId,
+    placement::{EnginePlan, EngineTarget, PlanRequest, PromptWork},
+};
+use hyper::Response;
+
+use crate::{
+    context::EntryContext,
+    forward::{
+        answer::WholeAnswer,
+        attempt::{self, AddedHeaders, AttemptEnd, EndpointAnswer},
+        events::{EventReader, NextEvents},
+        guards::{PrefillGuard, RunGuard},
+        meter, refuse, request_line,
+        stream::{self, RunningStream},
+    },
+    front::{AnswerBody, CallerRequest, Refusal, RefusalReason},
+};
+
+/// How many engines are asked at most, counting those that refused.
+const ASKED_LIMIT: usize = 5;
+
+/// How many steps of urgency at an engine lie between two ranks of routes.
+const PRIORITY_STEP: u8 = 3;
+/// The least urgent rank that engines know.
+const LEAST_URGENT: u8 = 9;
+
+/// Why a try did not come to a run.
+struct FailedTry {
+    reason: RefusalReason,
+    detail: String,
+}
+
+impl FailedTry {
+    fn new<Detail>(reason: RefusalReason, detail: Detail) -> FailedTry
+    where
+        Detail: Into<String>,
+    {
+        FailedTry {
+            reason,
+            detail: detail.into(),
+        }
+    }
+}
+
+/// What a try came to.
+enum TryEnd {
+    /// A stream has begun: its first events are there.
+    Streaming(Box<RunningStream>),
+    /// The engine answered in one piece.
+    Whole(WholeAnswer),
+}
+
+/// The tries of one request at engines.
+#[derive(Debug)]
+pub struct GenerationRun {
+    /// What all parts of the entry share.
+    pub context: Arc<EntryContext>,
+    /// The request.
+    pub request: Arc<CallerRequest>,
+    work: PromptWork,
+    attempts: RequestAttempts,
+    tried: Vec<EndpointId>,
+    asked: usize,
+    runs: u32,
+    prefill_calls: u32,
+    is_metered: bool,
+}
+
+/// Serves a request to a model service.
+pub async fn serve(
+    context: &Arc<EntryContext>,
+    request: &Arc<CallerRequest>,
+) -> Response<AnswerBody> {
+    let mut run = GenerationRun::new(context, request);
+    match run.begin(None).await {
+        Ok(TryEnd::Streaming(running)) => stream::into_response(run, *running),
+        Ok(TryEnd::Whole(answer)) => {
+            let counters = &context.metrics.answers;
+            counters.with_label_values(&["model", "answered"]).inc();
+            request_line(context, "answered", request)
+                .with("status", answer.status.as_u16())
+                .with("asked", run.asked)
+                .info();
+            answer.into_response()
+        }
+        Err(failed) => {
+            let refusal = Refusal::with_outcome(run.attempts.outcome(), failed.reason);
+            refuse(context, request, refusal, &failed.detail)
+        }
+    }
+}
+
+impl GenerationRun {
+    fn new(context: &Arc<EntryContext>, request: &Arc<CallerRequest>) -> GenerationRun {
+        let kind = request.route.work_kind();
+        GenerationRun {
+            context: Arc::clone(context),
+            request: Arc::clone(request),
+            work: request.work.clone().unwrap_or_default(),
+            attempts: RequestAttempts::new(request.id.clone(), kind),
+            tried: Vec::new(),
+            asked: 0,
+            runs: 0,
+            prefill_calls: 0,
+            is_metered: false,
+        }
+    }
+
+    /// How many engines were asked.
+    pub fn asked(&self) -> usize {
+        self.asked
+    }
+
+    /// The running stream came to its end, or nobody waits for it any more.
+    pub fn end(&mut self) {
+        self.attempts.end();
+    }
+
+    /// Goes on with a broken stream elsewhere, from the event after `last_id`.
+    pub async fn resume(
+        &mut self,
+        failed: &EndpointId,
+        last_id: Option<u64>,
+    ) -> Option<RunningStream> {
+        self.lost(failed);
+        if self.request.route.work_kind() != WorkKind::Repeatable || !self.may_repeat(true) {
+            return None;
+        }
+        match self.begin(last_id).await {
+            Ok(TryEnd::Streaming(running)) => Some(*running),
+            _ => None,
+        }
+    }
+
+    /// Tries engines until one has begun to answer.
+    async fn begin(&mut self, last_id: Option<u64>) -> Result<TryEnd, FailedTry> {
+        loop {
+            let failed = match self.try_once(last_id).await {
+                Ok(end) => return Ok(end),
+                Err(failed) => failed,
+            };
+            let ended = failed.reason == RefusalReason::NoEndpoint && self.asked == 0;
+            let may_go_on = match failed.reason {
+                RefusalReason::EndpointsFull => self.may_repeat(true),
+                RefusalReason::NoEndpoint => self.may_repeat(false),
+                _ => {
+                    self.request.route.work_kind() == WorkKind::Repeatable && self.may_repeat(true)
+                }
+            };
+            if ended || !may_go_on {
+                return Err(failed);
+            }
+            request_line(&self.context, "sent_elsewhere", &self.request)
+                .with("reason", failed.reason)
+                .with("detail", failed.detail)
+                .info();
+        }
+    }
+
+    fn may_repeat(&mut self, needs_budget: bool) -> bool {
+        let now = self.context.now();
+        let has_time = self.request.time_left(now) > TimeSpan::ZERO;
+        if !has_time || self.asked >= ASKED_LIMIT || self.runs >= self.request.route.attempts_limit
+        {
+            return false;
+        }
+        let service = &self.request.service;
+        !needs_budget || self.context.budget.lock().try_repeat(now, service)
+    }
+
+    async fn try_once(&mut self, last_id: Option<u64>) -> Result<TryEnd, FailedTry> {
+        let plan = self.plan()?;
+        let mut added = self.added_headers(last_id);
+        if !plan.has_handover() {
+            let prefill = PrefillGuard::new(&self.context, &plan.prefill, &self.work);
+            return self.run(&plan, added, Some(prefill), last_id).await;
+        }
+        let source = self.prefill(&plan).await?;
+        added.push((headers::KV_SOURCE, source));
+        self.run(&plan, added, None, last_id).await
+    }
+
+    fn plan(&mut self) -> Result<EnginePlan, FailedTry> {
+        let service = self.request.table.service(&self.request.service);
+        let rule = service.and_then(|service| service.engine.as_ref());
+        let Some(rule) = rule else {
+            return Err(FailedTry::new(
+                RefusalReason::NoEndpoint,
+                "the service has no engines",
+            ));
+        };
+        let ask = PlanRequest {
+            service: &self.request.service,
+            rule,
+            work: &self.work,
+            priority: self.request.priority,
+            tried: &self.tried,
+        };
+        let plan = self.context.engines.lock().plan(self.context.now(), ask);
+        plan.map_err(|error| FailedTry::new(RefusalReason::NoEndpoint, error.to_string()))
+    }
+
+    fn added_headers(&self, last_id: Option<u64>) -> AddedHeaders {
+        let priority = self.request.priority.saturating_mul(PRIORITY_STEP);
+        let priority = priority.min(LEAST_URGENT);
+        let mut added = vec![(headers::REQUEST_PRIORITY, priority.to_string())];
+        if let Some(id) = last_id {
+            added.push((headers::LAST_EVENT_ID, id.to_string()));
+        }
+        added
+    }
+
+    /// Has the prompt prefilled; answers where its KV cache lies. This runs
+    /// nothing, so it may be repeated whatever the request is.
+    async fn prefill(&mut self, plan: &EnginePlan) -> Result<String, FailedTry> {
+        let target = &plan.prefill.engine;
+        let guard = PrefillGuard::new(&self.context, &plan.prefill, &self.work);
+        let mut added = self.added_headers(None);
+        added.push((headers::STAGE, headers::STAGE_PREFILL.to_string()));
+        let left = self.request.time_left(self.context.now());
+        self.asked += 1;
+        self.prefill_calls += 1;
+        let end = attempt::send(&self.context, &self.request, target, &added, left).await;
+        let answer = match end {
+            AttemptEnd::Answered(answer) if answer.response.status().is_success() => answer,
+            end => {
+                drop(guard);
+                return Err(self.prefill_failed(target, &end));
+            }
+        };
+        let left = self.request.time_left(self.context.now());
+        let whole = WholeAnswer::read(&self.context, target, answer, left).await;
+        let prefilled = whole.and_then(|whole| engines::decode_prefilled(&whole.body).ok());
+        match prefilled {
+            Some(prompt) => {
+                guard.done();
+                Ok(engines::handover_source(target.address, &prompt))
+            }
+            None => {
+                self.engine_failed(target);
+                let detail = "the prefill's answer broke off";
+                Err(FailedTry::new(RefusalReason::EndpointsFull, detail))
+            }
+        }
+    }
+
+    fn prefill_failed(&mut self, target: &EngineTarget, end: &AttemptEnd) -> FailedTry {
+        let detail = format!("prefill at {}: {}", target.id, end.as_str());
+        match end {
+            AttemptEnd::NotSent(_) => {
+                self.engine_failed(target);
+                FailedTry::new(RefusalReason::NoEndpoint, detail)
+            }
+            AttemptEnd::NotExecuted { status } => {
+                self.refused(target, status.as_u16());
+                FailedTry::new(RefusalReason::EndpointsFull, detail)
+            }
+            AttemptEnd::TimedOut => {
+                self.engine_failed(target);
+                FailedTry::new(RefusalReason::TimedOut, detail)
+            }
+            _ => {
+                self.engine_failed(target);
+                FailedTry::new(RefusalReason::EndpointsFull, detail)
+            }
+        }
+    }
+
+    /// Has the request run.
+    async fn run(
+        &mut self,
+        plan: &EnginePlan,
+        added: AddedHeaders,
+        prefill: Option<PrefillGuard>,
+        last_id: Option<u64>,
+    ) -> Result<TryEnd, FailedTry> {
+        let target = &plan.run;
+        let Ok(permit) = self.attempts.send(&target.id) else {
+            return Err(FailedTry::new(
+                RefusalReason::EndpointFailed,
+                "it has ended",
+            ));
+        };
+        let guard = RunGuard::new(&self.context, &target.id);
+        self.asked += 1;
+        let left = self.request.time_left(self.context.now());
+        let end = attempt::send(&self.context, &self.request, target, &added, left).await;
+        match end {
+            AttemptEnd::Answered(answer) => {
+                self.attempts.answering();
+                self.answered(plan, answer, guard, prefill, last_id).await
+            }
+            AttemptEnd::NotSent(detail) => {
+                self.attempts.not_sent(permit);
+                self.engine_failed(target);
+                Err(FailedTry::new(RefusalReason::NoEndpoint, detail))
+            }
+            AttemptEnd::NotExecuted { status } => {
+                self.attempts.refused_before_running(permit);
+                self.refused(target, status.as_u16());
+                let detail = format!("{} refused with status {status}", target.id);
+                Err(FailedTry::new(RefusalReason::EndpointsFull, detail))
+            }
+            AttemptEnd::MaybeRun(detail) => {
+                self.lost(&target.id);
+                Err(FailedTry::new(RefusalReason::EndpointFailed, detail))
+            }
+            AttemptEnd::TimedOut => {
+                self.lost(&target.id);
+                Err(FailedTry::new(RefusalReason::TimedOut, "no answer in time"))
+            }
+        }
+    }
+
+    async fn answered(
+        &mut self,
+        plan: &EnginePlan,
+        answer: EndpointAnswer,
+        guard: RunGuard,
+        prefill: Option<PrefillGuard>,
+        last_id: Option<u64>,
+    ) -> Result<TryEnd, FailedTry> {
+        let target = &plan.run;
+        if !attempt::is_signed(answer.response.headers()) {
+            self.lost(&target.id);
+            let detail = format!("status {} without a signature", answer.response.status());
+            return Err(FailedTry::new(RefusalReason::EndpointFailed, detail));
+        }
+        if !stream::is_event_stream(&answer.response) {
+            let left = self.request.time_left(self.context.now());
+            let whole = WholeAnswer::read(&self.context, target, answer, left).await;
+            let Some(whole) = whole else {
+                self.lost(&target.id);
+                let detail = "the answer broke off";
+                return Err(FailedTry::new(RefusalReason::EndpointFailed, detail));
+            };
+            self.meter();
+            self.attempts.end();
+            return Ok(TryEnd::Whole(whole));
+        }
+        let (head, body) = answer.response.into_parts();
+        let mut events = EventReader::new(body, last_id);
+        let left = self.request.time_left(self.context.now());
+        let (first, is_complete) = match events.next(left.as_duration()).await {
+            NextEvents::Events { bytes, .. } => (bytes, false),
+            NextEvents::End => (bytes::Bytes::new(), true),
+            NextEvents::Silent => {
+                self.lost(&target.id);
+                return Err(FailedTry::new(RefusalReason::TimedOut, "no event in time"));
+            }
+            NextEvents::Broken => {
+                self.lost(&target.id);
+                let detail = "the stream broke off before its first event";
+                return Err(FailedTry::new(RefusalReason::EndpointFailed, detail));
+            }
+        };
+        if let Some(prefill) = prefill {
+            prefill.done();
+        }
+        self.meter();
+        let now = self.context.now();
+        request_line(&self.context, "first_event", &self.request)
+            .with("prefill", &plan.prefill.engine.id)
+            .with("run", &target.id)
+            .with("held", plan.prefill.held)
+            .with("prompt", self.work.prompt)
+            .with("expected", plan.first_token)
+            .with("asked", self.asked)
+            .info();
+        let elapsed = now.since(self.request.arrived).as_millis() as f64 / 1_000.0;
+        let latency = &self.context.metrics.latency;
+        latency.with_label_values(&["model"]).observe(elapsed);
+        Ok(TryEnd::Streaming(Box::new(RunningStream {
+            head,
+            events,
+            first: Some(first),
+            is_complete,
+            connection: Some(answer.connection),
+            target: target.clone(),
+            _guard: guard,
+        })))
+    }
+
+    fn meter(&mut self) {
+        if !self.is_metered {
+            self.is_metered = true;
+            meter(&self.context, &self.request, TimeSpan::ZERO);
+        }
+    }
+
+    /// The request may have run at `engine`, and its answer is lost.
+    fn lost(&mut self, engine: &EndpointId) {
+        self.runs += 1;
+        self.attempts.lost();
+        self.tried.push(engine.clone());
+        let now = self.context.now();
+        self.context.engines.lock().failed(now, engine);
+    }
+
+    fn refused(&mut self, target: &EngineTarget, status: u16) {
+        self.tried.push(target.id.clone());
+        if status == 421 {
+            self.context.directory.lock().drop_endpoint(&target.id);
+            self.context.engines.lock().remove_engine(&target.id);
+        }
+    }
+
+    fn engine_failed(&mut self, target: &EngineTarget) {
+        self.tried.push(target.id.clone());
+        let now = self.context.now();
+        let ejected = self.context.engines.lock().failed(now, &target.id);
+        if let Some(span) = ejected {
+            bluebell_daemon::logs::LogLine::new("endpoint_ejected")
+                .with("endpoint", &target.id)
+                .with("for", span)
+                .info();
+        }
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/forward/guards.rs
@@ -0,0 +1,139 @@
+//! Entries in the books that are taken back when a request ends, however it ends.
+//!
+//! A caller may leave at any moment, and then the whole handling of its request
+//! is dropped where it stands. Were its entries left in the books, an engine
+//! would look busier for each caller who left, until nothing was sent there.
+
+use std::sync::Arc;
+
+use bluebell_core::{
+    clock::ClockTime,
+    ids::EndpointId,
+    placement::{PlannedPrefill, PromptWork},
+};
+
+use crate::context::EntryContext;
+
+/// A prefill in an engine's queue.
+#[derive(Debug)]
+pub struct PrefillGuard {
+    context: Arc<EntryContext>,
+    prefill: Option<PlannedPrefill>,
+    sent: ClockTime,
+}
+
+impl PrefillGuard {
+    /// The prefill is sent now.
+    pub fn new(
+        context: &Arc<EntryContext>,
+        prefill: &PlannedPrefill,
+        work: &PromptWork,
+    ) -> PrefillGuard {
+        let sent = context.now();
+        context.engines.lock().prefill_sent(sent, prefill, work);
+        PrefillGuard {
+            context: Arc::clone(context),
+            prefill: Some(prefill.clone()),
+            sent,
+        }
+    }
+
+    /// The prefill is done.
+    pub fn done(mut self) {
+        if let Some(prefill) = self.prefill.take() {
+            let now = self.context.now();
+            let error_ms = now.as_millis() as f64 - prefill.done_at_ms;
+            self.context
+                .metrics
+                .estimate_error
+                .observe(error_ms.abs() / 1_000.0);
+            self.context
+                .engines
+                .lock()
+                .prefill_done(now, &prefill, self.sent);
+        }
+    }
+}
+
+impl Drop for PrefillGuard {
+    fn drop(&mut self) {
+        if let Some(prefill) = &self.prefill {
+            self.context.engines.lock().prefill_dropped(prefill);
+        }
+    }
+}
+
+/// A request that runs on an engine.
+#[derive(Debug)]
+pub struct RunGuard {
+    context: Arc<EntryContext>,
+    engine: EndpointId,
+}
+
+impl RunGuard {
+    /// The request is sent now.
+    pub fn new(context: &Arc<EntryContext>, engine: &EndpointId) -> RunGuard {
+        context.engines.lock().run_started(engine);
+        RunGuard {
+            context: Arc::clone(context),
+            engine: engine.clone(),
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.context.engines.lock().run_ended(&self.engine);
+    }
+}
+
+/// A request that a replica of a plain service has.
+#[derive(Debug)]
+pub struct ReplicaGuard {
+    context: Arc<EntryContext>,
+    replica: Option<EndpointId>,
+    sent: ClockTime,
+}
+
+impl ReplicaGuard {
+    /// The request is sent now.
+    pub fn new(context: &Arc<EntryContext>, replica: &EndpointId) -> ReplicaGuard {
+        context.replicas.lock().sent(replica);
+        ReplicaGuard {
+            context: Arc::clone(context),
+            replica: Some(replica.clone()),
+            sent: context.now(),
+        }
+    }
+
+    /// The replica answered.
+    pub fn answered(mut self) {
+        if let Some(replica) = self.replica.take() {
+            let now = self.context.now();
+            let took = now.since(self.sent);
+            self.context.replicas.lock().answered(now, &replica, took);
+        }
+    }
+
+    /// The replica failed.
+    pub fn failed(mut self) {
+        if let Some(replica) = self.replica.take() {
+            let now = self.context.now();
+            let ejected = self.context.replicas.lock().failed(now, &replica);
+            if let Some(span) = ejected {
+                bluebell_daemon::logs::LogLine::new("endpoint_ejected")
+                    .with("endpoint", &replica)
+                    .with("for", span)
+                    .info();
+            }
+        }
+    }
+}
+
+impl Drop for ReplicaGuard {
+    fn drop(&mut self) {
+        if let Some(replica) = &self.replica {
+            self.context.replicas.lock().released(replica);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/forward/mod.rs
@@ -0,0 +1,89 @@
+//! Passing requests on to endpoints and their answers back.
+
+mod answer;
+mod attempt;
+mod connection;
+mod events;
+mod generate;
+mod guards;
+mod plain;
+mod pool;
+mod stream;
+
+use std::sync::Arc;
+
+use bluebell_core::{clock::TimeSpan, records::UsageWindow};
+use bluebell_daemon::logs::LogLine;
+use hyper::Response;
+
+pub use self::pool::ConnectionPools;
+use crate::{
+    context::EntryContext,
+    front::{AnswerBody, CallerRequest, Refusal},
+    time::wall_time,
+};
+
+/// Serves a request.
+pub async fn serve(context: &Arc<EntryContext>, request: CallerRequest) -> Response<AnswerBody> {
+    let now = context.now();
+    context.budget.lock().note_request(now, &request.service);
+    let request = Arc::new(request);
+    match request.work {
+        Some(_) => generate::serve(context, &request).await,
+        None => plain::serve(context, &request).await,
+    }
+}
+
+/// Counts the request for the usage of its organisation: it has begun to run.
+fn meter(context: &EntryContext, request: &CallerRequest, ago: TimeSpan) {
+    let Some(organisation) = &request.organisation else {
+        return;
+    };
+    let length = context.settings.bounds.usage_window;
+    let window = UsageWindow::at(wall_time() - ago, length);
+    context.meter.lock().count(window, organisation);
+}
+
+/// A line that names the request and what it is.
+fn request_line(context: &EntryContext, event: &str, request: &CallerRequest) -> LogLine {
+    let now = context.now();
+    let organisation = request.organisation.as_ref();
+    LogLine::new(event)
+        .with("request", &request.id)
+        .with("route", &request.route.name)
+        .with("service", &request.service)
+        .with(
+            "organisation",
+            organisation.map_or("-", |name| name.as_str()),
+        )
+        .with("version", request.table.configuration().version)
+        .with("elapsed", now.since(request.arrived))
+}
+
+/// Gives a request up.
+fn refuse(
+    context: &EntryContext,
+    request: &CallerRequest,
+    refusal: Refusal,
+    detail: &str,
+) -> Response<AnswerBody> {
+    let kind = if request.work.is_some() {
+        "model"
+    } else {
+        "plain"
+    };
+    let outcome = refusal.reason().as_str();
+    let counters = &context.metrics.answers;
+    counters.with_label_values(&[kind, outcome]).inc();
+    let retry_after = refusal.retry_after();
+    request_line(context, "given_up", request)
+        .with("status", refusal.status())
+        .with("reason", refusal.reason())
+        .with(
+            "retry_after",
+            retry_after.map_or("-".to_string(), |span| span.to_string()),
+        )
+        .with("detail", detail)
+        .info();
+    refusal.into_response()
+}
--- /dev/null
+++ b/crates/ingress/src/lib.rs
@@ -0,0 +1,18 @@
+//! The program of an entry instance on the users' platform.
+//!
+//! Every instance runs one process with everything: it takes callers' requests
+//! ([`front`]), sends them to endpoints ([`forward`]), follows configuration and
+//! endpoints in the store ([`believe`]) and, while it holds the stewardship,
+//! reports usage and orders endpoints ([`steward`]). The decisions are slices of
+//! `bluebell-core`; names and formats of the platform are in `bluebell-adapter`.
+
+pub mod believe;
+pub mod context;
+pub mod forward;
+pub mod front;
+pub mod logs;
+pub mod metrics;
+pub mod program;
+pub mod ready;
+pub mod steward;
+pub mod time;
--- /dev/null
+++ b/crates/ingress/src/main.rs
@@ -0,0 +1,7 @@
+//! The program of an entry instance.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bluebell_ingress::program::run()
+}
--- /dev/null
+++ b/crates/ingress/src/metrics.rs
@@ -0,0 +1,83 @@
+//! Counters and histograms of an entry.
+
+use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Bounds of latency buckets in seconds: the users' objectives lie between 0.1
+/// and 0.8 s, their deadlines between 1.5 and 10 s.
+const LATENCY_BUCKETS: &[f64] = &[
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0,
+];
+
+/// What an entry counts.
+#[derive(Clone, Debug)]
+pub struct EntryMetrics {
+    /// Where everything is registered.
+    pub registry: Registry,
+    /// Final answers by route kind and outcome.
+    pub answers: IntCounterVec,
+    /// Attempts at endpoints by how they ended.
+    pub attempts: IntCounterVec,
+    /// Time to the first event or the whole answer, by route kind.
+    pub latency: HistogramVec,
+    /// How far the first token was from its estimate, in seconds, absolute.
+    pub estimate_error: Histogram,
+    /// Calls to the store by call and outcome.
+    pub store_calls: IntCounterVec,
+    /// The version of the configuration in force.
+    pub configuration_version: IntGauge,
+    /// Requests under way.
+    pub requests_open: IntGauge,
+}
+
+impl EntryMetrics {
+    /// Registers everything.
+    pub fn new() -> prometheus::Result<EntryMetrics> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let buckets = |name: &str, help: &str| {
+            HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec())
+        };
+        let latency_opts = buckets(
+            "bluebell_latency_seconds",
+            "time to the first event or answer",
+        );
+        let latency = HistogramVec::new(latency_opts, &["kind"])?;
+        registry.register(Box::new(latency.clone()))?;
+        let error_opts = buckets(
+            "bluebell_estimate_error_seconds",
+            "first token against estimate",
+        );
+        let estimate_error = Histogram::with_opts(error_opts)?;
+        registry.register(Box::new(estimate_error.clone()))?;
+        Ok(EntryMetrics {
+            answers: counter(
+                "bluebell_answers_total",
+                "final answers",
+                &["kind", "outcome"],
+            )?,
+            attempts: counter("bluebell_attempts_total", "attempts at endpoints", &["end"])?,
+            store_calls: counter(
+                "bluebell_store_calls_total",
+                "calls to the store",
+                &["call", "outcome"],
+            )?,
+            configuration_version: gauge(
+                "bluebell_configuration_version",
+                "version of the configuration in force",
+            )?,
+            requests_open: gauge("bluebell_requests_open", "requests under way")?,
+            latency,
+            estimate_error,
+            registry,
+        })
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/ready.rs
@@ -0,0 +1,85 @@
+//! Whether the instance takes new connections, and the pages about itself.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bluebell_adapter::READY_PATH;
+use bluebell_daemon::ops::{self, OpsSource, ReadyState, RunningServer};
+use rocket::{
+    Data, Request, Route,
+    http::{Method, Status},
+    route::{Handler, Outcome},
+};
+use serde_json::json;
+
+use crate::context::EntryContext;
+
+/// Answers the platform's question.
+#[derive(Clone)]
+struct ReadyPage {
+    context: Arc<EntryContext>,
+}
+
+#[rocket::async_trait]
+impl Handler for ReadyPage {
+    async fn handle<'r>(&self, request: &'r Request<'_>, _data: Data<'r>) -> Outcome<'r> {
+        let status = match state(&self.context) {
+            ReadyState::Ready => Status::Ok,
+            ReadyState::NotReady(_) => Status::ServiceUnavailable,
+        };
+        Outcome::from(request, (status, "{}"))
+    }
+}
+
+/// Whether the instance can serve what callers send.
+pub fn state(context: &EntryContext) -> ReadyState {
+    if context.stopping.is_cancelled() {
+        return ReadyState::NotReady("stopping".to_string());
+    }
+    if context.belief.lock().table().is_none() {
+        return ReadyState::NotReady("no configuration has been read".to_string());
+    }
+    if !context.keys_are_fresh(context.now()) {
+        return ReadyState::NotReady("nothing has been heard of withdrawn keys".to_string());
+    }
+    ReadyState::Ready
+}
+
+/// What this process believes; holds no caller's key.
+pub fn dump(context: &EntryContext) -> serde_json::Value {
+    let now = context.now();
+    let (version, age) = {
+        let belief = context.belief.lock();
+        (belief.version(), belief.age(now))
+    };
+    let endpoints: Vec<_> = context.directory.lock().iter().cloned().collect();
+    json!({
+        "instance": context.settings.instance,
+        "failure_domain": context.settings.domain,
+        "start": context.writer.start,
+        "configuration": { "version": version, "age": age },
+        "endpoints": endpoints,
+        "ready": match state(context) {
+            ReadyState::Ready => "ready".to_string(),
+            ReadyState::NotReady(reason) => reason,
+        },
+    })
+}
+
+/// Serves the pages at `address`.
+pub async fn serve(
+    context: Arc<EntryContext>,
+    address: SocketAddr,
+) -> Result<RunningServer, ops::ListenError> {
+    let page = ReadyPage {
+        context: Arc::clone(&context),
+    };
+    let asked = Arc::clone(&context);
+    let source = OpsSource::new(
+        context.metrics.registry.clone(),
+        move || state(&asked),
+        move || dump(&context),
+    );
+    let rocket = ops::mount(ops::server(address), source)
+        .mount("/", vec![Route::new(Method::Get, READY_PATH, page)]);
+    RunningServer::start(rocket, address).await
+}
--- /dev/null
+++ b/crates/ingress/src/steward/duty.rs
@@ -0,0 +1,338 @@
+//! Standing for the stewardship, and acting while it is held.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use bluebell_adapter::{
+    CallError,
+    duties::{DutyAuthority, DutyClient},
+    store::{AppendAnswer, ReadAnswer},
+};
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::LogOffset,
+    records::UsageWindow,
+    stewardship::{STEWARD_BEAT, StewardGrant, StewardSeat},
+    usage::{MeteredCounts, UsageLedger},
+};
+use bluebell_daemon::logs::LogLine;
+use prost::Message;
+
+use crate::{
+    believe::StorePath,
+    context::EntryContext,
+    steward::records::{
+        STEWARD_PART, StewardRecord, USAGE_PART, UsageRecord, WindowCounts, encode, writer,
+    },
+    time::wall_time,
+};
+
+/// How long after its end a window is frozen: entries publish their last counts
+/// some ms after it, and the store may be slow.
+const FREEZE_AFTER: TimeSpan = TimeSpan::from_millis(1_600);
+
+/// How long the store may hold back a read of the stewards' topic.
+const READ_WAIT: TimeSpan = TimeSpan::from_millis(4_500);
+
+/// How long one call may take: the right to act is over by then.
+const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
+
+/// How often a steward looks whether there is something to do.
+const STEP: Duration = Duration::from_millis(250);
+
+/// How many windows back are reported after an outage.
+const WINDOWS_BACK: u64 = 3;
+
+/// The duties of one process: those of the steward while it is the steward,
+/// waiting for the steward's silence otherwise.
+#[derive(Debug)]
+pub struct StewardDuty {
+    context: Arc<EntryContext>,
+    client: DutyClient,
+    seat: StewardSeat,
+    /// Figures that were frozen, by this steward or one before it.
+    frozen: BTreeMap<UsageWindow, MeteredCounts>,
+    reported: Option<UsageWindow>,
+    ledger: UsageLedger,
+    usage_next: LogOffset,
+    /// When this process last appended.
+    beat_at: Option<ClockTime>,
+    started: UsageWindow,
+}
+
+impl StewardDuty {
+    /// A process that knows nothing yet.
+    pub fn new(context: Arc<EntryContext>, client: DutyClient) -> StewardDuty {
+        let lease = context.settings.bounds.lease;
+        let seat = StewardSeat::new(context.now(), context.writer.clone(), lease);
+        let started = UsageWindow::at(wall_time(), context.settings.bounds.usage_window);
+        StewardDuty {
+            context,
+            client,
+            seat,
+            frozen: BTreeMap::new(),
+            reported: None,
+            ledger: UsageLedger::new(),
+            usage_next: LogOffset::START,
+            beat_at: None,
+            started,
+        }
+    }
+
+    /// Serves for good.
+    pub async fn serve(mut self) {
+        let mut path = StorePath::new("steward");
+        loop {
+            let step = self.step().await;
+            let context = Arc::clone(&self.context);
+            match step {
+                Ok(()) => path.answered(&context),
+                Err(error) => path.failed(&context, &error).await,
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Result<(), CallError> {
+        if self.context.stopping.is_cancelled() {
+            // Somebody else takes over after the lease; nothing is begun here.
+            tokio::time::sleep(STEP).await;
+            return Ok(());
+        }
+        if !self.seat.is_steward() {
+            return self.wait_for_silence().await;
+        }
+        if let Some(window) = self.window_to_report() {
+            return self.report(window).await;
+        }
+        let now = self.context.now();
+        if self.beat_at.is_none_or(|at| now.since(at) >= STEWARD_BEAT) {
+            return self.append(None).await.map(drop);
+        }
+        tokio::time::sleep(STEP).await;
+        Ok(())
+    }
+
+    /// Reads on; appends if the steward has been silent for too long.
+    async fn wait_for_silence(&mut self) -> Result<(), CallError> {
+        let wait = match self.seat.end() {
+            None => TimeSpan::ZERO,
+            Some(_) => READ_WAIT,
+        };
+        self.read(wait).await?;
+        if !self.seat.is_steward() && self.seat.may_append(self.context.now()) {
+            self.append(None).await?;
+            if self.seat.is_steward() {
+                LogLine::new("steward").with("outcome", "taken_over").info();
+            }
+        }
+        if self.seat.steward().is_none() {
+            tokio::time::sleep(STEP).await;
+        }
+        Ok(())
+    }
+
+    async fn read(&mut self, wait: TimeSpan) -> Result<(), CallError> {
+        let from = self.seat.end().unwrap_or(LogOffset::START);
+        let timeout = wait + CALL_TIMEOUT;
+        match self
+            .context
+            .store
+            .read(STEWARD_PART, from, wait, timeout)
+            .await
+        {
+            Ok(ReadAnswer::Records { records, end }) => {
+                for record in records {
+                    self.take(record.offset, &record.bytes);
+                }
+                self.seat.note_end(end);
+                Ok(())
+            }
+            Ok(ReadAnswer::Forgotten { first }) => {
+                self.seat.note_end(first);
+                Ok(())
+            }
+            // A topic that nobody has written to does not exist yet.
+            Err(CallError::Status { status: 404, .. }) => {
+                self.seat.note_end(LogOffset::START);
+                Ok(())
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    fn take(&mut self, offset: LogOffset, bytes: &[u8]) {
+        let record = match StewardRecord::decode(bytes) {
+            Ok(record) => record,
+            Err(error) => {
+                LogLine::new("steward_record_rejected")
+                    .with("offset", offset)
+                    .with("error", error)
+                    .warn();
+                return;
+            }
+        };
+        let Some(writer) = writer(&record.instance, record.start) else {
+            return;
+        };
+        if let Some(frozen) = &record.frozen {
+            let window = UsageWindow::new(frozen.window);
+            self.frozen.entry(window).or_insert_with(|| frozen.counts());
+        }
+        if record.reported > 0 {
+            self.note_reported(UsageWindow::new(record.reported));
+        }
+        self.seat.note_record(self.context.now(), offset, writer);
+    }
+
+    fn note_reported(&mut self, window: UsageWindow) {
+        self.reported = self.reported.max(Some(window));
+        let reported = self.reported;
+        self.frozen.retain(|window, _| Some(*window) > reported);
+    }
+
+    /// The oldest window that is over and has not been reported.
+    fn window_to_report(&self) -> Option<UsageWindow> {
+        let length = self.context.settings.bounds.usage_window;
+        let current = UsageWindow::at(wall_time() - FREEZE_AFTER, length);
+        let oldest = UsageWindow::new(current.number().saturating_sub(WINDOWS_BACK));
+        let next = self.reported.map_or(self.started, UsageWindow::next);
+        let window = next.max(oldest);
+        (window < current).then_some(window)
+    }
+
+    async fn report(&mut self, window: UsageWindow) -> Result<(), CallError> {
+        let counts = match self.frozen.get(&window) {
+            Some(counts) => counts.clone(),
+            None => {
+                self.read_usage().await?;
+                self.ledger.sum(window)
+            }
+        };
+        let frozen = WindowCounts::new(window, &counts);
+        let Some(grant) = self.append(Some(frozen)).await? else {
+            return Ok(());
+        };
+        // Whatever was frozen first holds, should two have frozen the window.
+        let counts = self.frozen.entry(window).or_insert(counts).clone();
+        if counts.is_empty() {
+            self.note_reported(window);
+            return Ok(());
+        }
+        let authority = self.authority(&grant);
+        if !grant.allows(self.context.now()) {
+            return Ok(());
+        }
+        let number = window.number();
+        let reported = self
+            .client
+            .report_usage(&authority, number, &counts, CALL_TIMEOUT);
+        let reported = reported.await;
+        let line = LogLine::new("usage_report")
+            .with("window", window)
+            .with("fence", grant.fence)
+            .with("requests", counts.values().sum::<u64>());
+        match reported {
+            Ok(()) => {
+                line.with("outcome", "accepted").info();
+                self.note_reported(window);
+            }
+            Err(error) => {
+                line.with("outcome", "failed").with("error", error).warn();
+                tokio::time::sleep(STEP).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn authority(&self, grant: &StewardGrant) -> DutyAuthority {
+        DutyAuthority {
+            holder: self.context.writer.instance.clone(),
+            fence: grant.fence,
+        }
+    }
+
+    /// Appends a record where the topic ends as far as this process has read it.
+    /// Nothing comes back if somebody else has written meanwhile.
+    async fn append(
+        &mut self,
+        frozen: Option<WindowCounts>,
+    ) -> Result<Option<StewardGrant>, CallError> {
+        let record = StewardRecord {
+            instance: self.context.writer.instance.to_string(),
+            start: self.context.writer.start,
+            frozen: frozen.clone(),
+            reported: self.reported.map_or(0, UsageWindow::number),
+        };
+        let end = self.seat.end();
+        let sent = self.context.now();
+        let records = [encode(&record)];
+        let store = &self.context.store;
+        let appended = store
+            .append(STEWARD_PART, end, &records, CALL_TIMEOUT)
+            .await;
+        match appended {
+            Ok(AppendAnswer::Appended { offset }) => {
+                let now = self.context.now();
+                self.beat_at = Some(now);
+                if let Some(frozen) = frozen {
+                    let window = UsageWindow::new(frozen.window);
+                    self.frozen.entry(window).or_insert_with(|| frozen.counts());
+                }
+                Ok(Some(self.seat.appended(now, sent, offset)))
+            }
+            Ok(AppendAnswer::EndMoved { .. }) => {
+                self.read(TimeSpan::ZERO).await?;
+                Ok(None)
+            }
+            Err(error) => {
+                // It may be carried out all the same, so what stands there now is
+                // read before anything else is tried.
+                self.read(TimeSpan::ZERO).await?;
+                Err(error)
+            }
+        }
+    }
+
+    async fn read_usage(&mut self) -> Result<(), CallError> {
+        loop {
+            let from = self.usage_next;
+            let read = self
+                .context
+                .store
+                .read(USAGE_PART, from, TimeSpan::ZERO, CALL_TIMEOUT);
+            match read.await {
+                Ok(ReadAnswer::Records { records, end }) => {
+                    for record in &records {
+                        self.take_usage(&record.bytes);
+                    }
+                    let next = records.last().map_or(end, |record| record.offset.next());
+                    self.usage_next = next;
+                    if records.is_empty() || next >= end {
+                        return Ok(());
+                    }
+                }
+                Ok(ReadAnswer::Forgotten { first }) => self.usage_next = first,
+                Err(CallError::Status { status: 404, .. }) => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    fn take_usage(&mut self, bytes: &[u8]) {
+        let record = match UsageRecord::decode(bytes) {
+            Ok(record) => record,
+            Err(error) => {
+                LogLine::new("usage_record_rejected")
+                    .with("error", error)
+                    .warn();
+                return;
+            }
+        };
+        let Some(writer) = writer(&record.instance, record.start) else {
+            return;
+        };
+        for window in &record.windows {
+            let number = UsageWindow::new(window.window);
+            self.ledger.take(number, writer.clone(), window.counts());
+        }
+    }
+}
