--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -1,11 +1,14 @@
 //! Choosing engines for a prompt: where it is prefilled and where it runs.
 //!
-//! Each engine is modelled as a queue of prefills. What this entry sends
-//! lengthens the queue by the tokens that the engine doesn't hold, and each
-//! prefill that ends corrects the model by how far it was off, which also tells
-//! what other entries sent there. Entries that know nothing of each other still
-//! agree on where a shared part belongs, by rendezvous hashing; the queues bound
-//! how far that goes.
+//! Each engine is modelled as a queue of prefills: those that this entry sent and
+//! that are not done, and those that the other entries say they have there. What
+//! a prompt adds to a queue are the tokens that the engine doesn't hold. Entries
+//! tell each other where they sent shared parts; what nobody has told is decided
+//! by rendezvous hashing, so that entries agree before they have talked.
+//!
+//! The engine that runs a request is chosen when its prompt is prefilled: what
+//! was known at its arrival may be a second old by then, and the engine may be
+//! about to leave.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -16,9 +19,12 @@
 use crate::{
     clock::{ClockTime, TimeSpan},
     directory::{EndpointRegistration, EngineStage},
-    ids::{EndpointId, FailureDomain, ServiceName},
+    ids::{EndpointId, FailureDomain, InstanceId, ServiceName},
     ingress::EngineRule,
-    placement::{PartPlaces, PromptWork},
+    placement::{
+        PartPlaces, PromptWork,
+        queue::{EngineLoad, EngineQueue, RANKS},
+    },
     routing::{EndpointHealth, RoutingSettings},
 };
 
@@ -42,18 +48,14 @@
 /// What prefill work costs beside its own time, per ms of it: it keeps others
 /// waiting. A whole ms would be right at full load.
 const WORK_WEIGHT: f64 = 0.5;
-/// The part of a correction that is believed at once.
-const CORRECTION_WEIGHT: f64 = 0.5;
-/// How far ahead a queue is believed to reach at most, in ms.
-const QUEUE_LIMIT_MS: f64 = 20_000.0;
 /// The share of a shared part that is taken to be held by its rendezvous engine
-/// when this entry has not sent it there itself.
-const RENDEZVOUS_TRUST: f64 = 0.6;
-/// How many ranks of urgency have a queue of their own; less urgent ones share
-/// the last.
-const RANKS: usize = 4;
-/// What a running request adds to the cost of a decode engine, in ms.
+/// when nobody is known to have sent it there.
+const RENDEZVOUS_TRUST: f64 = 0.5;
+/// What a running request adds to the cost of an engine that decodes, in ms.
 const RUNNING_MS: f64 = 1.0;
+/// By how much costs are varied, so that entries with the same picture don't all
+/// take the same engine.
+const COST_NOISE: f64 = 0.05;
 
 /// An engine that takes part in a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,40 +68,26 @@
 
 /// Prefill work that a plan puts into an engine's queue.
 #[derive(Clone, Debug, PartialEq)]
-pub struct PlannedPrefill {
+pub struct PrefillPlan {
     /// The engine that prefills.
     pub engine: EngineTarget,
+    /// Whether the engine runs the request as well.
+    pub runs_there: bool,
     /// The time that the prefill itself takes, in ms.
     pub work_ms: f64,
     /// Tokens of the prompt that the engine holds already.
     pub held: u64,
-    /// When it is expected to be done, on the clock of the books, in ms.
-    pub done_at_ms: f64,
     /// Tokens to be prefilled.
     pub tokens: u64,
-    /// Its urgency, 0 being the first.
+    /// When the first token is expected, from now.
+    pub first_token: TimeSpan,
     rank: usize,
-    /// Whether the engine's queue was empty as far as known.
     was_idle: bool,
 }
 
-/// Where a request goes.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EnginePlan {
-    /// The prefill: at the engine that runs the request, or at another.
-    pub prefill: PlannedPrefill,
-    /// The engine that runs it.
-    pub run: EngineTarget,
-    /// When its first token is expected, from now.
-    pub first_token: TimeSpan,
-}
-
-impl EnginePlan {
-    /// Whether the prompt is handed over from another engine.
-    pub fn has_handover(&self) -> bool {
-        self.prefill.engine.id != self.run.id
-    }
-}
+/// Names a prefill in an engine's queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PrefillTicket(u64);
 
 /// A request that looks for engines.
 #[derive(Clone, Copy, Debug)]
@@ -116,6 +104,12 @@
     pub tried: &'a [EndpointId],
 }
 
+impl PlanRequest<'_> {
+    fn rank(&self) -> usize {
+        usize::from(self.priority).min(RANKS - 1)
+    }
+}
+
 /// Why there is no engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum NoEngine {
@@ -124,18 +118,35 @@
     NoneLeft,
 }
 
+/// What entries tell each other of one engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ToldLoad {
+    /// The engine, by the hash of its id.
+    pub engine: u64,
+    /// What the teller has there.
+    pub load: EngineLoad,
+}
+
+/// A part of a prompt that was sent to an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ToldPart {
+    /// The engine, by the hash of its id.
+    pub engine: u64,
+    /// The part's id.
+    pub part: u64,
+}
+
 #[derive(Clone, Debug)]
 struct EngineBook {
     number: u32,
+    hash: u64,
     target: EngineTarget,
     start: u64,
     service: ServiceName,
     domain: FailureDomain,
     stage: Option<EngineStage>,
     is_leaving: bool,
-    /// When all prefills of this urgency or a greater one will be done.
-    queue_end_ms: [f64; RANKS],
-    running: u32,
+    queue: EngineQueue,
     health: EndpointHealth,
 }
 
@@ -158,11 +169,19 @@
     settings: RoutingSettings,
     random: ChaCha8Rng,
     books: BTreeMap<EndpointId, EngineBook>,
+    by_hash: BTreeMap<u64, EndpointId>,
     places: PartPlaces,
     rates: BTreeMap<ServiceName, f64>,
     next_number: u32,
+    next_ticket: u64,
+    /// What has not been told to the other entries.
+    untold: Vec<ToldPart>,
 }
 
+/// The most parts that wait to be told; the oldest are dropped, which costs a
+/// wrong guess.
+const UNTOLD_LIMIT: usize = 256;
+
 impl EngineBooks {
     /// No engine.
     pub fn new(settings: RoutingSettings) -> EngineBooks {
@@ -170,9 +189,12 @@
             settings,
             random: ChaCha8Rng::seed_from_u64(0),
             books: BTreeMap::new(),
+            by_hash: BTreeMap::new(),
             places: PartPlaces::new(),
             rates: BTreeMap::new(),
             next_number: 0,
+            next_ticket: 0,
+            untold: Vec::new(),
         }
     }
 
@@ -192,8 +214,10 @@
             return;
         }
         self.remove_engine(&registration.id);
+        let hash = xxh3_64_with_seed(registration.id.as_str().as_bytes(), 0);
         let book = EngineBook {
             number: self.next_number,
+            hash,
             target: EngineTarget {
                 id: registration.id.clone(),
                 address: registration.address,
@@ -203,11 +227,11 @@
             domain: registration.domain.clone(),
             stage: registration.stage,
             is_leaving: registration.is_leaving,
-            queue_end_ms: [0.0; RANKS],
-            running: 0,
+            queue: EngineQueue::new(),
             health: EndpointHealth::new(),
         };
         self.next_number += 1;
+        self.by_hash.insert(hash, registration.id.clone());
         self.books.insert(registration.id.clone(), book);
     }
 
@@ -215,19 +239,18 @@
     pub fn remove_engine(&mut self, id: &EndpointId) {
         if let Some(book) = self.books.remove(id) {
             self.places.forget_engine(book.number);
+            self.by_hash.remove(&book.hash);
         }
     }
 
     /// Tokens that an engine of the service prefills in a ms, as measured.
     pub fn prefill_rate(&self, service: &ServiceName) -> f64 {
-        self.rates
-            .get(service)
-            .copied()
-            .unwrap_or(FIRST_PREFILL_RATE)
+        let rate = self.rates.get(service).copied();
+        rate.unwrap_or(FIRST_PREFILL_RATE)
     }
 
-    /// Chooses the engines for a request.
-    pub fn plan(&mut self, now: ClockTime, ask: PlanRequest<'_>) -> Result<EnginePlan, NoEngine> {
+    /// Chooses the engine that prefills a request's prompt.
+    pub fn plan(&mut self, now: ClockTime, ask: PlanRequest<'_>) -> Result<PrefillPlan, NoEngine> {
         for sound_only in [true, false] {
             if let Some(plan) = self.best_plan(now, ask, sound_only) {
                 return Ok(plan);
@@ -241,56 +264,54 @@
         now: ClockTime,
         ask: PlanRequest<'_>,
         sound_only: bool,
-    ) -> Option<EnginePlan> {
-        let usable = |book: &&EngineBook| {
-            book.service == *ask.service
-                && !book.is_leaving
-                && !ask.tried.contains(&book.target.id)
-                && !(sound_only && book.health.is_ejected(now))
-        };
-        let books: Vec<&EngineBook> = self.books.values().filter(usable).collect();
-        let runners: Vec<&EngineBook> = books
+    ) -> Option<PrefillPlan> {
+        let books: Vec<&EngineBook> = self.usable(now, ask, sound_only).collect();
+        let handover_ms = books
             .iter()
-            .filter(|b| b.runs_requests())
-            .copied()
-            .collect();
-        if runners.is_empty() {
-            return None;
-        }
+            .filter(|book| book.runs_requests())
+            .map(|book| run_cost_ms(now, book, None, ask))
+            .min_by(f64::total_cmp)?;
         let preferred = rendezvous(&books, ask.work);
-        let mut best: Option<(f64, EnginePlan)> = None;
+        let mut costs: Vec<(f64, PrefillPlan)> = Vec::with_capacity(books.len());
         for book in &books {
-            let prefill = self.prefill_at(now, book, &ask, preferred == Some(book.number));
-            let prefill_ms = prefill.done_at_ms - now.as_millis() as f64;
-            let (run, handover_ms) = if book.runs_requests() {
-                (*book, 0.0)
-            } else {
-                let spread = self.random.random_range(0..runners.len());
-                cheapest_runner(now, book, &runners, ask, spread)
-            };
-            let first_token = prefill_ms + handover_ms;
-            let running = f64::from(run.running) * RUNNING_MS;
-            let cost = first_token + running + WORK_WEIGHT * prefill.work_ms;
-            if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
-                continue;
-            }
-            let plan = EnginePlan {
-                prefill,
-                run: run.target.clone(),
-                first_token: TimeSpan::from_millis(first_token.max(0.0) as u64),
+            let mut plan = self.prefill_at(now, book, &ask, preferred == Some(book.number));
+            let wait_ms = book.queue.wait_ms(now, ask.rank());
+            let rest_ms = match plan.runs_there {
+                true => f64::from(book.queue.running(now)) * RUNNING_MS,
+                false => handover_ms,
             };
-            best = Some((cost, plan));
+            let first_token_ms = wait_ms + plan.work_ms + FIXED_MS + rest_ms;
+            plan.first_token = TimeSpan::from_millis(first_token_ms as u64);
+            costs.push((first_token_ms + WORK_WEIGHT * plan.work_ms, plan));
         }
+        for (cost, _) in &mut costs {
+            *cost *= self.random.random_range(1.0..1.0 + COST_NOISE);
+        }
+        let best = costs.into_iter().min_by(|one, two| one.0.total_cmp(&two.0));
         best.map(|(_, plan)| plan)
     }
 
+    fn usable<'a>(
+        &'a self,
+        now: ClockTime,
+        ask: PlanRequest<'a>,
+        sound_only: bool,
+    ) -> impl Iterator<Item = &'a EngineBook> {
+        self.books.values().filter(move |book| {
+            book.service == *ask.service
+                && !book.is_leaving
+                && !ask.tried.contains(&book.target.id)
+                && !(sound_only && book.health.is_ejected(now))
+        })
+    }
+
     fn prefill_at(
         &self,
         now: ClockTime,
         book: &EngineBook,
         ask: &PlanRequest<'_>,
         is_preferred: bool,
-    ) -> PlannedPrefill {
+    ) -> PrefillPlan {
         let held = self.places.held(now, book.number, &ask.work.parts);
         let shared: u64 = ask.work.shared().iter().map(|part| part.tokens).sum();
         let believed = if is_preferred && held < shared {
@@ -302,52 +323,87 @@
         let prompt = ask.work.prompt.count();
         let tokens = prompt.saturating_sub(believed).max(1);
         let rate = self.prefill_rate(ask.service) / book.prefill_slowdown();
-        let work_ms = tokens as f64 / rate;
-        let now_ms = now.as_millis() as f64;
-        let rank = usize::from(ask.priority).min(RANKS - 1);
-        let start_ms = book.queue_end_ms[rank].max(now_ms);
-        PlannedPrefill {
+        PrefillPlan {
             engine: book.target.clone(),
-            work_ms,
+            runs_there: book.runs_requests(),
+            work_ms: tokens as f64 / rate,
             held: believed,
-            done_at_ms: start_ms + work_ms + FIXED_MS,
             tokens,
-            rank,
-            was_idle: book.queue_end_ms[RANKS - 1] <= now_ms,
+            first_token: TimeSpan::ZERO,
+            rank: ask.rank(),
+            was_idle: book.queue.is_idle(now),
         }
     }
 
+    /// Chooses the engine that runs a request whose prompt lies at `source`.
+    pub fn choose_runner(
+        &mut self,
+        now: ClockTime,
+        ask: PlanRequest<'_>,
+        source: &EndpointId,
+    ) -> Result<EngineTarget, NoEngine> {
+        let domain = self.books.get(source).map(|book| book.domain.clone());
+        for sound_only in [true, false] {
+            let runners = self.usable(now, ask, sound_only);
+            let runners = runners.filter(|book| book.runs_requests());
+            let costs = runners.map(|book| {
+                let cost = run_cost_ms(now, book, domain.as_ref(), ask);
+                (cost, book.target.clone())
+            });
+            let mut costs: Vec<(f64, EngineTarget)> = costs.collect();
+            for (cost, _) in &mut costs {
+                *cost *= self.random.random_range(1.0..1.0 + COST_NOISE);
+            }
+            let best = costs.into_iter().min_by(|one, two| one.0.total_cmp(&two.0));
+            if let Some((_, target)) = best {
+                return Ok(target);
+            }
+        }
+        Err(NoEngine::NoneLeft)
+    }
+
     /// The prefill was sent: it lengthens the engine's queue, and its parts will
     /// be held there.
-    pub fn prefill_sent(&mut self, now: ClockTime, prefill: &PlannedPrefill, work: &PromptWork) {
-        let Some(book) = self.books.get_mut(&prefill.engine.id) else {
-            return;
-        };
-        let now_ms = now.as_millis() as f64;
-        for end_ms in &mut book.queue_end_ms[prefill.rank..] {
-            let end = end_ms.max(now_ms) + prefill.work_ms;
-            *end_ms = end.min(now_ms + QUEUE_LIMIT_MS);
+    pub fn prefill_sent(
+        &mut self,
+        now: ClockTime,
+        plan: &PrefillPlan,
+        work: &PromptWork,
+    ) -> PrefillTicket {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        if let Some(book) = self.books.get_mut(&plan.engine.id) {
+            book.queue.push(now, ticket, plan.rank, plan.work_ms);
+            self.places.note(now, book.number, &work.parts);
+            let told = work.shared().iter().map(|part| ToldPart {
+                engine: book.hash,
+                part: part.id,
+            });
+            self.untold.extend(told);
+            let excess = self.untold.len().saturating_sub(UNTOLD_LIMIT);
+            self.untold.drain(..excess);
         }
-        self.places.note(now, book.number, &work.parts);
+        PrefillTicket(ticket)
     }
 
     /// The prefill is done: its first token or its handle came.
-    pub fn prefill_done(&mut self, now: ClockTime, prefill: &PlannedPrefill, sent: ClockTime) {
-        let Some(book) = self.books.get_mut(&prefill.engine.id) else {
+    pub fn prefill_done(
+        &mut self,
+        now: ClockTime,
+        plan: &PrefillPlan,
+        ticket: PrefillTicket,
+        sent: ClockTime,
+    ) {
+        let Some(book) = self.books.get_mut(&plan.engine.id) else {
             return;
         };
-        let now_ms = now.as_millis() as f64;
-        let late_ms = now_ms - prefill.done_at_ms;
-        for end_ms in &mut book.queue_end_ms[prefill.rank..] {
-            let corrected = *end_ms + CORRECTION_WEIGHT * late_ms;
-            *end_ms = corrected.clamp(now_ms - 1.0, now_ms + QUEUE_LIMIT_MS);
-        }
+        book.queue.remove(now, ticket.0);
         book.health.succeed(now, &self.settings);
         let slowdown = book.prefill_slowdown();
         let service = book.service.clone();
-        let tokens = prefill.tokens as f64;
+        let tokens = plan.tokens as f64;
         let took = now.since(sent).as_millis() as f64 - FIXED_MS;
-        if !prefill.was_idle || tokens < RATE_SAMPLE_TOKENS || took < 1.0 {
+        if !plan.was_idle || tokens < RATE_SAMPLE_TOKENS || took < 1.0 {
             return;
         }
         let rate = self.rates.entry(service).or_insert(FIRST_PREFILL_RATE);
@@ -356,25 +412,23 @@
     }
 
     /// The prefill will not be done there: it was refused, failed or given up.
-    pub fn prefill_dropped(&mut self, prefill: &PlannedPrefill) {
-        if let Some(book) = self.books.get_mut(&prefill.engine.id) {
-            for end_ms in &mut book.queue_end_ms[prefill.rank..] {
-                *end_ms -= prefill.work_ms;
-            }
+    pub fn prefill_dropped(&mut self, now: ClockTime, plan: &PrefillPlan, ticket: PrefillTicket) {
+        if let Some(book) = self.books.get_mut(&plan.engine.id) {
+            book.queue.remove(now, ticket.0);
         }
     }
 
     /// A request began to run on the engine.
     pub fn run_started(&mut self, id: &EndpointId) {
         if let Some(book) = self.books.get_mut(id) {
-            book.running += 1;
+            book.queue.run_started();
         }
     }
 
     /// A request no longer runs on the engine.
     pub fn run_ended(&mut self, id: &EndpointId) {
         if let Some(book) = self.books.get_mut(id) {
-            book.running = book.running.saturating_sub(1);
+            book.queue.run_ended();
         }
     }
 
@@ -390,47 +444,69 @@
         let book = self.books.get_mut(id)?;
         book.health.fail(now, &self.settings, &mut self.random)
     }
+
+    /// What this entry has at each engine where it has anything.
+    pub fn own_loads(&self) -> Vec<ToldLoad> {
+        let loads = self.books.values().map(|book| ToldLoad {
+            engine: book.hash,
+            load: book.queue.own(),
+        });
+        loads.filter(|told| !told.load.is_empty()).collect()
+    }
+
+    /// The parts that were sent since this was last asked.
+    pub fn take_untold(&mut self) -> Vec<ToldPart> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// Another entry told what it has at engines: everything, so engines that it
+    /// does not name have nothing of it.
+    pub fn note_peer(
+        &mut self,
+        now: ClockTime,
+        peer: &InstanceId,
+        loads: &[ToldLoad],
+        parts: &[ToldPart],
+    ) {
+        for book in self.books.values_mut() {
+            let told = loads.iter().find(|told| told.engine == book.hash);
+            let load = told.map(|told| told.load.clone()).unwrap_or_default();
+            book.queue.note_peer(now, peer, load);
+        }
+        for told in parts {
+            let id = self.by_hash.get(&told.engine);
+            if let Some(book) = id.and_then(|id| self.books.get(id)) {
+                self.places.note_id(now, book.number, told.part);
+            }
+        }
+    }
 }
 
-fn cheapest_runner<'a>(
+/// What running a request on an engine costs until its next token: the hand-over
+/// from `source`, the prefills that the engine has to do itself, and its batch.
+fn run_cost_ms(
     now: ClockTime,
-    prefill: &EngineBook,
-    runners: &[&'a EngineBook],
+    book: &EngineBook,
+    source: Option<&FailureDomain>,
     ask: PlanRequest<'_>,
-    first: usize,
-) -> (&'a EngineBook, f64) {
+) -> f64 {
     let bytes = ask.work.prompt.count() * ask.rule.token_bytes.count();
     let transfer_ms = bytes as f64 / ask.rule.link_bytes_per_ms.max(1) as f64;
-    let now_ms = now.as_millis() as f64;
-    let cost = |book: &EngineBook| {
-        let far = if book.domain == prefill.domain {
-            1.0
-        } else {
-            FAR_HANDOVER
-        };
-        HANDOVER_MS + transfer_ms * far + (book.queue_end_ms[RANKS - 1] - now_ms).max(0.0)
-    };
-    let mut best = (runners[first], cost(runners[first]));
-    let load = |book: &EngineBook, cost: f64| cost + f64::from(book.running) * RUNNING_MS;
-    for step in 1..runners.len() {
-        let book = runners[(first + step) % runners.len()];
-        let book_cost = cost(book);
-        if load(book, book_cost) < load(best.0, best.1) {
-            best = (book, book_cost);
-        }
-    }
-    best
+    let is_far = source.is_some_and(|source| *source != book.domain);
+    let far = if is_far { FAR_HANDOVER } else { 1.0 };
+    let wait_ms = book.queue.wait_ms(now, ask.rank());
+    let running_ms = f64::from(book.queue.running(now)) * RUNNING_MS;
+    HANDOVER_MS + transfer_ms * far + wait_ms + running_ms
 }
 
 /// The engine that all entries take the last shared part to belong to: of the
 /// engines that prefill at full speed, the one with the greatest hash.
 fn rendezvous(books: &[&EngineBook], work: &PromptWork) -> Option<u32> {
     let part = work.shared().last()?;
-    let fast = books.iter().any(|book| book.prefill_slowdown() == 1.0);
+    let has_fast = books.iter().any(|book| book.prefill_slowdown() == 1.0);
     let candidates = books
         .iter()
-        .filter(|book| !fast || book.prefill_slowdown() == 1.0);
-    let score =
-        |book: &&&EngineBook| xxh3_64_with_seed(book.target.id.as_str().as_bytes(), part.id);
+        .filter(|book| !has_fast || book.prefill_slowdown() == 1.0);
+    let score = |book: &&&EngineBook| xxh3_64_with_seed(&book.hash.to_le_bytes(), part.id);
     candidates.max_by_key(score).map(|book| book.number)
 }
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -11,11 +11,16 @@
 mod engine;
 mod parts;
 mod prompt;
+mod queue;
 mod replicas;
 
 pub use self::{
-    engine::{EngineBooks, EnginePlan, EngineTarget, NoEngine, PlanRequest, PlannedPrefill},
+    engine::{
+        EngineBooks, EngineTarget, NoEngine, PlanRequest, PrefillPlan, PrefillTicket, ToldLoad,
+        ToldPart,
+    },
     parts::PartPlaces,
     prompt::{ParsePromptError, PromptPart, PromptWork},
+    queue::{EngineLoad, EngineQueue, RANKS},
     replicas::{ReplicaBooks, ReplicaChoice},
 };
--- a/crates/core/src/placement/parts.rs
+++ b/crates/core/src/placement/parts.rs
@@ -37,18 +37,23 @@
     /// The engine with this number reads or has the parts.
     pub fn note(&mut self, now: ClockTime, engine: u32, parts: &[PromptPart]) {
         for part in parts {
-            let places = self.places.entry(part.id).or_default();
-            match places.iter_mut().find(|place| place.engine == engine) {
-                Some(place) => place.used_at = place.used_at.max(now),
-                None => places.push(PartPlace {
-                    engine,
-                    used_at: now,
-                }),
-            }
+            self.note_id(now, engine, part.id);
         }
         self.sweep(now);
     }
 
+    /// The engine reads or has the part with this id.
+    pub fn note_id(&mut self, now: ClockTime, engine: u32, id: u64) {
+        let places = self.places.entry(id).or_default();
+        match places.iter_mut().find(|place| place.engine == engine) {
+            Some(place) => place.used_at = place.used_at.max(now),
+            None => places.push(PartPlace {
+                engine,
+                used_at: now,
+            }),
+        }
+    }
+
     /// How many tokens at the start of the prompt the engine holds. A part counts
     /// only if all parts before it are held.
     pub fn held(&self, now: ClockTime, engine: u32, parts: &[PromptPart]) -> u64 {
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -14,7 +14,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{forward::ConnectionPools, metrics::EntryMetrics};
+use crate::{forward::ConnectionPools, metrics::EntryMetrics, peers::PeerTable};
 
 /// How much sooner than the operators ask a key stops working that nothing has
 /// been heard of: clocks drift, and a request takes some ms to get here.
@@ -76,6 +76,8 @@
     pub budget: Shared<SharedBudget>,
     /// Counts for usage windows.
     pub meter: Shared<UsageMeter>,
+    /// The other instances.
+    pub peers: Shared<PeerTable>,
     /// Connections to endpoints.
     pub pools: ConnectionPools,
     /// Counters.
@@ -122,6 +124,7 @@
             replicas: Shared::new(ReplicaBooks::new(routing).with_seed(seed)),
             budget: Shared::new(SharedBudget::new(allowance)),
             meter: Shared::new(UsageMeter::new()),
+            peers: Shared::new(PeerTable::new()),
             pools: ConnectionPools::new(),
             metrics,
             stopping: CancellationToken::new(),
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -7,7 +7,7 @@
     attempts::{RequestAttempts, WorkKind},
     clock::TimeSpan,
     ids::EndpointId,
-    placement::{EnginePlan, EngineTarget, PlanRequest, PromptWork},
+    placement::{EngineTarget, PlanRequest, PrefillPlan, PromptWork},
 };
 use hyper::Response;
 
@@ -179,35 +179,48 @@
     async fn try_once(&mut self, last_id: Option<u64>) -> Result<TryEnd, FailedTry> {
         let plan = self.plan()?;
         let mut added = self.added_headers(last_id);
-        if !plan.has_handover() {
-            let prefill = PrefillGuard::new(&self.context, &plan.prefill, &self.work);
-            return self.run(&plan, added, Some(prefill), last_id).await;
+        if plan.runs_there {
+            let prefill = PrefillGuard::new(&self.context, &plan, &self.work);
+            let target = plan.engine.clone();
+            return self
+                .run(&plan, &target, added, Some(prefill), last_id)
+                .await;
         }
         let source = self.prefill(&plan).await?;
         added.push((headers::KV_SOURCE, source));
-        self.run(&plan, added, None, last_id).await
+        let target = self.choose_runner(&plan)?;
+        self.run(&plan, &target, added, None, last_id).await
     }
 
-    fn plan(&mut self) -> Result<EnginePlan, FailedTry> {
+    fn ask(&self) -> Result<PlanRequest<'_>, FailedTry> {
         let service = self.request.table.service(&self.request.service);
         let rule = service.and_then(|service| service.engine.as_ref());
         let Some(rule) = rule else {
-            return Err(FailedTry::new(
-                RefusalReason::NoEndpoint,
-                "the service has no engines",
-            ));
+            let detail = "the service has no engines";
+            return Err(FailedTry::new(RefusalReason::NoEndpoint, detail));
         };
-        let ask = PlanRequest {
+        Ok(PlanRequest {
             service: &self.request.service,
             rule,
             work: &self.work,
             priority: self.request.priority,
             tried: &self.tried,
-        };
-        let plan = self.context.engines.lock().plan(self.context.now(), ask);
+        })
+    }
+
+    fn plan(&self) -> Result<PrefillPlan, FailedTry> {
+        let now = self.context.now();
+        let plan = self.context.engines.lock().plan(now, self.ask()?);
         plan.map_err(|error| FailedTry::new(RefusalReason::NoEndpoint, error.to_string()))
     }
 
+    fn choose_runner(&self, plan: &PrefillPlan) -> Result<EngineTarget, FailedTry> {
+        let now = self.context.now();
+        let mut engines = self.context.engines.lock();
+        let target = engines.choose_runner(now, self.ask()?, &plan.engine.id);
+        target.map_err(|error| FailedTry::new(RefusalReason::NoEndpoint, error.to_string()))
+    }
+
     fn added_headers(&self, last_id: Option<u64>) -> AddedHeaders {
         let priority = self.request.priority.saturating_mul(PRIORITY_STEP);
         let priority = priority.min(LEAST_URGENT);
@@ -220,9 +233,9 @@
 
     /// Has the prompt prefilled; answers where its KV cache lies. This runs
     /// nothing, so it may be repeated whatever the request is.
-    async fn prefill(&mut self, plan: &EnginePlan) -> Result<String, FailedTry> {
-        let target = &plan.prefill.engine;
-        let guard = PrefillGuard::new(&self.context, &plan.prefill, &self.work);
+    async fn prefill(&mut self, plan: &PrefillPlan) -> Result<String, FailedTry> {
+        let target = &plan.engine;
+        let guard = PrefillGuard::new(&self.context, plan, &self.work);
         let mut added = self.added_headers(None);
         added.push((headers::STAGE, headers::STAGE_PREFILL.to_string()));
         let left = self.request.time_left(self.context.now());
@@ -277,12 +290,12 @@
     /// Has the request run.
     async fn run(
         &mut self,
-        plan: &EnginePlan,
+        plan: &PrefillPlan,
+        target: &EngineTarget,
         added: AddedHeaders,
         prefill: Option<PrefillGuard>,
         last_id: Option<u64>,
     ) -> Result<TryEnd, FailedTry> {
-        let target = &plan.run;
         let Ok(permit) = self.attempts.send(&target.id) else {
             return Err(FailedTry::new(
                 RefusalReason::EndpointFailed,
@@ -296,7 +309,8 @@
         match end {
             AttemptEnd::Answered(answer) => {
                 self.attempts.answering();
-                self.answered(plan, answer, guard, prefill, last_id).await
+                self.answered(plan, target, answer, guard, prefill, last_id)
+                    .await
             }
             AttemptEnd::NotSent(detail) => {
                 self.attempts.not_sent(permit);
@@ -322,13 +336,13 @@
 
     async fn answered(
         &mut self,
-        plan: &EnginePlan,
+        plan: &PrefillPlan,
+        target: &EngineTarget,
         answer: EndpointAnswer,
         guard: RunGuard,
         prefill: Option<PrefillGuard>,
         last_id: Option<u64>,
     ) -> Result<TryEnd, FailedTry> {
-        let target = &plan.run;
         if !attempt::is_signed(answer.response.headers()) {
             self.lost(&target.id);
             let detail = format!("status {} without a signature", answer.response.status());
@@ -368,9 +382,9 @@
         self.meter();
         let now = self.context.now();
         request_line(&self.context, "first_event", &self.request)
-            .with("prefill", &plan.prefill.engine.id)
+            .with("prefill", &plan.engine.id)
             .with("run", &target.id)
-            .with("held", plan.prefill.held)
+            .with("held", plan.held)
             .with("prompt", self.work.prompt)
             .with("expected", plan.first_token)
             .with("asked", self.asked)
--- a/crates/ingress/src/forward/guards.rs
+++ b/crates/ingress/src/forward/guards.rs
@@ -9,7 +9,7 @@
 use bluebell_core::{
     clock::ClockTime,
     ids::EndpointId,
-    placement::{PlannedPrefill, PromptWork},
+    placement::{PrefillPlan, PrefillTicket, PromptWork},
 };
 
 use crate::context::EntryContext;
@@ -18,47 +18,44 @@
 #[derive(Debug)]
 pub struct PrefillGuard {
     context: Arc<EntryContext>,
-    prefill: Option<PlannedPrefill>,
+    plan: PrefillPlan,
+    ticket: Option<PrefillTicket>,
     sent: ClockTime,
 }
 
 impl PrefillGuard {
     /// The prefill is sent now.
-    pub fn new(
-        context: &Arc<EntryContext>,
-        prefill: &PlannedPrefill,
-        work: &PromptWork,
-    ) -> PrefillGuard {
+    pub fn new(context: &Arc<EntryContext>, plan: &PrefillPlan, work: &PromptWork) -> PrefillGuard {
         let sent = context.now();
-        context.engines.lock().prefill_sent(sent, prefill, work);
+        let ticket = context.engines.lock().prefill_sent(sent, plan, work);
         PrefillGuard {
             context: Arc::clone(context),
-            prefill: Some(prefill.clone()),
+            plan: plan.clone(),
+            ticket: Some(ticket),
             sent,
         }
     }
 
     /// The prefill is done.
     pub fn done(mut self) {
-        if let Some(prefill) = self.prefill.take() {
+        if let Some(ticket) = self.ticket.take() {
             let now = self.context.now();
-            let error_ms = now.as_millis() as f64 - prefill.done_at_ms;
-            self.context
-                .metrics
-                .estimate_error
-                .observe(error_ms.abs() / 1_000.0);
-            self.context
-                .engines
-                .lock()
-                .prefill_done(now, &prefill, self.sent);
+            let took = now.since(self.sent).as_millis() as f64;
+            let error_ms = (took - self.plan.first_token.as_millis() as f64).abs();
+            let metrics = &self.context.metrics;
+            metrics.estimate_error.observe(error_ms / 1_000.0);
+            let mut engines = self.context.engines.lock();
+            engines.prefill_done(now, &self.plan, ticket, self.sent);
         }
     }
 }
 
 impl Drop for PrefillGuard {
     fn drop(&mut self) {
-        if let Some(prefill) = &self.prefill {
-            self.context.engines.lock().prefill_dropped(prefill);
+        if let Some(ticket) = self.ticket.take() {
+            let now = self.context.now();
+            let mut engines = self.context.engines.lock();
+            engines.prefill_dropped(now, &self.plan, ticket);
         }
     }
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Every instance runs one process with everything: it takes callers' requests
 //! ([`front`]), sends them to endpoints ([`forward`]), follows configuration and
-//! endpoints in the store ([`believe`]) and, while it holds the stewardship,
+//! endpoints in the store ([`believe`]), talks to the
+//! other instances ([`peers`]) and, while it holds the stewardship,
 //! reports usage and orders endpoints ([`steward`]). The decisions are slices of
 //! `bluebell-core`; names and formats of the platform are in `bluebell-adapter`.
 
@@ -12,6 +13,7 @@
 pub mod front;
 pub mod logs;
 pub mod metrics;
+pub mod peers;
 pub mod program;
 pub mod ready;
 pub mod steward;
--- /dev/null
+++ b/crates/ingress/src/peers/messages.rs
@@ -0,0 +1,112 @@
+//! What entries write and say about themselves.
+
+use bluebell_core::placement::{EngineLoad, RANKS, ToldLoad, ToldPart};
+use prost::Message;
+
+/// An instance's registration in the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerRecord {
+    /// Where it listens for datagrams.
+    #[prost(string, tag = "1")]
+    pub address: String,
+    /// Tells its starts apart.
+    #[prost(uint64, tag = "2")]
+    pub start: u64,
+}
+
+/// What an instance has at one engine.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoadMessage {
+    /// The engine, by the hash of its id.
+    #[prost(fixed64, tag = "1")]
+    pub engine: u64,
+    /// Prefill work in ms, by urgency.
+    #[prost(uint32, repeated, tag = "2")]
+    pub prefill_ms: Vec<u32>,
+    /// Requests that run.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+}
+
+/// Parts that were sent to one engine.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartsMessage {
+    /// The engine, by the hash of its id.
+    #[prost(fixed64, tag = "1")]
+    pub engine: u64,
+    /// The parts.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub parts: Vec<u64>,
+}
+
+/// One datagram.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerMessage {
+    /// Who tells.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Everything that it has at engines.
+    #[prost(message, repeated, tag = "2")]
+    pub loads: Vec<LoadMessage>,
+    /// Parts sent since its last datagram.
+    #[prost(message, repeated, tag = "3")]
+    pub parts: Vec<PartsMessage>,
+}
+
+impl PeerMessage {
+    /// A datagram.
+    pub fn new(instance: &str, loads: &[ToldLoad], parts: &[ToldPart]) -> PeerMessage {
+        let mut by_engine: Vec<PartsMessage> = Vec::new();
+        for told in parts {
+            match by_engine.iter_mut().find(|m| m.engine == told.engine) {
+                Some(message) if message.parts.contains(&told.part) => {}
+                Some(message) => message.parts.push(told.part),
+                None => by_engine.push(PartsMessage {
+                    engine: told.engine,
+                    parts: vec![told.part],
+                }),
+            }
+        }
+        let loads = loads.iter().map(|told| LoadMessage {
+            engine: told.engine,
+            prefill_ms: told.load.prefill_ms.iter().map(|ms| *ms as u32).collect(),
+            running: told.load.running,
+        });
+        PeerMessage {
+            instance: instance.to_string(),
+            loads: loads.collect(),
+            parts: by_engine,
+        }
+    }
+
+    /// The loads as the slices know them.
+    pub fn told_loads(&self) -> Vec<ToldLoad> {
+        let loads = self.loads.iter().map(|message| {
+            let mut prefill_ms = [0.0; RANKS];
+            for (rank, told) in prefill_ms.iter_mut().zip(&message.prefill_ms) {
+                *rank = f64::from(*told);
+            }
+            ToldLoad {
+                engine: message.engine,
+                load: EngineLoad {
+                    prefill_ms,
+                    running: message.running,
+                },
+            }
+        });
+        loads.collect()
+    }
+
+    /// The parts as the slices know them.
+    pub fn told_parts(&self) -> Vec<ToldPart> {
+        let parts = self.parts.iter().flat_map(|message| {
+            let engine = message.engine;
+            let parts = message.parts.iter();
+            parts.map(move |part| ToldPart {
+                engine,
+                part: *part,
+            })
+        });
+        parts.collect()
+    }
+}
--- a/crates/ingress/src/program.rs
+++ b/crates/ingress/src/program.rs
@@ -16,7 +16,7 @@
     front::{self, CallerFront},
     logs::{self, LogBuffer},
     metrics::EntryMetrics,
-    ready, steward, time,
+    peers, ready, steward, time,
 };
 
 /// How long after SIGTERM callers are still accepted. The platform asks once a
@@ -91,6 +91,9 @@
         .context("the ready address can't be served")?;
     let background = CancellationToken::new();
     believe::follow(&context, &background);
+    peers::start(&context, &background)
+        .await
+        .context("the address for other instances can't be used")?;
     steward::start(&context, &client, &background);
     let front =
         CallerFront::bind(Arc::clone(&context)).context("the callers' address can't be served")?;
