--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod membership;
 pub mod orders;
 pub mod placement;
+pub mod provision;
 pub mod publication;
 pub mod quarantine;
 pub mod records;
--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -53,6 +53,10 @@
 const RENDEZVOUS_TRUST: f64 = 0.5;
 /// What a running request adds to the cost of an engine that decodes, in ms.
 const RUNNING_MS: f64 = 1.0;
+/// What a prefill on an engine of the decode stage costs those that run there, in
+/// ms: each of their tokens waits for a piece of the prompt, which stretches their
+/// pauses beyond what is on time.
+const MIXED_MS: f64 = 1_000.0;
 /// By how much costs are varied, so that entries with the same picture don't all
 /// take the same engine.
 const COST_NOISE: f64 = 0.05;
@@ -276,9 +280,10 @@
         for book in &books {
             let mut plan = self.prefill_at(now, book, &ask, preferred == Some(book.number));
             let wait_ms = book.queue.wait_ms(now, ask.rank());
-            let rest_ms = match plan.runs_there {
-                true => f64::from(book.queue.running(now)) * RUNNING_MS,
-                false => handover_ms,
+            let rest_ms = match book.stage {
+                Some(EngineStage::Decode) => MIXED_MS,
+                Some(EngineStage::Prefill) => handover_ms,
+                None => f64::from(book.queue.running(now)) * RUNNING_MS,
             };
             let first_token_ms = wait_ms + plan.work_ms + FIXED_MS + rest_ms;
             plan.first_token = TimeSpan::from_millis(first_token_ms as u64);
--- /dev/null
+++ b/crates/core/src/provision/mod.rs
@@ -0,0 +1,381 @@
+//! How many endpoints there are, of which kind, and what engines do.
+//!
+//! Endpoints are the largest price of a day. Preemptible ones cost about a sixth
+//! of the others, but a whole failure domain of them goes within some seconds of
+//! the notice, at times with no more to be had. Prefills fit them: a prefill that
+//! is lost has run nothing and is simply done elsewhere. So preemptible engines
+//! prefill, and a few lasting ones in each failure domain run the requests.
+//!
+//! An engine that prefills stretches the pauses of the streams that it runs: each
+//! of their tokens waits for a piece of a prompt. With the stages apart, no
+//! stream waits for a prompt. Running takes far less of the engines than
+//! prefilling at the users' mix.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    directory::{EndpointRegistration, EngineStage},
+    ids::{EndpointId, FailureDomain, ServiceName},
+    ingress::{EngineRule, ScalingRule},
+};
+
+/// The share of a failure domain's engines that run requests. At the users' mix
+/// an event holds about ten tokens, so that some 19,000 tokens a second have to be
+/// generated; an engine generates 5,000 with 32 requests at once.
+const RUN_SHARE: f64 = 0.42;
+
+/// The lasting engines that are kept in a failure domain, as a share of those
+/// that it had at first.
+const LASTING_SHARE: f64 = 1.0;
+
+/// Preemptible engines ordered for each engine that a failure domain had at
+/// first: more than before, as they cost a sixth, so that the loss of a failure
+/// domain leaves the others enough.
+const PREEMPTIBLE_FACTOR: f64 = 0.0;
+
+/// How long after an order its outcome is awaited beyond the time to boot.
+const ORDER_SLACK: TimeSpan = TimeSpan::from_millis(2_500);
+
+/// How long no more preemptible endpoints are asked for where there were none.
+const UNAVAILABLE_FOR: TimeSpan = TimeSpan::from_millis(3_000);
+
+/// The share of a service's engines that may change their stage at a time.
+const SWITCHING_SHARE: f64 = 0.34;
+
+/// How long an engine is left alone after an order, beyond the time it takes: it
+/// first lets its running work come to an end.
+const SWITCH_SLACK: TimeSpan = TimeSpan::from_millis(5_000);
+
+/// For how long nothing may have appeared before the first order: all endpoints
+/// register within a heartbeat or two of the system's start, and a planner that
+/// began with the first of them would take it for all there are.
+const SETTLE: TimeSpan = TimeSpan::from_millis(1_300);
+
+/// What a failure domain had when it was first seen, for a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct DomainBase {
+    /// The service.
+    pub service: ServiceName,
+    /// The failure domain.
+    pub domain: FailureDomain,
+    /// Its endpoints then.
+    pub endpoints: u32,
+}
+
+/// A service whose endpoints can be ordered.
+#[derive(Clone, Copy, Debug)]
+pub struct ProvisionService<'a> {
+    /// Its name.
+    pub name: &'a ServiceName,
+    /// What may be ordered.
+    pub scaling: Option<&'a ScalingRule>,
+    /// What its engines are like.
+    pub engine: Option<&'a EngineRule>,
+}
+
+/// Something to be ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ProvisionStep {
+    /// A number of endpoints of one kind.
+    Count {
+        /// The service.
+        service: ServiceName,
+        /// The failure domain.
+        domain: FailureDomain,
+        /// Whether they may be withdrawn at short notice.
+        preemptible: bool,
+        /// How many there are to be.
+        count: u32,
+        /// How many there are.
+        present: u32,
+    },
+    /// Another stage for an engine.
+    Stage {
+        /// The engine.
+        endpoint: EndpointId,
+        /// The stage.
+        stage: EngineStage,
+    },
+}
+
+type OrderKey = (ServiceName, FailureDomain, bool);
+
+#[derive(Clone, Copy, Debug)]
+struct PlacedOrder {
+    count: u32,
+    at: ClockTime,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct DomainCounts {
+    lasting: u32,
+    preemptible: u32,
+}
+
+/// What the steward has ordered and waits for.
+#[derive(Clone, Debug, Default)]
+pub struct ProvisionPlanner {
+    bases: BTreeMap<(ServiceName, FailureDomain), u32>,
+    orders: BTreeMap<OrderKey, PlacedOrder>,
+    unavailable: BTreeMap<(ServiceName, FailureDomain), ClockTime>,
+    switching: BTreeMap<EndpointId, ClockTime>,
+    seen: BTreeMap<ServiceName, SeenEndpoints>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SeenEndpoints {
+    count: usize,
+    since: ClockTime,
+}
+
+impl ProvisionPlanner {
+    /// Nothing ordered.
+    pub fn new() -> ProvisionPlanner {
+        ProvisionPlanner::default()
+    }
+
+    /// Takes over what an earlier steward saw first.
+    pub fn set_base(&mut self, base: DomainBase) {
+        let key = (base.service, base.domain);
+        self.bases.entry(key).or_insert(base.endpoints);
+    }
+
+    /// What was seen first, to be handed on.
+    pub fn bases(&self) -> Vec<DomainBase> {
+        let bases = self
+            .bases
+            .iter()
+            .map(|((service, domain), endpoints)| DomainBase {
+                service: service.clone(),
+                domain: domain.clone(),
+                endpoints: *endpoints,
+            });
+        bases.collect()
+    }
+
+    /// What is to be ordered for a service now.
+    pub fn steps<'a, Registered>(
+        &mut self,
+        now: ClockTime,
+        service: ProvisionService<'_>,
+        registered: Registered,
+    ) -> Vec<ProvisionStep>
+    where
+        Registered: Iterator<Item = &'a EndpointRegistration>,
+    {
+        let endpoints: Vec<&EndpointRegistration> = registered
+            .filter(|entry| entry.service == *service.name)
+            .collect();
+        let mut steps = Vec::new();
+        if !self.has_settled(now, service.name, endpoints.len()) {
+            return steps;
+        }
+        if let Some(scaling) = service.scaling {
+            self.count_steps(now, service.name, scaling, &endpoints, &mut steps);
+        }
+        if let Some(engine) = service.engine {
+            self.stage_steps(now, engine, &endpoints, &mut steps);
+        }
+        steps
+    }
+
+    fn has_settled(&mut self, now: ClockTime, service: &ServiceName, count: usize) -> bool {
+        if self.bases.keys().any(|(name, _)| name == service) {
+            return true;
+        }
+        let seen = self
+            .seen
+            .entry(service.clone())
+            .or_insert(SeenEndpoints { count, since: now });
+        if seen.count != count {
+            *seen = SeenEndpoints { count, since: now };
+        }
+        count > 0 && now.since(seen.since) >= SETTLE
+    }
+
+    fn count_steps(
+        &mut self,
+        now: ClockTime,
+        service: &ServiceName,
+        scaling: &ScalingRule,
+        endpoints: &[&EndpointRegistration],
+        steps: &mut Vec<ProvisionStep>,
+    ) {
+        let mut counts: BTreeMap<FailureDomain, DomainCounts> = BTreeMap::new();
+        for endpoint in endpoints.iter().filter(|endpoint| !endpoint.is_leaving) {
+            let count = counts.entry(endpoint.domain.clone()).or_default();
+            match endpoint.is_preemptible {
+                true => count.preemptible += 1,
+                false => count.lasting += 1,
+            }
+        }
+        for (domain, count) in &counts {
+            let key = (service.clone(), domain.clone());
+            let present = count.lasting + count.preemptible;
+            self.bases.entry(key).or_insert(present);
+        }
+        let bases: Vec<(FailureDomain, u32)> = self
+            .bases
+            .iter()
+            .filter(|((name, _), _)| name == service)
+            .map(|((_, domain), base)| (domain.clone(), *base))
+            .collect();
+        for (domain, base) in bases {
+            let count = counts.get(&domain).copied().unwrap_or_default();
+            let step = self.domain_step(now, service, &domain, scaling, base, count);
+            steps.extend(step);
+        }
+    }
+
+    /// The next order for one failure domain: more first, fewer only when what
+    /// replaces them is there.
+    fn domain_step(
+        &mut self,
+        now: ClockTime,
+        service: &ServiceName,
+        domain: &FailureDomain,
+        scaling: &ScalingRule,
+        base: u32,
+        count: DomainCounts,
+    ) -> Option<ProvisionStep> {
+        let lasting = ((f64::from(base) * LASTING_SHARE).ceil() as u32).max(scaling.least.min(1));
+        let room = scaling.most.saturating_sub(lasting);
+        let preemptible = match scaling.preemptible_price {
+            Some(_) => ((f64::from(base) * PREEMPTIBLE_FACTOR).ceil() as u32).min(room),
+            None => 0,
+        };
+        let lasting = if preemptible == 0 { base } else { lasting };
+        let key = (service.clone(), domain.clone());
+        let is_available = self.unavailable.get(&key).is_none_or(|until| now >= *until);
+        let room_now = scaling.most.saturating_sub(count.lasting);
+        let wanted = preemptible.min(room_now);
+        let order = |planner: &mut ProvisionPlanner, preemptible, wanted, present| {
+            planner.order(now, service, domain, scaling, preemptible, wanted, present)
+        };
+        if count.preemptible < wanted
+            && is_available
+            && let Some(step) = order(self, true, wanted, count.preemptible)
+        {
+            return Some(step);
+        }
+        if count.lasting < lasting {
+            return order(self, false, lasting, count.lasting);
+        }
+        if count.lasting > lasting && count.preemptible * 2 >= preemptible {
+            return order(self, false, lasting, count.lasting);
+        }
+        None
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn order(
+        &mut self,
+        now: ClockTime,
+        service: &ServiceName,
+        domain: &FailureDomain,
+        scaling: &ScalingRule,
+        preemptible: bool,
+        count: u32,
+        present: u32,
+    ) -> Option<ProvisionStep> {
+        let key = (service.clone(), domain.clone(), preemptible);
+        let patience = scaling.boot + ORDER_SLACK;
+        let placed = self.orders.get(&key);
+        if placed.is_some_and(|order| order.count == count && now.since(order.at) < patience) {
+            return None;
+        }
+        Some(ProvisionStep::Count {
+            service: service.clone(),
+            domain: domain.clone(),
+            preemptible,
+            count,
+            present,
+        })
+    }
+
+    /// The order was given. Whether it was heard is seen by its effect alone.
+    pub fn ordered(&mut self, now: ClockTime, step: &ProvisionStep) {
+        match step {
+            ProvisionStep::Count {
+                service,
+                domain,
+                preemptible,
+                count,
+                ..
+            } => {
+                let key = (service.clone(), domain.clone(), *preemptible);
+                let order = PlacedOrder {
+                    count: *count,
+                    at: now,
+                };
+                self.orders.insert(key, order);
+            }
+            ProvisionStep::Stage { endpoint, .. } => {
+                self.switching.insert(endpoint.clone(), now);
+            }
+        }
+    }
+
+    /// There are no preemptible endpoints to be had there at the moment.
+    pub fn unavailable(&mut self, now: ClockTime, service: &ServiceName, domain: &FailureDomain) {
+        let key = (service.clone(), domain.clone());
+        self.unavailable.insert(key, now + UNAVAILABLE_FOR);
+        let order = (service.clone(), domain.clone(), true);
+        self.orders.remove(&order);
+    }
+
+    fn stage_steps(
+        &mut self,
+        now: ClockTime,
+        engine: &EngineRule,
+        endpoints: &[&EndpointRegistration],
+        steps: &mut Vec<ProvisionStep>,
+    ) {
+        let patience = engine.stage_switch + SWITCH_SLACK;
+        self.switching.retain(|_, at| now.since(*at) < patience);
+        let staged = endpoints
+            .iter()
+            .filter(|endpoint| endpoint.stage.is_some() && !endpoint.is_leaving);
+        let staged: Vec<&EndpointRegistration> = staged.copied().collect();
+        let most = ((staged.len() as f64 * SWITCHING_SHARE).ceil() as usize).max(1);
+        let mut by_domain: BTreeMap<&FailureDomain, Vec<&EndpointRegistration>> = BTreeMap::new();
+        for endpoint in &staged {
+            by_domain
+                .entry(&endpoint.domain)
+                .or_default()
+                .push(endpoint);
+        }
+        for engines in by_domain.values_mut() {
+            // Lasting engines run requests, and those that run them already.
+            engines.sort_by_key(|engine| {
+                let runs = engine.stage == Some(EngineStage::Decode);
+                (engine.is_preemptible, !runs, engine.id.clone())
+            });
+            let runners = (engines.len() as f64 * RUN_SHARE).round() as usize;
+            for (place, engine) in engines.iter().enumerate() {
+                let stage = match place < runners.max(1) {
+                    true => EngineStage::Decode,
+                    false => EngineStage::Prefill,
+                };
+                let is_due =
+                    engine.stage != Some(stage) && !self.switching.contains_key(&engine.id);
+                if is_due && self.switching.len() + stage_count(steps) < most {
+                    steps.push(ProvisionStep::Stage {
+                        endpoint: engine.id.clone(),
+                        stage,
+                    });
+                }
+            }
+        }
+    }
+}
+
+fn stage_count(steps: &[ProvisionStep]) -> usize {
+    let stages = steps
+        .iter()
+        .filter(|step| matches!(step, ProvisionStep::Stage { .. }));
+    stages.count()
+}
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -255,6 +255,13 @@
         match prefilled {
             Some(prompt) => {
                 guard.done();
+                request_line(&self.context, "prefilled", &self.request)
+                    .with("prefill", &target.id)
+                    .with("held", plan.held)
+                    .with("prompt", self.work.prompt)
+                    .with("work_ms", plan.work_ms.round())
+                    .with("expected", plan.first_token)
+                    .info();
                 Ok(engines::handover_source(target.address, &prompt))
             }
             None => {
--- a/crates/ingress/src/steward/duty.rs
+++ b/crates/ingress/src/steward/duty.rs
@@ -10,6 +10,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::LogOffset,
+    provision::ProvisionPlanner,
     records::UsageWindow,
     stewardship::{STEWARD_BEAT, StewardGrant, StewardSeat},
     usage::{MeteredCounts, UsageLedger},
@@ -21,7 +22,8 @@
     believe::StorePath,
     context::EntryContext,
     steward::records::{
-        STEWARD_PART, StewardRecord, USAGE_PART, UsageRecord, WindowCounts, encode, writer,
+        BaseMessage, STEWARD_PART, StewardRecord, USAGE_PART, UsageRecord, WindowCounts, encode,
+        writer,
     },
     time::wall_time,
 };
@@ -34,7 +36,7 @@
 const READ_WAIT: TimeSpan = TimeSpan::from_millis(4_500);
 
 /// How long one call may take: the right to act is over by then.
-const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
+pub(super) const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
 
 /// How often a steward looks whether there is something to do.
 const STEP: Duration = Duration::from_millis(250);
@@ -46,12 +48,13 @@
 /// waiting for the steward's silence otherwise.
 #[derive(Debug)]
 pub struct StewardDuty {
-    context: Arc<EntryContext>,
-    client: DutyClient,
+    pub(super) context: Arc<EntryContext>,
+    pub(super) client: DutyClient,
     seat: StewardSeat,
     /// Figures that were frozen, by this steward or one before it.
     frozen: BTreeMap<UsageWindow, MeteredCounts>,
     reported: Option<UsageWindow>,
+    pub(super) planner: ProvisionPlanner,
     ledger: UsageLedger,
     usage_next: LogOffset,
     /// When this process last appended.
@@ -71,6 +74,7 @@
             seat,
             frozen: BTreeMap::new(),
             reported: None,
+            planner: ProvisionPlanner::new(),
             ledger: UsageLedger::new(),
             usage_next: LogOffset::START,
             beat_at: None,
@@ -103,6 +107,10 @@
         if let Some(window) = self.window_to_report() {
             return self.report(window).await;
         }
+        let steps = self.provision_steps();
+        if !steps.is_empty() {
+            return self.provide(steps).await;
+        }
         let now = self.context.now();
         if self.beat_at.is_none_or(|at| now.since(at) >= STEWARD_BEAT) {
             return self.append(None).await.map(drop);
@@ -115,7 +123,7 @@
     async fn wait_for_silence(&mut self) -> Result<(), CallError> {
         let wait = match self.seat.end() {
             None => TimeSpan::ZERO,
-            Some(_) => READ_WAIT,
+            Some(_) => READ_WAIT.min(self.seat.patience_left(self.context.now())),
         };
         self.read(wait).await?;
         if !self.seat.is_steward() && self.seat.may_append(self.context.now()) {
@@ -180,6 +188,9 @@
         if record.reported > 0 {
             self.note_reported(UsageWindow::new(record.reported));
         }
+        for base in record.bases.iter().filter_map(BaseMessage::base) {
+            self.planner.set_base(base);
+        }
         self.seat.note_record(self.context.now(), offset, writer);
     }
 
@@ -243,7 +254,7 @@
         Ok(())
     }
 
-    fn authority(&self, grant: &StewardGrant) -> DutyAuthority {
+    pub(super) fn authority(&self, grant: &StewardGrant) -> DutyAuthority {
         DutyAuthority {
             holder: self.context.writer.instance.clone(),
             fence: grant.fence,
@@ -252,7 +263,7 @@
 
     /// Appends a record where the topic ends as far as this process has read it.
     /// Nothing comes back if somebody else has written meanwhile.
-    async fn append(
+    pub(super) async fn append(
         &mut self,
         frozen: Option<WindowCounts>,
     ) -> Result<Option<StewardGrant>, CallError> {
@@ -261,6 +272,7 @@
             start: self.context.writer.start,
             frozen: frozen.clone(),
             reported: self.reported.map_or(0, UsageWindow::number),
+            bases: self.planner.bases().iter().map(BaseMessage::new).collect(),
         };
         let end = self.seat.end();
         let sent = self.context.now();
--- a/crates/ingress/src/steward/mod.rs
+++ b/crates/ingress/src/steward/mod.rs
@@ -1,6 +1,7 @@
 //! The duties towards the platform: usage reports and endpoint orders.
 
 mod duty;
+mod provide;
 mod publish;
 mod records;
 
--- /dev/null
+++ b/crates/ingress/src/steward/provide.rs
@@ -0,0 +1,139 @@
+//! Carrying out what the planner wants: endpoint orders and stages of engines.
+
+use bluebell_adapter::{
+    CallError,
+    duties::{EndpointOrder, OrderAnswer},
+};
+use bluebell_core::{
+    provision::{ProvisionService, ProvisionStep},
+    stewardship::StewardGrant,
+};
+use bluebell_daemon::logs::LogLine;
+
+use crate::steward::duty::{CALL_TIMEOUT, StewardDuty};
+
+impl StewardDuty {
+    /// What is to be ordered now. Nothing, as long as nothing is known to be fresh:
+    /// an order from old knowledge could undo what is there.
+    pub(super) fn provision_steps(&mut self) -> Vec<ProvisionStep> {
+        let now = self.context.now();
+        if !self.context.keys_are_fresh(now) {
+            return Vec::new();
+        }
+        let Some(table) = self.context.belief.lock().table().cloned() else {
+            return Vec::new();
+        };
+        let directory = self.context.directory.lock();
+        let services = table.configuration().services.values();
+        let planner = &mut self.planner;
+        let steps = services.flat_map(|rule| {
+            let service = ProvisionService {
+                name: &rule.name,
+                scaling: rule.scaling.as_ref(),
+                engine: rule.engine.as_ref(),
+            };
+            planner.steps(now, service, directory.iter())
+        });
+        steps.collect()
+    }
+
+    /// Gives the orders for which the right to act lasts; the rest comes up again.
+    pub(super) async fn provide(&mut self, steps: Vec<ProvisionStep>) -> Result<(), CallError> {
+        let Some(grant) = self.append(None).await? else {
+            return Ok(());
+        };
+        for step in steps {
+            if !grant.allows(self.context.now()) {
+                break;
+            }
+            let outcome = match &step {
+                ProvisionStep::Count { .. } => self.order_count(&grant, &step).await,
+                ProvisionStep::Stage { .. } => self.order_stage(&grant, &step).await,
+            };
+            // An order without an answer may be carried out all the same, so it
+            // counts as given; it comes up again if it has no effect.
+            self.planner.ordered(self.context.now(), &step);
+            let line = LogLine::new("order")
+                .with("order", format!("{step:?}"))
+                .with("fence", grant.fence);
+            match outcome {
+                Ok(outcome) => {
+                    line.with("outcome", &outcome).info();
+                    self.note_outcome(&step, &outcome);
+                }
+                Err(error) => line.with("outcome", "failed").with("error", error).warn(),
+            }
+        }
+        Ok(())
+    }
+
+    fn note_outcome(&mut self, step: &ProvisionStep, outcome: &str) {
+        if outcome != UNAVAILABLE {
+            return;
+        }
+        if let ProvisionStep::Count {
+            service, domain, ..
+        } = step
+        {
+            let now = self.context.now();
+            self.planner.unavailable(now, service, domain);
+        }
+    }
+
+    async fn order_count(
+        &self,
+        grant: &StewardGrant,
+        step: &ProvisionStep,
+    ) -> Result<String, CallError> {
+        let ProvisionStep::Count {
+            service,
+            domain,
+            preemptible,
+            count,
+            ..
+        } = step
+        else {
+            return Ok(String::new());
+        };
+        let order = EndpointOrder {
+            service: service.clone(),
+            domain: domain.clone(),
+            count: *count,
+            preemptible: *preemptible,
+        };
+        let authority = self.authority(grant);
+        let answer = self
+            .client
+            .order_endpoints(&authority, &order, CALL_TIMEOUT);
+        Ok(match answer.await? {
+            OrderAnswer::Accepted => "accepted".to_string(),
+            OrderAnswer::Unavailable => UNAVAILABLE.to_string(),
+        })
+    }
+
+    async fn order_stage(
+        &self,
+        grant: &StewardGrant,
+        step: &ProvisionStep,
+    ) -> Result<String, CallError> {
+        let ProvisionStep::Stage { endpoint, stage } = step else {
+            return Ok(String::new());
+        };
+        let address = self
+            .context
+            .directory
+            .lock()
+            .get(endpoint)
+            .map(|entry| entry.address);
+        let Some(address) = address else {
+            return Ok("gone".to_string());
+        };
+        let authority = self.authority(grant);
+        let client = &self.context.engine_client;
+        let answer = client.order_stage(address, endpoint, *stage, &authority, CALL_TIMEOUT);
+        Ok(format!("{:?}", answer.await?))
+    }
+}
+
+/// The outcome of an order for endpoints that are not to be had.
+const UNAVAILABLE: &str = "unavailable";
--- a/crates/ingress/src/steward/records.rs
+++ b/crates/ingress/src/steward/records.rs
@@ -4,7 +4,8 @@
 
 use bluebell_adapter::store::TopicPart;
 use bluebell_core::{
-    ids::{InstanceId, OrganisationId},
+    ids::{FailureDomain, InstanceId, OrganisationId, ServiceName},
+    provision::DomainBase,
     records::UsageWindow,
     usage::{MeterWriter, MeteredCounts},
 };
@@ -57,6 +58,43 @@
     /// The last window whose report was accepted.
     #[prost(uint64, tag = "4")]
     pub reported: u64,
+    /// What failure domains had when they were first seen.
+    #[prost(message, repeated, tag = "5")]
+    pub bases: Vec<BaseMessage>,
+}
+
+/// What a failure domain had of a service when it was first seen.
+#[derive(Clone, PartialEq, Message)]
+pub struct BaseMessage {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The failure domain.
+    #[prost(string, tag = "2")]
+    pub domain: String,
+    /// Its endpoints then.
+    #[prost(uint32, tag = "3")]
+    pub endpoints: u32,
+}
+
+impl BaseMessage {
+    /// The message of a base.
+    pub fn new(base: &DomainBase) -> BaseMessage {
+        BaseMessage {
+            service: base.service.to_string(),
+            domain: base.domain.to_string(),
+            endpoints: base.endpoints,
+        }
+    }
+
+    /// The base as the product's own type, if the names are any.
+    pub fn base(&self) -> Option<DomainBase> {
+        Some(DomainBase {
+            service: ServiceName::new(self.service.as_str()).ok()?,
+            domain: FailureDomain::new(self.domain.as_str()).ok()?,
+            endpoints: self.endpoints,
+        })
+    }
 }
 
 impl WindowCounts {
