--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -57,6 +57,13 @@
 /// ms: each of their tokens waits for a piece of the prompt, which stretches their
 /// pauses beyond what is on time.
 const MIXED_MS: f64 = 1_000.0;
+/// How long an engine that was ordered to change its stage is taken to be away,
+/// unless it says sooner that it is back: it ends its work, is away for some 3 s,
+/// and says so with its next heartbeat.
+const SWITCH_PATIENCE: TimeSpan = TimeSpan::from_millis(7_000);
+/// How long an engine that refused a request gets no other: others would be
+/// refused as well, and each refusal counts as a repeat.
+const REFUSAL_PAUSE: TimeSpan = TimeSpan::from_millis(150);
 /// By how much costs are varied, so that entries with the same picture don't all
 /// take the same engine.
 const COST_NOISE: f64 = 0.05;
@@ -149,6 +156,10 @@
     service: ServiceName,
     domain: FailureDomain,
     stage: Option<EngineStage>,
+    /// The stage that it was ordered to take, and when that was heard.
+    ordered: Option<(EngineStage, ClockTime)>,
+    /// Until when it is left alone because it refused work that it had room for.
+    refuses_until: ClockTime,
     is_leaving: bool,
     queue: EngineQueue,
     health: EndpointHealth,
@@ -165,6 +176,17 @@
     fn runs_requests(&self) -> bool {
         self.stage != Some(EngineStage::Prefill)
     }
+
+    /// Whether it is away to change its stage. An order that was given may not have
+    /// been heard, so after some time it is tried again as what it says it is.
+    fn is_switching(&self, now: ClockTime) -> bool {
+        self.ordered
+            .is_some_and(|(stage, at)| self.stage != Some(stage) && now.since(at) < SWITCH_PATIENCE)
+    }
+
+    fn takes_work(&self, now: ClockTime) -> bool {
+        !self.is_leaving && !self.is_switching(now) && now >= self.refuses_until
+    }
 }
 
 /// What this entry knows of all engines.
@@ -212,7 +234,10 @@
     pub fn set_engine(&mut self, registration: &EndpointRegistration) {
         let known = self.books.get_mut(&registration.id);
         if let Some(book) = known.filter(|book| book.start == registration.start) {
-            book.stage = registration.stage;
+            if book.stage != registration.stage {
+                book.stage = registration.stage;
+                book.ordered = None;
+            }
             book.is_leaving = registration.is_leaving;
             book.target.address = registration.address;
             return;
@@ -230,6 +255,8 @@
             service: registration.service.clone(),
             domain: registration.domain.clone(),
             stage: registration.stage,
+            ordered: None,
+            refuses_until: ClockTime::default(),
             is_leaving: registration.is_leaving,
             queue: EngineQueue::new(),
             health: EndpointHealth::new(),
@@ -304,7 +331,7 @@
     ) -> impl Iterator<Item = &'a EngineBook> {
         self.books.values().filter(move |book| {
             book.service == *ask.service
-                && !book.is_leaving
+                && book.takes_work(now)
                 && !ask.tried.contains(&book.target.id)
                 && !(sound_only && book.health.is_ejected(now))
         })
@@ -450,6 +477,43 @@
         book.health.fail(now, &self.settings, &mut self.random)
     }
 
+    /// The engine was ordered to change its stage.
+    pub fn stage_ordered(&mut self, now: ClockTime, engine: u64, stage: EngineStage) {
+        let id = self.by_hash.get(&engine);
+        let Some(book) = id.and_then(|id| self.books.get_mut(id)) else {
+            return;
+        };
+        // The order is told several times; its time is that of the first.
+        if book.ordered.is_none_or(|(known, _)| known != stage) {
+            book.ordered = Some((stage, now));
+        }
+    }
+
+    /// The hash that entries name the engine by.
+    pub fn hash(&self, id: &EndpointId) -> Option<u64> {
+        self.books.get(id).map(|book| book.hash)
+    }
+
+    /// The engine refused a request without running it.
+    pub fn refused(&mut self, now: ClockTime, id: &EndpointId) {
+        if let Some(book) = self.books.get_mut(id) {
+            book.refuses_until = now + REFUSAL_PAUSE;
+        }
+    }
+
+    /// The engine says that requests like the last one are not for its stage: it
+    /// has changed it, and its registration does not say so yet.
+    pub fn wrong_stage(&mut self, id: &EndpointId) {
+        if let Some(book) = self.books.get_mut(id) {
+            book.stage = match book.stage {
+                Some(EngineStage::Decode) => Some(EngineStage::Prefill),
+                Some(EngineStage::Prefill) => Some(EngineStage::Decode),
+                None => None,
+            };
+            book.ordered = None;
+        }
+    }
+
     /// What this entry has at each engine where it has anything.
     pub fn own_loads(&self) -> Vec<ToldLoad> {
         let loads = self.books.values().map(|book| ToldLoad {
--- a/crates/core/src/provision/mod.rs
+++ b/crates/core/src/provision/mod.rs
@@ -29,12 +29,12 @@
 
 /// The lasting engines that are kept in a failure domain, as a share of those
 /// that it had at first.
-const LASTING_SHARE: f64 = 1.0;
+const LASTING_SHARE: f64 = 0.5;
 
 /// Preemptible engines ordered for each engine that a failure domain had at
 /// first: more than before, as they cost a sixth, so that the loss of a failure
 /// domain leaves the others enough.
-const PREEMPTIBLE_FACTOR: f64 = 0.0;
+const PREEMPTIBLE_FACTOR: f64 = 1.0;
 
 /// How long after an order its outcome is awaited beyond the time to boot.
 const ORDER_SLACK: TimeSpan = TimeSpan::from_millis(2_500);
@@ -42,6 +42,10 @@
 /// How long no more preemptible endpoints are asked for where there were none.
 const UNAVAILABLE_FOR: TimeSpan = TimeSpan::from_millis(3_000);
 
+/// How long after endpoints were given up in one failure domain they may be given
+/// up in the next: they leave within some seconds.
+const REDUCE_INTERVAL: TimeSpan = TimeSpan::from_millis(5_000);
+
 /// The share of a service's engines that may change their stage at a time.
 const SWITCHING_SHARE: f64 = 0.34;
 
@@ -113,6 +117,8 @@
 struct DomainCounts {
     lasting: u32,
     preemptible: u32,
+    /// Preemptible engines that have taken up their work.
+    at_work: u32,
 }
 
 /// What the steward has ordered and waits for.
@@ -122,6 +128,7 @@
     orders: BTreeMap<OrderKey, PlacedOrder>,
     unavailable: BTreeMap<(ServiceName, FailureDomain), ClockTime>,
     switching: BTreeMap<EndpointId, ClockTime>,
+    reduced_at: Option<ClockTime>,
     seen: BTreeMap<ServiceName, SeenEndpoints>,
 }
 
@@ -177,7 +184,7 @@
             self.count_steps(now, service.name, scaling, &endpoints, &mut steps);
         }
         if let Some(engine) = service.engine {
-            self.stage_steps(now, engine, &endpoints, &mut steps);
+            self.stage_steps(now, service.name, engine, &endpoints, &mut steps);
         }
         steps
     }
@@ -208,7 +215,11 @@
         for endpoint in endpoints.iter().filter(|endpoint| !endpoint.is_leaving) {
             let count = counts.entry(endpoint.domain.clone()).or_default();
             match endpoint.is_preemptible {
-                true => count.preemptible += 1,
+                true => {
+                    count.preemptible += 1;
+                    let works = endpoint.stage != Some(EngineStage::Decode);
+                    count.at_work += u32::from(works);
+                }
                 false => count.lasting += 1,
             }
         }
@@ -264,12 +275,23 @@
         if count.lasting < lasting {
             return order(self, false, lasting, count.lasting);
         }
-        if count.lasting > lasting && count.preemptible * 2 >= preemptible {
+        let replaced = count.at_work * 2 >= preemptible;
+        if count.lasting > lasting && replaced && self.may_reduce(now) {
             return order(self, false, lasting, count.lasting);
         }
         None
     }
 
+    /// Endpoints are given up in one failure domain at a time, and not while
+    /// engines are away: which of them go is the platform's choice, and those that
+    /// stay may have to change their stage.
+    fn may_reduce(&self, now: ClockTime) -> bool {
+        let is_calm = self
+            .reduced_at
+            .is_none_or(|at| now.since(at) >= REDUCE_INTERVAL);
+        is_calm && self.switching.is_empty()
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn order(
         &mut self,
@@ -304,8 +326,11 @@
                 domain,
                 preemptible,
                 count,
-                ..
+                present,
             } => {
+                if count < present {
+                    self.reduced_at = Some(now);
+                }
                 let key = (service.clone(), domain.clone(), *preemptible);
                 let order = PlacedOrder {
                     count: *count,
@@ -330,6 +355,7 @@
     fn stage_steps(
         &mut self,
         now: ClockTime,
+        service: &ServiceName,
         engine: &EngineRule,
         endpoints: &[&EndpointRegistration],
         steps: &mut Vec<ProvisionStep>,
@@ -348,13 +374,18 @@
                 .or_default()
                 .push(endpoint);
         }
-        for engines in by_domain.values_mut() {
+        for (domain, engines) in &mut by_domain {
             // Lasting engines run requests, and those that run them already.
             engines.sort_by_key(|engine| {
                 let runs = engine.stage == Some(EngineStage::Decode);
                 (engine.is_preemptible, !runs, engine.id.clone())
             });
-            let runners = (engines.len() as f64 * RUN_SHARE).round() as usize;
+            let key = (service.clone(), (*domain).clone());
+            let base = self
+                .bases
+                .get(&key)
+                .map_or(engines.len(), |base| *base as usize);
+            let runners = (base as f64 * RUN_SHARE).round() as usize;
             for (place, engine) in engines.iter().enumerate() {
                 let stage = match place < runners.max(1) {
                     true => EngineStage::Decode,
--- a/crates/core/src/stewardship/mod.rs
+++ b/crates/core/src/stewardship/mod.rs
@@ -145,7 +145,9 @@
     pub fn patience_left(&self, now: ClockTime) -> TimeSpan {
         let silent = self.last.as_ref().map(|last| now.since(last.read_at));
         let slack = TimeSpan::from_millis(10);
-        silent.map_or(TimeSpan::ZERO, |silent| self.patience().less(silent) + slack)
+        silent.map_or(TimeSpan::ZERO, |silent| {
+            self.patience().less(silent) + slack
+        })
     }
 
     /// How long the steward may be silent before this process takes over.
--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -33,6 +33,8 @@
     NotExecuted {
         /// The status.
         status: StatusCode,
+        /// Whether another endpoint answers at the address now.
+        is_gone: bool,
     },
     /// Not a byte of it was written.
     NotSent(String),
@@ -132,16 +134,15 @@
     if status == StatusCode::MISDIRECTED_REQUEST
         || response.headers().contains_key(headers::NOT_EXECUTED)
     {
-        give_back(
-            context,
-            target,
-            EndpointAnswer {
-                response,
-                connection,
-            },
-        )
-        .await;
-        return AttemptEnd::NotExecuted { status };
+        let answered = response.headers().get(headers::ENDPOINT_ID);
+        let is_gone = status == StatusCode::MISDIRECTED_REQUEST
+            && answered.is_some_and(|id| id.as_bytes() != target.id.as_str().as_bytes());
+        let answer = EndpointAnswer {
+            response,
+            connection,
+        };
+        give_back(context, target, answer).await;
+        return AttemptEnd::NotExecuted { status, is_gone };
     }
     AttemptEnd::Answered(EndpointAnswer {
         response,
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -279,8 +279,8 @@
                 self.engine_failed(target);
                 FailedTry::new(RefusalReason::NoEndpoint, detail)
             }
-            AttemptEnd::NotExecuted { status } => {
-                self.refused(target, status.as_u16());
+            AttemptEnd::NotExecuted { status, is_gone } => {
+                self.refused(target, status.as_u16(), *is_gone);
                 FailedTry::new(RefusalReason::EndpointsFull, detail)
             }
             AttemptEnd::TimedOut => {
@@ -324,9 +324,9 @@
                 self.engine_failed(target);
                 Err(FailedTry::new(RefusalReason::NoEndpoint, detail))
             }
-            AttemptEnd::NotExecuted { status } => {
+            AttemptEnd::NotExecuted { status, is_gone } => {
                 self.attempts.refused_before_running(permit);
-                self.refused(target, status.as_u16());
+                self.refused(target, status.as_u16(), is_gone);
                 let detail = format!("{} refused with status {status}", target.id);
                 Err(FailedTry::new(RefusalReason::EndpointsFull, detail))
             }
@@ -426,11 +426,18 @@
         self.context.engines.lock().failed(now, engine);
     }
 
-    fn refused(&mut self, target: &EngineTarget, status: u16) {
+    fn refused(&mut self, target: &EngineTarget, status: u16, is_gone: bool) {
         self.tried.push(target.id.clone());
-        if status == 421 {
-            self.context.directory.lock().drop_endpoint(&target.id);
-            self.context.engines.lock().remove_engine(&target.id);
+        let now = self.context.now();
+        let mut engines = self.context.engines.lock();
+        match status {
+            421 if is_gone => {
+                engines.remove_engine(&target.id);
+                drop(engines);
+                self.context.directory.lock().drop_endpoint(&target.id);
+            }
+            421 => engines.wrong_stage(&target.id),
+            _ => engines.refused(now, &target.id),
         }
     }
 
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -122,9 +122,9 @@
                 guard.failed();
                 NextStep::TryElsewhere(RefusalReason::NoEndpoint, detail)
             }
-            AttemptEnd::NotExecuted { status } => {
+            AttemptEnd::NotExecuted { status, is_gone } => {
                 self.attempts.refused_before_running(permit);
-                if status.as_u16() == 421 {
+                if is_gone {
                     self.context.directory.lock().drop_endpoint(&target.id);
                 }
                 guard.failed();
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -1,6 +1,9 @@
 //! What entries write and say about themselves.
 
-use bluebell_core::placement::{EngineLoad, RANKS, ToldLoad, ToldPart};
+use bluebell_core::{
+    directory::EngineStage,
+    placement::{EngineLoad, RANKS, ToldLoad, ToldPart},
+};
 use prost::Message;
 
 /// An instance's registration in the store.
@@ -51,6 +54,30 @@
     /// Parts sent since its last datagram.
     #[prost(message, repeated, tag = "3")]
     pub parts: Vec<PartsMessage>,
+    /// Stages that this instance ordered lately, as the steward.
+    #[prost(message, repeated, tag = "4")]
+    pub stages: Vec<StageMessage>,
+}
+
+/// An order to an engine to change its stage.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct StageMessage {
+    /// The engine, by the hash of its id.
+    #[prost(fixed64, tag = "1")]
+    pub engine: u64,
+    /// Whether it is to prefill; it is to run requests otherwise.
+    #[prost(bool, tag = "2")]
+    pub prefills: bool,
+}
+
+impl StageMessage {
+    /// The stage that was ordered.
+    pub fn stage(self) -> EngineStage {
+        match self.prefills {
+            true => EngineStage::Prefill,
+            false => EngineStage::Decode,
+        }
+    }
 }
 
 impl PeerMessage {
@@ -76,9 +103,16 @@
             instance: instance.to_string(),
             loads: loads.collect(),
             parts: by_engine,
+            stages: Vec::new(),
         }
     }
 
+    /// Adds the stages that were ordered lately.
+    pub fn with_stages(mut self, stages: Vec<StageMessage>) -> PeerMessage {
+        self.stages = stages;
+        self
+    }
+
     /// The loads as the slices know them.
     pub fn told_loads(&self) -> Vec<ToldLoad> {
         let loads = self.loads.iter().map(|message| {
--- a/crates/ingress/src/peers/mod.rs
+++ b/crates/ingress/src/peers/mod.rs
@@ -16,6 +16,7 @@
 
 use tokio_util::sync::CancellationToken;
 
+pub use self::messages::StageMessage;
 pub use self::table::{KnownPeer, PeerTable};
 use crate::context::EntryContext;
 
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -8,9 +8,14 @@
 };
 use serde::Serialize;
 
+use crate::peers::messages::StageMessage;
+
 /// How long an instance counts as alive after its last word.
 pub const ALIVE_FOR: TimeSpan = TimeSpan::from_millis(3_000);
 
+/// How long an order is told: datagrams get lost.
+const ORDER_TOLD_FOR: TimeSpan = TimeSpan::from_millis(1_500);
+
 /// Another instance.
 #[derive(Clone, Debug, Serialize)]
 pub struct KnownPeer {
@@ -26,6 +31,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<InstanceId, KnownPeer>,
+    /// Stages that this instance ordered, for the others to know.
+    ordered: Vec<(ClockTime, StageMessage)>,
 }
 
 impl PeerTable {
@@ -55,6 +62,18 @@
         }
     }
 
+    /// This instance ordered a stage.
+    pub fn note_stage_order(&mut self, now: ClockTime, order: StageMessage) {
+        self.ordered.push((now, order));
+    }
+
+    /// The stages that this instance ordered lately.
+    pub fn stage_orders(&mut self, now: ClockTime) -> Vec<StageMessage> {
+        self.ordered
+            .retain(|(at, _)| now.since(*at) < ORDER_TOLD_FOR);
+        self.ordered.iter().map(|(_, order)| *order).collect()
+    }
+
     /// All of them.
     pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &KnownPeer)> {
         self.peers.iter()
--- a/crates/ingress/src/peers/talk.rs
+++ b/crates/ingress/src/peers/talk.rs
@@ -89,14 +89,16 @@
             let mut engines = self.context.engines.lock();
             (engines.own_loads(), engines.take_untold())
         };
-        let has_news = !loads.is_empty() || !parts.is_empty() || self.has_told_load;
+        let stages = self.context.peers.lock().stage_orders(now);
+        let has_load = !loads.is_empty() || !parts.is_empty();
+        let has_news = has_load || !stages.is_empty() || self.has_told_load;
         if !has_news && now.since(self.told_at) < BEAT {
             return;
         }
         self.told_at = now;
         self.has_told_load = !loads.is_empty();
         let instance = self.context.writer.instance.as_str();
-        let message = PeerMessage::new(instance, &loads, &parts);
+        let message = PeerMessage::new(instance, &loads, &parts).with_stages(stages);
         let bytes = Bytes::from(message.encode_to_vec());
         for address in self.receivers(now) {
             if let Err(error) = self.frames.send((bytes.clone(), address)).await {
@@ -141,5 +143,8 @@
         let (loads, parts) = (message.told_loads(), message.told_parts());
         let mut engines = self.context.engines.lock();
         engines.note_peer(now, &peer, &loads, &parts);
+        for order in &message.stages {
+            engines.stage_ordered(now, order.engine, order.stage());
+        }
     }
 }
--- a/crates/ingress/src/steward/provide.rs
+++ b/crates/ingress/src/steward/provide.rs
@@ -5,12 +5,17 @@
     duties::{EndpointOrder, OrderAnswer},
 };
 use bluebell_core::{
+    directory::EngineStage,
+    ids::EndpointId,
     provision::{ProvisionService, ProvisionStep},
     stewardship::StewardGrant,
 };
 use bluebell_daemon::logs::LogLine;
 
-use crate::steward::duty::{CALL_TIMEOUT, StewardDuty};
+use crate::{
+    peers::StageMessage,
+    steward::duty::{CALL_TIMEOUT, StewardDuty},
+};
 
 impl StewardDuty {
     /// What is to be ordered now. Nothing, as long as nothing is known to be fresh:
@@ -111,6 +116,20 @@
         })
     }
 
+    fn announce_stage(&self, endpoint: &EndpointId, stage: EngineStage) {
+        let now = self.context.now();
+        let mut engines = self.context.engines.lock();
+        let Some(engine) = engines.hash(endpoint) else {
+            return;
+        };
+        engines.stage_ordered(now, engine, stage);
+        let order = StageMessage {
+            engine,
+            prefills: stage == EngineStage::Prefill,
+        };
+        self.context.peers.lock().note_stage_order(now, order);
+    }
+
     async fn order_stage(
         &self,
         grant: &StewardGrant,
@@ -128,6 +147,9 @@
         let Some(address) = address else {
             return Ok("gone".to_string());
         };
+        // The others are told first: what they send there while it is away is
+        // refused.
+        self.announce_stage(endpoint, *stage);
         let authority = self.authority(grant);
         let client = &self.context.engine_client;
         let answer = client.order_stage(address, endpoint, *stage, &authority, CALL_TIMEOUT);
