--- a/crates/core/src/provision/mod.rs
+++ b/crates/core/src/provision/mod.rs
@@ -29,7 +29,7 @@
 
 /// The lasting engines that are kept in a failure domain, as a share of those
 /// that it had at first.
-const LASTING_SHARE: f64 = 0.5;
+const LASTING_SHARE: f64 = 1.0;
 
 /// Preemptible engines ordered for each engine that a failure domain had at
 /// first: more than before, as they cost a sixth, so that the loss of a failure
