Count every arrival at engines against the budget; end earlier after SIGTERM

Change: each arrival is asked for; a prefilled prompt that one engine refuses goes to another; usage windows wait for every live entry's counts; callers are taken for 2.6 s.

--- a/crates/core/src/usage/metered.rs
+++ b/crates/core/src/usage/metered.rs
@@ -61,6 +61,11 @@
             .collect()
     }
 
+    /// Whether anything was counted in the window.
+    pub fn has_counted(&self, window: UsageWindow) -> bool {
+        self.windows.contains_key(&window)
+    }
+
     /// The store acknowledged these.
     pub fn published(&mut self, news: &[(UsageWindow, MeteredCounts)]) {
         for (window, counts) in news {
@@ -75,6 +80,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct UsageLedger {
     windows: BTreeMap<UsageWindow, BTreeMap<MeterWriter, MeteredCounts>>,
+    /// The window that each writer was in when it last published.
+    reached: BTreeMap<InstanceId, UsageWindow>,
 }
 
 impl UsageLedger {
@@ -92,6 +99,20 @@
         }
     }
 
+    /// A writer published while it was in `window`: whatever it counted in earlier
+    /// ones is known.
+    pub fn note_reached(&mut self, instance: InstanceId, window: UsageWindow) {
+        let reached = self.reached.entry(instance).or_insert(window);
+        *reached = window.max(*reached);
+    }
+
+    /// Whether the instance has published everything that it counted in `window`.
+    pub fn is_complete(&self, instance: &InstanceId, window: UsageWindow) -> bool {
+        self.reached
+            .get(instance)
+            .is_some_and(|reached| *reached > window)
+    }
+
     /// The sum of a window.
     pub fn sum(&self, window: UsageWindow) -> MeteredCounts {
         let mut sum = MeteredCounts::new();
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -27,15 +27,33 @@
 /// How many engines are asked at most, counting those that refused.
 const ASKED_LIMIT: usize = 5;
 
+/// How long freeing a prefilled prompt may take.
+const FREE_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
+
 /// How many steps of urgency at an engine lie between two ranks of routes.
 const PRIORITY_STEP: u8 = 3;
 /// The least urgent rank that engines know.
 const LEAST_URGENT: u8 = 9;
 
+/// How many engines may refuse to take over a prefilled prompt before it is
+/// prefilled anew: the first refusals are of the engines, later ones likely of
+/// the prompt, which may have lapsed.
+const TAKEOVERS_LIMIT: u32 = 2;
+
 /// Why a try did not come to a run.
 struct FailedTry {
     reason: RefusalReason,
     detail: String,
+    is_final: bool,
+}
+
+/// A prompt that was prefilled and not yet taken over.
+#[derive(Clone, Debug)]
+struct PrefilledSource {
+    plan: PrefillPlan,
+    /// Where its KV cache lies.
+    source: String,
+    refusals: u32,
 }
 
 impl FailedTry {
@@ -46,8 +64,14 @@
         FailedTry {
             reason,
             detail: detail.into(),
+            is_final: false,
         }
     }
+
+    fn last(mut self) -> FailedTry {
+        self.is_final = true;
+        self
+    }
 }
 
 /// What a try came to.
@@ -70,7 +94,10 @@
     tried: Vec<EndpointId>,
     asked: usize,
     runs: u32,
-    prefill_calls: u32,
+    /// Requests that reached an engine, but for the first prefill that one took.
+    arrivals: u32,
+    has_prefilled: bool,
+    source: Option<PrefilledSource>,
     is_metered: bool,
 }
 
@@ -109,7 +136,9 @@
             tried: Vec::new(),
             asked: 0,
             runs: 0,
-            prefill_calls: 0,
+            arrivals: 0,
+            has_prefilled: false,
+            source: None,
             is_metered: false,
         }
     }
@@ -131,7 +160,7 @@
         last_id: Option<u64>,
     ) -> Option<RunningStream> {
         self.lost(failed);
-        if self.request.route.work_kind() != WorkKind::Repeatable || !self.may_repeat(true) {
+        if self.request.route.work_kind() != WorkKind::Repeatable || !self.may_go_on() {
             return None;
         }
         match self.begin(last_id).await {
@@ -147,15 +176,12 @@
                 Ok(end) => return Ok(end),
                 Err(failed) => failed,
             };
-            let ended = failed.reason == RefusalReason::NoEndpoint && self.asked == 0;
-            let may_go_on = match failed.reason {
-                RefusalReason::EndpointsFull => self.may_repeat(true),
-                RefusalReason::NoEndpoint => self.may_repeat(false),
-                _ => {
-                    self.request.route.work_kind() == WorkKind::Repeatable && self.may_repeat(true)
-                }
-            };
-            if ended || !may_go_on {
+            let is_repeatable = self.request.route.work_kind() == WorkKind::Repeatable;
+            let has_not_run = matches!(
+                failed.reason,
+                RefusalReason::EndpointsFull | RefusalReason::NoEndpoint
+            );
+            if failed.is_final || !(is_repeatable || has_not_run) || !self.may_go_on() {
                 return Err(failed);
             }
             request_line(&self.context, "sent_elsewhere", &self.request)
@@ -165,31 +191,96 @@
         }
     }
 
-    fn may_repeat(&mut self, needs_budget: bool) -> bool {
+    fn may_go_on(&self) -> bool {
         let now = self.context.now();
         let has_time = self.request.time_left(now) > TimeSpan::ZERO;
-        if !has_time || self.asked >= ASKED_LIMIT || self.runs >= self.request.route.attempts_limit
-        {
-            return false;
-        }
+        has_time && self.asked < ASKED_LIMIT && self.runs < self.request.route.attempts_limit
+    }
+
+    /// Asks to reach one more engine. The first costs nothing; each other one is a
+    /// repeat that the budget has to allow.
+    fn arrive(&mut self) -> Result<(), FailedTry> {
+        let now = self.context.now();
         let service = &self.request.service;
-        !needs_budget || self.context.budget.lock().try_repeat(now, service)
+        if self.arrivals > 0 && !self.context.budget.lock().try_repeat(now, service) {
+            let detail = "the budget of repeats is used up";
+            return Err(FailedTry::new(RefusalReason::EndpointsFull, detail).last());
+        }
+        self.arrivals += 1;
+        Ok(())
     }
 
     async fn try_once(&mut self, last_id: Option<u64>) -> Result<TryEnd, FailedTry> {
-        let plan = self.plan()?;
+        let prefilled = match self.source.take() {
+            Some(prefilled) => prefilled,
+            None => {
+                let plan = self.plan()?;
+                if plan.runs_there {
+                    return self.run_at_once(&plan, last_id).await;
+                }
+                let source = self.prefill(&plan).await?;
+                PrefilledSource {
+                    plan,
+                    source,
+                    refusals: 0,
+                }
+            }
+        };
+        let target = match self.choose_runner(&prefilled.plan) {
+            Ok(target) => target,
+            Err(failed) => {
+                self.free(&prefilled);
+                return Err(failed.last());
+            }
+        };
         let mut added = self.added_headers(last_id);
-        if plan.runs_there {
-            let prefill = PrefillGuard::new(&self.context, &plan, &self.work);
-            let target = plan.engine.clone();
-            return self
-                .run(&plan, &target, added, Some(prefill), last_id)
-                .await;
+        added.push((headers::KV_SOURCE, prefilled.source.clone()));
+        let end = self.run(&prefilled.plan, &target, added, None, last_id);
+        let end = end.await;
+        if let Err(failed) = &end
+            && matches!(
+                failed.reason,
+                RefusalReason::EndpointsFull | RefusalReason::NoEndpoint
+            )
+        {
+            let refusals = prefilled.refusals + 1;
+            let kept = PrefilledSource {
+                refusals,
+                ..prefilled
+            };
+            self.source = Some(kept).filter(|kept| kept.refusals < TAKEOVERS_LIMIT);
         }
-        let source = self.prefill(&plan).await?;
-        added.push((headers::KV_SOURCE, source));
-        let target = self.choose_runner(&plan)?;
-        self.run(&plan, &target, added, None, last_id).await
+        end
+    }
+
+    async fn run_at_once(
+        &mut self,
+        plan: &PrefillPlan,
+        last_id: Option<u64>,
+    ) -> Result<TryEnd, FailedTry> {
+        let added = self.added_headers(last_id);
+        let prefill = PrefillGuard::new(&self.context, plan, &self.work);
+        let target = plan.engine.clone();
+        self.run(plan, &target, added, Some(prefill), last_id).await
+    }
+
+    /// Frees a prefilled prompt that no engine takes over. Nobody waits for it; if
+    /// it is not heard, the prompt lapses by itself.
+    fn free(&self, prefilled: &PrefilledSource) {
+        let client = self.context.engine_client.clone();
+        let address = prefilled.plan.engine.address;
+        let handle = prefilled
+            .source
+            .rsplit('/')
+            .next()
+            .unwrap_or_default()
+            .to_string();
+        let timeout = FREE_TIMEOUT;
+        tokio::spawn(async move {
+            if let Err(error) = client.free_handle(address, &handle, timeout).await {
+                log::debug!("event=handle_not_freed error={error:?}");
+            }
+        });
     }
 
     fn ask(&self) -> Result<PlanRequest<'_>, FailedTry> {
@@ -239,9 +330,15 @@
         let mut added = self.added_headers(None);
         added.push((headers::STAGE, headers::STAGE_PREFILL.to_string()));
         let left = self.request.time_left(self.context.now());
+        if self.has_prefilled {
+            self.arrive()?;
+        }
         self.asked += 1;
-        self.prefill_calls += 1;
         let end = attempt::send(&self.context, &self.request, target, &added, left).await;
+        // Whatever became of it, a first prefill that an engine did not refuse is
+        // the one that costs no repeat.
+        let was_taken = !matches!(end, AttemptEnd::NotSent(_) | AttemptEnd::NotExecuted { .. });
+        self.has_prefilled |= was_taken;
         let answer = match end {
             AttemptEnd::Answered(answer) if answer.response.status().is_success() => answer,
             end => {
@@ -280,6 +377,10 @@
                 FailedTry::new(RefusalReason::NoEndpoint, detail)
             }
             AttemptEnd::NotExecuted { status, is_gone } => {
+                // A prefill that was refused is no first prefill, and counts.
+                if !self.has_prefilled && self.arrive().is_err() {
+                    self.arrivals += 1;
+                }
                 self.refused(target, status.as_u16(), *is_gone);
                 FailedTry::new(RefusalReason::EndpointsFull, detail)
             }
@@ -303,6 +404,7 @@
         prefill: Option<PrefillGuard>,
         last_id: Option<u64>,
     ) -> Result<TryEnd, FailedTry> {
+        self.arrive()?;
         let Ok(permit) = self.attempts.send(&target.id) else {
             return Err(FailedTry::new(
                 RefusalReason::EndpointFailed,
--- a/crates/ingress/src/program.rs
+++ b/crates/ingress/src/program.rs
@@ -7,7 +7,10 @@
     PlatformClient, SETTINGS_VARIABLE, engines::EngineClient, settings, store::StoreClient,
 };
 use bluebell_daemon::{logs::LogLine, program::SETTINGS_EXIT};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    task::JoinHandle,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -21,8 +24,9 @@
 
 /// How long after SIGTERM callers are still accepted. The platform asks once a
 /// second and needs two answers to send callers elsewhere; those with a kept
-/// connection come back on it.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_000);
+/// connection come back on it. What is taken later than 3 s after the signal may
+/// not be done when the process is killed.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_600);
 
 /// How long before the platform kills the process it ends by itself, to say so.
 const END_MARGIN: Duration = Duration::from_millis(150);
@@ -108,8 +112,7 @@
             }
         }
     }
-    stop(&context, &front).await;
-    accepting.abort();
+    stop(&context, &front, accepting).await;
     background.cancel();
     ready_server.stop().await;
     LogLine::new("stop").info();
@@ -122,7 +125,7 @@
 /// the platform still sends for two seconds, and those who come back on a kept
 /// connection; one that waited for all connections to close would be killed with
 /// requests inside.
-async fn stop(context: &EntryContext, front: &CallerFront) {
+async fn stop(context: &EntryContext, front: &CallerFront, accepting: JoinHandle<()>) {
     LogLine::new("stopping")
         .with("open", context.metrics.requests_open.get())
         .info();
@@ -130,6 +133,7 @@
     let grace = context.settings.bounds.grace.as_duration();
     let end = tokio::time::Instant::now() + grace.saturating_sub(END_MARGIN);
     tokio::time::sleep(ACCEPT_AFTER_STOP.min(grace / 2)).await;
+    accepting.abort();
     front.close_idle();
     let ended = tokio::time::timeout_at(end, front.ended()).await;
     if ended.is_err() {
--- a/crates/ingress/src/steward/duty.rs
+++ b/crates/ingress/src/steward/duty.rs
@@ -32,6 +32,10 @@
 /// some ms after it, and the store may be slow.
 const FREEZE_AFTER: TimeSpan = TimeSpan::from_millis(1_600);
 
+/// How long before a report is due it is sent, whoever has not published: a failed
+/// report can be repeated once in this time, and a next steward can take over.
+const REPORT_MARGIN: TimeSpan = TimeSpan::from_millis(3_000);
+
 /// How long the store may hold back a read of the stewards' topic.
 const READ_WAIT: TimeSpan = TimeSpan::from_millis(4_500);
 
@@ -41,6 +45,9 @@
 /// How often a steward looks whether there is something to do.
 const STEP: Duration = Duration::from_millis(250);
 
+/// How often the counts are read while a window waits for some.
+const USAGE_INTERVAL: TimeSpan = TimeSpan::from_millis(700);
+
 /// How many windows back are reported after an outage.
 const WINDOWS_BACK: u64 = 3;
 
@@ -57,6 +64,7 @@
     pub(super) planner: ProvisionPlanner,
     ledger: UsageLedger,
     usage_next: LogOffset,
+    usage_read_at: Option<ClockTime>,
     /// When this process last appended.
     beat_at: Option<ClockTime>,
     started: UsageWindow,
@@ -77,6 +85,7 @@
             planner: ProvisionPlanner::new(),
             ledger: UsageLedger::new(),
             usage_next: LogOffset::START,
+            usage_read_at: None,
             beat_at: None,
             started,
         }
@@ -104,8 +113,10 @@
         if !self.seat.is_steward() {
             return self.wait_for_silence().await;
         }
-        if let Some(window) = self.window_to_report() {
-            return self.report(window).await;
+        if let Some(window) = self.window_to_report()
+            && self.report(window).await?
+        {
+            return Ok(());
         }
         let steps = self.provision_steps();
         if !steps.is_empty() {
@@ -210,27 +221,31 @@
         (window < current).then_some(window)
     }
 
-    async fn report(&mut self, window: UsageWindow) -> Result<(), CallError> {
+    /// Reports a window; answers whether anything was done, or has to wait.
+    async fn report(&mut self, window: UsageWindow) -> Result<bool, CallError> {
         let counts = match self.frozen.get(&window) {
             Some(counts) => counts.clone(),
             None => {
-                self.read_usage().await?;
+                self.read_usage_at_times().await?;
+                if !self.may_freeze(window) {
+                    return Ok(false);
+                }
                 self.ledger.sum(window)
             }
         };
         let frozen = WindowCounts::new(window, &counts);
         let Some(grant) = self.append(Some(frozen)).await? else {
-            return Ok(());
+            return Ok(true);
         };
         // Whatever was frozen first holds, should two have frozen the window.
         let counts = self.frozen.entry(window).or_insert(counts).clone();
         if counts.is_empty() {
             self.note_reported(window);
-            return Ok(());
+            return Ok(true);
         }
         let authority = self.authority(&grant);
         if !grant.allows(self.context.now()) {
-            return Ok(());
+            return Ok(true);
         }
         let number = window.number();
         let reported = self
@@ -251,7 +266,28 @@
                 tokio::time::sleep(STEP).await;
             }
         }
-        Ok(())
+        Ok(true)
+    }
+
+    /// Whether the figures of a window are whole: each instance that is alive has
+    /// published after its end, or there is no more time to wait.
+    ///
+    /// An instance that is cut off from the store goes on serving for some seconds,
+    /// and publishes what it counted when it is back; a report without its counts
+    /// would be off by its whole share.
+    fn may_freeze(&self, window: UsageWindow) -> bool {
+        let bounds = &self.context.settings.bounds;
+        let end_ms = window.next().number() * bounds.usage_window.as_millis();
+        let due_ms = end_ms + bounds.usage_lateness.less(REPORT_MARGIN).as_millis();
+        if wall_time().as_millis() >= due_ms {
+            return true;
+        }
+        let now = self.context.now();
+        let peers = self.context.peers.lock();
+        let mut alive = peers.alive(now).map(|(instance, _)| instance);
+        let own = &self.context.writer.instance;
+        alive.all(|peer| self.ledger.is_complete(peer, window))
+            && self.ledger.is_complete(own, window)
     }
 
     pub(super) fn authority(&self, grant: &StewardGrant) -> DutyAuthority {
@@ -304,6 +340,18 @@
         }
     }
 
+    async fn read_usage_at_times(&mut self) -> Result<(), CallError> {
+        let now = self.context.now();
+        if self
+            .usage_read_at
+            .is_some_and(|at| now.since(at) < USAGE_INTERVAL)
+        {
+            return Ok(());
+        }
+        self.usage_read_at = Some(now);
+        self.read_usage().await
+    }
+
     async fn read_usage(&mut self) -> Result<(), CallError> {
         loop {
             let from = self.usage_next;
@@ -342,6 +390,8 @@
         let Some(writer) = writer(&record.instance, record.start) else {
             return;
         };
+        let current = UsageWindow::new(record.current);
+        self.ledger.note_reached(writer.instance.clone(), current);
         for window in &record.windows {
             let number = UsageWindow::new(window.window);
             self.ledger.take(number, writer.clone(), window.counts());
--- a/crates/ingress/src/steward/publish.rs
+++ b/crates/ingress/src/steward/publish.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebell_adapter::store::AppendAnswer;
-use bluebell_core::clock::TimeSpan;
+use bluebell_core::{clock::TimeSpan, records::UsageWindow};
 
 use crate::{
     believe::StorePath,
@@ -27,12 +27,22 @@
 pub async fn publish(context: Arc<EntryContext>) {
     let mut path = StorePath::new("usage");
     let interval = context.settings.bounds.usage_window.as_millis() / TIMES_A_WINDOW;
+    let mut ended = UsageWindow::new(0);
     loop {
         let now = wall_time().as_millis();
         let phase = (now + interval - AFTER_WINDOW.as_millis()) % interval;
         tokio::time::sleep(Duration::from_millis(interval - phase)).await;
-        let news = context.meter.lock().news();
-        if news.is_empty() {
+        let length = context.settings.bounds.usage_window;
+        let current = UsageWindow::at(wall_time(), length);
+        let (news, has_ended) = {
+            let meter = context.meter.lock();
+            // The end of a window is told once even if all of it was published
+            // before: the steward waits for it.
+            let last = UsageWindow::new(current.number().saturating_sub(1));
+            let has_ended = ended < last && meter.has_counted(last);
+            (meter.news(), has_ended.then_some(last))
+        };
+        if news.is_empty() && has_ended.is_none() {
             continue;
         }
         let record = UsageRecord {
@@ -42,6 +52,7 @@
                 .iter()
                 .map(|(window, counts)| WindowCounts::new(*window, counts))
                 .collect(),
+            current: current.number(),
         };
         let records = [encode(&record)];
         let appended = context
@@ -51,6 +62,7 @@
             Ok(AppendAnswer::Appended { .. }) => {
                 path.answered(&context);
                 context.meter.lock().published(&news);
+                ended = ended.max(UsageWindow::new(current.number().saturating_sub(1)));
             }
             Ok(AppendAnswer::EndMoved { .. }) => {}
             Err(error) => path.failed(&context, &error).await,
--- a/crates/ingress/src/steward/records.rs
+++ b/crates/ingress/src/steward/records.rs
@@ -41,6 +41,9 @@
     /// Windows in full.
     #[prost(message, repeated, tag = "3")]
     pub windows: Vec<WindowCounts>,
+    /// The window that it is in: earlier ones are over for it.
+    #[prost(uint64, tag = "4")]
+    pub current: u64,
 }
 
 /// What a steward is about to do.
