Give up at once when no engine is left; count what never came to a run

Ruled out: a lost configuration read (the log shows no line of any kind for 5 s). Change: no engine is final; the first prefill and the first run are free, all else is asked for.

--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -185,7 +185,12 @@
     }
 
     fn takes_work(&self, now: ClockTime) -> bool {
-        !self.is_leaving && !self.is_switching(now) && now >= self.refuses_until
+        !self.is_leaving && !self.is_switching(now)
+    }
+
+    /// Whether it has neither failed nor refused work lately.
+    fn is_sound(&self, now: ClockTime) -> bool {
+        !self.health.is_ejected(now) && now >= self.refuses_until
     }
 }
 
@@ -333,7 +338,7 @@
             book.service == *ask.service
                 && book.takes_work(now)
                 && !ask.tried.contains(&book.target.id)
-                && !(sound_only && book.health.is_ejected(now))
+                && (!sound_only || book.is_sound(now))
         })
     }
 
--- a/crates/core/src/retries/shared.rs
+++ b/crates/core/src/retries/shared.rs
@@ -75,6 +75,11 @@
         true
     }
 
+    /// A request reached the service once more without having been asked for.
+    pub fn note_repeat(&mut self, now: ClockTime, service: &ServiceName) {
+        self.slice(now, service).repeats += 1;
+    }
+
     fn slice(&mut self, now: ClockTime, service: &ServiceName) -> &mut WindowSlice {
         let length = (self.allowance.window.as_millis() / SLICES).max(1);
         let number = now.as_millis() / length;
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -94,9 +94,8 @@
     tried: Vec<EndpointId>,
     asked: usize,
     runs: u32,
-    /// Requests that reached an engine, but for the first prefill that one took.
-    arrivals: u32,
     has_prefilled: bool,
+    has_run: bool,
     source: Option<PrefilledSource>,
     is_metered: bool,
 }
@@ -136,8 +135,8 @@
             tried: Vec::new(),
             asked: 0,
             runs: 0,
-            arrivals: 0,
             has_prefilled: false,
+            has_run: false,
             source: None,
             is_metered: false,
         }
@@ -197,17 +196,16 @@
         has_time && self.asked < ASKED_LIMIT && self.runs < self.request.route.attempts_limit
     }
 
-    /// Asks to reach one more engine. The first costs nothing; each other one is a
-    /// repeat that the budget has to allow.
-    fn arrive(&mut self) -> Result<(), FailedTry> {
+    /// Asks to reach one more engine. The first prefill and the first run are no
+    /// repeats; everything else is one, and the budget has to allow it.
+    fn repeat(&self) -> Result<(), FailedTry> {
         let now = self.context.now();
         let service = &self.request.service;
-        if self.arrivals > 0 && !self.context.budget.lock().try_repeat(now, service) {
-            let detail = "the budget of repeats is used up";
-            return Err(FailedTry::new(RefusalReason::EndpointsFull, detail).last());
+        if self.context.budget.lock().try_repeat(now, service) {
+            return Ok(());
         }
-        self.arrivals += 1;
-        Ok(())
+        let detail = "the budget of repeats is used up";
+        Err(FailedTry::new(RefusalReason::EndpointsFull, detail).last())
     }
 
     async fn try_once(&mut self, last_id: Option<u64>) -> Result<TryEnd, FailedTry> {
@@ -302,7 +300,9 @@
     fn plan(&self) -> Result<PrefillPlan, FailedTry> {
         let now = self.context.now();
         let plan = self.context.engines.lock().plan(now, self.ask()?);
-        plan.map_err(|error| FailedTry::new(RefusalReason::NoEndpoint, error.to_string()))
+        // Trying again at once would find none again, and hold up everything else
+        // in this process while it does.
+        plan.map_err(|error| FailedTry::new(RefusalReason::NoEndpoint, error.to_string()).last())
     }
 
     fn choose_runner(&self, plan: &PrefillPlan) -> Result<EngineTarget, FailedTry> {
@@ -331,7 +331,7 @@
         added.push((headers::STAGE, headers::STAGE_PREFILL.to_string()));
         let left = self.request.time_left(self.context.now());
         if self.has_prefilled {
-            self.arrive()?;
+            self.repeat()?;
         }
         self.asked += 1;
         let end = attempt::send(&self.context, &self.request, target, &added, left).await;
@@ -378,9 +378,9 @@
             }
             AttemptEnd::NotExecuted { status, is_gone } => {
                 // A prefill that was refused is no first prefill, and counts.
-                if !self.has_prefilled && self.arrive().is_err() {
-                    self.arrivals += 1;
-                }
+                let now = self.context.now();
+                let service = &self.request.service;
+                self.context.budget.lock().note_repeat(now, service);
                 self.refused(target, status.as_u16(), *is_gone);
                 FailedTry::new(RefusalReason::EndpointsFull, detail)
             }
@@ -404,7 +404,10 @@
         prefill: Option<PrefillGuard>,
         last_id: Option<u64>,
     ) -> Result<TryEnd, FailedTry> {
-        self.arrive()?;
+        if self.has_run {
+            self.repeat()?;
+        }
+        self.has_run = true;
         let Ok(permit) = self.attempts.send(&target.id) else {
             return Err(FailedTry::new(
                 RefusalReason::EndpointFailed,
