--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -12,6 +12,8 @@
 
 use std::collections::BTreeMap;
 
+use xxhash_rust::xxh3::Xxh3;
+
 pub use self::registration::{EndpointRegistration, EngineStage};
 use crate::{
     clock::{ClockTime, TimeSpan},
@@ -120,6 +122,38 @@
         }
     }
 
+    /// Another instance says that the registration has lapsed around an outage of
+    /// the store: it is kept for as long as that instance keeps it at most.
+    pub fn lapse(&mut self, now: ClockTime, id: &EndpointId) {
+        if let Some(known) = self.endpoints.get_mut(id) {
+            known.lapses_at.get_or_insert(now + LAPSE_GRACE);
+        }
+    }
+
+    /// A number that differs where two pictures of the endpoints differ in
+    /// anything that decides where work goes.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        let present = self
+            .endpoints
+            .values()
+            .filter(|known| known.lapses_at.is_none());
+        for known in present {
+            let entry = &known.registration;
+            hasher.update(entry.id.as_str().as_bytes());
+            hasher.update(&entry.start.to_le_bytes());
+            hasher.update(entry.service.as_str().as_bytes());
+            hasher.update(entry.address.to_string().as_bytes());
+            let stage = match entry.stage {
+                None => 0,
+                Some(EngineStage::Prefill) => 1,
+                Some(EngineStage::Decode) => 2,
+            };
+            hasher.update(&[u8::from(entry.is_leaving), stage]);
+        }
+        hasher.digest()
+    }
+
     /// Keeps what is listed and treats the others as unregistered: the listing
     /// stands for everything in the store.
     pub fn keep_only<Listed>(&mut self, now: ClockTime, listed: Listed) -> Vec<EndpointId>
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod publication;
 pub mod quarantine;
 pub mod records;
+pub mod relay;
 pub mod retries;
 pub mod roles;
 pub mod routing;
--- /dev/null
+++ b/crates/core/src/relay/mod.rs
@@ -0,0 +1,83 @@
+//! Sharing reads of the store within a failure domain.
+//!
+//! Each call to the store is priced and the calls of all instances together are
+//! limited, so not everybody can ask it all the time. In each failure domain one
+//! instance, the *reader*, follows the store and tells the others what changed
+//! and how fresh that is; they read for themselves as soon as its word is too old.
+//! A failure domain that is cut off from the others has its own reader.
+//!
+//! What a word is worth is judged without comparing clocks: each instance sends a
+//! stamp of its own clock, and the reader's answer names the last stamp that it
+//! had received when it spoke. So a datagram that lay in a buffer while its
+//! receiver was suspended can't make old knowledge look fresh.
+
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    ids::InstanceId,
+};
+
+/// How old the knowledge of configuration and keys may be before an instance that
+/// is told by a reader reads for itself. Keys are trusted for somewhat less than
+/// 5 s, and a read may be lost.
+pub const TOLD_KEYS_LIMIT: TimeSpan = TimeSpan::from_millis(2_600);
+
+/// How old the knowledge of endpoints may be before an instance reads for itself:
+/// an endpoint that leaves must get nothing new within 2 s.
+pub const TOLD_ENDPOINTS_LIMIT: TimeSpan = TimeSpan::from_millis(1_700);
+
+/// For how long two pictures of the endpoints may differ before the one who is
+/// told reads them whole: what is on its way makes them differ for a moment.
+pub const DIFFERENCE_PATIENCE: TimeSpan = TimeSpan::from_millis(700);
+
+/// Whether `own` is the reader of its failure domain: of the instances there that
+/// are alive, the first by name.
+pub fn is_reader<'a, Alive>(own: &InstanceId, mut alive: Alive) -> bool
+where
+    Alive: Iterator<Item = &'a InstanceId>,
+{
+    alive.all(|peer| own < peer)
+}
+
+/// The last stamps that were received from other instances, and when a stamp of
+/// ours must have been received by another.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EchoedStamp {
+    /// Our clock when we sent it.
+    pub sent: ClockTime,
+}
+
+impl EchoedStamp {
+    /// The time on our clock at which what the other says was true: it spoke after
+    /// it had received our stamp, of knowledge that was `age` old then.
+    pub fn known_at(self, age: TimeSpan) -> ClockTime {
+        self.sent - age
+    }
+}
+
+/// Whether two pictures of the endpoints have differed for too long.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DifferenceWatch {
+    differs_since: Option<ClockTime>,
+}
+
+impl DifferenceWatch {
+    /// No difference seen.
+    pub fn new() -> DifferenceWatch {
+        DifferenceWatch::default()
+    }
+
+    /// Compares; answers whether the picture has to be read whole.
+    pub fn compare(&mut self, now: ClockTime, own: u64, told: u64) -> bool {
+        if own == told {
+            self.differs_since = None;
+            return false;
+        }
+        let since = *self.differs_since.get_or_insert(now);
+        now.since(since) >= DIFFERENCE_PATIENCE
+    }
+
+    /// The picture has been read whole.
+    pub fn reset(&mut self) {
+        self.differs_since = None;
+    }
+}
--- a/crates/core/src/usage/metered.rs
+++ b/crates/core/src/usage/metered.rs
@@ -61,6 +61,13 @@
             .collect()
     }
 
+    /// The last windows, in full.
+    pub fn last_windows(&self, count: usize) -> Vec<(UsageWindow, MeteredCounts)> {
+        let last = self.windows.iter().rev().take(count);
+        last.map(|(window, counts)| (*window, counts.clone()))
+            .collect()
+    }
+
     /// Whether anything was counted in the window.
     pub fn has_counted(&self, window: UsageWindow) -> bool {
         self.windows.contains_key(&window)
--- a/crates/ingress/src/believe/configuration.rs
+++ b/crates/ingress/src/believe/configuration.rs
@@ -1,6 +1,6 @@
 //! Following the operator's configuration.
 
-use std::sync::Arc;
+use std::{mem, sync::Arc};
 
 use bluebell_adapter::{
     CallError,
@@ -11,7 +11,7 @@
 use bluebell_daemon::logs::LogLine;
 
 use crate::{
-    believe::{READ_TIMEOUT, StorePath},
+    believe::{READ_TIMEOUT, StorePath, wait_while_told},
     context::EntryContext,
 };
 
@@ -29,7 +29,17 @@
 pub async fn follow(context: Arc<EntryContext>) {
     let mut path = StorePath::new("configuration");
     let mut next = None;
+    let mut is_told = false;
     loop {
+        if next.is_some() && !context.must_read_keys() {
+            is_told = true;
+            wait_while_told(&context).await;
+            continue;
+        }
+        if mem::take(&mut is_told) {
+            // What came while the reader told is not worth reading record by record.
+            next = None;
+        }
         let step = match next {
             None => read_newest(&context).await,
             Some(from) => read_on(&context, from).await,
--- a/crates/ingress/src/believe/endpoints.rs
+++ b/crates/ingress/src/believe/endpoints.rs
@@ -1,6 +1,6 @@
 //! Following the registrations of endpoints.
 
-use std::{sync::Arc, time::Duration};
+use std::{mem, sync::Arc, time::Duration};
 
 use bluebell_adapter::{
     CallError,
@@ -8,15 +8,16 @@
     store::{ReadAnswer, TopicPart},
 };
 use bluebell_core::{
-    clock::TimeSpan,
+    clock::{ClockTime, TimeSpan},
     directory::{DirectoryChange, EndpointRegistration},
     ids::{EndpointId, LogOffset},
 };
 use bluebell_daemon::logs::LogLine;
 
 use crate::{
-    believe::{READ_TIMEOUT, StorePath},
+    believe::{READ_TIMEOUT, StorePath, wait_while_told},
     context::EntryContext,
+    peers::ChangeMessage,
 };
 
 const PART: TopicPart = TopicPart::first(TOPIC);
@@ -30,7 +31,19 @@
 pub async fn follow(context: Arc<EntryContext>) {
     let mut path = StorePath::new("endpoints");
     let mut next = None;
+    let mut is_told = false;
     loop {
+        if next.is_some() && !context.must_read_endpoints() {
+            is_told = true;
+            drop_lapsed(&context);
+            wait_while_told(&context).await;
+            continue;
+        }
+        if mem::take(&mut is_told) {
+            // What came while the reader told is not worth reading record by record.
+            next = None;
+        }
+        let sent = context.now();
         let step = match next {
             None => read_all(&context).await,
             Some(from) => read_on(&context, from).await,
@@ -39,6 +52,9 @@
             Ok(from) => {
                 path.answered(&context);
                 next = from;
+                if next.is_some() {
+                    note_whole(&context, sent);
+                }
                 drop_lapsed(&context);
                 if next.is_some() {
                     tokio::time::sleep(READ_INTERVAL).await;
@@ -53,6 +69,14 @@
     }
 }
 
+/// Everything that stood in the store at `sent` is known.
+fn note_whole(context: &EntryContext, sent: ClockTime) {
+    let mut relayed = context.relayed.lock();
+    relayed.endpoints_known_at = relayed.endpoints_known_at.max(Some(sent));
+    relayed.must_resync = false;
+    relayed.difference.reset();
+}
+
 async fn read_all(context: &EntryContext) -> Result<Option<LogOffset>, CallError> {
     let mut listed: Vec<EndpointId> = Vec::new();
     let mut after: Option<String> = None;
@@ -129,7 +153,8 @@
     }
 }
 
-fn register(context: &EntryContext, id: EndpointId, value: &[u8]) {
+/// Takes a registration as it lies in the store.
+pub fn register(context: &EntryContext, id: EndpointId, value: &[u8]) {
     let registration = match registrations::decode(id.clone(), value) {
         Ok(registration) => registration,
         Err(error) => {
@@ -146,6 +171,7 @@
         DirectoryChange::Started => context.pools.forget(&id),
         _ => {}
     }
+    tell(context, &id, Some(value), false);
     if registration.stage.is_some() || is_engine(context, &registration) {
         context.engines.lock().set_engine(&registration);
     }
@@ -162,6 +188,18 @@
         .info();
 }
 
+/// Lets the other instances of the failure domain know, if this one reads for it.
+fn tell(context: &EntryContext, id: &EndpointId, value: Option<&[u8]>, lapsed: bool) {
+    let change = ChangeMessage {
+        endpoint: id.to_string(),
+        value: value.map(<[u8]>::to_vec),
+        lapsed,
+    };
+    let now = context.now();
+    context.peers.lock().note_change(now, change);
+    context.wake.notify_waiters();
+}
+
 fn is_engine(context: &EntryContext, registration: &EndpointRegistration) -> bool {
     let belief = context.belief.lock();
     let service = belief
@@ -170,12 +208,14 @@
     service.is_some_and(|service| service.engine.is_some())
 }
 
-fn unregister(context: &EntryContext, id: &EndpointId) {
+/// The registration is gone from the store.
+pub fn unregister(context: &EntryContext, id: &EndpointId) {
     let now = context.now();
     let change = context.directory.lock().unregister(now, id);
     if change == DirectoryChange::Same {
         return;
     }
+    tell(context, id, None, change == DirectoryChange::Lapsed);
     LogLine::new("endpoint")
         .with("endpoint", id)
         .with("change", format!("{change:?}"))
--- a/crates/ingress/src/believe/mod.rs
+++ b/crates/ingress/src/believe/mod.rs
@@ -10,6 +10,7 @@
 use bluebell_daemon::logs::LogLine;
 use tokio_util::sync::CancellationToken;
 
+pub use self::endpoints::{register, unregister};
 use crate::context::EntryContext;
 
 /// The first wait after a call to the store failed; it doubles up to the last.
@@ -22,6 +23,15 @@
 /// 0.2 s while it is slow.
 pub const READ_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
 
+/// How often an instance that is told by a reader looks whether it still is.
+const TOLD_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Waits until there may be something to read.
+async fn wait_while_told(context: &EntryContext) {
+    let woken = context.wake.notified();
+    let _ = tokio::time::timeout(TOLD_INTERVAL, woken).await;
+}
+
 /// Starts all followers; they end with `stop`.
 pub fn follow(context: &Arc<EntryContext>, stop: &CancellationToken) {
     let configuration = configuration::follow(Arc::clone(context));
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -8,13 +8,17 @@
     directory::EndpointDirectory,
     ingress::ConfigurationBelief,
     placement::{EngineBooks, ReplicaBooks},
+    relay::DifferenceWatch,
     retries::{SharedAllowance, SharedBudget},
     routing::RoutingSettings,
     usage::{MeterWriter, UsageMeter},
 };
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::{forward::ConnectionPools, metrics::EntryMetrics, peers::PeerTable};
+use crate::{
+    forward::ConnectionPools, metrics::EntryMetrics, peers::PeerTable, steward::ToldUsage,
+};
 
 /// How much sooner than the operators ask a key stops working that nothing has
 /// been heard of: clocks drift, and a request takes some ms to get here.
@@ -51,6 +55,19 @@
     }
 }
 
+/// What the reader of the failure domain has told, and how fresh the endpoints are.
+#[derive(Debug, Default)]
+pub struct RelayedKnowledge {
+    /// The newest version of the configuration that was spoken of.
+    pub version: u64,
+    /// When the picture of the endpoints was last known to be whole.
+    pub endpoints_known_at: Option<ClockTime>,
+    /// Whether our picture of the endpoints differs from the reader's.
+    pub difference: DifferenceWatch,
+    /// Whether the endpoints have to be read whole.
+    pub must_resync: bool,
+}
+
 /// Everything that requests, followers and duties share.
 #[derive(Debug)]
 pub struct EntryContext {
@@ -78,6 +95,12 @@
     pub meter: Shared<UsageMeter>,
     /// The other instances.
     pub peers: Shared<PeerTable>,
+    /// What the reader of the failure domain has told.
+    pub relayed: Shared<RelayedKnowledge>,
+    /// What other entries of the failure domain counted and is not published.
+    pub told_usage: Shared<ToldUsage>,
+    /// Wakes the followers of the store, and the talk with other instances.
+    pub wake: Notify,
     /// Connections to endpoints.
     pub pools: ConnectionPools,
     /// Counters.
@@ -125,6 +148,9 @@
             budget: Shared::new(SharedBudget::new(allowance)),
             meter: Shared::new(UsageMeter::new()),
             peers: Shared::new(PeerTable::new()),
+            relayed: Shared::new(RelayedKnowledge::default()),
+            told_usage: Shared::new(ToldUsage::default()),
+            wake: Notify::new(),
             pools: ConnectionPools::new(),
             metrics,
             stopping: CancellationToken::new(),
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -6,6 +6,8 @@
 };
 use prost::Message;
 
+use crate::steward::UsageRecord;
+
 /// An instance's registration in the store.
 #[derive(Clone, PartialEq, Message)]
 pub struct PeerRecord {
@@ -15,6 +17,9 @@
     /// Tells its starts apart.
     #[prost(uint64, tag = "2")]
     pub start: u64,
+    /// Its failure domain.
+    #[prost(string, tag = "3")]
+    pub domain: String,
 }
 
 /// What an instance has at one engine.
@@ -57,6 +62,73 @@
     /// Stages that this instance ordered lately, as the steward.
     #[prost(message, repeated, tag = "4")]
     pub stages: Vec<StageMessage>,
+    /// Tells the starts of the instance apart.
+    #[prost(uint64, tag = "5")]
+    pub start: u64,
+    /// Its failure domain.
+    #[prost(string, tag = "6")]
+    pub domain: String,
+    /// Its clock, in ms.
+    #[prost(uint64, tag = "7")]
+    pub stamp: u64,
+    /// The last stamp that it received from the receiver.
+    #[prost(uint64, tag = "8")]
+    pub echo: u64,
+    /// What the reader of a failure domain tells the others there.
+    #[prost(message, optional, tag = "9")]
+    pub relay: Option<RelayMessage>,
+    /// What the sender counted, for the reader of its failure domain to publish.
+    #[prost(message, optional, tag = "10")]
+    pub usage: Option<UsageRecord>,
+}
+
+/// What differs between the receivers of a datagram; it is appended to the part
+/// that is the same for all, which makes it one message.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReceiverPart {
+    /// As in [`PeerMessage`].
+    #[prost(uint64, tag = "8")]
+    pub echo: u64,
+    /// As in [`PeerMessage`].
+    #[prost(message, optional, tag = "9")]
+    pub relay: Option<RelayMessage>,
+    /// As in [`PeerMessage`].
+    #[prost(message, optional, tag = "10")]
+    pub usage: Option<UsageRecord>,
+}
+
+/// What a reader knows from the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayMessage {
+    /// The version of the configuration in force.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// How old the knowledge of configuration and keys is, in ms.
+    #[prost(uint64, tag = "2")]
+    pub keys_age_ms: u64,
+    /// How old the knowledge of endpoints is, in ms.
+    #[prost(uint64, tag = "3")]
+    pub endpoints_age_ms: u64,
+    /// The digest of the endpoints.
+    #[prost(fixed64, tag = "4")]
+    pub digest: u64,
+    /// Registrations that changed lately.
+    #[prost(message, repeated, tag = "5")]
+    pub changes: Vec<ChangeMessage>,
+}
+
+/// A registration that changed.
+#[derive(Clone, PartialEq, Message)]
+pub struct ChangeMessage {
+    /// The endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// The registration as it lies in the store; none if it is gone.
+    #[prost(bytes = "vec", optional, tag = "2")]
+    pub value: Option<Vec<u8>>,
+    /// Whether it is kept for now although it is gone.
+    #[prost(bool, tag = "3")]
+    pub lapsed: bool,
 }
 
 /// An order to an engine to change its stage.
@@ -103,10 +175,18 @@
             instance: instance.to_string(),
             loads: loads.collect(),
             parts: by_engine,
-            stages: Vec::new(),
+            ..PeerMessage::default()
         }
     }
 
+    /// Adds who tells, and when.
+    pub fn with_sender(mut self, start: u64, domain: &str, stamp: u64) -> PeerMessage {
+        self.start = start;
+        self.domain = domain.to_string();
+        self.stamp = stamp;
+        self
+    }
+
     /// Adds the stages that were ordered lately.
     pub fn with_stages(mut self, stages: Vec<StageMessage>) -> PeerMessage {
         self.stages = stages;
--- a/crates/ingress/src/peers/mod.rs
+++ b/crates/ingress/src/peers/mod.rs
@@ -1,7 +1,7 @@
 //! The other entry instances: who they are, and what entries tell each other.
 //!
-//! Each instance registers its address in the store once at its start; a change
-//! there is rare, so following it costs next to nothing. What is told is soft:
+//! Each instance registers its address in the store once at its start and reads
+//! who has before it; who comes later makes itself heard. What is told is soft:
 //! which prefills are queued where, and which engines hold which parts. It goes
 //! by datagrams, in full each time, so one that is lost is made good by the next,
 //! and no connection can go silent. An entry that hears nobody serves from its
@@ -9,6 +9,7 @@
 
 mod messages;
 mod registry;
+mod relay;
 mod table;
 mod talk;
 
@@ -16,8 +17,10 @@
 
 use tokio_util::sync::CancellationToken;
 
-pub use self::messages::StageMessage;
-pub use self::table::{KnownPeer, PeerTable};
+pub use self::{
+    messages::{ChangeMessage, StageMessage},
+    table::{KnownPeer, PeerTable},
+};
 use crate::context::EntryContext;
 
 /// Starts registering, following and talking; all end with `stop`.
@@ -25,7 +28,7 @@
     let talk = talk::PeerTalk::bind(Arc::clone(context)).await?;
     let token = stop.clone();
     tokio::spawn(async move { token.run_until_cancelled(talk.run()).await });
-    let follow = registry::register_and_follow(Arc::clone(context));
+    let follow = registry::register_and_read(Arc::clone(context));
     let token = stop.clone();
     tokio::spawn(async move { token.run_until_cancelled(follow).await });
     Ok(())
--- /dev/null
+++ b/crates/ingress/src/peers/relay.rs
@@ -0,0 +1,130 @@
+//! Telling a failure domain what its reader knows, and taking the reader's word.
+
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::{EndpointId, InstanceId},
+    relay::{TOLD_ENDPOINTS_LIMIT, TOLD_KEYS_LIMIT},
+};
+use bluebell_daemon::logs::LogLine;
+
+use crate::{
+    believe,
+    context::EntryContext,
+    peers::{
+        messages::{PeerMessage, RelayMessage},
+        table::PeerTable,
+    },
+};
+
+impl EntryContext {
+    /// Whether this instance reads the store for its failure domain.
+    pub fn is_reader(&self) -> bool {
+        let (own, domain) = (&self.writer.instance, &self.settings.domain);
+        self.peers.lock().is_reader(self.now(), own, domain)
+    }
+
+    /// Whether the knowledge of keys is too old to be anybody's word.
+    pub fn must_read_keys_by_age(&self) -> bool {
+        let now = self.now();
+        !self.belief.lock().is_fresh(now, TOLD_KEYS_LIMIT)
+    }
+
+    /// Whether configuration and keys have to be read from the store here: nobody
+    /// reads for this instance, the reader's word is too old, or it has spoken of
+    /// a newer version.
+    pub fn must_read_keys(&self) -> bool {
+        let now = self.now();
+        let belief = self.belief.lock();
+        let is_old = !belief.is_fresh(now, TOLD_KEYS_LIMIT);
+        let told = self.relayed.lock().version;
+        let is_behind = belief.version().is_none_or(|version| version < told);
+        drop(belief);
+        is_old || is_behind || self.is_reader()
+    }
+
+    /// Whether the endpoints have to be read from the store here.
+    pub fn must_read_endpoints(&self) -> bool {
+        let now = self.now();
+        let relayed = self.relayed.lock();
+        let known_at = relayed.endpoints_known_at;
+        let is_old = known_at.is_none_or(|at| now.since(at) >= TOLD_ENDPOINTS_LIMIT);
+        let differs = relayed.must_resync;
+        drop(relayed);
+        is_old || differs || self.is_reader()
+    }
+}
+
+/// What this instance tells its failure domain, if it reads for it.
+pub fn message(context: &EntryContext, now: ClockTime) -> Option<RelayMessage> {
+    if !context.is_reader() {
+        return None;
+    }
+    let (version, keys_age) = {
+        let belief = context.belief.lock();
+        (belief.version()?, belief.age(now)?)
+    };
+    let endpoints_known_at = context.relayed.lock().endpoints_known_at?;
+    let digest = context.directory.lock().digest();
+    let changes = context.peers.lock().changes(now);
+    Some(RelayMessage {
+        version,
+        keys_age_ms: keys_age.as_millis(),
+        endpoints_age_ms: now.since(endpoints_known_at).as_millis(),
+        digest,
+        changes,
+    })
+}
+
+/// Takes the word of the reader of this instance's failure domain.
+pub fn take(context: &EntryContext, peer: &InstanceId, message: &PeerMessage) {
+    let Some(relay) = &message.relay else { return };
+    let now = context.now();
+    let (own, domain) = (&context.writer.instance, &context.settings.domain);
+    if !context.peers.lock().has_reader(now, own, domain, peer) {
+        return;
+    }
+    let Some(echo) = PeerTable::echoed(message.echo) else {
+        return;
+    };
+    for change in &relay.changes {
+        take_change(context, change);
+    }
+    let keys_known_at = echo.known_at(TimeSpan::from_millis(relay.keys_age_ms));
+    let endpoints_known_at = echo.known_at(TimeSpan::from_millis(relay.endpoints_age_ms));
+    {
+        let mut belief = context.belief.lock();
+        if belief.version() == Some(relay.version) {
+            belief.confirm(keys_known_at);
+        }
+    }
+    let digest = context.directory.lock().digest();
+    let mut relayed = context.relayed.lock();
+    if relay.version > relayed.version {
+        relayed.version = relay.version;
+        context.wake.notify_waiters();
+    }
+    if relayed.difference.compare(now, digest, relay.digest) {
+        relayed.must_resync = true;
+        context.wake.notify_waiters();
+    } else if digest == relay.digest {
+        relayed.endpoints_known_at = relayed.endpoints_known_at.max(Some(endpoints_known_at));
+    }
+}
+
+fn take_change(context: &EntryContext, change: &crate::peers::messages::ChangeMessage) {
+    let id = match EndpointId::new(change.endpoint.as_str()) {
+        Ok(id) => id,
+        Err(error) => {
+            LogLine::new("relay_rejected").with("error", error).warn();
+            return;
+        }
+    };
+    match &change.value {
+        Some(value) => believe::register(context, id, value),
+        None if change.lapsed => {
+            let now = context.now();
+            context.directory.lock().lapse(now, &id);
+        }
+        None => believe::unregister(context, &id),
+    }
+}
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -4,11 +4,12 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    ids::InstanceId,
+    ids::{FailureDomain, InstanceId},
+    relay::{self, EchoedStamp},
 };
 use serde::Serialize;
 
-use crate::peers::messages::StageMessage;
+use crate::peers::messages::{ChangeMessage, StageMessage};
 
 /// How long an instance counts as alive after its last word.
 pub const ALIVE_FOR: TimeSpan = TimeSpan::from_millis(3_000);
@@ -16,6 +17,13 @@
 /// How long an order is told: datagrams get lost.
 const ORDER_TOLD_FOR: TimeSpan = TimeSpan::from_millis(1_500);
 
+/// How long a changed registration is told.
+const CHANGE_TOLD_FOR: TimeSpan = TimeSpan::from_millis(1_200);
+
+/// The most changes that are told in one datagram, which must not be split on its
+/// way; the rest is noticed by the digest and read from the store.
+const CHANGES_TOLD: usize = 24;
+
 /// Another instance.
 #[derive(Clone, Debug, Serialize)]
 pub struct KnownPeer {
@@ -23,8 +31,20 @@
     pub address: SocketAddr,
     /// Tells its starts apart.
     pub start: u64,
+    /// Its failure domain.
+    pub domain: FailureDomain,
     /// When it was last heard.
     pub heard_at: Option<ClockTime>,
+    /// Its own clock's time in its last word, to be sent back to it.
+    pub stamp: u64,
+}
+
+impl KnownPeer {
+    /// Whether it was heard lately.
+    pub fn is_alive(&self, now: ClockTime) -> bool {
+        self.heard_at
+            .is_some_and(|heard| now.since(heard) <= ALIVE_FOR)
+    }
 }
 
 /// All other instances that have registered.
@@ -33,6 +53,8 @@
     peers: BTreeMap<InstanceId, KnownPeer>,
     /// Stages that this instance ordered, for the others to know.
     ordered: Vec<(ClockTime, StageMessage)>,
+    /// Registrations that this instance saw change, for the others to know.
+    changes: Vec<(ClockTime, ChangeMessage)>,
 }
 
 impl PeerTable {
@@ -41,24 +63,20 @@
         PeerTable::default()
     }
 
-    /// An instance registered.
-    pub fn register(&mut self, instance: InstanceId, address: SocketAddr, start: u64) {
-        let known = self.peers.get(&instance);
-        if known.is_some_and(|known| known.start >= start) {
+    /// An instance registered, or was heard for the first time.
+    pub fn register(&mut self, instance: &InstanceId, peer: KnownPeer) {
+        let known = self.peers.get(instance);
+        if known.is_some_and(|known| known.start >= peer.start) {
             return;
         }
-        let peer = KnownPeer {
-            address,
-            start,
-            heard_at: None,
-        };
-        self.peers.insert(instance, peer);
+        self.peers.insert(instance.clone(), peer);
     }
 
     /// An instance was heard.
-    pub fn heard(&mut self, now: ClockTime, instance: &InstanceId) {
+    pub fn heard(&mut self, now: ClockTime, instance: &InstanceId, stamp: u64) {
         if let Some(peer) = self.peers.get_mut(instance) {
             peer.heard_at = Some(now);
+            peer.stamp = stamp;
         }
     }
 
@@ -74,6 +92,21 @@
         self.ordered.iter().map(|(_, order)| *order).collect()
     }
 
+    /// This instance saw a registration change.
+    pub fn note_change(&mut self, now: ClockTime, change: ChangeMessage) {
+        self.changes
+            .retain(|(_, known)| known.endpoint != change.endpoint);
+        self.changes.push((now, change));
+    }
+
+    /// The registrations that changed lately, the newest first.
+    pub fn changes(&mut self, now: ClockTime) -> Vec<ChangeMessage> {
+        self.changes
+            .retain(|(at, _)| now.since(*at) < CHANGE_TOLD_FOR);
+        let newest = self.changes.iter().rev().take(CHANGES_TOLD);
+        newest.map(|(_, change)| change.clone()).collect()
+    }
+
     /// All of them.
     pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &KnownPeer)> {
         self.peers.iter()
@@ -91,10 +124,35 @@
 
     /// Those that were heard lately.
     pub fn alive(&self, now: ClockTime) -> impl Iterator<Item = (&InstanceId, &KnownPeer)> {
-        let is_alive = move |peer: &KnownPeer| {
-            peer.heard_at
-                .is_some_and(|heard| now.since(heard) <= ALIVE_FOR)
-        };
-        self.peers.iter().filter(move |(_, peer)| is_alive(peer))
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| peer.is_alive(now))
+    }
+
+    /// Whether `own` reads the store for its failure domain.
+    pub fn is_reader(&self, now: ClockTime, own: &InstanceId, domain: &FailureDomain) -> bool {
+        let alive = self.alive(now).filter(|(_, peer)| peer.domain == *domain);
+        relay::is_reader(own, alive.map(|(instance, _)| instance))
+    }
+
+    /// Whether `instance` reads the store for `domain`, as seen by `own` there.
+    pub fn has_reader(
+        &self,
+        now: ClockTime,
+        own: &InstanceId,
+        domain: &FailureDomain,
+        instance: &InstanceId,
+    ) -> bool {
+        let alive = self.alive(now).filter(|(_, peer)| peer.domain == *domain);
+        let others = alive.map(|(name, _)| name).chain([own]);
+        relay::is_reader(instance, others.filter(|name| *name != instance))
+    }
+
+    /// The stamp of ours that a peer names in its word; a peer that has not heard
+    /// us yet names none.
+    pub fn echoed(echo: u64) -> Option<EchoedStamp> {
+        (echo > 0).then_some(EchoedStamp {
+            sent: ClockTime::from_millis(echo),
+        })
     }
 }
--- a/crates/ingress/src/peers/talk.rs
+++ b/crates/ingress/src/peers/talk.rs
@@ -4,10 +4,10 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    ids::InstanceId,
+    ids::{FailureDomain, InstanceId},
 };
 use bluebell_daemon::logs::LogLine;
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use futures::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -15,7 +15,13 @@
 
 use crate::{
     context::EntryContext,
-    peers::{messages::PeerMessage, registry::own_address, table::ALIVE_FOR},
+    peers::{
+        messages::{PeerMessage, ReceiverPart},
+        registry::own_address,
+        relay,
+        table::KnownPeer,
+    },
+    steward::{self, UsageRecord},
 };
 
 /// How often an entry tells the others what it has, with few of them. A prefill
@@ -35,12 +41,27 @@
 /// How often a silent instance is told something all the same: it may be back.
 const SILENT_BEAT: TimeSpan = TimeSpan::from_millis(2_000);
 
+/// How often the reader of the failure domain is told what was counted.
+const USAGE_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
+
+/// Somebody who is told.
+struct Receiver {
+    address: SocketAddr,
+    /// The last stamp that it sent.
+    stamp: u64,
+    /// Whether it is in the same failure domain.
+    is_near: bool,
+    /// Whether it reads the store for this instance.
+    is_reader: bool,
+}
+
 /// The talk of one entry.
 pub struct PeerTalk {
     context: Arc<EntryContext>,
     frames: UdpFramed<BytesCodec>,
     told_at: ClockTime,
     told_silent_at: ClockTime,
+    told_usage_at: ClockTime,
     /// Whether the others last heard that this entry has something.
     has_told_load: bool,
 }
@@ -54,6 +75,7 @@
             frames: UdpFramed::new(socket, BytesCodec::new()),
             told_at: ClockTime::default(),
             told_silent_at: ClockTime::default(),
+            told_usage_at: ClockTime::default(),
             has_told_load: false,
         })
     }
@@ -63,12 +85,18 @@
         let mut tell_at = tokio::time::Instant::now();
         loop {
             tokio::select! {
+                () = self.context.wake.notified() => {
+                    // Something changed that the others wait for.
+                    if self.context.is_reader() {
+                        self.tell().await;
+                    }
+                }
                 () = tokio::time::sleep_until(tell_at) => {
                     self.tell().await;
                     tell_at = tokio::time::Instant::now() + self.interval();
                 }
                 received = self.frames.next() => match received {
-                    Some(Ok((bytes, _))) => self.hear(&bytes),
+                    Some(Ok((bytes, from))) => self.hear(&bytes, from),
                     // An error of one datagram, such as one that its receiver
                     // rejected, says nothing about the next.
                     Some(Err(error)) => log::debug!("event=datagram_failed error={error:?}"),
@@ -90,39 +118,68 @@
             (engines.own_loads(), engines.take_untold())
         };
         let stages = self.context.peers.lock().stage_orders(now);
-        let has_load = !loads.is_empty() || !parts.is_empty();
+        let relay = relay::message(&self.context, now);
+        let has_load = !loads.is_empty() || !parts.is_empty() || relay.is_some();
         let has_news = has_load || !stages.is_empty() || self.has_told_load;
         if !has_news && now.since(self.told_at) < BEAT {
             return;
         }
         self.told_at = now;
         self.has_told_load = !loads.is_empty();
-        let instance = self.context.writer.instance.as_str();
-        let message = PeerMessage::new(instance, &loads, &parts).with_stages(stages);
-        let bytes = Bytes::from(message.encode_to_vec());
-        for address in self.receivers(now) {
-            if let Err(error) = self.frames.send((bytes.clone(), address)).await {
+        let writer = &self.context.writer;
+        let domain = &self.context.settings.domain;
+        let message = PeerMessage::new(writer.instance.as_str(), &loads, &parts)
+            .with_sender(writer.start, domain.as_str(), now.as_millis())
+            .with_stages(stages);
+        let shared = message.encode_to_vec();
+        let usage = self.usage_due(now);
+        for receiver in self.receivers(now) {
+            let part = ReceiverPart {
+                echo: receiver.stamp,
+                relay: relay.clone().filter(|_| receiver.is_near),
+                usage: usage.clone().filter(|_| receiver.is_reader),
+            };
+            let mut bytes = BytesMut::from(&shared[..]);
+            bytes.extend_from_slice(&part.encode_to_vec());
+            let address = receiver.address;
+            if let Err(error) = self.frames.send((bytes.freeze(), address)).await {
                 log::debug!("event=datagram_failed address={address} error={error:?}");
             }
         }
     }
 
-    fn receivers(&mut self, now: ClockTime) -> Vec<SocketAddr> {
+    /// What this entry counted, when it is time to tell the reader.
+    fn usage_due(&mut self, now: ClockTime) -> Option<UsageRecord> {
+        if now.since(self.told_usage_at) < USAGE_INTERVAL {
+            return None;
+        }
+        self.told_usage_at = now;
+        steward::told_usage(&self.context)
+    }
+
+    fn receivers(&mut self, now: ClockTime) -> Vec<Receiver> {
         let with_silent = now.since(self.told_silent_at) >= SILENT_BEAT;
         if with_silent {
             self.told_silent_at = now;
         }
         let peers = self.context.peers.lock();
-        let is_alive = |heard_at: Option<ClockTime>| {
-            heard_at.is_some_and(|heard| now.since(heard) <= ALIVE_FOR)
-        };
-        let receivers = peers
+        let (own, domain) = (&self.context.writer.instance, &self.context.settings.domain);
+        let heard = peers
             .iter()
-            .filter(|(_, peer)| with_silent || is_alive(peer.heard_at));
-        receivers.map(|(_, peer)| peer.address).collect()
+            .filter(|(_, peer)| with_silent || peer.is_alive(now));
+        let receivers = heard.map(|(instance, peer)| {
+            let is_near = peer.domain == *domain;
+            Receiver {
+                address: peer.address,
+                stamp: peer.stamp,
+                is_near,
+                is_reader: is_near && peers.has_reader(now, own, domain, instance),
+            }
+        });
+        receivers.collect()
     }
 
-    fn hear(&mut self, bytes: &BytesMut) {
+    fn hear(&mut self, bytes: &BytesMut, from: SocketAddr) {
         let message = match PeerMessage::decode(&bytes[..]) {
             Ok(message) => message,
             Err(error) => {
@@ -132,14 +189,31 @@
                 return;
             }
         };
-        let Ok(peer) = InstanceId::new(message.instance.as_str()) else {
+        let peer = InstanceId::new(message.instance.as_str());
+        let domain = FailureDomain::new(message.domain.as_str());
+        let (Ok(peer), Ok(domain)) = (peer, domain) else {
             LogLine::new("datagram_rejected")
                 .with("error", "no instance")
                 .warn();
             return;
         };
         let now = self.context.now();
-        self.context.peers.lock().heard(now, &peer);
+        {
+            let mut peers = self.context.peers.lock();
+            let known = KnownPeer {
+                address: from,
+                start: message.start,
+                domain,
+                heard_at: None,
+                stamp: 0,
+            };
+            peers.register(&peer, known);
+            peers.heard(now, &peer, message.stamp);
+        }
+        relay::take(&self.context, &peer, &message);
+        if let Some(usage) = &message.usage {
+            steward::take_told_usage(&self.context, usage);
+        }
         let (loads, parts) = (message.told_loads(), message.told_parts());
         let mut engines = self.context.engines.lock();
         engines.note_peer(now, &peer, &loads, &parts);
--- a/crates/ingress/src/steward/duty.rs
+++ b/crates/ingress/src/steward/duty.rs
@@ -111,6 +111,11 @@
             return Ok(());
         }
         if !self.seat.is_steward() {
+            // Only readers stand for it: each candidate has to follow the topic.
+            if !self.context.is_reader() {
+                tokio::time::sleep(STEP).await;
+                return Ok(());
+            }
             return self.wait_for_silence().await;
         }
         if let Some(window) = self.window_to_report()
--- a/crates/ingress/src/steward/mod.rs
+++ b/crates/ingress/src/steward/mod.rs
@@ -10,6 +10,10 @@
 use bluebell_adapter::{PlatformClient, duties::DutyClient};
 use tokio_util::sync::CancellationToken;
 
+pub use self::{
+    publish::{ToldUsage, take_told_usage, told_usage},
+    records::UsageRecord,
+};
 use crate::context::EntryContext;
 
 /// Starts publishing counts and, where there is an interface for duties, standing
--- a/crates/ingress/src/steward/records.rs
+++ b/crates/ingress/src/steward/records.rs
@@ -100,6 +100,25 @@
     }
 }
 
+impl UsageRecord {
+    /// What a writer counted, while it is in the window `current`.
+    pub fn new(
+        writer: &MeterWriter,
+        windows: &[(UsageWindow, MeteredCounts)],
+        current: UsageWindow,
+    ) -> UsageRecord {
+        let windows = windows.iter();
+        UsageRecord {
+            instance: writer.instance.to_string(),
+            start: writer.start,
+            windows: windows
+                .map(|(window, counts)| WindowCounts::new(*window, counts))
+                .collect(),
+            current: current.number(),
+        }
+    }
+}
+
 impl WindowCounts {
     /// The counts of a window.
     pub fn new(window: UsageWindow, counts: &MeteredCounts) -> WindowCounts {
