Bound how old a reader's word may be by what has to be known in time

Change: the limit follows from the bound; readers ask twice a second and tell their domain every 0.25 s; a lapse is told with the time that is left.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -123,13 +123,19 @@
     }
 
     /// Another instance says that the registration has lapsed around an outage of
-    /// the store: it is kept for as long as that instance keeps it at most.
-    pub fn lapse(&mut self, now: ClockTime, id: &EndpointId) {
+    /// the store, and for how much longer it keeps it.
+    pub fn lapse(&mut self, now: ClockTime, id: &EndpointId, kept_for: TimeSpan) {
         if let Some(known) = self.endpoints.get_mut(id) {
-            known.lapses_at.get_or_insert(now + LAPSE_GRACE);
+            known.lapses_at.get_or_insert(now + kept_for);
         }
     }
 
+    /// For how much longer a lapsed registration is kept.
+    pub fn kept_for(&self, now: ClockTime, id: &EndpointId) -> Option<TimeSpan> {
+        let lapses_at = self.endpoints.get(id)?.lapses_at?;
+        Some(lapses_at.since(now))
+    }
+
     /// A number that differs where two pictures of the endpoints differ in
     /// anything that decides where work goes.
     pub fn digest(&self) -> u64 {
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -16,14 +16,19 @@
     ids::InstanceId,
 };
 
-/// How old the knowledge of configuration and keys may be before an instance that
-/// is told by a reader reads for itself. Keys are trusted for somewhat less than
-/// 5 s, and a read may be lost.
-pub const TOLD_KEYS_LIMIT: TimeSpan = TimeSpan::from_millis(2_600);
+/// How long it takes from noticing that a reader's word is too old to having read:
+/// looking a few times a second, and a read that has to be repeated once.
+const READ_TIME: TimeSpan = TimeSpan::from_millis(700);
 
-/// How old the knowledge of endpoints may be before an instance reads for itself:
-/// an endpoint that leaves must get nothing new within 2 s.
-pub const TOLD_ENDPOINTS_LIMIT: TimeSpan = TimeSpan::from_millis(1_700);
+/// The shortest age at which a reader's word is too old: readers ask the store
+/// about twice a second, and their word takes some tenths of a second.
+const LEAST_LIMIT: TimeSpan = TimeSpan::from_millis(1_100);
+
+/// How old a reader's word may be, so that what it does not say is known in time
+/// all the same: a change that must have effect within `bound`.
+pub fn told_limit(bound: TimeSpan) -> TimeSpan {
+    bound.less(READ_TIME).max(LEAST_LIMIT)
+}
 
 /// For how long two pictures of the endpoints may differ before the one who is
 /// told reads them whole: what is on its way makes them differ for a moment.
--- a/crates/ingress/src/believe/configuration.rs
+++ b/crates/ingress/src/believe/configuration.rs
@@ -17,10 +17,10 @@
 
 const PART: TopicPart = TopicPart::first(TOPIC);
 
-/// How long the store may hold a read back until there is a record. Knowledge of
-/// keys counts from when a read was sent, so a third of the time for which they
-/// may be trusted leaves room for a read that gets lost.
-const READ_WAIT: TimeSpan = TimeSpan::from_millis(1_400);
+/// How long the store may hold a read back until there is a record. Knowledge
+/// counts from when a read was sent, and those who are told read for themselves
+/// when it is about 1.3 s old, so it has to be renewed well within that.
+const READ_WAIT: TimeSpan = TimeSpan::from_millis(600);
 
 /// How much longer than the wait the answer may take.
 const READ_SLACK: TimeSpan = TimeSpan::from_millis(700);
--- a/crates/ingress/src/believe/endpoints.rs
+++ b/crates/ingress/src/believe/endpoints.rs
@@ -171,7 +171,7 @@
         DirectoryChange::Started => context.pools.forget(&id),
         _ => {}
     }
-    tell(context, &id, Some(value), false);
+    tell(context, &id, Some(value));
     if registration.stage.is_some() || is_engine(context, &registration) {
         context.engines.lock().set_engine(&registration);
     }
@@ -189,13 +189,14 @@
 }
 
 /// Lets the other instances of the failure domain know, if this one reads for it.
-fn tell(context: &EntryContext, id: &EndpointId, value: Option<&[u8]>, lapsed: bool) {
+fn tell(context: &EntryContext, id: &EndpointId, value: Option<&[u8]>) {
+    let now = context.now();
+    let kept_for = context.directory.lock().kept_for(now, id);
     let change = ChangeMessage {
         endpoint: id.to_string(),
         value: value.map(<[u8]>::to_vec),
-        lapsed,
+        kept_for_ms: kept_for.map(|kept_for| kept_for.as_millis()),
     };
-    let now = context.now();
     context.peers.lock().note_change(now, change);
     context.wake.notify_waiters();
 }
@@ -215,7 +216,7 @@
     if change == DirectoryChange::Same {
         return;
     }
-    tell(context, id, None, change == DirectoryChange::Lapsed);
+    tell(context, id, None);
     LogLine::new("endpoint")
         .with("endpoint", id)
         .with("change", format!("{change:?}"))
--- a/crates/ingress/src/believe/mod.rs
+++ b/crates/ingress/src/believe/mod.rs
@@ -24,7 +24,7 @@
 pub const READ_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
 
 /// How often an instance that is told by a reader looks whether it still is.
-const TOLD_INTERVAL: Duration = Duration::from_millis(250);
+const TOLD_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Waits until there may be something to read.
 async fn wait_while_told(context: &EntryContext) {
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -2,7 +2,9 @@
 
 use bluebell_core::{
     directory::EngineStage,
+    ids::FailureDomain,
     placement::{EngineLoad, RANKS, ToldLoad, ToldPart},
+    usage::MeterWriter,
 };
 use prost::Message;
 
@@ -80,6 +82,9 @@
     /// What the sender counted, for the reader of its failure domain to publish.
     #[prost(message, optional, tag = "10")]
     pub usage: Option<UsageRecord>,
+    /// Whether loads and parts are told: none means that there are none.
+    #[prost(bool, tag = "11")]
+    pub says_loads: bool,
 }
 
 /// What differs between the receivers of a datagram; it is appended to the part
@@ -126,9 +131,9 @@
     /// The registration as it lies in the store; none if it is gone.
     #[prost(bytes = "vec", optional, tag = "2")]
     pub value: Option<Vec<u8>>,
-    /// Whether it is kept for now although it is gone.
-    #[prost(bool, tag = "3")]
-    pub lapsed: bool,
+    /// For how many ms it is kept although it is gone.
+    #[prost(uint64, optional, tag = "3")]
+    pub kept_for_ms: Option<u64>,
 }
 
 /// An order to an engine to change its stage.
@@ -154,7 +159,7 @@
 
 impl PeerMessage {
     /// A datagram.
-    pub fn new(instance: &str, loads: &[ToldLoad], parts: &[ToldPart]) -> PeerMessage {
+    pub fn new(loads: &[ToldLoad], parts: &[ToldPart]) -> PeerMessage {
         let mut by_engine: Vec<PartsMessage> = Vec::new();
         for told in parts {
             match by_engine.iter_mut().find(|m| m.engine == told.engine) {
@@ -172,7 +177,7 @@
             running: told.load.running,
         });
         PeerMessage {
-            instance: instance.to_string(),
+            says_loads: true,
             loads: loads.collect(),
             parts: by_engine,
             ..PeerMessage::default()
@@ -180,8 +185,14 @@
     }
 
     /// Adds who tells, and when.
-    pub fn with_sender(mut self, start: u64, domain: &str, stamp: u64) -> PeerMessage {
-        self.start = start;
+    pub fn with_sender(
+        mut self,
+        writer: &MeterWriter,
+        domain: &FailureDomain,
+        stamp: u64,
+    ) -> PeerMessage {
+        self.instance = writer.instance.to_string();
+        self.start = writer.start;
         self.domain = domain.to_string();
         self.stamp = stamp;
         self
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -3,7 +3,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{EndpointId, InstanceId},
-    relay::{TOLD_ENDPOINTS_LIMIT, TOLD_KEYS_LIMIT},
+    relay::told_limit,
 };
 use bluebell_daemon::logs::LogLine;
 
@@ -26,7 +26,8 @@
     /// Whether the knowledge of keys is too old to be anybody's word.
     pub fn must_read_keys_by_age(&self) -> bool {
         let now = self.now();
-        !self.belief.lock().is_fresh(now, TOLD_KEYS_LIMIT)
+        let limit = told_limit(self.settings.bounds.configuration);
+        !self.belief.lock().is_fresh(now, limit)
     }
 
     /// Whether configuration and keys have to be read from the store here: nobody
@@ -35,7 +36,8 @@
     pub fn must_read_keys(&self) -> bool {
         let now = self.now();
         let belief = self.belief.lock();
-        let is_old = !belief.is_fresh(now, TOLD_KEYS_LIMIT);
+        let limit = told_limit(self.settings.bounds.configuration);
+        let is_old = !belief.is_fresh(now, limit);
         let told = self.relayed.lock().version;
         let is_behind = belief.version().is_none_or(|version| version < told);
         drop(belief);
@@ -47,7 +49,8 @@
         let now = self.now();
         let relayed = self.relayed.lock();
         let known_at = relayed.endpoints_known_at;
-        let is_old = known_at.is_none_or(|at| now.since(at) >= TOLD_ENDPOINTS_LIMIT);
+        let limit = told_limit(self.settings.bounds.leaving);
+        let is_old = known_at.is_none_or(|at| now.since(at) >= limit);
         let differs = relayed.must_resync;
         drop(relayed);
         is_old || differs || self.is_reader()
@@ -119,12 +122,13 @@
             return;
         }
     };
-    match &change.value {
-        Some(value) => believe::register(context, id, value),
-        None if change.lapsed => {
+    match (&change.value, change.kept_for_ms) {
+        (Some(value), _) => believe::register(context, id, value),
+        (None, Some(kept_for_ms)) => {
             let now = context.now();
-            context.directory.lock().lapse(now, &id);
+            let kept_for = TimeSpan::from_millis(kept_for_ms);
+            context.directory.lock().lapse(now, &id, kept_for);
         }
-        None => believe::unregister(context, &id),
+        (None, None) => believe::unregister(context, &id),
     }
 }
--- a/crates/ingress/src/peers/talk.rs
+++ b/crates/ingress/src/peers/talk.rs
@@ -16,7 +16,7 @@
 use crate::{
     context::EntryContext,
     peers::{
-        messages::{PeerMessage, ReceiverPart},
+        messages::{PeerMessage, ReceiverPart, RelayMessage},
         registry::own_address,
         relay,
         table::KnownPeer,
@@ -41,6 +41,10 @@
 /// How often a silent instance is told something all the same: it may be back.
 const SILENT_BEAT: TimeSpan = TimeSpan::from_millis(2_000);
 
+/// How often the reader of a failure domain tells the others there what it knows,
+/// and they tell it what they counted, with a stamp for it to name.
+const NEAR_INTERVAL: Duration = Duration::from_millis(250);
+
 /// How often the reader of the failure domain is told what was counted.
 const USAGE_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
 
@@ -83,12 +87,20 @@
     /// Tells and listens for good.
     pub async fn run(mut self) {
         let mut tell_at = tokio::time::Instant::now();
+        let mut near_at = tell_at;
         loop {
             tokio::select! {
+                () = tokio::time::sleep_until(near_at) => {
+                    let is_due = self.interval() > NEAR_INTERVAL;
+                    if is_due {
+                        self.tell_near().await;
+                    }
+                    near_at = tokio::time::Instant::now() + NEAR_INTERVAL;
+                }
                 () = self.context.wake.notified() => {
                     // Something changed that the others wait for.
                     if self.context.is_reader() {
-                        self.tell().await;
+                        self.tell_near().await;
                     }
                 }
                 () = tokio::time::sleep_until(tell_at) => {
@@ -126,14 +138,42 @@
         }
         self.told_at = now;
         self.has_told_load = !loads.is_empty();
+        let message = PeerMessage::new(&loads, &parts).with_stages(stages);
+        let receivers = self.receivers(now);
+        self.send(now, message, relay, &receivers).await;
+    }
+
+    /// Tells within the failure domain only: the reader tells what it knows, and
+    /// the others let it know that they are there.
+    async fn tell_near(&mut self) {
+        let now = self.context.now();
+        let relay = relay::message(&self.context, now);
+        let mut receivers = self.receivers(now);
+        let is_reader = relay.is_some();
+        receivers.retain(|receiver| match is_reader {
+            true => receiver.is_near,
+            false => receiver.is_reader,
+        });
+        let message = PeerMessage {
+            says_loads: false,
+            ..PeerMessage::new(&[], &[])
+        };
+        self.send(now, message, relay, &receivers).await;
+    }
+
+    async fn send(
+        &mut self,
+        now: ClockTime,
+        message: PeerMessage,
+        relay: Option<RelayMessage>,
+        receivers: &[Receiver],
+    ) {
         let writer = &self.context.writer;
         let domain = &self.context.settings.domain;
-        let message = PeerMessage::new(writer.instance.as_str(), &loads, &parts)
-            .with_sender(writer.start, domain.as_str(), now.as_millis())
-            .with_stages(stages);
+        let message = message.with_sender(writer, domain, now.as_millis());
         let shared = message.encode_to_vec();
         let usage = self.usage_due(now);
-        for receiver in self.receivers(now) {
+        for receiver in receivers {
             let part = ReceiverPart {
                 echo: receiver.stamp,
                 relay: relay.clone().filter(|_| receiver.is_near),
@@ -214,6 +254,9 @@
         if let Some(usage) = &message.usage {
             steward::take_told_usage(&self.context, usage);
         }
+        if !message.says_loads {
+            return;
+        }
         let (loads, parts) = (message.told_loads(), message.told_parts());
         let mut engines = self.context.engines.lock();
         engines.note_peer(now, &peer, &loads, &parts);
