--- a/crates/core/src/provision/mod.rs
+++ b/crates/core/src/provision/mod.rs
@@ -25,7 +25,7 @@
 /// The share of a failure domain's engines that run requests. At the users' mix
 /// an event holds about ten tokens, so that some 19,000 tokens a second have to be
 /// generated; an engine generates 5,000 with 32 requests at once.
-const RUN_SHARE: f64 = 0.42;
+const RUN_SHARE: f64 = 0.6;
 
 /// The lasting engines that are kept in a failure domain, as a share of those
 /// that it had at first.
