--- /dev/null
+++ b/crates/ingress/tests/support/mod.rs
@@ -0,0 +1,385 @@
+//! An entry's front before scripted endpoints, on loopback.
+
+#![allow(dead_code)]
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bluebell_adapter::{
+    PlatformClient,
+    engines::EngineClient,
+    settings::{self, InstanceSettings},
+    store::StoreClient,
+};
+use bluebell_core::{
+    clock::{ClockSource, ClockTime, TimeSpan},
+    directory::{EndpointRegistration, EngineStage},
+    ids::{EndpointId, FailureDomain, KeyDigest, OrganisationId, ServiceName},
+    ingress::{
+        CallerLimits, EngineRule, IngressConfiguration, OrganisationRule, RouteKind, RouteRule,
+        ServiceRule, WeightedService,
+    },
+    units::{ByteSize, TokenCount},
+};
+use bluebell_ingress::{
+    context::EntryContext,
+    front::{self, CallerFront},
+    metrics::EntryMetrics,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+pub const KEY: &str = "kiosk-key";
+const HOST: &str = "kiosk.example";
+
+/// What an endpoint does with one request.
+#[derive(Clone, Debug)]
+pub enum Script {
+    /// Writes these bytes and keeps the connection.
+    Answer(String),
+    /// Writes these bytes and closes.
+    AnswerAndClose(String),
+    /// Closes without a word.
+    Close,
+    /// Says nothing until the connection is closed.
+    Silence,
+}
+
+/// A scripted endpoint.
+pub struct Endpoint {
+    pub address: SocketAddr,
+    /// The requests that reached it, as they came.
+    pub requests: Arc<Mutex<Vec<String>>>,
+    /// How often a connection was closed from the other side.
+    pub closed: Arc<Mutex<u32>>,
+}
+
+impl Endpoint {
+    /// An endpoint that plays `scripts` in turn, the last one for good. `{id}` in a
+    /// script stands for the id of the request.
+    pub async fn start(scripts: Vec<Script>) -> Endpoint {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let closed = Arc::new(Mutex::new(0));
+        let endpoint = Endpoint {
+            address,
+            requests: Arc::clone(&requests),
+            closed: Arc::clone(&closed),
+        };
+        let scripts = Arc::new(scripts);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (scripts, requests) = (Arc::clone(&scripts), Arc::clone(&requests));
+                let closed = Arc::clone(&closed);
+                tokio::spawn(async move {
+                    serve(stream, &scripts, &requests, &closed).await;
+                });
+            }
+        });
+        endpoint
+    }
+
+    pub fn arrivals(&self) -> usize {
+        self.requests.lock().unwrap().len()
+    }
+
+    pub fn request(&self, place: usize) -> String {
+        self.requests.lock().unwrap()[place].clone()
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    scripts: &[Script],
+    requests: &Mutex<Vec<String>>,
+    closed: &Mutex<u32>,
+) {
+    while let Some(request) = read_request(&mut stream).await {
+        let place = {
+            let mut requests = requests.lock().unwrap();
+            requests.push(request.clone());
+            requests.len() - 1
+        };
+        let id = header(&request, "attempt-id").unwrap_or_default();
+        match &scripts[place.min(scripts.len() - 1)] {
+            Script::Answer(text) => {
+                let text = text.replace("{id}", &id);
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            Script::AnswerAndClose(text) => {
+                let text = text.replace("{id}", &id);
+                let _ = stream.write_all(text.as_bytes()).await;
+                return;
+            }
+            Script::Close => return,
+            Script::Silence => {
+                let mut byte = [0];
+                let read = stream.read(&mut byte).await;
+                if matches!(read, Ok(0) | Err(_)) {
+                    *closed.lock().unwrap() += 1;
+                }
+                return;
+            }
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 4_096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).to_string();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length = header(&text, "content-length");
+            let length: usize = length.and_then(|value| value.parse().ok()).unwrap_or(0);
+            if bytes.len() >= end + 4 + length {
+                return Some(text);
+            }
+        }
+        let count = stream.read(&mut chunk).await.ok()?;
+        if count == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&chunk[..count]);
+    }
+}
+
+/// The value of a header in a message.
+pub fn header(message: &str, name: &str) -> Option<String> {
+    let head = message.split("\r\n\r\n").next()?;
+    head.lines().find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name)
+            .then(|| value.trim().to_string())
+    })
+}
+
+/// A signed answer with a length.
+pub fn signed(status: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status}\r\nAttempt-Id: {{id}}\r\nServer-Signature: sig\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// A refusal by an endpoint that has not run the request.
+pub fn not_executed() -> String {
+    "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        .to_string()
+}
+
+/// The head of a signed stream, and events with these ids as chunks.
+pub fn stream(ids: &[u64]) -> String {
+    let mut text = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Signature: sig\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".to_string();
+    for id in ids {
+        text.push_str(&chunk(&format!("id: {id}\ndata: piece-{id}\n\n")));
+    }
+    text
+}
+
+/// One chunk.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// The end of a chunked body.
+pub const END: &str = "0\r\n\r\n";
+
+/// An entry's front with some endpoints.
+pub struct Entry {
+    pub context: Arc<EntryContext>,
+    address: SocketAddr,
+    now: Arc<Mutex<ClockTime>>,
+}
+
+impl Entry {
+    /// A front that knows `endpoints` of the plain service `till`.
+    pub async fn start(endpoints: &[&Endpoint]) -> Entry {
+        let entry = Entry::bare().await;
+        entry.configure();
+        for (place, endpoint) in endpoints.iter().enumerate() {
+            entry.register(&format!("e{place}"), "till", endpoint.address, None);
+        }
+        entry
+    }
+
+    /// A front with engines of the service `chat`.
+    pub async fn with_engines(engines: &[&Endpoint]) -> Entry {
+        let entry = Entry::bare().await;
+        entry.configure();
+        for (place, engine) in engines.iter().enumerate() {
+            let stage = Some(EngineStage::Decode);
+            entry.register(&format!("e{place}"), "chat", engine.address, stage);
+        }
+        entry
+    }
+
+    /// A front that knows nothing yet.
+    pub async fn bare() -> Entry {
+        let probe = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = probe.local_addr().unwrap();
+        drop(probe);
+        let client = PlatformClient::new().unwrap();
+        let settings = instance_settings(address);
+        let store = StoreClient::new(client.clone(), settings.store.address);
+        let now = Arc::new(Mutex::new(ClockTime::from_millis(1_000_000)));
+        let started = std::time::Instant::now();
+        let offset = Arc::clone(&now);
+        let clock = ClockSource::with_read(move || {
+            let base = *offset.lock().unwrap();
+            base + TimeSpan::from_millis(started.elapsed().as_millis() as u64)
+        });
+        let context = Arc::new(EntryContext::new(
+            settings,
+            clock,
+            store,
+            EngineClient::new(client),
+            EntryMetrics::new().unwrap(),
+        ));
+        let front = CallerFront::bind(Arc::clone(&context)).unwrap();
+        tokio::spawn(front::accept(front));
+        Entry {
+            context,
+            address,
+            now,
+        }
+    }
+
+    /// The instance is suspended for `span`: its clock goes on.
+    pub fn suspend(&self, span: TimeSpan) {
+        let mut now = self.now.lock().unwrap();
+        *now = *now + span;
+    }
+
+    fn configure(&self) {
+        let mut belief = self.context.belief.lock();
+        belief.offer(configuration());
+        belief.confirm(self.context.now());
+        drop(belief);
+        self.context.budget.lock().set_extra(10.0);
+    }
+
+    fn register(&self, id: &str, service: &str, address: SocketAddr, stage: Option<EngineStage>) {
+        let registration = EndpointRegistration {
+            id: EndpointId::new(id).unwrap(),
+            start: 1,
+            service: ServiceName::new(service).unwrap(),
+            address,
+            domain: FailureDomain::new("se-a").unwrap(),
+            slots: 6,
+            is_leaving: false,
+            leaves_in: None,
+            is_preemptible: false,
+            stage,
+            warming: TimeSpan::ZERO,
+            sequence: 1,
+        };
+        self.context.directory.lock().register(registration.clone());
+        if stage.is_some() {
+            self.context.engines.lock().set_engine(&registration);
+        }
+    }
+
+    /// Opens a connection and sends a request.
+    pub async fn send(&self, text: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        stream
+    }
+
+    /// Sends a request and reads the answer to its end; the connection is closed
+    /// by the front after it.
+    pub async fn ask(&self, text: &str) -> String {
+        let mut stream = self.send(text).await;
+        let mut answer = Vec::new();
+        let read = stream.read_to_end(&mut answer);
+        let read = tokio::time::timeout(Duration::from_secs(20), read).await;
+        let _ = read.expect("the front answers");
+        String::from_utf8_lossy(&answer).to_string()
+    }
+}
+
+/// A request to `path`, after which the caller wants the connection closed.
+pub fn request(method: &str, path: &str, extra: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: 9c41\r\nDeadline-Ms: 2000\r\nAuthorization: Token {KEY}\r\nConnection: close\r\n{extra}\r\n"
+    )
+}
+
+fn instance_settings(address: SocketAddr) -> InstanceSettings {
+    let text = format!(
+        "nodeName: edge-1\nzone: se-a\nlisten:\n  frontend: \"{address}\"\n  ready: \"127.0.0.1:1\"\nplatform:\n  address: \"127.0.0.1:1\"\n"
+    );
+    settings::parse(&text).unwrap()
+}
+
+fn configuration() -> IngressConfiguration {
+    let route = |prefix: &str, service: &str, kind, is_resumable| RouteRule {
+        name: prefix.trim_matches('/').to_string(),
+        host: HOST.to_string(),
+        path_prefix: prefix.to_string(),
+        kind,
+        timeout: TimeSpan::from_millis(1_500),
+        objective: TimeSpan::from_millis(100),
+        gap_objective: None,
+        priority: 1,
+        targets: vec![WeightedService {
+            service: ServiceName::new(service).unwrap(),
+            weight: 1,
+        }],
+        attempts_limit: 2,
+        is_public: false,
+        has_prompt: service == "chat",
+        is_resumable,
+    };
+    let engine = EngineRule {
+        slots: 8,
+        memory: TokenCount::new(100_000),
+        token_bytes: ByteSize::new(1_000),
+        link_bytes_per_ms: 1_000_000,
+        handle_life: TimeSpan::from_secs(5),
+        stage_switch: TimeSpan::from_secs(3),
+    };
+    let service = |name: &str, engine| ServiceRule {
+        name: ServiceName::new(name).unwrap(),
+        health_path: "/healthz".to_string(),
+        connections_limit: 100,
+        engine,
+        scaling: None,
+    };
+    let services = [service("till", None), service("chat", Some(engine))];
+    let services: BTreeMap<ServiceName, ServiceRule> = services
+        .into_iter()
+        .map(|rule| (rule.name.clone(), rule))
+        .collect();
+    IngressConfiguration {
+        version: 1,
+        routes: vec![
+            route("/lookup/", "till", RouteKind::Safe, false),
+            route("/charge/", "till", RouteKind::Unsafe, false),
+            route("/review/", "chat", RouteKind::Streaming, false),
+            route("/chat/", "chat", RouteKind::Streaming, true),
+        ],
+        services,
+        limits: CallerLimits {
+            head: ByteSize::new(16_384),
+            body: ByteSize::new(1_000_000),
+            head_timeout: TimeSpan::from_millis(3_000),
+            idle_timeout: TimeSpan::from_millis(15_000),
+        },
+        organisations: Some(vec![OrganisationRule {
+            name: OrganisationId::new("magnolia").unwrap(),
+            keys: vec![KeyDigest::with_key(KEY)],
+            priority: None,
+        }]),
+    }
+}
