--- a/crates/core/tests/stewardship.rs
+++ b/crates/core/tests/stewardship.rs
@@ -170,8 +170,8 @@
     // see two of them act in turns, or an old fencing number after a newer one.
     fn check(steps: Vec<Step>) -> bool {
         let mut stage = Stage::new();
-        for step in &steps {
-            stage.play(step);
+        for step in steps {
+            stage.play(&step);
         }
         let fences_rise = stage.acts.windows(2).all(|pair| {
             pair[0].2 < pair[1].2 || (pair[0].2 == pair[1].2 && pair[0].1 == pair[1].1)
--- a/crates/ingress/src/believe/endpoints.rs
+++ b/crates/ingress/src/believe/endpoints.rs
@@ -91,8 +91,8 @@
         from.get_or_insert(page.end);
         for item in &page.items {
             if let Some(id) = endpoint_id(item.key.as_bytes()) {
-                listed.push(id.clone());
-                register(context, id, &item.value);
+                register(context, &id, &item.value);
+                listed.push(id);
             }
         }
         after = page.items.last().map(|item| item.key.clone());
@@ -125,7 +125,7 @@
                 };
                 let Some(id) = endpoint_id(key) else { continue };
                 match value {
-                    Some(value) => register(context, id, value),
+                    Some(value) => register(context, &id, value),
                     None => unregister(context, &id),
                 }
             }
@@ -154,12 +154,12 @@
 }
 
 /// Takes a registration as it lies in the store.
-pub fn register(context: &EntryContext, id: EndpointId, value: &[u8]) {
+pub fn register(context: &EntryContext, id: &EndpointId, value: &[u8]) {
     let registration = match registrations::decode(id.clone(), value) {
         Ok(registration) => registration,
         Err(error) => {
             LogLine::new("registration_rejected")
-                .with("endpoint", &id)
+                .with("endpoint", id)
                 .with("error", error)
                 .warn();
             return;
@@ -168,15 +168,15 @@
     let change = context.directory.lock().register(registration.clone());
     match change {
         DirectoryChange::Same => return,
-        DirectoryChange::Started => context.pools.forget(&id),
+        DirectoryChange::Started => context.pools.forget(id),
         _ => {}
     }
-    tell(context, &id, Some(value));
+    tell(context, id, Some(value));
     if registration.stage.is_some() || is_engine(context, &registration) {
         context.engines.lock().set_engine(&registration);
     }
     LogLine::new("endpoint")
-        .with("endpoint", &id)
+        .with("endpoint", id)
         .with("change", format!("{change:?}"))
         .with("service", &registration.service)
         .with("failure_domain", &registration.domain)
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -437,11 +437,13 @@
             }
             AttemptEnd::MaybeRun(detail) => {
                 self.lost(&target.id);
+                let detail = format!("run at {}: {detail}", target.id);
                 Err(FailedTry::new(RefusalReason::EndpointFailed, detail))
             }
             AttemptEnd::TimedOut => {
                 self.lost(&target.id);
-                Err(FailedTry::new(RefusalReason::TimedOut, "no answer in time"))
+                let detail = format!("run at {}: no answer in time", target.id);
+                Err(FailedTry::new(RefusalReason::TimedOut, detail))
             }
         }
     }
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -132,11 +132,13 @@
             }
             AttemptEnd::MaybeRun(detail) => {
                 guard.failed();
+                let detail = format!("{}: {detail}", target.id);
                 self.lost(RefusalReason::EndpointFailed, detail)
             }
             AttemptEnd::TimedOut => {
                 guard.failed();
-                self.lost(RefusalReason::TimedOut, "no answer in time".to_string())
+                let detail = format!("{}: no answer in time", target.id);
+                self.lost(RefusalReason::TimedOut, detail)
             }
             AttemptEnd::Answered(answer) => {
                 self.attempts.answering();
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -123,7 +123,7 @@
         }
     };
     match (&change.value, change.kept_for_ms) {
-        (Some(value), _) => believe::register(context, id, value),
+        (Some(value), _) => believe::register(context, &id, value),
         (None, Some(kept_for_ms)) => {
             let now = context.now();
             let kept_for = TimeSpan::from_millis(kept_for_ms);
--- a/crates/ingress/src/program.rs
+++ b/crates/ingress/src/program.rs
@@ -90,9 +90,10 @@
         .info();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let ready_server = ready::serve(Arc::clone(&context), context.settings.ready_address)
+    let ready_server = ready::serve(&context, context.settings.ready_address)
         .await
         .context("the ready address can't be served")?;
+    let metrics_server = ready::serve_metrics(&context).await;
     let background = CancellationToken::new();
     believe::follow(&context, &background);
     peers::start(&context, &background)
@@ -115,6 +116,9 @@
     stop(&context, &front, accepting).await;
     background.cancel();
     ready_server.stop().await;
+    if let Some(server) = metrics_server {
+        server.stop().await;
+    }
     LogLine::new("stop").info();
     Ok(())
 }
--- a/crates/ingress/src/ready.rs
+++ b/crates/ingress/src/ready.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use bluebell_adapter::READY_PATH;
-use bluebell_daemon::ops::{self, OpsSource, ReadyState, RunningServer};
+use bluebell_daemon::{
+    logs::LogLine,
+    ops::{self, OpsSource, ReadyState, RunningServer},
+};
 use rocket::{
     Data, Request, Route,
     http::{Method, Status},
@@ -13,6 +16,10 @@
 
 use crate::context::EntryContext;
 
+/// Where metrics and the dump are served besides: a port that is the same on all
+/// instances and on all days, as the deploy file has to name it.
+pub const METRICS_PORT: u16 = 9_464;
+
 /// Answers the platform's question.
 #[derive(Clone)]
 struct ReadyPage {
@@ -65,21 +72,40 @@
     })
 }
 
-/// Serves the pages at `address`.
+fn source(context: &Arc<EntryContext>) -> OpsSource {
+    let (asked, dumped) = (Arc::clone(context), Arc::clone(context));
+    OpsSource::new(
+        context.metrics.registry.clone(),
+        move || state(&asked),
+        move || dump(&dumped),
+    )
+}
+
+/// Serves the platform's question and the pages about the process at `address`.
 pub async fn serve(
-    context: Arc<EntryContext>,
+    context: &Arc<EntryContext>,
     address: SocketAddr,
 ) -> Result<RunningServer, ops::ListenError> {
     let page = ReadyPage {
-        context: Arc::clone(&context),
+        context: Arc::clone(context),
     };
-    let asked = Arc::clone(&context);
-    let source = OpsSource::new(
-        context.metrics.registry.clone(),
-        move || state(&asked),
-        move || dump(&context),
-    );
-    let rocket = ops::mount(ops::server(address), source)
+    let rocket = ops::mount(ops::server(address), source(context))
         .mount("/", vec![Route::new(Method::Get, READY_PATH, page)]);
     RunningServer::start(rocket, address).await
 }
+
+/// Serves the pages about the process at [`METRICS_PORT`]. A port that is taken is
+/// no reason not to serve callers.
+pub async fn serve_metrics(context: &Arc<EntryContext>) -> Option<RunningServer> {
+    let address = SocketAddr::new(context.settings.ready_address.ip(), METRICS_PORT);
+    let rocket = ops::mount(ops::server(address), source(context));
+    match RunningServer::start(rocket, address).await {
+        Ok(server) => Some(server),
+        Err(error) => {
+            LogLine::new("metrics_not_served")
+                .with("error", error)
+                .warn();
+            None
+        }
+    }
+}
