Consider a part of the engines, drawn at random, the older the others' words are

Cause: 70 entries with a picture of each other that is 0.7 s old all took the same least busy engines; on the grown sites a fifth to a quarter of the chats were late, their streams stalling while other engines idled. Ruled out: prefill queues (median 76 ms) and slots (7 of 24 taken on average).

--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -67,6 +67,8 @@
 /// How long an engine that refused a request gets no other: others would be
 /// refused as well, and each refusal counts as a repeat.
 const REFUSAL_PAUSE: TimeSpan = TimeSpan::from_millis(150);
+/// The least share of the engines that is considered for a request.
+const LEAST_CONSIDERED: f64 = 0.05;
 /// By how much costs are varied, so that entries with the same picture don't all
 /// take the same engine.
 const COST_NOISE: f64 = 0.05;
@@ -211,6 +213,8 @@
     /// What has not been told to the other entries.
     untold: Vec<ToldPart>,
     silent_domains: BTreeSet<FailureDomain>,
+    /// The share of the engines that is considered for a request.
+    considered: f64,
 }
 
 /// The most parts that wait to be told; the oldest are dropped, which costs a
@@ -231,6 +235,7 @@
             next_ticket: 0,
             untold: Vec::new(),
             silent_domains: BTreeSet::new(),
+            considered: 1.0,
         }
     }
 
@@ -314,7 +319,17 @@
             .min_by(f64::total_cmp)?;
         let preferred = rendezvous(&books, ask.work);
         let mut costs: Vec<(f64, PrefillPlan)> = Vec::with_capacity(books.len());
-        for book in &books {
+        let share = self.considered;
+        let mut random = self.random.clone();
+        for (place, book) in books.iter().enumerate() {
+            // Of the last two, both are taken if nobody else was.
+            let is_needed = costs.len() + (books.len() - place) <= 2;
+            let is_drawn = is_needed || random.random_bool(share);
+            let is_near = preferred == Some(book.number)
+                || self.places.held(now, book.number, &ask.work.parts) > 0;
+            if !is_drawn && !is_near {
+                continue;
+            }
             let mut plan = self.prefill_at(now, book, &ask, preferred == Some(book.number));
             let wait_ms = book.queue.wait_ms(now, ask.rank());
             let rest_ms = match book.stage {
@@ -326,11 +341,8 @@
             plan.first_token = TimeSpan::from_millis(first_token_ms as u64);
             costs.push((first_token_ms + WORK_WEIGHT * plan.work_ms, plan));
         }
-        for (cost, _) in &mut costs {
-            *cost *= self.random.random_range(1.0..1.0 + COST_NOISE);
-        }
-        let best = costs.into_iter().min_by(|one, two| one.0.total_cmp(&two.0));
-        best.map(|(_, plan)| plan)
+        self.random = random;
+        self.least(costs)
     }
 
     fn usable<'a>(
@@ -351,6 +363,17 @@
         book.is_sound(now) && !self.silent_domains.contains(&book.domain)
     }
 
+    /// Sets the share of the engines that is considered for a request, besides those
+    /// that hold something of its prompt.
+    ///
+    /// Entries hear of each other's work with a delay. If all of them took the least
+    /// busy engine of all, everything that arrives in that time would go to the same
+    /// few, and streams there would stall while others idle. Of a part drawn at
+    /// random each takes another one.
+    pub fn set_considered(&mut self, share: f64) {
+        self.considered = share.clamp(LEAST_CONSIDERED, 1.0);
+    }
+
     /// Failure domains that seem to be cut off from here; their engines are taken
     /// only if there are no others.
     pub fn set_silent_domains(&mut self, domains: BTreeSet<FailureDomain>) {
@@ -403,17 +426,33 @@
                 (cost, book.target.clone())
             });
             let mut costs: Vec<(f64, EngineTarget)> = costs.collect();
-            for (cost, _) in &mut costs {
-                *cost *= self.random.random_range(1.0..1.0 + COST_NOISE);
-            }
-            let best = costs.into_iter().min_by(|one, two| one.0.total_cmp(&two.0));
-            if let Some((_, target)) = best {
+            let count = (costs.len() as f64 * self.considered).ceil() as usize;
+            self.draw(&mut costs, count.max(2));
+            if let Some(target) = self.least(costs) {
                 return Ok(target);
             }
         }
         Err(NoEngine::NoneLeft)
     }
 
+    /// Keeps `count` of the candidates, drawn at random.
+    fn draw<Candidate>(&mut self, candidates: &mut Vec<Candidate>, count: usize) {
+        while candidates.len() > count {
+            let place = self.random.random_range(0..candidates.len());
+            candidates.swap_remove(place);
+        }
+    }
+
+    /// The candidate that costs least, with a little noise.
+    fn least<Candidate>(&mut self, costs: Vec<(f64, Candidate)>) -> Option<Candidate> {
+        let noisy = costs.into_iter().map(|(cost, candidate)| {
+            let noise = self.random.random_range(1.0..1.0 + COST_NOISE);
+            (cost * noise, candidate)
+        });
+        let best = noisy.min_by(|one, two| one.0.total_cmp(&two.0));
+        best.map(|(_, candidate)| candidate)
+    }
+
     /// The prefill was sent: it lengthens the engine's queue, and its parts will
     /// be held there.
     pub fn prefill_sent(
--- a/crates/ingress/src/forward/answer.rs
+++ b/crates/ingress/src/forward/answer.rs
@@ -3,15 +3,13 @@
 use bluebell_core::{clock::TimeSpan, placement::EngineTarget};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::{
-    HeaderMap, Response, StatusCode,
-    header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING},
-};
+use hyper::{HeaderMap, Response, StatusCode, header::CONTENT_LENGTH};
 
 use crate::{
     context::EntryContext,
     forward::attempt::{self, EndpointAnswer},
     front::{AnswerBody, full_body},
+    hop,
 };
 
 /// The largest answer that is held as a whole; larger ones are taken for broken.
@@ -58,29 +56,21 @@
     pub fn into_response(self) -> Response<AnswerBody> {
         let mut response = Response::new(full_body(self.body));
         *response.status_mut() = self.status;
-        *response.headers_mut() = caller_headers(self.headers);
+        *response.headers_mut() = caller_headers(&self.headers);
         response
     }
 }
 
 /// The headers of an answer that go on to the caller: all but those of the
 /// connection and of the framing.
-pub fn caller_headers(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        headers.remove(name.as_str());
-    }
-    for name in [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING] {
-        headers.remove(name);
-    }
-    for name in ["keep-alive", "proxy-connection", "trailer", "upgrade"] {
-        headers.remove(name);
+pub fn caller_headers(headers: &HeaderMap) -> HeaderMap {
+    let named = hop::named(headers);
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let is_named = named.iter().any(|hop| hop == name.as_str());
+        if !is_named && !hop::is_hop(name) && *name != CONTENT_LENGTH {
+            kept.append(name.clone(), value.clone());
+        }
     }
-    headers
+    kept
 }
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -57,7 +57,7 @@
 /// The answer that passes the stream on.
 pub fn into_response(run: GenerationRun, running: RunningStream) -> Response<AnswerBody> {
     let status = running.head.status;
-    let headers = caller_headers(running.head.headers.clone());
+    let headers = caller_headers(&running.head.headers);
     let state = StreamState {
         run,
         running,
--- a/crates/ingress/src/front/request.rs
+++ b/crates/ingress/src/front/request.rs
@@ -14,13 +14,14 @@
 use hyper::{
     HeaderMap, Method, Request,
     body::Incoming,
-    header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderName, TRANSFER_ENCODING},
+    header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName},
 };
 use rand::Rng;
 
 use crate::{
     context::EntryContext,
     front::refusal::{DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
+    hop,
 };
 
 /// When a caller may come back if this entry knows nothing yet or too little.
@@ -30,16 +31,12 @@
 /// memory, given in MB.
 const BODIES_SHARE: u64 = 4;
 
-/// The headers that concern one connection only.
-const HOP_HEADERS: [HeaderName; 8] = [
-    CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    hyper::header::PROXY_AUTHENTICATE,
-    hyper::header::PROXY_AUTHORIZATION,
-    hyper::header::TE,
-    hyper::header::TRAILER,
-    hyper::header::UPGRADE,
+/// The headers that this entry sets anew or keeps to itself.
+const FRAMING_HEADERS: [HeaderName; 4] = [
+    AUTHORIZATION,
+    CONTENT_LENGTH,
+    hyper::header::EXPECT,
+    HeaderName::from_static(headers::DEADLINE_MS),
 ];
 
 /// A request that is to be served.
@@ -241,29 +238,16 @@
 /// The headers that go on: not those of the connection, not the key, not the
 /// length, which is set anew, and none that only the system may set.
 fn forwarded(received: &HeaderMap) -> HeaderMap {
-    let named: Vec<String> = received
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let dropped = |name: &HeaderName| {
-        HOP_HEADERS.contains(name)
-            || [
-                AUTHORIZATION,
-                CONTENT_LENGTH,
-                TRANSFER_ENCODING,
-                hyper::header::EXPECT,
-            ]
-            .contains(name)
+    let named = hop::named(received);
+    let is_dropped = |name: &HeaderName| {
+        hop::is_hop(name)
+            || FRAMING_HEADERS.contains(name)
             || headers::SYSTEM_HEADERS.contains(&name.as_str())
-            || name.as_str() == headers::DEADLINE_MS
-            || (named.iter().any(|n| n == name.as_str()) && !is_needed(name))
+            || (named.iter().any(|hop| hop == name.as_str()) && !is_needed(name))
     };
     let mut kept = HeaderMap::with_capacity(received.len());
     for (name, value) in received {
-        if !dropped(name) {
+        if !is_dropped(name) {
             kept.append(name.clone(), value.clone());
         }
     }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod context;
 pub mod forward;
 pub mod front;
+mod hop;
 pub mod logs;
 pub mod metrics;
 pub mod peers;
--- a/crates/ingress/src/peers/talk.rs
+++ b/crates/ingress/src/peers/talk.rs
@@ -35,6 +35,10 @@
 /// The longest interval: words count for some seconds only.
 const LONGEST_INTERVAL: Duration = Duration::from_millis(800);
 
+/// How old the others' words may be for all engines to be considered: few requests
+/// arrive in that time.
+const FRESH_WORD: Duration = Duration::from_millis(100);
+
 /// How often an entry with nothing to tell says that it is there.
 const BEAT: TimeSpan = TimeSpan::from_millis(1_000);
 
@@ -130,6 +134,8 @@
         let now = self.context.now();
         self.note_silent_domains(now);
         self.context.share_budget();
+        let share = FRESH_WORD.as_secs_f64() / self.interval().as_secs_f64();
+        self.context.engines.lock().set_considered(share);
         let (loads, parts) = {
             let mut engines = self.context.engines.lock();
             (engines.own_loads(), engines.take_untold())
