--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -64,9 +64,14 @@
 /// unless it says sooner that it is back: it ends its work, is away for some 3 s,
 /// and says so with its next heartbeat.
 const SWITCH_PATIENCE: TimeSpan = TimeSpan::from_millis(7_000);
-/// How long an engine that refused a request gets no other: others would be
-/// refused as well, and each refusal counts as a repeat.
+/// How long an engine that refused a request gets no other, at first: others would
+/// be refused as well, and each refusal counts as a repeat. The pause doubles with
+/// each refusal in a row, as an engine that changes its stage is away for seconds.
 const REFUSAL_PAUSE: TimeSpan = TimeSpan::from_millis(150);
+/// How often the pause doubles at most: to 1.2 s.
+const REFUSAL_DOUBLINGS: u32 = 3;
+/// How long an engine gets nothing that refused another entry.
+const TOLD_REFUSAL_PAUSE: TimeSpan = TimeSpan::from_millis(400);
 /// The least share of the engines that is considered for a request.
 const LEAST_CONSIDERED: f64 = 0.05;
 /// By how much costs are varied, so that entries with the same picture don't all
@@ -165,6 +170,10 @@
     ordered: Option<(EngineStage, ClockTime)>,
     /// Until when it is left alone because it refused work that it had room for.
     refuses_until: ClockTime,
+    /// Until when that is so by this entry's own experience.
+    refused_until: ClockTime,
+    /// How often it refused in a row.
+    refusals: u32,
     is_leaving: bool,
     queue: EngineQueue,
     health: EndpointHealth,
@@ -272,6 +281,8 @@
             stage: registration.stage,
             ordered: None,
             refuses_until: ClockTime::default(),
+            refused_until: ClockTime::default(),
+            refusals: 0,
             is_leaving: registration.is_leaving,
             queue: EngineQueue::new(),
             health: EndpointHealth::new(),
@@ -490,6 +501,7 @@
         };
         book.queue.remove(now, ticket.0);
         book.health.succeed(now, &self.settings);
+        book.refusals = 0;
         let slowdown = book.prefill_slowdown();
         let service = book.service.clone();
         let tokens = plan.tokens as f64;
@@ -527,6 +539,7 @@
     pub fn succeeded(&mut self, now: ClockTime, id: &EndpointId) {
         if let Some(book) = self.books.get_mut(id) {
             book.health.succeed(now, &self.settings);
+            book.refusals = 0;
         }
     }
 
@@ -556,7 +569,24 @@
     /// The engine refused a request without running it.
     pub fn refused(&mut self, now: ClockTime, id: &EndpointId) {
         if let Some(book) = self.books.get_mut(id) {
-            book.refuses_until = now + REFUSAL_PAUSE;
+            let doublings = book.refusals.min(REFUSAL_DOUBLINGS);
+            book.refused_until = now + REFUSAL_PAUSE.times(1 << doublings);
+            book.refuses_until = book.refuses_until.max(book.refused_until);
+            book.refusals += 1;
+        }
+    }
+
+    /// The engines that refused this entry lately, for the others to know.
+    pub fn refusing(&self, now: ClockTime) -> Vec<u64> {
+        let refusing = self.books.values().filter(|book| now < book.refused_until);
+        refusing.map(|book| book.hash).collect()
+    }
+
+    /// Another entry was refused by the engine.
+    pub fn refused_another(&mut self, now: ClockTime, engine: u64) {
+        let id = self.by_hash.get(&engine);
+        if let Some(book) = id.and_then(|id| self.books.get_mut(id)) {
+            book.refuses_until = book.refuses_until.max(now + TOLD_REFUSAL_PAUSE);
         }
     }
 
--- a/crates/core/tests/placement_engines.rs
+++ b/crates/core/tests/placement_engines.rs
@@ -278,6 +278,33 @@
     assert_eq!(runner.unwrap().id, id("d1"));
 }
 
+#[test]
+fn an_engine_that_goes_on_refusing_is_asked_less_and_less() {
+    // An engine is away for seconds and nobody was told. If seventy entries each ask
+    // it several times a second, their refusals use up the repeats of everybody.
+    let mut books = books(&[("p1", "a", P), ("d1", "a", D), ("d2", "a", D)]);
+    let ask = Ask::new("600,35", "aa:119,bb:79,c1:402");
+    for _ in 0..4 {
+        books.refused(at(0), &id("d1"));
+    }
+    let hash = books.hash(&id("d1")).unwrap();
+    assert_eq!(books.refusing(at(1_000)), [hash]);
+    for turn in 0..10 {
+        let runner = books.choose_runner(at(1_000 + turn), ask.request(), &id("p1"));
+        assert_eq!(runner.unwrap().id, id("d2"));
+    }
+    assert!(books.refusing(at(1_200)).is_empty());
+    // A run that came to its end ends the doubling.
+    books.succeeded(at(2_000), &id("d1"));
+    books.refused(at(2_000), &id("d1"));
+    assert!(books.refusing(at(2_200)).is_empty());
+    // What refused another entry is left alone here as well, and not told on.
+    books.refused_another(at(3_000), hash);
+    let runner = books.choose_runner(at(3_100), ask.request(), &id("p1"));
+    assert_eq!(runner.unwrap().id, id("d2"));
+    assert!(books.refusing(at(3_100)).is_empty());
+}
+
 #[test]
 fn engines_behind_a_cut_are_the_last_choice() {
     // The failure domain `b` is cut off. Its engine has the shorter queue, as
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -85,6 +85,9 @@
     /// Whether loads and parts are told: none means that there are none.
     #[prost(bool, tag = "11")]
     pub says_loads: bool,
+    /// Engines that refused the sender lately, by the hashes of their ids.
+    #[prost(fixed64, repeated, tag = "12")]
+    pub refusing: Vec<u64>,
 }
 
 /// What differs between the receivers of a datagram; it is appended to the part
@@ -198,6 +201,12 @@
         self
     }
 
+    /// Adds the engines that refused the sender.
+    pub fn with_refusing(mut self, refusing: Vec<u64>) -> PeerMessage {
+        self.refusing = refusing;
+        self
+    }
+
     /// Adds the stages that were ordered lately.
     pub fn with_stages(mut self, stages: Vec<StageMessage>) -> PeerMessage {
         self.stages = stages;
--- a/crates/ingress/src/peers/talk.rs
+++ b/crates/ingress/src/peers/talk.rs
@@ -136,20 +136,23 @@
         self.context.share_budget();
         let share = FRESH_WORD.as_secs_f64() / self.interval().as_secs_f64();
         self.context.engines.lock().set_considered(share);
-        let (loads, parts) = {
+        let (loads, parts, refusing) = {
             let mut engines = self.context.engines.lock();
-            (engines.own_loads(), engines.take_untold())
+            let refusing = engines.refusing(now);
+            (engines.own_loads(), engines.take_untold(), refusing)
         };
         let stages = self.context.peers.lock().stage_orders(now);
         let relay = relay::message(&self.context, now);
-        let has_load = !loads.is_empty() || !parts.is_empty() || relay.is_some();
-        let has_news = has_load || !stages.is_empty() || self.has_told_load;
+        let has_load = !loads.is_empty() || !refusing.is_empty() || relay.is_some();
+        let has_news = has_load || !parts.is_empty() || !stages.is_empty() || self.has_told_load;
         if !has_news && now.since(self.told_at) < BEAT {
             return;
         }
         self.told_at = now;
         self.has_told_load = !loads.is_empty();
-        let message = PeerMessage::new(&loads, &parts).with_stages(stages);
+        let message = PeerMessage::new(&loads, &parts)
+            .with_stages(stages)
+            .with_refusing(refusing);
         let receivers = self.receivers(now);
         self.send(now, message, relay, &receivers).await;
     }
@@ -300,6 +303,9 @@
         let (loads, parts) = (message.told_loads(), message.told_parts());
         let mut engines = self.context.engines.lock();
         engines.note_peer(now, &peer, &loads, &parts);
+        for engine in &message.refusing {
+            engines.refused_another(now, *engine);
+        }
         for order in &message.stages {
             engines.stage_ordered(now, order.engine, order.stage());
         }
