--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -78,10 +78,10 @@
 /// take the same engine.
 const COST_NOISE: f64 = 0.05;
 
-/// An engine that takes part in a request.
+/// An endpoint that a request is sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EngineTarget {
-    /// The engine.
+pub struct EndpointTarget {
+    /// The endpoint.
     pub id: EndpointId,
     /// Where it listens.
     pub address: SocketAddr,
@@ -91,7 +91,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct PrefillPlan {
     /// The engine that prefills.
-    pub engine: EngineTarget,
+    pub engine: EndpointTarget,
     /// Whether the engine runs the request as well.
     pub runs_there: bool,
     /// The time that the prefill itself takes, in ms.
@@ -161,7 +161,7 @@
 struct EngineBook {
     number: u32,
     hash: u64,
-    target: EngineTarget,
+    target: EndpointTarget,
     start: u64,
     service: ServiceName,
     domain: FailureDomain,
@@ -271,7 +271,7 @@
         let book = EngineBook {
             number: self.next_number,
             hash,
-            target: EngineTarget {
+            target: EndpointTarget {
                 id: registration.id.clone(),
                 address: registration.address,
             },
@@ -427,7 +427,7 @@
         now: ClockTime,
         ask: PlanRequest<'_>,
         source: &EndpointId,
-    ) -> Result<EngineTarget, NoEngine> {
+    ) -> Result<EndpointTarget, NoEngine> {
         let domain = self.books.get(source).map(|book| book.domain.clone());
         for sound_only in [true, false] {
             let runners = self.usable(now, ask, sound_only);
@@ -436,7 +436,7 @@
                 let cost = run_cost_ms(now, book, domain.as_ref(), ask);
                 (cost, book.target.clone())
             });
-            let mut costs: Vec<(f64, EngineTarget)> = costs.collect();
+            let mut costs: Vec<(f64, EndpointTarget)> = costs.collect();
             let count = (costs.len() as f64 * self.considered).ceil() as usize;
             self.draw(&mut costs, count.max(2));
             if let Some(target) = self.least(costs) {
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -16,7 +16,7 @@
 
 pub use self::{
     engine::{
-        EngineBooks, EngineTarget, NoEngine, PlanRequest, PrefillPlan, PrefillTicket, ToldLoad,
+        EndpointTarget, EngineBooks, NoEngine, PlanRequest, PrefillPlan, PrefillTicket, ToldLoad,
         ToldPart,
     },
     parts::PartPlaces,
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -43,8 +43,8 @@
     alive.all(|peer| own < peer)
 }
 
-/// The last stamps that were received from other instances, and when a stamp of
-/// ours must have been received by another.
+/// The stamp of ours that another instance names in its word: it had received it
+/// before it spoke.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EchoedStamp {
     /// Our clock when we sent it.
--- a/crates/ingress/src/forward/answer.rs
+++ b/crates/ingress/src/forward/answer.rs
@@ -1,6 +1,6 @@
 //! Whole answers of endpoints.
 
-use bluebell_core::{clock::TimeSpan, placement::EngineTarget};
+use bluebell_core::{clock::TimeSpan, placement::EndpointTarget};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{HeaderMap, Response, StatusCode, header::CONTENT_LENGTH};
@@ -31,7 +31,7 @@
     /// Only an answer that came whole keeps its connection.
     pub async fn read(
         context: &EntryContext,
-        target: &EngineTarget,
+        target: &EndpointTarget,
         answer: EndpointAnswer,
         patience: TimeSpan,
     ) -> Option<WholeAnswer> {
--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -5,7 +5,7 @@
 //! failure it may have run.
 
 use bluebell_adapter::headers;
-use bluebell_core::{clock::TimeSpan, placement::EngineTarget};
+use bluebell_core::{clock::TimeSpan, placement::EndpointTarget};
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
@@ -64,7 +64,7 @@
 pub async fn send(
     context: &EntryContext,
     request: &CallerRequest,
-    target: &EngineTarget,
+    target: &EndpointTarget,
     added: &AddedHeaders,
     patience: TimeSpan,
 ) -> AttemptEnd {
@@ -81,7 +81,7 @@
 async fn exchange(
     context: &EntryContext,
     request: &CallerRequest,
-    target: &EngineTarget,
+    target: &EndpointTarget,
     added: &AddedHeaders,
 ) -> AttemptEnd {
     // A kept connection may have been closed at the other end; if so, nothing was
@@ -104,7 +104,7 @@
 async fn exchange_on(
     context: &EntryContext,
     request: &CallerRequest,
-    target: &EngineTarget,
+    target: &EndpointTarget,
     added: &AddedHeaders,
     mut connection: EndpointConnection,
 ) -> AttemptEnd {
@@ -151,7 +151,7 @@
 }
 
 /// Reads the short rest of an answer that nobody needs, and keeps the connection.
-async fn give_back(context: &EntryContext, target: &EngineTarget, answer: EndpointAnswer) {
+async fn give_back(context: &EntryContext, target: &EndpointTarget, answer: EndpointAnswer) {
     /// A refusal's body is some bytes; one that is slow is not worth a connection.
     const REST_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(20);
     let body = http_body_util::Limited::new(answer.response.into_body(), 65_536);
@@ -162,7 +162,7 @@
 }
 
 /// Keeps a connection whose answer was read to its end.
-pub fn keep(context: &EntryContext, target: &EngineTarget, mut connection: EndpointConnection) {
+pub fn keep(context: &EntryContext, target: &EndpointTarget, mut connection: EndpointConnection) {
     let context_now = context.now();
     if futures::FutureExt::now_or_never(connection.sender.ready()).is_some_and(|r| r.is_ok()) {
         context
@@ -174,7 +174,7 @@
 fn outgoing(
     context: &EntryContext,
     request: &CallerRequest,
-    target: &EngineTarget,
+    target: &EndpointTarget,
     added: &AddedHeaders,
 ) -> Result<Request<Full<bytes::Bytes>>, hyper::http::Error> {
     let mut outgoing = Request::builder()
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use bluebell_adapter::{engines, headers};
+use bluebell_adapter::headers;
 use bluebell_core::{
     attempts::{RequestAttempts, WorkKind},
     clock::TimeSpan,
     ids::EndpointId,
-    placement::{EngineTarget, PlanRequest, PrefillPlan, PromptWork},
+    placement::{EndpointTarget, PlanRequest, PrefillPlan, PromptWork},
 };
 use hyper::Response;
 
@@ -18,7 +18,9 @@
         attempt::{self, AddedHeaders, AttemptEnd, EndpointAnswer},
         events::{EventReader, NextEvents},
         guards::{PrefillGuard, RunGuard},
-        meter, refuse, request_line,
+        meter,
+        prefill::PrefilledSource,
+        refuse, request_line,
         stream::{self, RunningStream},
     },
     front::{AnswerBody, CallerRequest, Refusal, RefusalReason},
@@ -27,9 +29,6 @@
 /// How many engines are asked at most, counting those that refused.
 const ASKED_LIMIT: usize = 5;
 
-/// How long freeing a prefilled prompt may take.
-const FREE_TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
-
 /// How many steps of urgency at an engine lie between two ranks of routes.
 const PRIORITY_STEP: u8 = 3;
 /// The least urgent rank that engines know.
@@ -41,23 +40,17 @@
 const TAKEOVERS_LIMIT: u32 = 2;
 
 /// Why a try did not come to a run.
-struct FailedTry {
-    reason: RefusalReason,
-    detail: String,
+pub struct FailedTry {
+    /// Why, for the caller.
+    pub reason: RefusalReason,
+    /// Why, for the log.
+    pub detail: String,
     is_final: bool,
 }
 
-/// A prompt that was prefilled and not yet taken over.
-#[derive(Clone, Debug)]
-struct PrefilledSource {
-    plan: PrefillPlan,
-    /// Where its KV cache lies.
-    source: String,
-    refusals: u32,
-}
-
 impl FailedTry {
-    fn new<Detail>(reason: RefusalReason, detail: Detail) -> FailedTry
+    /// The try failed; another may follow.
+    pub fn new<Detail>(reason: RefusalReason, detail: Detail) -> FailedTry
     where
         Detail: Into<String>,
     {
@@ -68,6 +61,7 @@
         }
     }
 
+    /// No other try is to follow.
     fn last(mut self) -> FailedTry {
         self.is_final = true;
         self
@@ -89,12 +83,12 @@
     pub context: Arc<EntryContext>,
     /// The request.
     pub request: Arc<CallerRequest>,
-    work: PromptWork,
+    pub(super) work: PromptWork,
     attempts: RequestAttempts,
     tried: Vec<EndpointId>,
-    asked: usize,
+    pub(super) asked: usize,
     runs: u32,
-    has_prefilled: bool,
+    pub(super) has_prefilled: bool,
     has_run: bool,
     source: Option<PrefilledSource>,
     is_metered: bool,
@@ -198,7 +192,7 @@
 
     /// Asks to reach one more engine. The first prefill and the first run are no
     /// repeats; everything else is one, and the budget has to allow it.
-    fn repeat(&self) -> Result<(), FailedTry> {
+    pub(super) fn repeat(&self) -> Result<(), FailedTry> {
         let now = self.context.now();
         let service = &self.request.service;
         if self.context.budget.lock().try_repeat(now, service) {
@@ -262,25 +256,6 @@
         self.run(plan, &target, added, Some(prefill), last_id).await
     }
 
-    /// Frees a prefilled prompt that no engine takes over. Nobody waits for it; if
-    /// it is not heard, the prompt lapses by itself.
-    fn free(&self, prefilled: &PrefilledSource) {
-        let client = self.context.engine_client.clone();
-        let address = prefilled.plan.engine.address;
-        let handle = prefilled
-            .source
-            .rsplit('/')
-            .next()
-            .unwrap_or_default()
-            .to_string();
-        let timeout = FREE_TIMEOUT;
-        tokio::spawn(async move {
-            if let Err(error) = client.free_handle(address, &handle, timeout).await {
-                log::debug!("event=handle_not_freed error={error:?}");
-            }
-        });
-    }
-
     fn ask(&self) -> Result<PlanRequest<'_>, FailedTry> {
         let service = self.request.table.service(&self.request.service);
         let rule = service.and_then(|service| service.engine.as_ref());
@@ -305,14 +280,14 @@
         plan.map_err(|error| FailedTry::new(RefusalReason::NoEndpoint, error.to_string()).last())
     }
 
-    fn choose_runner(&self, plan: &PrefillPlan) -> Result<EngineTarget, FailedTry> {
+    fn choose_runner(&self, plan: &PrefillPlan) -> Result<EndpointTarget, FailedTry> {
         let now = self.context.now();
         let mut engines = self.context.engines.lock();
         let target = engines.choose_runner(now, self.ask()?, &plan.engine.id);
         target.map_err(|error| FailedTry::new(RefusalReason::NoEndpoint, error.to_string()))
     }
 
-    fn added_headers(&self, last_id: Option<u64>) -> AddedHeaders {
+    pub(super) fn added_headers(&self, last_id: Option<u64>) -> AddedHeaders {
         let priority = self.request.priority.saturating_mul(PRIORITY_STEP);
         let priority = priority.min(LEAST_URGENT);
         let mut added = vec![(headers::REQUEST_PRIORITY, priority.to_string())];
@@ -322,84 +297,11 @@
         added
     }
 
-    /// Has the prompt prefilled; answers where its KV cache lies. This runs
-    /// nothing, so it may be repeated whatever the request is.
-    async fn prefill(&mut self, plan: &PrefillPlan) -> Result<String, FailedTry> {
-        let target = &plan.engine;
-        let guard = PrefillGuard::new(&self.context, plan, &self.work);
-        let mut added = self.added_headers(None);
-        added.push((headers::STAGE, headers::STAGE_PREFILL.to_string()));
-        let left = self.request.time_left(self.context.now());
-        if self.has_prefilled {
-            self.repeat()?;
-        }
-        self.asked += 1;
-        let end = attempt::send(&self.context, &self.request, target, &added, left).await;
-        // Whatever became of it, a first prefill that an engine did not refuse is
-        // the one that costs no repeat.
-        let was_taken = !matches!(end, AttemptEnd::NotSent(_) | AttemptEnd::NotExecuted { .. });
-        self.has_prefilled |= was_taken;
-        let answer = match end {
-            AttemptEnd::Answered(answer) if answer.response.status().is_success() => answer,
-            end => {
-                drop(guard);
-                return Err(self.prefill_failed(target, &end));
-            }
-        };
-        let left = self.request.time_left(self.context.now());
-        let whole = WholeAnswer::read(&self.context, target, answer, left).await;
-        let prefilled = whole.and_then(|whole| engines::decode_prefilled(&whole.body).ok());
-        match prefilled {
-            Some(prompt) => {
-                guard.done();
-                request_line(&self.context, "prefilled", &self.request)
-                    .with("prefill", &target.id)
-                    .with("held", plan.held)
-                    .with("prompt", self.work.prompt)
-                    .with("work_ms", plan.work_ms.round())
-                    .with("expected", plan.first_token)
-                    .info();
-                Ok(engines::handover_source(target.address, &prompt))
-            }
-            None => {
-                self.engine_failed(target);
-                let detail = "the prefill's answer broke off";
-                Err(FailedTry::new(RefusalReason::EndpointsFull, detail))
-            }
-        }
-    }
-
-    fn prefill_failed(&mut self, target: &EngineTarget, end: &AttemptEnd) -> FailedTry {
-        let detail = format!("prefill at {}: {}", target.id, end.as_str());
-        match end {
-            AttemptEnd::NotSent(_) => {
-                self.engine_failed(target);
-                FailedTry::new(RefusalReason::NoEndpoint, detail)
-            }
-            AttemptEnd::NotExecuted { status, is_gone } => {
-                // A prefill that was refused is no first prefill, and counts.
-                let now = self.context.now();
-                let service = &self.request.service;
-                self.context.budget.lock().note_repeat(now, service);
-                self.refused(target, status.as_u16(), *is_gone);
-                FailedTry::new(RefusalReason::EndpointsFull, detail)
-            }
-            AttemptEnd::TimedOut => {
-                self.engine_failed(target);
-                FailedTry::new(RefusalReason::TimedOut, detail)
-            }
-            _ => {
-                self.engine_failed(target);
-                FailedTry::new(RefusalReason::EndpointsFull, detail)
-            }
-        }
-    }
-
     /// Has the request run.
     async fn run(
         &mut self,
         plan: &PrefillPlan,
-        target: &EngineTarget,
+        target: &EndpointTarget,
         added: AddedHeaders,
         prefill: Option<PrefillGuard>,
         last_id: Option<u64>,
@@ -451,7 +353,7 @@
     async fn answered(
         &mut self,
         plan: &PrefillPlan,
-        target: &EngineTarget,
+        target: &EndpointTarget,
         answer: EndpointAnswer,
         guard: RunGuard,
         prefill: Option<PrefillGuard>,
@@ -533,7 +435,7 @@
         self.context.engines.lock().failed(now, engine);
     }
 
-    fn refused(&mut self, target: &EngineTarget, status: u16, is_gone: bool) {
+    pub(super) fn refused(&mut self, target: &EndpointTarget, status: u16, is_gone: bool) {
         self.tried.push(target.id.clone());
         let now = self.context.now();
         let mut engines = self.context.engines.lock();
@@ -548,7 +450,7 @@
         }
     }
 
-    fn engine_failed(&mut self, target: &EngineTarget) {
+    pub(super) fn engine_failed(&mut self, target: &EndpointTarget) {
         self.tried.push(target.id.clone());
         let now = self.context.now();
         let ejected = self.context.engines.lock().failed(now, &target.id);
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod guards;
 mod plain;
 mod pool;
+mod prefill;
 mod stream;
 
 use std::sync::Arc;
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -6,7 +6,7 @@
     attempts::{RequestAttempts, WorkKind},
     clock::TimeSpan,
     ids::EndpointId,
-    placement::EngineTarget,
+    placement::EndpointTarget,
 };
 use hyper::Response;
 
@@ -87,7 +87,7 @@
 }
 
 impl PlainRun<'_> {
-    fn choose(&mut self) -> Option<EngineTarget> {
+    fn choose(&mut self) -> Option<EndpointTarget> {
         let now = self.context.now();
         let directory = self.context.directory.lock();
         let open = directory.open_for(&self.request.service);
@@ -97,14 +97,14 @@
             .lock()
             .choose(now, open, &self.tried)?;
         let address = directory.get(&choice.endpoint)?.address;
-        Some(EngineTarget {
+        Some(EndpointTarget {
             id: choice.endpoint,
             address,
         })
     }
 
     /// Sends the request to `target`.
-    async fn attempt(&mut self, target: &EngineTarget) -> NextStep {
+    async fn attempt(&mut self, target: &EndpointTarget) -> NextStep {
         let left = self.request.time_left(self.context.now());
         if left == TimeSpan::ZERO {
             return NextStep::GiveUp(RefusalReason::TimedOut, "no time is left".to_string());
@@ -220,7 +220,7 @@
         }
     }
 
-    fn answer(&self, target: &EngineTarget, answer: WholeAnswer) -> Response<AnswerBody> {
+    fn answer(&self, target: &EndpointTarget, answer: WholeAnswer) -> Response<AnswerBody> {
         let metrics = &self.context.metrics;
         let now = self.context.now();
         let elapsed = now.since(self.request.arrived).as_millis() as f64 / 1_000.0;
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -1,6 +1,6 @@
 //! Streams on their way to the caller.
 
-use bluebell_core::{clock::TimeSpan, placement::EngineTarget};
+use bluebell_core::{clock::TimeSpan, placement::EndpointTarget};
 use bytes::Bytes;
 use hyper::{
     Response,
@@ -36,7 +36,7 @@
     /// The connection that it comes on.
     pub connection: Option<EndpointConnection>,
     /// The engine.
-    pub target: EngineTarget,
+    pub target: EndpointTarget,
     /// Its entry in the books.
     pub _guard: RunGuard,
 }
--- /dev/null
+++ b/crates/ingress/tests/stopping.rs
@@ -0,0 +1,64 @@
+//! What callers notice when an instance is asked to stop.
+
+mod support;
+
+use std::time::Duration;
+
+use bluebell_daemon::ops::ReadyState;
+use bluebell_ingress::ready;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use crate::support::{Endpoint, Entry, Script, header, request, signed};
+
+#[tokio::test]
+async fn a_request_that_is_under_way_is_answered_before_the_end() {
+    // An instance is stopped while a charge is at its endpoint. Cut there, the
+    // customer would not know whether it has been paid.
+    let slow = Script::SlowAnswer(300, signed("200 OK", "paid"));
+    let endpoint = Endpoint::start(vec![slow]).await;
+    let entry = Entry::start(&[&endpoint]).await;
+    let charge = request("POST", "/charge/1", "Content-Length: 2\r\n") + "{}";
+    let mut caller = entry
+        .send(&charge.replace("Connection: close\r\n", ""))
+        .await;
+    while endpoint.arrivals() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    entry.context.stopping.cancel();
+    entry.front.close_idle();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.ends_with("paid"), "{answer}");
+    entry.front.ended().await;
+}
+
+#[tokio::test]
+async fn a_stopping_instance_is_not_ready_and_still_serves_who_comes() {
+    // The platform needs two questions to notice, so callers still come for some
+    // seconds. They are served, and told not to come back on this connection.
+    let endpoint = Endpoint::start(vec![Script::Answer(signed("200 OK", "stock"))]).await;
+    let entry = Entry::start(&[&endpoint]).await;
+    assert_eq!(ready::state(&entry.context), ReadyState::Ready);
+    entry.context.stopping.cancel();
+    assert_ne!(ready::state(&entry.context), ReadyState::Ready);
+    let lookup = request("GET", "/lookup/a", "").replace("Connection: close\r\n", "");
+    let answer = entry.ask(&lookup).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(header(&answer, "connection").as_deref(), Some("close"));
+}
+
+#[tokio::test]
+async fn idle_connections_are_closed_and_no_answer_is_cut() {
+    let endpoint = Endpoint::start(vec![Script::Answer(signed("200 OK", "stock"))]).await;
+    let entry = Entry::start(&[&endpoint]).await;
+    let lookup = request("GET", "/lookup/a", "").replace("Connection: close\r\n", "");
+    let mut caller = entry.send(&lookup).await;
+    let mut bytes = vec![0; 4_096];
+    let count = caller.read(&mut bytes).await.unwrap();
+    assert!(bytes[..count].ends_with(b"stock"));
+    entry.front.close_idle();
+    assert_eq!(caller.read(&mut bytes).await.unwrap(), 0);
+    let _ = caller.write_all(lookup.as_bytes()).await;
+    entry.front.ended().await;
+}
--- a/crates/ingress/tests/support/mod.rs
+++ b/crates/ingress/tests/support/mod.rs
@@ -45,6 +45,8 @@
     Answer(String),
     /// Writes these bytes and closes.
     AnswerAndClose(String),
+    /// Waits for some ms before it writes these bytes.
+    SlowAnswer(u64, String),
     /// Closes without a word.
     Close,
     /// Says nothing until the connection is closed.
@@ -120,6 +122,13 @@
                 let _ = stream.write_all(text.as_bytes()).await;
                 return;
             }
+            Script::SlowAnswer(wait, text) => {
+                tokio::time::sleep(Duration::from_millis(*wait)).await;
+                let text = text.replace("{id}", &id);
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
             Script::Close => return,
             Script::Silence => {
                 let mut byte = [0];
@@ -197,6 +206,7 @@
 /// An entry's front with some endpoints.
 pub struct Entry {
     pub context: Arc<EntryContext>,
+    pub front: CallerFront,
     address: SocketAddr,
     now: Arc<Mutex<ClockTime>>,
 }
@@ -246,9 +256,10 @@
             EntryMetrics::new().unwrap(),
         ));
         let front = CallerFront::bind(Arc::clone(&context)).unwrap();
-        tokio::spawn(front::accept(front));
+        tokio::spawn(front::accept(front.clone()));
         Entry {
             context,
+            front,
             address,
             now,
         }
