--- a/crates/core/tests/placement_engines.rs
+++ b/crates/core/tests/placement_engines.rs
@@ -319,10 +319,12 @@
     let work = Ask::new("6000,35", "aa:512,bb:4870,c1:618");
     let behind = FailureDomain::new("b").unwrap();
     books.set_silent_domains(BTreeSet::from([behind]));
-    for _ in 0..5 {
-        let plan = plan(&mut books, 0, &work);
+    for turn in 0..5 {
+        // Nothing is shared, so only the queues speak, and that of `p2` is empty.
+        let other = Ask::new("6000,35", &format!("{turn}e:6000"));
+        let plan = plan(&mut books, 0, &other);
         assert_eq!(plan.engine.id, id("p1"));
-        books.prefill_sent(at(0), &plan, &work.work);
+        books.prefill_sent(at(0), &plan, &other.work);
     }
     books.remove_engine(&id("p1"));
     books.remove_engine(&id("d1"));
