--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -136,11 +136,6 @@
         }
     }
 
-    /// How many engines were asked.
-    pub fn asked(&self) -> usize {
-        self.asked
-    }
-
     /// The running stream came to its end, or nobody waits for it any more.
     pub fn end(&mut self) {
         self.attempts.end();
@@ -422,7 +417,7 @@
     fn meter(&mut self) {
         if !self.is_metered {
             self.is_metered = true;
-            meter(&self.context, &self.request, TimeSpan::ZERO);
+            meter(&self.context, &self.request);
         }
     }
 
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -13,7 +13,7 @@
 
 use std::sync::Arc;
 
-use bluebell_core::{clock::TimeSpan, records::UsageWindow};
+use bluebell_core::records::UsageWindow;
 use bluebell_daemon::logs::LogLine;
 use hyper::Response;
 
@@ -36,12 +36,12 @@
 }
 
 /// Counts the request for the usage of its organisation: it has begun to run.
-fn meter(context: &EntryContext, request: &CallerRequest, ago: TimeSpan) {
+fn meter(context: &EntryContext, request: &CallerRequest) {
     let Some(organisation) = &request.organisation else {
         return;
     };
     let length = context.settings.bounds.usage_window;
-    let window = UsageWindow::at(wall_time() - ago, length);
+    let window = UsageWindow::at(wall_time(), length);
     context.meter.lock().count(window, organisation);
 }
 
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -216,7 +216,7 @@
     fn meter(&mut self) {
         if !self.is_metered {
             self.is_metered = true;
-            meter(self.context, self.request, TimeSpan::ZERO);
+            meter(self.context, self.request);
         }
     }
 
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -146,7 +146,7 @@
             .inc();
         request_line(context, "stream_ended", &self.run.request)
             .with("run", &self.running.target.id)
-            .with("asked", self.run.asked())
+            .with("asked", self.run.asked)
             .info();
     }
 
--- a/crates/ingress/src/front/refusal.rs
+++ b/crates/ingress/src/front/refusal.rs
@@ -41,8 +41,6 @@
     NoEndpoint,
     /// Every endpoint that was asked refused.
     EndpointsFull,
-    /// It would not be answered in time.
-    Overloaded,
     /// Its endpoint failed; it may have run.
     EndpointFailed,
     /// The time is over; it may have run.
@@ -65,7 +63,6 @@
             RefusalReason::OutOfMemory => "out_of_memory",
             RefusalReason::NoEndpoint => "no_endpoint",
             RefusalReason::EndpointsFull => "endpoints_full",
-            RefusalReason::Overloaded => "overloaded",
             RefusalReason::EndpointFailed => "endpoint_failed",
             RefusalReason::TimedOut => "timed_out",
             RefusalReason::TimedOutNotRun => "timed_out_not_run",
--- a/crates/ingress/src/front/request.rs
+++ b/crates/ingress/src/front/request.rs
@@ -260,7 +260,7 @@
     [
         "host",
         headers::ATTEMPT_ID,
-        "model",
+        headers::MODEL,
         headers::TOKEN_USAGE,
         headers::PROMPT_PREFIX,
         headers::LAST_EVENT_ID,
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -34,14 +34,10 @@
     /// reads for this instance, the reader's word is too old, or it has spoken of
     /// a newer version.
     pub fn must_read_keys(&self) -> bool {
-        let now = self.now();
-        let belief = self.belief.lock();
-        let limit = told_limit(self.settings.bounds.configuration);
-        let is_old = !belief.is_fresh(now, limit);
         let told = self.relayed.lock().version;
-        let is_behind = belief.version().is_none_or(|version| version < told);
-        drop(belief);
-        is_old || is_behind || self.is_reader()
+        let version = self.belief.lock().version();
+        let is_behind = version.is_none_or(|version| version < told);
+        self.must_read_keys_by_age() || is_behind || self.is_reader()
     }
 
     /// Whether the endpoints have to be read from the store here.
