Suspect a wanted peer that was never reached

Cause: an instance that dies before everyone who is to keep a connection to it has one was never heard by those; they can't miss its heartbeats, and the platform's list vouches for it for 60 s. They take it for a reader of the log, so that one of two readers is missing for that long. Ruled out: the hash order of readers (full mesh, same on all sides) and the unlinking of planned peers (only unplanned ones are unlinked). Change: the table notes since when a connection is wanted; one that has not stood within 6 s (two waits of 2 s, 1 s to connect, a heartbeat) is suspect.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -20,4 +20,4 @@
     EndpointLoad, InstanceListing, InstanceProgram, InstanceState, LocalStatus, OrganisationShare,
     PeerStatus,
 };
-pub use table::{FORGET_AFTER, HEARTBEAT_TIMEOUT, MemberTable, RELAYED_TIMEOUT};
+pub use table::{FORGET_AFTER, HEARTBEAT_TIMEOUT, MemberTable, REACH_TIMEOUT, RELAYED_TIMEOUT};
--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -17,6 +17,11 @@
 /// How long an instance that is heard of only through others may go unheard.
 pub const RELAYED_TIMEOUT: TimeSpan = TimeSpan::from_secs(60);
 
+/// How long a peer to which a connection is wanted may take until it is first
+/// heard directly. Each of the two waits up to two seconds for the other to
+/// connect and a second for the connection; a heartbeat's time is left besides.
+pub const REACH_TIMEOUT: TimeSpan = TimeSpan::from_secs(6);
+
 /// How long an instance that nobody lists or hears is remembered.
 pub const FORGET_AFTER: TimeSpan = TimeSpan::from_secs(180);
 
@@ -26,6 +31,8 @@
     listed_at: Option<ClockTime>,
     heard_at: Option<ClockTime>,
     relayed_at: Option<ClockTime>,
+    /// Since when a direct connection has been wanted.
+    expected_at: Option<ClockTime>,
 }
 
 /// What one instance knows of the others.
@@ -98,13 +105,25 @@
         }
     }
 
+    /// Notes to whom direct connections are wanted at `now`. A peer that was lost
+    /// before its connection stood has never been heard, so it can't fall silent;
+    /// the list would vouch for it long after.
+    pub fn expect(&mut self, now: ClockTime, wanted: &[InstanceId]) {
+        for (instance, entry) in &mut self.entries {
+            entry.expected_at = match wanted.contains(instance) {
+                true => entry.expected_at.or(Some(now)),
+                false => None,
+            };
+        }
+    }
+
     /// Forgets what was sent to `link`: its connection is new.
     pub fn reset_link(&mut self, link: &InstanceId) {
         self.gossip.reset_link(link);
     }
 
     /// Whether `instance` should be given no new trust at `now`: a direct peer
-    /// that fell silent, or one that neither the list nor peers know lately.
+    /// that fell silent or was never reached, or one that neither the list nor peers know lately.
     pub fn is_suspected(&self, now: ClockTime, instance: &InstanceId) -> bool {
         let Some(entry) = self.entries.get(instance) else {
             return true;
@@ -112,6 +131,10 @@
         if let Some(heard_at) = entry.heard_at {
             return now.since(heard_at) > HEARTBEAT_TIMEOUT;
         }
+        let is_overdue = |expected: ClockTime| now.since(expected) > REACH_TIMEOUT;
+        if entry.expected_at.is_some_and(is_overdue) {
+            return true;
+        }
         let known = entry.listed_at.max(entry.relayed_at);
         known.is_none_or(|known| now.since(known) > RELAYED_TIMEOUT)
     }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -10,7 +10,7 @@
     membership::{
         EndConfirmation, EndpointLoad, GossipTable, HEARTBEAT_TIMEOUT, InstanceListing,
         InstanceProgram, InstanceState, LinkPlan, LocalStatus, LogKnowledge, MemberPresence,
-        MemberTable, OrganisationShare, PlanMember,
+        MemberTable, OrganisationShare, PlanMember, REACH_TIMEOUT,
     },
     units::{TokenCount, WorkCost},
 };
@@ -354,6 +354,32 @@
     assert!(!table.is_suspected(later, &peer));
 }
 
+/// An instance is lost just after it appeared on the list, before everyone who is
+/// to keep a connection to it has one. Whoever never reached it hears nothing and
+/// misses nothing; the list and the others' words alone would let it pass for a
+/// reader of the log for a minute, and the failure domain has one reader too few.
+#[test]
+fn a_wanted_peer_that_is_never_reached_is_suspected_although_it_is_listed() {
+    let start = ClockTime::from_millis(5_000);
+    let mut table = MemberTable::new(instance("own"), 1);
+    let lost = instance("lost");
+    table.list(start, &[listing("lost")]);
+    table.expect(start, &[lost.clone()]);
+    let in_time = start + REACH_TIMEOUT;
+    table.list(in_time, &[listing("lost")]);
+    table.expect(in_time, &[lost.clone()]);
+    assert!(!table.is_suspected(in_time, &lost));
+    let late = in_time + TimeSpan::from_millis(1);
+    table.list(late, &[listing("lost")]);
+    table.expect(late, &[lost.clone()]);
+    assert!(table.is_suspected(late, &lost));
+    table.expect(late, &[]);
+    assert!(!table.is_suspected(late, &lost), "nobody waits for it");
+    table.expect(late, &[lost.clone()]);
+    table.hear(late, &lost, &[]);
+    assert!(!table.is_suspected(late + HEARTBEAT_TIMEOUT, &lost));
+}
+
 /// A record stands in the log at a time; nobody who says that its knowledge is
 /// younger than that may be missing it. Otherwise a cut-off failure domain would
 /// go on admitting a withdrawn key while believing itself up to date.
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -109,7 +109,7 @@
             failure_domain: self.state.settings.failure_domain.clone(),
             instance: self.state.settings.instance.clone(),
         };
-        let members = self.members();
+        let mut members = self.members();
         let listings = members.listings();
         let member = |listing: &InstanceListing| PlanMember {
             failure_domain: listing.failure_domain.clone(),
@@ -121,9 +121,11 @@
             .map(member)
             .collect();
         let all: Vec<PlanMember> = listings.iter().map(member).collect();
-        drop(members);
         let mut plan = LinkPlan::new(&own, &live);
         plan.neighbours.extend(LinkPlan::new(&own, &all).neighbours);
+        let expected: Vec<InstanceId> = plan.neighbours.iter().cloned().collect();
+        members.expect(now, &expected);
+        drop(members);
         let wanted = listings
             .into_iter()
             .filter(|listing| plan.neighbours.contains(&listing.instance))
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -4,8 +4,11 @@
 
 use bluebell_core::{
     clock::TimeSpan,
-    ids::{EndpointId, FailureDomain, OrganisationId, RequestFingerprint},
-    membership::{EndpointLoad, InstanceState, LocalStatus, OrganisationShare},
+    ids::{EndpointId, FailureDomain, InstanceId, OrganisationId, RequestFingerprint},
+    membership::{
+        EndpointLoad, InstanceListing, InstanceProgram, InstanceState, LinkPlan, LocalStatus,
+        OrganisationShare, PlanMember,
+    },
     records::{LogRecord, QuarantineRecord},
     units::{TokenCount, WorkCost},
 };
@@ -27,6 +30,13 @@
     }
 }
 
+fn plan_member(name: &str, domain: &str) -> PlanMember {
+    PlanMember {
+        failure_domain: FailureDomain::new(domain).expect("valid"),
+        instance: InstanceId::new(name).expect("valid"),
+    }
+}
+
 /// Entries that don't know of each other's work send all of it to the same
 /// endpoint and serve one organisation several times its share.
 #[tokio::test(flavor = "multi_thread")]
@@ -119,6 +129,52 @@
     }
 }
 
+/// An instance dies right after its start, when the platform's list has it already
+/// but not all of its failure domain have reached it. Those who never did must not
+/// take it for one of the two that read the log, or only one is left that does.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_nobody_reached_is_not_counted_as_a_reader() {
+    let platform = TestPlatform::start(10_000).await;
+    let names = ["a", "b", "c"];
+    let lost = (0..).map(|n| format!("lost-{n}"));
+    let lost = lost
+        .map(|name| plan_member(&name, "x"))
+        .find(|lost| {
+            let others = names.map(|name| plan_member(name, "x"));
+            LinkPlan::new(lost, &others).reads
+        })
+        .expect("some name comes first");
+    let mut nodes = Vec::new();
+    for name in names {
+        nodes.push(platform.join(name, "x").await);
+    }
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = unused.local_addr().expect("bound").to_string();
+    drop(unused);
+    let listing = InstanceListing {
+        instance: lost.instance.clone(),
+        failure_domain: lost.failure_domain,
+        program: InstanceProgram::Entry,
+        state: InstanceState::Live,
+        http_address: address.clone(),
+        peer_address: address,
+    };
+    let told = nodes[0].node.platform().announce(&listing).await;
+    told.expect("the list takes it");
+    for node in &nodes {
+        let knows = || {
+            let peers = node.node.peers();
+            peers.iter().any(|peer| peer.instance == lost.instance)
+        };
+        until("the lost one's listing", knows).await;
+    }
+    let reads = |node: &&support::TestNode| node.node.report().reads_log;
+    until("two readers among the living", || {
+        nodes.iter().filter(reads).count() == 2
+    })
+    .await;
+}
+
 /// A key is stolen while the log is down. Its withdrawal reaches every instance
 /// all the same, ends the key's work there, and stands in the log once that is
 /// back, also if the instance that took it has been lost meanwhile.
