Go by a request's service, not by its headers, to look for engines

Cause: a request to a plain service that bears `Token-Usage` was treated as a prompt; its service has no engines, and the try after that was neither final nor counted, so the entry span on one thread until the caller's time was over and answered nobody else. Change: the service's engines decide; malformed prompt headers on a plain route are passed on as they are; no engines is final.

--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -255,8 +255,10 @@
         let service = self.request.table.service(&self.request.service);
         let rule = service.and_then(|service| service.engine.as_ref());
         let Some(rule) = rule else {
+            // No later try would find any, and trying again at once would hold up
+            // everything else in this process.
             let detail = "the service has no engines";
-            return Err(FailedTry::new(RefusalReason::NoEndpoint, detail));
+            return Err(FailedTry::new(RefusalReason::NoEndpoint, detail).last());
         };
         Ok(PlanRequest {
             service: &self.request.service,
--- a/crates/ingress/src/front/request.rs
+++ b/crates/ingress/src/front/request.rs
@@ -6,7 +6,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{KeyDigest, OrganisationId, RequestId, ServiceName},
-    ingress::{RouteKind, RouteRule, RouteTable},
+    ingress::{RouteRule, RouteTable},
     placement::PromptWork,
 };
 use bytes::Bytes;
@@ -114,7 +114,11 @@
             DEFAULT_RETRY_AFTER,
         ))
     })?;
-    let work = prompt(&head.headers, &route).map_err(|()| improper(RefusalReason::Malformed))?;
+    let rule = table.service(&service);
+    let work = match rule.is_some_and(|rule| rule.engine.is_some()) {
+        true => Some(prompt(&head.headers).map_err(|()| improper(RefusalReason::Malformed))?),
+        false => None,
+    };
     let deadline = text(&head.headers, headers::DEADLINE_MS);
     let deadline = deadline.and_then(|value| value.trim().parse::<u64>().ok());
     let patience = deadline
@@ -193,15 +197,14 @@
     None
 }
 
-fn prompt(headers: &HeaderMap, route: &RouteRule) -> Result<Option<PromptWork>, ()> {
+/// The prompt as the headers tell it. Only services of engines are asked about: what
+/// a request is goes by where it is led, never by what its caller says of it.
+fn prompt(headers: &HeaderMap) -> Result<PromptWork, ()> {
     let Some(sizes) = text(headers, headers::TOKEN_USAGE) else {
-        return match (route.has_prompt, route.kind) {
-            (true, RouteKind::Streaming) => Ok(Some(PromptWork::default())),
-            _ => Ok(None),
-        };
+        return Ok(PromptWork::default());
     };
     let parts = text(headers, headers::PROMPT_PREFIX).unwrap_or_default();
-    PromptWork::new(sizes, parts).map(Some).map_err(|_| ())
+    PromptWork::new(sizes, parts).map_err(|_| ())
 }
 
 async fn read_body(
--- /dev/null
+++ b/crates/soak/src/caller.rs
@@ -0,0 +1,311 @@
+//! Callers as the users describe them: connections that are kept, deadlines, some
+//! who leave early, and a pause when a refusal asks for one.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, atomic::Ordering},
+    time::Duration,
+};
+
+use bluebell_adapter::headers;
+use bluebell_core::{clock::TimeSpan, ids::FailureDomain};
+use bluebell_platform_standin::operator::OperatorKind;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, Response, body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    fleet::{HOST, InstanceSlot, ROUTES, RouteSample, SoakFleet, organisation_key},
+    promises::{CallerOutcome, ProcessName, Promise, SentRequest},
+};
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How many requests go over one connection at most.
+const KEPT_FOR: u32 = 12;
+/// The shortest and the longest pause between two requests of a caller, in ms.
+const THINK_MS: (u64, u64) = (10, 60);
+/// The shortest and the longest time that a caller waits, in ms.
+const PATIENCE_MS: (u64, u64) = (1_500, 4_000);
+/// The share of callers who leave early.
+const LEAVING: f64 = 0.04;
+/// The longest time after which these leave, in ms.
+const LEAVES_MS: u64 = 60;
+/// How long after a caller left its work may go on: the half second that the users
+/// allow, and what a busy machine takes.
+const STOP_SLACK: Duration = Duration::from_millis(900);
+/// How long after its deadline a caller still listens. A final answer is due half
+/// a second after it.
+const LATE: TimeSpan = TimeSpan::from_millis(500);
+/// The longest pause that a refusal can make a caller take.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
+/// How requests of one kind from one failure domain fared.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct CallerTally {
+    /// Answered with success, whole.
+    pub served: u64,
+    /// Answered 401, 408, 421, 429 or 503.
+    pub refused: u64,
+    /// Ended in another way.
+    pub failed: u64,
+}
+
+/// Tallies by failure domain and start of the path.
+pub type TallyBook = Mutex<BTreeMap<(FailureDomain, &'static str), CallerTally>>;
+
+/// One caller.
+pub struct SoakCaller {
+    fleet: Arc<SoakFleet>,
+    domain: FailureDomain,
+    number: usize,
+    random: ChaCha8Rng,
+    asked: u64,
+}
+
+type RequestSender = http1::SendRequest<Full<Bytes>>;
+
+/// What the caller does with its connection after a request.
+enum ConnectionUse {
+    Keep,
+    Close,
+}
+
+impl SoakCaller {
+    /// The caller with this number, of a failure domain.
+    pub fn new(fleet: Arc<SoakFleet>, domain: FailureDomain, number: usize) -> SoakCaller {
+        let seed = fleet.seed.wrapping_mul(1_000) + number as u64;
+        SoakCaller {
+            fleet,
+            domain,
+            number,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            asked: 0,
+        }
+    }
+
+    /// Sends requests until `stop`.
+    pub async fn call(mut self, stop: CancellationToken) {
+        let fleet = Arc::clone(&self.fleet);
+        while !stop.is_cancelled() {
+            let rotation = &fleet.rotation;
+            let slot = rotation.pick(&fleet.instances, &self.domain, &mut self.random);
+            let start = slot.starts.load(Ordering::SeqCst);
+            let process = ProcessName {
+                instance: slot.name.clone(),
+                start,
+            };
+            match connect(slot).await {
+                Some(sender) => self.use_connection(sender, process, &stop).await,
+                None => self.think().await,
+            }
+        }
+    }
+
+    async fn use_connection(
+        &mut self,
+        mut sender: RequestSender,
+        process: ProcessName,
+        stop: &CancellationToken,
+    ) {
+        for place in 0..KEPT_FOR {
+            if stop.is_cancelled() || sender.ready().await.is_err() {
+                return;
+            }
+            let used = self.ask(&mut sender, &process, place == 0).await;
+            self.think().await;
+            if matches!(used, ConnectionUse::Close) {
+                return;
+            }
+        }
+    }
+
+    async fn think(&mut self) {
+        let ms = self.random.random_range(THINK_MS.0..=THINK_MS.1);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+    }
+
+    async fn ask(
+        &mut self,
+        sender: &mut RequestSender,
+        process: &ProcessName,
+        is_first: bool,
+    ) -> ConnectionUse {
+        self.asked += 1;
+        let attempt = format!("{}-{}-{}", self.fleet.seed, self.number, self.asked);
+        let route = &ROUTES[self.random.random_range(0..ROUTES.len())];
+        let organisation = self.random.random_range(0..crate::fleet::ORGANISATIONS);
+        let patience_ms = self.random.random_range(PATIENCE_MS.0..=PATIENCE_MS.1);
+        let patience = TimeSpan::from_millis(patience_ms.min(route.timeout_ms));
+        let checker = &self.fleet.checker;
+        checker.sent(SentRequest {
+            attempt: attempt.clone(),
+            process: process.clone(),
+            prefix: route.prefix.to_string(),
+            kind: route.kind,
+            organisation: crate::fleet::organisation_name(organisation),
+            patience,
+            is_first,
+        });
+        let request = build_request(route, &attempt, organisation, patience_ms);
+        if self.random.random_bool(LEAVING) {
+            let leaves_ms = self.random.random_range(1..LEAVES_MS);
+            return self.leave(sender, request, attempt, leaves_ms).await;
+        }
+        let answering = receive(sender, request);
+        let waited = tokio::time::timeout((patience + LATE).as_duration(), answering).await;
+        let answer =
+            waited.unwrap_or_else(|_| ReceivedAnswer::with_outcome(CallerOutcome::Nothing));
+        checker.got(&attempt, &answer.outcome);
+        if !answer.has_hint && answer.outcome == CallerOutcome::Status(503) {
+            let detail = format!("attempt={attempt} status=503 without a time to come back");
+            checker.broke(Promise::RefusalTrue, detail);
+        }
+        self.count(route.prefix, &answer.outcome);
+        tokio::time::sleep(answer.pause).await;
+        match answer.is_kept {
+            true => ConnectionUse::Keep,
+            false => ConnectionUse::Close,
+        }
+    }
+
+    /// Sends the request and leaves without waiting for its answer.
+    async fn leave(
+        &self,
+        sender: &mut RequestSender,
+        request: Request<Full<Bytes>>,
+        attempt: String,
+        leaves_ms: u64,
+    ) -> ConnectionUse {
+        let wait = Duration::from_millis(leaves_ms);
+        drop(tokio::time::timeout(wait, receive(sender, request)).await);
+        let fleet = Arc::clone(&self.fleet);
+        tokio::spawn(async move {
+            tokio::time::sleep(STOP_SLACK).await;
+            fleet.checker.left(&attempt);
+        });
+        ConnectionUse::Close
+    }
+
+    fn count(&self, prefix: &'static str, outcome: &CallerOutcome) {
+        let mut tallies = self.fleet.tallies.lock().expect("held briefly");
+        let tally = tallies.entry((self.domain.clone(), prefix)).or_default();
+        match outcome {
+            outcome if outcome.is_served() => tally.served += 1,
+            CallerOutcome::Status(401 | 408 | 421 | 429 | 503) => tally.refused += 1,
+            _ => tally.failed += 1,
+        }
+    }
+}
+
+async fn connect(slot: &InstanceSlot) -> Option<RequestSender> {
+    let connecting = TcpStream::connect(slot.callers);
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+    let stream = stream.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move { drop(connection.await) });
+    Some(sender)
+}
+
+fn build_request(
+    route: &RouteSample,
+    attempt: &str,
+    organisation: usize,
+    patience_ms: u64,
+) -> Request<Full<Bytes>> {
+    let body = match route.kind {
+        OperatorKind::Safe => Bytes::new(),
+        _ => Bytes::from_static(b"{\"text\":\"hello\"}"),
+    };
+    let method = match route.kind {
+        OperatorKind::Safe => Method::GET,
+        _ => Method::POST,
+    };
+    let key = format!("{}{}", headers::KEY_SCHEME, organisation_key(organisation));
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("{}{attempt}", route.prefix))
+        .header("host", HOST)
+        .header(headers::ATTEMPT_ID, attempt)
+        .header(headers::DEADLINE_MS, patience_ms)
+        .header(headers::MODEL, "m")
+        .header(headers::TOKEN_USAGE, "900,20")
+        .header(headers::PROMPT_PREFIX, "5c1e:500,91bd:400")
+        .header("authorization", key);
+    request
+        .body(Full::new(body))
+        .expect("all parts are valid text")
+}
+
+/// An answer with what it asks of the caller.
+struct ReceivedAnswer {
+    outcome: CallerOutcome,
+    is_kept: bool,
+    has_hint: bool,
+    pause: Duration,
+}
+
+impl ReceivedAnswer {
+    fn with_outcome(outcome: CallerOutcome) -> ReceivedAnswer {
+        ReceivedAnswer {
+            outcome,
+            is_kept: false,
+            has_hint: false,
+            pause: Duration::ZERO,
+        }
+    }
+}
+
+async fn receive(sender: &mut RequestSender, request: Request<Full<Bytes>>) -> ReceivedAnswer {
+    let response = match sender.send_request(request).await {
+        Ok(response) => response,
+        Err(_) => return ReceivedAnswer::with_outcome(CallerOutcome::Cut),
+    };
+    let field = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
+    let hint = field("retry-after").and_then(|text| text.parse::<f64>().ok());
+    let is_closing = field("connection").is_some_and(|text| text.eq_ignore_ascii_case("close"));
+    let is_signed = field(headers::SIGNATURE).is_some();
+    let is_stream = field("content-type") == Some("text/event-stream");
+    let status = response.status().as_u16();
+    let (body, is_ended) = read_body(response).await;
+    let outcome = match (status, is_stream) {
+        (200, true) => CallerOutcome::Stream {
+            is_signed,
+            body,
+            is_ended,
+        },
+        (200, false) if is_ended => CallerOutcome::Whole { is_signed, body },
+        (200, false) => CallerOutcome::CutInside,
+        _ => CallerOutcome::Status(status),
+    };
+    let pause = Duration::from_secs_f64(hint.unwrap_or_default().max(0.0));
+    ReceivedAnswer {
+        outcome,
+        is_kept: is_ended && !is_closing,
+        has_hint: hint.is_some(),
+        pause: pause.min(LONGEST_PAUSE),
+    }
+}
+
+async fn read_body(response: Response<Incoming>) -> (String, bool) {
+    let mut body = response.into_body();
+    let mut bytes = Vec::new();
+    loop {
+        match body.frame().await {
+            None => return (String::from_utf8_lossy(&bytes).to_string(), true),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    bytes.extend_from_slice(&data);
+                }
+            }
+            Some(Err(_)) => return (String::from_utf8_lossy(&bytes).to_string(), false),
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/commands.rs
@@ -0,0 +1,127 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use bpaf::{OptionParser, Parser, construct, long};
+
+use crate::{
+    fleet::FleetSize,
+    process,
+    run::{self, SoakPlan, SoakReport},
+};
+
+/// How long faults come unless told otherwise, in s.
+const FAULT_SECONDS: u64 = 20;
+
+/// What is asked for.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    seed: u64,
+    count: u64,
+    seconds: u64,
+    instances: usize,
+    callers: usize,
+    folder: Option<PathBuf>,
+    program: Option<PathBuf>,
+    is_untimed: bool,
+}
+
+/// The options.
+pub fn command() -> OptionParser<SoakOptions> {
+    let seed = long("seed")
+        .help("the first seed")
+        .argument("N")
+        .fallback(1);
+    let count = long("seeds")
+        .help("how many seeds, one after the other")
+        .argument("N")
+        .fallback(1);
+    let seconds = long("seconds")
+        .help("how long faults come with each seed")
+        .argument("N")
+        .fallback(FAULT_SECONDS);
+    let instances = long("instances")
+        .help("entry instances, in three failure domains")
+        .argument("N")
+        .fallback(6);
+    let callers = long("callers")
+        .help("callers in each failure domain")
+        .argument("N")
+        .fallback(6);
+    let folder = long("folder")
+        .help("where settings, logs and reports are kept; a temporary folder otherwise")
+        .argument("DIR")
+        .optional();
+    let program = long("program")
+        .help("the entry program; the one beside this program otherwise")
+        .argument("FILE")
+        .optional();
+    let is_untimed = long("untimed")
+        .help("verdicts that depend on this machine's speed are shown and don't count")
+        .switch();
+    construct!(SoakOptions {
+        seed,
+        count,
+        seconds,
+        instances,
+        callers,
+        folder,
+        program,
+        is_untimed
+    })
+    .to_options()
+    .descr("Soaks the entry program under faults from outside, against its promises.")
+}
+
+/// Plays all seeds; answers whether all promises were kept.
+pub async fn exec(options: SoakOptions) -> anyhow::Result<bool> {
+    let program = match options.program.clone() {
+        Some(program) => program,
+        None => process::program_path()?,
+    };
+    let folder = match options.folder.clone() {
+        Some(folder) => folder,
+        None => std::env::temp_dir().join(format!("bluebell-soak-{}", std::process::id())),
+    };
+    let mut is_kept = true;
+    for seed in options.seed..options.seed + options.count {
+        let plan = SoakPlan {
+            seed,
+            span_ms: options.seconds * 1_000,
+            callers: options.callers,
+            program: program.clone(),
+            size: FleetSize {
+                instances: options.instances,
+                folder: folder.join(format!("seed-{seed}")),
+            },
+        };
+        let report = run::play(&plan).await?;
+        is_kept &= show(&report, options.is_untimed);
+        let file = plan.size.folder.join("report.json");
+        std::fs::write(file, serde_json::to_vec_pretty(&report)?)?;
+    }
+    println!("event=soaked folder={} kept={is_kept}", folder.display());
+    Ok(is_kept)
+}
+
+/// Shows a report; answers whether all promises that count were kept.
+fn show(report: &SoakReport, is_untimed: bool) -> bool {
+    let tally = report.tally;
+    println!(
+        "event=soak seed={} faults={} served={} refused={} failed={} broken={}",
+        report.seed,
+        report.faults.len(),
+        tally.served,
+        tally.refused,
+        tally.failed,
+        report.broken.len()
+    );
+    for broken in &report.broken {
+        println!("event=promise seed={} {broken}", report.seed);
+    }
+    let mut counted = report
+        .broken
+        .iter()
+        .filter(|broken| !is_untimed || !broken.promise.is_timed());
+    counted.next().is_none()
+}
--- /dev/null
+++ b/crates/soak/src/promises.rs
@@ -0,0 +1,559 @@
+//! What callers got and endpoints ran, held against the promises as it happens.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    fmt,
+    sync::{Mutex, MutexGuard},
+};
+
+use bluebell_core::{
+    clock::{ClockSource, ClockTime, TimeSpan},
+    ids::InstanceId,
+};
+use bluebell_platform_standin::{
+    endpoint::EVENTS,
+    events::{PlatformEvent, RunStart, SeenAuthority},
+    operator::OperatorKind,
+};
+use serde::Serialize;
+
+/// How long after a disturbance an instance is held to what is bound in time.
+const STABLE_WINDOW: TimeSpan = TimeSpan::from_millis(3_000);
+/// How long after a configuration was seen in effect an older one may still be:
+/// requests overtake each other.
+const REGRESS_SLACK: TimeSpan = TimeSpan::from_millis(250);
+/// How long after it woke an instance's calls for duties are not counted: what it
+/// decided before it was suspended may be on its way.
+const THAW_SLACK: TimeSpan = TimeSpan::from_millis(500);
+/// How long a request on a new connection may go unread before an end without an
+/// answer counts as a loss.
+const LOSS_SLACK: TimeSpan = TimeSpan::from_millis(200);
+
+/// A promise that the system makes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub enum Promise {
+    /// Nothing runs that no caller asked for.
+    AskedFor,
+    /// What may not be repeated runs once at most.
+    RunOnce,
+    /// A refusal that says "not run" is true, then and later.
+    RefusalTrue,
+    /// A success is the whole signed answer to this very request.
+    OwnAnswer,
+    /// Events come once each and in order, and an end that looks whole is.
+    WholeStream,
+    /// A withdrawn key stops working.
+    WithdrawnKey,
+    /// Endpoints see the right organisation and no key.
+    RightOrganisation,
+    /// A request runs where some configuration led it.
+    RightService,
+    /// A configuration comes into force in time and is never undone.
+    NoOlderConfiguration,
+    /// What is allowed is not denied.
+    NotDenied,
+    /// One report for a window.
+    OneReport,
+    /// One holder of a duty at a time.
+    OneHolder,
+    /// A request that was taken gets an answer.
+    AnswerGiven,
+    /// It gets it in time.
+    AnswerInTime,
+    /// Work ends when its caller has left.
+    StopsWithCaller,
+    /// Processes don't end by themselves, and stop when asked.
+    NoOwnEnd,
+    /// After the faults all failure domains are served again.
+    ServesAgain,
+}
+
+impl Promise {
+    /// Whether the verdict depends on how fast this machine is.
+    pub fn is_timed(self) -> bool {
+        matches!(
+            self,
+            Promise::AnswerInTime | Promise::StopsWithCaller | Promise::NoOlderConfiguration
+        )
+    }
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct BrokenPromise {
+    /// Which.
+    pub promise: Promise,
+    /// When, in ms from the start of the soak's clock.
+    pub at_ms: u64,
+    /// What was seen.
+    pub detail: String,
+}
+
+impl fmt::Display for BrokenPromise {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let BrokenPromise {
+            promise,
+            at_ms,
+            detail,
+        } = self;
+        write!(f, "broken={promise:?} at_ms={at_ms} {detail}")
+    }
+}
+
+/// One process of an instance.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ProcessName {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Which of its processes, counted from its first start.
+    pub start: u32,
+}
+
+/// A request as a caller sends it.
+#[derive(Clone, Debug)]
+pub struct SentRequest {
+    /// Its id.
+    pub attempt: String,
+    /// Who got it.
+    pub process: ProcessName,
+    /// The start of its path.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: OperatorKind,
+    /// Whose key it bears.
+    pub organisation: String,
+    /// How long its caller waits.
+    pub patience: TimeSpan,
+    /// Whether it is the first on its connection.
+    pub is_first: bool,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallerOutcome {
+    /// An answer with this status.
+    Status(u16),
+    /// A success in one piece.
+    Whole {
+        /// Whether it bore a signature.
+        is_signed: bool,
+        /// The body.
+        body: String,
+    },
+    /// Events; `is_ended` if they came to a clean end.
+    Stream {
+        /// Whether it bore a signature.
+        is_signed: bool,
+        /// What came.
+        body: String,
+        /// Whether it looked whole.
+        is_ended: bool,
+    },
+    /// The connection ended before any of the answer came.
+    Cut,
+    /// The connection ended in the middle of an answer.
+    CutInside,
+    /// Nothing came in time.
+    Nothing,
+}
+
+impl CallerOutcome {
+    /// Whether the caller was served.
+    pub fn is_served(&self) -> bool {
+        match self {
+            CallerOutcome::Whole { .. } => true,
+            CallerOutcome::Stream { is_ended, .. } => *is_ended,
+            _ => false,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct AttemptBook {
+    request: SentRequest,
+    sent: ClockTime,
+    runs: u32,
+    open_runs: Vec<String>,
+    is_refused: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Disturbance {
+    from: ClockTime,
+    until: Option<ClockTime>,
+    is_planned: bool,
+}
+
+#[derive(Debug, Default)]
+struct PromiseBook {
+    attempts: HashMap<String, AttemptBook>,
+    withdrawn: BTreeMap<String, ClockTime>,
+    /// Where each route was led, and since when that was acknowledged.
+    routes: BTreeMap<String, Vec<(ClockTime, String)>>,
+    /// The newest place in `routes` that a process was seen to follow.
+    followed: BTreeMap<(ProcessName, String), (usize, ClockTime)>,
+    reports: BTreeMap<u64, BTreeMap<String, u64>>,
+    fences: BTreeMap<String, SeenAuthority>,
+    disturbances: BTreeMap<String, Vec<Disturbance>>,
+    broken: Vec<BrokenPromise>,
+}
+
+/// Holds what happens against the promises.
+#[derive(Debug)]
+pub struct PromiseChecker {
+    clock: ClockSource,
+    withdrawal: TimeSpan,
+    configuration: TimeSpan,
+    book: Mutex<PromiseBook>,
+}
+
+impl PromiseChecker {
+    /// Nothing has happened. Keys may work for `withdrawal` after they were
+    /// withdrawn; a configuration is in force after `configuration`.
+    pub fn new(clock: ClockSource, withdrawal: TimeSpan, configuration: TimeSpan) -> Self {
+        PromiseChecker {
+            clock,
+            withdrawal,
+            configuration,
+            book: Mutex::default(),
+        }
+    }
+
+    fn hold(&self) -> MutexGuard<'_, PromiseBook> {
+        self.book.lock().expect("no holder panics")
+    }
+
+    /// The time.
+    pub fn now(&self) -> ClockTime {
+        self.clock.now()
+    }
+
+    /// Notes a broken promise.
+    pub fn broke(&self, promise: Promise, detail: String) {
+        let now = self.now();
+        self.hold().broke(now, promise, detail);
+    }
+
+    /// All that was broken so far.
+    pub fn broken(&self) -> Vec<BrokenPromise> {
+        self.hold().broken.clone()
+    }
+
+    /// A configuration that leads a route to a service was acknowledged.
+    pub fn route_led(&self, prefix: &str, service: &str) {
+        let now = self.now();
+        let mut book = self.hold();
+        let places = book.routes.entry(prefix.to_string()).or_default();
+        if places.last().is_none_or(|(_, last)| last != service) {
+            places.push((now, service.to_string()));
+        }
+    }
+
+    /// An organisation's keys were withdrawn, and that was acknowledged.
+    pub fn withdrawn(&self, organisation: &str) {
+        let now = self.now();
+        let mut book = self.hold();
+        book.withdrawn
+            .entry(organisation.to_string())
+            .or_insert(now);
+    }
+
+    /// `what` is disturbed from now on: an instance, an endpoint, or the store.
+    pub fn disturb(&self, what: &str, is_planned: bool) {
+        let disturbance = Disturbance {
+            from: self.now(),
+            until: None,
+            is_planned,
+        };
+        let mut book = self.hold();
+        let all = book.disturbances.entry(what.to_string()).or_default();
+        all.push(disturbance);
+    }
+
+    /// The oldest open disturbance of `what` of this sort is over.
+    pub fn settle(&self, what: &str, is_planned: bool) {
+        let now = self.now();
+        let mut book = self.hold();
+        let all = book.disturbances.entry(what.to_string()).or_default();
+        let open = all
+            .iter_mut()
+            .find(|one| one.until.is_none() && one.is_planned == is_planned);
+        if let Some(open) = open {
+            open.until = Some(now);
+        }
+    }
+
+    /// A caller is about to send a request.
+    pub fn sent(&self, request: SentRequest) {
+        let sent = self.now();
+        let attempt = request.attempt.clone();
+        let book = AttemptBook {
+            request,
+            sent,
+            runs: 0,
+            open_runs: Vec::new(),
+            is_refused: false,
+        };
+        self.hold().attempts.insert(attempt, book);
+    }
+
+    /// An endpoint or the platform saw something.
+    pub fn saw(&self, event: &PlatformEvent) {
+        let now = self.now();
+        let mut book = self.hold();
+        match event {
+            PlatformEvent::RunBegan(run) => self.run_began(&mut book, now, run),
+            PlatformEvent::RunEnded { attempt, endpoint } => {
+                if let Some(attempt) = book.attempts.get_mut(attempt) {
+                    attempt.open_runs.retain(|open| open != endpoint);
+                }
+            }
+            PlatformEvent::Usage {
+                authority,
+                window,
+                counts,
+            } => {
+                let first = book
+                    .reports
+                    .entry(*window)
+                    .or_insert_with(|| counts.clone());
+                if first != counts {
+                    let detail = format!("window={window} first={first:?} then={counts:?}");
+                    book.broke(now, Promise::OneReport, detail);
+                }
+                book.check_fence(now, "usage", authority);
+            }
+            PlatformEvent::Order { authority, subject } => {
+                book.check_fence(now, subject, authority);
+            }
+        }
+    }
+
+    fn run_began(&self, book: &mut PromiseBook, now: ClockTime, run: &RunStart) {
+        let Some(attempt) = book.attempts.get_mut(&run.attempt) else {
+            let detail = format!("attempt={} endpoint={}", run.attempt, run.endpoint);
+            return book.broke(now, Promise::AskedFor, detail);
+        };
+        attempt.runs += 1;
+        attempt.open_runs.push(run.endpoint.clone());
+        let (request, sent) = (attempt.request.clone(), attempt.sent);
+        let (runs, is_refused) = (attempt.runs, attempt.is_refused);
+        let who = format!(
+            "attempt={} instance={} endpoint={} path={}",
+            run.attempt, request.process.instance, run.endpoint, run.path
+        );
+        if runs > 1 && !is_repeatable(request.kind) {
+            book.broke(now, Promise::RunOnce, format!("{who} runs={runs}"));
+        }
+        if is_refused && !is_repeatable(request.kind) {
+            book.broke(now, Promise::RefusalTrue, format!("{who} ran after it"));
+        }
+        if !run.path.starts_with(&request.prefix) {
+            book.broke(now, Promise::AskedFor, format!("{who} another path"));
+        }
+        if run.has_key || run.organisation.as_deref() != Some(&request.organisation) {
+            let detail = format!("{who} named={:?} key={}", run.organisation, run.has_key);
+            book.broke(now, Promise::RightOrganisation, detail);
+        }
+        let withdrawn = book.withdrawn.get(&request.organisation).copied();
+        if withdrawn.is_some_and(|at| sent > at + self.withdrawal) {
+            let detail = format!("{who} organisation={}", request.organisation);
+            book.broke(now, Promise::WithdrawnKey, detail);
+        }
+        self.check_service(book, now, run, &request, sent, &who);
+    }
+
+    fn check_service(
+        &self,
+        book: &mut PromiseBook,
+        now: ClockTime,
+        run: &RunStart,
+        request: &SentRequest,
+        sent: ClockTime,
+        who: &str,
+    ) {
+        let places = book
+            .routes
+            .get(&request.prefix)
+            .cloned()
+            .unwrap_or_default();
+        let Some(place) = places.iter().rposition(|(_, name)| *name == run.service) else {
+            let detail = format!("{who} service={}", run.service);
+            return book.broke(now, Promise::RightService, detail);
+        };
+        let key = (request.process.clone(), request.prefix.clone());
+        let followed = book.followed.get(&key).copied();
+        if followed.is_some_and(|(seen, at)| place < seen && sent > at + REGRESS_SLACK) {
+            let detail = format!("{who} service={} went back", run.service);
+            book.broke(now, Promise::NoOlderConfiguration, detail);
+        }
+        if followed.is_none_or(|(seen, _)| place > seen) {
+            book.followed.insert(key, (place, now));
+        }
+        let newer = places.get(place + 1).map(|(at, _)| *at);
+        let instance = request.process.instance.as_str();
+        let is_late = newer.is_some_and(|at| sent > at + self.configuration);
+        if is_late
+            && book.is_calm(instance, sent, now, true)
+            && book.is_calm(&store_path(instance), sent, now, true)
+            && book.is_calm(STORE, sent, now, true)
+        {
+            let detail = format!("{who} service={} is not in force any more", run.service);
+            book.broke(now, Promise::NoOlderConfiguration, detail);
+        }
+    }
+
+    /// A caller got something.
+    pub fn got(&self, attempt: &str, outcome: &CallerOutcome) {
+        let now = self.now();
+        let mut book = self.hold();
+        let Some(known) = book.attempts.get_mut(attempt) else {
+            return;
+        };
+        let (request, sent, runs) = (known.request.clone(), known.sent, known.runs);
+        let instance = request.process.instance.to_string();
+        let who = format!(
+            "attempt={attempt} instance={instance} kind={:?}",
+            request.kind
+        );
+        match outcome {
+            CallerOutcome::Status(status @ (408 | 421 | 429 | 503)) => {
+                known.is_refused = true;
+                if runs > 0 && !is_repeatable(request.kind) {
+                    let detail = format!("{who} status={status} had run");
+                    book.broke(now, Promise::RefusalTrue, detail);
+                }
+            }
+            CallerOutcome::Status(status @ (401 | 403 | 404))
+                if !book.withdrawn.contains_key(&request.organisation) =>
+            {
+                book.broke(now, Promise::NotDenied, format!("{who} status={status}"));
+            }
+            CallerOutcome::Status(_) => {}
+            CallerOutcome::Whole { is_signed, body } => {
+                if !is_signed || *body != format!("answer to {attempt}") {
+                    let detail = format!("{who} signed={is_signed} body={body:?}");
+                    book.broke(now, Promise::OwnAnswer, detail);
+                }
+            }
+            CallerOutcome::Stream {
+                is_signed,
+                body,
+                is_ended,
+            } => {
+                if !is_signed {
+                    book.broke(now, Promise::OwnAnswer, format!("{who} unsigned"));
+                }
+                if let Some(wrong) = wrong_events(attempt, body, *is_ended) {
+                    book.broke(now, Promise::WholeStream, format!("{who} {wrong}"));
+                }
+            }
+            CallerOutcome::Cut => {
+                let waited = now.since(sent);
+                let was_taken = runs > 0 || (request.is_first && waited > LOSS_SLACK);
+                if was_taken && book.is_calm(&instance, sent, now, false) {
+                    let detail = format!("{who} runs={runs} waited={waited}");
+                    book.broke(now, Promise::AnswerGiven, detail);
+                }
+            }
+            CallerOutcome::CutInside => {}
+            CallerOutcome::Nothing => {
+                if book.is_calm(&instance, sent, now, true) {
+                    let detail = format!("{who} waited={}", now.since(sent));
+                    book.broke(now, Promise::AnswerInTime, detail);
+                }
+            }
+        }
+    }
+
+    /// A caller left some time ago; its work must have ended by now.
+    pub fn left(&self, attempt: &str) {
+        let now = self.now();
+        let mut book = self.hold();
+        let Some(known) = book.attempts.get(attempt) else {
+            return;
+        };
+        let (request, sent) = (known.request.clone(), known.sent);
+        let may_stop = request.kind != OperatorKind::Unsafe;
+        for endpoint in known.open_runs.clone() {
+            let instance = request.process.instance.as_str();
+            let is_calm =
+                book.is_calm(instance, sent, now, true) && book.is_calm(&endpoint, sent, now, true);
+            if may_stop && is_calm {
+                let detail = format!("attempt={attempt} instance={instance} endpoint={endpoint}");
+                book.broke(now, Promise::StopsWithCaller, detail);
+            }
+        }
+    }
+
+    /// Whether `what` has been undisturbed, with the time to settle, up to now.
+    pub fn is_calm(&self, what: &str) -> bool {
+        let now = self.now();
+        self.hold().is_calm(what, now, now, true)
+    }
+}
+
+/// The name under which disturbances of the store are noted.
+pub const STORE: &str = "store";
+
+/// The name under which disturbances of an instance's way to the store are noted.
+pub fn store_path(instance: &str) -> String {
+    format!("{instance} to the store")
+}
+
+fn is_repeatable(kind: OperatorKind) -> bool {
+    matches!(kind, OperatorKind::Safe | OperatorKind::Resumable)
+}
+
+/// What is wrong with the events that a caller got.
+fn wrong_events(attempt: &str, body: &str, is_ended: bool) -> Option<String> {
+    let mut expected = 1;
+    let whole = body.rfind("\n\n").map_or("", |end| &body[..end + 2]);
+    for event in whole.split_terminator("\n\n") {
+        if event != format!("id: {expected}\ndata: {attempt} {expected}/{EVENTS}") {
+            return Some(format!("expected={expected} got={event:?}"));
+        }
+        expected += 1;
+    }
+    let is_whole = expected == EVENTS + 1 && whole.len() == body.len();
+    (is_ended && !is_whole).then(|| format!("ended before event {expected}"))
+}
+
+impl PromiseBook {
+    fn broke(&mut self, now: ClockTime, promise: Promise, detail: String) {
+        self.broken.push(BrokenPromise {
+            promise,
+            at_ms: now.as_millis(),
+            detail,
+        });
+    }
+
+    /// Whether nothing disturbed `what` from shortly before `from` until `until`.
+    fn is_calm(&self, what: &str, from: ClockTime, until: ClockTime, with_planned: bool) -> bool {
+        let start = from - STABLE_WINDOW;
+        let disturbances = self.disturbances.get(what).into_iter().flatten();
+        let mut counted = disturbances.filter(|one| with_planned || !one.is_planned);
+        counted.all(|one| one.from > until || one.until.is_some_and(|end| end < start))
+    }
+
+    /// A holder never comes back with an older fencing number than one that was
+    /// seen, and no two have the same.
+    fn check_fence(&mut self, now: ClockTime, subject: &str, authority: &SeenAuthority) {
+        let last = self.fences.get(subject).cloned().unwrap_or_default();
+        let is_shared = authority.fence == last.fence && authority.holder != last.holder;
+        let woke = self
+            .disturbances
+            .get(&authority.holder)
+            .into_iter()
+            .flatten();
+        let is_fresh = |one: &Disturbance| one.until.is_none_or(|end| now < end + THAW_SLACK);
+        let has_just_woken = woke.filter(|one| !one.is_planned).any(is_fresh);
+        if (authority.fence < last.fence || is_shared) && !has_just_woken {
+            let detail = format!("subject={subject:?} last={last:?} then={authority:?}");
+            self.broke(now, Promise::OneHolder, detail);
+        }
+        if authority.fence > last.fence {
+            self.fences.insert(subject.to_string(), authority.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/schedule.rs
@@ -0,0 +1,269 @@
+//! Which faults come when, drawn from a seed.
+
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+use crate::proxy::PathMode;
+
+/// The shortest and the longest time between two faults, in ms. Most faults last
+/// longer, so that they overlap.
+const PAUSE_MS: (u64, u64) = (150, 1_200);
+/// The shortest and the longest time that a fault lasts, in ms.
+const SPAN_MS: (u64, u64) = (300, 4_500);
+/// The shortest and the longest delay on a path or at the store, in ms.
+const DELAY_MS: (u64, u64) = (20, 600);
+
+/// What a schedule is drawn for.
+#[derive(Clone, Copy, Debug)]
+pub struct ScheduleSize {
+    /// Entry instances.
+    pub instances: usize,
+    /// Endpoints.
+    pub endpoints: usize,
+    /// Organisations; one is never withdrawn.
+    pub organisations: usize,
+    /// Routes that may be led elsewhere.
+    pub routes: usize,
+    /// How long faults go on, in ms.
+    pub span_ms: u64,
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum SoakFault {
+    /// Processes are killed at the same moment and start again later.
+    Kill {
+        /// Which instances.
+        instances: Vec<usize>,
+        /// When they start again, in ms.
+        down_ms: u64,
+    },
+    /// A process is asked to stop, and started again when it has.
+    Stop {
+        /// Which instance.
+        instance: usize,
+    },
+    /// A process stands still.
+    Pause {
+        /// Which instance.
+        instance: usize,
+        /// For how long, in ms.
+        span_ms: u64,
+    },
+    /// A process is told that its settings changed.
+    Hangup {
+        /// Which instance.
+        instance: usize,
+    },
+    /// The path of one instance to the store is disturbed.
+    StorePath {
+        /// Which instance.
+        instance: usize,
+        /// How.
+        mode: PathMode,
+        /// For how long, in ms.
+        span_ms: u64,
+    },
+    /// Connections of one instance to the store go silent for good.
+    StoreConnections {
+        /// Which instance.
+        instance: usize,
+    },
+    /// The store is away, slow, or loses answers.
+    Store {
+        /// How.
+        trouble: StoreTrouble,
+        /// For how long, in ms.
+        span_ms: u64,
+    },
+    /// The store drops its history.
+    StoreForgets,
+    /// The path to an endpoint is disturbed.
+    EndpointPath {
+        /// Which endpoint.
+        endpoint: usize,
+        /// How.
+        mode: PathMode,
+        /// For how long, in ms.
+        span_ms: u64,
+    },
+    /// Connections to an endpoint go silent for good.
+    EndpointConnections {
+        /// Which endpoint.
+        endpoint: usize,
+    },
+    /// An endpoint treats part of its requests badly.
+    Endpoint {
+        /// Which endpoint.
+        endpoint: usize,
+        /// How.
+        trouble: EndpointTrouble,
+        /// For how long, in ms.
+        span_ms: u64,
+    },
+    /// An endpoint ends without a word and starts anew later.
+    EndpointCrash {
+        /// Which endpoint.
+        endpoint: usize,
+        /// When it starts again, in ms.
+        down_ms: u64,
+    },
+    /// An endpoint announces that it leaves, ends later, and another one comes.
+    EndpointLeaves {
+        /// Which endpoint.
+        endpoint: usize,
+    },
+    /// A route is led to another service.
+    MoveRoute {
+        /// Which of the routes that may be.
+        route: usize,
+    },
+    /// The keys of an organisation are withdrawn.
+    Withdraw {
+        /// Which organisation.
+        organisation: usize,
+    },
+}
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub enum StoreTrouble {
+    /// It answers 503.
+    Refuses,
+    /// It breaks connections off.
+    Resets,
+    /// It says nothing.
+    Silent,
+    /// It answers this many ms later.
+    Slow(u64),
+    /// It does writes and doesn't answer.
+    Loses,
+    /// It does writes some seconds later and doesn't answer.
+    Late,
+}
+
+/// What an endpoint does with part of its requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum EndpointTrouble {
+    /// It runs them and breaks the connection off.
+    Loses,
+    /// Its answers break off in the middle.
+    Cuts,
+    /// It refuses them.
+    Refuses,
+    /// It takes longer.
+    Slow,
+    /// It runs them and says nothing.
+    Silent,
+}
+
+/// A fault with its time.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ScheduledFault {
+    /// When it comes, in ms from the start of the faults.
+    pub at_ms: u64,
+    /// What it is.
+    pub fault: SoakFault,
+}
+
+/// Draws a schedule: the same for the same seed and size.
+pub fn draw(seed: u64, size: ScheduleSize) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut schedule = Vec::new();
+    let mut at_ms = 0;
+    loop {
+        at_ms += random.random_range(PAUSE_MS.0..=PAUSE_MS.1);
+        if at_ms >= size.span_ms {
+            return schedule;
+        }
+        let fault = draw_fault(&mut random, size);
+        schedule.push(ScheduledFault { at_ms, fault });
+    }
+}
+
+fn draw_fault(random: &mut ChaCha8Rng, size: ScheduleSize) -> SoakFault {
+    let instance = random.random_range(0..size.instances);
+    let endpoint = random.random_range(0..size.endpoints);
+    let span_ms = random.random_range(SPAN_MS.0..=SPAN_MS.1);
+    match random.random_range(0..20) {
+        0 | 1 => SoakFault::Kill {
+            instances: draw_some(random, size.instances),
+            down_ms: span_ms / 2,
+        },
+        2 | 3 => SoakFault::Stop { instance },
+        4 | 5 => SoakFault::Pause { instance, span_ms },
+        6 => SoakFault::Hangup { instance },
+        7 | 8 => SoakFault::StorePath {
+            instance,
+            mode: draw_mode(random),
+            span_ms,
+        },
+        9 => SoakFault::StoreConnections { instance },
+        10 | 11 => SoakFault::Store {
+            trouble: draw_store(random),
+            span_ms,
+        },
+        12 => SoakFault::StoreForgets,
+        13 => SoakFault::EndpointPath {
+            endpoint,
+            mode: draw_mode(random),
+            span_ms,
+        },
+        14 => SoakFault::EndpointConnections { endpoint },
+        15 => SoakFault::Endpoint {
+            endpoint,
+            trouble: draw_endpoint(random),
+            span_ms,
+        },
+        16 => SoakFault::EndpointCrash {
+            endpoint,
+            down_ms: span_ms,
+        },
+        17 => SoakFault::EndpointLeaves { endpoint },
+        18 => SoakFault::MoveRoute {
+            route: random.random_range(0..size.routes),
+        },
+        _ => SoakFault::Withdraw {
+            organisation: random.random_range(1..size.organisations),
+        },
+    }
+}
+
+/// One instance mostly; at times many or all at the same moment.
+fn draw_some(random: &mut ChaCha8Rng, instances: usize) -> Vec<usize> {
+    let share = *[0.0, 0.0, 0.6, 1.0].choose(random).unwrap_or(&0.0);
+    let first = random.random_range(0..instances);
+    let drawn = (0..instances).filter(|n| *n == first || random.random_bool(share));
+    drawn.collect()
+}
+
+fn draw_mode(random: &mut ChaCha8Rng) -> PathMode {
+    match random.random_range(0..4) {
+        0 => PathMode::Delayed(random.random_range(DELAY_MS.0..=DELAY_MS.1)),
+        1 => PathMode::Resets,
+        2 => PathMode::Silent,
+        _ => PathMode::OneWay,
+    }
+}
+
+fn draw_store(random: &mut ChaCha8Rng) -> StoreTrouble {
+    match random.random_range(0..6) {
+        0 => StoreTrouble::Refuses,
+        1 => StoreTrouble::Resets,
+        2 => StoreTrouble::Silent,
+        3 => StoreTrouble::Slow(random.random_range(DELAY_MS.0..=DELAY_MS.1)),
+        4 => StoreTrouble::Loses,
+        _ => StoreTrouble::Late,
+    }
+}
+
+fn draw_endpoint(random: &mut ChaCha8Rng) -> EndpointTrouble {
+    match random.random_range(0..5) {
+        0 => EndpointTrouble::Loses,
+        1 => EndpointTrouble::Cuts,
+        2 => EndpointTrouble::Refuses,
+        3 => EndpointTrouble::Slow,
+        _ => EndpointTrouble::Silent,
+    }
+}
