Give the callers' address up when the last caller is taken

Cause: after SIGTERM the accept loop was aborted, but each connection held the listener, so the kernel went on taking connections until the process ended, some seconds later; their callers waited and were cut without an answer. Change: the listener belongs to the accept loop; at the end it takes in who waits and closes. A connection opened just before has 100 ms for its request.

--- a/crates/ingress/src/front/listener.rs
+++ b/crates/ingress/src/front/listener.rs
@@ -40,6 +40,13 @@
 /// gone.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// The pause of a listener that can't accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How long after the front was closed a connection may be without a request:
+/// callers are some ms away, and what they sent by then must not be cut off.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(100);
+
 /// Room in the read buffer beyond the largest head.
 const HEAD_SLACK: usize = 16_384;
 
@@ -47,14 +54,13 @@
 #[derive(Clone, Debug)]
 pub struct CallerFront {
     context: Arc<EntryContext>,
-    listener: Arc<TcpListener>,
     connections: TaskTracker,
     open: Arc<AtomicUsize>,
     closing: CancellationToken,
 }
 
 impl CallerFront {
-    /// Listens.
+    /// Listens, and serves who connects until [`CallerFront::close`].
     pub fn bind(context: Arc<EntryContext>) -> io::Result<CallerFront> {
         let address = context.settings.callers_address;
         let socket = Socket::new(
@@ -67,21 +73,33 @@
         socket.bind(&address.into())?;
         socket.listen(ACCEPT_QUEUE)?;
         let listener = TcpListener::from_std(StdListener::from(socket))?;
-        Ok(CallerFront {
+        let front = CallerFront {
             context,
-            listener: Arc::new(listener),
             connections: TaskTracker::new(),
             open: Arc::new(AtomicUsize::new(0)),
             closing: CancellationToken::new(),
-        })
+        };
+        front.connections.spawn(accept(front.clone(), listener));
+        Ok(front)
     }
 
-    /// Closes the connections without a request, and each other one after its
-    /// answer.
-    pub fn close_idle(&self) {
+    /// Takes no new connections, closes those without a request, and each other
+    /// one after its answer.
+    pub fn close(&self) {
         self.closing.cancel();
     }
 
+    fn take(&self, stream: TcpStream) {
+        if self.open.load(Ordering::Relaxed) >= CONNECTIONS_LIMIT {
+            LogLine::new("connection_refused")
+                .with("open", CONNECTIONS_LIMIT)
+                .warn();
+            return;
+        }
+        self.open.fetch_add(1, Ordering::Relaxed);
+        self.connections.spawn(serve(self.clone(), stream));
+    }
+
     /// Waits until no connection is left.
     pub async fn ended(&self) {
         self.connections.close();
@@ -89,28 +107,46 @@
     }
 }
 
-/// Accepts connections for good.
-pub async fn accept(front: CallerFront) {
+/// Accepts connections until the front is closed; then the address is given up.
+///
+/// A listener that outlives its last `accept` still takes connections: the kernel
+/// does. Their callers wait for an answer until the process ends, some seconds
+/// later, and get none. So those who wait are taken in, and the address is closed:
+/// who comes later is turned away at once and goes elsewhere.
+async fn accept(front: CallerFront, listener: TcpListener) {
     loop {
-        match front.listener.accept().await {
-            Ok((stream, _)) => {
-                if front.open.load(Ordering::Relaxed) >= CONNECTIONS_LIMIT {
-                    LogLine::new("connection_refused")
-                        .with("open", CONNECTIONS_LIMIT)
-                        .warn();
-                    continue;
-                }
-                front.open.fetch_add(1, Ordering::Relaxed);
-                let served = serve(front.clone(), stream);
-                front.connections.spawn(served);
-            }
+        let accepted = tokio::select! {
+            () = front.closing.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => front.take(stream),
             Err(error) => {
                 LogLine::new("accept_failed").with("error", error).warn();
                 // Descriptors may have run out; the next try may find some.
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    if let Err(error) = take_waiting(&front, listener) {
+        LogLine::new("accept_failed").with("error", error).warn();
+    }
+}
+
+/// Takes the connections that the kernel holds. The runtime's listener may not have
+/// been told of them yet, so the socket is asked itself.
+fn take_waiting(front: &CallerFront, listener: TcpListener) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                front.take(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        }
+    }
 }
 
 async fn serve(front: CallerFront, stream: TcpStream) {
@@ -142,7 +178,7 @@
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = front.closing.cancelled() => {
+        () = closed(&front) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -153,6 +189,13 @@
     front.open.fetch_sub(1, Ordering::Relaxed);
 }
 
+/// Waits until connections without a request are to be closed. One that was opened
+/// just before the front was closed has its first request on the way.
+async fn closed(front: &CallerFront) {
+    front.closing.cancelled().await;
+    tokio::time::sleep(FIRST_REQUEST_WAIT).await;
+}
+
 fn prepare(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/crates/ingress/src/front/mod.rs
+++ b/crates/ingress/src/front/mod.rs
@@ -17,7 +17,7 @@
 
 pub use self::{
     body::{AnswerBody, StreamBroken, empty_body, full_body, stream_body},
-    listener::{CallerFront, accept},
+    listener::CallerFront,
     refusal::{Refusal, RefusalReason},
     request::CallerRequest,
 };
--- a/crates/ingress/src/program.rs
+++ b/crates/ingress/src/program.rs
@@ -7,16 +7,13 @@
     PlatformClient, SETTINGS_VARIABLE, engines::EngineClient, settings, store::StoreClient,
 };
 use bluebell_daemon::{logs::LogLine, program::SETTINGS_EXIT};
-use tokio::{
-    signal::unix::{SignalKind, signal},
-    task::JoinHandle,
-};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     believe,
     context::EntryContext,
-    front::{self, CallerFront},
+    front::CallerFront,
     logs::{self, LogBuffer},
     metrics::EntryMetrics,
     peers, ready, steward, time,
@@ -102,7 +99,6 @@
     steward::start(&context, &client, &background);
     let front =
         CallerFront::bind(Arc::clone(&context)).context("the callers' address can't be served")?;
-    let accepting = tokio::spawn(front::accept(front.clone()));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -113,7 +109,7 @@
             }
         }
     }
-    stop(&context, &front, accepting).await;
+    stop(&context, &front).await;
     background.cancel();
     ready_server.stop().await;
     if let Some(server) = metrics_server {
@@ -129,7 +125,7 @@
 /// the platform still sends for two seconds, and those who come back on a kept
 /// connection; one that waited for all connections to close would be killed with
 /// requests inside.
-async fn stop(context: &EntryContext, front: &CallerFront, accepting: JoinHandle<()>) {
+async fn stop(context: &EntryContext, front: &CallerFront) {
     LogLine::new("stopping")
         .with("open", context.metrics.requests_open.get())
         .info();
@@ -137,8 +133,7 @@
     let grace = context.settings.bounds.grace.as_duration();
     let end = tokio::time::Instant::now() + grace.saturating_sub(END_MARGIN);
     tokio::time::sleep(ACCEPT_AFTER_STOP.min(grace / 2)).await;
-    accepting.abort();
-    front.close_idle();
+    front.close();
     let ended = tokio::time::timeout_at(end, front.ended()).await;
     if ended.is_err() {
         LogLine::new("stopped_early")
