Count no request as a repeat that never left

Cause: when engines crash together, connections to them are refused. Each such try on the model path counted against the budget of repeats, though no engine saw it, and each entry found out about each engine by itself. Ruled out: queues of sound engines (1 refusal with 503 in that time), how long a told refusal counts (150, 400, 1,000, 1,200 ms: no difference). Change: what never left is given back to the budget and not counted as asked; an engine that can't be reached is told among those that refuse.

--- a/crates/core/src/retries/shared.rs
+++ b/crates/core/src/retries/shared.rs
@@ -80,6 +80,12 @@
         true
     }
 
+    /// A repeat that was allowed never left: the service has not seen it.
+    pub fn never_sent(&mut self, now: ClockTime, service: &ServiceName) {
+        let slice = self.slice(now, service);
+        slice.repeats = slice.repeats.saturating_sub(1);
+    }
+
     /// A request reached the service once more without having been asked for.
     pub fn note_repeat(&mut self, now: ClockTime, service: &ServiceName) {
         self.slice(now, service).repeats += 1;
--- a/crates/core/tests/shared_budget.rs
+++ b/crates/core/tests/shared_budget.rs
@@ -96,3 +96,16 @@
         })
     }
 }
+
+#[test]
+fn a_repeat_that_never_left_is_given_back() {
+    // The engine that a repeat was meant for has crashed and takes no connection. No
+    // engine has seen the repeat, so the next one must not be refused for it.
+    let mut budget = budget(1.0);
+    for turn in 0..5 {
+        assert!(budget.try_repeat(at(turn), &service()));
+        budget.never_sent(at(turn), &service());
+    }
+    assert!(budget.try_repeat(at(5), &service()));
+    assert!(!budget.try_repeat(at(6), &service()));
+}
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -29,6 +29,10 @@
 /// How many engines are asked at most, counting those that refused.
 const ASKED_LIMIT: usize = 5;
 
+/// How many engines are tried at most, counting those that could not be reached:
+/// when a third of them has crashed, one in 60 requests meets four in a row.
+const TRIED_LIMIT: usize = 9;
+
 /// How many steps of urgency at an engine lie between two ranks of routes.
 const PRIORITY_STEP: u8 = 3;
 /// The least urgent rank that engines know.
@@ -182,7 +186,10 @@
     fn may_go_on(&self) -> bool {
         let now = self.context.now();
         let has_time = self.request.time_left(now) > TimeSpan::ZERO;
-        has_time && self.asked < ASKED_LIMIT && self.runs < self.request.route.attempts_limit
+        has_time
+            && self.asked < ASKED_LIMIT
+            && self.tried.len() < TRIED_LIMIT
+            && self.runs < self.request.route.attempts_limit
     }
 
     /// Asks to reach one more engine. The first prefill and the first run are no
@@ -197,6 +204,21 @@
         Err(FailedTry::new(RefusalReason::EndpointsFull, detail).last())
     }
 
+    /// Counts a request that left. One that never did was seen by no engine: it is no
+    /// repeat. When many engines crash at once, counting those would use up the
+    /// budget, and requests would be refused while sound engines idle.
+    pub(super) fn note_sent(&mut self, end: &AttemptEnd, is_repeat: bool) {
+        if !matches!(end, AttemptEnd::NotSent(_)) {
+            self.asked += 1;
+            return;
+        }
+        if is_repeat {
+            let now = self.context.now();
+            let service = &self.request.service;
+            self.context.budget.lock().never_sent(now, service);
+        }
+    }
+
     async fn try_once(&mut self, last_id: Option<u64>) -> Result<TryEnd, FailedTry> {
         let prefilled = match self.source.take() {
             Some(prefilled) => prefilled,
@@ -303,10 +325,10 @@
         prefill: Option<PrefillGuard>,
         last_id: Option<u64>,
     ) -> Result<TryEnd, FailedTry> {
-        if self.has_run {
+        let is_repeat = self.has_run;
+        if is_repeat {
             self.repeat()?;
         }
-        self.has_run = true;
         let Ok(permit) = self.attempts.send(&target.id) else {
             return Err(FailedTry::new(
                 RefusalReason::EndpointFailed,
@@ -314,9 +336,10 @@
             ));
         };
         let guard = RunGuard::new(&self.context, &target.id);
-        self.asked += 1;
         let left = self.request.time_left(self.context.now());
         let end = attempt::send(&self.context, &self.request, target, &added, left).await;
+        self.note_sent(&end, is_repeat);
+        self.has_run |= !matches!(end, AttemptEnd::NotSent(_));
         match end {
             AttemptEnd::Answered(answer) => {
                 self.attempts.answering();
@@ -325,7 +348,7 @@
             }
             AttemptEnd::NotSent(detail) => {
                 self.attempts.not_sent(permit);
-                self.engine_failed(target);
+                self.unreachable(target);
                 Err(FailedTry::new(RefusalReason::NoEndpoint, detail))
             }
             AttemptEnd::NotExecuted { status, is_gone } => {
@@ -447,6 +470,14 @@
         }
     }
 
+    /// No connection to the engine could be had. It gets nothing for a while, also
+    /// from the other entries: it is told among those that refuse.
+    pub(super) fn unreachable(&mut self, target: &EndpointTarget) {
+        self.engine_failed(target);
+        let now = self.context.now();
+        self.context.engines.lock().refused(now, &target.id);
+    }
+
     pub(super) fn engine_failed(&mut self, target: &EndpointTarget) {
         self.tried.push(target.id.clone());
         let now = self.context.now();
--- a/crates/ingress/src/forward/prefill.rs
+++ b/crates/ingress/src/forward/prefill.rs
@@ -43,11 +43,12 @@
         let mut added = self.added_headers(None);
         added.push((headers::STAGE, headers::STAGE_PREFILL.to_string()));
         let left = self.request.time_left(self.context.now());
-        if self.has_prefilled {
+        let is_repeat = self.has_prefilled;
+        if is_repeat {
             self.repeat()?;
         }
-        self.asked += 1;
         let end = attempt::send(&self.context, &self.request, target, &added, left).await;
+        self.note_sent(&end, is_repeat);
         // Whatever became of it, a first prefill that an engine did not refuse is
         // the one that costs no repeat.
         let was_taken = !matches!(end, AttemptEnd::NotSent(_) | AttemptEnd::NotExecuted { .. });
@@ -86,7 +87,7 @@
         let detail = format!("prefill at {}: {}", target.id, end.as_str());
         match end {
             AttemptEnd::NotSent(_) => {
-                self.engine_failed(target);
+                self.unreachable(target);
                 FailedTry::new(RefusalReason::NoEndpoint, detail)
             }
             AttemptEnd::NotExecuted { status, is_gone } => {
