--- a/crates/core/src/ingress/configuration.rs
+++ b/crates/core/src/ingress/configuration.rs
@@ -57,8 +57,6 @@
     pub attempts_limit: u32,
     /// Whether requests need no key.
     pub is_public: bool,
-    /// Whether requests name the parts of a prompt.
-    pub has_prompt: bool,
     /// Whether a broken stream may go on elsewhere.
     pub is_resumable: bool,
 }
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -37,7 +37,6 @@
         }],
         attempts_limit: 1,
         is_public: false,
-        has_prompt: false,
         is_resumable: false,
     }
 }
