--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use bluebell_adapter::{configuration, registrations};
 use bluebell_core::ids::FailureDomain;
 use bluebell_platform_standin::{
     endpoint::EndpointFaults,
@@ -269,7 +270,7 @@
             fleet.store.set_faults(StoreFaults::default());
         }
         SoakFault::StoreForgets => {
-            for topic in ["keyed.op", "keyed.servers"] {
+            for topic in [configuration::TOPIC, registrations::TOPIC] {
                 fleet.store.forget(topic);
             }
         }
