End the soak's processes when the soak is asked to end

Cause: a soak that was ended from outside in the middle of a seed left eleven entries running under init. Ruled out: handles that outlive their soak (all are dropped with the runtime). Change: SIGTERM and SIGINT end the soak in order.

--- a/crates/soak/src/commands.rs
+++ b/crates/soak/src/commands.rs
@@ -2,7 +2,9 @@
 
 use std::path::PathBuf;
 
+use anyhow::bail;
 use bpaf::{OptionParser, Parser, construct, long};
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
     fleet::FleetSize,
@@ -73,8 +75,20 @@
     .descr("Soaks the entry program under faults from outside, against its promises.")
 }
 
-/// Plays all seeds; answers whether all promises were kept.
+/// Plays all seeds, unless it is asked to end before; answers whether all promises
+/// were kept. Whichever way this ends, the processes that it started end with it: each
+/// is killed when its handle is dropped.
 pub async fn exec(options: SoakOptions) -> anyhow::Result<bool> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        kept = play_all(options) => kept,
+        _ = terminate.recv() => bail!("ended by SIGTERM"),
+        _ = interrupt.recv() => bail!("ended by SIGINT"),
+    }
+}
+
+async fn play_all(options: SoakOptions) -> anyhow::Result<bool> {
     let program = match options.program.clone() {
         Some(program) => program,
         None => process::program_path()?,
