Pay for what a rejection costs before a request goes on

A prefill that an engine rejects counts as an arrival; it was added to the entry's account afterwards, so while many engines changed their stage each request was turned away several times with nobody asking the budget. A new entry also took the whole extra of the budget for itself until it knew the others. Ruled out: connections that are refused or time out (they never arrive). Change: a request pays for its last counted arrival before its next call, whichever kind that is; what was paid and never left is given back when the request ends. An entry takes a share of the extra only once it knows the others.

--- a/crates/core/src/retries/mod.rs
+++ b/crates/core/src/retries/mod.rs
@@ -8,6 +8,7 @@
 //! at once. One notices a storm by attempts far above requests; with
 //! the budget they can't exceed them by more than the share and the minimum.
 
+mod arrivals;
 mod shared;
 
 use std::collections::BTreeMap;
@@ -16,7 +17,10 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
-pub use self::shared::{SharedAllowance, SharedBudget};
+pub use self::{
+    arrivals::{EngineArrival, RequestArrivals},
+    shared::{SharedAllowance, SharedBudget},
+};
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::OrganisationId,
--- a/crates/core/src/retries/shared.rs
+++ b/crates/core/src/retries/shared.rs
@@ -80,15 +80,10 @@
         true
     }
 
-    /// A repeat that was allowed never left: the service has not seen it.
-    pub fn never_sent(&mut self, now: ClockTime, service: &ServiceName) {
+    /// Repeats that were allowed never left: the service has not seen them.
+    pub fn never_sent(&mut self, now: ClockTime, service: &ServiceName, repeats: u32) {
         let slice = self.slice(now, service);
-        slice.repeats = slice.repeats.saturating_sub(1);
-    }
-
-    /// A request reached the service once more without having been asked for.
-    pub fn note_repeat(&mut self, now: ClockTime, service: &ServiceName) {
-        self.slice(now, service).repeats += 1;
+        slice.repeats = slice.repeats.saturating_sub(repeats);
     }
 
     fn slice(&mut self, now: ClockTime, service: &ServiceName) -> &mut WindowSlice {
--- a/crates/core/tests/shared_budget.rs
+++ b/crates/core/tests/shared_budget.rs
@@ -3,7 +3,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::ServiceName,
-    retries::{SharedAllowance, SharedBudget},
+    retries::{EngineArrival, RequestArrivals, SharedAllowance, SharedBudget},
 };
 use quickcheck::quickcheck;
 
@@ -50,16 +50,93 @@
 }
 
 #[test]
-fn arrivals_that_nobody_asked_for_are_counted() {
-    // An engine refuses a prefill: the request has reached the service once more.
-    let mut budget = budget(2.0);
-    budget.note_repeat(at(0), &service());
-    budget.note_repeat(at(0), &service());
+fn what_a_rejected_prefill_costs_is_paid_before_the_request_goes_on() {
+    // An engine that has changed its stage rejects a prefill, and so does the next.
+    // Each rejection is an arrival; the request that can't pay for it ends there.
+    let mut budget = budget(1.0);
+    let mut arrivals = RequestArrivals::new();
+    assert!(!arrivals.must_pay());
+    arrivals.arrived(EngineArrival::Rejected);
+    assert!(arrivals.must_pay());
+    assert!(budget.try_repeat(at(0), &service()));
+    arrivals.pay();
+    arrivals.arrived(EngineArrival::Rejected);
+    assert!(arrivals.must_pay());
     assert!(!budget.try_repeat(at(1), &service()));
-    budget.set_extra(3.0);
+    assert_eq!(arrivals.unused(), 0);
+    budget.set_extra(2.0);
     assert!(budget.try_repeat(at(1), &service()));
 }
 
+#[test]
+fn a_prefill_that_was_taken_and_its_run_cost_nothing() {
+    let mut arrivals = RequestArrivals::new();
+    arrivals.arrived(EngineArrival::PrefillTaken);
+    assert!(!arrivals.must_pay());
+    arrivals.arrived(EngineArrival::Run);
+    assert_eq!(arrivals.unused(), 0);
+    // The run failed; the next prefill is an arrival like any other.
+    assert!(arrivals.must_pay());
+    arrivals.pay();
+    arrivals.arrived(EngineArrival::PrefillTaken);
+    assert!(arrivals.must_pay());
+}
+
+#[test]
+fn what_was_paid_for_and_never_left_is_given_back() {
+    let mut arrivals = RequestArrivals::new();
+    arrivals.arrived(EngineArrival::Rejected);
+    arrivals.pay();
+    assert_eq!(arrivals.unused(), 1);
+    arrivals.arrived(EngineArrival::Run);
+    assert_eq!(arrivals.unused(), 0);
+}
+
+#[test]
+fn eighty_entries_with_a_wrong_picture_of_the_stages_keep_the_budget_together() {
+    // A fleet has just changed the stages of its engines and no entry has heard of
+    // it: four engines in a row turn each request away within 50 ms, at all entries.
+    // Without paying for rejections first, the entries send a quarter more arrivals
+    // than the operators allow, and callers wait behind engines that turn away.
+    const ENTRIES: usize = 80;
+    const REQUESTS: usize = 6_000;
+    const REJECTIONS: usize = 4;
+    const LARGE_EXTRA: f64 = 200.0;
+    let mut budgets: Vec<SharedBudget> = (0..ENTRIES)
+        .map(|_| budget(LARGE_EXTRA / ENTRIES as f64))
+        .collect();
+    let mut beyond_first = 0;
+    for number in 0..REQUESTS {
+        let now = at(number as u64 * WINDOW / REQUESTS as u64);
+        let budget = &mut budgets[number % ENTRIES];
+        budget.note_request(now, &service());
+        let mut arrivals = RequestArrivals::new();
+        let mut sent = 0;
+        for call in 0..=REJECTIONS + 1 {
+            if arrivals.must_pay() {
+                if !budget.try_repeat(now, &service()) {
+                    break;
+                }
+                arrivals.pay();
+            }
+            let arrival = match call {
+                call if call < REJECTIONS => EngineArrival::Rejected,
+                call if call == REJECTIONS => EngineArrival::PrefillTaken,
+                _ => EngineArrival::Run,
+            };
+            arrivals.arrived(arrival);
+            sent += usize::from(arrival != EngineArrival::PrefillTaken);
+        }
+        budget.never_sent(now, &service(), arrivals.unused());
+        beyond_first += sent.saturating_sub(1);
+    }
+    let allowed = SHARE * REQUESTS as f64 + LARGE_EXTRA;
+    assert!(
+        beyond_first as f64 <= allowed,
+        "{beyond_first} of {allowed}"
+    );
+}
+
 #[test]
 fn services_don_t_pay_for_each_other() {
     let mut budget = budget(1.0);
@@ -104,7 +181,7 @@
     let mut budget = budget(1.0);
     for turn in 0..5 {
         assert!(budget.try_repeat(at(turn), &service()));
-        budget.never_sent(at(turn), &service());
+        budget.never_sent(at(turn), &service(), 1);
     }
     assert!(budget.try_repeat(at(5), &service()));
     assert!(!budget.try_repeat(at(6), &service()));
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -164,8 +164,16 @@
 
     /// Takes this entry's part of the repeats that all entries have together. Those
     /// that are known but silent count as well: they may be cut off and use theirs.
+    /// An entry that does not know the others yet takes nothing beside what its own
+    /// requests earn: were each of many new entries to take the whole, together they
+    /// would send that many times what the operators allow.
     pub fn share_budget(&self) {
-        let entries = self.peers.lock().len() + 1;
+        let peers = self.peers.lock();
+        if !peers.is_whole(self.now()) {
+            return;
+        }
+        let entries = peers.len() + 1;
+        drop(peers);
         let extra = f64::from(self.settings.bounds.retry_extra);
         self.budget
             .lock()
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -8,6 +8,7 @@
     clock::TimeSpan,
     ids::EndpointId,
     placement::{EndpointTarget, PlanRequest, PrefillPlan, PromptWork},
+    retries::{EngineArrival, RequestArrivals},
 };
 use hyper::Response;
 
@@ -92,8 +93,7 @@
     tried: Vec<EndpointId>,
     pub(super) asked: usize,
     runs: u32,
-    pub(super) has_prefilled: bool,
-    has_run: bool,
+    arrivals: RequestArrivals,
     source: Option<PrefilledSource>,
     is_metered: bool,
 }
@@ -133,8 +133,7 @@
             tried: Vec::new(),
             asked: 0,
             runs: 0,
-            has_prefilled: false,
-            has_run: false,
+            arrivals: RequestArrivals::new(),
             source: None,
             is_metered: false,
         }
@@ -192,31 +191,32 @@
             && self.runs < self.request.route.attempts_limit
     }
 
-    /// Asks to reach one more engine. The first prefill and the first run are no
-    /// repeats; everything else is one, and the budget has to allow it.
-    pub(super) fn repeat(&self) -> Result<(), FailedTry> {
+    /// Pays for what the next call adds to the arrivals beyond the first.
+    pub(super) fn pay_for_next(&mut self) -> Result<(), FailedTry> {
+        if !self.arrivals.must_pay() {
+            return Ok(());
+        }
         let now = self.context.now();
         let service = &self.request.service;
         if self.context.budget.lock().try_repeat(now, service) {
+            self.arrivals.pay();
             return Ok(());
         }
         let detail = "the budget of repeats is used up";
         Err(FailedTry::new(RefusalReason::EndpointsFull, detail).last())
     }
 
-    /// Counts a request that left. One that never did was seen by no engine: it is no
-    /// repeat. When many engines crash at once, counting those would use up the
-    /// budget, and requests would be refused while sound engines idle.
-    pub(super) fn note_sent(&mut self, end: &AttemptEnd, is_repeat: bool) {
-        if !matches!(end, AttemptEnd::NotSent(_)) {
-            self.asked += 1;
-            return;
-        }
-        if is_repeat {
-            let now = self.context.now();
-            let service = &self.request.service;
-            self.context.budget.lock().never_sent(now, service);
-        }
+    /// Counts a call that left. One that never did was seen by no engine, so what was
+    /// paid for it goes to the next. When many engines crash at once, counting those
+    /// would use up the budget, and requests would be refused while sound engines idle.
+    pub(super) fn note_sent(&mut self, end: &AttemptEnd, arrival: EngineArrival) {
+        let arrival = match end {
+            AttemptEnd::NotSent(_) => return,
+            AttemptEnd::NotExecuted { .. } => EngineArrival::Rejected,
+            _ => arrival,
+        };
+        self.asked += 1;
+        self.arrivals.arrived(arrival);
     }
 
     async fn try_once(&mut self, last_id: Option<u64>) -> Result<TryEnd, FailedTry> {
@@ -325,10 +325,7 @@
         prefill: Option<PrefillGuard>,
         last_id: Option<u64>,
     ) -> Result<TryEnd, FailedTry> {
-        let is_repeat = self.has_run;
-        if is_repeat {
-            self.repeat()?;
-        }
+        self.pay_for_next()?;
         let Ok(permit) = self.attempts.send(&target.id) else {
             return Err(FailedTry::new(
                 RefusalReason::EndpointFailed,
@@ -338,8 +335,7 @@
         let guard = RunGuard::new(&self.context, &target.id);
         let left = self.request.time_left(self.context.now());
         let end = attempt::send(&self.context, &self.request, target, &added, left).await;
-        self.note_sent(&end, is_repeat);
-        self.has_run |= !matches!(end, AttemptEnd::NotSent(_));
+        self.note_sent(&end, EngineArrival::Run);
         match end {
             AttemptEnd::Answered(answer) => {
                 self.attempts.answering();
@@ -490,3 +486,16 @@
         }
     }
 }
+
+impl Drop for GenerationRun {
+    /// Gives back what was paid for calls that never left, also when the caller has gone.
+    fn drop(&mut self) {
+        let unused = self.arrivals.unused();
+        if unused > 0 {
+            let now = self.context.now();
+            let service = &self.request.service;
+            let mut budget = self.context.budget.lock();
+            budget.never_sent(now, service, unused);
+        }
+    }
+}
--- a/crates/ingress/src/forward/prefill.rs
+++ b/crates/ingress/src/forward/prefill.rs
@@ -7,6 +7,7 @@
 use bluebell_core::{
     clock::TimeSpan,
     placement::{EndpointTarget, PrefillPlan},
+    retries::EngineArrival,
 };
 
 use crate::{
@@ -43,16 +44,9 @@
         let mut added = self.added_headers(None);
         added.push((headers::STAGE, headers::STAGE_PREFILL.to_string()));
         let left = self.request.time_left(self.context.now());
-        let is_repeat = self.has_prefilled;
-        if is_repeat {
-            self.repeat()?;
-        }
+        self.pay_for_next()?;
         let end = attempt::send(&self.context, &self.request, target, &added, left).await;
-        self.note_sent(&end, is_repeat);
-        // Whatever became of it, a first prefill that an engine did not refuse is
-        // the one that costs no repeat.
-        let was_taken = !matches!(end, AttemptEnd::NotSent(_) | AttemptEnd::NotExecuted { .. });
-        self.has_prefilled |= was_taken;
+        self.note_sent(&end, EngineArrival::PrefillTaken);
         let answer = match end {
             AttemptEnd::Answered(answer) if answer.response.status().is_success() => answer,
             end => {
@@ -91,10 +85,6 @@
                 FailedTry::new(RefusalReason::NoEndpoint, detail)
             }
             AttemptEnd::NotExecuted { status, is_gone } => {
-                // A prefill that was refused is no first prefill, and counts.
-                let now = self.context.now();
-                let service = &self.request.service;
-                self.context.budget.lock().note_repeat(now, service);
                 self.refused(target, status.as_u16(), *is_gone);
                 FailedTry::new(RefusalReason::EndpointsFull, detail)
             }
--- a/crates/ingress/src/peers/registry.rs
+++ b/crates/ingress/src/peers/registry.rs
@@ -30,6 +30,8 @@
         path.failed(&context, &error).await;
     }
     path.answered(&context);
+    let now = context.now();
+    context.peers.lock().note_read(now);
 }
 
 async fn register(context: &EntryContext) -> Result<(), CallError> {
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -26,6 +26,10 @@
 /// have no instances any more.
 const FORGOTTEN_AFTER: TimeSpan = TimeSpan::from_millis(60_000);
 
+/// How long after the registrations were read all instances are known: those that
+/// start at the same moment register and speak within it.
+const KNOWN_AFTER: TimeSpan = TimeSpan::from_millis(1_500);
+
 /// How long an order is told: datagrams get lost.
 const ORDER_TOLD_FOR: TimeSpan = TimeSpan::from_millis(1_500);
 
@@ -67,6 +71,8 @@
     ordered: Vec<(ClockTime, StageMessage)>,
     /// Registrations that this instance saw change, for the others to know.
     changes: Vec<(ClockTime, ChangeMessage)>,
+    /// When all registrations of instances were read.
+    read_at: Option<ClockTime>,
 }
 
 impl PeerTable {
@@ -119,6 +125,16 @@
         newest.map(|(_, change)| change.clone()).collect()
     }
 
+    /// All registrations of instances were read.
+    pub fn note_read(&mut self, now: ClockTime) {
+        self.read_at.get_or_insert(now);
+    }
+
+    /// Whether all instances are known that there were at this one's start.
+    pub fn is_whole(&self, now: ClockTime) -> bool {
+        self.read_at.is_some_and(|at| now.since(at) >= KNOWN_AFTER)
+    }
+
     /// All of them.
     pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &KnownPeer)> {
         self.peers.iter()
