Divide the engines between the stages by the work that entries see

Cause: a fixed share of the engines (0.6 of the first ones) ran requests. Change: entries measure the prefills that they send (in engines kept busy), what runs (slots or memory) and how fast streams run compared with the fastest, and tell each other; the steward adds up and averages over up to 30 s, and each failure domain gets the engines that its share of the work needs, at least one. Engines that run requests already stay where they are.

--- a/crates/core/src/ingress/configuration.rs
+++ b/crates/core/src/ingress/configuration.rs
@@ -94,6 +94,16 @@
     pub stage_switch: TimeSpan,
 }
 
+impl EngineRule {
+    /// The share of an engine that a request of `tokens` takes while it runs: of its
+    /// slots or of its memory, whichever is more.
+    pub fn run_share(&self, tokens: TokenCount) -> f64 {
+        let of_memory = tokens.count() as f64 / self.memory.count().max(1) as f64;
+        let of_slots = 1.0 / f64::from(self.slots.max(1));
+        of_memory.max(of_slots)
+    }
+}
+
 /// How many endpoints of a service may be ordered, and what they cost.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct ScalingRule {
--- a/crates/core/src/provision/mod.rs
+++ b/crates/core/src/provision/mod.rs
@@ -11,10 +11,17 @@
 //! stream waits for a prompt. Running takes far less of the engines than
 //! prefilling at the users' mix.
 
+mod demand;
+mod stages;
+
 use std::collections::BTreeMap;
 
 use serde::Serialize;
 
+pub use self::{
+    demand::{DemandBoard, EngineDemand},
+    stages::{StageNeeds, StagePlan},
+};
 use crate::{
     clock::{ClockTime, TimeSpan},
     directory::{EndpointRegistration, EngineStage},
@@ -22,11 +29,6 @@
     ingress::{EngineRule, ScalingRule},
 };
 
-/// The share of a failure domain's engines that run requests. At the users' mix
-/// an event holds about ten tokens, so that some 19,000 tokens a second have to be
-/// generated; an engine generates 5,000 with 32 requests at once.
-const RUN_SHARE: f64 = 0.6;
-
 /// The lasting engines that are kept in a failure domain, as a share of those
 /// that it had at first.
 const LASTING_SHARE: f64 = 1.0;
@@ -46,13 +48,6 @@
 /// up in the next: they leave within some seconds.
 const REDUCE_INTERVAL: TimeSpan = TimeSpan::from_millis(5_000);
 
-/// The share of a service's engines that may change their stage at a time.
-const SWITCHING_SHARE: f64 = 0.34;
-
-/// How long an engine is left alone after an order, beyond the time it takes: it
-/// first lets its running work come to an end.
-const SWITCH_SLACK: TimeSpan = TimeSpan::from_millis(5_000);
-
 /// For how long nothing may have appeared before the first order: all endpoints
 /// register within a heartbeat or two of the system's start, and a planner that
 /// began with the first of them would take it for all there are.
@@ -78,6 +73,8 @@
     pub scaling: Option<&'a ScalingRule>,
     /// What its engines are like.
     pub engine: Option<&'a EngineRule>,
+    /// What its requests ask of them now.
+    pub demand: EngineDemand,
 }
 
 /// Something to be ordered.
@@ -98,6 +95,8 @@
     },
     /// Another stage for an engine.
     Stage {
+        /// The service.
+        service: ServiceName,
         /// The engine.
         endpoint: EndpointId,
         /// The stage.
@@ -105,6 +104,15 @@
     },
 }
 
+impl ProvisionStep {
+    /// The service that it is for.
+    pub fn service(&self) -> &ServiceName {
+        match self {
+            ProvisionStep::Count { service, .. } | ProvisionStep::Stage { service, .. } => service,
+        }
+    }
+}
+
 type OrderKey = (ServiceName, FailureDomain, bool);
 
 #[derive(Clone, Copy, Debug)]
@@ -113,6 +121,28 @@
     at: ClockTime,
 }
 
+/// What a failure domain is to have.
+#[derive(Clone, Copy, Debug)]
+struct DomainTarget {
+    lasting: u32,
+    preemptible: u32,
+}
+
+impl DomainTarget {
+    fn new(scaling: &ScalingRule, base: u32) -> DomainTarget {
+        let lasting = ((f64::from(base) * LASTING_SHARE).ceil() as u32).max(scaling.least.min(1));
+        let room = scaling.most.saturating_sub(lasting);
+        let preemptible = match scaling.preemptible_price {
+            Some(_) => ((f64::from(base) * PREEMPTIBLE_FACTOR).ceil() as u32).min(room),
+            None => 0,
+        };
+        DomainTarget {
+            lasting: if preemptible == 0 { base } else { lasting },
+            preemptible,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct DomainCounts {
     lasting: u32,
@@ -127,7 +157,7 @@
     bases: BTreeMap<(ServiceName, FailureDomain), u32>,
     orders: BTreeMap<OrderKey, PlacedOrder>,
     unavailable: BTreeMap<(ServiceName, FailureDomain), ClockTime>,
-    switching: BTreeMap<EndpointId, ClockTime>,
+    stages: BTreeMap<ServiceName, StagePlan>,
     reduced_at: Option<ClockTime>,
     seen: BTreeMap<ServiceName, SeenEndpoints>,
 }
@@ -180,15 +210,22 @@
         if !self.has_settled(now, service.name, endpoints.len()) {
             return steps;
         }
+        let mut wanted = BTreeMap::new();
         if let Some(scaling) = service.scaling {
-            self.count_steps(now, service.name, scaling, &endpoints, &mut steps);
+            wanted = self.count_steps(now, service.name, scaling, &endpoints, &mut steps);
         }
         if let Some(engine) = service.engine {
-            self.stage_steps(now, service.name, engine, &endpoints, &mut steps);
+            let stages = self.stages.entry(service.name.clone()).or_default();
+            steps.extend(stages.steps(now, engine, service.demand, &endpoints, &wanted));
         }
         steps
     }
 
+    /// What is planned for the stages of the service's engines.
+    pub fn stage_plan(&self, service: &ServiceName) -> Option<&StagePlan> {
+        self.stages.get(service)
+    }
+
     fn has_settled(&mut self, now: ClockTime, service: &ServiceName, count: usize) -> bool {
         if self.bases.keys().any(|(name, _)| name == service) {
             return true;
@@ -210,7 +247,8 @@
         scaling: &ScalingRule,
         endpoints: &[&EndpointRegistration],
         steps: &mut Vec<ProvisionStep>,
-    ) {
+    ) -> BTreeMap<FailureDomain, u32> {
+        let mut wanted = BTreeMap::new();
         let mut counts: BTreeMap<FailureDomain, DomainCounts> = BTreeMap::new();
         for endpoint in endpoints.iter().filter(|endpoint| !endpoint.is_leaving) {
             let count = counts.entry(endpoint.domain.clone()).or_default();
@@ -236,9 +274,12 @@
             .collect();
         for (domain, base) in bases {
             let count = counts.get(&domain).copied().unwrap_or_default();
-            let step = self.domain_step(now, service, &domain, scaling, base, count);
+            let target = DomainTarget::new(scaling, base);
+            let step = self.domain_step(now, service, &domain, scaling, target, count);
             steps.extend(step);
+            wanted.insert(domain, target.lasting + target.preemptible);
         }
+        wanted
     }
 
     /// The next order for one failure domain: more first, fewer only when what
@@ -249,16 +290,13 @@
         service: &ServiceName,
         domain: &FailureDomain,
         scaling: &ScalingRule,
-        base: u32,
+        target: DomainTarget,
         count: DomainCounts,
     ) -> Option<ProvisionStep> {
-        let lasting = ((f64::from(base) * LASTING_SHARE).ceil() as u32).max(scaling.least.min(1));
-        let room = scaling.most.saturating_sub(lasting);
-        let preemptible = match scaling.preemptible_price {
-            Some(_) => ((f64::from(base) * PREEMPTIBLE_FACTOR).ceil() as u32).min(room),
-            None => 0,
-        };
-        let lasting = if preemptible == 0 { base } else { lasting };
+        let DomainTarget {
+            lasting,
+            preemptible,
+        } = target;
         let key = (service.clone(), domain.clone());
         let is_available = self.unavailable.get(&key).is_none_or(|until| now >= *until);
         let room_now = scaling.most.saturating_sub(count.lasting);
@@ -289,7 +327,7 @@
         let is_calm = self
             .reduced_at
             .is_none_or(|at| now.since(at) >= REDUCE_INTERVAL);
-        is_calm && self.switching.is_empty()
+        is_calm && self.stages.values().all(StagePlan::is_settled)
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -338,8 +376,11 @@
                 };
                 self.orders.insert(key, order);
             }
-            ProvisionStep::Stage { endpoint, .. } => {
-                self.switching.insert(endpoint.clone(), now);
+            ProvisionStep::Stage {
+                service, endpoint, ..
+            } => {
+                let stages = self.stages.entry(service.clone()).or_default();
+                stages.ordered(now, endpoint);
             }
         }
     }
@@ -351,62 +392,4 @@
         let order = (service.clone(), domain.clone(), true);
         self.orders.remove(&order);
     }
-
-    fn stage_steps(
-        &mut self,
-        now: ClockTime,
-        service: &ServiceName,
-        engine: &EngineRule,
-        endpoints: &[&EndpointRegistration],
-        steps: &mut Vec<ProvisionStep>,
-    ) {
-        let patience = engine.stage_switch + SWITCH_SLACK;
-        self.switching.retain(|_, at| now.since(*at) < patience);
-        let staged = endpoints
-            .iter()
-            .filter(|endpoint| endpoint.stage.is_some() && !endpoint.is_leaving);
-        let staged: Vec<&EndpointRegistration> = staged.copied().collect();
-        let most = ((staged.len() as f64 * SWITCHING_SHARE).ceil() as usize).max(1);
-        let mut by_domain: BTreeMap<&FailureDomain, Vec<&EndpointRegistration>> = BTreeMap::new();
-        for endpoint in &staged {
-            by_domain
-                .entry(&endpoint.domain)
-                .or_default()
-                .push(endpoint);
-        }
-        for (domain, engines) in &mut by_domain {
-            // Lasting engines run requests, and those that run them already.
-            engines.sort_by_key(|engine| {
-                let runs = engine.stage == Some(EngineStage::Decode);
-                (engine.is_preemptible, !runs, engine.id.clone())
-            });
-            let key = (service.clone(), (*domain).clone());
-            let base = self
-                .bases
-                .get(&key)
-                .map_or(engines.len(), |base| *base as usize);
-            let runners = (base as f64 * RUN_SHARE).round() as usize;
-            for (place, engine) in engines.iter().enumerate() {
-                let stage = match place < runners.max(1) {
-                    true => EngineStage::Decode,
-                    false => EngineStage::Prefill,
-                };
-                let is_due =
-                    engine.stage != Some(stage) && !self.switching.contains_key(&engine.id);
-                if is_due && self.switching.len() + stage_count(steps) < most {
-                    steps.push(ProvisionStep::Stage {
-                        endpoint: engine.id.clone(),
-                        stage,
-                    });
-                }
-            }
-        }
-    }
-}
-
-fn stage_count(steps: &[ProvisionStep]) -> usize {
-    let stages = steps
-        .iter()
-        .filter(|step| matches!(step, ProvisionStep::Stage { .. }));
-    stages.count()
 }
--- a/crates/core/src/retries/arrivals.rs
+++ b/crates/core/src/retries/arrivals.rs
@@ -1,8 +1,8 @@
 //! What one request's calls to engines cost of the budget of repeats.
 //!
 //! The operators count every arrival at an engine beyond the first of a request,
-//! also those that the engine rejects. Only the first prefill that an engine takes
-//! is free. Whether a prefill will be rejected is known too late to ask for budget
+//! also those that the engine rejects. Only the first prefill that an engine carries
+//! out is free. Whether a prefill will be rejected is known too late to ask for budget
 //! first; so what a rejection costs is paid before the request goes on. A request
 //! that can't pay ends where it stands, with one arrival, which is none too many.
 //! Were rejections counted only afterwards, a wrong picture of the engines' stages
@@ -11,12 +11,10 @@
 /// A call that was sent to an engine, by what the operators make of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EngineArrival {
-    /// A prefill that the engine took.
-    PrefillTaken,
-    /// A call that the engine rejected.
-    Rejected,
-    /// A run, whatever became of it.
-    Run,
+    /// A prefill that the engine carried out.
+    PrefillDone,
+    /// A prefill that it rejected, or whose answer was lost, or a run.
+    Counted,
 }
 
 /// The arrivals of one request and what was paid for them.
@@ -45,8 +43,8 @@
 
     /// A call reached an engine.
     pub fn arrived(&mut self, arrival: EngineArrival) {
-        let is_free = arrival == EngineArrival::PrefillTaken && !self.has_prefilled;
-        self.has_prefilled |= arrival == EngineArrival::PrefillTaken;
+        let is_free = arrival == EngineArrival::PrefillDone && !self.has_prefilled;
+        self.has_prefilled |= arrival == EngineArrival::PrefillDone;
         self.counted += u32::from(!is_free);
     }
 
--- a/crates/core/tests/provision.rs
+++ b/crates/core/tests/provision.rs
@@ -7,7 +7,7 @@
     directory::{EndpointRegistration, EngineStage},
     ids::{EndpointId, FailureDomain, ServiceName},
     ingress::{EngineRule, ScalingRule},
-    provision::{DomainBase, ProvisionPlanner, ProvisionService, ProvisionStep},
+    provision::{DomainBase, EngineDemand, ProvisionPlanner, ProvisionService, ProvisionStep},
     units::{ByteSize, TokenCount},
 };
 
@@ -88,6 +88,7 @@
             name: &self.service,
             scaling: Some(&self.scaling),
             engine: Some(&self.engine),
+            demand: EngineDemand::default(),
         }
     }
 }
@@ -96,9 +97,55 @@
     planner: &mut ProvisionPlanner,
     now: u64,
     fleet: &[EndpointRegistration],
+) -> Vec<ProvisionStep> {
+    steps_for(planner, now, fleet, EngineDemand::default())
+}
+
+fn steps_for(
+    planner: &mut ProvisionPlanner,
+    now: u64,
+    fleet: &[EndpointRegistration],
+    demand: EngineDemand,
 ) -> Vec<ProvisionStep> {
     let rules = Rules::new();
-    planner.steps(at(now), rules.service(), fleet.iter())
+    let service = ProvisionService {
+        demand,
+        ..rules.service()
+    };
+    planner.steps(at(now), service, fleet.iter())
+}
+
+/// What is ordered after `demand` was seen for half a minute, with nothing ordered
+/// meanwhile.
+fn steps_after(
+    planner: &mut ProvisionPlanner,
+    fleet: &[EndpointRegistration],
+    demand: EngineDemand,
+) -> Vec<ProvisionStep> {
+    for now in (2_000..32_000).step_by(250) {
+        steps_for(planner, now, fleet, demand);
+    }
+    steps_for(planner, 32_000, fleet, demand)
+}
+
+/// Streams that run at `speed` on the engines of [`fleet`].
+fn streams(speed: f64) -> EngineDemand {
+    EngineDemand {
+        prefill: 2.0,
+        held: 0.5,
+        running: 60.0,
+        speed: Some(speed),
+    }
+}
+
+fn stages(steps: &[ProvisionStep]) -> Vec<(String, EngineStage)> {
+    let stages = steps.iter().filter_map(|step| match step {
+        ProvisionStep::Stage {
+            endpoint, stage, ..
+        } => Some((endpoint.to_string(), *stage)),
+        ProvisionStep::Count { .. } => None,
+    });
+    stages.collect()
 }
 
 fn settled() -> ProvisionPlanner {
@@ -194,15 +241,11 @@
 }
 
 #[test]
-fn lasting_engines_run_requests_and_the_others_prefill() {
+fn as_many_engines_run_requests_as_their_streams_need() {
     let mut planner = settled();
     let fleet = fleet();
-    let steps = steps(&mut planner, 2_000, &fleet);
-    let stages = steps.iter().filter_map(|step| match step {
-        ProvisionStep::Stage { endpoint, stage } => Some((endpoint.to_string(), *stage)),
-        ProvisionStep::Count { .. } => None,
-    });
-    let stages: Vec<(String, EngineStage)> = stages.collect();
+    let steps = steps_after(&mut planner, &fleet, streams(0.75));
+    let stages = stages(&steps);
     // Three of four run requests now; two are to.
     assert_eq!(stages.len(), 3);
     assert!(
@@ -212,6 +255,47 @@
     );
 }
 
+#[test]
+fn long_answers_get_more_engines_than_long_prompts_do() {
+    // A deployment's answers are long, and its streams run at a fifth of their speed on
+    // three engines of each failure domain. With a share that suits another deployment,
+    // callers would wait for each token while engines that prefill idle.
+    let mut planner = settled();
+    let fleet = fleet();
+    let crowded = steps_after(&mut planner, &fleet, streams(0.2));
+    assert!(stages(&crowded).is_empty(), "{crowded:?}");
+    // Elsewhere the same engines are hardly used by the streams: one is enough.
+    let mut planner = settled();
+    let idle = steps_after(&mut planner, &fleet, streams(0.95));
+    assert!(stages(&idle).len() >= 4, "{idle:?}");
+    let to_prefill = |(_, stage): &(String, EngineStage)| *stage == EngineStage::Prefill;
+    assert!(stages(&idle).iter().all(to_prefill));
+}
+
+#[test]
+fn a_swing_of_the_mix_moves_no_engine() {
+    // The mix swings between long prompts and long answers every three seconds. Each
+    // change of stage takes an engine away for as long; one that followed the swing
+    // would always be ready for what has just passed.
+    let mut planner = settled();
+    let mut fleet = fleet();
+    for name in ["a1", "b1", "c1"] {
+        let engine = fleet.iter_mut().find(|engine| engine.id.as_str() == name);
+        engine.expect("it is there").stage = Some(EngineStage::Prefill);
+    }
+    for now in (2_000..60_000).step_by(250) {
+        let demand = match (now / 3_000) % 2 {
+            0 => streams(0.45),
+            _ => streams(0.85),
+        };
+        let steps = steps_for(&mut planner, now, &fleet, demand);
+        assert!(
+            now < 20_000 || stages(&steps).is_empty(),
+            "{now}: {steps:?}"
+        );
+    }
+}
+
 #[test]
 fn few_engines_are_away_at_a_time() {
     // A change of stage takes an engine away for seconds. If all that have to change
--- a/crates/core/tests/shared_budget.rs
+++ b/crates/core/tests/shared_budget.rs
@@ -56,11 +56,11 @@
     let mut budget = budget(1.0);
     let mut arrivals = RequestArrivals::new();
     assert!(!arrivals.must_pay());
-    arrivals.arrived(EngineArrival::Rejected);
+    arrivals.arrived(EngineArrival::Counted);
     assert!(arrivals.must_pay());
     assert!(budget.try_repeat(at(0), &service()));
     arrivals.pay();
-    arrivals.arrived(EngineArrival::Rejected);
+    arrivals.arrived(EngineArrival::Counted);
     assert!(arrivals.must_pay());
     assert!(!budget.try_repeat(at(1), &service()));
     assert_eq!(arrivals.unused(), 0);
@@ -69,26 +69,39 @@
 }
 
 #[test]
-fn a_prefill_that_was_taken_and_its_run_cost_nothing() {
+fn a_prefill_that_was_carried_out_and_its_run_cost_nothing() {
     let mut arrivals = RequestArrivals::new();
-    arrivals.arrived(EngineArrival::PrefillTaken);
+    arrivals.arrived(EngineArrival::PrefillDone);
     assert!(!arrivals.must_pay());
-    arrivals.arrived(EngineArrival::Run);
+    arrivals.arrived(EngineArrival::Counted);
     assert_eq!(arrivals.unused(), 0);
     // The run failed; the next prefill is an arrival like any other.
     assert!(arrivals.must_pay());
     arrivals.pay();
-    arrivals.arrived(EngineArrival::PrefillTaken);
+    arrivals.arrived(EngineArrival::PrefillDone);
     assert!(arrivals.must_pay());
 }
 
+#[test]
+fn prefills_whose_answers_are_lost_are_paid_for() {
+    // Engines carry prefills out and their answers are lost on the way, again and
+    // again. Each was an arrival, also if the request never comes to a run.
+    let mut arrivals = RequestArrivals::new();
+    arrivals.arrived(EngineArrival::Counted);
+    assert!(arrivals.must_pay());
+    arrivals.pay();
+    arrivals.arrived(EngineArrival::Counted);
+    assert!(arrivals.must_pay());
+    assert_eq!(arrivals.unused(), 0);
+}
+
 #[test]
 fn what_was_paid_for_and_never_left_is_given_back() {
     let mut arrivals = RequestArrivals::new();
-    arrivals.arrived(EngineArrival::Rejected);
+    arrivals.arrived(EngineArrival::Counted);
     arrivals.pay();
     assert_eq!(arrivals.unused(), 1);
-    arrivals.arrived(EngineArrival::Run);
+    arrivals.arrived(EngineArrival::Counted);
     assert_eq!(arrivals.unused(), 0);
 }
 
@@ -120,12 +133,12 @@
                 arrivals.pay();
             }
             let arrival = match call {
-                call if call < REJECTIONS => EngineArrival::Rejected,
-                call if call == REJECTIONS => EngineArrival::PrefillTaken,
-                _ => EngineArrival::Run,
+                call if call < REJECTIONS => EngineArrival::Counted,
+                call if call == REJECTIONS => EngineArrival::PrefillDone,
+                _ => EngineArrival::Counted,
             };
             arrivals.arrived(arrival);
-            sent += usize::from(arrival != EngineArrival::PrefillTaken);
+            sent += usize::from(arrival != EngineArrival::PrefillDone);
         }
         budget.never_sent(now, &service(), arrivals.unused());
         beyond_first += sent.saturating_sub(1);
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -8,6 +8,7 @@
     directory::EndpointDirectory,
     ingress::ConfigurationBelief,
     placement::{EngineBooks, ReplicaBooks},
+    provision::DemandBoard,
     relay::DifferenceWatch,
     retries::{SharedAllowance, SharedBudget},
     routing::RoutingSettings,
@@ -87,6 +88,8 @@
     pub directory: Shared<EndpointDirectory>,
     /// The engines' queues and memories.
     pub engines: Shared<EngineBooks>,
+    /// What requests ask of engines, here and at the other entries.
+    pub demands: Shared<DemandBoard>,
     /// The replicas of plain services.
     pub replicas: Shared<ReplicaBooks>,
     /// The budget of repeats.
@@ -144,6 +147,7 @@
             belief: Shared::new(ConfigurationBelief::new()),
             directory: Shared::new(EndpointDirectory::new()),
             engines: Shared::new(EngineBooks::new(routing.clone()).with_seed(seed)),
+            demands: Shared::new(DemandBoard::new()),
             replicas: Shared::new(ReplicaBooks::new(routing).with_seed(seed)),
             budget: Shared::new(SharedBudget::new(allowance)),
             meter: Shared::new(UsageMeter::new()),
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -7,6 +7,7 @@
     attempts::{RequestAttempts, WorkKind},
     clock::TimeSpan,
     ids::EndpointId,
+    ingress::EngineRule,
     placement::{EndpointTarget, PlanRequest, PrefillPlan, PromptWork},
     retries::{EngineArrival, RequestArrivals},
 };
@@ -22,7 +23,7 @@
         meter,
         prefill::PrefilledSource,
         refuse, request_line,
-        stream::{self, RunningStream},
+        stream::{self, RunningStream, StreamMark},
     },
     front::{AnswerBody, CallerRequest, Refusal, RefusalReason},
 };
@@ -212,8 +213,8 @@
     pub(super) fn note_sent(&mut self, end: &AttemptEnd, arrival: EngineArrival) {
         let arrival = match end {
             AttemptEnd::NotSent(_) => return,
-            AttemptEnd::NotExecuted { .. } => EngineArrival::Rejected,
-            _ => arrival,
+            AttemptEnd::Answered(answer) if answer.response.status().is_success() => arrival,
+            _ => EngineArrival::Counted,
         };
         self.asked += 1;
         self.arrivals.arrived(arrival);
@@ -268,15 +269,24 @@
         last_id: Option<u64>,
     ) -> Result<TryEnd, FailedTry> {
         let added = self.added_headers(last_id);
-        let prefill = PrefillGuard::new(&self.context, plan, &self.work);
+        let prefill = PrefillGuard::new(&self.context, &self.request.service, plan, &self.work);
         let target = plan.engine.clone();
         self.run(plan, &target, added, Some(prefill), last_id).await
     }
 
+    fn rule(&self) -> Option<&EngineRule> {
+        let service = self.request.table.service(&self.request.service)?;
+        service.engine.as_ref()
+    }
+
+    /// The share of an engine that the request takes while it runs.
+    fn run_share(&self) -> f64 {
+        let tokens = self.work.prompt + self.work.output;
+        self.rule().map_or(0.0, |rule| rule.run_share(tokens))
+    }
+
     fn ask(&self) -> Result<PlanRequest<'_>, FailedTry> {
-        let service = self.request.table.service(&self.request.service);
-        let rule = service.and_then(|service| service.engine.as_ref());
-        let Some(rule) = rule else {
+        let Some(rule) = self.rule() else {
             // No later try would find any, and trying again at once would hold up
             // everything else in this process.
             let detail = "the service has no engines";
@@ -332,10 +342,11 @@
                 "it has ended",
             ));
         };
-        let guard = RunGuard::new(&self.context, &target.id);
+        let share = self.run_share();
+        let guard = RunGuard::new(&self.context, &target.id, &self.request.service, share);
         let left = self.request.time_left(self.context.now());
         let end = attempt::send(&self.context, &self.request, target, &added, left).await;
-        self.note_sent(&end, EngineArrival::Run);
+        self.note_sent(&end, EngineArrival::Counted);
         match end {
             AttemptEnd::Answered(answer) => {
                 self.attempts.answering();
@@ -424,9 +435,15 @@
         let elapsed = now.since(self.request.arrived).as_millis() as f64 / 1_000.0;
         let latency = &self.context.metrics.latency;
         latency.with_label_values(&["model"]).observe(elapsed);
+        let began = StreamMark {
+            at: now,
+            last_id: events.last_id().unwrap_or_default(),
+        };
         Ok(TryEnd::Streaming(Box::new(RunningStream {
             head,
             events,
+            began,
+            reached: began,
             first: Some(first),
             is_complete,
             connection: Some(answer.connection),
--- a/crates/ingress/src/forward/guards.rs
+++ b/crates/ingress/src/forward/guards.rs
@@ -8,7 +8,7 @@
 
 use bluebell_core::{
     clock::ClockTime,
-    ids::EndpointId,
+    ids::{EndpointId, ServiceName},
     placement::{PrefillPlan, PrefillTicket, PromptWork},
 };
 
@@ -25,9 +25,17 @@
 
 impl PrefillGuard {
     /// The prefill is sent now.
-    pub fn new(context: &Arc<EntryContext>, plan: &PrefillPlan, work: &PromptWork) -> PrefillGuard {
+    pub fn new(
+        context: &Arc<EntryContext>,
+        service: &ServiceName,
+        plan: &PrefillPlan,
+        work: &PromptWork,
+    ) -> PrefillGuard {
         let sent = context.now();
         let ticket = context.engines.lock().prefill_sent(sent, plan, work);
+        let mut demands = context.demands.lock();
+        demands.prefill_sent(sent, service, plan.work_ms);
+        drop(demands);
         PrefillGuard {
             context: Arc::clone(context),
             plan: plan.clone(),
@@ -65,22 +73,36 @@
 pub struct RunGuard {
     context: Arc<EntryContext>,
     engine: EndpointId,
+    service: ServiceName,
+    share: f64,
 }
 
 impl RunGuard {
-    /// The request is sent now.
-    pub fn new(context: &Arc<EntryContext>, engine: &EndpointId) -> RunGuard {
+    /// The request is sent now; it takes `share` of the engine.
+    pub fn new(
+        context: &Arc<EntryContext>,
+        engine: &EndpointId,
+        service: &ServiceName,
+        share: f64,
+    ) -> RunGuard {
+        let now = context.now();
         context.engines.lock().run_started(engine);
+        context.demands.lock().run_started(now, service, share);
         RunGuard {
             context: Arc::clone(context),
             engine: engine.clone(),
+            service: service.clone(),
+            share,
         }
     }
 }
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
+        let now = self.context.now();
         self.context.engines.lock().run_ended(&self.engine);
+        let mut demands = self.context.demands.lock();
+        demands.run_ended(now, &self.service, self.share);
     }
 }
 
--- a/crates/ingress/src/forward/prefill.rs
+++ b/crates/ingress/src/forward/prefill.rs
@@ -40,13 +40,13 @@
     /// nothing, so it may be repeated whatever the request is.
     pub(super) async fn prefill(&mut self, plan: &PrefillPlan) -> Result<String, FailedTry> {
         let target = &plan.engine;
-        let guard = PrefillGuard::new(&self.context, plan, &self.work);
+        let guard = PrefillGuard::new(&self.context, &self.request.service, plan, &self.work);
         let mut added = self.added_headers(None);
         added.push((headers::STAGE, headers::STAGE_PREFILL.to_string()));
         let left = self.request.time_left(self.context.now());
         self.pay_for_next()?;
         let end = attempt::send(&self.context, &self.request, target, &added, left).await;
-        self.note_sent(&end, EngineArrival::PrefillTaken);
+        self.note_sent(&end, EngineArrival::PrefillDone);
         let answer = match end {
             AttemptEnd::Answered(answer) if answer.response.status().is_success() => answer,
             end => {
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -1,6 +1,9 @@
 //! Streams on their way to the caller.
 
-use bluebell_core::{clock::TimeSpan, placement::EndpointTarget};
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    placement::EndpointTarget,
+};
 use bytes::Bytes;
 use hyper::{
     Response,
@@ -22,6 +25,18 @@
     front::{AnswerBody, StreamBroken, stream_body},
 };
 
+/// A point of a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamMark {
+    /// When it was reached.
+    pub at: ClockTime,
+    /// The id of the last event up to there.
+    pub last_id: u64,
+}
+
+/// From how many events on the pace of a stream says something.
+const PACED_EVENTS: u64 = 3;
+
 /// A stream whose first events are there.
 #[derive(Debug)]
 pub struct RunningStream {
@@ -31,6 +46,10 @@
     pub events: EventReader,
     /// The first events, until they are delivered.
     pub first: Option<Bytes>,
+    /// When they came, and the id of the last of them.
+    pub began: StreamMark,
+    /// When the newest events came, and the id of the last of them.
+    pub reached: StreamMark,
     /// Whether the stream ended with its first events.
     pub is_complete: bool,
     /// The connection that it comes on.
@@ -48,6 +67,15 @@
     content_type.is_some_and(|value| value.starts_with("text/event-stream"))
 }
 
+impl RunningStream {
+    /// The time between two events on average, in ms.
+    fn event_ms(&self) -> Option<f64> {
+        let events = self.reached.last_id.saturating_sub(self.began.last_id);
+        let took = self.reached.at.since(self.began.at).as_millis();
+        (events >= PACED_EVENTS).then(|| took as f64 / events as f64)
+    }
+}
+
 struct StreamState {
     run: GenerationRun,
     running: RunningStream,
@@ -92,7 +120,13 @@
             }
             let left = self.run.request.time_left(self.run.context.now());
             match self.running.events.next(left.as_duration()).await {
-                NextEvents::Events { bytes, .. } => return Some(Ok(bytes)),
+                NextEvents::Events { bytes, last_id } => {
+                    self.running.reached = StreamMark {
+                        at: self.run.context.now(),
+                        last_id: last_id.unwrap_or_default(),
+                    };
+                    return Some(Ok(bytes));
+                }
                 NextEvents::End => self.running.is_complete = true,
                 NextEvents::Silent => return Some(Err(self.break_off("timed_out"))),
                 NextEvents::Broken if !self.resume().await => {
@@ -135,6 +169,11 @@
             attempt::keep(context, &self.running.target, connection);
         }
         let now = context.now();
+        if let Some(event_ms) = self.running.event_ms() {
+            let service = &self.run.request.service;
+            let mut demands = context.demands.lock();
+            demands.stream_paced(now, service, event_ms);
+        }
         context
             .engines
             .lock()
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -2,8 +2,9 @@
 
 use bluebell_core::{
     directory::EngineStage,
-    ids::FailureDomain,
+    ids::{FailureDomain, ServiceName},
     placement::{EngineLoad, RANKS, ToldLoad, ToldPart},
+    provision::EngineDemand,
     usage::MeterWriter,
 };
 use prost::Message;
@@ -88,6 +89,55 @@
     /// Engines that refused the sender lately, by the hashes of their ids.
     #[prost(fixed64, repeated, tag = "12")]
     pub refusing: Vec<u64>,
+    /// What the sender's requests ask of engines.
+    #[prost(message, repeated, tag = "13")]
+    pub demands: Vec<DemandMessage>,
+}
+
+/// What an instance's requests ask of the engines of a service.
+#[derive(Clone, PartialEq, Message)]
+pub struct DemandMessage {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Thousandths of an engine that prefills.
+    #[prost(uint32, tag = "2")]
+    pub prefill: u32,
+    /// Thousandths of an engine whose slots or memory are taken by what runs.
+    #[prost(uint32, tag = "3")]
+    pub held: u32,
+    /// Hundredths of requests that run.
+    #[prost(uint32, tag = "4")]
+    pub running: u32,
+    /// Thousandths of the speed of a request that has an engine for itself; 0 if it
+    /// is not known.
+    #[prost(uint32, tag = "5")]
+    pub speed: u32,
+}
+
+impl DemandMessage {
+    /// The demand as it is told.
+    pub fn new(service: &ServiceName, demand: EngineDemand) -> DemandMessage {
+        let thousandths = |figure: f64| (figure * 1_000.0).round() as u32;
+        DemandMessage {
+            service: service.to_string(),
+            prefill: thousandths(demand.prefill),
+            held: thousandths(demand.held),
+            running: (demand.running * 100.0).round() as u32,
+            speed: demand.speed.map_or(0, thousandths),
+        }
+    }
+
+    /// The demand as the slices know it.
+    pub fn demand(&self) -> EngineDemand {
+        let figure = |thousandths: u32| f64::from(thousandths) / 1_000.0;
+        EngineDemand {
+            prefill: figure(self.prefill),
+            held: figure(self.held),
+            running: f64::from(self.running) / 100.0,
+            speed: (self.speed > 0).then(|| figure(self.speed)),
+        }
+    }
 }
 
 /// What differs between the receivers of a datagram; it is appended to the part
@@ -207,6 +257,14 @@
         self
     }
 
+    /// Adds what the sender's requests ask of engines.
+    pub fn with_demands(mut self, demands: &[(ServiceName, EngineDemand)]) -> PeerMessage {
+        let demands = demands.iter();
+        let messages = demands.map(|(service, demand)| DemandMessage::new(service, *demand));
+        self.demands = messages.collect();
+        self
+    }
+
     /// Adds the stages that were ordered lately.
     pub fn with_stages(mut self, stages: Vec<StageMessage>) -> PeerMessage {
         self.stages = stages;
--- a/crates/ingress/src/peers/talk.rs
+++ b/crates/ingress/src/peers/talk.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    ids::{FailureDomain, InstanceId},
+    ids::{FailureDomain, InstanceId, ServiceName},
 };
 use bluebell_daemon::logs::LogLine;
 use bytes::BytesMut;
@@ -155,6 +155,7 @@
         self.has_told_load = !loads.is_empty();
         let message = PeerMessage::new(&loads, &parts)
             .with_stages(stages)
+            .with_demands(&self.context.demands.lock().own(now))
             .with_refusing(refusing);
         let receivers = self.receivers(now);
         self.send(now, message, relay, &receivers).await;
@@ -303,6 +304,7 @@
         if !message.says_loads {
             return;
         }
+        self.hear_demands(now, &peer, &message);
         let (loads, parts) = (message.told_loads(), message.told_parts());
         let mut engines = self.context.engines.lock();
         engines.note_peer(now, &peer, &loads, &parts);
@@ -313,4 +315,14 @@
             engines.stage_ordered(now, order.engine, order.stage());
         }
     }
+
+    fn hear_demands(&self, now: ClockTime, peer: &InstanceId, message: &PeerMessage) {
+        let mut demands = self.context.demands.lock();
+        for told in &message.demands {
+            match ServiceName::new(told.service.as_str()) {
+                Ok(service) => demands.note_peer(now, peer, service, told.demand()),
+                Err(error) => log::debug!("event=demand_rejected error={error:?}"),
+            }
+        }
+    }
 }
--- a/crates/ingress/src/steward/provide.rs
+++ b/crates/ingress/src/steward/provide.rs
@@ -31,11 +31,13 @@
         let directory = self.context.directory.lock();
         let services = table.configuration().services.values();
         let planner = &mut self.planner;
+        let mut demands = self.context.demands.lock();
         let steps = services.flat_map(|rule| {
             let service = ProvisionService {
                 name: &rule.name,
                 scaling: rule.scaling.as_ref(),
                 engine: rule.engine.as_ref(),
+                demand: demands.total(now, &rule.name),
             };
             planner.steps(now, service, directory.iter())
         });
@@ -58,9 +60,16 @@
             // An order without an answer may be carried out all the same, so it
             // counts as given; it comes up again if it has no effect.
             self.planner.ordered(self.context.now(), &step);
-            let line = LogLine::new("order")
+            let mut line = LogLine::new("order")
                 .with("order", format!("{step:?}"))
                 .with("fence", grant.fence);
+            if let Some(plan) = self.planner.stage_plan(step.service()) {
+                let needs = plan.needs().unwrap_or_default();
+                line = line
+                    .with("prefill_need", format!("{:.2}", needs.prefill))
+                    .with("run_need", format!("{:.2}", needs.run))
+                    .with("runners", format!("{:?}", plan.planned().values()));
+            }
             match outcome {
                 Ok(outcome) => {
                     line.with("outcome", &outcome).info();
@@ -135,7 +144,10 @@
         grant: &StewardGrant,
         step: &ProvisionStep,
     ) -> Result<String, CallError> {
-        let ProvisionStep::Stage { endpoint, stage } = step else {
+        let ProvisionStep::Stage {
+            endpoint, stage, ..
+        } = step
+        else {
             return Ok(String::new());
         };
         let address = self
