Refuse at once what no engine can begin before its caller's deadline

Cause: in a flood (one kind four times its rate, a third of the engines dark, a failure domain's preemptible ones withdrawn) nobody was refused; prompts waited in the engines until deadlines passed and were read for callers who had left. Change: a request whose first token would come after its deadline on each engine, sound ones first and all of them asked, is refused with 503 and a Retry-After of the excess and up to half of it more. The more urgent are still served; nothing is refused while one engine is free. Kept for the floods; it reaches few requests, as most end by callers who leave a silent stream after some 3 s, on engines that are dark.

--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -49,7 +49,9 @@
 /// How many times a hand-over takes longer between failure domains.
 const FAR_HANDOVER: f64 = 2.0;
 /// What prefill work costs beside its own time, per ms of it: it keeps others
-/// waiting. A whole ms would be right at full load.
+/// waiting, and what is read anew takes the place of what others would find. With a
+/// lower weight work spreads as queues grow, and shared parts are read again just
+/// when engines are short.
 const WORK_WEIGHT: f64 = 0.5;
 /// The share of a shared part that is taken to be held by its rendezvous engine
 /// when nobody is known to have sent it there.
@@ -124,6 +126,8 @@
     pub priority: u8,
     /// Engines that it must not go to again.
     pub tried: &'a [EndpointId],
+    /// For how much longer its caller waits.
+    pub time_left: TimeSpan,
 }
 
 impl PlanRequest<'_> {
@@ -138,6 +142,12 @@
     /// None is registered, or all were tried.
     #[error("no engine is left")]
     NoneLeft,
+    /// On none of them would the first token come in time.
+    #[error("the first token would come {late} too late on each engine")]
+    TooLate {
+        /// By how much, on the engine where it would come first.
+        late: TimeSpan,
+    },
 }
 
 /// What entries tell each other of one engine.
@@ -315,12 +325,43 @@
     pub fn plan(&mut self, now: ClockTime, ask: PlanRequest<'_>) -> Result<PrefillPlan, NoEngine> {
         for sound_only in [true, false] {
             if let Some(plan) = self.best_plan(now, ask, sound_only) {
+                self.check_time(now, ask, sound_only, &plan)?;
                 return Ok(plan);
             }
         }
         Err(NoEngine::NoneLeft)
     }
 
+    /// Refuses what no engine can begin before its caller has left.
+    ///
+    /// In a flood prompts wait in the engines until their deadlines pass: callers wait
+    /// for nothing, and prompts that are read for those who have left keep the next
+    /// ones waiting. Whatever waits at one engine, another one may be free; so all are
+    /// asked before a request is refused.
+    fn check_time(
+        &self,
+        now: ClockTime,
+        ask: PlanRequest<'_>,
+        sound_only: bool,
+        plan: &PrefillPlan,
+    ) -> Result<(), NoEngine> {
+        if plan.first_token <= ask.time_left {
+            return Ok(());
+        }
+        let soonest = self.usable(now, ask, sound_only).map(|book| {
+            let work_ms = self.prefill_at(now, book, &ask, false).work_ms;
+            book.queue.wait_ms(now, ask.rank()) + work_ms
+        });
+        let soonest_ms = soonest.min_by(f64::total_cmp).unwrap_or_default();
+        let soonest = TimeSpan::from_millis(soonest_ms as u64);
+        match soonest > ask.time_left {
+            true => Err(NoEngine::TooLate {
+                late: soonest.less(ask.time_left),
+            }),
+            false => Ok(()),
+        }
+    }
+
     fn best_plan(
         &mut self,
         now: ClockTime,
--- a/crates/core/tests/placement_engines.rs
+++ b/crates/core/tests/placement_engines.rs
@@ -8,7 +8,8 @@
     ids::{EndpointId, FailureDomain, InstanceId, ServiceName},
     ingress::EngineRule,
     placement::{
-        EngineBooks, EngineLoad, PlanRequest, PrefillPlan, PromptWork, RANKS, ToldLoad, ToldPart,
+        EngineBooks, EngineLoad, NoEngine, PlanRequest, PrefillPlan, PromptWork, RANKS, ToldLoad,
+        ToldPart,
     },
     routing::RoutingSettings,
     units::{ByteSize, TokenCount},
@@ -70,6 +71,7 @@
     work: PromptWork,
     priority: u8,
     tried: Vec<EndpointId>,
+    time_left: TimeSpan,
 }
 
 impl Ask {
@@ -80,9 +82,20 @@
             work: PromptWork::new(sizes, parts).unwrap(),
             priority: CHAT_PRIORITY,
             tried: Vec::new(),
+            time_left: TimeSpan::from_secs(60),
         }
     }
 
+    fn with_time_left(mut self, millis: u64) -> Ask {
+        self.time_left = TimeSpan::from_millis(millis);
+        self
+    }
+
+    fn with_priority(mut self, priority: u8) -> Ask {
+        self.priority = priority;
+        self
+    }
+
     fn request(&self) -> PlanRequest<'_> {
         PlanRequest {
             service: &self.service,
@@ -90,6 +103,7 @@
             work: &self.work,
             priority: self.priority,
             tried: &self.tried,
+            time_left: self.time_left,
         }
     }
 }
@@ -487,3 +501,61 @@
     books.set_engine(at(9_000), &new);
     assert!(runner(&mut books, 9_000, &others).is_err());
 }
+
+/// A fleet in which prompts that arrived in a flood wait for eight seconds on each
+/// engine that prefills.
+fn flooded() -> EngineBooks {
+    let mut books = books(&[("p1", "a", P), ("p2", "a", P), ("d1", "a", D)]);
+    for name in ["p1", "p2", "d1"] {
+        let mut load = EngineLoad::default();
+        load.prefill_ms[usize::from(CHAT_PRIORITY)] = 8_000.0;
+        let told = ToldLoad {
+            engine: books.hash(&id(name)).unwrap(),
+            load,
+        };
+        let peer = InstanceId::new(format!("entry-{name}")).unwrap();
+        books.note_peer(at(0), &peer, &[told], &[]);
+    }
+    books
+}
+
+#[test]
+fn what_would_come_too_late_on_each_engine_is_refused_at_once() {
+    // One kind of request comes at four times its rate while a third of the engines is
+    // dark. Callers used to wait until their deadlines passed, behind prompts that were
+    // read for callers who had left; they are told at once when to come back.
+    let mut books = flooded();
+    let ask = Ask::new("6000,35", "").with_time_left(5_000);
+    let refused = books.plan(at(0), ask.request());
+    let Err(NoEngine::TooLate { late }) = refused else {
+        panic!("{refused:?}");
+    };
+    let late = late.as_millis();
+    assert!((3_000..3_500).contains(&late), "{late}");
+}
+
+#[test]
+fn nothing_is_refused_while_an_engine_is_free() {
+    // All engines but one are flooded. Whoever may go there must not be refused, also
+    // where few engines are considered for each request.
+    let mut books = flooded();
+    books.set_engine(at(0), &engine("p3", "b", P));
+    books.set_considered(0.01);
+    for _ in 0..50 {
+        let ask = Ask::new("6000,35", "").with_time_left(5_000);
+        assert!(books.plan(at(0), ask.request()).is_ok());
+    }
+}
+
+#[test]
+fn the_more_urgent_are_served_while_the_less_urgent_are_refused() {
+    let mut books = flooded();
+    let urgent = Ask::new("600,35", "")
+        .with_time_left(2_500)
+        .with_priority(0);
+    assert!(books.plan(at(0), urgent.request()).is_ok());
+    let patient = Ask::new("600,35", "")
+        .with_time_left(2_500)
+        .with_priority(2);
+    assert!(books.plan(at(0), patient.request()).is_err());
+}
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -8,10 +8,11 @@
     clock::TimeSpan,
     ids::EndpointId,
     ingress::EngineRule,
-    placement::{EndpointTarget, PlanRequest, PrefillPlan, PromptWork},
+    placement::{EndpointTarget, NoEngine, PlanRequest, PrefillPlan, PromptWork},
     retries::{EngineArrival, RequestArrivals},
 };
 use hyper::Response;
+use rand::Rng;
 
 use crate::{
     context::EntryContext,
@@ -25,7 +26,7 @@
         refuse, request_line,
         stream::{self, RunningStream, StreamMark},
     },
-    front::{AnswerBody, CallerRequest, Refusal, RefusalReason},
+    front::{AnswerBody, CallerRequest, DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
 };
 
 /// How many engines are asked at most, counting those that refused.
@@ -52,6 +53,8 @@
     /// Why, for the log.
     pub detail: String,
     is_final: bool,
+    /// When the caller is to come back, if more is known than usual.
+    retry_after: Option<TimeSpan>,
 }
 
 impl FailedTry {
@@ -64,6 +67,7 @@
             reason,
             detail: detail.into(),
             is_final: false,
+            retry_after: None,
         }
     }
 
@@ -118,6 +122,7 @@
         }
         Err(failed) => {
             let refusal = Refusal::with_outcome(run.attempts.outcome(), failed.reason);
+            let refusal = refusal.with_retry_after(failed.retry_after);
             refuse(context, request, refusal, &failed.detail)
         }
     }
@@ -298,6 +303,7 @@
             work: &self.work,
             priority: self.request.priority,
             tried: &self.tried,
+            time_left: self.request.time_left(self.context.now()),
         })
     }
 
@@ -306,7 +312,7 @@
         let plan = self.context.engines.lock().plan(now, self.ask()?);
         // Trying again at once would find none again, and hold up everything else
         // in this process while it does.
-        plan.map_err(|error| FailedTry::new(RefusalReason::NoEndpoint, error.to_string()).last())
+        plan.map_err(|error| no_engine(error).last())
     }
 
     fn choose_runner(&self, plan: &PrefillPlan) -> Result<EndpointTarget, FailedTry> {
@@ -504,6 +510,21 @@
     }
 }
 
+/// What is told a caller for whom there is no engine. Those who would come too late
+/// return when the engines have worked off that much, and not all at the same moment.
+fn no_engine(error: NoEngine) -> FailedTry {
+    let detail = error.to_string();
+    let NoEngine::TooLate { late } = error else {
+        return FailedTry::new(RefusalReason::NoEndpoint, detail);
+    };
+    let least = late.max(DEFAULT_RETRY_AFTER).as_millis();
+    let spread = rand::rng().random_range(0..=least / 2);
+    FailedTry {
+        retry_after: Some(TimeSpan::from_millis(least + spread)),
+        ..FailedTry::new(RefusalReason::Overloaded, detail)
+    }
+}
+
 impl Drop for GenerationRun {
     /// Gives back what was paid for calls that never left, also when the caller has gone.
     fn drop(&mut self) {
--- a/crates/ingress/src/front/mod.rs
+++ b/crates/ingress/src/front/mod.rs
@@ -18,7 +18,7 @@
 pub use self::{
     body::{AnswerBody, StreamBroken, empty_body, full_body, stream_body},
     listener::CallerFront,
-    refusal::{Refusal, RefusalReason},
+    refusal::{DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
     request::CallerRequest,
 };
 use crate::{context::EntryContext, forward};
--- a/crates/ingress/src/front/refusal.rs
+++ b/crates/ingress/src/front/refusal.rs
@@ -39,6 +39,8 @@
     OutOfMemory,
     /// No endpoint can take it.
     NoEndpoint,
+    /// No endpoint could begin it in time.
+    Overloaded,
     /// Every endpoint that was asked refused.
     EndpointsFull,
     /// Its endpoint failed; it may have run.
@@ -62,6 +64,7 @@
             RefusalReason::BodyTooSlow => "body_too_slow",
             RefusalReason::OutOfMemory => "out_of_memory",
             RefusalReason::NoEndpoint => "no_endpoint",
+            RefusalReason::Overloaded => "overloaded",
             RefusalReason::EndpointsFull => "endpoints_full",
             RefusalReason::EndpointFailed => "endpoint_failed",
             RefusalReason::TimedOut => "timed_out",
@@ -131,6 +134,13 @@
         }
     }
 
+    /// Says when to come back, if that is said at all and something better than the
+    /// default is known.
+    pub fn with_retry_after(mut self, better: Option<TimeSpan>) -> Refusal {
+        self.retry_after = self.retry_after.map(|default| better.unwrap_or(default));
+        self
+    }
+
     /// Names the request, for the log.
     pub fn with_request(mut self, request: &str) -> Refusal {
         self.request = request.chars().take(64).collect();
