--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -31,8 +31,8 @@
     routing::{EndpointHealth, RoutingSettings},
 };
 
-/// Tokens that an engine prefills in a ms until it has been measured: the lower
-/// of the users' two kinds of engine.
+/// Tokens that an engine prefills in a ms, reckoned with until prefills are seen: a
+/// low one, so that a new entry doesn't crowd an engine.
 const FIRST_PREFILL_RATE: f64 = 55.0;
 /// The bounds of what is believed of a measured rate, in tokens a ms.
 const PREFILL_RATES: (f64, f64) = (5.0, 1_000.0);
@@ -42,16 +42,15 @@
 const RATE_SAMPLE_TOKENS: f64 = 1_500.0;
 /// The fixed time of a request before its first token, in ms.
 const FIXED_MS: f64 = 20.0;
-/// How much slower an engine of the decode stage prefills, as the users say.
+/// How much slower an engine of the decode stage prefills.
 const DECODE_STAGE_SLOWDOWN: f64 = 2.0;
 /// The fixed time of a hand-over between engines, in ms.
 const HANDOVER_MS: f64 = 8.0;
 /// How many times a hand-over takes longer between failure domains.
 const FAR_HANDOVER: f64 = 2.0;
 /// What prefill work costs beside its own time, per ms of it: it keeps others
-/// waiting, and what is read anew takes the place of what others would find. With a
-/// lower weight work spreads as queues grow, and shared parts are read again just
-/// when engines are short.
+/// waiting, and takes the place of what others would find. A weight that is too high
+/// has a popular part flood one engine while others idle.
 const WORK_WEIGHT: f64 = 0.5;
 /// The share of a shared part that is taken to be held by its rendezvous engine
 /// when nobody is known to have sent it there.
@@ -75,7 +74,7 @@
 /// How long an engine gets nothing that refused another entry.
 const TOLD_REFUSAL_PAUSE: TimeSpan = TimeSpan::from_millis(400);
 /// The least share of the engines that is considered for a request: two of some
-/// hundred, at the entries and engines of the largest fleet designed for.
+/// hundred.
 const LEAST_CONSIDERED: f64 = 0.005;
 /// By how much costs are varied, so that entries with the same picture don't all
 /// take the same engine.
@@ -426,11 +425,8 @@
     /// Entries hear of each other's work with a delay. If all of them took the least
     /// busy engine of all, everything that arrives in that time would go to the same
     /// few, and streams there would stall while others idle. Of a part drawn at
-    /// random each takes another one. Two candidates are nearly as good as all of
-    /// them would be if everything were known: with 70 entries and 250 engines, 2 in
-    /// 100 considered instead of 12 brought late streams from 4.9 in 100 down to 3.4
-    /// and refused ones from 0.6 to none, through the loss of two failure domains'
-    /// preemptible engines.
+    /// random each takes another one; two candidates are nearly as good as all of
+    /// them would be if everything were known.
     pub fn set_considered(&mut self, share: f64) {
         self.considered = share.clamp(LEAST_CONSIDERED, 1.0);
     }
--- a/crates/core/src/placement/parts.rs
+++ b/crates/core/src/placement/parts.rs
@@ -7,9 +7,8 @@
     placement::PromptPart,
 };
 
-/// How long a part is taken to stay in an engine's memory after its last use.
-/// An engine's memory turns over in 15 to 25 s at the load of the users' sheets;
-/// rereading a part within some 9 s is what they price.
+/// How long a part is taken to stay in an engine's memory after its last use: shorter
+/// than a busy engine takes to fill its memory anew.
 const PART_LIFE: TimeSpan = TimeSpan::from_secs(12);
 
 /// The most parts that are remembered; the oldest go first.
--- a/crates/core/src/provision/mod.rs
+++ b/crates/core/src/provision/mod.rs
@@ -3,13 +3,11 @@
 //! Endpoints are the largest price of a day. Preemptible ones cost about a sixth
 //! of the others, but a whole failure domain of them goes within some seconds of
 //! the notice, at times with no more to be had. Prefills fit them: a prefill that
-//! is lost has run nothing and is simply done elsewhere. So preemptible engines
-//! prefill, and a few lasting ones in each failure domain run the requests.
+//! is lost has run nothing and is simply done elsewhere. So each failure domain has
+//! preemptible engines beside its lasting ones.
 //!
-//! An engine that prefills stretches the pauses of the streams that it runs: each
-//! of their tokens waits for a piece of a prompt. With the stages apart, no
-//! stream waits for a prompt. Running takes far less of the engines than
-//! prefilling at the users' mix.
+//! Which of them prefill and which run requests follows from the work that entries
+//! see ([`StagePlan`]).
 
 mod demand;
 mod stages;
