Derive the needs and the newest event; average in one place; one shape for the soak's options

Read again: `StagePlan` kept its needs beside the averages that they are; a stream kept the id of its newest event beside the reader that knows it; the same average stood three times; `total` collected every service's demand for each service; five options of the soak repeated one shape. Comments on crowding and on preemptible engines said something else than the code.

--- a/crates/core/src/provision/demand.rs
+++ b/crates/core/src/provision/demand.rs
@@ -69,8 +69,8 @@
         Some((one * first + two * second) / (first + second))
     }
 
-    /// The share of their time in which the engines that run requests are kept busy
-    /// by the number of them: what an engine can generate at most goes down to it.
+    /// The share of their speed that requests lose to the others that run on the same
+    /// engines: 0 with an engine for each, close to 1 where an engine can't generate more.
     pub fn crowding(&self) -> f64 {
         self.speed.map_or(0.0, |speed| 1.0 - speed)
     }
@@ -126,10 +126,12 @@
 impl DemandMeter {
     fn advance(&mut self, now: ClockTime) {
         let kept = kept(now.since(self.at), AVERAGED_OVER);
-        let (average, present) = (&mut self.average, self.present);
+        let (average, present) = (self.average, self.present);
         self.prefill *= kept;
-        average.held = present.held + (average.held - present.held) * kept;
-        average.running = present.running + (average.running - present.running) * kept;
+        self.average = RunMeter {
+            held: averaged(average.held, present.held, kept),
+            running: averaged(average.running, present.running, kept),
+        };
         self.at = now;
     }
 
@@ -148,6 +150,11 @@
     (-(span.as_millis() as f64) / over.as_millis() as f64).exp()
 }
 
+/// An average of which `kept` is left, and the rest is `present`.
+fn averaged(average: f64, present: f64, kept: f64) -> f64 {
+    present + (average - present) * kept
+}
+
 #[derive(Clone, Copy, Debug)]
 struct ToldDemand {
     at: ClockTime,
@@ -218,13 +225,13 @@
     /// What all entries ask for of a service.
     pub fn total(&mut self, now: ClockTime, service: &ServiceName) -> EngineDemand {
         self.told.retain(|_, told| now.since(told.at) < WORD_LIFE);
-        let own = self.own(now).into_iter();
-        let own = own.filter(|(name, _)| name == service);
+        let own = self.own.get_mut(service).map(|meter| {
+            meter.advance(now);
+            meter.demand()
+        });
         let told = self.told.iter().filter(|((name, _), _)| name == service);
-        let demands = own.map(|(_, demand)| demand);
-        demands
-            .chain(told.map(|(_, told)| told.demand))
-            .fold(EngineDemand::default(), EngineDemand::plus)
+        told.map(|(_, told)| told.demand)
+            .fold(own.unwrap_or_default(), EngineDemand::plus)
     }
 
     fn meter(&mut self, now: ClockTime, service: &ServiceName) -> &mut DemandMeter {
@@ -255,13 +262,17 @@
         }
     }
 
-    /// Takes the figure of now; answers what to reckon with.
-    pub fn note(&mut self, now: ClockTime, figure: f64) -> f64 {
+    /// Takes the figure of now.
+    pub fn note(&mut self, now: ClockTime, figure: f64) {
         let seen = now.since(self.since);
         let over = seen.max(LEARNT_OVER.0).min(LEARNT_OVER.1);
         let kept = kept(now.since(self.at), over);
-        self.figure = figure + (self.figure - figure) * kept;
+        self.figure = averaged(self.figure, figure, kept);
         self.at = now;
+    }
+
+    /// What to reckon with.
+    pub fn figure(&self) -> f64 {
         self.figure
     }
 }
--- a/crates/core/src/provision/mod.rs
+++ b/crates/core/src/provision/mod.rs
@@ -31,9 +31,8 @@
 /// that it had at first.
 const LASTING_SHARE: f64 = 1.0;
 
-/// Preemptible engines ordered for each engine that a failure domain had at
-/// first: more than before, as they cost a sixth, so that the loss of a failure
-/// domain leaves the others enough.
+/// Preemptible engines ordered for each engine that a failure domain had at first:
+/// so many that the loss of a failure domain's leaves the others enough.
 const PREEMPTIBLE_FACTOR: f64 = 1.0;
 
 /// How long after an order its outcome is awaited beyond the time to boot.
--- a/crates/core/src/provision/stages.rs
+++ b/crates/core/src/provision/stages.rs
@@ -55,9 +55,8 @@
     runners: BTreeMap<FailureDomain, usize>,
     /// Engines that were ordered to change, and when.
     switching: BTreeMap<EndpointId, ClockTime>,
-    learnt: Option<LearntNeeds>,
     /// What the work needs; none as long as too little was seen.
-    needs: Option<StageNeeds>,
+    learnt: Option<LearntNeeds>,
 }
 
 /// What was needed on average.
@@ -79,7 +78,10 @@
 impl StagePlan {
     /// What the work needs; none as long as too little was seen.
     pub fn needs(&self) -> Option<StageNeeds> {
-        self.needs
+        self.learnt.map(|learnt| StageNeeds {
+            prefill: learnt.prefill.figure(),
+            run: learnt.run.figure(),
+        })
     }
 
     /// How many engines of each failure domain are to run requests.
@@ -160,17 +162,15 @@
             prefill: LearntFigure::new(now, needs.prefill),
             run: LearntFigure::new(now, staged.len() as f64 * FIRST_RUN_SHARE),
         });
-        self.needs = Some(StageNeeds {
-            prefill: learnt.prefill.note(now, needs.prefill),
-            run: learnt.run.note(now, needs.run),
-        });
+        learnt.prefill.note(now, needs.prefill);
+        learnt.run.note(now, needs.run);
     }
 
     /// Divides the engines that are to run requests among the failure domains, to each
     /// by its engines: one that is cut off has to serve its own callers with them.
     fn plan_runners(&mut self, domains: &BTreeMap<FailureDomain, DomainEngines<'_>>) {
         let total: usize = domains.values().map(|engines| engines.wanted).sum();
-        let needed = self.needs.map(|needs| needs.runners(total));
+        let needed = self.needs().map(|needs| needs.runners(total));
         for (domain, engines) in domains {
             let share = engines.wanted as f64 / total.max(1) as f64;
             let planned = self.runners.get(domain).copied();
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -449,7 +449,7 @@
             head,
             events,
             began,
-            reached: began,
+            reached_at: now,
             first: Some(first),
             is_complete,
             connection: Some(answer.connection),
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -48,8 +48,8 @@
     pub first: Option<Bytes>,
     /// When they came, and the id of the last of them.
     pub began: StreamMark,
-    /// When the newest events came, and the id of the last of them.
-    pub reached: StreamMark,
+    /// When the newest events came.
+    pub reached_at: ClockTime,
     /// Whether the stream ended with its first events.
     pub is_complete: bool,
     /// The connection that it comes on.
@@ -70,8 +70,9 @@
 impl RunningStream {
     /// The time between two events on average, in ms.
     fn event_ms(&self) -> Option<f64> {
-        let events = self.reached.last_id.saturating_sub(self.began.last_id);
-        let took = self.reached.at.since(self.began.at).as_millis();
+        let last_id = self.events.last_id().unwrap_or_default();
+        let events = last_id.saturating_sub(self.began.last_id);
+        let took = self.reached_at.since(self.began.at).as_millis();
         (events >= PACED_EVENTS).then(|| took as f64 / events as f64)
     }
 }
@@ -120,11 +121,8 @@
             }
             let left = self.run.request.time_left(self.run.context.now());
             match self.running.events.next(left.as_duration()).await {
-                NextEvents::Events { bytes, last_id } => {
-                    self.running.reached = StreamMark {
-                        at: self.run.context.now(),
-                        last_id: last_id.unwrap_or_default(),
-                    };
+                NextEvents::Events { bytes, .. } => {
+                    self.running.reached_at = self.run.context.now();
                     return Some(Ok(bytes));
                 }
                 NextEvents::End => self.running.is_complete = true,
--- a/crates/soak/src/commands.rs
+++ b/crates/soak/src/commands.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use std::path::PathBuf;
+use std::{fmt::Display, path::PathBuf, str::FromStr};
 
 use anyhow::bail;
 use bpaf::{OptionParser, Parser, construct, long};
@@ -30,26 +30,15 @@
 
 /// The options.
 pub fn command() -> OptionParser<SoakOptions> {
-    let seed = long("seed")
-        .help("the first seed")
-        .argument("N")
-        .fallback(1);
-    let count = long("seeds")
-        .help("how many seeds, one after the other")
-        .argument("N")
-        .fallback(1);
-    let seconds = long("seconds")
-        .help("how long faults come with each seed")
-        .argument("N")
-        .fallback(FAULT_SECONDS);
-    let instances = long("instances")
-        .help("entry instances, in three failure domains")
-        .argument("N")
-        .fallback(6);
-    let callers = long("callers")
-        .help("callers in each failure domain")
-        .argument("N")
-        .fallback(6);
+    let seed = number("seed", "the first seed", 1);
+    let count = number("seeds", "how many seeds, one after the other", 1);
+    let seconds = number(
+        "seconds",
+        "how long faults come with each seed",
+        FAULT_SECONDS,
+    );
+    let instances = number("instances", "entry instances, in three failure domains", 6);
+    let callers = number("callers", "callers in each failure domain", 6);
     let folder = long("folder")
         .help("where settings, logs and reports are kept; a temporary folder otherwise")
         .argument("DIR")
@@ -75,6 +64,14 @@
     .descr("Soaks the entry program under faults from outside, against its promises.")
 }
 
+/// An option that takes a number.
+fn number<Number>(name: &'static str, help: &'static str, fallback: Number) -> impl Parser<Number>
+where
+    Number: FromStr<Err: Display> + Clone + 'static,
+{
+    long(name).help(help).argument("N").fallback(fallback)
+}
+
 /// Plays all seeds, unless it is asked to end before; answers whether all promises
 /// were kept. Whichever way this ends, the processes that it started end with it: each
 /// is killed when its handle is dropped.
