--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -124,9 +124,18 @@
 
     /// Another instance says that the registration has lapsed around an outage of
     /// the store, and for how much longer it keeps it.
-    pub fn lapse(&mut self, now: ClockTime, id: &EndpointId, kept_for: TimeSpan) {
-        if let Some(known) = self.endpoints.get_mut(id) {
-            known.lapses_at.get_or_insert(now + kept_for);
+    pub fn lapse(
+        &mut self,
+        now: ClockTime,
+        id: &EndpointId,
+        kept_for: TimeSpan,
+    ) -> DirectoryChange {
+        match self.endpoints.get_mut(id) {
+            Some(known) if known.lapses_at.is_none() => {
+                known.lapses_at = Some(now + kept_for);
+                DirectoryChange::Lapsed
+            }
+            _ => DirectoryChange::Same,
         }
     }
 
--- a/crates/ingress/src/believe/configuration.rs
+++ b/crates/ingress/src/believe/configuration.rs
@@ -7,7 +7,7 @@
     configuration::{self, KEY, TOPIC},
     store::{ReadAnswer, TopicPart},
 };
-use bluebell_core::{clock::TimeSpan, ids::LogOffset, ingress::AcceptedVersion};
+use bluebell_core::{clock::TimeSpan, ids::LogOffset, ingress::AcceptedVersion, units::ByteSize};
 use bluebell_daemon::logs::LogLine;
 
 use crate::{
@@ -123,6 +123,7 @@
                 .with("version", version)
                 .with("routes", routes)
                 .with("services", services)
+                .with("size", ByteSize::new(value.len() as u64))
                 .with("outcome", "in_force")
                 .info();
         }
--- a/crates/ingress/src/believe/endpoints.rs
+++ b/crates/ingress/src/believe/endpoints.rs
@@ -10,7 +10,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     directory::{DirectoryChange, EndpointRegistration},
-    ids::{EndpointId, LogOffset},
+    ids::{EndpointId, InstanceId, LogOffset},
 };
 use bluebell_daemon::logs::LogLine;
 
@@ -34,12 +34,16 @@
     let mut is_told = false;
     loop {
         if next.is_some() && !context.must_read_endpoints() {
+            if !is_told {
+                note_source(&context, "reader");
+            }
             is_told = true;
             drop_lapsed(&context);
             wait_while_told(&context).await;
             continue;
         }
         if mem::take(&mut is_told) {
+            note_source(&context, "store");
             // What came while the reader told is not worth reading record by record.
             next = None;
         }
@@ -69,6 +73,15 @@
     }
 }
 
+/// Tells where the registrations are learned from, from now on.
+fn note_source(context: &EntryContext, source: &str) {
+    let reader = context.reader();
+    LogLine::new("endpoints_followed")
+        .with("source", source)
+        .with("reader", reader)
+        .info();
+}
+
 /// Everything that stood in the store at `sent` is known.
 fn note_whole(context: &EntryContext, sent: ClockTime) {
     let mut relayed = context.relayed.lock();
@@ -218,13 +231,36 @@
         return;
     }
     tell(context, id, None);
-    LogLine::new("endpoint")
-        .with("endpoint", id)
-        .with("change", format!("{change:?}"))
-        .info();
+    note_gone(context, id, change, "store");
     forget_if_gone(context, id);
 }
 
+/// The reader of the failure domain says that the registration has lapsed.
+pub fn lapse(context: &EntryContext, id: &EndpointId, kept_for: TimeSpan, teller: &InstanceId) {
+    let now = context.now();
+    let change = context.directory.lock().lapse(now, id, kept_for);
+    if change == DirectoryChange::Same {
+        return;
+    }
+    note_gone(context, id, change, teller.as_str());
+}
+
+/// Tells what was made of a registration that went, and on whose word.
+fn note_gone(context: &EntryContext, id: &EndpointId, change: DirectoryChange, source: &str) {
+    let outcome = format!("{change:?}");
+    let counter = &context.metrics.registrations_gone;
+    counter.with_label_values(&[outcome.as_str()]).inc();
+    let kept_for = context.directory.lock().kept_for(context.now(), id);
+    let mut line = LogLine::new("endpoint")
+        .with("endpoint", id)
+        .with("change", outcome)
+        .with("source", source);
+    if let Some(kept_for) = kept_for {
+        line = line.with("kept_for", kept_for);
+    }
+    line.info();
+}
+
 fn forget_if_gone(context: &EntryContext, id: &EndpointId) {
     if context.directory.lock().get(id).is_some() {
         return;
--- a/crates/ingress/src/believe/mod.rs
+++ b/crates/ingress/src/believe/mod.rs
@@ -10,7 +10,7 @@
 use bluebell_daemon::logs::LogLine;
 use tokio_util::sync::CancellationToken;
 
-pub use self::endpoints::{register, unregister};
+pub use self::endpoints::{lapse, register, unregister};
 use crate::context::EntryContext;
 
 /// The first wait after a call to the store failed; it doubles up to the last.
@@ -78,14 +78,17 @@
     pub async fn failed(&mut self, context: &EntryContext, error: &CallError) {
         let counters = &context.metrics.store_calls;
         counters.with_label_values(&[self.call, "failed"]).inc();
-        if self.failures == 0 {
+        let wait = FIRST_BACKOFF * 2_u32.pow(self.failures.min(8));
+        self.failures += 1;
+        // The first, second, fourth and so on: an outage that lasts is told again
+        // without a line for each try.
+        if self.failures.is_power_of_two() {
             LogLine::new("store_lost")
                 .with("call", self.call)
+                .with("failures", self.failures)
                 .with("error", error)
                 .warn();
         }
-        let wait = FIRST_BACKOFF * 2_u32.pow(self.failures.min(8));
-        self.failures += 1;
         tokio::time::sleep(wait.min(LONGEST_BACKOFF)).await;
     }
 }
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -25,6 +25,10 @@
     pub store_calls: IntCounterVec,
     /// The version of the configuration in force.
     pub configuration_version: IntGauge,
+    /// The newest version that the reader of the failure domain has told of.
+    pub told_version: IntGauge,
+    /// Endpoints whose registrations went, by what was made of it.
+    pub registrations_gone: IntCounterVec,
     /// Requests under way.
     pub requests_open: IntGauge,
 }
@@ -74,6 +78,15 @@
                 "bluebell_configuration_version",
                 "version of the configuration in force",
             )?,
+            told_version: gauge(
+                "bluebell_configuration_told_version",
+                "newest version that the reader of the failure domain has told of",
+            )?,
+            registrations_gone: counter(
+                "bluebell_registrations_gone_total",
+                "registrations that went, by what was made of it",
+                &["outcome"],
+            )?,
             requests_open: gauge("bluebell_requests_open", "requests under way")?,
             latency,
             estimate_error,
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -11,7 +11,7 @@
     believe,
     context::EntryContext,
     peers::{
-        messages::{PeerMessage, RelayMessage},
+        messages::{ChangeMessage, PeerMessage, RelayMessage},
         table::PeerTable,
     },
 };
@@ -23,6 +23,12 @@
         self.peers.lock().is_reader(self.now(), own, domain)
     }
 
+    /// Who reads the store for this failure domain.
+    pub fn reader(&self) -> InstanceId {
+        let (own, domain) = (&self.writer.instance, &self.settings.domain);
+        self.peers.lock().reader(self.now(), own, domain)
+    }
+
     /// Whether the knowledge of keys is too old to be anybody's word.
     pub fn must_read_keys_by_age(&self) -> bool {
         let now = self.now();
@@ -86,7 +92,7 @@
         return;
     };
     for change in &relay.changes {
-        take_change(context, change);
+        take_change(context, peer, change);
     }
     let keys_known_at = echo.known_at(TimeSpan::from_millis(relay.keys_age_ms));
     let endpoints_known_at = echo.known_at(TimeSpan::from_millis(relay.endpoints_age_ms));
@@ -99,6 +105,7 @@
     let digest = context.directory.lock().digest();
     let mut relayed = context.relayed.lock();
     if relay.version > relayed.version {
+        note_told_version(context, peer, relay.version);
         relayed.version = relay.version;
         context.wake.notify_waiters();
     }
@@ -110,7 +117,21 @@
     }
 }
 
-fn take_change(context: &EntryContext, change: &crate::peers::messages::ChangeMessage) {
+fn note_told_version(context: &EntryContext, peer: &InstanceId, version: u64) {
+    context.metrics.told_version.set(version as i64);
+    let own = context.belief.lock().version();
+    if own == Some(version) {
+        return;
+    }
+    LogLine::new("configuration")
+        .with("version", version)
+        .with("own_version", own.unwrap_or_default())
+        .with("source", peer)
+        .with("outcome", "told")
+        .info();
+}
+
+fn take_change(context: &EntryContext, teller: &InstanceId, change: &ChangeMessage) {
     let id = match EndpointId::new(change.endpoint.as_str()) {
         Ok(id) => id,
         Err(error) => {
@@ -121,9 +142,8 @@
     match (&change.value, change.kept_for_ms) {
         (Some(value), _) => believe::register(context, &id, value),
         (None, Some(kept_for_ms)) => {
-            let now = context.now();
             let kept_for = TimeSpan::from_millis(kept_for_ms);
-            context.directory.lock().lapse(now, &id, kept_for);
+            believe::lapse(context, &id, kept_for, teller);
         }
         (None, None) => believe::unregister(context, &id),
     }
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -175,6 +175,13 @@
         silent.map(|(domain, _)| domain.clone()).collect()
     }
 
+    /// Who reads the store for `domain`, as seen by `own` there.
+    pub fn reader(&self, now: ClockTime, own: &InstanceId, domain: &FailureDomain) -> InstanceId {
+        let alive = self.alive(now).filter(|(_, peer)| peer.domain == *domain);
+        let names = alive.map(|(name, _)| name).chain([own]);
+        names.min().unwrap_or(own).clone()
+    }
+
     /// Whether `own` reads the store for its failure domain.
     pub fn is_reader(&self, now: ClockTime, own: &InstanceId, domain: &FailureDomain) -> bool {
         let alive = self.alive(now).filter(|(_, peer)| peer.domain == *domain);
