--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -167,3 +167,30 @@
     assert_eq!(missing, [id("missing")]);
     assert_eq!(open(&directory), ["kept"]);
 }
+
+/// Guards against work for a withdrawn endpoint that a reader keeps because it was
+/// itself cut off from the store.
+#[test]
+fn a_withdrawal_counts_at_once_where_the_store_was_never_away() {
+    let mut directory = EndpointDirectory::new();
+    directory.register(registration("withdrawn"));
+    directory.note_return(at(11_400));
+    let kept_for = TimeSpan::from_millis(2_000);
+    let change = directory.lapse(at(11_910), &id("withdrawn"), kept_for);
+    assert_eq!(change, DirectoryChange::Gone);
+    assert!(open(&directory).is_empty());
+}
+
+/// Guards against work for a withdrawn endpoint after one failed read of the store,
+/// in which no registration can have lapsed.
+#[test]
+fn a_failed_read_is_no_outage_in_which_registrations_lapse() {
+    let mut directory = EndpointDirectory::new();
+    directory.register(registration("withdrawn"));
+    directory.note_return(at(5_000));
+    directory.note_outage(at(5_900));
+    directory.note_return(at(6_000));
+    let change = directory.unregister(at(6_500), &id("withdrawn"));
+    assert_eq!(change, DirectoryChange::Gone);
+    assert!(open(&directory).is_empty());
+}
