Doubt a withdrawal only where the store was away

What callers saw: requests were sent to engines 2.05 s after the store had accepted that they leave; the engines turned them away.

Cause: two instances, each the reader of its failure domain, were cut off from the store for eight seconds. Back, they took withdrawals for lapses around an outage of the store, kept the engines for 2 s and told the others to keep them. Those had read the store all along.

Ruled out too: requests that waited (they were sent after the bound, at 13.555 s).

Change: each instance doubts a withdrawal on its own evidence only: after an outage that it saw itself, which ends with the first answer to it or to its reader, and for no longer than 2 s after that. A lapse that is told again is no change, nor is it logged again (one instance wrote the same two lapses 18 times each).

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -7,6 +7,11 @@
 //! all had registered again; one that kept them for good would send work to the
 //! dead. So registrations that lapse around an outage are kept for a short time
 //! after the store is back, within which live endpoints register again.
+//!
+//! A registration that goes may also have been withdrawn: some endpoints leave
+//! without saying so. So only those doubt it who know of an outage that was long
+//! enough for a registration to lapse. An instance that had the store all along
+//! does not, whatever one says that was cut off from it.
 
 mod registration;
 
@@ -52,8 +57,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointDirectory {
     endpoints: BTreeMap<EndpointId, KnownEndpoint>,
-    /// Since when no read of the registrations has come back.
+    /// When the store last answered, as far as known.
+    answered_at: Option<ClockTime>,
+    /// The store's last answer before the reads that fail now.
     outage_since: Option<ClockTime>,
+    /// The first answer after the last outage in which registrations can have lapsed.
     returned_at: Option<ClockTime>,
 }
 
@@ -65,16 +73,25 @@
 
     /// A read of the registrations failed.
     pub fn note_outage(&mut self, now: ClockTime) {
-        self.outage_since.get_or_insert(now);
+        let last_answer = self.answered_at.unwrap_or(now);
+        self.outage_since.get_or_insert(last_answer);
     }
 
-    /// A read of the registrations came back.
-    pub fn note_return(&mut self, now: ClockTime) {
-        if self.outage_since.take().is_some() {
-            self.returned_at = Some(now);
+    /// The store answered a read of the registrations at `at`: one of ours, or one
+    /// of the instance that reads for us.
+    pub fn note_return(&mut self, at: ClockTime) {
+        self.answered_at = self.answered_at.max(Some(at));
+        if self.outage_since.take_if(|since| at > *since).is_some() {
+            self.returned_at = Some(at);
         }
     }
 
+    /// Until when a registration that goes may have lapsed in an outage.
+    fn grace_end(&self, now: ClockTime) -> Option<ClockTime> {
+        let end = self.returned_at? + LAPSE_GRACE;
+        (now < end).then_some(end)
+    }
+
     /// Takes a registration as it was read.
     pub fn register(&mut self, registration: EndpointRegistration) -> DirectoryChange {
         let id = registration.id.clone();
@@ -102,16 +119,18 @@
 
     /// The registration of `id` is gone from the store.
     pub fn unregister(&mut self, now: ClockTime, id: &EndpointId) -> DirectoryChange {
+        let end = self.grace_end(now);
+        self.end_at(id, end)
+    }
+
+    /// Drops `id` at `end`, or at once if there is none or it had said that it leaves.
+    fn end_at(&mut self, id: &EndpointId, end: Option<ClockTime>) -> DirectoryChange {
         let Some(known) = self.endpoints.get_mut(id) else {
             return DirectoryChange::Same;
         };
-        if known.registration.is_leaving {
-            self.endpoints.remove(id);
-            return DirectoryChange::Gone;
-        }
-        let grace_end = self.returned_at.map(|returned| returned + LAPSE_GRACE);
-        match grace_end {
-            Some(end) if now < end => {
+        match end {
+            Some(_) if known.lapses_at.is_some() => DirectoryChange::Same,
+            Some(end) if !known.registration.is_leaving => {
                 known.lapses_at = Some(end);
                 DirectoryChange::Lapsed
             }
@@ -123,20 +142,16 @@
     }
 
     /// Another instance says that the registration has lapsed around an outage of
-    /// the store, and for how much longer it keeps it.
+    /// the store, and for how much longer it keeps it. That is no longer than here,
+    /// where the outage may be unknown.
     pub fn lapse(
         &mut self,
         now: ClockTime,
         id: &EndpointId,
         kept_for: TimeSpan,
     ) -> DirectoryChange {
-        match self.endpoints.get_mut(id) {
-            Some(known) if known.lapses_at.is_none() => {
-                known.lapses_at = Some(now + kept_for);
-                DirectoryChange::Lapsed
-            }
-            _ => DirectoryChange::Same,
-        }
+        let end = self.grace_end(now).map(|end| end.min(now + kept_for));
+        self.end_at(id, end)
     }
 
     /// For how much longer a lapsed registration is kept.
--- a/crates/ingress/src/believe/endpoints.rs
+++ b/crates/ingress/src/believe/endpoints.rs
@@ -243,6 +243,7 @@
         return;
     }
     note_gone(context, id, change, teller.as_str());
+    forget_if_gone(context, id);
 }
 
 /// Tells what was made of a registration that went, and on whose word.
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -91,11 +91,13 @@
     let Some(echo) = PeerTable::echoed(message.echo) else {
         return;
     };
+    let keys_known_at = echo.known_at(TimeSpan::from_millis(relay.keys_age_ms));
+    let endpoints_known_at = echo.known_at(TimeSpan::from_millis(relay.endpoints_age_ms));
+    // Before the changes: whether a registration can have lapsed depends on it.
+    context.directory.lock().note_return(endpoints_known_at);
     for change in &relay.changes {
         take_change(context, peer, change);
     }
-    let keys_known_at = echo.known_at(TimeSpan::from_millis(relay.keys_age_ms));
-    let endpoints_known_at = echo.known_at(TimeSpan::from_millis(relay.endpoints_age_ms));
     {
         let mut belief = context.belief.lock();
         if belief.version() == Some(relay.version) {
