Take only an outage in which registrations lapse for a reason to doubt a withdrawal

Found by looking for the same cause elsewhere, not seen by callers: one failed read of the store, such as one that was turned away, made the next 2 s a time in which every withdrawn endpoint is kept. Bound and grace are both 2 s, so a withdrawal in the same half second would have broken DRAIN.

Cause: any failure counted as an outage. An endpoint's registration lapses after three missing heartbeats, the first of which may be due right after the outage begins; so none can lapse in less than two intervals.

Change: an outage is the time from the store's last answer to its next one, and counts from two heartbeat intervals on. The interval comes from the settings (heartbeatIntervalMs).

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -29,6 +29,12 @@
 /// say that live endpoints are back within about two seconds.
 pub const LAPSE_GRACE: TimeSpan = TimeSpan::from_millis(2_000);
 
+/// After how many heartbeats that are missing a registration lapses.
+const MISSED_HEARTBEATS: u64 = 3;
+
+/// How often endpoints write heartbeats where the settings are silent.
+const DEFAULT_HEARTBEAT: TimeSpan = TimeSpan::from_millis(1_200);
+
 /// What a new registration changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DirectoryChange {
@@ -54,9 +60,11 @@
 }
 
 /// All registered endpoints.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct EndpointDirectory {
     endpoints: BTreeMap<EndpointId, KnownEndpoint>,
+    /// The shortest outage in which a registration can lapse.
+    shortest_outage: TimeSpan,
     /// When the store last answered, as far as known.
     answered_at: Option<ClockTime>,
     /// The store's last answer before the reads that fail now.
@@ -65,10 +73,31 @@
     returned_at: Option<ClockTime>,
 }
 
+impl Default for EndpointDirectory {
+    fn default() -> EndpointDirectory {
+        EndpointDirectory::new()
+    }
+}
+
 impl EndpointDirectory {
     /// No endpoint.
     pub fn new() -> EndpointDirectory {
-        EndpointDirectory::default()
+        EndpointDirectory {
+            endpoints: BTreeMap::new(),
+            shortest_outage: TimeSpan::ZERO,
+            answered_at: None,
+            outage_since: None,
+            returned_at: None,
+        }
+        .with_heartbeat(DEFAULT_HEARTBEAT)
+    }
+
+    /// Endpoints write heartbeats at this interval. The last one before an outage
+    /// may be nearly one interval old as the outage begins.
+    pub fn with_heartbeat(mut self, interval: TimeSpan) -> EndpointDirectory {
+        let missed = interval.as_millis() * (MISSED_HEARTBEATS - 1);
+        self.shortest_outage = TimeSpan::from_millis(missed);
+        self
     }
 
     /// A read of the registrations failed.
@@ -81,7 +110,10 @@
     /// of the instance that reads for us.
     pub fn note_return(&mut self, at: ClockTime) {
         self.answered_at = self.answered_at.max(Some(at));
-        if self.outage_since.take_if(|since| at > *since).is_some() {
+        let Some(since) = self.outage_since.take_if(|since| at > *since) else {
+            return;
+        };
+        if at.since(since) >= self.shortest_outage {
             self.returned_at = Some(at);
         }
     }
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -137,6 +137,7 @@
             instance: settings.instance.clone(),
             start: crate::time::wall_time().as_millis(),
         };
+        let directory = EndpointDirectory::new().with_heartbeat(settings.heartbeat);
         let seed = rand::random();
         EntryContext {
             settings,
@@ -145,7 +146,7 @@
             store,
             engine_client,
             belief: Shared::new(ConfigurationBelief::new()),
-            directory: Shared::new(EndpointDirectory::new()),
+            directory: Shared::new(directory),
             engines: Shared::new(EngineBooks::new(routing.clone()).with_seed(seed)),
             demands: Shared::new(DemandBoard::new()),
             replicas: Shared::new(ReplicaBooks::new(routing).with_seed(seed)),
