Bound the wait for more of an answer, not the whole transfer

Cause: a read of the store was given up 0.9 s after it was sent, whatever had come of it. The configuration of 4,250 routes is 0.81 MB, 1.08 MB as the newest record is answered. 76 instances read it at once over links of 10 Mbit/s and begin anew after each failure, so the store's reads stay busy with transfers that nobody lets end: no instance makes progress.

Decoding: not the cause, no instance had a whole answer to decode.

--- a/crates/ingress/src/believe/configuration.rs
+++ b/crates/ingress/src/believe/configuration.rs
@@ -22,7 +22,7 @@
 /// when it is about 1.3 s old, so it has to be renewed well within that.
 const READ_WAIT: TimeSpan = TimeSpan::from_millis(600);
 
-/// How much longer than the wait the answer may take.
+/// How much longer than the wait the answer may take to begin.
 const READ_SLACK: TimeSpan = TimeSpan::from_millis(700);
 
 /// Keeps the configuration in force up to date, for good.
--- a/crates/ingress/src/believe/mod.rs
+++ b/crates/ingress/src/believe/mod.rs
@@ -19,8 +19,8 @@
 /// news must work again soon after the store is back.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(400);
 
-/// How long a read that does not wait may take. The store answers in 4 ms, and in
-/// 0.2 s while it is slow.
+/// How long a read that does not wait may take to be answered, and may pause while the
+/// answer comes. The store answers in 4 ms, and in 0.2 s while it is slow.
 pub const READ_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
 
 /// How often an instance that is told by a reader looks whether it still is.
