Refuse under a configuration that is known to be replaced

Whatever keeps a version away, serving by one that is known to be replaced runs requests that the operator has forbidden.

Change: an instance notes when it first hears of a version that it has not got. One second less than the bound after that it refuses with 503, configuration_outdated and Retry-After, and is not ready, so that callers come to others. An instance that hears of no newer version is not affected, so a failure domain that is cut off serves on.

--- a/crates/core/src/ingress/belief.rs
+++ b/crates/core/src/ingress/belief.rs
@@ -26,6 +26,8 @@
 pub struct ConfigurationBelief {
     table: Option<Arc<RouteTable>>,
     fresh_at: Option<ClockTime>,
+    /// Newer versions that exist, each with when that was first heard.
+    awaited: Vec<(u64, ClockTime)>,
 }
 
 impl ConfigurationBelief {
@@ -44,12 +46,30 @@
             Some(version) if configuration.version == version => AcceptedVersion::Same,
             Some(version) if configuration.version < version => AcceptedVersion::Older,
             _ => {
+                self.awaited
+                    .retain(|(awaited, _)| *awaited > configuration.version);
                 self.table = Some(Arc::new(RouteTable::new(configuration)));
                 AcceptedVersion::Newer
             }
         }
     }
 
+    /// Another instance has `version` in force.
+    pub fn note_told(&mut self, now: ClockTime, version: u64) {
+        let newest = self.awaited.last().map(|(newest, _)| *newest);
+        if newest.max(self.version()) < Some(version) {
+            self.awaited.push((version, now));
+        }
+    }
+
+    /// Whether the version in force has been known to be replaced for `limit` or more.
+    /// What it allows, such as a key or a service that a route has left, may then be
+    /// against what the operator was promised.
+    pub fn is_outdated(&self, now: ClockTime, limit: TimeSpan) -> bool {
+        let first = self.awaited.first();
+        first.is_some_and(|(_, heard)| now.since(*heard) >= limit)
+    }
+
     /// A read that was sent at `sent` came back complete and has been applied:
     /// whatever stood in the store at that moment is known here.
     pub fn confirm(&mut self, sent: ClockTime) {
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -25,6 +25,10 @@
 /// been heard of: clocks drift, and a request takes some ms to get here.
 const WITHDRAWAL_MARGIN: TimeSpan = TimeSpan::from_millis(250);
 
+/// How much sooner than it has to be in force everywhere a newer version that is not
+/// here yet ends the use of the one in force: what was first heard of it was that late.
+const TOLD_DELAY: TimeSpan = TimeSpan::from_millis(1_000);
+
 /// The share of the extra of the retry budget that is given out: instances that
 /// have just started know of others before those know of them.
 const EXTRA_USED: f64 = 0.8;
@@ -190,6 +194,13 @@
         self.settings.bounds.withdrawal.less(WITHDRAWAL_MARGIN)
     }
 
+    /// Whether the configuration in force has been replaced for so long that nothing
+    /// may be decided by it any more.
+    pub fn configuration_is_outdated(&self, now: ClockTime) -> bool {
+        let limit = self.settings.bounds.configuration.less(TOLD_DELAY);
+        self.belief.lock().is_outdated(now, limit)
+    }
+
     /// Whether requests with keys may be served.
     pub fn keys_are_fresh(&self, now: ClockTime) -> bool {
         let limit = self.freshness_limit();
--- a/crates/ingress/src/front/refusal.rs
+++ b/crates/ingress/src/front/refusal.rs
@@ -23,6 +23,8 @@
 pub enum RefusalReason {
     /// No configuration has been read yet.
     NoConfiguration,
+    /// The configuration in force has been replaced, and the newer one is not here.
+    ConfigurationOutdated,
     /// Nothing has been heard of withdrawn keys for too long.
     KeysStale,
     /// No route takes the request.
@@ -56,6 +58,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             RefusalReason::NoConfiguration => "no_configuration",
+            RefusalReason::ConfigurationOutdated => "configuration_outdated",
             RefusalReason::KeysStale => "keys_stale",
             RefusalReason::NoRoute => "no_route",
             RefusalReason::UnknownKey => "unknown_key",
--- a/crates/ingress/src/front/request.rs
+++ b/crates/ingress/src/front/request.rs
@@ -88,14 +88,12 @@
         .unwrap_or_default()
         .to_string();
     let named = |refusal: Refusal| refusal.with_request(&id);
+    let unknown = |reason| named(Refusal::before_sending(reason, KNOWLEDGE_RETRY_AFTER));
     let table = context.belief.lock().table().cloned();
-    let Some(table) = table else {
-        let reason = RefusalReason::NoConfiguration;
-        return Err(named(Refusal::before_sending(
-            reason,
-            KNOWLEDGE_RETRY_AFTER,
-        )));
-    };
+    let table = table.ok_or_else(|| unknown(RefusalReason::NoConfiguration))?;
+    if context.configuration_is_outdated(arrived) {
+        return Err(unknown(RefusalReason::ConfigurationOutdated));
+    }
     let improper = |reason| named(Refusal::improper(reason));
     let host = text(&head.headers, HOST.as_str()).unwrap_or_default();
     let host = host
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -100,6 +100,7 @@
     }
     {
         let mut belief = context.belief.lock();
+        belief.note_told(now, relay.version);
         if belief.version() == Some(relay.version) {
             belief.confirm(keys_known_at);
         }
--- a/crates/ingress/src/ready.rs
+++ b/crates/ingress/src/ready.rs
@@ -45,6 +45,9 @@
     if context.belief.lock().table().is_none() {
         return ReadyState::NotReady("no configuration has been read".to_string());
     }
+    if context.configuration_is_outdated(context.now()) {
+        return ReadyState::NotReady("a newer configuration has not arrived".to_string());
+    }
     if !context.keys_are_fresh(context.now()) {
         return ReadyState::NotReady("nothing has been heard of withdrawn keys".to_string());
     }
