Let one instance of a failure domain read a large configuration, and the others its copy

Change: the reader of a failure domain appends a compressed copy of a version from 128 kB on to a topic of our own, and tells with the version that the copy is on its way, then where it stands. The others wait for it up to 0.7 s, read it, and fall back on the configuration itself if there is none or it can't be read. What an instance reads first after its start is not copied. Told knowledge is confirmed from when the reader last knew the version to be the newest. Weighed and left: passing it on over connections of our own (a reader on a narrow link serves twenty others), one copy for the whole fleet (its maker may be cut off from a domain's reader).

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -11,6 +11,9 @@
 //! had received when it spoke. So a datagram that lay in a buffer while its
 //! receiver was suspended can't make old knowledge look fresh.
 
+mod copies;
+
+pub use self::copies::{COPIED_FROM, CopyPlace, CopyState, ToldConfiguration, VersionSource};
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::InstanceId,
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -2,8 +2,12 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    ids::InstanceId,
-    relay::{DIFFERENCE_PATIENCE, DifferenceWatch, EchoedStamp, is_reader, told_limit},
+    ids::{InstanceId, LogOffset},
+    relay::{
+        CopyPlace, CopyState, DIFFERENCE_PATIENCE, DifferenceWatch, EchoedStamp, ToldConfiguration,
+        VersionSource, is_reader, told_limit,
+    },
+    units::ByteSize,
 };
 
 fn instance(name: &str) -> InstanceId {
@@ -60,3 +64,48 @@
     watch.reset();
     assert!(!watch.compare(late, 2, 3));
 }
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+fn place(offset: u64) -> CopyPlace {
+    CopyPlace {
+        offset: LogOffset::new(offset),
+        records: 2,
+        size: ByteSize::new(300_000),
+    }
+}
+
+/// Guards against all instances reading a large configuration while its copy is made.
+#[test]
+fn a_copy_that_is_being_made_is_waited_for_but_not_for_long() {
+    let mut told = ToldConfiguration::new();
+    assert!(told.note(at(1_000), 7, at(900), CopyState::Pending));
+    assert_eq!(told.source(at(1_100)), VersionSource::Awaited);
+    assert!(!told.note(at(1_250), 7, at(1_200), CopyState::Pending));
+    assert_eq!(told.known_at(), at(1_200));
+    assert_eq!(told.source(at(1_699)), VersionSource::Awaited);
+    assert_eq!(told.source(at(1_700)), VersionSource::Original);
+    let stands = CopyState::Stands(place(4));
+    assert!(told.note(at(1_800), 7, at(1_750), stands));
+    assert_eq!(told.source(at(1_800)), VersionSource::Copy(place(4)));
+}
+
+/// Guards against trying the same unreadable copy for good, and against giving up the
+/// copies of later versions with it.
+#[test]
+fn a_copy_that_failed_is_left_and_the_next_one_is_used() {
+    let mut told = ToldConfiguration::new();
+    let stands = CopyState::Stands(place(4));
+    told.note(at(1_000), 7, at(900), stands);
+    told.note_failed_copy();
+    assert_eq!(told.source(at(1_100)), VersionSource::Original);
+    assert!(!told.note(at(1_200), 7, at(1_100), stands));
+    assert_eq!(told.source(at(1_200)), VersionSource::Original);
+    assert!(told.note(at(1_300), 9, at(1_200), CopyState::Stands(place(8))));
+    assert_eq!(told.source(at(1_300)), VersionSource::Copy(place(8)));
+    // A reader that is behind takes nothing back.
+    assert!(!told.note(at(1_400), 7, at(1_300), CopyState::Absent));
+    assert_eq!(told.version(), 9);
+}
--- a/crates/ingress/src/believe/configuration.rs
+++ b/crates/ingress/src/believe/configuration.rs
@@ -9,9 +9,10 @@
 };
 use bluebell_core::{clock::TimeSpan, ids::LogOffset, ingress::AcceptedVersion, units::ByteSize};
 use bluebell_daemon::logs::LogLine;
+use bytes::Bytes;
 
 use crate::{
-    believe::{READ_TIMEOUT, StorePath, wait_while_told},
+    believe::{READ_TIMEOUT, StorePath, copies, wait_while_told},
     context::EntryContext,
 };
 
@@ -36,6 +37,9 @@
             wait_while_told(&context).await;
             continue;
         }
+        if is_told && copies::take(&context).await {
+            continue;
+        }
         if mem::take(&mut is_told) {
             // What came while the reader told is not worth reading record by record.
             next = None;
@@ -55,7 +59,7 @@
 }
 
 /// Reads the newest configuration; answers where to read on.
-async fn read_newest(context: &EntryContext) -> Result<Option<LogOffset>, CallError> {
+async fn read_newest(context: &Arc<EntryContext>) -> Result<Option<LogOffset>, CallError> {
     let sent = context.now();
     let page = context.store.newest(PART, None, READ_TIMEOUT).await?;
     for item in page.items.iter().filter(|item| item.key == KEY) {
@@ -67,7 +71,10 @@
 
 /// Reads records from `from` on; answers where to go on, or nothing if they are
 /// gone and the newest has to be read instead.
-async fn read_on(context: &EntryContext, from: LogOffset) -> Result<Option<LogOffset>, CallError> {
+async fn read_on(
+    context: &Arc<EntryContext>,
+    from: LogOffset,
+) -> Result<Option<LogOffset>, CallError> {
     let sent = context.now();
     let timeout = READ_WAIT + READ_SLACK;
     match context.store.read(PART, from, READ_WAIT, timeout).await? {
@@ -103,7 +110,17 @@
     }
 }
 
-fn take(context: &EntryContext, value: &[u8]) {
+/// What the reader told of a version is true of the one in force, if it is the same.
+pub fn confirm_told(context: &EntryContext) {
+    let told = context.relayed.lock().configuration;
+    let mut belief = context.belief.lock();
+    if belief.version() == Some(told.version()) {
+        belief.confirm(told.known_at());
+    }
+}
+
+/// Takes a configuration as it lies in the store.
+pub fn take(context: &Arc<EntryContext>, value: &[u8]) {
     let configuration = match configuration::decode(value) {
         Ok(configuration) => configuration,
         Err(error) => {
@@ -115,15 +132,28 @@
     };
     let version = configuration.version;
     let (routes, services) = (configuration.routes.len(), configuration.services.len());
+    let size = ByteSize::new(value.len() as u64);
+    // What is read first, after a start, the others have already.
+    let previous = context.belief.lock().version();
+    let is_newer = previous.is_some_and(|previous| previous < version);
+    let is_copied = is_newer && copies::is_due(context, size);
+    if is_copied {
+        copies::announce(context, version);
+    }
     let accepted = context.belief.lock().offer(configuration);
     match accepted {
         AcceptedVersion::Newer => {
+            context.wake.notify_waiters();
+            if is_copied {
+                let value = Bytes::copy_from_slice(value);
+                tokio::spawn(copies::publish(Arc::clone(context), version, value));
+            }
             context.metrics.configuration_version.set(version as i64);
             LogLine::new("configuration")
                 .with("version", version)
                 .with("routes", routes)
                 .with("services", services)
-                .with("size", ByteSize::new(value.len() as u64))
+                .with("size", size)
                 .with("outcome", "in_force")
                 .info();
         }
--- /dev/null
+++ b/crates/ingress/src/believe/copies.rs
@@ -0,0 +1,200 @@
+//! Copies of a large configuration: making them as the reader of a failure domain,
+//! and reading them as an instance that is told.
+
+use std::{
+    io::{self, Read, Write},
+    sync::Arc,
+};
+
+use bluebell_adapter::{
+    CallError,
+    store::{AppendAnswer, ReadAnswer, TopicPart},
+};
+use bluebell_core::{
+    clock::TimeSpan,
+    ids::LogOffset,
+    relay::{COPIED_FROM, CopyPlace, CopyState, VersionSource},
+    units::ByteSize,
+};
+use bluebell_daemon::logs::LogLine;
+use bytes::Bytes;
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use prost::Message;
+
+use crate::{
+    believe::{READ_TIMEOUT, configuration},
+    context::EntryContext,
+};
+
+const PART: TopicPart = TopicPart::first("configuration-copies");
+
+/// The most bytes of one record; the store takes somewhat more.
+const RECORD_BYTES: usize = 200_000;
+
+/// The most bytes that a configuration may have when it is unpacked.
+const UNPACKED_LIMIT: u64 = 32_000_000;
+
+/// A copy as it lies in the store.
+#[derive(Clone, PartialEq, Message)]
+struct CopyRecord {
+    /// The version.
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    /// The operator's configuration, compressed.
+    #[prost(bytes = "bytes", tag = "2")]
+    packed: Bytes,
+}
+
+/// The copy that this instance makes as the reader of its failure domain.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnCopy {
+    version: u64,
+    state: CopyState,
+}
+
+impl OwnCopy {
+    /// What is told of the copy of `version`.
+    pub fn state(&self, version: u64) -> CopyState {
+        match self.version == version {
+            true => self.state,
+            false => CopyState::Absent,
+        }
+    }
+
+    fn set(&mut self, version: u64, state: CopyState) {
+        if version >= self.version {
+            *self = OwnCopy { version, state };
+        }
+    }
+}
+
+/// Why a copy could not be made or read.
+#[derive(Debug, thiserror::Error)]
+enum CopyError {
+    #[error("the store: {0}")]
+    Store(#[from] CallError),
+    #[error("the copy is gone; the first record left is at {0}")]
+    Gone(LogOffset),
+    #[error("the copy can't be decoded: {0}")]
+    Undecodable(#[from] prost::DecodeError),
+    #[error("the copy can't be unpacked: {0}")]
+    Unpackable(#[from] io::Error),
+    #[error("a conditional append was answered to a plain one")]
+    Unexpected,
+    #[error("version {0} stands there")]
+    OtherVersion(u64),
+}
+
+/// Whether this instance makes a copy of a configuration of `size` for others.
+pub fn is_due(context: &EntryContext, size: ByteSize) -> bool {
+    size >= COPIED_FROM && context.is_reader()
+}
+
+/// Notes, before the version is told of, that its copy is on its way.
+pub fn announce(context: &EntryContext, version: u64) {
+    context.own_copy.lock().set(version, CopyState::Pending);
+}
+
+/// Makes the copy and tells where it stands.
+pub async fn publish(context: Arc<EntryContext>, version: u64, value: Bytes) {
+    let state = match append(&context, version, &value).await {
+        Ok(place) => {
+            LogLine::new("configuration_copy")
+                .with("version", version)
+                .with("offset", place.offset)
+                .with("size", place.size)
+                .with("outcome", "stands")
+                .info();
+            CopyState::Stands(place)
+        }
+        Err(error) => {
+            LogLine::new("configuration_copy")
+                .with("version", version)
+                .with("outcome", "not_made")
+                .with("error", error)
+                .warn();
+            CopyState::Absent
+        }
+    };
+    context.own_copy.lock().set(version, state);
+    context.wake.notify_waiters();
+}
+
+async fn append(
+    context: &EntryContext,
+    version: u64,
+    value: &[u8],
+) -> Result<CopyPlace, CopyError> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(value)?;
+    let packed = Bytes::from(encoder.finish()?);
+    let copy = Bytes::from(CopyRecord { version, packed }.encode_to_vec());
+    let starts = (0..copy.len()).step_by(RECORD_BYTES);
+    let records: Vec<Bytes> = starts
+        .map(|start| copy.slice(start..copy.len().min(start + RECORD_BYTES)))
+        .collect();
+    let appended = context.store.append(PART, None, &records, READ_TIMEOUT);
+    match appended.await? {
+        AppendAnswer::Appended { offset } => Ok(CopyPlace {
+            offset,
+            records: records.len() as u32,
+            size: ByteSize::new(copy.len() as u64),
+        }),
+        AppendAnswer::EndMoved { .. } => Err(CopyError::Unexpected),
+    }
+}
+
+/// Reads the copy of a version that was told of and is missing here; answers whether
+/// the version is in force now.
+pub async fn take(context: &Arc<EntryContext>) -> bool {
+    let told = context.relayed.lock().configuration;
+    if context.belief.lock().version() >= Some(told.version()) {
+        return false;
+    }
+    let VersionSource::Copy(place) = told.source(context.now()) else {
+        return false;
+    };
+    match read(context, told.version(), place).await {
+        Ok(value) => {
+            configuration::take(context, &value);
+            configuration::confirm_told(context);
+            context.belief.lock().version() >= Some(told.version())
+        }
+        Err(error) => {
+            LogLine::new("configuration_copy")
+                .with("version", told.version())
+                .with("outcome", "not_read")
+                .with("error", error)
+                .warn();
+            context.relayed.lock().configuration.note_failed_copy();
+            false
+        }
+    }
+}
+
+async fn read(
+    context: &EntryContext,
+    version: u64,
+    place: CopyPlace,
+) -> Result<Vec<u8>, CopyError> {
+    let wait = TimeSpan::ZERO;
+    let answer = context
+        .store
+        .read_at_most(PART, place.offset, wait, READ_TIMEOUT, place.size)
+        .await?;
+    let records = match answer {
+        ReadAnswer::Records { records, .. } => records,
+        ReadAnswer::Forgotten { first } => return Err(CopyError::Gone(first)),
+    };
+    let records = records.iter().take(place.records as usize);
+    let copy: Vec<u8> = records.flat_map(|record| record.bytes.to_vec()).collect();
+    let copy = CopyRecord::decode(&copy[..])?;
+    if copy.version != version {
+        return Err(CopyError::OtherVersion(copy.version));
+    }
+    let mut value = Vec::new();
+    DeflateDecoder::new(&copy.packed[..])
+        .take(UNPACKED_LIMIT)
+        .read_to_end(&mut value)?;
+    Ok(value)
+}
--- a/crates/ingress/src/believe/mod.rs
+++ b/crates/ingress/src/believe/mod.rs
@@ -1,6 +1,7 @@
 //! Following the store: what is in force, and which endpoints there are.
 
-mod configuration;
+pub mod configuration;
+pub mod copies;
 mod endpoints;
 
 use std::{sync::Arc, time::Duration};
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -2,9 +2,11 @@
 
 use bluebell_core::{
     directory::EngineStage,
-    ids::{FailureDomain, ServiceName},
+    ids::{FailureDomain, LogOffset, ServiceName},
     placement::{EngineLoad, RANKS, ToldLoad, ToldPart},
     provision::EngineDemand,
+    relay::{CopyPlace, CopyState},
+    units::ByteSize,
     usage::MeterWriter,
 };
 use prost::Message;
@@ -173,6 +175,51 @@
     /// Registrations that changed lately.
     #[prost(message, repeated, tag = "5")]
     pub changes: Vec<ChangeMessage>,
+    /// The copy of that version, if there is or will be one.
+    #[prost(message, optional, tag = "6")]
+    pub copy: Option<CopyMessage>,
+}
+
+/// A copy of the configuration; without records as long as it is being made.
+#[derive(Clone, PartialEq, Message)]
+pub struct CopyMessage {
+    /// The offset of its first record.
+    #[prost(uint64, tag = "1")]
+    pub offset: u64,
+    /// How many records it has.
+    #[prost(uint32, tag = "2")]
+    pub records: u32,
+    /// Its size in bytes.
+    #[prost(uint64, tag = "3")]
+    pub size: u64,
+}
+
+impl CopyMessage {
+    /// The state as it is told.
+    pub fn new(state: CopyState) -> Option<CopyMessage> {
+        match state {
+            CopyState::Absent => None,
+            CopyState::Pending => Some(CopyMessage::default()),
+            CopyState::Stands(place) => Some(CopyMessage {
+                offset: place.offset.number(),
+                records: place.records,
+                size: place.size.count(),
+            }),
+        }
+    }
+
+    /// The state as the slices know it.
+    pub fn state(message: Option<&CopyMessage>) -> CopyState {
+        match message {
+            None => CopyState::Absent,
+            Some(message) if message.records == 0 => CopyState::Pending,
+            Some(message) => CopyState::Stands(CopyPlace {
+                offset: LogOffset::new(message.offset),
+                records: message.records,
+                size: ByteSize::new(message.size),
+            }),
+        }
+    }
 }
 
 /// A registration that changed.
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -3,7 +3,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{EndpointId, InstanceId},
-    relay::told_limit,
+    relay::{VersionSource, told_limit},
 };
 use bluebell_daemon::logs::LogLine;
 
@@ -11,7 +11,7 @@
     believe,
     context::EntryContext,
     peers::{
-        messages::{ChangeMessage, PeerMessage, RelayMessage},
+        messages::{ChangeMessage, CopyMessage, PeerMessage, RelayMessage},
         table::PeerTable,
     },
 };
@@ -38,12 +38,12 @@
 
     /// Whether configuration and keys have to be read from the store here: nobody
     /// reads for this instance, the reader's word is too old, or it has spoken of
-    /// a newer version.
+    /// a newer version whose copy is not being made.
     pub fn must_read_keys(&self) -> bool {
-        let told = self.relayed.lock().version;
-        let version = self.belief.lock().version();
-        let is_behind = version.is_none_or(|version| version < told);
-        self.must_read_keys_by_age() || is_behind || self.is_reader()
+        let told = self.relayed.lock().configuration;
+        let is_behind = self.belief.lock().version() < Some(told.version());
+        let is_to_be_had = told.source(self.now()) != VersionSource::Awaited;
+        self.must_read_keys_by_age() || (is_behind && is_to_be_had) || self.is_reader()
     }
 
     /// Whether the endpoints have to be read from the store here.
@@ -71,8 +71,10 @@
     let endpoints_known_at = context.relayed.lock().endpoints_known_at?;
     let digest = context.directory.lock().digest();
     let changes = context.peers.lock().changes(now);
+    let copy = CopyMessage::new(context.own_copy.lock().state(version));
     Some(RelayMessage {
         version,
+        copy,
         keys_age_ms: keys_age.as_millis(),
         endpoints_age_ms: now.since(endpoints_known_at).as_millis(),
         digest,
@@ -107,9 +109,12 @@
     }
     let digest = context.directory.lock().digest();
     let mut relayed = context.relayed.lock();
-    if relay.version > relayed.version {
+    if relay.version > relayed.configuration.version() {
         note_told_version(context, peer, relay.version);
-        relayed.version = relay.version;
+    }
+    let copy = CopyMessage::state(relay.copy.as_ref());
+    let configuration = &mut relayed.configuration;
+    if configuration.note(now, relay.version, keys_known_at, copy) {
         context.wake.notify_waiters();
     }
     if relayed.difference.compare(now, digest, relay.digest) {
