Bound the product's reads of the platform's log by progress too

A read brings up to 500 records, and a checkpoint's records have up to 100 kB: a daemon that starts behind a narrow link would have asked for the same records for good.

Test: a_read_that_keeps_coming_is_read_to_its_end (crates/platform) failed before: the answer of 26 pieces in 2.6 s was given up after 2 s. a_read_that_stops_coming_is_given_up passes before and after.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -6,7 +6,9 @@
     clock::TimeSpan,
     ids::{FailureDomain, InstanceId, LogOffset},
 };
-use reqwest::{RequestBuilder, Response, StatusCode};
+use bluebell_transfer::TransferError;
+use bytes::Bytes;
+use reqwest::{RequestBuilder, StatusCode};
 use serde::de::DeserializeOwned;
 
 use crate::api::{
@@ -14,7 +16,8 @@
     StopEndpoint, UsageReport, WeightFetch,
 };
 
-/// How long a call may take before it counts as lost.
+/// How long an answer may take to begin, and may pause while it comes, before the call
+/// counts as lost.
 pub const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(2_000);
 
 /// Why a call to the platform brought no answer.
@@ -72,9 +75,7 @@
     }
 
     fn get(&self, path: &str) -> RequestBuilder {
-        self.http
-            .get(format!("{}{path}", self.base))
-            .timeout(CALL_TIMEOUT.as_duration())
+        self.http.get(format!("{}{path}", self.base))
     }
 
     fn post<Body>(&self, path: &str, body: &Body) -> RequestBuilder
@@ -82,12 +83,12 @@
         Body: serde::Serialize,
     {
         let request = self.http.post(format!("{}{path}", self.base));
-        request.timeout(CALL_TIMEOUT.as_duration()).json(body)
+        request.json(body)
     }
 
     /// Appends a record.
     pub async fn append(&self, request: &AppendRequest) -> Result<AppendAnswer, PlatformError> {
-        json(send(self.post("/log/append", request)).await?).await
+        call(self.post("/log/append", request)).await
     }
 
     /// Reads at most `limit` entries from `from` on, waiting up to `wait` for the first.
@@ -101,25 +102,24 @@
             "/log/read?from={from}&limit={limit}&wait_ms={}",
             wait.as_millis()
         );
-        let timeout = (CALL_TIMEOUT + wait).as_duration();
-        json(send(self.get(&path).timeout(timeout)).await?).await
+        decode(&send(self.get(&path), CALL_TIMEOUT + wait).await?)
     }
 
     /// Puts this process on the platform's list.
     pub async fn announce(&self, listing: &InstanceListing) -> Result<(), PlatformError> {
         let request = self.http.put(format!("{}/instances", self.base));
-        let request = request.timeout(CALL_TIMEOUT.as_duration()).json(listing);
-        send(request).await.map(drop)
+        let request = request.json(listing);
+        send(request, CALL_TIMEOUT).await.map(drop)
     }
 
     /// The platform's lagging list of our processes.
     pub async fn instances(&self) -> Result<Vec<InstanceListing>, PlatformError> {
-        json(send(self.get("/instances")).await?).await
+        call(self.get("/instances")).await
     }
 
     /// The platform's list of endpoints.
     pub async fn endpoints(&self) -> Result<Vec<EndpointListing>, PlatformError> {
-        json(send(self.get("/endpoints")).await?).await
+        call(self.get("/endpoints")).await
     }
 
     /// Orders an endpoint.
@@ -127,45 +127,52 @@
         &self,
         order: &StartEndpoint,
     ) -> Result<EndpointListing, PlatformError> {
-        json(send(self.post("/endpoints/start", order)).await?).await
+        call(self.post("/endpoints/start", order)).await
     }
 
     /// Orders the end of an endpoint.
     pub async fn stop_endpoint(&self, order: &StopEndpoint) -> Result<(), PlatformError> {
-        send(self.post("/endpoints/stop", order)).await.map(drop)
+        let request = self.post("/endpoints/stop", order);
+        send(request, CALL_TIMEOUT).await.map(drop)
     }
 
     /// Fetches weights for an endpoint.
     pub async fn fetch_weights(&self, fetch: &WeightFetch) -> Result<(), PlatformError> {
-        send(self.post("/weights/fetch", fetch)).await.map(drop)
+        let request = self.post("/weights/fetch", fetch);
+        send(request, CALL_TIMEOUT).await.map(drop)
     }
 
     /// The usage reports that the platform has taken.
     pub async fn usage_reports(&self) -> Result<Vec<UsageReport>, PlatformError> {
-        json(send(self.get("/usage/reports")).await?).await
+        call(self.get("/usage/reports")).await
     }
 
     /// Reports a window's usage.
     pub async fn report_usage(&self, report: &UsageReport) -> Result<(), PlatformError> {
-        send(self.post("/usage/reports", report)).await.map(drop)
+        let request = self.post("/usage/reports", report);
+        send(request, CALL_TIMEOUT).await.map(drop)
     }
 }
 
-async fn send(request: RequestBuilder) -> Result<Response, PlatformError> {
-    let response = request.send().await.map_err(|error| {
-        if error.is_connect() {
-            return PlatformError::NotSent(error.to_string());
-        }
-        PlatformError::Unknown(error.to_string())
+async fn call<Answer>(request: RequestBuilder) -> Result<Answer, PlatformError>
+where
+    Answer: DeserializeOwned,
+{
+    decode(&send(request, CALL_TIMEOUT).await?)
+}
+
+async fn send(request: RequestBuilder, patience: TimeSpan) -> Result<Bytes, PlatformError> {
+    let fetched = bluebell_transfer::fetch(request, patience).await;
+    let answer = fetched.map_err(|error| match error {
+        TransferError::NotSent(reason) => PlatformError::NotSent(reason),
+        error => PlatformError::Unknown(error.to_string()),
     })?;
-    let status = response.status();
+    let status = answer.status;
     if status.is_success() {
-        return Ok(response);
+        return Ok(answer.body);
     }
-    let retry_after = response
-        .headers()
-        .get("retry-after")
-        .and_then(|value| value.to_str().ok());
+    let retry_after = answer.headers.get("retry-after");
+    let retry_after = retry_after.and_then(|value| value.to_str().ok());
     let retry_after = TimeSpan::from_secs(retry_after.and_then(|v| v.parse().ok()).unwrap_or(1));
     if status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE {
         return Err(PlatformError::Unavailable {
@@ -176,19 +183,15 @@
     if status.is_server_error() {
         return Err(PlatformError::Unknown(format!("status {status}")));
     }
-    let message = response.text().await.unwrap_or_default();
     Err(PlatformError::Refused {
         status: status.as_u16(),
-        message,
+        message: String::from_utf8_lossy(&answer.body).to_string(),
     })
 }
 
-async fn json<Answer>(response: Response) -> Result<Answer, PlatformError>
+fn decode<Answer>(body: &Bytes) -> Result<Answer, PlatformError>
 where
     Answer: DeserializeOwned,
 {
-    response
-        .json()
-        .await
-        .map_err(|error| PlatformError::Unknown(error.to_string()))
+    serde_json::from_slice(body).map_err(|error| PlatformError::Unknown(error.to_string()))
 }
