Read the configuration on where the reader was, not from its beginning

Change: the reader tells where it reads on. An instance that has the version told of reads on from there; any other reads the newest one.

Test: who_has_the_version_told_of_reads_on_where_the_reader_was; new behaviour, not seen failing.

--- a/crates/core/src/relay/copies.rs
+++ b/crates/core/src/relay/copies.rs
@@ -59,41 +59,51 @@
     version: u64,
     told_at: ClockTime,
     known_at: ClockTime,
+    end: LogOffset,
     copy: CopyState,
     has_failed: bool,
 }
 
+/// What a reader says of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfigurationWord {
+    /// The version that it has in force.
+    pub version: u64,
+    /// When that was known to be the newest one, on the clock of who is told.
+    pub known_at: ClockTime,
+    /// Where the reader reads on; no newer version stands before it.
+    pub end: LogOffset,
+    /// The copy of the version.
+    pub copy: CopyState,
+}
+
 impl ToldConfiguration {
     /// No version told of.
     pub fn new() -> ToldConfiguration {
         ToldConfiguration::default()
     }
 
-    /// The reader says at `now` that `version` was the newest one at `known_at`.
-    /// Answers whether something changed that a follower waits for.
-    pub fn note(
-        &mut self,
-        now: ClockTime,
-        version: u64,
-        known_at: ClockTime,
-        copy: CopyState,
-    ) -> bool {
-        if version < self.version {
+    /// Takes the reader's word. Answers whether something changed that a follower
+    /// waits for.
+    pub fn note(&mut self, now: ClockTime, word: ConfigurationWord) -> bool {
+        if word.version < self.version {
             return false;
         }
-        if version > self.version {
+        if word.version > self.version {
             *self = ToldConfiguration {
-                version,
+                version: word.version,
                 told_at: now,
-                known_at,
-                copy,
+                known_at: word.known_at,
+                end: word.end,
+                copy: word.copy,
                 has_failed: false,
             };
             return true;
         }
-        self.known_at = self.known_at.max(known_at);
-        let is_changed = copy != self.copy;
-        self.copy = copy;
+        self.known_at = self.known_at.max(word.known_at);
+        self.end = self.end.max(word.end);
+        let is_changed = word.copy != self.copy;
+        self.copy = word.copy;
         is_changed
     }
 
@@ -107,6 +117,13 @@
         self.known_at
     }
 
+    /// Where whoever has `version` in force reads on when it is not told any more;
+    /// nothing if that is not the version told of, and the newest one has to be read.
+    pub fn read_on_from(&self, version: Option<u64>) -> Option<LogOffset> {
+        let is_known = version == Some(self.version) && self.end > LogOffset::START;
+        is_known.then_some(self.end)
+    }
+
     /// The copy could not be used: the version is read as it lies in the store.
     pub fn note_failed_copy(&mut self) {
         self.has_failed = true;
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -13,7 +13,9 @@
 
 mod copies;
 
-pub use self::copies::{COPIED_FROM, CopyPlace, CopyState, ToldConfiguration, VersionSource};
+pub use self::copies::{
+    COPIED_FROM, ConfigurationWord, CopyPlace, CopyState, ToldConfiguration, VersionSource,
+};
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::InstanceId,
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -4,8 +4,8 @@
     clock::{ClockTime, TimeSpan},
     ids::{InstanceId, LogOffset},
     relay::{
-        CopyPlace, CopyState, DIFFERENCE_PATIENCE, DifferenceWatch, EchoedStamp, ToldConfiguration,
-        VersionSource, is_reader, told_limit,
+        ConfigurationWord, CopyPlace, CopyState, DIFFERENCE_PATIENCE, DifferenceWatch, EchoedStamp,
+        ToldConfiguration, VersionSource, is_reader, told_limit,
     },
     units::ByteSize,
 };
@@ -69,6 +69,15 @@
     ClockTime::from_millis(millis)
 }
 
+fn word(version: u64, known_at: u64, copy: CopyState) -> ConfigurationWord {
+    ConfigurationWord {
+        version,
+        known_at: at(known_at),
+        end: LogOffset::new(version),
+        copy,
+    }
+}
+
 fn place(offset: u64) -> CopyPlace {
     CopyPlace {
         offset: LogOffset::new(offset),
@@ -81,14 +90,14 @@
 #[test]
 fn a_copy_that_is_being_made_is_waited_for_but_not_for_long() {
     let mut told = ToldConfiguration::new();
-    assert!(told.note(at(1_000), 7, at(900), CopyState::Pending));
+    assert!(told.note(at(1_000), word(7, 900, CopyState::Pending)));
     assert_eq!(told.source(at(1_100)), VersionSource::Awaited);
-    assert!(!told.note(at(1_250), 7, at(1_200), CopyState::Pending));
+    assert!(!told.note(at(1_250), word(7, 1_200, CopyState::Pending)));
     assert_eq!(told.known_at(), at(1_200));
     assert_eq!(told.source(at(1_699)), VersionSource::Awaited);
     assert_eq!(told.source(at(1_700)), VersionSource::Original);
     let stands = CopyState::Stands(place(4));
-    assert!(told.note(at(1_800), 7, at(1_750), stands));
+    assert!(told.note(at(1_800), word(7, 1_750, stands)));
     assert_eq!(told.source(at(1_800)), VersionSource::Copy(place(4)));
 }
 
@@ -98,14 +107,30 @@
 fn a_copy_that_failed_is_left_and_the_next_one_is_used() {
     let mut told = ToldConfiguration::new();
     let stands = CopyState::Stands(place(4));
-    told.note(at(1_000), 7, at(900), stands);
+    told.note(at(1_000), word(7, 900, stands));
     told.note_failed_copy();
     assert_eq!(told.source(at(1_100)), VersionSource::Original);
-    assert!(!told.note(at(1_200), 7, at(1_100), stands));
+    assert!(!told.note(at(1_200), word(7, 1_100, stands)));
     assert_eq!(told.source(at(1_200)), VersionSource::Original);
-    assert!(told.note(at(1_300), 9, at(1_200), CopyState::Stands(place(8))));
+    assert!(told.note(at(1_300), word(9, 1_200, CopyState::Stands(place(8)))));
     assert_eq!(told.source(at(1_300)), VersionSource::Copy(place(8)));
     // A reader that is behind takes nothing back.
-    assert!(!told.note(at(1_400), 7, at(1_300), CopyState::Absent));
+    assert!(!told.note(at(1_400), word(7, 1_300, CopyState::Absent)));
     assert_eq!(told.version(), 9);
 }
+
+/// Guards against reading a whole configuration again each time a reader is lost.
+#[test]
+fn who_has_the_version_told_of_reads_on_where_the_reader_was() {
+    let mut told = ToldConfiguration::new();
+    assert_eq!(told.read_on_from(None), None);
+    told.note(at(1_000), word(7, 900, CopyState::Absent));
+    assert_eq!(told.read_on_from(Some(7)), Some(LogOffset::new(7)));
+    assert_eq!(told.read_on_from(Some(6)), None);
+    let further = ConfigurationWord {
+        end: LogOffset::new(12),
+        ..word(7, 1_100, CopyState::Absent)
+    };
+    told.note(at(1_200), further);
+    assert_eq!(told.read_on_from(Some(7)), Some(LogOffset::new(12)));
+}
--- a/crates/ingress/src/believe/configuration.rs
+++ b/crates/ingress/src/believe/configuration.rs
@@ -7,7 +7,12 @@
     configuration::{self, KEY, TOPIC},
     store::{ReadAnswer, TopicPart},
 };
-use bluebell_core::{clock::TimeSpan, ids::LogOffset, ingress::AcceptedVersion, units::ByteSize};
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::LogOffset,
+    ingress::AcceptedVersion,
+    units::ByteSize,
+};
 use bluebell_daemon::logs::LogLine;
 use bytes::Bytes;
 
@@ -41,8 +46,7 @@
             continue;
         }
         if mem::take(&mut is_told) {
-            // What came while the reader told is not worth reading record by record.
-            next = None;
+            next = told_end(&context);
         }
         let step = match next {
             None => read_newest(&context).await,
@@ -65,7 +69,7 @@
     for item in page.items.iter().filter(|item| item.key == KEY) {
         take(context, &item.value);
     }
-    confirm(context, sent);
+    confirm(context, sent, page.end);
     Ok(Some(page.end))
 }
 
@@ -97,19 +101,30 @@
                 // The answer was full; what follows is not known yet.
                 return Ok(Some(next));
             }
-            confirm(context, sent);
-            Ok(Some(next.max(end)))
+            let next = next.max(end);
+            confirm(context, sent, next);
+            Ok(Some(next))
         }
     }
 }
 
-fn confirm(context: &EntryContext, sent: bluebell_core::clock::ClockTime) {
+/// Everything before `end` was known as the read came back that was sent at `sent`.
+fn confirm(context: &EntryContext, sent: ClockTime, end: LogOffset) {
+    context.relayed.lock().configuration_end = end;
     let mut belief = context.belief.lock();
     if belief.table().is_some() {
         belief.confirm(sent);
     }
 }
 
+/// Where to read on after having been told. A large configuration that is the one in
+/// force need not be read again.
+fn told_end(context: &EntryContext) -> Option<LogOffset> {
+    let version = context.belief.lock().version();
+    let told = context.relayed.lock().configuration;
+    told.read_on_from(version)
+}
+
 /// What the reader told of a version is true of the one in force, if it is the same.
 pub fn confirm_told(context: &EntryContext) {
     let told = context.relayed.lock().configuration;
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -6,6 +6,7 @@
 use bluebell_core::{
     clock::{ClockSource, ClockTime, TimeSpan},
     directory::EndpointDirectory,
+    ids::LogOffset,
     ingress::ConfigurationBelief,
     placement::{EngineBooks, ReplicaBooks},
     provision::DemandBoard,
@@ -66,6 +67,8 @@
 pub struct RelayedKnowledge {
     /// The newest version of the configuration that was told of.
     pub configuration: ToldConfiguration,
+    /// Where this instance reads the configuration on; older records are known.
+    pub configuration_end: LogOffset,
     /// When the picture of the endpoints was last known to be whole.
     pub endpoints_known_at: Option<ClockTime>,
     /// Whether our picture of the endpoints differs from the reader's.
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -178,6 +178,9 @@
     /// The copy of that version, if there is or will be one.
     #[prost(message, optional, tag = "6")]
     pub copy: Option<CopyMessage>,
+    /// Where the reader reads the configuration on.
+    #[prost(uint64, tag = "7")]
+    pub configuration_end: u64,
 }
 
 /// A copy of the configuration; without records as long as it is being made.
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -2,8 +2,8 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    ids::{EndpointId, InstanceId},
-    relay::{VersionSource, told_limit},
+    ids::{EndpointId, InstanceId, LogOffset},
+    relay::{ConfigurationWord, VersionSource, told_limit},
 };
 use bluebell_daemon::logs::LogLine;
 
@@ -68,12 +68,16 @@
         let belief = context.belief.lock();
         (belief.version()?, belief.age(now)?)
     };
-    let endpoints_known_at = context.relayed.lock().endpoints_known_at?;
+    let (endpoints_known_at, configuration_end) = {
+        let relayed = context.relayed.lock();
+        (relayed.endpoints_known_at?, relayed.configuration_end)
+    };
     let digest = context.directory.lock().digest();
     let changes = context.peers.lock().changes(now);
     let copy = CopyMessage::new(context.own_copy.lock().state(version));
     Some(RelayMessage {
         version,
+        configuration_end: configuration_end.number(),
         copy,
         keys_age_ms: keys_age.as_millis(),
         endpoints_age_ms: now.since(endpoints_known_at).as_millis(),
@@ -112,9 +116,13 @@
     if relay.version > relayed.configuration.version() {
         note_told_version(context, peer, relay.version);
     }
-    let copy = CopyMessage::state(relay.copy.as_ref());
-    let configuration = &mut relayed.configuration;
-    if configuration.note(now, relay.version, keys_known_at, copy) {
+    let word = ConfigurationWord {
+        version: relay.version,
+        known_at: keys_known_at,
+        end: LogOffset::new(relay.configuration_end),
+        copy: CopyMessage::state(relay.copy.as_ref()),
+    };
+    if relayed.configuration.note(now, word) {
         context.wake.notify_waiters();
     }
     if relayed.difference.compare(now, digest, relay.digest) {
