Soak: a configuration that grows over narrow paths, and endpoints withdrawn unannounced

Why the soak had missed both incidents: its configurations are of a few hundred bytes, its paths have no bandwidth, endpoints always announce that they leave, and nothing held their leaving against the bound; an instance that is never ready again is hidden by the others of its failure domain.

--- a/crates/soak/src/commands.rs
+++ b/crates/soak/src/commands.rs
@@ -23,6 +23,7 @@
     seconds: u64,
     instances: usize,
     callers: usize,
+    is_growing: bool,
     folder: Option<PathBuf>,
     program: Option<PathBuf>,
     is_untimed: bool,
@@ -39,6 +40,9 @@
     );
     let instances = number("instances", "entry instances, in three failure domains", 6);
     let callers = number("callers", "callers in each failure domain", 6);
+    let is_growing = long("growing")
+        .help("the configuration grows over narrow paths; endpoints are withdrawn unannounced")
+        .switch();
     let folder = long("folder")
         .help("where settings, logs and reports are kept; a temporary folder otherwise")
         .argument("DIR")
@@ -56,6 +60,7 @@
         seconds,
         instances,
         callers,
+        is_growing,
         folder,
         program,
         is_untimed
@@ -100,6 +105,7 @@
             seed,
             span_ms: options.seconds * 1_000,
             callers: options.callers,
+            is_growing: options.is_growing,
             program: program.clone(),
             size: FleetSize {
                 instances: options.instances,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -29,7 +29,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    caller::TallyBook, process::EntryProcess, promises::PromiseChecker, proxy::LoopbackPath,
+    caller::TallyBook,
+    process::EntryProcess,
+    promises::{PromiseBounds, PromiseChecker},
+    proxy::LoopbackPath,
     rotation::CallerRotation,
 };
 
@@ -55,6 +58,7 @@
     withdrawal_ms: 5_000,
     grace_s: 5,
     configuration_ms: 2_000,
+    leaving_ms: 2_000,
     window_s: 5,
 };
 
@@ -92,6 +96,8 @@
         timeout_ms: 3_000,
     },
 ];
+/// How long callers of routes that nobody uses would be kept waiting, in ms.
+const UNUSED_TIMEOUT_MS: u64 = 1_500;
 /// How many of the routes may be led to another service.
 pub const MOVABLE_ROUTES: usize = 2;
 
@@ -204,8 +210,11 @@
             .with_context(|| format!("failed to create `{}`", size.folder.display()))?;
         let checker = Arc::new(PromiseChecker::new(
             ClockSource::new(),
-            TimeSpan::from_millis(BOUNDS.withdrawal_ms),
-            TimeSpan::from_millis(BOUNDS.configuration_ms),
+            PromiseBounds {
+                withdrawal: TimeSpan::from_millis(BOUNDS.withdrawal_ms),
+                configuration: TimeSpan::from_millis(BOUNDS.configuration_ms),
+                leaving: TimeSpan::from_millis(BOUNDS.leaving_ms),
+            },
         ));
         let watching = Arc::clone(&checker);
         let watch: EventWatch = Arc::new(move |event| watching.saw(event));
@@ -337,7 +346,7 @@
         change(&mut configuration);
         configuration.version += 3;
         configuration.publish(&self.store);
-        for route in &configuration.routes {
+        for route in configuration.routes.iter().take(ROUTES.len()) {
             self.checker.route_led(&route.prefix, &route.service);
         }
     }
@@ -351,6 +360,20 @@
         });
     }
 
+    /// Adds routes that nobody uses.
+    pub fn grow(&self, routes: usize) {
+        self.publish(|configuration| {
+            let first = configuration.routes.len();
+            let added = (first..first + routes).map(|number| OperatorRoute {
+                prefix: format!("/unused/{number}/"),
+                kind: OperatorKind::Safe,
+                service: TILLS[0].to_string(),
+                timeout_ms: UNUSED_TIMEOUT_MS,
+            });
+            configuration.routes.extend(added);
+        });
+    }
+
     /// Withdraws an organisation's keys.
     pub fn withdraw(&self, number: usize) {
         let name = organisation_name(number);
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -50,6 +50,8 @@
     RightService,
     /// A configuration comes into force in time and is never undone.
     NoOlderConfiguration,
+    /// An endpoint that left gets no new work.
+    LeavingSpared,
     /// What is allowed is not denied.
     NotDenied,
     /// One report for a window.
@@ -66,6 +68,8 @@
     NoOwnEnd,
     /// After the faults all failure domains are served again.
     ServesAgain,
+    /// After the faults all instances are ready again.
+    ReadyAgain,
 }
 
 impl Promise {
@@ -73,7 +77,10 @@
     pub fn is_timed(self) -> bool {
         matches!(
             self,
-            Promise::AnswerInTime | Promise::StopsWithCaller | Promise::NoOlderConfiguration
+            Promise::AnswerInTime
+                | Promise::StopsWithCaller
+                | Promise::NoOlderConfiguration
+                | Promise::LeavingSpared
         )
     }
 }
@@ -190,29 +197,39 @@
     routes: BTreeMap<String, Vec<(ClockTime, String)>>,
     /// The newest place in `routes` that a process was seen to follow.
     followed: BTreeMap<(ProcessName, String), (usize, ClockTime)>,
+    /// Since when endpoints are known to the store to have left.
+    left: BTreeMap<String, ClockTime>,
     reports: BTreeMap<u64, BTreeMap<String, u64>>,
     fences: BTreeMap<String, SeenAuthority>,
     disturbances: BTreeMap<String, Vec<Disturbance>>,
     broken: Vec<BrokenPromise>,
 }
 
+/// Within what time changes take effect.
+#[derive(Clone, Copy, Debug)]
+pub struct PromiseBounds {
+    /// How long a key may work after it was withdrawn.
+    pub withdrawal: TimeSpan,
+    /// How long a configuration may take to be in force.
+    pub configuration: TimeSpan,
+    /// How long an endpoint may get new work after it left.
+    pub leaving: TimeSpan,
+}
+
 /// Holds what happens against the promises.
 #[derive(Debug)]
 pub struct PromiseChecker {
     clock: ClockSource,
-    withdrawal: TimeSpan,
-    configuration: TimeSpan,
+    bounds: PromiseBounds,
     book: Mutex<PromiseBook>,
 }
 
 impl PromiseChecker {
-    /// Nothing has happened. Keys may work for `withdrawal` after they were
-    /// withdrawn; a configuration is in force after `configuration`.
-    pub fn new(clock: ClockSource, withdrawal: TimeSpan, configuration: TimeSpan) -> Self {
+    /// Nothing has happened.
+    pub fn new(clock: ClockSource, bounds: PromiseBounds) -> Self {
         PromiseChecker {
             clock,
-            withdrawal,
-            configuration,
+            bounds,
             book: Mutex::default(),
         }
     }
@@ -256,6 +273,13 @@
             .or_insert(now);
     }
 
+    /// An endpoint's registration says that it leaves, or is gone.
+    pub fn endpoint_left(&self, endpoint: &str) {
+        let now = self.now();
+        let mut book = self.hold();
+        book.left.entry(endpoint.to_string()).or_insert(now);
+    }
+
     /// `what` is disturbed from now on: an instance, an endpoint, or the store.
     pub fn disturb(&self, what: &str, is_planned: bool) {
         let disturbance = Disturbance {
@@ -354,10 +378,16 @@
             book.broke(now, Promise::RightOrganisation, detail);
         }
         let withdrawn = book.withdrawn.get(&request.organisation).copied();
-        if withdrawn.is_some_and(|at| sent > at + self.withdrawal) {
+        if withdrawn.is_some_and(|at| sent > at + self.bounds.withdrawal) {
             let detail = format!("{who} organisation={}", request.organisation);
             book.broke(now, Promise::WithdrawnKey, detail);
         }
+        let left = book.left.get(&run.endpoint).copied();
+        if left.is_some_and(|at| sent > at + self.bounds.leaving)
+            && book.is_in_touch(request.process.instance.as_str(), sent, now)
+        {
+            book.broke(now, Promise::LeavingSpared, who.clone());
+        }
         self.check_service(book, now, run, &request, sent, &who);
     }
 
@@ -390,12 +420,8 @@
         }
         let newer = places.get(place + 1).map(|(at, _)| *at);
         let instance = request.process.instance.as_str();
-        let is_late = newer.is_some_and(|at| sent > at + self.configuration);
-        if is_late
-            && book.is_calm(instance, sent, now, true)
-            && book.is_calm(&store_path(instance), sent, now, true)
-            && book.is_calm(STORE, sent, now, true)
-        {
+        let is_late = newer.is_some_and(|at| sent > at + self.bounds.configuration);
+        if is_late && book.is_in_touch(instance, sent, now) {
             let detail = format!("{who} service={} is not in force any more", run.service);
             book.broke(now, Promise::NoOlderConfiguration, detail);
         }
@@ -534,6 +560,13 @@
         counted.all(|one| one.from > until || one.until.is_some_and(|end| end < start))
     }
 
+    /// Whether an instance had all it needs to know what the store knows.
+    fn is_in_touch(&self, instance: &str, from: ClockTime, until: ClockTime) -> bool {
+        self.is_calm(instance, from, until, true)
+            && self.is_calm(&store_path(instance), from, until, true)
+            && self.is_calm(STORE, from, until, true)
+    }
+
     /// A holder never comes back with an older fencing number than one that was
     /// seen, and no two have the same.
     fn check_fence(&mut self, now: ClockTime, subject: &str, authority: &SeenAuthority) {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,4 +1,4 @@
-//! A path over loopback that can be delayed, cut or silenced.
+//! A path over loopback that can be narrow, delayed, cut or silenced.
 
 use std::{
     io,
@@ -42,6 +42,8 @@
     mode: PathMode,
     /// Connections that were opened before this one are silent for good.
     silent_before: u64,
+    /// How many bytes a connection carries in a ms, each way; none for any number.
+    bytes_per_ms: Option<u64>,
 }
 
 /// A path to one address.
@@ -61,6 +63,7 @@
             target,
             mode: PathMode::Open,
             silent_before: 0,
+            bytes_per_ms: None,
         };
         let path = LoopbackPath {
             address: listener.local_addr()?,
@@ -76,6 +79,12 @@
         self.state.send_modify(|state| state.mode = mode);
     }
 
+    /// Makes the path narrow, whatever happens to it besides.
+    pub fn set_rate(&self, bytes_per_ms: u64) {
+        self.state
+            .send_modify(|state| state.bytes_per_ms = Some(bytes_per_ms));
+    }
+
     /// Leads new connections elsewhere.
     pub fn set_target(&self, target: SocketAddr) {
         self.state.send_modify(|state| state.target = target);
@@ -164,6 +173,10 @@
                 () = ended.cancelled() => break,
                 () = self.wait_until_passing() => {}
             }
+            tokio::select! {
+                () = ended.cancelled() => break,
+                () = self.wait_for_room(count) => {}
+            }
             // An end is passed on like bytes: a path that holds back holds it too.
             if count == 0 || to.write_all(&chunk[..count]).await.is_err() {
                 break;
@@ -176,6 +189,15 @@
         }
     }
 
+    /// As long as a narrow path takes for `count` bytes.
+    async fn wait_for_room(&self, count: usize) {
+        let rate = self.state.borrow().bytes_per_ms;
+        if let Some(rate) = rate {
+            let span = Duration::from_millis(count as u64 / rate.max(1));
+            tokio::time::sleep(span).await;
+        }
+    }
+
     async fn wait_for_reset(&mut self) {
         let is_reset = |state: &PathState| state.mode == PathMode::Resets;
         if self.state.clone().wait_for(is_reset).await.is_err() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -43,6 +43,11 @@
 const DRAIN: Duration = Duration::from_millis(2_500);
 /// How much longer than it may a process is given to stop.
 const STOP_SLACK: Duration = Duration::from_secs(2);
+/// How long an endpoint goes on serving after its registration was withdrawn: longer
+/// than it may get new work.
+const WITHDRAWN: Duration = Duration::from_millis(5_000);
+/// What a narrow path to the store carries in a ms, in bytes.
+const NARROW_RATE: u64 = 800;
 /// The share of requests that a faulty endpoint treats badly.
 const TROUBLED: f64 = 0.3;
 /// The share of writes that a losing store does not answer.
@@ -59,6 +64,9 @@
     pub span_ms: u64,
     /// Callers in each failure domain.
     pub callers: usize,
+    /// Whether the configuration grows, endpoints are withdrawn without notice, and
+    /// every other instance has a narrow path to the store.
+    pub is_growing: bool,
     /// The entry program.
     pub program: PathBuf,
     /// How large.
@@ -85,6 +93,11 @@
     let program = plan.program.clone();
     let fleet = SoakFleet::build(plan.seed, program, &plan.size, &stop).await?;
     let fleet = Arc::new(fleet);
+    if plan.is_growing {
+        for slot in fleet.instances.iter().skip(1).step_by(2) {
+            slot.store.set_rate(NARROW_RATE);
+        }
+    }
     for slot in &fleet.instances {
         fleet.checker.disturb(slot.name.as_str(), false);
         *slot.process.lock().await = Some(slot.start(&fleet.program)?);
@@ -93,10 +106,15 @@
     let mut tasks = JoinSet::new();
     start_around(&fleet, plan, &stop, &mut tasks);
     wait_until_served(&fleet, "at first").await;
-    let faults = schedule::draw(plan.seed, schedule_size(&fleet, plan));
+    let size = schedule_size(&fleet, plan);
+    let mut faults = schedule::draw(plan.seed, size);
+    if plan.is_growing {
+        faults = schedule::merge(faults, schedule::draw_growth(plan.seed, size));
+    }
     inject(&fleet, &faults).await;
     heal(&fleet);
     wait_until_served(&fleet, "after the faults").await;
+    wait_until_ready(&fleet).await;
     stop_all(&fleet).await;
     stop.cancel();
     while tasks.join_next().await.is_some() {}
@@ -208,6 +226,25 @@
     }
 }
 
+/// Waits until each instance takes new connections: the others of its failure domain
+/// may serve its callers while it does not.
+async fn wait_until_ready(fleet: &SoakFleet) {
+    let give_up = tokio::time::Instant::now() + PATIENCE;
+    loop {
+        let slots = fleet.instances.iter();
+        let missing = slots.filter(|slot| !fleet.rotation.has(&slot.name));
+        let missing: Vec<&str> = missing.map(|slot| slot.name.as_str()).collect();
+        if missing.is_empty() {
+            return;
+        }
+        if tokio::time::Instant::now() >= give_up {
+            let detail = format!("not_ready={}", missing.join(","));
+            return fleet.checker.broke(Promise::ReadyAgain, detail);
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// Injects all faults at their times and waits until the last has passed.
 async fn inject(fleet: &Arc<SoakFleet>, faults: &[ScheduledFault]) {
     let start = tokio::time::Instant::now();
@@ -269,6 +306,7 @@
             }
         }
         SoakFault::MoveRoute { route } => fleet.move_route(route),
+        SoakFault::GrowConfiguration { routes } => fleet.grow(routes),
         SoakFault::Withdraw { organisation } => fleet.withdraw(organisation),
         fault => inject_at_endpoint(fleet, fault).await,
     }
@@ -309,12 +347,25 @@
             let slot = &fleet.endpoints[endpoint];
             let (id, leaving) = slot.current();
             leaving.leave();
+            fleet.checker.endpoint_left(&id);
             tokio::time::sleep(DRAIN).await;
             fleet.checker.disturb(&id, false);
             fleet.restart_endpoint(slot, true).await;
             leaving.kill();
             leaving.lapse();
         }
+        SoakFault::EndpointWithdrawn { endpoint } => {
+            let slot = &fleet.endpoints[endpoint];
+            let (id, withdrawn) = slot.current();
+            withdrawn.withdraw();
+            fleet.checker.endpoint_left(&id);
+            tokio::time::sleep(WITHDRAWN).await;
+            fleet.checker.disturb(&id, false);
+            if slot.current().0 == id {
+                fleet.restart_endpoint(slot, true).await;
+            }
+            withdrawn.kill();
+        }
         _ => {}
     }
 }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -14,6 +14,18 @@
 /// The shortest and the longest delay on a path or at the store, in ms.
 const DELAY_MS: (u64, u64) = (20, 600);
 
+/// The shortest and the longest time between two steps of growth, in ms.
+const GROWTH_PAUSE_MS: (u64, u64) = (1_000, 4_000);
+/// The shortest and the longest time that an instance is cut off from the store before
+/// endpoints are withdrawn, in ms: long enough for registrations to lapse.
+const CUT_MS: (u64, u64) = (2_500, 5_000);
+/// The latest that an endpoint is withdrawn after the path to the store is back, in ms.
+const WITHDRAWN_MS: u64 = 400;
+/// The most routes by which the configuration grows at once.
+const ROUTES_GROWN: usize = 4_000;
+/// Keeps the draws of growth apart from those of faults.
+const GROWTH_STREAM: u64 = 1;
+
 /// What a schedule is drawn for.
 #[derive(Clone, Copy, Debug)]
 pub struct ScheduleSize {
@@ -114,6 +126,17 @@
         /// Which endpoint.
         endpoint: usize,
     },
+    /// The registration of an endpoint is withdrawn without notice, and another one
+    /// comes later.
+    EndpointWithdrawn {
+        /// Which endpoint.
+        endpoint: usize,
+    },
+    /// The configuration grows by routes that nobody uses.
+    GrowConfiguration {
+        /// How many.
+        routes: usize,
+    },
     /// A route is led to another service.
     MoveRoute {
         /// Which of the routes that may be.
@@ -182,6 +205,58 @@
     }
 }
 
+/// Draws how the configuration grows and endpoints are withdrawn beside the faults of
+/// [`draw`]: the same for the same seed and size.
+pub fn draw_growth(seed: u64, size: ScheduleSize) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(GROWTH_STREAM);
+    let mut schedule: Vec<ScheduledFault> = Vec::new();
+    let mut at_ms = 0;
+    loop {
+        at_ms += random.random_range(GROWTH_PAUSE_MS.0..=GROWTH_PAUSE_MS.1);
+        if at_ms >= size.span_ms {
+            schedule.sort_by_key(|scheduled| scheduled.at_ms);
+            return schedule;
+        }
+        let mut push = |at_ms, fault| schedule.push(ScheduledFault { at_ms, fault });
+        match random.random_range(0..3) {
+            0 => {
+                let route = random.random_range(0..size.routes);
+                push(at_ms, SoakFault::MoveRoute { route });
+            }
+            1 => {
+                let routes = random.random_range(1..=ROUTES_GROWN);
+                push(at_ms, SoakFault::GrowConfiguration { routes });
+            }
+            _ => {
+                let (instance, span_ms, withdrawn_ms) = (
+                    random.random_range(0..size.instances),
+                    random.random_range(CUT_MS.0..=CUT_MS.1),
+                    random.random_range(0..=WITHDRAWN_MS),
+                );
+                let mode = PathMode::Silent;
+                let cut = SoakFault::StorePath {
+                    instance,
+                    mode,
+                    span_ms,
+                };
+                push(at_ms, cut);
+                let endpoint = random.random_range(0..size.endpoints);
+                let withdrawn = SoakFault::EndpointWithdrawn { endpoint };
+                push(at_ms + span_ms + withdrawn_ms, withdrawn);
+            }
+        }
+    }
+}
+
+/// The faults of both schedules, in the order of their times.
+pub fn merge(one: Vec<ScheduledFault>, other: Vec<ScheduledFault>) -> Vec<ScheduledFault> {
+    let mut merged = one;
+    merged.extend(other);
+    merged.sort_by_key(|scheduled| scheduled.at_ms);
+    merged
+}
+
 fn draw_fault(random: &mut ChaCha8Rng, size: ScheduleSize) -> SoakFault {
     let instance = random.random_range(0..size.instances);
     let endpoint = random.random_range(0..size.endpoints);
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -10,7 +10,9 @@
     events::{PlatformEvent, RunStart, SeenAuthority},
     operator::OperatorKind,
 };
-use bluebell_soak::promises::{CallerOutcome, ProcessName, Promise, PromiseChecker, SentRequest};
+use bluebell_soak::promises::{
+    CallerOutcome, ProcessName, Promise, PromiseBounds, PromiseChecker, SentRequest, store_path,
+};
 
 struct World {
     checker: PromiseChecker,
@@ -22,8 +24,12 @@
         let now = Arc::new(Mutex::new(100_000));
         let read = Arc::clone(&now);
         let clock = ClockSource::with_read(move || ClockTime::from_millis(*read.lock().unwrap()));
-        let (withdrawal, configuration) = (TimeSpan::from_secs(5), TimeSpan::from_secs(2));
-        let checker = PromiseChecker::new(clock, withdrawal, configuration);
+        let bounds = PromiseBounds {
+            withdrawal: TimeSpan::from_secs(5),
+            configuration: TimeSpan::from_secs(2),
+            leaving: TimeSpan::from_secs(2),
+        };
+        let checker = PromiseChecker::new(clock, bounds);
         checker.route_led("/charge/", "till");
         World { checker, now }
     }
@@ -218,3 +224,38 @@
     world.checker.got("c", &CallerOutcome::Cut);
     assert_eq!(world.broken().len(), 2);
 }
+
+/// Guards against a soak that does not see work for endpoints that left.
+#[test]
+fn new_work_for_an_endpoint_that_left_is_seen_after_the_bound() {
+    let world = World::new();
+    world.checker.endpoint_left("e1");
+    world.pass(1_900);
+    world.send("in time", OperatorKind::Safe);
+    world.pass(500);
+    world.run("in time");
+    assert_eq!(world.broken(), []);
+    world.send("late", OperatorKind::Safe);
+    world.run("late");
+    assert_eq!(world.broken(), [Promise::LeavingSpared]);
+}
+
+/// Guards against blaming an instance that could not have known.
+#[test]
+fn an_instance_cut_off_from_the_store_may_not_know_who_left() {
+    let world = World::new();
+    world.checker.disturb(&store_path("entry"), false);
+    world.checker.endpoint_left("e1");
+    world.pass(4_000);
+    world.send("cut off", OperatorKind::Safe);
+    world.run("cut off");
+    world.checker.settle(&store_path("entry"), false);
+    world.pass(2_900);
+    world.send("just back", OperatorKind::Safe);
+    world.run("just back");
+    assert_eq!(world.broken(), []);
+    world.pass(200);
+    world.send("in touch", OperatorKind::Safe);
+    world.run("in touch");
+    assert_eq!(world.broken(), [Promise::LeavingSpared]);
+}
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use bluebell_soak::schedule::{ScheduleSize, SoakFault, draw};
+use bluebell_soak::schedule::{ScheduleSize, ScheduledFault, SoakFault, draw, draw_growth, merge};
 
 const SIZE: ScheduleSize = ScheduleSize {
     instances: 6,
@@ -36,3 +36,22 @@
     }
     assert_eq!(kinds.len(), 15, "{kinds:?}");
 }
+
+/// Guards against growth that changes the faults of seeds that once showed something.
+#[test]
+fn growth_comes_beside_the_faults_of_a_seed_and_leaves_them_as_they_are() {
+    let faults = draw(7, SIZE);
+    let growth = draw_growth(7, SIZE);
+    assert_eq!(growth, draw_growth(7, SIZE));
+    let merged = merge(faults.clone(), growth.clone());
+    assert!(merged.is_sorted_by_key(|scheduled| scheduled.at_ms));
+    for scheduled in faults.iter().chain(&growth) {
+        assert!(merged.contains(scheduled));
+    }
+    let grows =
+        |scheduled: &ScheduledFault| matches!(scheduled.fault, SoakFault::GrowConfiguration { .. });
+    let leaves =
+        |scheduled: &ScheduledFault| matches!(scheduled.fault, SoakFault::EndpointWithdrawn { .. });
+    let all: Vec<ScheduledFault> = (1..=10).flat_map(|seed| draw_growth(seed, SIZE)).collect();
+    assert!(all.iter().any(grows) && all.iter().any(leaves));
+}
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -12,16 +12,32 @@
 /// Seed 26: the most refusals of the first fifty.
 const SEEDS: [u64; 2] = [1, 26];
 
+/// Seed 4, the configuration growing: three instances with narrow paths served by an
+/// older version for longer than they may, and were never ready again.
+const GROWING_SEEDS: [u64; 1] = [4];
+
 /// How long faults come.
 const SECONDS: &str = "6";
 
 #[test]
 fn promises_hold_under_faults_from_outside() {
-    let folder = std::env::temp_dir().join(format!("soak-test-{}", std::process::id()));
-    for seed in SEEDS {
+    soak("faults", &SEEDS, &[]);
+}
+
+/// Guards against instances that never get a large configuration over a narrow path,
+/// and against faults that come while it grows.
+#[test]
+fn promises_hold_while_the_configuration_grows_over_narrow_paths() {
+    soak("growth", &GROWING_SEEDS, &["--growing"]);
+}
+
+fn soak(name: &str, seeds: &[u64], options: &[&str]) {
+    let folder = std::env::temp_dir().join(format!("soak-{name}-{}", std::process::id()));
+    for seed in seeds {
         let output = Command::new(env!("CARGO_BIN_EXE_bluebell-soak"))
             .args(["--untimed", "--seconds", SECONDS, "--callers", "3"])
             .args(["--seed", &seed.to_string()])
+            .args(options)
             .arg("--folder")
             .arg(&folder)
             .output()
