--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -25,8 +25,8 @@
     ids::{EndpointId, ServiceName},
 };
 
-/// How long a lapsed registration is kept after the store's return. The users
-/// say that live endpoints are back within about two seconds.
+/// How long a lapsed registration is kept after the store's return: live endpoints
+/// register again within it.
 pub const LAPSE_GRACE: TimeSpan = TimeSpan::from_millis(2_000);
 
 /// After how many heartbeats that are missing a registration lapses.
