--- a/crates/core/src/ingress/belief.rs
+++ b/crates/core/src/ingress/belief.rs
@@ -26,7 +26,7 @@
 pub struct ConfigurationBelief {
     table: Option<Arc<RouteTable>>,
     fresh_at: Option<ClockTime>,
-    /// Newer versions that exist, each with when that was first heard.
+    /// Newer versions that others advertised, each with the time of the first advert.
     awaited: Vec<(u64, ClockTime)>,
 }
 
@@ -54,8 +54,8 @@
         }
     }
 
-    /// Another instance has `version` in force.
-    pub fn note_told(&mut self, now: ClockTime, version: u64) {
+    /// Another instance advertises that it has `version` in force.
+    pub fn note_advertised(&mut self, now: ClockTime, version: u64) {
         let newest = self.awaited.last().map(|(newest, _)| *newest);
         if newest.max(self.version()) < Some(version) {
             self.awaited.push((version, now));
--- a/crates/core/src/relay/copies.rs
+++ b/crates/core/src/relay/copies.rs
@@ -1,10 +1,10 @@
-//! Fetching a version of the configuration that the reader has told of.
+//! Fetching a version of the configuration that the reader advertises.
 //!
-//! A large configuration that every instance reads from the store as it lies there
-//! takes the store's bandwidth and the instances' links for longer than it may take
-//! to be in force. So the reader of a failure domain appends a compressed copy to a
-//! topic of our own and tells where it stands; the others read that. Whoever is not
-//! told of a copy in time, or can't read it, reads the configuration itself.
+//! If every instance fetched a large configuration from the store, the store's
+//! bandwidth and the instances' links would be busy for longer than a version may
+//! take to be in force. So the reader of a failure domain publishes a compressed copy
+//! in a topic of our own and advertises its offset; the others fetch that. An instance
+//! that gets no offset in time, or can't read the copy, fetches the original.
 
 use crate::{
     clock::{ClockTime, TimeSpan},
@@ -12,14 +12,14 @@
     units::ByteSize,
 };
 
-/// From which size on a configuration is copied: smaller ones are read faster than a
-/// copy is made.
-pub const COPIED_FROM: ByteSize = ByteSize::new(128 * 1_024);
+/// The size from which a configuration is copied: fetching a smaller one is faster than
+/// making a copy.
+pub const COPY_THRESHOLD: ByteSize = ByteSize::new(128 * 1_024);
 
-/// How long those who are told of a version wait until its copy stands.
+/// How long an instance waits for the copy of an advertised version.
 const COPY_PATIENCE: TimeSpan = TimeSpan::from_millis(700);
 
-/// Where a copy stands in the topic of copies.
+/// The position of a copy in the topic of copies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CopyPlace {
     /// The offset of its first record.
@@ -30,84 +30,84 @@
     pub size: ByteSize,
 }
 
-/// What a reader says of the copy of the version that it has in force.
+/// The state of the copy of the reader's version.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum CopyState {
-    /// There is none, and there will be none.
+    /// No copy is made.
     #[default]
     Absent,
     /// It is being made.
     Pending,
-    /// It can be read.
-    Stands(CopyPlace),
+    /// It can be fetched.
+    Available(CopyPlace),
 }
 
-/// Where a version that is missing here is to be had.
+/// Where to fetch a version that is missing here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VersionSource {
     /// Nowhere yet; its copy is being made.
     Awaited,
-    /// The copy.
+    /// From the copy.
     Copy(CopyPlace),
-    /// The configuration itself.
+    /// From the operator's record.
     Original,
 }
 
-/// The newest version that the reader of the failure domain has told of.
+/// The newest version that the reader of the failure domain has advertised.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ToldConfiguration {
+pub struct AdvertisedConfiguration {
     version: u64,
-    told_at: ClockTime,
+    advertised_at: ClockTime,
     known_at: ClockTime,
-    end: LogOffset,
+    next: LogOffset,
     copy: CopyState,
     has_failed: bool,
 }
 
-/// What a reader says of the configuration.
+/// What a reader advertises.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ConfigurationWord {
+pub struct ConfigurationAdvert {
     /// The version that it has in force.
     pub version: u64,
-    /// When that was known to be the newest one, on the clock of who is told.
+    /// When that was known to be the newest one, on the receiver's clock.
     pub known_at: ClockTime,
-    /// Where the reader reads on; no newer version stands before it.
-    pub end: LogOffset,
+    /// The offset that the reader reads next; no newer version precedes it.
+    pub next: LogOffset,
     /// The copy of the version.
     pub copy: CopyState,
 }
 
-impl ToldConfiguration {
-    /// No version told of.
-    pub fn new() -> ToldConfiguration {
-        ToldConfiguration::default()
+impl AdvertisedConfiguration {
+    /// No version yet.
+    pub fn new() -> AdvertisedConfiguration {
+        AdvertisedConfiguration::default()
     }
 
-    /// Takes the reader's word. Answers whether something changed that a follower
-    /// waits for.
-    pub fn note(&mut self, now: ClockTime, word: ConfigurationWord) -> bool {
-        if word.version < self.version {
+    /// Takes what the reader advertises. Returns whether a follower that waits has
+    /// something to do.
+    pub fn note(&mut self, now: ClockTime, advert: ConfigurationAdvert) -> bool {
+        if advert.version < self.version {
             return false;
         }
-        if word.version > self.version {
-            *self = ToldConfiguration {
-                version: word.version,
-                told_at: now,
-                known_at: word.known_at,
-                end: word.end,
-                copy: word.copy,
+        if advert.version > self.version {
+            *self = AdvertisedConfiguration {
+                version: advert.version,
+                advertised_at: now,
+                known_at: advert.known_at,
+                next: advert.next,
+                copy: advert.copy,
                 has_failed: false,
             };
             return true;
         }
-        self.known_at = self.known_at.max(word.known_at);
-        self.end = self.end.max(word.end);
-        let is_changed = word.copy != self.copy;
-        self.copy = word.copy;
+        self.known_at = self.known_at.max(advert.known_at);
+        self.next = self.next.max(advert.next);
+        let is_changed = advert.copy != self.copy;
+        self.copy = advert.copy;
         is_changed
     }
 
-    /// The version; 0 if none was told of.
+    /// The version; 0 if there is none.
     pub fn version(&self) -> u64 {
         self.version
     }
@@ -117,23 +117,25 @@
         self.known_at
     }
 
-    /// Where whoever has `version` in force reads on when it is not told any more;
-    /// nothing if that is not the version told of, and the newest one has to be read.
-    pub fn read_on_from(&self, version: Option<u64>) -> Option<LogOffset> {
-        let is_known = version == Some(self.version) && self.end > LogOffset::START;
-        is_known.then_some(self.end)
+    /// The offset from which an instance with `version` in force follows the log by
+    /// itself; nothing if it has another version and must fetch the newest one.
+    pub fn resume_offset(&self, version: Option<u64>) -> Option<LogOffset> {
+        let is_known = version == Some(self.version) && self.next > LogOffset::START;
+        is_known.then_some(self.next)
     }
 
-    /// The copy could not be used: the version is read as it lies in the store.
+    /// The copy could not be used; the original is fetched instead.
     pub fn note_failed_copy(&mut self) {
         self.has_failed = true;
     }
 
-    /// Where the version is to be had.
+    /// Where to fetch the version.
     pub fn source(&self, now: ClockTime) -> VersionSource {
         match self.copy {
-            CopyState::Stands(place) if !self.has_failed => VersionSource::Copy(place),
-            CopyState::Pending if now.since(self.told_at) < COPY_PATIENCE => VersionSource::Awaited,
+            CopyState::Available(place) if !self.has_failed => VersionSource::Copy(place),
+            CopyState::Pending if now.since(self.advertised_at) < COPY_PATIENCE => {
+                VersionSource::Awaited
+            }
             _ => VersionSource::Original,
         }
     }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -14,7 +14,8 @@
 mod copies;
 
 pub use self::copies::{
-    COPIED_FROM, ConfigurationWord, CopyPlace, CopyState, ToldConfiguration, VersionSource,
+    AdvertisedConfiguration, COPY_THRESHOLD, ConfigurationAdvert, CopyPlace, CopyState,
+    VersionSource,
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -160,10 +160,10 @@
 fn a_version_known_to_be_replaced_is_outdated_after_the_bound() {
     let mut belief = ConfigurationBelief::new();
     belief.offer(configuration(18, Vec::new(), &[]));
-    belief.note_told(at(1_000), 18);
+    belief.note_advertised(at(1_000), 18);
     assert!(!belief.is_outdated(at(60_000), span(2_000)));
-    belief.note_told(at(64_000), 20);
-    belief.note_told(at(65_900), 23);
+    belief.note_advertised(at(64_000), 20);
+    belief.note_advertised(at(65_900), 23);
     assert!(!belief.is_outdated(at(65_999), span(2_000)));
     assert!(belief.is_outdated(at(66_000), span(2_000)));
     // The version in between arrives: what is missing now was heard of later.
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -4,8 +4,8 @@
     clock::{ClockTime, TimeSpan},
     ids::{InstanceId, LogOffset},
     relay::{
-        ConfigurationWord, CopyPlace, CopyState, DIFFERENCE_PATIENCE, DifferenceWatch, EchoedStamp,
-        ToldConfiguration, VersionSource, is_reader, told_limit,
+        AdvertisedConfiguration, ConfigurationAdvert, CopyPlace, CopyState, DIFFERENCE_PATIENCE,
+        DifferenceWatch, EchoedStamp, VersionSource, is_reader, told_limit,
     },
     units::ByteSize,
 };
@@ -69,11 +69,11 @@
     ClockTime::from_millis(millis)
 }
 
-fn word(version: u64, known_at: u64, copy: CopyState) -> ConfigurationWord {
-    ConfigurationWord {
+fn advert(version: u64, known_at: u64, copy: CopyState) -> ConfigurationAdvert {
+    ConfigurationAdvert {
         version,
         known_at: at(known_at),
-        end: LogOffset::new(version),
+        next: LogOffset::new(version),
         copy,
     }
 }
@@ -89,48 +89,48 @@
 /// Guards against all instances reading a large configuration while its copy is made.
 #[test]
 fn a_copy_that_is_being_made_is_waited_for_but_not_for_long() {
-    let mut told = ToldConfiguration::new();
-    assert!(told.note(at(1_000), word(7, 900, CopyState::Pending)));
-    assert_eq!(told.source(at(1_100)), VersionSource::Awaited);
-    assert!(!told.note(at(1_250), word(7, 1_200, CopyState::Pending)));
-    assert_eq!(told.known_at(), at(1_200));
-    assert_eq!(told.source(at(1_699)), VersionSource::Awaited);
-    assert_eq!(told.source(at(1_700)), VersionSource::Original);
-    let stands = CopyState::Stands(place(4));
-    assert!(told.note(at(1_800), word(7, 1_750, stands)));
-    assert_eq!(told.source(at(1_800)), VersionSource::Copy(place(4)));
+    let mut advertised = AdvertisedConfiguration::new();
+    assert!(advertised.note(at(1_000), advert(7, 900, CopyState::Pending)));
+    assert_eq!(advertised.source(at(1_100)), VersionSource::Awaited);
+    assert!(!advertised.note(at(1_250), advert(7, 1_200, CopyState::Pending)));
+    assert_eq!(advertised.known_at(), at(1_200));
+    assert_eq!(advertised.source(at(1_699)), VersionSource::Awaited);
+    assert_eq!(advertised.source(at(1_700)), VersionSource::Original);
+    let stands = CopyState::Available(place(4));
+    assert!(advertised.note(at(1_800), advert(7, 1_750, stands)));
+    assert_eq!(advertised.source(at(1_800)), VersionSource::Copy(place(4)));
 }
 
 /// Guards against trying the same unreadable copy for good, and against giving up the
 /// copies of later versions with it.
 #[test]
 fn a_copy_that_failed_is_left_and_the_next_one_is_used() {
-    let mut told = ToldConfiguration::new();
-    let stands = CopyState::Stands(place(4));
-    told.note(at(1_000), word(7, 900, stands));
-    told.note_failed_copy();
-    assert_eq!(told.source(at(1_100)), VersionSource::Original);
-    assert!(!told.note(at(1_200), word(7, 1_100, stands)));
-    assert_eq!(told.source(at(1_200)), VersionSource::Original);
-    assert!(told.note(at(1_300), word(9, 1_200, CopyState::Stands(place(8)))));
-    assert_eq!(told.source(at(1_300)), VersionSource::Copy(place(8)));
+    let mut advertised = AdvertisedConfiguration::new();
+    let stands = CopyState::Available(place(4));
+    advertised.note(at(1_000), advert(7, 900, stands));
+    advertised.note_failed_copy();
+    assert_eq!(advertised.source(at(1_100)), VersionSource::Original);
+    assert!(!advertised.note(at(1_200), advert(7, 1_100, stands)));
+    assert_eq!(advertised.source(at(1_200)), VersionSource::Original);
+    assert!(advertised.note(at(1_300), advert(9, 1_200, CopyState::Available(place(8)))));
+    assert_eq!(advertised.source(at(1_300)), VersionSource::Copy(place(8)));
     // A reader that is behind takes nothing back.
-    assert!(!told.note(at(1_400), word(7, 1_300, CopyState::Absent)));
-    assert_eq!(told.version(), 9);
+    assert!(!advertised.note(at(1_400), advert(7, 1_300, CopyState::Absent)));
+    assert_eq!(advertised.version(), 9);
 }
 
 /// Guards against reading a whole configuration again each time a reader is lost.
 #[test]
-fn who_has_the_version_told_of_reads_on_where_the_reader_was() {
-    let mut told = ToldConfiguration::new();
-    assert_eq!(told.read_on_from(None), None);
-    told.note(at(1_000), word(7, 900, CopyState::Absent));
-    assert_eq!(told.read_on_from(Some(7)), Some(LogOffset::new(7)));
-    assert_eq!(told.read_on_from(Some(6)), None);
-    let further = ConfigurationWord {
-        end: LogOffset::new(12),
-        ..word(7, 1_100, CopyState::Absent)
+fn an_instance_with_the_advertised_version_follows_from_the_reader_s_offset() {
+    let mut advertised = AdvertisedConfiguration::new();
+    assert_eq!(advertised.resume_offset(None), None);
+    advertised.note(at(1_000), advert(7, 900, CopyState::Absent));
+    assert_eq!(advertised.resume_offset(Some(7)), Some(LogOffset::new(7)));
+    assert_eq!(advertised.resume_offset(Some(6)), None);
+    let further = ConfigurationAdvert {
+        next: LogOffset::new(12),
+        ..advert(7, 1_100, CopyState::Absent)
     };
-    told.note(at(1_200), further);
-    assert_eq!(told.read_on_from(Some(7)), Some(LogOffset::new(12)));
+    advertised.note(at(1_200), further);
+    assert_eq!(advertised.resume_offset(Some(7)), Some(LogOffset::new(12)));
 }
--- a/crates/ingress/src/believe/configuration.rs
+++ b/crates/ingress/src/believe/configuration.rs
@@ -46,7 +46,7 @@
             continue;
         }
         if mem::take(&mut is_told) {
-            next = told_end(&context);
+            next = advertised_end(&context);
         }
         let step = match next {
             None => read_newest(&context).await,
@@ -110,27 +110,28 @@
 
 /// Everything before `end` was known as the read came back that was sent at `sent`.
 fn confirm(context: &EntryContext, sent: ClockTime, end: LogOffset) {
-    context.relayed.lock().configuration_end = end;
+    context.relayed.lock().configuration_next = end;
     let mut belief = context.belief.lock();
     if belief.table().is_some() {
         belief.confirm(sent);
     }
 }
 
-/// Where to read on after having been told. A large configuration that is the one in
-/// force need not be read again.
-fn told_end(context: &EntryContext) -> Option<LogOffset> {
+/// The offset to follow from when the reader's adverts end. A large configuration that
+/// is in force here need not be fetched again.
+fn advertised_end(context: &EntryContext) -> Option<LogOffset> {
     let version = context.belief.lock().version();
-    let told = context.relayed.lock().configuration;
-    told.read_on_from(version)
+    let advertised = context.relayed.lock().configuration;
+    advertised.resume_offset(version)
 }
 
-/// What the reader told of a version is true of the one in force, if it is the same.
-pub fn confirm_told(context: &EntryContext) {
-    let told = context.relayed.lock().configuration;
+/// Takes the freshness of the advertised version for the one in force, if they are the
+/// same.
+pub fn confirm_advertised(context: &EntryContext) {
+    let advertised = context.relayed.lock().configuration;
     let mut belief = context.belief.lock();
-    if belief.version() == Some(told.version()) {
-        belief.confirm(told.known_at());
+    if belief.version() == Some(advertised.version()) {
+        belief.confirm(advertised.known_at());
     }
 }
 
@@ -148,7 +149,7 @@
     let version = configuration.version;
     let (routes, services) = (configuration.routes.len(), configuration.services.len());
     let size = ByteSize::new(value.len() as u64);
-    // What is read first, after a start, the others have already.
+    // The first version after a start is one that the others have already.
     let previous = context.belief.lock().version();
     let is_newer = previous.is_some_and(|previous| previous < version);
     let is_copied = is_newer && copies::is_due(context, size);
--- a/crates/ingress/src/believe/copies.rs
+++ b/crates/ingress/src/believe/copies.rs
@@ -1,5 +1,5 @@
-//! Copies of a large configuration: making them as the reader of a failure domain,
-//! and reading them as an instance that is told.
+//! Copies of a large configuration: publishing them as the reader of a failure domain,
+//! and fetching them as any other instance.
 
 use std::{
     io::{self, Read, Write},
@@ -13,7 +13,7 @@
 use bluebell_core::{
     clock::TimeSpan,
     ids::LogOffset,
-    relay::{COPIED_FROM, CopyPlace, CopyState, VersionSource},
+    relay::{COPY_THRESHOLD, CopyPlace, CopyState, VersionSource},
     units::ByteSize,
 };
 use bluebell_daemon::logs::LogLine;
@@ -45,15 +45,15 @@
     packed: Bytes,
 }
 
-/// The copy that this instance makes as the reader of its failure domain.
+/// The copy that this instance publishes as the reader of its failure domain.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct OwnCopy {
+pub struct PublishedCopy {
     version: u64,
     state: CopyState,
 }
 
-impl OwnCopy {
-    /// What is told of the copy of `version`.
+impl PublishedCopy {
+    /// The state of the copy of `version`.
     pub fn state(&self, version: u64) -> CopyState {
         match self.version == version {
             true => self.state,
@@ -63,7 +63,7 @@
 
     fn set(&mut self, version: u64, state: CopyState) {
         if version >= self.version {
-            *self = OwnCopy { version, state };
+            *self = PublishedCopy { version, state };
         }
     }
 }
@@ -85,17 +85,20 @@
     OtherVersion(u64),
 }
 
-/// Whether this instance makes a copy of a configuration of `size` for others.
+/// Whether this instance publishes a copy of a configuration of `size`.
 pub fn is_due(context: &EntryContext, size: ByteSize) -> bool {
-    size >= COPIED_FROM && context.is_reader()
+    size >= COPY_THRESHOLD && context.is_reader()
 }
 
-/// Notes, before the version is told of, that its copy is on its way.
+/// Notes, before the version is advertised, that its copy is being made.
 pub fn announce(context: &EntryContext, version: u64) {
-    context.own_copy.lock().set(version, CopyState::Pending);
+    context
+        .published_copy
+        .lock()
+        .set(version, CopyState::Pending);
 }
 
-/// Makes the copy and tells where it stands.
+/// Publishes the copy of `version` and advertises its offset.
 pub async fn publish(context: Arc<EntryContext>, version: u64, value: Bytes) {
     let state = match append(&context, version, &value).await {
         Ok(place) => {
@@ -103,9 +106,9 @@
                 .with("version", version)
                 .with("offset", place.offset)
                 .with("size", place.size)
-                .with("outcome", "stands")
+                .with("outcome", "available")
                 .info();
-            CopyState::Stands(place)
+            CopyState::Available(place)
         }
         Err(error) => {
             LogLine::new("configuration_copy")
@@ -116,7 +119,7 @@
             CopyState::Absent
         }
     };
-    context.own_copy.lock().set(version, state);
+    context.published_copy.lock().set(version, state);
     context.wake.notify_waiters();
 }
 
@@ -144,25 +147,25 @@
     }
 }
 
-/// Reads the copy of a version that was told of and is missing here; answers whether
-/// the version is in force now.
+/// Fetches the copy of an advertised version that is missing here; returns whether the
+/// version is in force now.
 pub async fn take(context: &Arc<EntryContext>) -> bool {
-    let told = context.relayed.lock().configuration;
-    if context.belief.lock().version() >= Some(told.version()) {
+    let advertised = context.relayed.lock().configuration;
+    if context.belief.lock().version() >= Some(advertised.version()) {
         return false;
     }
-    let VersionSource::Copy(place) = told.source(context.now()) else {
+    let VersionSource::Copy(place) = advertised.source(context.now()) else {
         return false;
     };
-    match read(context, told.version(), place).await {
+    match read(context, advertised.version(), place).await {
         Ok(value) => {
             configuration::take(context, &value);
-            configuration::confirm_told(context);
-            context.belief.lock().version() >= Some(told.version())
+            configuration::confirm_advertised(context);
+            context.belief.lock().version() >= Some(advertised.version())
         }
         Err(error) => {
             LogLine::new("configuration_copy")
-                .with("version", told.version())
+                .with("version", advertised.version())
                 .with("outcome", "not_read")
                 .with("error", error)
                 .warn();
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -10,7 +10,7 @@
     ingress::ConfigurationBelief,
     placement::{EngineBooks, ReplicaBooks},
     provision::DemandBoard,
-    relay::{DifferenceWatch, ToldConfiguration},
+    relay::{AdvertisedConfiguration, DifferenceWatch},
     retries::{SharedAllowance, SharedBudget},
     routing::RoutingSettings,
     usage::{MeterWriter, UsageMeter},
@@ -19,8 +19,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    believe::copies::OwnCopy, forward::ConnectionPools, metrics::EntryMetrics, peers::PeerTable,
-    steward::ToldUsage,
+    believe::copies::PublishedCopy, forward::ConnectionPools, metrics::EntryMetrics,
+    peers::PeerTable, steward::ToldUsage,
 };
 
 /// How much sooner than the operators ask a key stops working that nothing has
@@ -65,10 +65,10 @@
 /// What the reader of the failure domain has told, and how fresh the endpoints are.
 #[derive(Debug, Default)]
 pub struct RelayedKnowledge {
-    /// The newest version of the configuration that was told of.
-    pub configuration: ToldConfiguration,
-    /// Where this instance reads the configuration on; older records are known.
-    pub configuration_end: LogOffset,
+    /// The newest version of the configuration that the reader advertised.
+    pub configuration: AdvertisedConfiguration,
+    /// The offset that this instance reads next; older records are known.
+    pub configuration_next: LogOffset,
     /// When the picture of the endpoints was last known to be whole.
     pub endpoints_known_at: Option<ClockTime>,
     /// Whether our picture of the endpoints differs from the reader's.
@@ -108,8 +108,8 @@
     pub peers: Shared<PeerTable>,
     /// What the reader of the failure domain has told.
     pub relayed: Shared<RelayedKnowledge>,
-    /// The copy of the configuration that this instance makes for the others.
-    pub own_copy: Shared<OwnCopy>,
+    /// The copy of the configuration that this instance publishes for the others.
+    pub published_copy: Shared<PublishedCopy>,
     /// What other entries of the failure domain counted and is not published.
     pub told_usage: Shared<ToldUsage>,
     /// Wakes the followers of the store, and the talk with other instances.
@@ -164,7 +164,7 @@
             meter: Shared::new(UsageMeter::new()),
             peers: Shared::new(PeerTable::new()),
             relayed: Shared::new(RelayedKnowledge::default()),
-            own_copy: Shared::new(OwnCopy::default()),
+            published_copy: Shared::new(PublishedCopy::default()),
             told_usage: Shared::new(ToldUsage::default()),
             wake: Notify::new(),
             pools: ConnectionPools::new(),
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -25,8 +25,8 @@
     pub store_calls: IntCounterVec,
     /// The version of the configuration in force.
     pub configuration_version: IntGauge,
-    /// The newest version that the reader of the failure domain has told of.
-    pub told_version: IntGauge,
+    /// The newest version that the reader of the failure domain advertised.
+    pub advertised_version: IntGauge,
     /// Endpoints whose registrations went, by what was made of it.
     pub registrations_gone: IntCounterVec,
     /// Requests under way.
@@ -78,9 +78,9 @@
                 "bluebell_configuration_version",
                 "version of the configuration in force",
             )?,
-            told_version: gauge(
-                "bluebell_configuration_told_version",
-                "newest version that the reader of the failure domain has told of",
+            advertised_version: gauge(
+                "bluebell_configuration_advertised_version",
+                "newest version that the reader of the failure domain advertised",
             )?,
             registrations_gone: counter(
                 "bluebell_registrations_gone_total",
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -178,9 +178,9 @@
     /// The copy of that version, if there is or will be one.
     #[prost(message, optional, tag = "6")]
     pub copy: Option<CopyMessage>,
-    /// Where the reader reads the configuration on.
+    /// The offset of the configuration that the reader reads next.
     #[prost(uint64, tag = "7")]
-    pub configuration_end: u64,
+    pub configuration_next: u64,
 }
 
 /// A copy of the configuration; without records as long as it is being made.
@@ -198,12 +198,12 @@
 }
 
 impl CopyMessage {
-    /// The state as it is told.
+    /// The state as it is sent.
     pub fn new(state: CopyState) -> Option<CopyMessage> {
         match state {
             CopyState::Absent => None,
             CopyState::Pending => Some(CopyMessage::default()),
-            CopyState::Stands(place) => Some(CopyMessage {
+            CopyState::Available(place) => Some(CopyMessage {
                 offset: place.offset.number(),
                 records: place.records,
                 size: place.size.count(),
@@ -216,7 +216,7 @@
         match message {
             None => CopyState::Absent,
             Some(message) if message.records == 0 => CopyState::Pending,
-            Some(message) => CopyState::Stands(CopyPlace {
+            Some(message) => CopyState::Available(CopyPlace {
                 offset: LogOffset::new(message.offset),
                 records: message.records,
                 size: ByteSize::new(message.size),
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -3,7 +3,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{EndpointId, InstanceId, LogOffset},
-    relay::{ConfigurationWord, VersionSource, told_limit},
+    relay::{ConfigurationAdvert, VersionSource, told_limit},
 };
 use bluebell_daemon::logs::LogLine;
 
@@ -37,13 +37,13 @@
     }
 
     /// Whether configuration and keys have to be read from the store here: nobody
-    /// reads for this instance, the reader's word is too old, or it has spoken of
-    /// a newer version whose copy is not being made.
+    /// reads for this instance, the reader's word is too old, or it advertises a newer
+    /// version that can be fetched.
     pub fn must_read_keys(&self) -> bool {
-        let told = self.relayed.lock().configuration;
-        let is_behind = self.belief.lock().version() < Some(told.version());
-        let is_to_be_had = told.source(self.now()) != VersionSource::Awaited;
-        self.must_read_keys_by_age() || (is_behind && is_to_be_had) || self.is_reader()
+        let advertised = self.relayed.lock().configuration;
+        let is_behind = self.belief.lock().version() < Some(advertised.version());
+        let is_available = advertised.source(self.now()) != VersionSource::Awaited;
+        self.must_read_keys_by_age() || (is_behind && is_available) || self.is_reader()
     }
 
     /// Whether the endpoints have to be read from the store here.
@@ -68,16 +68,16 @@
         let belief = context.belief.lock();
         (belief.version()?, belief.age(now)?)
     };
-    let (endpoints_known_at, configuration_end) = {
+    let (endpoints_known_at, configuration_next) = {
         let relayed = context.relayed.lock();
-        (relayed.endpoints_known_at?, relayed.configuration_end)
+        (relayed.endpoints_known_at?, relayed.configuration_next)
     };
     let digest = context.directory.lock().digest();
     let changes = context.peers.lock().changes(now);
-    let copy = CopyMessage::new(context.own_copy.lock().state(version));
+    let copy = CopyMessage::new(context.published_copy.lock().state(version));
     Some(RelayMessage {
         version,
-        configuration_end: configuration_end.number(),
+        configuration_next: configuration_next.number(),
         copy,
         keys_age_ms: keys_age.as_millis(),
         endpoints_age_ms: now.since(endpoints_known_at).as_millis(),
@@ -106,7 +106,7 @@
     }
     {
         let mut belief = context.belief.lock();
-        belief.note_told(now, relay.version);
+        belief.note_advertised(now, relay.version);
         if belief.version() == Some(relay.version) {
             belief.confirm(keys_known_at);
         }
@@ -114,15 +114,15 @@
     let digest = context.directory.lock().digest();
     let mut relayed = context.relayed.lock();
     if relay.version > relayed.configuration.version() {
-        note_told_version(context, peer, relay.version);
+        note_advertised_version(context, peer, relay.version);
     }
-    let word = ConfigurationWord {
+    let advert = ConfigurationAdvert {
         version: relay.version,
         known_at: keys_known_at,
-        end: LogOffset::new(relay.configuration_end),
+        next: LogOffset::new(relay.configuration_next),
         copy: CopyMessage::state(relay.copy.as_ref()),
     };
-    if relayed.configuration.note(now, word) {
+    if relayed.configuration.note(now, advert) {
         context.wake.notify_waiters();
     }
     if relayed.difference.compare(now, digest, relay.digest) {
@@ -133,8 +133,8 @@
     }
 }
 
-fn note_told_version(context: &EntryContext, peer: &InstanceId, version: u64) {
-    context.metrics.told_version.set(version as i64);
+fn note_advertised_version(context: &EntryContext, peer: &InstanceId, version: u64) {
+    context.metrics.advertised_version.set(version as i64);
     let own = context.belief.lock().version();
     if own == Some(version) {
         return;
@@ -143,7 +143,7 @@
         .with("version", version)
         .with("own_version", own.unwrap_or_default())
         .with("source", peer)
-        .with("outcome", "told")
+        .with("outcome", "advertised")
         .info();
 }
 
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -51,7 +51,7 @@
     /// A configuration comes into force in time and is never undone.
     NoOlderConfiguration,
     /// An endpoint that left gets no new work.
-    LeavingSpared,
+    DrainRespected,
     /// What is allowed is not denied.
     NotDenied,
     /// One report for a window.
@@ -80,7 +80,7 @@
             Promise::AnswerInTime
                 | Promise::StopsWithCaller
                 | Promise::NoOlderConfiguration
-                | Promise::LeavingSpared
+                | Promise::DrainRespected
         )
     }
 }
@@ -386,7 +386,7 @@
         if left.is_some_and(|at| sent > at + self.bounds.leaving)
             && book.is_in_touch(request.process.instance.as_str(), sent, now)
         {
-            book.broke(now, Promise::LeavingSpared, who.clone());
+            book.broke(now, Promise::DrainRespected, who.clone());
         }
         self.check_service(book, now, run, &request, sent, &who);
     }
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -237,7 +237,7 @@
     assert_eq!(world.broken(), []);
     world.send("late", OperatorKind::Safe);
     world.run("late");
-    assert_eq!(world.broken(), [Promise::LeavingSpared]);
+    assert_eq!(world.broken(), [Promise::DrainRespected]);
 }
 
 /// Guards against blaming an instance that could not have known.
@@ -257,5 +257,5 @@
     world.pass(200);
     world.send("in touch", OperatorKind::Safe);
     world.run("in touch");
-    assert_eq!(world.broken(), [Promise::LeavingSpared]);
+    assert_eq!(world.broken(), [Promise::DrainRespected]);
 }
