Tell silent instances at their beat also where there are many instances

Cause: instances that have not been heard yet are told something every 2 s. Words for the own failure domain (every 250 ms, only where the interval of full words is longer than that, from 64 instances on) took that beat and then left out all other failure domains. So no instance ever heard one of another failure domain. The steward planned with the words of 21 of 83 entries (prefill_need 8.7 where 40 were needed); a steward in another place, with its first words from everywhere, saw 83. Entries knew nothing of the others' queues.

Ruled out: the plan itself (with all words it asks for what had or more); size of datagrams and lost datagrams (no send failed; `known=83 alive=21` on all instances).

Change: who is told is chosen in one place (`ReceiverChoice`); words for the own failure domain go to the instances there that were heard, and leave the beat alone.

--- a/crates/ingress/src/peers/mod.rs
+++ b/crates/ingress/src/peers/mod.rs
@@ -8,6 +8,7 @@
 //! own books alone.
 
 mod messages;
+mod receivers;
 mod registry;
 mod relay;
 mod table;
@@ -19,6 +20,7 @@
 
 pub use self::{
     messages::{ChangeMessage, StageMessage},
+    receivers::{ReceiverChoice, WordReceiver},
     table::{KnownPeer, PeerTable},
 };
 use crate::context::EntryContext;
--- a/crates/ingress/src/peers/talk.rs
+++ b/crates/ingress/src/peers/talk.rs
@@ -17,6 +17,7 @@
     context::EntryContext,
     peers::{
         messages::{PeerMessage, ReceiverPart, RelayMessage},
+        receivers::{ReceiverChoice, WordReceiver},
         registry::own_address,
         relay,
         table::KnownPeer,
@@ -44,9 +45,6 @@
 /// How often an entry with nothing to tell says that it is there.
 const BEAT: TimeSpan = TimeSpan::from_millis(1_000);
 
-/// How often a silent instance is told something all the same: it may be back.
-const SILENT_BEAT: TimeSpan = TimeSpan::from_millis(2_000);
-
 /// How often the reader of a failure domain tells the others there what it knows,
 /// and they tell it what they counted, with a stamp for it to name.
 const NEAR_INTERVAL: Duration = Duration::from_millis(250);
@@ -54,23 +52,12 @@
 /// How often the reader of the failure domain is told what was counted.
 const USAGE_INTERVAL: TimeSpan = TimeSpan::from_millis(500);
 
-/// Somebody who is told.
-struct Receiver {
-    address: SocketAddr,
-    /// The last stamp that it sent.
-    stamp: u64,
-    /// Whether it is in the same failure domain.
-    is_near: bool,
-    /// Whether it reads the store for this instance.
-    is_reader: bool,
-}
-
 /// The talk of one entry.
 pub struct PeerTalk {
     context: Arc<EntryContext>,
     frames: UdpFramed<BytesCodec>,
     told_at: ClockTime,
-    told_silent_at: ClockTime,
+    choice: ReceiverChoice,
     told_usage_at: ClockTime,
     /// Whether the others last heard that this entry has something.
     has_told_load: bool,
@@ -82,11 +69,13 @@
     /// Listens.
     pub async fn bind(context: Arc<EntryContext>) -> io::Result<PeerTalk> {
         let socket = UdpSocket::bind(own_address(&context)).await?;
+        let instance = context.writer.instance.clone();
+        let choice = ReceiverChoice::new(instance, context.settings.domain.clone());
         Ok(PeerTalk {
             context,
             frames: UdpFramed::new(socket, BytesCodec::new()),
             told_at: ClockTime::default(),
-            told_silent_at: ClockTime::default(),
+            choice,
             told_usage_at: ClockTime::default(),
             has_told_load: false,
             silent_domains: BTreeSet::new(),
@@ -157,7 +146,7 @@
             .with_stages(stages)
             .with_demands(&self.context.demands.lock().own(now))
             .with_refusing(refusing);
-        let receivers = self.receivers(now);
+        let receivers = self.choice.everyone(now, &self.context.peers.lock());
         self.send(now, message, relay, &receivers).await;
     }
 
@@ -195,12 +184,9 @@
     async fn tell_near(&mut self) {
         let now = self.context.now();
         let relay = relay::message(&self.context, now);
-        let mut receivers = self.receivers(now);
+        let mut receivers = self.choice.near(now, &self.context.peers.lock());
         let is_reader = relay.is_some();
-        receivers.retain(|receiver| match is_reader {
-            true => receiver.is_near,
-            false => receiver.is_reader,
-        });
+        receivers.retain(|receiver| is_reader || receiver.is_reader);
         let message = PeerMessage {
             says_loads: false,
             ..PeerMessage::new(&[], &[])
@@ -213,7 +199,7 @@
         now: ClockTime,
         message: PeerMessage,
         relay: Option<RelayMessage>,
-        receivers: &[Receiver],
+        receivers: &[WordReceiver],
     ) {
         let writer = &self.context.writer;
         let domain = &self.context.settings.domain;
@@ -244,28 +230,6 @@
         steward::told_usage(&self.context)
     }
 
-    fn receivers(&mut self, now: ClockTime) -> Vec<Receiver> {
-        let with_silent = now.since(self.told_silent_at) >= SILENT_BEAT;
-        if with_silent {
-            self.told_silent_at = now;
-        }
-        let peers = self.context.peers.lock();
-        let (own, domain) = (&self.context.writer.instance, &self.context.settings.domain);
-        let heard = peers
-            .iter()
-            .filter(|(_, peer)| with_silent || peer.is_alive(now));
-        let receivers = heard.map(|(instance, peer)| {
-            let is_near = peer.domain == *domain;
-            Receiver {
-                address: peer.address,
-                stamp: peer.stamp,
-                is_near,
-                is_reader: is_near && peers.has_reader(now, own, domain, instance),
-            }
-        });
-        receivers.collect()
-    }
-
     fn hear(&mut self, bytes: &BytesMut, from: SocketAddr) {
         let message = match PeerMessage::decode(&bytes[..]) {
             Ok(message) => message,
