Tell a failure domain all registrations that changed, not the newest 24

Cause: the reader of a failure domain told at most 24 changes, the newest. With more than that within 1.2 s the others never hear of the rest, notice after 0.7 s that their picture differs, and each reads everything (two pages).

Change: changes are told in as many datagrams as it takes, each change again after 0.4 s in case a datagram was lost, compressed, as instances have links of 20 Mbit/s. Compression stands in one place for this and for copies of the configuration.

--- a/crates/ingress/src/believe/copies.rs
+++ b/crates/ingress/src/believe/copies.rs
@@ -1,10 +1,7 @@
 //! Copies of a large configuration: publishing them as the reader of a failure domain,
 //! and fetching them as any other instance.
 
-use std::{
-    io::{self, Read, Write},
-    sync::Arc,
-};
+use std::{io, sync::Arc};
 
 use bluebell_adapter::{
     CallError,
@@ -18,12 +15,12 @@
 };
 use bluebell_daemon::logs::LogLine;
 use bytes::Bytes;
-use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use prost::Message;
 
 use crate::{
     believe::{READ_TIMEOUT, configuration},
     context::EntryContext,
+    packing::{pack, unpack},
 };
 
 const PART: TopicPart = TopicPart::first("configuration-copies");
@@ -32,7 +29,7 @@
 const RECORD_BYTES: usize = 200_000;
 
 /// The most bytes that a configuration may have when it is unpacked.
-const UNPACKED_LIMIT: u64 = 32_000_000;
+const UNPACKED_LIMIT: ByteSize = ByteSize::new(32_000_000);
 
 /// A copy as it lies in the store.
 #[derive(Clone, PartialEq, Message)]
@@ -128,9 +125,7 @@
     version: u64,
     value: &[u8],
 ) -> Result<CopyPlace, CopyError> {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(value)?;
-    let packed = Bytes::from(encoder.finish()?);
+    let packed = Bytes::from(pack(value)?);
     let copy = Bytes::from(CopyRecord { version, packed }.encode_to_vec());
     let starts = (0..copy.len()).step_by(RECORD_BYTES);
     let records: Vec<Bytes> = starts
@@ -195,9 +190,5 @@
     if copy.version != version {
         return Err(CopyError::OtherVersion(copy.version));
     }
-    let mut value = Vec::new();
-    DeflateDecoder::new(&copy.packed[..])
-        .take(UNPACKED_LIMIT)
-        .read_to_end(&mut value)?;
-    Ok(value)
+    Ok(unpack(&copy.packed, UNPACKED_LIMIT)?)
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -14,6 +14,7 @@
 mod hop;
 pub mod logs;
 pub mod metrics;
+mod packing;
 pub mod peers;
 pub mod program;
 pub mod ready;
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -1,5 +1,7 @@
 //! What entries write and say about themselves.
 
+use std::io;
+
 use bluebell_core::{
     directory::EngineStage,
     ids::{FailureDomain, LogOffset, ServiceName},
@@ -11,7 +13,13 @@
 };
 use prost::Message;
 
-use crate::steward::UsageRecord;
+use crate::{
+    packing::{pack, unpack},
+    steward::UsageRecord,
+};
+
+/// The most bytes that the changes of one datagram may have when they are unpacked.
+const CHANGES_LIMIT: ByteSize = ByteSize::new(1_000_000);
 
 /// An instance's registration in the store.
 #[derive(Clone, PartialEq, Message)]
@@ -172,9 +180,9 @@
     /// The digest of the endpoints.
     #[prost(fixed64, tag = "4")]
     pub digest: u64,
-    /// Registrations that changed lately.
-    #[prost(message, repeated, tag = "5")]
-    pub changes: Vec<ChangeMessage>,
+    /// Registrations that changed lately, a compressed [`ChangesMessage`].
+    #[prost(bytes = "vec", tag = "5")]
+    pub packed_changes: Vec<u8>,
     /// The copy of that version, if there is or will be one.
     #[prost(message, optional, tag = "6")]
     pub copy: Option<CopyMessage>,
@@ -183,6 +191,34 @@
     pub configuration_next: u64,
 }
 
+impl RelayMessage {
+    /// The registrations that changed.
+    pub fn changes(&self) -> io::Result<Vec<ChangeMessage>> {
+        if self.packed_changes.is_empty() {
+            return Ok(Vec::new());
+        }
+        let bytes = unpack(&self.packed_changes, CHANGES_LIMIT)?;
+        let message = ChangesMessage::decode(&bytes[..])?;
+        Ok(message.changes)
+    }
+}
+
+/// Registrations as a [`RelayMessage`] carries them.
+pub fn pack_changes(changes: Vec<ChangeMessage>) -> io::Result<Vec<u8>> {
+    if changes.is_empty() {
+        return Ok(Vec::new());
+    }
+    pack(&ChangesMessage { changes }.encode_to_vec())
+}
+
+/// Registrations that changed.
+#[derive(Clone, PartialEq, Message)]
+struct ChangesMessage {
+    /// The newest first.
+    #[prost(message, repeated, tag = "1")]
+    changes: Vec<ChangeMessage>,
+}
+
 /// A copy of the configuration; without records as long as it is being made.
 #[derive(Clone, PartialEq, Message)]
 pub struct CopyMessage {
@@ -287,6 +323,11 @@
         }
     }
 
+    /// A datagram that says nothing of loads.
+    pub fn without_loads() -> PeerMessage {
+        PeerMessage::default()
+    }
+
     /// Adds who tells, and when.
     pub fn with_sender(
         mut self,
--- a/crates/ingress/src/peers/mod.rs
+++ b/crates/ingress/src/peers/mod.rs
@@ -19,9 +19,9 @@
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
-    messages::{ChangeMessage, StageMessage},
+    messages::{ChangeMessage, RelayMessage, StageMessage, pack_changes},
     receivers::{ReceiverChoice, WordReceiver},
-    table::{KnownPeer, PeerTable},
+    table::{CHANGES_TOLD, KnownPeer, PeerTable},
 };
 use crate::context::EntryContext;
 
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -11,7 +11,7 @@
     believe,
     context::EntryContext,
     peers::{
-        messages::{ChangeMessage, CopyMessage, PeerMessage, RelayMessage},
+        messages::{ChangeMessage, CopyMessage, PeerMessage, RelayMessage, pack_changes},
         table::PeerTable,
     },
 };
@@ -73,8 +73,14 @@
         (relayed.endpoints_known_at?, relayed.configuration_next)
     };
     let digest = context.directory.lock().digest();
-    let changes = context.peers.lock().changes(now);
+    let changes = context.peers.lock().take_due_changes(now);
     let copy = CopyMessage::new(context.published_copy.lock().state(version));
+    let packed_changes = pack_changes(changes).unwrap_or_else(|error| {
+        LogLine::new("changes_not_packed")
+            .with("error", error)
+            .warn();
+        Vec::new()
+    });
     Some(RelayMessage {
         version,
         configuration_next: configuration_next.number(),
@@ -82,7 +88,7 @@
         keys_age_ms: keys_age.as_millis(),
         endpoints_age_ms: now.since(endpoints_known_at).as_millis(),
         digest,
-        changes,
+        packed_changes,
     })
 }
 
@@ -101,8 +107,13 @@
     let endpoints_known_at = echo.known_at(TimeSpan::from_millis(relay.endpoints_age_ms));
     // Before the changes: whether a registration can have lapsed depends on it.
     context.directory.lock().note_return(endpoints_known_at);
-    for change in &relay.changes {
-        take_change(context, peer, change);
+    match relay.changes() {
+        Ok(changes) => {
+            for change in &changes {
+                take_change(context, peer, change);
+            }
+        }
+        Err(error) => LogLine::new("relay_rejected").with("error", error).warn(),
     }
     {
         let mut belief = context.belief.lock();
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -36,9 +36,11 @@
 /// How long a changed registration is told.
 const CHANGE_TOLD_FOR: TimeSpan = TimeSpan::from_millis(1_200);
 
-/// The most changes that are told in one datagram, which must not be split on its
-/// way; the rest is noticed by the digest and read from the store.
-const CHANGES_TOLD: usize = 24;
+/// How long after a change was told it is told again, in case the datagram was lost.
+const CHANGE_REPEAT: TimeSpan = TimeSpan::from_millis(400);
+
+/// The most changes that are told in one datagram; the rest follows in further ones.
+pub const CHANGES_TOLD: usize = 48;
 
 /// Another instance.
 #[derive(Clone, Debug, Serialize)]
@@ -63,6 +65,26 @@
     }
 }
 
+/// A registration that this instance saw change.
+#[derive(Clone, Debug)]
+struct SeenChange {
+    seen_at: ClockTime,
+    told_at: Option<ClockTime>,
+    change: ChangeMessage,
+}
+
+impl SeenChange {
+    fn is_recent(&self, now: ClockTime) -> bool {
+        now.since(self.seen_at) < CHANGE_TOLD_FOR
+    }
+
+    fn is_due(&self, now: ClockTime) -> bool {
+        let was_told = self.told_at;
+        let is_missing = was_told.is_none_or(|at| now.since(at) >= CHANGE_REPEAT);
+        is_missing && self.is_recent(now)
+    }
+}
+
 /// All other instances that have registered.
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
@@ -70,7 +92,7 @@
     /// Stages that this instance ordered, for the others to know.
     ordered: Vec<(ClockTime, StageMessage)>,
     /// Registrations that this instance saw change, for the others to know.
-    changes: Vec<(ClockTime, ChangeMessage)>,
+    changes: Vec<SeenChange>,
     /// When all registrations of instances were read.
     read_at: Option<ClockTime>,
 }
@@ -113,16 +135,28 @@
     /// This instance saw a registration change.
     pub fn note_change(&mut self, now: ClockTime, change: ChangeMessage) {
         self.changes
-            .retain(|(_, known)| known.endpoint != change.endpoint);
-        self.changes.push((now, change));
-    }
-
-    /// The registrations that changed lately, the newest first.
-    pub fn changes(&mut self, now: ClockTime) -> Vec<ChangeMessage> {
-        self.changes
-            .retain(|(at, _)| now.since(*at) < CHANGE_TOLD_FOR);
-        let newest = self.changes.iter().rev().take(CHANGES_TOLD);
-        newest.map(|(_, change)| change.clone()).collect()
+            .retain(|known| known.is_recent(now) && known.change.endpoint != change.endpoint);
+        self.changes.push(SeenChange {
+            seen_at: now,
+            told_at: None,
+            change,
+        });
+    }
+
+    /// Whether a change is due to be told.
+    pub fn has_due_changes(&self, now: ClockTime) -> bool {
+        self.changes.iter().any(|known| known.is_due(now))
+    }
+
+    /// The changes for the next datagram, the newest first. They count as told.
+    pub fn take_due_changes(&mut self, now: ClockTime) -> Vec<ChangeMessage> {
+        let newest = self.changes.iter_mut().rev();
+        let due = newest.filter(|known| known.is_due(now)).take(CHANGES_TOLD);
+        due.map(|known| {
+            known.told_at = Some(now);
+            known.change.clone()
+        })
+        .collect()
     }
 
     /// All registrations of instances were read.
--- a/crates/ingress/src/peers/talk.rs
+++ b/crates/ingress/src/peers/talk.rs
@@ -148,6 +148,19 @@
             .with_refusing(refusing);
         let receivers = self.choice.everyone(now, &self.context.peers.lock());
         self.send(now, message, relay, &receivers).await;
+        self.tell_rest(now, receivers).await;
+    }
+
+    /// Tells what had no room in the last datagram. Were it left out, each instance of
+    /// the failure domain would read all registrations from the store at once.
+    async fn tell_rest(&mut self, now: ClockTime, mut receivers: Vec<WordReceiver>) {
+        receivers.retain(|receiver| receiver.is_near);
+        while self.context.peers.lock().has_due_changes(now)
+            && let Some(relay) = relay::message(&self.context, now)
+        {
+            let message = PeerMessage::without_loads();
+            self.send(now, message, Some(relay), &receivers).await;
+        }
     }
 
     /// Endpoints of a failure domain that is cut off answer nothing: each request
@@ -187,11 +200,9 @@
         let mut receivers = self.choice.near(now, &self.context.peers.lock());
         let is_reader = relay.is_some();
         receivers.retain(|receiver| is_reader || receiver.is_reader);
-        let message = PeerMessage {
-            says_loads: false,
-            ..PeerMessage::new(&[], &[])
-        };
+        let message = PeerMessage::without_loads();
         self.send(now, message, relay, &receivers).await;
+        self.tell_rest(now, receivers).await;
     }
 
     async fn send(
