Speak to instances that become known after the first word without waiting for a beat

An instance speaks before it has read who else there is, and that word, to nobody, took the beat at which silent instances are told. Change: a beat that reaches nobody isn't one. The test was seen failing before.

--- a/crates/ingress/src/peers/receivers.rs
+++ b/crates/ingress/src/peers/receivers.rs
@@ -48,7 +48,9 @@
     /// silent ones as well.
     pub fn everyone(&mut self, now: ClockTime, peers: &PeerTable) -> Vec<WordReceiver> {
         let with_silent = now.since(self.told_silent_at) >= SILENT_BEAT;
-        if with_silent {
+        // A beat that reaches nobody isn't one: an instance that has just started
+        // speaks before it has read who else there is.
+        if with_silent && peers.iter().any(|(_, peer)| !peer.is_alive(now)) {
             self.told_silent_at = now;
         }
         let told = peers
--- a/crates/ingress/tests/peer_receivers.rs
+++ b/crates/ingress/tests/peer_receivers.rs
@@ -86,3 +86,15 @@
     let ports: Vec<u16> = near.iter().map(|told| told.address.port()).collect();
     assert_eq!(ports, [1]);
 }
+
+/// Guards against a start at which all instances read the store for themselves because
+/// the first word was said before anybody was known.
+#[test]
+fn instances_that_become_known_after_the_first_word_are_told_by_the_next() {
+    let mut table = PeerTable::new();
+    let mut choice = choice();
+    assert!(choice.everyone(at(10_000), &table).is_empty());
+    register(&mut table, "b-1", "b", 1);
+    assert_eq!(choice.everyone(at(10_060), &table).len(), 1);
+    assert!(choice.everyone(at(10_120), &table).is_empty());
+}
