Hear other failure domains through three speakers where instances are many

Cause: each instance told every other one everything: words grow with the square of the number of instances. What it buys is small: placement considers few engines with many entries, and queues in other failure domains have changed before the word is there. The steward needs the sum of the work alone.

Change: up to 60 instances as before. Beyond, full words stay in the failure domain, and its first three instances by name tell all others its sum of demand, engines that refused, and stages that were ordered (so does the steward). The steward adds the sums of the other failure domains to what it hears, and waits with a usage window for instances that are heard through others and published lately.

--- a/crates/core/src/provision/demand.rs
+++ b/crates/core/src/provision/demand.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock::{ClockTime, TimeSpan},
-    ids::{InstanceId, ServiceName},
+    ids::{FailureDomain, InstanceId, ServiceName},
 };
 
 /// Over how long demand is averaged: shorter than the swings that are worth a change
@@ -166,6 +166,8 @@
 pub struct DemandBoard {
     own: BTreeMap<ServiceName, DemandMeter>,
     told: BTreeMap<(ServiceName, InstanceId), ToldDemand>,
+    /// Sums of failure domains whose entries are not heard one by one.
+    domains: BTreeMap<(ServiceName, FailureDomain), ToldDemand>,
 }
 
 impl DemandBoard {
@@ -222,16 +224,41 @@
         self.told.insert((service, peer.clone()), told);
     }
 
+    /// An entry of another failure domain told what all entries there ask for.
+    pub fn note_domain(
+        &mut self,
+        now: ClockTime,
+        domain: &FailureDomain,
+        service: ServiceName,
+        demand: EngineDemand,
+    ) {
+        let told = ToldDemand { at: now, demand };
+        self.domains.insert((service, domain.clone()), told);
+    }
+
+    /// What this entry and those that it hears ask for, by service: the sum of its
+    /// failure domain where only the entries there are heard one by one.
+    pub fn heard(&mut self, now: ClockTime) -> Vec<(ServiceName, EngineDemand)> {
+        self.told.retain(|_, told| now.since(told.at) < WORD_LIFE);
+        let mut sums: BTreeMap<ServiceName, EngineDemand> = self.own(now).into_iter().collect();
+        for ((service, _), told) in &self.told {
+            let sum = sums.entry(service.clone()).or_default();
+            *sum = sum.plus(told.demand);
+        }
+        sums.into_iter().collect()
+    }
+
     /// What all entries ask for of a service.
     pub fn total(&mut self, now: ClockTime, service: &ServiceName) -> EngineDemand {
-        self.told.retain(|_, told| now.since(told.at) < WORD_LIFE);
-        let own = self.own.get_mut(service).map(|meter| {
-            meter.advance(now);
-            meter.demand()
-        });
-        let told = self.told.iter().filter(|((name, _), _)| name == service);
-        told.map(|(_, told)| told.demand)
-            .fold(own.unwrap_or_default(), EngineDemand::plus)
+        self.domains
+            .retain(|_, told| now.since(told.at) < WORD_LIFE);
+        let heard = self.heard(now);
+        let heard = heard.into_iter().find(|(name, _)| name == service);
+        let heard = heard.map(|(_, demand)| demand).unwrap_or_default();
+        let domains = self.domains.iter().filter(|((name, _), _)| name == service);
+        domains
+            .map(|(_, told)| told.demand)
+            .fold(heard, EngineDemand::plus)
     }
 
     fn meter(&mut self, now: ClockTime, service: &ServiceName) -> &mut DemandMeter {
--- a/crates/core/src/usage/metered.rs
+++ b/crates/core/src/usage/metered.rs
@@ -120,6 +120,16 @@
             .is_some_and(|reached| *reached > window)
     }
 
+    /// Instances that published in `window` or the one before it, and not yet after it.
+    pub fn pending(&self, window: UsageWindow) -> impl Iterator<Item = &InstanceId> {
+        let is_pending = move |reached: UsageWindow| reached == window || reached.next() == window;
+        let pending = self
+            .reached
+            .iter()
+            .filter(move |(_, reached)| is_pending(**reached));
+        pending.map(|(instance, _)| instance)
+    }
+
     /// The sum of a window.
     pub fn sum(&self, window: UsageWindow) -> MeteredCounts {
         let mut sum = MeteredCounts::new();
--- a/crates/core/tests/demand.rs
+++ b/crates/core/tests/demand.rs
@@ -2,7 +2,7 @@
 
 use bluebell_core::{
     clock::ClockTime,
-    ids::{InstanceId, ServiceName},
+    ids::{FailureDomain, InstanceId, ServiceName},
     provision::{DemandBoard, EngineDemand},
 };
 
@@ -70,3 +70,22 @@
     let later = board.total(at(60_000), &service());
     assert_eq!(later, EngineDemand::default());
 }
+
+/// Guards against a sum of a failure domain that counts what others have summed up, and
+/// so grows with each word.
+#[test]
+fn the_sum_of_a_failure_domain_leaves_out_what_other_domains_ask_for() {
+    let demand = |prefill| EngineDemand {
+        prefill,
+        ..EngineDemand::default()
+    };
+    let mut board = DemandBoard::new();
+    let peer = InstanceId::new("entry-2").unwrap();
+    let other = FailureDomain::new("b").unwrap();
+    board.note_peer(at(0), &peer, service(), demand(2.0));
+    board.note_domain(at(0), &other, service(), demand(5.0));
+    board.note_domain(at(100), &other, service(), demand(7.0));
+    assert_eq!(board.heard(at(200)), [(service(), demand(2.0))]);
+    assert_eq!(board.total(at(200), &service()), demand(9.0));
+    assert_eq!(board.total(at(60_000), &service()), demand(0.0));
+}
--- a/crates/core/tests/usage_metered.rs
+++ b/crates/core/tests/usage_metered.rs
@@ -81,6 +81,22 @@
     assert!(ledger.is_complete(&one, WINDOW));
 }
 
+/// Guards against a report that doesn't wait for an instance which is heard through
+/// others only and has not published the end of the window yet.
+#[test]
+fn an_instance_that_published_lately_and_not_after_the_window_is_pending() {
+    let one = InstanceId::new("one").unwrap();
+    let mut ledger = UsageLedger::new();
+    let is_pending = |ledger: &UsageLedger| ledger.pending(WINDOW.next()).any(|id| *id == one);
+    assert!(!is_pending(&ledger));
+    ledger.note_reached(one.clone(), WINDOW);
+    assert!(is_pending(&ledger));
+    ledger.note_reached(one.clone(), WINDOW.next());
+    assert!(is_pending(&ledger));
+    ledger.note_reached(one.clone(), WINDOW.next().next());
+    assert!(!is_pending(&ledger));
+}
+
 #[test]
 fn old_windows_are_let_go() {
     let mut meter = UsageMeter::new();
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -102,6 +102,10 @@
     /// What the sender's requests ask of engines.
     #[prost(message, repeated, tag = "13")]
     pub demands: Vec<DemandMessage>,
+    /// What the requests of all entries of the sender's failure domain ask of engines,
+    /// for other failure domains.
+    #[prost(message, repeated, tag = "14")]
+    pub domain_demands: Vec<DemandMessage>,
 }
 
 /// What an instance's requests ask of the engines of a service.
@@ -296,6 +300,13 @@
     }
 }
 
+fn demand_messages(demands: &[(ServiceName, EngineDemand)]) -> Vec<DemandMessage> {
+    let demands = demands.iter();
+    demands
+        .map(|(service, demand)| DemandMessage::new(service, *demand))
+        .collect()
+}
+
 impl PeerMessage {
     /// A datagram.
     pub fn new(loads: &[ToldLoad], parts: &[ToldPart]) -> PeerMessage {
@@ -350,9 +361,13 @@
 
     /// Adds what the sender's requests ask of engines.
     pub fn with_demands(mut self, demands: &[(ServiceName, EngineDemand)]) -> PeerMessage {
-        let demands = demands.iter();
-        let messages = demands.map(|(service, demand)| DemandMessage::new(service, *demand));
-        self.demands = messages.collect();
+        self.demands = demand_messages(demands);
+        self
+    }
+
+    /// Adds what the requests of the sender's whole failure domain ask of engines.
+    pub fn with_domain_demands(mut self, demands: &[(ServiceName, EngineDemand)]) -> PeerMessage {
+        self.domain_demands = demand_messages(demands);
         self
     }
 
--- a/crates/ingress/src/peers/receivers.rs
+++ b/crates/ingress/src/peers/receivers.rs
@@ -1,6 +1,6 @@
 //! Which instances a word goes to.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
@@ -31,7 +31,41 @@
 pub struct ReceiverChoice {
     instance: InstanceId,
     domain: FailureDomain,
-    told_silent_at: ClockTime,
+    silent_beat: SilentBeat,
+    far_beat: SilentBeat,
+}
+
+/// When the silent ones were last told.
+#[derive(Debug, Default)]
+struct SilentBeat {
+    told_at: ClockTime,
+}
+
+impl SilentBeat {
+    fn is_due(&self, now: ClockTime) -> bool {
+        now.since(self.told_at) >= SILENT_BEAT
+    }
+
+    /// Keeps those that were heard and, at the beat, the silent ones. A beat that
+    /// reaches nobody isn't one: an instance that has just started speaks before it
+    /// has read who else there is.
+    fn choose<'a, Heard>(
+        &mut self,
+        now: ClockTime,
+        peers: Vec<(&'a InstanceId, &'a KnownPeer)>,
+        is_heard: Heard,
+    ) -> Vec<(&'a InstanceId, &'a KnownPeer)>
+    where
+        Heard: Fn(&KnownPeer) -> bool,
+    {
+        let with_silent = self.is_due(now);
+        if with_silent && peers.iter().any(|(_, peer)| !is_heard(peer)) {
+            self.told_at = now;
+        }
+        let told = peers.into_iter();
+        told.filter(|(_, peer)| with_silent || is_heard(peer))
+            .collect()
+    }
 }
 
 impl ReceiverChoice {
@@ -40,32 +74,52 @@
         ReceiverChoice {
             instance,
             domain,
-            told_silent_at: ClockTime::default(),
+            silent_beat: SilentBeat::default(),
+            far_beat: SilentBeat::default(),
         }
     }
 
     /// Who is told everything: those that were heard lately, and at each beat the
-    /// silent ones as well.
+    /// silent ones as well. With many instances only those of the own failure domain.
     pub fn everyone(&mut self, now: ClockTime, peers: &PeerTable) -> Vec<WordReceiver> {
-        let with_silent = now.since(self.told_silent_at) >= SILENT_BEAT;
-        // A beat that reaches nobody isn't one: an instance that has just started
-        // speaks before it has read who else there is.
-        if with_silent && peers.iter().any(|(_, peer)| !peer.is_alive(now)) {
-            self.told_silent_at = now;
+        let is_direct = peers.is_direct();
+        let known = peers.iter();
+        let known = known.filter(|(_, peer)| is_direct || peer.domain == self.domain);
+        let beat = &mut self.silent_beat;
+        let told = beat.choose(now, known.collect(), |peer| peer.is_alive(now));
+        self.receivers(now, peers, told)
+    }
+
+    /// Who is told what the own failure domain has, where not every instance tells
+    /// every other one: all of the other failure domains from which somebody is heard,
+    /// and at each beat those of silent ones.
+    pub fn far(&mut self, now: ClockTime, peers: &PeerTable) -> Vec<WordReceiver> {
+        if peers.is_direct() {
+            return Vec::new();
         }
-        let told = peers
-            .iter()
-            .filter(|(_, peer)| with_silent || peer.is_alive(now));
-        told.map(|(instance, peer)| self.receiver(now, peers, instance, peer))
-            .collect()
+        let heard: BTreeSet<&FailureDomain> =
+            peers.alive(now).map(|(_, peer)| &peer.domain).collect();
+        let known = peers.iter().filter(|(_, peer)| peer.domain != self.domain);
+        let is_heard = |peer: &KnownPeer| heard.contains(&peer.domain);
+        let told = self.far_beat.choose(now, known.collect(), is_heard);
+        self.receivers(now, peers, told)
     }
 
     /// Those of the own failure domain that were heard lately. Silent ones are left to
     /// the beat of [`Self::everyone`].
     pub fn near(&self, now: ClockTime, peers: &PeerTable) -> Vec<WordReceiver> {
-        let told = peers
-            .alive(now)
-            .filter(|(_, peer)| peer.domain == self.domain);
+        let alive = peers.alive(now);
+        let near = alive.filter(|(_, peer)| peer.domain == self.domain);
+        self.receivers(now, peers, near.collect())
+    }
+
+    fn receivers(
+        &self,
+        now: ClockTime,
+        peers: &PeerTable,
+        told: Vec<(&InstanceId, &KnownPeer)>,
+    ) -> Vec<WordReceiver> {
+        let told = told.into_iter();
         told.map(|(instance, peer)| self.receiver(now, peers, instance, peer))
             .collect()
     }
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -30,6 +30,15 @@
 /// start at the same moment register and speak within it.
 const KNOWN_AFTER: TimeSpan = TimeSpan::from_millis(1_500);
 
+/// Up to how many instances each tells every other one what it has. What all instances
+/// send grows with the square of their number; beyond this only speakers are heard in
+/// other failure domains.
+pub const DIRECT_UP_TO: usize = 60;
+
+/// How many instances of a failure domain speak for it elsewhere. One that fails is
+/// missed by its own failure domain after some seconds only.
+const SPEAKERS: usize = 3;
+
 /// How long an order is told: datagrams get lost.
 const ORDER_TOLD_FOR: TimeSpan = TimeSpan::from_millis(1_500);
 
@@ -184,6 +193,37 @@
         self.peers.is_empty()
     }
 
+    /// Whether each instance tells every other one.
+    pub fn is_direct(&self) -> bool {
+        self.peers.len() < DIRECT_UP_TO
+    }
+
+    /// Whether `own` is one of those who speak for `domain` elsewhere: the first by
+    /// name of those there that are alive.
+    pub fn is_speaker(&self, now: ClockTime, own: &InstanceId, domain: &FailureDomain) -> bool {
+        let alive = self.alive(now).filter(|(_, peer)| peer.domain == *domain);
+        alive.filter(|(name, _)| *name < own).count() < SPEAKERS
+    }
+
+    /// Whether somebody in `domain` was heard lately.
+    pub fn hears_domain(&self, now: ClockTime, domain: &FailureDomain) -> bool {
+        self.alive(now).any(|(_, peer)| peer.domain == *domain)
+    }
+
+    /// Whether `instance` is heard through the speakers of its failure domain only, as
+    /// seen from `domain`.
+    pub fn is_spoken_for(
+        &self,
+        now: ClockTime,
+        domain: &FailureDomain,
+        instance: &InstanceId,
+    ) -> bool {
+        let peer = self.peers.get(instance);
+        let is_far =
+            peer.is_some_and(|peer| peer.domain != *domain && self.hears_domain(now, &peer.domain));
+        is_far && !self.is_direct()
+    }
+
     /// Those that were heard lately.
     pub fn alive(&self, now: ClockTime) -> impl Iterator<Item = (&InstanceId, &KnownPeer)> {
         self.peers
--- a/crates/ingress/src/peers/talk.rs
+++ b/crates/ingress/src/peers/talk.rs
@@ -5,6 +5,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{FailureDomain, InstanceId, ServiceName},
+    provision::EngineDemand,
 };
 use bluebell_daemon::logs::LogLine;
 use bytes::BytesMut;
@@ -16,7 +17,7 @@
 use crate::{
     context::EntryContext,
     peers::{
-        messages::{PeerMessage, ReceiverPart, RelayMessage},
+        messages::{DemandMessage, PeerMessage, ReceiverPart, RelayMessage, StageMessage},
         receivers::{ReceiverChoice, WordReceiver},
         registry::own_address,
         relay,
@@ -135,20 +136,45 @@
         };
         let stages = self.context.peers.lock().stage_orders(now);
         let relay = relay::message(&self.context, now);
+        let speaks = self.speaks_for_domain(now) || !stages.is_empty();
         let has_load = !loads.is_empty() || !refusing.is_empty() || relay.is_some();
-        let has_news = has_load || !parts.is_empty() || !stages.is_empty() || self.has_told_load;
+        let has_news = has_load || !parts.is_empty() || speaks || self.has_told_load;
         if !has_news && now.since(self.told_at) < BEAT {
             return;
         }
         self.told_at = now;
         self.has_told_load = !loads.is_empty();
         let message = PeerMessage::new(&loads, &parts)
-            .with_stages(stages)
+            .with_stages(stages.clone())
             .with_demands(&self.context.demands.lock().own(now))
-            .with_refusing(refusing);
+            .with_refusing(refusing.clone());
         let receivers = self.choice.everyone(now, &self.context.peers.lock());
         self.send(now, message, relay, &receivers).await;
         self.tell_rest(now, receivers).await;
+        if speaks {
+            self.tell_far(now, stages, refusing).await;
+        }
+    }
+
+    /// Whether this instance tells other failure domains what its own one has.
+    fn speaks_for_domain(&self, now: ClockTime) -> bool {
+        let peers = self.context.peers.lock();
+        let (own, domain) = (&self.context.writer.instance, &self.context.settings.domain);
+        !peers.is_direct() && peers.is_speaker(now, own, domain)
+    }
+
+    /// Tells other failure domains what this one has, where not every instance tells
+    /// every other one. Queues are left out: they have changed before the word is there.
+    async fn tell_far(&mut self, now: ClockTime, stages: Vec<StageMessage>, refusing: Vec<u64>) {
+        let receivers = self.choice.far(now, &self.context.peers.lock());
+        if receivers.is_empty() {
+            return;
+        }
+        let message = PeerMessage::without_loads()
+            .with_stages(stages)
+            .with_refusing(refusing)
+            .with_domain_demands(&self.context.demands.lock().heard(now));
+        self.send(now, message, None, &receivers).await;
     }
 
     /// Tells what had no room in the last datagram. Were it left out, each instance of
@@ -265,7 +291,7 @@
             let known = KnownPeer {
                 address: from,
                 start: message.start,
-                domain,
+                domain: domain.clone(),
                 heard_at: None,
                 stamp: 0,
             };
@@ -276,13 +302,12 @@
         if let Some(usage) = &message.usage {
             steward::take_told_usage(&self.context, usage);
         }
-        if !message.says_loads {
-            return;
-        }
-        self.hear_demands(now, &peer, &message);
+        self.hear_demands(now, &peer, &domain, &message);
         let (loads, parts) = (message.told_loads(), message.told_parts());
         let mut engines = self.context.engines.lock();
-        engines.note_peer(now, &peer, &loads, &parts);
+        if message.says_loads {
+            engines.note_peer(now, &peer, &loads, &parts);
+        }
         for engine in &message.refusing {
             engines.refused_another(now, *engine);
         }
@@ -291,13 +316,32 @@
         }
     }
 
-    fn hear_demands(&self, now: ClockTime, peer: &InstanceId, message: &PeerMessage) {
+    fn hear_demands(
+        &self,
+        now: ClockTime,
+        peer: &InstanceId,
+        domain: &FailureDomain,
+        message: &PeerMessage,
+    ) {
         let mut demands = self.context.demands.lock();
-        for told in &message.demands {
-            match ServiceName::new(told.service.as_str()) {
-                Ok(service) => demands.note_peer(now, peer, service, told.demand()),
-                Err(error) => log::debug!("event=demand_rejected error={error:?}"),
-            }
+        for (service, demand) in told_demands(&message.demands) {
+            demands.note_peer(now, peer, service, demand);
+        }
+        for (service, demand) in told_demands(&message.domain_demands) {
+            demands.note_domain(now, domain, service, demand);
         }
     }
 }
+
+/// The demands that a datagram tells; those of services that can't be named are dropped.
+fn told_demands(
+    messages: &[DemandMessage],
+) -> impl Iterator<Item = (ServiceName, EngineDemand)> + '_ {
+    messages.iter().filter_map(|told| {
+        let service = ServiceName::new(told.service.as_str());
+        let service = service.inspect_err(|error| {
+            log::debug!("event=demand_rejected error={error:?}");
+        });
+        Some((service.ok()?, told.demand()))
+    })
+}
--- a/crates/ingress/src/steward/duty.rs
+++ b/crates/ingress/src/steward/duty.rs
@@ -291,8 +291,11 @@
         let peers = self.context.peers.lock();
         let mut alive = peers.alive(now).map(|(instance, _)| instance);
         let own = &self.context.writer.instance;
+        let domain = &self.context.settings.domain;
+        let mut pending = self.ledger.pending(window);
         alive.all(|peer| self.ledger.is_complete(peer, window))
             && self.ledger.is_complete(own, window)
+            && !pending.any(|peer| peers.is_spoken_for(now, domain, peer))
     }
 
     pub(super) fn authority(&self, grant: &StewardGrant) -> DutyAuthority {
