Know the demand from the first second of traffic on

Cause: averages of what is asked of engines begin with nothing, so for some five seconds they take the demand to be a fraction of what it is. The plan cut the engines that run requests from 145 to 80 as callers arrived (run_need 122, 102, 87, 75, 70 at seconds 1 to 5), and gave them back at seconds 12 to 27 (88 to 130).

Change: an average counts for the time that was seen only. The test was seen failing before.

--- a/crates/core/src/provision/demand.rs
+++ b/crates/core/src/provision/demand.rs
@@ -19,6 +19,9 @@
 /// of stage, longer than the gaps between one entry's prompts.
 const AVERAGED_OVER: TimeSpan = TimeSpan::from_millis(3_000);
 
+/// The share of an average that has to have been seen before it is taken for the whole.
+const LEAST_SEEN: f64 = 0.2;
+
 /// How long another entry's word counts. An entry that is cut off from the steward
 /// still has its callers.
 const WORD_LIFE: TimeSpan = TimeSpan::from_millis(15_000);
@@ -120,14 +123,25 @@
     /// What runs at the moment.
     present: RunMeter,
     pace: Option<PaceMeter>,
+    /// The share of the averages that is of the time before anything was seen.
+    unseen: f64,
     at: ClockTime,
 }
 
 impl DemandMeter {
+    fn new(now: ClockTime) -> DemandMeter {
+        DemandMeter {
+            unseen: 1.0,
+            at: now,
+            ..DemandMeter::default()
+        }
+    }
+
     fn advance(&mut self, now: ClockTime) {
         let kept = kept(now.since(self.at), AVERAGED_OVER);
         let (average, present) = (self.average, self.present);
         self.prefill *= kept;
+        self.unseen *= kept;
         self.average = RunMeter {
             held: averaged(average.held, present.held, kept),
             running: averaged(average.running, present.running, kept),
@@ -136,10 +150,11 @@
     }
 
     fn demand(&self) -> EngineDemand {
+        let seen = (1.0 - self.unseen).max(LEAST_SEEN);
         EngineDemand {
-            prefill: self.prefill,
-            held: self.average.held,
-            running: self.average.running,
+            prefill: self.prefill / seen,
+            held: self.average.held / seen,
+            running: self.average.running / seen,
             speed: self.pace.map(|pace| pace.speed),
         }
     }
@@ -263,7 +278,7 @@
 
     fn meter(&mut self, now: ClockTime, service: &ServiceName) -> &mut DemandMeter {
         if !self.own.contains_key(service) {
-            self.own.insert(service.clone(), DemandMeter::default());
+            self.own.insert(service.clone(), DemandMeter::new(now));
         }
         let meter = self.own.get_mut(service).expect("it was just inserted");
         meter.advance(now);
--- a/crates/core/tests/demand.rs
+++ b/crates/core/tests/demand.rs
@@ -89,3 +89,18 @@
     assert_eq!(board.total(at(200), &service()), demand(9.0));
     assert_eq!(board.total(at(60_000), &service()), demand(0.0));
 }
+
+/// Guards against a plan that gives engines away in the first seconds of traffic, because
+/// averages that begin with nothing take what is asked for to be little.
+#[test]
+fn demand_is_known_soon_after_the_first_requests() {
+    let mut board = DemandBoard::new();
+    for now in (10_000..11_500).step_by(50) {
+        board.prefill_sent(at(now), &service(), 100.0);
+        board.run_started(at(now), &service(), 0.1);
+        board.run_ended(at(now + 25), &service(), 0.1);
+    }
+    let early = board.total(at(11_500), &service());
+    assert!((early.prefill - 2.0).abs() < 0.4, "{early:?}");
+    assert!((early.held - 0.05).abs() < 0.02, "{early:?}");
+}
