Give reads of everything more time after each failure

Cause: 295 instances read the configuration (359 kB, 480 kB as it is sent), the registrations and each other at once; that is some 250 MB, and the store sends 80 MB/s to all. Each read was given up after 0.9 s, also if its answer stood in the queue, and begun anew, so more was asked for than is sent, for good.

Ruled out: an outage of the store (138 small reads are answered at second 53, the others get no byte within their limit).

Change: the limit of reads of everything (configuration, registrations, instances) doubles after each failure in a row, up to 3.6 s. Reads that go on from an offset keep theirs.

--- a/crates/ingress/src/believe/configuration.rs
+++ b/crates/ingress/src/believe/configuration.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 
 use crate::{
-    believe::{READ_TIMEOUT, StorePath, copies, wait_while_told},
+    believe::{StorePath, copies, wait_while_told},
     context::EntryContext,
 };
 
@@ -49,7 +49,7 @@
             next = advertised_end(&context);
         }
         let step = match next {
-            None => read_newest(&context).await,
+            None => read_newest(&context, path.patience()).await,
             Some(from) => read_on(&context, from).await,
         };
         match step {
@@ -63,9 +63,12 @@
 }
 
 /// Reads the newest configuration; answers where to read on.
-async fn read_newest(context: &Arc<EntryContext>) -> Result<Option<LogOffset>, CallError> {
+async fn read_newest(
+    context: &Arc<EntryContext>,
+    patience: TimeSpan,
+) -> Result<Option<LogOffset>, CallError> {
     let sent = context.now();
-    let page = context.store.newest(PART, None, READ_TIMEOUT).await?;
+    let page = context.store.newest(PART, None, patience).await?;
     for item in page.items.iter().filter(|item| item.key == KEY) {
         take(context, &item.value);
     }
--- a/crates/ingress/src/believe/endpoints.rs
+++ b/crates/ingress/src/believe/endpoints.rs
@@ -49,7 +49,7 @@
         }
         let sent = context.now();
         let step = match next {
-            None => read_all(&context).await,
+            None => read_all(&context, path.patience()).await,
             Some(from) => read_on(&context, from).await,
         };
         match step {
@@ -90,14 +90,17 @@
     relayed.difference.reset();
 }
 
-async fn read_all(context: &EntryContext) -> Result<Option<LogOffset>, CallError> {
+async fn read_all(
+    context: &EntryContext,
+    patience: TimeSpan,
+) -> Result<Option<LogOffset>, CallError> {
     let mut listed: Vec<EndpointId> = Vec::new();
     let mut after: Option<String> = None;
     let mut from = None;
     loop {
         let page = context
             .store
-            .newest(PART, after.as_deref(), READ_TIMEOUT)
+            .newest(PART, after.as_deref(), patience)
             .await?;
         note_return(context);
         // What changes while the pages are read stands after the first page's end.
--- a/crates/ingress/src/believe/mod.rs
+++ b/crates/ingress/src/believe/mod.rs
@@ -24,6 +24,18 @@
 /// answer comes. The store answers in 4 ms, and in 0.2 s while it is slow.
 pub const READ_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
 
+/// How many times the time that a whole read may take is doubled after failures.
+const PATIENCE_DOUBLINGS: u32 = 2;
+
+/// How long the answer to a read of everything may take to begin, and may pause, after
+/// `failures` in a row. When many instances start at once, the store takes seconds to
+/// send everything to all of them; reads that give up before and begin anew keep it
+/// busy with what nobody waits for, and no instance gets ready.
+pub fn whole_read_patience(failures: u32) -> TimeSpan {
+    let doublings = failures.min(PATIENCE_DOUBLINGS);
+    TimeSpan::from_millis(READ_TIMEOUT.as_millis() << doublings)
+}
+
 /// How often an instance that is told by a reader looks whether it still is.
 const TOLD_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -62,6 +74,11 @@
         StorePath { call, failures: 0 }
     }
 
+    /// How long the next read of everything may take to begin.
+    pub fn patience(&self) -> TimeSpan {
+        whole_read_patience(self.failures)
+    }
+
     /// Notes an answer.
     pub fn answered(&mut self, context: &EntryContext) {
         let counters = &context.metrics.store_calls;
--- a/crates/ingress/src/peers/registry.rs
+++ b/crates/ingress/src/peers/registry.rs
@@ -6,7 +6,10 @@
     CallError,
     store::{TopicPart, keyed_record},
 };
-use bluebell_core::ids::{FailureDomain, InstanceId};
+use bluebell_core::{
+    clock::TimeSpan,
+    ids::{FailureDomain, InstanceId},
+};
 use bluebell_daemon::logs::LogLine;
 use prost::Message;
 
@@ -26,7 +29,7 @@
         path.failed(&context, &error).await;
     }
     path.answered(&context);
-    while let Err(error) = read_newest(&context).await {
+    while let Err(error) = read_newest(&context, path.patience()).await {
         path.failed(&context, &error).await;
     }
     path.answered(&context);
@@ -52,12 +55,12 @@
     SocketAddr::new(settings.callers_address.ip(), settings.peer_port)
 }
 
-async fn read_newest(context: &EntryContext) -> Result<(), CallError> {
+async fn read_newest(context: &EntryContext, patience: TimeSpan) -> Result<(), CallError> {
     let mut after: Option<String> = None;
     loop {
         let page = context
             .store
-            .newest(PART, after.as_deref(), READ_TIMEOUT)
+            .newest(PART, after.as_deref(), patience)
             .await?;
         for item in &page.items {
             take(context, &item.key, &item.value);
