--- a/crates/ingress/src/peers/receivers.rs
+++ b/crates/ingress/src/peers/receivers.rs
@@ -108,8 +108,7 @@
     /// Those of the own failure domain that were heard lately. Silent ones are left to
     /// the beat of [`Self::everyone`].
     pub fn near(&self, now: ClockTime, peers: &PeerTable) -> Vec<WordReceiver> {
-        let alive = peers.alive(now);
-        let near = alive.filter(|(_, peer)| peer.domain == self.domain);
+        let near = peers.alive_in(now, &self.domain);
         self.receivers(now, peers, near.collect())
     }
 
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -33,7 +33,7 @@
 /// Up to how many instances each tells every other one what it has. What all instances
 /// send grows with the square of their number; beyond this only speakers are heard in
 /// other failure domains.
-pub const DIRECT_UP_TO: usize = 60;
+const DIRECT_UP_TO: usize = 60;
 
 /// How many instances of a failure domain speak for it elsewhere. One that fails is
 /// missed by its own failure domain after some seconds only.
@@ -201,13 +201,13 @@
     /// Whether `own` is one of those who speak for `domain` elsewhere: the first by
     /// name of those there that are alive.
     pub fn is_speaker(&self, now: ClockTime, own: &InstanceId, domain: &FailureDomain) -> bool {
-        let alive = self.alive(now).filter(|(_, peer)| peer.domain == *domain);
+        let alive = self.alive_in(now, domain);
         alive.filter(|(name, _)| *name < own).count() < SPEAKERS
     }
 
     /// Whether somebody in `domain` was heard lately.
     pub fn hears_domain(&self, now: ClockTime, domain: &FailureDomain) -> bool {
-        self.alive(now).any(|(_, peer)| peer.domain == *domain)
+        self.alive_in(now, domain).next().is_some()
     }
 
     /// Whether `instance` is heard through the speakers of its failure domain only, as
@@ -231,6 +231,16 @@
             .filter(move |(_, peer)| peer.is_alive(now))
     }
 
+    /// Those of `domain` that were heard lately.
+    pub fn alive_in(
+        &self,
+        now: ClockTime,
+        domain: &FailureDomain,
+    ) -> impl Iterator<Item = (&InstanceId, &KnownPeer)> {
+        self.alive(now)
+            .filter(move |(_, peer)| peer.domain == *domain)
+    }
+
     /// The failure domains from which nobody is heard any more, though somebody was
     /// heard lately: they are cut off from here, and so are their endpoints.
     pub fn silent_domains(&self, now: ClockTime) -> BTreeSet<FailureDomain> {
@@ -251,14 +261,14 @@
 
     /// Who reads the store for `domain`, as seen by `own` there.
     pub fn reader(&self, now: ClockTime, own: &InstanceId, domain: &FailureDomain) -> InstanceId {
-        let alive = self.alive(now).filter(|(_, peer)| peer.domain == *domain);
+        let alive = self.alive_in(now, domain);
         let names = alive.map(|(name, _)| name).chain([own]);
         names.min().unwrap_or(own).clone()
     }
 
     /// Whether `own` reads the store for its failure domain.
     pub fn is_reader(&self, now: ClockTime, own: &InstanceId, domain: &FailureDomain) -> bool {
-        let alive = self.alive(now).filter(|(_, peer)| peer.domain == *domain);
+        let alive = self.alive_in(now, domain);
         relay::is_reader(own, alive.map(|(instance, _)| instance))
     }
 
@@ -270,7 +280,7 @@
         domain: &FailureDomain,
         instance: &InstanceId,
     ) -> bool {
-        let alive = self.alive(now).filter(|(_, peer)| peer.domain == *domain);
+        let alive = self.alive_in(now, domain);
         let others = alive.map(|(name, _)| name).chain([own]);
         relay::is_reader(instance, others.filter(|name| *name != instance))
     }
--- a/crates/ingress/src/steward/publish.rs
+++ b/crates/ingress/src/steward/publish.rs
@@ -71,7 +71,7 @@
 fn is_told(context: &EntryContext) -> bool {
     let (now, domain) = (context.now(), &context.settings.domain);
     let peers = context.peers.lock();
-    let has_reader = peers.alive(now).any(|(_, peer)| peer.domain == *domain);
+    let has_reader = peers.hears_domain(now, domain);
     has_reader && !context.must_read_keys_by_age()
 }
 
