Bound the bytes that an instance holds for callers and endpoints

Cause, found by reading: bodies of up to 4 MiB and answers of up to 16 MiB were collected on up to 2,800 connections without a sum, and small bodies were always taken; an instance of 120 MB is killed by thirty of them. It also accepted 2,800 connections where the platform allows 3,075 descriptors, and ejected engines that ended a stream that its caller did not read.

Ruled out: a fixed size for each connection (2,800 of them leave 20 kB each, less than a usual prompt); counting answers by the requests that are open (what they hold differs by three orders).

Change: core/memory decides by a dynamic threshold who is admitted, which answers wait and which stalled callers are disconnected last; ingress/memory attaches the account to the bytes themselves, so that they are released when they have been written, and no answer is read from its endpoint faster than there is room. Buffers of endpoint connections end at 64 kB; callers get 70 in 100 of the sockets that the settings allow. A stream that breaks after its caller left it unread for a second is no failure of the engine, and its pace does not count for the plan of stages.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod keys;
 pub mod leadership;
 pub mod membership;
+pub mod memory;
 pub mod orders;
 pub mod placement;
 pub mod provision;
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -1,6 +1,6 @@
 //! State shared by all parts of an entry.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bluebell_adapter::{engines::EngineClient, settings::InstanceSettings, store::StoreClient};
 use bluebell_core::{
@@ -22,6 +22,7 @@
 use crate::{
     forward::ConnectionPools,
     leader::PeerUsage,
+    memory::MemoryAccount,
     metrics::EntryMetrics,
     peers::{self, PeerTable},
     sync::copies::PublishedCopy,
@@ -127,6 +128,8 @@
     pub report_due: Notify,
     /// Idle connections to endpoints.
     pub pools: ConnectionPools,
+    /// The bytes held for callers and endpoints.
+    pub memory: Arc<MemoryAccount>,
     /// The metrics of the process.
     pub metrics: EntryMetrics,
     /// Cancelled when the process is asked to stop; no deferrable work starts afterwards.
@@ -161,6 +164,7 @@
         let directory = EndpointDirectory::new().with_heartbeat(settings.heartbeat);
         let seed = rand::random();
         let limiter = RateLimiter::new(clock.now(), bounds.quota).with_seed(seed);
+        let memory = MemoryAccount::new(settings.memory_mb, clock.clone());
         EntryContext {
             settings,
             clock,
@@ -182,6 +186,7 @@
             wake: Notify::new(),
             report_due: Notify::new(),
             pools: ConnectionPools::new(),
+            memory,
             metrics,
             stopping: CancellationToken::new(),
         }
--- a/crates/ingress/src/forward/answer.rs
+++ b/crates/ingress/src/forward/answer.rs
@@ -2,14 +2,15 @@
 
 use bluebell_core::{clock::TimeSpan, placement::EndpointTarget};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::{HeaderMap, Response, StatusCode, header::CONTENT_LENGTH};
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Response, StatusCode, body::Incoming, header::CONTENT_LENGTH};
 
 use crate::{
     context::EntryContext,
     forward::attempt::{self, EndpointAnswer},
-    frontend::{AnswerBody, full_body},
+    frontend::{AnswerBody, CallerRequest, pieces_body},
     hop_headers,
+    memory::AnswerMemory,
 };
 
 /// Maximum body size of a buffered answer in bytes; a larger answer is treated as broken.
@@ -22,29 +23,33 @@
     pub status: StatusCode,
     /// The headers.
     pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
+    /// The body, in pieces as they arrived.
+    pub body: Vec<Bytes>,
+    memory: AnswerMemory,
 }
 
 impl CompleteAnswer {
-    /// Reads the rest of an answer. Returns `None` if the connection breaks, the body
-    /// exceeds the size limit or `timeout` elapses. Only the connection of a completely
-    /// read answer returns to the pool.
+    /// Reads the rest of the answer to `request`. Returns `None` if the connection breaks,
+    /// the body exceeds the size limit or `timeout` elapses. Only the connection of a
+    /// completely read answer returns to the pool.
     pub async fn read(
         context: &EntryContext,
+        request: &CallerRequest,
         target: &EndpointTarget,
         answer: EndpointAnswer,
         timeout: TimeSpan,
     ) -> Option<CompleteAnswer> {
         let (head, body) = answer.response.into_parts();
-        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect();
-        let collected = tokio::time::timeout(timeout.as_duration(), collected).await;
-        let body = collected.ok()?.ok()?.to_bytes();
+        let memory = context.memory.start_answer(request.answered_caller());
+        let pieces = read_pieces(body, &memory);
+        let body = tokio::time::timeout(timeout.as_duration(), pieces).await;
+        let body = body.ok()??;
         attempt::return_to_pool(context, target, answer.connection);
         Some(CompleteAnswer {
             status: head.status,
             headers: head.headers,
             body,
+            memory,
         })
     }
 
@@ -55,13 +60,32 @@
 
     /// Converts the answer into the response to the caller.
     pub fn into_response(self) -> Response<AnswerBody> {
-        let mut response = Response::new(full_body(self.body));
+        self.memory.offer();
+        let mut response = Response::new(pieces_body(self.body));
         *response.status_mut() = self.status;
         *response.headers_mut() = end_to_end_headers(&self.headers);
         response
     }
 }
 
+/// Reads a body to its end, no faster than there is memory for it. Returns `None` if the
+/// connection breaks or the body exceeds the size limit.
+async fn read_pieces(mut body: Incoming, memory: &AnswerMemory) -> Option<Vec<Bytes>> {
+    let mut pieces = Vec::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(bytes) = frame.ok()?.into_data() else {
+            continue;
+        };
+        length += bytes.len();
+        if length > MAX_ANSWER_BYTES {
+            return None;
+        }
+        pieces.push(memory.hold(bytes).await);
+    }
+    Some(pieces)
+}
+
 /// Returns the headers of an answer that are forwarded to the caller: all except
 /// hop-by-hop headers and `Content-Length`.
 pub fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
--- a/crates/ingress/src/forward/connection.rs
+++ b/crates/ingress/src/forward/connection.rs
@@ -27,6 +27,10 @@
 /// no keep-alive timeout.
 const MAX_IDLE_TIME: TimeSpan = TimeSpan::from_secs(8);
 
+/// Maximum size of the buffers of one connection in bytes. An endpoint that sends faster
+/// than its caller reads is held back once the buffer is full.
+const MAX_BUFFER_BYTES: usize = 65_536;
+
 /// A connection that carries one request at a time. Dropping it closes it immediately,
 /// which stops the work at the endpoint.
 #[derive(Debug)]
@@ -58,7 +62,9 @@
         let socket = SockRef::from(&stream);
         socket.set_tcp_keepalive(&keepalive)?;
         socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
--- a/crates/ingress/src/forward/engine_failures.rs
+++ b/crates/ingress/src/forward/engine_failures.rs
@@ -14,6 +14,14 @@
         self.context.engines.lock().failed(now, engine);
     }
 
+    /// Records that `engine` ended a stream that its caller had not read for long. The
+    /// engine did not fail, and stays selectable for other requests.
+    pub(super) fn note_unread_run(&mut self, engine: &EndpointId) {
+        self.possible_runs += 1;
+        self.attempts.connection_lost();
+        self.attempted.push(engine.clone());
+    }
+
     pub(super) fn note_refused(&mut self, target: &EndpointTarget, status: u16, is_replaced: bool) {
         self.attempted.push(target.id.clone());
         let now = self.context.now();
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -127,14 +127,19 @@
         self.attempts.end();
     }
 
-    /// Continues a broken stream on another engine, from the event after `last_id`.
-    /// Returns `None` if the request may not be retried or no engine streams an answer.
+    /// Continues a stream that broke at `failed` on another engine, from the event after
+    /// `last_id`. Returns `None` if the request may not be retried or no engine streams an
+    /// answer.
     pub async fn resume(
         &mut self,
         failed: &EndpointId,
+        is_engine_fault: bool,
         last_id: Option<u64>,
     ) -> Option<RunningStream> {
-        self.note_possible_run(failed);
+        match is_engine_fault {
+            true => self.note_possible_run(failed),
+            false => self.note_unread_run(failed),
+        }
         if self.request.route.work_kind() != WorkKind::Repeatable || !self.may_retry() {
             return None;
         }
@@ -397,7 +402,9 @@
         }
         if !stream::is_event_stream(&answer.response) {
             let remaining = self.request.time_left(self.context.now());
-            let complete = CompleteAnswer::read(&self.context, target, answer, remaining).await;
+            let complete =
+                CompleteAnswer::read(&self.context, &self.request, target, answer, remaining);
+            let complete = complete.await;
             let Some(complete) = complete else {
                 self.note_possible_run(&target.id);
                 let detail = "the answer is incomplete";
@@ -446,7 +453,9 @@
             at: now,
             last_id: events.last_id().unwrap_or_default(),
         };
+        let memory = &self.context.memory;
         Ok(AttemptOutcome::Streaming(Box::new(RunningStream {
+            memory: memory.start_answer(self.request.answered_caller()),
             head,
             events,
             first_position,
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -161,7 +161,9 @@
                 self.attempts.answer_started();
                 let is_signed = attempt::is_signed(answer.response.headers());
                 let remaining = self.request.time_left(self.context.now()).min(timeout);
-                let complete = CompleteAnswer::read(self.context, target, answer, remaining).await;
+                let complete =
+                    CompleteAnswer::read(self.context, self.request, target, answer, remaining)
+                        .await;
                 match complete {
                     Some(answer) if is_signed => self.handle_answer(guard, answer),
                     Some(answer) => {
--- a/crates/ingress/src/forward/prefill.rs
+++ b/crates/ingress/src/forward/prefill.rs
@@ -63,9 +63,11 @@
             }
         };
         let remaining = self.request.time_left(self.context.now());
-        let complete = CompleteAnswer::read(&self.context, target, answer, remaining).await;
+        let complete =
+            CompleteAnswer::read(&self.context, &self.request, target, answer, remaining);
+        let prefilled = complete.await;
         let prefilled =
-            complete.and_then(|complete| engines::decode_prefilled(&complete.body).ok());
+            prefilled.and_then(|answer| engines::decode_prefilled(&answer.body.concat()).ok());
         match prefilled {
             Some(prompt) => {
                 guard.finish();
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -23,6 +23,7 @@
         request_log_line,
     },
     frontend::{AnswerBody, StreamAborted, stream_body},
+    memory::AnswerMemory,
 };
 
 /// A position in a stream.
@@ -34,6 +35,15 @@
     pub last_id: u64,
 }
 
+/// How long a caller may leave events unread before the pace of its stream no longer shows
+/// the pace of the engine.
+const PACE_DELAY_LIMIT: TimeSpan = TimeSpan::from_millis(50);
+
+/// How long a caller has to leave events unread before a later break of its stream is
+/// attributed to that: engines end streams that nobody reads after some seconds, and the
+/// events that they sent before then are still delivered.
+const UNREAD_BREAK_DELAY: TimeSpan = TimeSpan::from_millis(1_000);
+
 /// Minimum number of events for a meaningful mean interval between events.
 const MIN_TIMED_EVENTS: u64 = 3;
 
@@ -56,6 +66,8 @@
     pub connection: Option<EndpointConnection>,
     /// The engine that runs the request.
     pub target: EndpointTarget,
+    /// Accounts for the events that the caller has not read yet.
+    pub memory: AnswerMemory,
     /// Counts the request on the engine while the stream exists.
     pub _guard: RunGuard,
 }
@@ -81,6 +93,10 @@
     run: GenerationRun,
     running: RunningStream,
     has_ended: bool,
+    /// When the last events were passed on to the caller.
+    offered_at: Option<ClockTime>,
+    /// The longest time for which the caller has left events unread.
+    longest_unread: TimeSpan,
 }
 
 /// Returns a response that forwards the stream to the caller.
@@ -91,6 +107,8 @@
         run,
         running,
         has_ended: false,
+        offered_at: None,
+        longest_unread: TimeSpan::ZERO,
     };
     // The response body owns the state. When the caller disconnects, the body is dropped
     // together with the connection to the engine, which stops the work there.
@@ -105,7 +123,9 @@
 }
 
 impl StreamState {
+    /// The next events; called when the caller has room for them.
     async fn next(&mut self) -> Option<Result<Bytes, StreamAborted>> {
+        self.note_caller_read();
         loop {
             if self.has_ended {
                 return None;
@@ -113,7 +133,7 @@
             if let Some(first_events) = self.running.first_events.take()
                 && !first_events.is_empty()
             {
-                return Some(Ok(first_events));
+                return Some(self.offer(first_events).await);
             }
             if self.running.is_complete {
                 self.finish();
@@ -123,21 +143,48 @@
             match self.running.events.next(remaining.as_duration()).await {
                 NextEvents::Events { bytes, .. } => {
                     self.running.last_event_at = self.run.context.now();
-                    return Some(Ok(bytes));
+                    return Some(self.offer(bytes).await);
                 }
                 NextEvents::End => self.running.is_complete = true,
                 NextEvents::TimedOut => return Some(Err(self.abort("timed_out"))),
-                NextEvents::Broken if !self.resume().await => {
-                    return Some(Err(self.abort("endpoint_failed")));
+                NextEvents::Broken => {
+                    let is_engine_fault = self.longest_unread < UNREAD_BREAK_DELAY;
+                    if !self.resume(is_engine_fault).await {
+                        let outcome = match is_engine_fault {
+                            true => "endpoint_failed",
+                            false => "not_read",
+                        };
+                        return Some(Err(self.abort(outcome)));
+                    }
                 }
-                NextEvents::Broken => {}
             }
         }
     }
 
+    /// Records that the caller has room for further events.
+    fn note_caller_read(&mut self) {
+        let now = self.run.context.now();
+        if let Some(at) = self.offered_at.take() {
+            self.longest_unread = self.longest_unread.max(now.since(at));
+        }
+    }
+
+    /// Passes events on to the caller as soon as there is memory for them.
+    async fn offer(&mut self, events: Bytes) -> Result<Bytes, StreamAborted> {
+        let now = self.run.context.now();
+        let remaining = self.run.request.time_left(now).as_duration();
+        let held = tokio::time::timeout(remaining, self.running.memory.hold(events)).await;
+        let Ok(events) = held else {
+            return Err(self.abort("out_of_memory"));
+        };
+        self.running.memory.offer();
+        self.offered_at = Some(self.run.context.now());
+        Ok(events)
+    }
+
     /// Continues the stream on another engine. The connection to the failed engine is
     /// closed first, so that two engines do not run the request at the same time.
-    async fn resume(&mut self) -> bool {
+    async fn resume(&mut self, is_engine_fault: bool) -> bool {
         self.running.connection = None;
         let remaining = self.run.request.time_left(self.run.context.now());
         if remaining == TimeSpan::ZERO {
@@ -145,7 +192,7 @@
         }
         let last_id = self.running.events.last_id();
         let failed = self.running.target.id.clone();
-        match self.run.resume(&failed, last_id).await {
+        match self.run.resume(&failed, is_engine_fault, last_id).await {
             Some(running) => {
                 request_log_line(&self.run.context, "stream_resumed", &self.run.request)
                     .with("from", failed)
@@ -167,7 +214,8 @@
             attempt::return_to_pool(context, &self.running.target, connection);
         }
         let now = context.now();
-        if let Some(event_ms) = self.running.mean_event_interval() {
+        let event_ms = self.running.mean_event_interval();
+        if let Some(event_ms) = event_ms.filter(|_| self.longest_unread <= PACE_DELAY_LIMIT) {
             let service = &self.run.request.service;
             let mut demands = context.demands.lock();
             demands.note_stream_pace(now, service, event_ms);
--- a/crates/ingress/src/frontend/listener.rs
+++ b/crates/ingress/src/frontend/listener.rs
@@ -25,9 +25,9 @@
 /// only after a second, which is as long as callers wait.
 const ACCEPT_BACKLOG: i32 = 1_024;
 
-/// Maximum number of open caller connections: of some 3,900 file descriptors, the rest
+/// Maximum share of the sockets of the process that callers may use, in percent. The rest
 /// is for endpoints, the store and peers.
-const MAX_CONNECTIONS: usize = 2_800;
+const CALLER_SOCKETS_PERCENT: usize = 70;
 
 /// Idle timeout of connections while no configuration is available.
 const IDLE_TIMEOUT: TimeSpan = TimeSpan::from_secs(15);
@@ -56,6 +56,7 @@
     context: Arc<EntryContext>,
     connections: TaskTracker,
     open_connections: Arc<AtomicUsize>,
+    max_connections: usize,
     closing: CancellationToken,
 }
 
@@ -74,10 +75,12 @@
         socket.bind(&address.into())?;
         socket.listen(ACCEPT_BACKLOG)?;
         let listener = TcpListener::from_std(StdListener::from(socket))?;
+        let max_connections = context.settings.max_sockets * CALLER_SOCKETS_PERCENT / 100;
         let frontend = FrontendServer {
             context,
             connections: TaskTracker::new(),
             open_connections: Arc::new(AtomicUsize::new(0)),
+            max_connections,
             closing: CancellationToken::new(),
         };
         frontend
@@ -93,9 +96,9 @@
     }
 
     fn accept_connection(&self, stream: TcpStream) {
-        if self.open_connections.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
+        if self.open_connections.load(Ordering::Relaxed) >= self.max_connections {
             LogLine::new("connection_refused")
-                .with("open", MAX_CONNECTIONS)
+                .with("open", self.max_connections)
                 .warn();
             return;
         }
@@ -170,9 +173,11 @@
     });
     let max_head_bytes = limits.map_or(READ_BUFFER_MARGIN, |limits| limits.head.count() as usize);
     let context = Arc::clone(&frontend.context);
+    let disconnect = CancellationToken::new();
+    let token = disconnect.clone();
     let service = service_fn(move |request| {
-        let context = Arc::clone(&context);
-        async move { Ok::<_, Infallible>(frontend::serve_request(context, request).await) }
+        let (context, token) = (Arc::clone(&context), token.clone());
+        async move { Ok::<_, Infallible>(frontend::serve_request(context, token, request).await) }
     });
     // hyper includes the idle time between requests in the header read timeout, so the
     // longer of the two limits applies to both.
@@ -184,9 +189,13 @@
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        () = disconnect.cancelled() => Ok(()),
         () = idle_close_due(&frontend) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = disconnect.cancelled() => Ok(()),
+            }
         }
     };
     if let Err(error) = ended {
--- a/crates/ingress/src/frontend/mod.rs
+++ b/crates/ingress/src/frontend/mod.rs
@@ -14,9 +14,10 @@
 
 use bluebell_daemon::logs::LogLine;
 use hyper::{Request, Response, body::Incoming};
+use tokio_util::sync::CancellationToken;
 
 pub use self::{
-    body::{AnswerBody, StreamAborted, empty_body, full_body, stream_body},
+    body::{AnswerBody, StreamAborted, empty_body, pieces_body, stream_body},
     listener::FrontendServer,
     refusal::{DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
     request::CallerRequest,
@@ -40,13 +41,15 @@
 }
 
 /// Reads one request, forwards it to an endpoint and returns the response. While the
-/// process stops, the response asks the caller to close its connection.
+/// process stops, the response asks the caller to close its connection. `connection` closes
+/// the connection of the caller when cancelled.
 pub async fn serve_request(
     context: Arc<EntryContext>,
+    connection: CancellationToken,
     incoming: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let _guard = OpenRequestGuard::new(&context);
-    let mut response = match request::read(&context, incoming).await {
+    let mut response = match request::read(&context, connection, incoming).await {
         Ok(request) => forward::serve(&context, request).await,
         Err(refusal) => {
             let line = LogLine::new("refused")
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -11,27 +11,28 @@
     units::TokenCount,
 };
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Method, Request,
     body::Incoming,
     header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName},
 };
 use rand::Rng;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     context::EntryContext,
-    frontend::refusal::{DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
+    frontend::{
+        body,
+        refusal::{DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
+    },
     hop_headers,
+    memory::AnsweredCaller,
 };
 
 /// Delay after which a caller may retry if this entry has no configuration yet, or if its
 /// configuration or API keys are out of date.
 const SYNC_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(600);
 
-/// Divisor of the instance's memory for request bodies: a quarter may hold bodies.
-const BODY_MEMORY_DIVISOR: u64 = 4;
-
 /// Headers of callers that are not forwarded: the entry sets them itself or only reads
 /// them.
 const FRAMING_HEADERS: [HeaderName; 4] = [
@@ -73,6 +74,8 @@
     pub arrived: ClockTime,
     /// When the final answer is due.
     pub deadline: ClockTime,
+    /// Closes the connection of the caller when cancelled.
+    pub connection: CancellationToken,
 }
 
 impl CallerRequest {
@@ -80,11 +83,21 @@
     pub fn time_left(&self, now: ClockTime) -> TimeSpan {
         self.deadline.since(now)
     }
+
+    /// The caller, to account for the answer to it.
+    pub fn answered_caller(&self) -> AnsweredCaller {
+        AnsweredCaller {
+            request: self.id.clone(),
+            organisation: self.organisation.clone(),
+            connection: self.connection.clone(),
+        }
+    }
 }
 
 /// Reads and authorises a request, or returns the refusal.
 pub async fn read(
     context: &EntryContext,
+    connection: CancellationToken,
     incoming: Request<Incoming>,
 ) -> Result<CallerRequest, Refusal> {
     let arrived = context.now();
@@ -131,10 +144,14 @@
         .map_or(route.timeout, TimeSpan::from_millis)
         .min(route.timeout);
     let deadline = arrived + timeout;
-    let max_bytes = table.configuration().limits.body.count();
-    let body = read_body(context, body, max_bytes, deadline.since(arrived))
-        .await
-        .map_err(with_id)?;
+    let max_size = table.configuration().limits.body;
+    let body = body::read(context, organisation.as_ref(), body, max_size);
+    let body = tokio::time::timeout(timeout.as_duration(), body).await;
+    let body = body.unwrap_or_else(|_| {
+        let reason = RefusalReason::BodyTooSlow;
+        Err(Refusal::before_sending(reason, DEFAULT_RETRY_AFTER))
+    });
+    let body = body.map_err(with_id)?;
     let priority = table.priority(&route, organisation.as_ref());
     Ok(CallerRequest {
         id: request_id,
@@ -155,6 +172,7 @@
         stated_tokens: stated_tokens(&head.headers),
         arrived,
         deadline,
+        connection,
     })
 }
 
@@ -223,39 +241,6 @@
     Some(work.prompt + work.output)
 }
 
-async fn read_body(
-    context: &EntryContext,
-    body: Incoming,
-    max_bytes: u64,
-    timeout: TimeSpan,
-) -> Result<Bytes, Refusal> {
-    let body_memory = context.settings.memory_mb * 1_000_000 / BODY_MEMORY_DIVISOR;
-    let expected_bytes = hyper::body::Body::size_hint(&body)
-        .upper()
-        .unwrap_or(max_bytes);
-    if expected_bytes > max_bytes {
-        return Err(Refusal::invalid_request(RefusalReason::TooLarge));
-    }
-    let open = context.metrics.requests_open.get().max(1) as u64;
-    // Bodies up to 64 KiB are always accepted; larger ones only while few requests are open.
-    if expected_bytes > body_memory / open.max(1) && expected_bytes > 65_536 {
-        let reason = RefusalReason::OutOfMemory;
-        return Err(Refusal::before_sending(reason, DEFAULT_RETRY_AFTER));
-    }
-    let collected = Limited::new(body, max_bytes as usize).collect();
-    match tokio::time::timeout(timeout.as_duration(), collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(Refusal::invalid_request(RefusalReason::TooLarge))
-        }
-        Ok(Err(_)) => Err(Refusal::invalid_request(RefusalReason::Malformed)),
-        Err(_) => {
-            let reason = RefusalReason::BodyTooSlow;
-            Err(Refusal::before_sending(reason, DEFAULT_RETRY_AFTER))
-        }
-    }
-}
-
 /// Returns the headers that are forwarded to the endpoint: no hop-by-hop headers, no API
 /// key, no `Content-Length`, which is set again, and none that only the entry may set.
 fn forwarded_headers(received: &HeaderMap) -> HeaderMap {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -14,6 +14,7 @@
 mod hop_headers;
 pub mod leader;
 pub mod logs;
+mod memory;
 pub mod metrics;
 pub mod peers;
 pub mod program;
--- a/crates/ingress/src/ready.rs
+++ b/crates/ingress/src/ready.rs
@@ -70,6 +70,7 @@
         "start": context.writer.start,
         "configuration": { "version": version, "age": age },
         "limits": limits,
+        "memory": context.memory.status(),
         "endpoints": endpoints,
         "ready": match ready_state(context) {
             ReadyState::Ready => "ready".to_string(),
