--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -217,12 +217,7 @@
 
     fn compute_digest(&self) -> u64 {
         let mut hasher = Xxh3::new();
-        let present = self
-            .endpoints
-            .values()
-            .filter(|known| known.expires_at.is_none());
-        for known in present {
-            let entry = &known.registration;
+        for entry in self.registered() {
             hasher.update(entry.id.as_str().as_bytes());
             hasher.update(&entry.start.to_le_bytes());
             hasher.update(entry.service.as_str().as_bytes());
@@ -282,6 +277,13 @@
             .filter(move |entry| entry.service == *service && !entry.is_leaving)
     }
 
+    /// The registrations that have not lapsed, by id.
+    pub fn registered(&self) -> impl Iterator<Item = &EndpointRegistration> {
+        let known = self.endpoints.values();
+        let registered = known.filter(|known| known.expires_at.is_none());
+        registered.map(|known| &known.registration)
+    }
+
     /// All registrations, by id.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointRegistration> {
         self.endpoints.values().map(|known| &known.registration)
--- a/crates/core/src/directory/registration.rs
+++ b/crates/core/src/directory/registration.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     clock::TimeSpan,
@@ -10,7 +10,7 @@
 };
 
 /// The stage of model inference that an engine runs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EngineStage {
     /// Prefills prompts at full speed and hands the KV cache over.
@@ -20,7 +20,7 @@
 }
 
 /// The registration of an endpoint as stored.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointRegistration {
     /// The id of the endpoint; a restarted endpoint may reuse it.
     pub id: EndpointId,
--- a/crates/core/src/provision/mod.rs
+++ b/crates/core/src/provision/mod.rs
@@ -8,9 +8,11 @@
 //! addition to its reserved ones.
 //!
 //! Which engines prefill and which run requests follows from the work that the entries
-//! measure ([`StagePlan`]).
+//! measure ([`StagePlan`]), and so does the number of engines where there are more than that
+//! work can ever need ([`SizeEstimate`]).
 
 mod demand;
+mod size;
 mod stages;
 
 use std::collections::BTreeMap;
@@ -19,6 +21,7 @@
 
 pub use self::{
     demand::{DemandTable, EngineDemand},
+    size::SizeEstimate,
     stages::{StageNeeds, StagePlan},
 };
 use crate::{
@@ -45,7 +48,7 @@
 
 /// Minimum time between reductions in two failure domains: endpoints take some seconds
 /// to stop.
-const REDUCE_INTERVAL: TimeSpan = TimeSpan::from_millis(5_000);
+const REDUCE_INTERVAL: TimeSpan = TimeSpan::from_millis(1_500);
 
 /// Time without new endpoints that is required before the first order. All endpoints
 /// register within one or two heartbeats of the start of the system; a planner that
@@ -115,6 +118,14 @@
     }
 }
 
+/// Maximum number of preemptible engines that are ordered in a failure domain as long as
+/// the demand is not known.
+const MAX_UNDEMANDED_PREEMPTIBLE: u32 = 64;
+
+/// Share of the target by which there have to be more endpoints before some are removed: a
+/// target that moves with the demand must not cause an order each time.
+const REDUCE_MARGIN: f64 = 0.25;
+
 type OrderKey = (ServiceName, FailureDomain, bool);
 
 #[derive(Clone, Copy, Debug)]
@@ -128,22 +139,39 @@
 struct DomainTarget {
     reserved: u32,
     preemptible: u32,
+    /// Whether the demand needs fewer endpoints than there were at first.
+    is_reduced: bool,
 }
 
 impl DomainTarget {
-    fn new(scaling: &ScalingRule, baseline: u32) -> DomainTarget {
+    /// The target of a failure domain with `baseline` endpoints, of which `needed` are needed
+    /// for the demand; `None` as long as that is not known.
+    fn new(scaling: &ScalingRule, baseline: u32, needed: Option<u32>) -> DomainTarget {
         let reserved = ((f64::from(baseline) * RESERVED_SHARE).ceil() as u32)
             .max(scaling.min_endpoints.min(1));
+        let most_reserved = reserved;
+        let reserved = match needed {
+            Some(needed) => reserved.min(needed.max(scaling.min_endpoints).max(1)),
+            None => reserved,
+        };
         let headroom = scaling.max_endpoints.saturating_sub(reserved);
+        let most = (f64::from(baseline) * PREEMPTIBLE_FACTOR).ceil() as u32;
         let preemptible = match scaling.preemptible_price {
-            Some(_) => ((f64::from(baseline) * PREEMPTIBLE_FACTOR).ceil() as u32).min(headroom),
+            Some(_) => most.min(needed.unwrap_or(MAX_UNDEMANDED_PREEMPTIBLE)),
             None => 0,
         };
         DomainTarget {
-            reserved: if preemptible == 0 { baseline } else { reserved },
-            preemptible,
+            reserved,
+            preemptible: preemptible.min(headroom),
+            is_reduced: reserved < most_reserved,
         }
     }
+
+    /// Whether so many reserved endpoints are more than needed.
+    fn is_exceeded_by(self, reserved: u32) -> bool {
+        let margin = if self.is_reduced { REDUCE_MARGIN } else { 0.0 };
+        f64::from(reserved) > f64::from(self.reserved) * (1.0 + margin)
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -163,6 +191,7 @@
     orders: BTreeMap<OrderKey, PlacedOrder>,
     unavailable_until: BTreeMap<(ServiceName, FailureDomain), ClockTime>,
     stages: BTreeMap<ServiceName, StagePlan>,
+    sizes: BTreeMap<ServiceName, SizeEstimate>,
     reduced_at: Option<ClockTime>,
     observed: BTreeMap<ServiceName, ObservedEndpoints>,
 }
@@ -199,6 +228,17 @@
         baselines.collect()
     }
 
+    /// Sets the number of engines that an earlier leader found to be needed.
+    pub fn set_needed(&mut self, service: ServiceName, engines: f64) {
+        self.sizes.entry(service).or_default().set(engines);
+    }
+
+    /// The numbers of engines that are needed, to be handed over to the next leader.
+    pub fn needed(&self) -> impl Iterator<Item = (&ServiceName, f64)> {
+        let sizes = self.sizes.iter();
+        sizes.filter_map(|(service, estimate)| Some((service, estimate.engines()?)))
+    }
+
     /// The orders that are due for a service.
     pub fn steps<'a, Registered>(
         &mut self,
@@ -217,6 +257,10 @@
             return steps;
         }
         let mut desired = BTreeMap::new();
+        if service.engine.is_some() {
+            let estimate = self.sizes.entry(service.name.clone()).or_default();
+            estimate.note(now, service.demand, &endpoints);
+        }
         if let Some(scaling) = service.scaling {
             desired = self.count_steps(now, service.name, scaling, &endpoints, &mut steps);
         }
@@ -285,9 +329,14 @@
             .filter(|((name, _), _)| name == service)
             .map(|((_, domain), baseline)| (domain.clone(), *baseline))
             .collect();
+        let total: u32 = baselines.iter().map(|(_, baseline)| baseline).sum();
+        let needed = self.sizes.get(service);
+        let needed = needed.and_then(|estimate| estimate.needed(baselines.len()));
         for (domain, baseline) in baselines {
             let count = counts.get(&domain).copied().unwrap_or_default();
-            let target = DomainTarget::new(scaling, baseline);
+            let share = f64::from(baseline) / f64::from(total.max(1));
+            let needed = needed.map(|needed| (needed * share).ceil() as u32);
+            let target = DomainTarget::new(scaling, baseline, needed);
             let step = self.domain_step(now, service, &domain, scaling, target, count);
             steps.extend(step);
             desired.insert(domain, target.reserved + target.preemptible);
@@ -309,6 +358,7 @@
         let DomainTarget {
             reserved,
             preemptible,
+            ..
         } = target;
         let key = (service.clone(), domain.clone());
         let is_available = self
@@ -330,7 +380,7 @@
             return order(self, false, reserved, count.reserved);
         }
         let is_replaced = count.in_service * 2 >= preemptible;
-        if count.reserved > reserved && is_replaced && self.may_reduce(now) {
+        if target.is_exceeded_by(count.reserved) && is_replaced && self.may_reduce(now) {
             return order(self, false, reserved, count.reserved);
         }
         None
--- a/crates/core/src/provision/stages.rs
+++ b/crates/core/src/provision/stages.rs
@@ -37,6 +37,10 @@
 /// until a demand needs them, since a change of a stage costs as much as some requests earn.
 const ENGINES_PER_ENTRY: usize = 4;
 
+/// Maximum number of engines of a failure domain that are given a stage without a demand.
+/// Each order has a price, and the number of engines does not say how many are needed.
+const MAX_UNDEMANDED_ENGINES: usize = 128;
+
 /// Engines of the prefill stage per engine that the prefills need, before further engines
 /// keep their stage. Prompts arrive in bursts, and those that find an idle engine need not
 /// wait.
@@ -211,7 +215,7 @@
                 }
             };
             let decode_engines = decode_engines.max(1);
-            let staged_here = (staged * share).ceil() as usize;
+            let staged_here = ((staged * share).ceil() as usize).min(MAX_UNDEMANDED_ENGINES);
             let needed_here = needs.map_or(0.0, |needs| PREFILL_HEADROOM * needs.prefill * share);
             let prefill_engines = staged_here.saturating_sub(decode_engines);
             let prefill_engines = prefill_engines.max(needed_here.ceil() as usize).max(1);
@@ -248,11 +252,13 @@
 impl StageNeeds {
     /// Number of engines that `demand` needs, measured while `decode_engines` engines
     /// ran requests. `None` if too little runs for an estimate.
-    fn new(demand: EngineDemand, decode_engines: usize) -> Option<StageNeeds> {
+    pub(super) fn new(demand: EngineDemand, decode_engines: usize) -> Option<StageNeeds> {
         if demand.running < MIN_RUNNING || demand.speed.is_none() {
             return None;
         }
         let by_contention = demand.contention() * decode_engines as f64 / TARGET_CONTENTION;
+        // Requests that have an engine each don't contend, whatever their speed.
+        let by_contention = by_contention.min(demand.running);
         Some(StageNeeds {
             prefill: demand.prefill / MAX_PREFILL_UTILISATION,
             run: by_contention.max(demand.held / TARGET_HELD_SHARE),
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -3,8 +3,9 @@
 //! Each call to the store has a price, and the total call rate of all instances is
 //! limited, so the instances can't all poll it. In each failure domain one instance,
 //! the *reader*, follows the store and relays the changes and their freshness to the
-//! others; an instance reads the store directly once the relayed data is too old.
-//! A failure domain that is partitioned from the others has its own reader.
+//! others; an instance whose relayed data is too old or incomplete takes it from another
+//! instance or reads the store directly ([`state_source`]). A failure domain that is
+//! partitioned from the others has its own reader.
 //!
 //! The age of relayed data is computed without comparing clocks: each instance sends a
 //! timestamp of its own clock, and each message of the reader echoes the last timestamp
@@ -12,11 +13,15 @@
 //! a buffer while its receiver was suspended therefore can't make old data look fresh.
 
 mod copies;
+mod source;
 
 pub use self::copies::{
     AdvertisedConfiguration, COPY_THRESHOLD, CopyLocation, CopyState, VersionAdvertisement,
     VersionSource,
 };
+pub use self::source::{
+    DIRECT_READERS, KnownState, StateSource, direct_read_delay, parent_rank, state_source,
+};
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::InstanceId,
--- /dev/null
+++ b/crates/core/src/relay/source.rs
@@ -0,0 +1,75 @@
+//! From where an instance takes the state of the store.
+//!
+//! Reads of the complete state are large. If each instance of a large failure domain made
+//! them when it starts, or when the relayed state is too old, the calls and bytes at the
+//! store would grow with the number of instances, and no instance would get ready while
+//! the store is at its limit. Only the first [`DIRECT_READERS`] of the failure domain, by
+//! name, read the store at once; the others copy the state from one of them, along a tree.
+//! Where no copy can be had, further instances read the store, group by group.
+
+use crate::clock::TimeSpan;
+
+/// The number of instances of a failure domain that may read the store without delay, and
+/// of copies that one instance hands on.
+pub const DIRECT_READERS: usize = 8;
+
+/// The delay between the groups of instances that read the store where nobody has the state.
+/// An answer of the store takes less, so a group copies what the one before it has read.
+const DIRECT_READ_STEP: TimeSpan = TimeSpan::from_millis(400);
+
+/// Failed copies in a row after which an instance reads the store. The instances that it
+/// tried may have failed, and the next ones are tried at random.
+const MAX_FAILED_COPIES: u32 = 4;
+
+/// From where an instance takes the state of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StateSource {
+    /// The state here is current as long as the reader relays changes.
+    Relay,
+    /// Another instance of the failure domain.
+    Copy,
+    /// The store itself.
+    Store,
+}
+
+/// What an instance knows of the state of the store.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownState {
+    /// The age of the state, or the time since the start if there is none yet.
+    pub age: TimeSpan,
+    /// The age beyond which it must not be used; see [`super::relay_age_limit`].
+    pub age_limit: TimeSpan,
+    /// Whether there is none yet, or it differs from the reader's.
+    pub is_incomplete: bool,
+    /// The number of attempts in a row to copy it that have failed.
+    pub failed_copies: u32,
+}
+
+/// How much longer than the age limit the instance at `rank` in its failure domain waits
+/// for a copy before it reads the store.
+pub fn direct_read_delay(rank: usize) -> TimeSpan {
+    DIRECT_READ_STEP.times((rank / DIRECT_READERS) as u64)
+}
+
+/// From where the instance at `rank` in its failure domain has to take the state. The rank
+/// is the number of instances there with lower names.
+pub fn state_source(rank: usize, state: KnownState) -> StateSource {
+    let is_stale = state.age >= state.age_limit;
+    if !is_stale && !state.is_incomplete {
+        return StateSource::Relay;
+    }
+    let may_read = rank < DIRECT_READERS
+        || state.failed_copies >= MAX_FAILED_COPIES
+        || state.age >= state.age_limit + direct_read_delay(rank);
+    match may_read {
+        true => StateSource::Store,
+        false => StateSource::Copy,
+    }
+}
+
+/// The rank of the instance from which the one at `rank` copies the state first; `None` for
+/// those that read the store.
+pub fn parent_rank(rank: usize) -> Option<usize> {
+    let position = rank.checked_sub(DIRECT_READERS)?;
+    Some(position / DIRECT_READERS)
+}
--- /dev/null
+++ b/crates/core/tests/relay_source.rs
@@ -0,0 +1,117 @@
+//! From where the instances of a failure domain take the state of the store.
+
+use std::collections::BTreeMap;
+
+use bluebell_core::{
+    clock::TimeSpan,
+    relay::{DIRECT_READERS, KnownState, StateSource, parent_rank, state_source},
+};
+
+const AGE_LIMIT: TimeSpan = TimeSpan::from_millis(1_300);
+
+fn state(age_ms: u64, is_incomplete: bool) -> KnownState {
+    KnownState {
+        age: TimeSpan::from_millis(age_ms),
+        age_limit: AGE_LIMIT,
+        is_incomplete,
+        failed_copies: 0,
+    }
+}
+
+/// The number of reads of the store while `instances` start at once and each copy takes
+/// `copy_ms`, up to the time at which all have the state, in ms.
+fn start(instances: usize, copy_ms: u64) -> (usize, u64) {
+    let mut ready_at: BTreeMap<usize, u64> = BTreeMap::new();
+    let mut reads = 0;
+    for now in (0..60_000).step_by(10) {
+        for rank in 0..instances {
+            if ready_at.contains_key(&rank) {
+                continue;
+            }
+            match state_source(rank, state(now, true)) {
+                StateSource::Store => {
+                    reads += 1;
+                    ready_at.insert(rank, now + copy_ms);
+                }
+                StateSource::Copy => {
+                    let parent = parent_rank(rank).unwrap();
+                    if ready_at.get(&parent).is_some_and(|at| *at <= now) {
+                        ready_at.insert(rank, now + copy_ms);
+                    }
+                }
+                StateSource::Relay => panic!("there is no state to relay yet"),
+            }
+        }
+        if ready_at.len() == instances {
+            return (reads, *ready_at.values().max().unwrap());
+        }
+    }
+    panic!("not all instances got the state");
+}
+
+/// Guards against reads of the store that grow with the instances that start at once.
+#[test]
+fn reads_at_a_start_do_not_grow_with_the_failure_domain() {
+    for instances in [9, 60, 200, 400] {
+        let (reads, _) = start(instances, 300);
+        assert_eq!(reads, DIRECT_READERS, "{instances} instances");
+    }
+}
+
+/// Guards against a start that takes longer in proportion to the failure domain.
+#[test]
+fn the_time_of_a_start_grows_with_the_levels_of_the_tree() {
+    let (_, small) = start(60, 300);
+    let (_, large) = start(400, 300);
+    assert!(large <= 2 * small, "{large} ms after {small} ms");
+}
+
+/// Guards against a small failure domain that waits for copies although it can read.
+#[test]
+fn a_small_failure_domain_reads_the_store_at_once() {
+    for rank in 0..DIRECT_READERS {
+        assert_eq!(state_source(rank, state(0, true)), StateSource::Store);
+        assert_eq!(state_source(rank, state(1_300, false)), StateSource::Store);
+        assert_eq!(state_source(rank, state(1_299, false)), StateSource::Relay);
+    }
+}
+
+/// Guards against a storm of reads when the reader is turned away by the store and the
+/// relayed state is too old at all instances in the same moment.
+#[test]
+fn few_instances_read_the_store_when_the_relayed_state_gets_old() {
+    let readers = |age_ms: u64| {
+        let ranks = 0..200;
+        let sources = ranks.map(|rank| state_source(rank, state(age_ms, false)));
+        sources
+            .filter(|source| *source == StateSource::Store)
+            .count()
+    };
+    assert_eq!(readers(1_300), DIRECT_READERS);
+    assert_eq!(readers(1_700), 2 * DIRECT_READERS);
+}
+
+/// Guards against an instance that never gets the state because none of the instances that
+/// it knows is alive.
+#[test]
+fn an_instance_without_copies_reads_the_store_in_the_end() {
+    assert_eq!(state_source(150, state(20_000, true)), StateSource::Store);
+    let unanswered = KnownState {
+        failed_copies: 4,
+        ..state(100, true)
+    };
+    assert_eq!(state_source(150, unanswered), StateSource::Store);
+}
+
+/// Guards against an instance that hands the state on to many others over a narrow link.
+#[test]
+fn no_instance_hands_on_more_copies_than_the_fan_out() {
+    let mut children: BTreeMap<usize, usize> = BTreeMap::new();
+    for rank in 0..1_000 {
+        if let Some(parent) = parent_rank(rank) {
+            assert!(parent < rank);
+            *children.entry(parent).or_default() += 1;
+        }
+    }
+    assert!(children.values().all(|count| *count <= DIRECT_READERS));
+}
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -25,6 +25,7 @@
     memory::MemoryAccount,
     metrics::EntryMetrics,
     peers::{self, PeerTable},
+    state_transfer::StateCache,
     sync::copies::PublishedCopy,
 };
 
@@ -81,8 +82,12 @@
     pub endpoints_synced_at: Option<ClockTime>,
     /// Tracks whether the local list of endpoints differs from the reader's.
     pub difference: DigestMismatchTimer,
-    /// Whether all endpoints must be read again from the store.
+    /// Whether all endpoints must be read again.
     pub must_resync: bool,
+    /// The number of attempts in a row to copy the configuration that have failed.
+    pub failed_configuration_copies: u32,
+    /// The number of attempts in a row to copy the endpoints that have failed.
+    pub failed_endpoint_copies: u32,
 }
 
 /// State shared by requests, background tasks and duties.
@@ -92,6 +97,8 @@
     pub settings: InstanceSettings,
     /// The clock that advances also while the instance is suspended.
     pub clock: ClockSource,
+    /// The time of the start of the process.
+    pub started_at: ClockTime,
     /// Identifies this instance and this start of its process to others.
     pub writer: MeterWriter,
     /// The client of the store.
@@ -118,6 +125,8 @@
     pub peers: Shared<PeerTable>,
     /// The state relayed by the reader of the failure domain.
     pub relayed: Shared<RelayedState>,
+    /// The compressed state that other instances copy.
+    pub state_cache: Shared<StateCache>,
     /// The cached copy of the configuration that this instance publishes for the others.
     pub published_copy: Shared<PublishedCopy>,
     /// Unpublished usage reported by other entries of the failure domain.
@@ -167,6 +176,7 @@
         let memory = MemoryAccount::new(settings.memory_mb, clock.clone());
         EntryContext {
             settings,
+            started_at: clock.now(),
             clock,
             writer,
             store,
@@ -181,6 +191,7 @@
             meter: Shared::new(UsageMeter::new()),
             peers: Shared::new(PeerTable::new()),
             relayed: Shared::new(RelayedState::default()),
+            state_cache: Shared::new(StateCache::default()),
             published_copy: Shared::new(PublishedCopy::default()),
             peer_usage: Shared::new(PeerUsage::default()),
             wake: Notify::new(),
--- a/crates/ingress/src/leader/publish.rs
+++ b/crates/ingress/src/leader/publish.rs
@@ -39,11 +39,10 @@
         let now = wall_time().as_millis();
         let phase = (now + interval - WINDOW_END_DELAY.as_millis()) % interval;
         tokio::time::sleep(Duration::from_millis(interval - phase)).await;
-        let is_reader = context.is_reader();
-        let peer_records = context.peer_usage.lock().take();
-        if !is_reader && has_reader_to_publish(&context) {
+        if !context.is_reader() && has_reader_to_publish(&context) {
             continue;
         }
+        let peer_records = context.peer_usage.lock().take();
         let (local, unpublished) = local_record(&context, last_published);
         let records: Vec<Bytes> = local.iter().chain(&peer_records).map(encode).collect();
         if records.is_empty() {
--- a/crates/ingress/src/leader/records.rs
+++ b/crates/ingress/src/leader/records.rs
@@ -64,6 +64,36 @@
     /// The numbers of endpoints of failure domains when they were first observed.
     #[prost(message, repeated, tag = "5")]
     pub bases: Vec<BaseMessage>,
+    /// The numbers of engines that services need.
+    #[prost(message, repeated, tag = "6")]
+    pub needs: Vec<NeedMessage>,
+}
+
+/// The number of engines that a service needs.
+#[derive(Clone, PartialEq, Message)]
+pub struct NeedMessage {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The number of engines, in thousandths.
+    #[prost(uint64, tag = "2")]
+    pub engines: u64,
+}
+
+impl NeedMessage {
+    /// Encodes a number of engines.
+    pub fn new(service: &ServiceName, engines: f64) -> NeedMessage {
+        NeedMessage {
+            service: service.to_string(),
+            engines: (engines * 1_000.0).round() as u64,
+        }
+    }
+
+    /// Decodes the service and its number of engines; `None` if the name is invalid.
+    pub fn need(&self) -> Option<(ServiceName, f64)> {
+        let service = ServiceName::new(self.service.as_str()).ok()?;
+        Some((service, self.engines as f64 / 1_000.0))
+    }
 }
 
 /// The number of endpoints of a service in a failure domain when it was first observed.
--- a/crates/ingress/src/leader/task.rs
+++ b/crates/ingress/src/leader/task.rs
@@ -21,8 +21,8 @@
 use crate::{
     context::EntryContext,
     leader::records::{
-        BaseMessage, LEADER_PART, LeaderRecord, USAGE_PART, UsageRecord, WindowCounts, encode,
-        parse_writer,
+        BaseMessage, LEADER_PART, LeaderRecord, NeedMessage, USAGE_PART, UsageRecord, WindowCounts,
+        encode, parse_writer,
     },
     sync::StoreBackoff,
     time::wall_time,
@@ -212,6 +212,9 @@
         for baseline in record.bases.iter().filter_map(BaseMessage::base) {
             self.planner.set_baseline(baseline);
         }
+        for (service, engines) in record.needs.iter().filter_map(NeedMessage::need) {
+            self.planner.set_needed(service, engines);
+        }
         self.leadership
             .note_record(self.context.now(), offset, writer);
     }
@@ -332,6 +335,11 @@
                 .iter()
                 .map(BaseMessage::new)
                 .collect(),
+            needs: self
+                .planner
+                .needed()
+                .map(|(service, engines)| NeedMessage::new(service, engines))
+                .collect(),
         };
         let end = self.leadership.end();
         let sent = self.context.now();
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Every instance runs one process, which accepts requests of callers ([`frontend`]),
 //! forwards them to endpoints ([`forward`]), follows the configuration and the endpoints
-//! in the store ([`sync`]) and exchanges messages with the other instances ([`peers`]).
+//! in the store ([`sync`]) and exchanges messages with the other instances ([`peers`]), from
+//! which it also copies the state of the store (`state_transfer`).
 //! The instance that is the leader also reports usage and orders endpoints ([`leader`]).
 //! The decision logic is in `bluebell-core`; names and formats of the platform are in
 //! `bluebell-adapter`.
@@ -19,5 +20,6 @@
 pub mod peers;
 pub mod program;
 pub mod ready;
+mod state_transfer;
 pub mod sync;
 pub mod time;
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -23,6 +23,8 @@
     pub estimate_error: Histogram,
     /// Calls to the store by call and outcome.
     pub store_calls: IntCounterVec,
+    /// Copies of the state from other instances, by part and outcome.
+    pub state_copies: IntCounterVec,
     /// The version of the configuration in force.
     pub configuration_version: IntGauge,
     /// The newest version that the reader of the failure domain advertised.
@@ -74,6 +76,11 @@
                 "calls to the store",
                 &["call", "outcome"],
             )?,
+            state_copies: counter(
+                "bluebell_state_copies_total",
+                "copies of the state of the store from other instances",
+                &["part", "outcome"],
+            )?,
             configuration_version: gauge(
                 "bluebell_configuration_version",
                 "version of the configuration in force",
--- a/crates/ingress/src/peers/mod.rs
+++ b/crates/ingress/src/peers/mod.rs
@@ -1,6 +1,6 @@
 //! The other entry instances, and the messages that entries exchange.
 //!
-//! Each instance registers its address in the store once at its start and reads the
+//! Each instance registers its address in the store once at its start and learns of the
 //! earlier registrations; instances that start later send it messages, from which it takes
 //! their addresses. Messages hold soft state: which prefills are queued at which engines, and
 //! which engines hold which prompt parts. Each is one datagram with the complete loads, so
@@ -21,7 +21,8 @@
 
 pub use self::{
     fleet_size::fleet_size,
-    messages::{ChangeMessage, RelayMessage, StageMessage, pack_changes},
+    messages::{ChangeMessage, PeerRecord, RelayMessage, StageMessage, pack_changes},
+    registry::{local_address, local_record},
     table::{KnownPeer, MAX_CHANGES_PER_DATAGRAM, PeerTable},
     targets::{BroadcastTarget, TargetSelector},
 };
--- a/crates/ingress/src/peers/registry.rs
+++ b/crates/ingress/src/peers/registry.rs
@@ -1,6 +1,6 @@
 //! Registering this instance in the store, and reading the registrations of the others.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bluebell_adapter::{
     CallError,
@@ -9,6 +9,7 @@
 use bluebell_core::{
     clock::TimeSpan,
     ids::{FailureDomain, InstanceId},
+    relay::DIRECT_READERS,
 };
 use bluebell_daemon::logs::LogLine;
 use prost::Message;
@@ -16,37 +17,92 @@
 use crate::{
     context::EntryContext,
     peers::{messages::PeerRecord, table::KnownPeer},
+    state_transfer::{self, PeerListMessage, PeerMessage, StateKind},
     sync::{READ_TIMEOUT, StoreBackoff},
 };
 
 const PART: TopicPart = TopicPart::first("keyed.peers");
 
-/// Registers this instance and reads the registrations of the others. Instances that start
+/// How long after its own registration an instance of a system that starts for the first
+/// time reads those of the others, which start at about the same moment.
+const FIRST_START_DELAY: Duration = Duration::from_millis(600);
+
+/// How long an instance tries to copy the registrations before it reads them all.
+const COPY_PERIOD: TimeSpan = TimeSpan::from_secs(8);
+
+/// The pause after a failed attempt to copy them.
+const COPY_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Registers this instance and learns the registrations of the others. Instances that start
 /// later read this registration and send messages to this instance.
+///
+/// Each instance reads the first registrations of its failure domain, and only the first
+/// instances there read all of them. The others copy these, as the calls would otherwise
+/// grow with the square of the number of instances.
 pub async fn register_and_read(context: Arc<EntryContext>) {
     let mut backoff = StoreBackoff::new("peers");
     while let Err(error) = register(&context).await {
         backoff.wait_after_failure(&context, &error).await;
     }
     backoff.note_answer(&context);
-    while let Err(error) = read_newest(&context, backoff.read_timeout()).await {
+    if context.settings.is_first_start {
+        tokio::time::sleep(FIRST_START_DELAY).await;
+    }
+    while let Err(error) = read_own_domain(&context, backoff.read_timeout()).await {
         backoff.wait_after_failure(&context, &error).await;
     }
     backoff.note_answer(&context);
+    context.peers.lock().note_bootstrap();
+    if !copy_all(&context).await {
+        while let Err(error) = read_all(&context, backoff.read_timeout()).await {
+            backoff.wait_after_failure(&context, &error).await;
+        }
+        backoff.note_answer(&context);
+    }
     let now = context.now();
     context.peers.lock().note_read(now);
 }
 
+/// Copies the registrations from another instance; returns false if this instance has to
+/// read them.
+async fn copy_all(context: &EntryContext) -> bool {
+    let (local, domain) = (&context.writer.instance, &context.settings.domain);
+    let started = context.now();
+    let rank = context.peers.lock().rank(started, local, domain);
+    if rank.is_none_or(|rank| rank < DIRECT_READERS) {
+        return false;
+    }
+    while context.now().since(started) < COPY_PERIOD {
+        match state_transfer::fetch(context, StateKind::Peers, 0).await {
+            Ok(copy) => match PeerListMessage::decode(&copy.content[..]) {
+                Ok(list) => {
+                    list.peers.iter().for_each(|peer| add_copied(context, peer));
+                    return true;
+                }
+                Err(error) => LogLine::new("peers_not_copied").with("error", error).warn(),
+            },
+            Err(error) => LogLine::new("peers_not_copied").with("error", error).info(),
+        }
+        tokio::time::sleep(COPY_RETRY_DELAY).await;
+    }
+    false
+}
+
 async fn register(context: &EntryContext) -> Result<(), CallError> {
-    let record = PeerRecord {
+    let record = local_record(context);
+    let key = key_prefix(&context.settings.domain) + context.writer.instance.as_str();
+    let records = [keyed_record(&key, &record.encode_to_vec())];
+    let appended = context.store.append(PART, None, &records, READ_TIMEOUT);
+    appended.await.map(drop)
+}
+
+/// The registration of this instance.
+pub fn local_record(context: &EntryContext) -> PeerRecord {
+    PeerRecord {
         address: local_address(context).to_string(),
         start: context.writer.start,
         domain: context.settings.domain.to_string(),
-    };
-    let key = context.writer.instance.as_str();
-    let records = [keyed_record(key, &record.encode_to_vec())];
-    let appended = context.store.append(PART, None, &records, READ_TIMEOUT);
-    appended.await.map(drop)
+    }
 }
 
 /// The socket address at which this instance receives datagrams.
@@ -55,7 +111,19 @@
     SocketAddr::new(settings.frontend_address.ip(), settings.peer_port)
 }
 
-async fn read_newest(context: &EntryContext, timeout: TimeSpan) -> Result<(), CallError> {
+/// Reads the first page of the registrations of this failure domain.
+async fn read_own_domain(context: &EntryContext, timeout: TimeSpan) -> Result<(), CallError> {
+    let before_first = key_prefix(&context.settings.domain);
+    let page = context.store.newest(PART, Some(&before_first), timeout);
+    let page = page.await?;
+    let own = page.items.iter();
+    for item in own.filter(|item| item.key.starts_with(&before_first)) {
+        add_stored(context, &item.key, &item.value);
+    }
+    Ok(())
+}
+
+async fn read_all(context: &EntryContext, timeout: TimeSpan) -> Result<(), CallError> {
     let mut after: Option<String> = None;
     loop {
         let page = context
@@ -63,7 +131,7 @@
             .newest(PART, after.as_deref(), timeout)
             .await?;
         for item in &page.items {
-            add_peer(context, &item.key, &item.value);
+            add_stored(context, &item.key, &item.value);
         }
         after = page.items.last().map(|item| item.key.clone());
         if !page.has_more || after.is_none() {
@@ -72,16 +140,35 @@
     }
 }
 
-fn add_peer(context: &EntryContext, key: &str, value: &[u8]) {
-    let instance = InstanceId::new(key);
-    let record = PeerRecord::decode(value);
-    let (Ok(instance), Ok(record)) = (instance, record) else {
-        LogLine::new("peer_rejected").with("key", key).warn();
-        return;
-    };
+/// The start of the keys of the instances in `domain`. Pages are in the order of the keys,
+/// so the instances of a failure domain are next to each other.
+fn key_prefix(domain: &FailureDomain) -> String {
+    format!("{domain}/")
+}
+
+fn add_stored(context: &EntryContext, key: &str, value: &[u8]) {
+    let instance = key.rsplit('/').next().unwrap_or(key);
+    match PeerRecord::decode(value) {
+        Ok(record) => add_peer(context, instance, &record),
+        Err(error) => LogLine::new("peer_rejected")
+            .with("key", key)
+            .with("error", error)
+            .warn(),
+    }
+}
+
+fn add_copied(context: &EntryContext, peer: &PeerMessage) {
+    add_peer(context, &peer.instance, &peer.record);
+}
+
+fn add_peer(context: &EntryContext, instance: &str, record: &PeerRecord) {
+    let address = record.address.parse();
     let domain = FailureDomain::new(record.domain.as_str());
-    let (Ok(address), Ok(domain)) = (record.address.parse(), domain) else {
-        LogLine::new("peer_rejected").with("key", key).warn();
+    let parsed = InstanceId::new(instance).ok().zip(domain.ok());
+    let (Some((instance, domain)), Ok(address)) = (parsed, address) else {
+        LogLine::new("peer_rejected")
+            .with("instance", instance)
+            .warn();
         return;
     };
     if instance != context.writer.instance {
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -3,7 +3,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{EndpointId, InstanceId, LogOffset},
-    relay::{VersionAdvertisement, VersionSource, relay_age_limit},
+    relay::{self, KnownState, StateSource, VersionAdvertisement, VersionSource, relay_age_limit},
 };
 use bluebell_daemon::logs::LogLine;
 
@@ -16,11 +16,19 @@
     sync,
 };
 
+/// How long after the start an instance waits for the registrations of the others before
+/// it reads the store without knowing them.
+const REGISTRY_TIMEOUT: TimeSpan = TimeSpan::from_millis(3_000);
+
 impl EntryContext {
-    /// Whether this instance reads the store for its failure domain.
+    /// Whether this instance reads the store for its failure domain: it is the first there,
+    /// or it reads the store as nobody relays current state.
     pub fn is_reader(&self) -> bool {
         let (local, domain) = (&self.writer.instance, &self.settings.domain);
-        self.peers.lock().is_reader(self.now(), local, domain)
+        let peers = self.peers.lock();
+        let is_first = peers.is_reader(self.now(), local, domain);
+        drop(peers);
+        is_first || self.endpoints_source() == StateSource::Store
     }
 
     /// The instance that reads the store for this failure domain.
@@ -36,32 +44,63 @@
         !self.configuration.lock().is_fresh(now, limit)
     }
 
-    /// Whether configuration and keys must be read from the store here: this instance is the
-    /// reader, the relayed state is too old, or the reader advertises a newer version that
-    /// can be fetched.
-    pub fn must_read_keys(&self) -> bool {
-        let advertised = self.relayed.lock().configuration;
-        let is_behind = self.configuration.lock().version() < Some(advertised.version());
-        let is_available = advertised.source(self.now()) != VersionSource::Pending;
-        self.must_read_keys_by_age() || (is_behind && is_available) || self.is_reader()
+    /// From where the configuration and keys are taken.
+    pub fn configuration_source(&self) -> StateSource {
+        let now = self.now();
+        let (advertised, failed_copies) = {
+            let relayed = self.relayed.lock();
+            (relayed.configuration, relayed.failed_configuration_copies)
+        };
+        let (version, age) = {
+            let tracker = self.configuration.lock();
+            (tracker.version(), tracker.age(now))
+        };
+        let is_behind = version < Some(advertised.version());
+        let is_available = advertised.source(now) != VersionSource::Pending;
+        self.state_source(KnownState {
+            age: age.unwrap_or(now.since(self.started_at)),
+            age_limit: relay_age_limit(self.settings.bounds.configuration_rollout),
+            is_incomplete: age.is_none() || (is_behind && is_available),
+            failed_copies,
+        })
+    }
+
+    /// From where the endpoints are taken.
+    pub fn endpoints_source(&self) -> StateSource {
+        let now = self.now();
+        let (synced_at, must_resync, failed_copies) = {
+            let relayed = self.relayed.lock();
+            let failed_copies = relayed.failed_endpoint_copies;
+            (
+                relayed.endpoints_synced_at,
+                relayed.must_resync,
+                failed_copies,
+            )
+        };
+        self.state_source(KnownState {
+            age: now.since(synced_at.unwrap_or(self.started_at)),
+            age_limit: relay_age_limit(self.settings.bounds.endpoint_drain),
+            is_incomplete: synced_at.is_none() || must_resync,
+            failed_copies,
+        })
     }
 
-    /// Whether the endpoints must be read from the store here: this instance is the reader,
-    /// the relayed state is too old, or it differs from the directory here.
-    pub fn must_read_endpoints(&self) -> bool {
+    fn state_source(&self, state: KnownState) -> StateSource {
         let now = self.now();
-        let relayed = self.relayed.lock();
-        let known_at = relayed.endpoints_synced_at;
-        let limit = relay_age_limit(self.settings.bounds.endpoint_drain);
-        let is_stale = known_at.is_none_or(|at| now.since(at) >= limit);
-        let differs = relayed.must_resync;
-        drop(relayed);
-        is_stale || differs || self.is_reader()
+        let (local, domain) = (&self.writer.instance, &self.settings.domain);
+        let rank = self.peers.lock().rank(now, local, domain);
+        match rank {
+            Some(0) => StateSource::Store,
+            Some(rank) => relay::state_source(rank, state),
+            // Nobody to copy from is known yet.
+            None if now.since(self.started_at) < REGISTRY_TIMEOUT => StateSource::Copy,
+            None => StateSource::Store,
+        }
     }
 }
 
-/// The relay message of this instance, with the due changes; `None` unless it is the reader
-/// and has read the store.
+/// The relay message of this instance, with the due changes; `None` unless it reads the
+/// store and has done so.
 pub fn message(context: &EntryContext, now: ClockTime) -> Option<RelayMessage> {
     if !context.is_reader() {
         return None;
@@ -94,18 +133,30 @@
     })
 }
 
-/// Applies the relay message in `message` if `peer` is the reader of this failure domain.
+/// Whether relayed state of these ages is current. A reader that the store turns away keeps
+/// relaying, and another one takes its place.
+fn is_current(context: &EntryContext, relay: &RelayMessage) -> bool {
+    let bounds = &context.settings.bounds;
+    let is_younger = |age_ms, limit| TimeSpan::from_millis(age_ms) < limit;
+    is_younger(
+        relay.keys_age_ms,
+        relay_age_limit(bounds.configuration_rollout),
+    ) && is_younger(
+        relay.endpoints_age_ms,
+        relay_age_limit(bounds.endpoint_drain),
+    )
+}
+
+/// Applies the relay message in `message` if `peer` relays current state of this failure
+/// domain.
 pub fn apply(context: &EntryContext, peer: &InstanceId, message: &PeerMessage) {
     let Some(relay) = &message.relay else { return };
-    let now = context.now();
-    let (local, domain) = (&context.writer.instance, &context.settings.domain);
-    if !context
-        .peers
-        .lock()
-        .is_peer_reader(now, local, domain, peer)
-    {
+    let is_same_domain = message.domain == context.settings.domain.as_str();
+    if !is_same_domain || !is_current(context, relay) {
         return;
     }
+    let now = context.now();
+    context.peers.lock().note_relay(now, peer);
     let Some(echo) = PeerTable::echoed_stamp(message.echo) else {
         return;
     };
@@ -143,7 +194,9 @@
     if relayed.configuration.note_advertisement(now, advertisement) {
         context.wake.notify_waiters();
     }
-    if relayed.difference.compare(now, digest, relay.digest) {
+    // What another reader knew earlier may differ from what is known here.
+    let is_newer = relayed.endpoints_synced_at <= Some(endpoints_known_at);
+    if is_newer && relayed.difference.compare(now, digest, relay.digest) {
         relayed.must_resync = true;
         context.wake.notify_waiters();
     } else if digest == relay.digest {
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -10,9 +10,13 @@
     ids::{FailureDomain, InstanceId},
     relay::{self, EchoedTimestamp},
 };
+use rand::seq::IndexedRandom;
 use serde::Serialize;
 
-use crate::peers::messages::{ChangeMessage, StageMessage};
+use crate::{
+    peers::messages::{ChangeMessage, PeerRecord, StageMessage},
+    state_transfer::{PeerListMessage, PeerMessage},
+};
 
 /// How long an instance counts as alive after its last message.
 pub const ALIVE_TIMEOUT: TimeSpan = TimeSpan::from_millis(3_000);
@@ -41,6 +45,14 @@
 /// seconds only.
 const REPRESENTATIVES_PER_DOMAIN: usize = 3;
 
+/// How long after its last relay of current state an instance counts as one that reads the
+/// store. Readers relay four times a second.
+const RELAY_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
+
+/// The number of instances at random from which the state is copied if the first source
+/// can't be reached.
+const SPARE_COPY_SOURCES: usize = 2;
+
 /// How long an order is repeated, since datagrams can be lost.
 const ORDER_SEND_PERIOD: TimeSpan = TimeSpan::from_millis(1_500);
 
@@ -103,6 +115,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<InstanceId, KnownPeer>,
+    /// When each instance last relayed current state of the store.
+    relayed_at: BTreeMap<InstanceId, ClockTime>,
     /// Stage changes that this instance ordered, to be sent to the others.
     stage_orders: Vec<(ClockTime, StageMessage)>,
     /// Changed registrations that this instance observed, to be sent to the others, by
@@ -112,6 +126,8 @@
     changes_swept_at: ClockTime,
     /// When the registrations of all instances were first read.
     read_at: Option<ClockTime>,
+    /// Whether instances of the own failure domain are known.
+    is_bootstrapped: bool,
 }
 
 impl PeerTable {
@@ -187,6 +203,7 @@
 
     /// Records that the registrations of all instances were read.
     pub fn note_read(&mut self, now: ClockTime) {
+        self.is_bootstrapped = true;
         self.read_at.get_or_insert(now);
     }
 
@@ -289,30 +306,95 @@
         unreachable.map(|(domain, _)| domain.clone()).collect()
     }
 
-    /// The instance that reads the store for `domain`, as seen by `local` there.
+    /// Records that `instance` relayed current state of the store.
+    pub fn note_relay(&mut self, now: ClockTime, instance: &InstanceId) {
+        self.relayed_at.insert(instance.clone(), now);
+    }
+
+    /// The instance that reads the store for `domain`, as seen by `local` there: the first
+    /// by name that relays current state, or the first that is alive if none does.
     pub fn reader(&self, now: ClockTime, local: &InstanceId, domain: &FailureDomain) -> InstanceId {
-        let alive = self.alive_in(now, domain);
-        let names = alive.map(|(name, _)| name).chain([local]);
-        names.min().unwrap_or(local).clone()
+        let relays = |name: &InstanceId| {
+            let relayed_at = self.relayed_at.get(name);
+            relayed_at.is_some_and(|at| now.since(*at) < RELAY_TIMEOUT)
+        };
+        let alive = || self.alive_in(now, domain).map(|(name, _)| name);
+        let relaying = alive().find(|name| relays(name));
+        let first = alive().chain([local]).min();
+        relaying.or(first).unwrap_or(local).clone()
     }
 
-    /// Whether `local` reads the store for its failure domain `domain`.
-    pub fn is_reader(&self, now: ClockTime, local: &InstanceId, domain: &FailureDomain) -> bool {
-        let alive = self.alive_in(now, domain);
-        relay::is_reader(local, alive.map(|(instance, _)| instance))
+    /// The number of instances in `domain` with names before `local`: those that are alive,
+    /// or those that are registered as long as not all can have sent a message. `None`
+    /// before the registrations are known.
+    pub fn rank(
+        &self,
+        now: ClockTime,
+        local: &InstanceId,
+        domain: &FailureDomain,
+    ) -> Option<usize> {
+        let known = self.same_domain_names(now, domain)?;
+        Some(known.iter().filter(|(name, _)| *name < local).count())
     }
 
-    /// Whether `instance` reads the store for `domain`, as seen by `local` there.
-    pub fn is_peer_reader(
+    /// The addresses of the instances in `domain` from which `local` copies the state: the
+    /// one that follows from its rank, then some at random.
+    pub fn copy_sources(
         &self,
         now: ClockTime,
         local: &InstanceId,
         domain: &FailureDomain,
-        instance: &InstanceId,
-    ) -> bool {
-        let alive = self.alive_in(now, domain);
-        let others = alive.map(|(name, _)| name).chain([local]);
-        relay::is_reader(instance, others.filter(|name| *name != instance))
+    ) -> Vec<SocketAddr> {
+        let Some(known) = self.same_domain_names(now, domain) else {
+            return Vec::new();
+        };
+        let rank = known.iter().filter(|(name, _)| *name < local).count();
+        let parent = relay::parent_rank(rank).and_then(|parent| known.get(parent));
+        let spare = known.choose_multiple(&mut rand::rng(), SPARE_COPY_SOURCES);
+        let sources = parent.into_iter().chain(spare);
+        sources.map(|(_, address)| *address).collect()
+    }
+
+    fn same_domain_names(
+        &self,
+        now: ClockTime,
+        domain: &FailureDomain,
+    ) -> Option<Vec<(&InstanceId, SocketAddr)>> {
+        if !self.is_bootstrapped {
+            return None;
+        }
+        let is_complete = self.is_complete(now);
+        let same_domain = self.peers.iter().filter(|(_, peer)| peer.domain == *domain);
+        let known = same_domain.filter(|(_, peer)| !is_complete || peer.is_alive(now));
+        Some(known.map(|(name, peer)| (name, peer.address)).collect())
+    }
+
+    /// Records that instances of the own failure domain are known, from which the state can
+    /// be copied.
+    pub fn note_bootstrap(&mut self) {
+        self.is_bootstrapped = true;
+    }
+
+    /// The registrations of all instances.
+    pub fn to_list(&self) -> PeerListMessage {
+        let peers = self.peers.iter().map(|(instance, peer)| PeerMessage {
+            instance: instance.to_string(),
+            record: PeerRecord {
+                address: peer.address.to_string(),
+                start: peer.start,
+                domain: peer.domain.to_string(),
+            },
+        });
+        PeerListMessage {
+            peers: peers.collect(),
+        }
+    }
+
+    /// Whether `local` is the reader of its failure domain `domain`, as the first by name of
+    /// the instances there that are alive.
+    pub fn is_reader(&self, now: ClockTime, local: &InstanceId, domain: &FailureDomain) -> bool {
+        let known = self.same_domain_names(now, domain);
+        known.is_some_and(|known| relay::is_reader(local, known.into_iter().map(|(name, _)| name)))
     }
 
     /// The stamp of this instance that a peer echoed; `None` for 0, which a peer sends before
--- a/crates/ingress/src/program.rs
+++ b/crates/ingress/src/program.rs
@@ -16,7 +16,7 @@
     leader,
     logs::{self, LogBuffer},
     metrics::EntryMetrics,
-    peers, ready, sync, time,
+    peers, ready, state_transfer, sync, time,
 };
 
 /// How long after SIGTERM connections and requests are still accepted. The platform probes
@@ -100,6 +100,9 @@
     peers::start(&context, &background)
         .await
         .context("failed to listen on the address for peer instances")?;
+    state_transfer::start(&context, &background)
+        .await
+        .context("failed to listen on the address for copies of the state")?;
     leader::start(&context, &client, &background);
     let frontend = FrontendServer::bind(Arc::clone(&context))
         .context("failed to listen on the address for callers")?;
--- /dev/null
+++ b/crates/ingress/src/state_transfer/messages.rs
@@ -0,0 +1,78 @@
+//! The request for a copy, the answer to it, and what a copy contains.
+
+use prost::{Enumeration, Message};
+
+use crate::peers::PeerRecord;
+
+/// A part of the state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Enumeration)]
+#[repr(i32)]
+pub enum StateKind {
+    /// The operator's configuration, as stored.
+    Configuration = 0,
+    /// The registrations of all endpoints, as a JSON list.
+    Endpoints = 1,
+    /// The registrations of all instances, a [`PeerListMessage`].
+    Peers = 2,
+}
+
+impl StateKind {
+    /// The label in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            StateKind::Configuration => "configuration",
+            StateKind::Endpoints => "endpoints",
+            StateKind::Peers => "peers",
+        }
+    }
+}
+
+/// Asks for a copy.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct StateRequest {
+    /// The part of the state.
+    #[prost(enumeration = "StateKind", tag = "1")]
+    pub kind: i32,
+    /// The version of the configuration that the copy must at least have.
+    #[prost(uint64, tag = "2")]
+    pub min_version: u64,
+}
+
+/// The answer to a [`StateRequest`].
+#[derive(Clone, PartialEq, Message)]
+pub struct StateReply {
+    /// Whether the instance has the state and knows it to be current.
+    #[prost(bool, tag = "1")]
+    pub is_available: bool,
+    /// The age of the state in ms.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// The version of the configuration.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// The offset in the configuration topic that follows the version.
+    #[prost(uint64, tag = "4")]
+    pub next: u64,
+    /// The content, compressed.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub packed: bytes::Bytes,
+}
+
+/// The registrations of instances.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerListMessage {
+    /// The instances.
+    #[prost(message, repeated, tag = "1")]
+    pub peers: Vec<PeerMessage>,
+}
+
+/// The registration of one instance.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerMessage {
+    /// Its id.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Its registration.
+    #[prost(message, required, tag = "2")]
+    pub record: PeerRecord,
+}
--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -11,13 +11,16 @@
     clock::{ClockTime, TimeSpan},
     ids::LogOffset,
     ingress::OfferOutcome,
+    relay::StateSource,
     units::ByteSize,
 };
 use bluebell_daemon::logs::LogLine;
 use bytes::Bytes;
 
 use crate::{
+    compression::compress,
     context::EntryContext,
+    state_transfer::{self, PackedState, StateKind},
     sync::{StoreBackoff, copies, wait_for_wake},
 };
 
@@ -37,10 +40,22 @@
     let mut next = None;
     let mut is_relayed = false;
     loop {
-        if next.is_some() && !context.must_read_keys() {
-            is_relayed = true;
-            wait_for_wake(&context).await;
-            continue;
+        match context.configuration_source() {
+            StateSource::Relay if next.is_some() => {
+                is_relayed = true;
+                wait_for_wake(&context).await;
+                continue;
+            }
+            StateSource::Copy => {
+                if copy(&context).await {
+                    next = Some(LogOffset::START);
+                    is_relayed = true;
+                } else {
+                    wait_for_wake(&context).await;
+                }
+                continue;
+            }
+            _ => {}
         }
         if is_relayed && copies::fetch(&context).await {
             continue;
@@ -62,6 +77,30 @@
     }
 }
 
+/// Copies the newest configuration from another instance; returns whether that succeeded.
+async fn copy(context: &Arc<EntryContext>) -> bool {
+    let advertised = context.relayed.lock().configuration.version();
+    let copied = state_transfer::fetch(context, StateKind::Configuration, advertised).await;
+    match copied {
+        Ok(copied) => {
+            apply(context, &copied.content, Some(copied.packed));
+            if context.configuration.lock().version() == Some(copied.version) {
+                confirm(context, copied.known_at, copied.next);
+            }
+            context.relayed.lock().failed_configuration_copies = 0;
+            true
+        }
+        Err(error) => {
+            context.relayed.lock().failed_configuration_copies += 1;
+            LogLine::new("configuration_not_copied")
+                .with("version", advertised)
+                .with("error", error)
+                .info();
+            false
+        }
+    }
+}
+
 /// Reads the newest configuration; returns the offset to read next.
 async fn read_newest(
     context: &Arc<EntryContext>,
@@ -70,7 +109,7 @@
     let sent = context.now();
     let page = context.store.newest(PART, None, timeout).await?;
     for item in page.items.iter().filter(|item| item.key == KEY) {
-        apply(context, &item.value);
+        apply(context, &item.value, None);
     }
     confirm(context, sent, page.end);
     Ok(Some(page.end))
@@ -96,7 +135,9 @@
             let next = records.last().map_or(from, |record| record.offset.next());
             for record in &records {
                 match record.keyed() {
-                    Some((key, Some(value))) if key == KEY.as_bytes() => apply(context, value),
+                    Some((key, Some(value))) if key == KEY.as_bytes() => {
+                        apply(context, value, None);
+                    }
                     _ => {}
                 }
             }
@@ -113,7 +154,10 @@
 
 /// Records that a read sent at `sent` covered everything before `end`.
 fn confirm(context: &EntryContext, sent: ClockTime, end: LogOffset) {
-    context.relayed.lock().configuration_next = end;
+    let mut relayed = context.relayed.lock();
+    relayed.configuration_next = relayed.configuration_next.max(end);
+    relayed.failed_configuration_copies = 0;
+    drop(relayed);
     let mut tracker = context.configuration.lock();
     if tracker.table().is_some() {
         tracker.confirm(sent);
@@ -139,8 +183,8 @@
 }
 
 /// Decodes a configuration as stored and puts it in force unless it is older than the
-/// one in force.
-pub fn apply(context: &Arc<EntryContext>, value: &[u8]) {
+/// one in force. `packed` is the same compressed, if it was received so.
+pub fn apply(context: &Arc<EntryContext>, value: &[u8], packed: Option<Bytes>) {
     let configuration = match configuration::decode(value) {
         Ok(configuration) => configuration,
         Err(error) => {
@@ -164,6 +208,7 @@
     let accepted = context.configuration.lock().offer(configuration);
     match accepted {
         OfferOutcome::Newer => {
+            cache_packed(context, version, value, packed);
             context.wake.notify_waiters();
             if is_copied {
                 let value = Bytes::copy_from_slice(value);
@@ -187,6 +232,20 @@
     }
 }
 
+/// Keeps the configuration in force compressed, for the instances that copy it from here.
+fn cache_packed(context: &EntryContext, version: u64, value: &[u8], packed: Option<Bytes>) {
+    let packed = packed.map_or_else(|| compress(value).map(Bytes::from), Ok);
+    match packed {
+        Ok(packed) => {
+            context.state_cache.lock().configuration = PackedState { version, packed };
+        }
+        Err(error) => LogLine::new("configuration_not_packed")
+            .with("version", version)
+            .with("error", error)
+            .warn(),
+    }
+}
+
 /// Puts the limits of the configuration in force into the limiter.
 fn apply_rate_limits(context: &EntryContext) {
     let table = context.configuration.lock().table().cloned();
--- a/crates/ingress/src/sync/copies.rs
+++ b/crates/ingress/src/sync/copies.rs
@@ -155,7 +155,7 @@
     };
     match read(context, advertised.version(), place).await {
         Ok(value) => {
-            configuration::apply(context, &value);
+            configuration::apply(context, &value, None);
             configuration::confirm_advertised(context);
             context.configuration.lock().version() >= Some(advertised.version())
         }
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -11,12 +11,14 @@
     clock::{ClockTime, TimeSpan},
     directory::{DirectoryChange, EndpointRegistration},
     ids::{EndpointId, InstanceId, LogOffset},
+    relay::StateSource,
 };
 use bluebell_daemon::logs::LogLine;
 
 use crate::{
     context::EntryContext,
     peers::ChangeMessage,
+    state_transfer::{self, StateKind},
     sync::{READ_TIMEOUT, StoreBackoff, wait_for_wake},
 };
 
@@ -33,14 +35,27 @@
     let mut next = None;
     let mut is_relayed = false;
     loop {
-        if next.is_some() && !context.must_read_endpoints() {
-            if !is_relayed {
-                log_source(&context, "reader");
+        match context.endpoints_source() {
+            StateSource::Relay if next.is_some() => {
+                if !is_relayed {
+                    log_source(&context, "reader");
+                }
+                is_relayed = true;
+                drop_lapsed(&context);
+                wait_for_wake(&context).await;
+                continue;
             }
-            is_relayed = true;
-            drop_lapsed(&context);
-            wait_for_wake(&context).await;
-            continue;
+            StateSource::Copy => {
+                if copy_all(&context).await {
+                    // Once this instance reads the store, it reads everything.
+                    next = Some(LogOffset::START);
+                    is_relayed = true;
+                } else {
+                    wait_for_wake(&context).await;
+                }
+                continue;
+            }
+            _ => {}
         }
         if mem::take(&mut is_relayed) {
             log_source(&context, "store");
@@ -83,11 +98,58 @@
         .info();
 }
 
+/// Copies all registrations from another instance; returns whether that succeeded.
+async fn copy_all(context: &EntryContext) -> bool {
+    let registered = match state_transfer::fetch(context, StateKind::Endpoints, 0).await {
+        Ok(copy) => decode_copy(&copy.content).map(|registered| (copy.known_at, registered)),
+        Err(error) => Err(error.to_string()),
+    };
+    match registered {
+        Ok((known_at, registered)) => {
+            enter_all(context, &registered);
+            mark_synced(context, known_at);
+            true
+        }
+        Err(error) => {
+            context.relayed.lock().failed_endpoint_copies += 1;
+            LogLine::new("endpoints_not_copied")
+                .with("error", error)
+                .info();
+            false
+        }
+    }
+}
+
+fn decode_copy(content: &[u8]) -> Result<Vec<EndpointRegistration>, String> {
+    serde_json::from_slice(content).map_err(|error| error.to_string())
+}
+
+/// Enters a complete list of registrations into the directory.
+fn enter_all(context: &EntryContext, registered: &[EndpointRegistration]) {
+    let listed = registered.iter().map(|entry| entry.id.clone());
+    let listed: BTreeSet<EndpointId> = listed.collect();
+    for registration in registered {
+        enter(context, registration);
+    }
+    retain_listed(context, &listed);
+}
+
+/// Treats the endpoints that are not `listed` as unregistered.
+fn retain_listed(context: &EntryContext, listed: &BTreeSet<EndpointId>) {
+    let now = context.now();
+    let is_listed = |id: &EndpointId| listed.contains(id);
+    let missing = context.directory.lock().retain_listed(now, is_listed);
+    for id in missing {
+        forget_if_removed(context, &id);
+    }
+}
+
 /// Records that the directory covers everything that was in the store at `sent`.
 fn mark_synced(context: &EntryContext, sent: ClockTime) {
     let mut relayed = context.relayed.lock();
     relayed.endpoints_synced_at = relayed.endpoints_synced_at.max(Some(sent));
     relayed.must_resync = false;
+    relayed.failed_endpoint_copies = 0;
     relayed.difference.reset();
 }
 
@@ -118,12 +180,7 @@
             break;
         }
     }
-    let now = context.now();
-    let is_listed = |id: &EndpointId| listed.contains(id);
-    let missing = context.directory.lock().retain_listed(now, is_listed);
-    for id in missing {
-        forget_if_removed(context, &id);
-    }
+    retain_listed(context, &listed);
     Ok(from)
 }
 
@@ -188,16 +245,23 @@
             return;
         }
     };
+    if enter(context, &registration) {
+        queue_change(context, id, Some(value));
+    }
+}
+
+/// Enters a registration into the directory; returns whether it changed anything.
+fn enter(context: &EntryContext, registration: &EndpointRegistration) -> bool {
     let change = context.directory.lock().register(registration.clone());
+    let id = &registration.id;
     match change {
-        DirectoryChange::Same => return,
+        DirectoryChange::Same => return false,
         DirectoryChange::Started => context.pools.remove_endpoint(id),
         _ => {}
     }
-    queue_change(context, id, Some(value));
-    if registration.stage.is_some() || is_engine(context, &registration) {
+    if registration.stage.is_some() || is_engine(context, registration) {
         let now = context.now();
-        context.engines.lock().set_engine(now, &registration);
+        context.engines.lock().set_engine(now, registration);
     }
     LogLine::new("endpoint")
         .with("endpoint", id)
@@ -210,6 +274,7 @@
         .with("preemptible", registration.is_preemptible)
         .with("leaving", registration.is_leaving)
         .info();
+    true
 }
 
 /// Queues a changed registration for the other instances of the failure domain; it is
