--- a/crates/ingress/src/state_transfer/mod.rs
+++ b/crates/ingress/src/state_transfer/mod.rs
@@ -11,7 +11,7 @@
 mod server;
 
 pub use self::{
-    client::fetch,
+    client::{CopyError, fetch},
     messages::{PeerListMessage, PeerMessage, StateKind},
     server::{PackedState, StateCache, start},
 };
--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -20,7 +20,7 @@
 use crate::{
     compression::compress,
     context::EntryContext,
-    state_transfer::{self, PackedState, StateKind},
+    state_transfer::{self, CopyError, PackedState, StateKind},
     sync::{StoreBackoff, copies, wait_for_wake},
 };
 
@@ -90,6 +90,8 @@
             context.relayed.lock().failed_configuration_copies = 0;
             true
         }
+        // The instance has not read the registrations of the others yet.
+        Err(CopyError::NoPeer) => false,
         Err(error) => {
             context.relayed.lock().failed_configuration_copies += 1;
             LogLine::new("configuration_not_copied")
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -18,7 +18,7 @@
 use crate::{
     context::EntryContext,
     peers::ChangeMessage,
-    state_transfer::{self, StateKind},
+    state_transfer::{self, CopyError, StateKind},
     sync::{READ_TIMEOUT, StoreBackoff, wait_for_wake},
 };
 
@@ -102,6 +102,8 @@
 async fn copy_all(context: &EntryContext) -> bool {
     let registered = match state_transfer::fetch(context, StateKind::Endpoints, 0).await {
         Ok(copy) => decode_copy(&copy.content).map(|registered| (copy.known_at, registered)),
+        // The instance has not read the registrations of the others yet.
+        Err(CopyError::NoPeer) => return false,
         Err(error) => Err(error.to_string()),
     };
     match registered {
