--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,5 +1,5 @@
 //! Callers as the users describe them: connections that are kept, deadlines, some
-//! who leave early, and a pause when a refusal asks for one.
+//! who leave early or read slowly, and a pause when a refusal asks for one.
 
 use std::{
     collections::BTreeMap,
@@ -46,6 +46,12 @@
 /// How long after its deadline a caller still listens. A final answer is due half
 /// a second after it.
 const LATE: TimeSpan = TimeSpan::from_millis(500);
+/// Each request with a number divisible by this is read slowly.
+const SLOW_READ_EVERY: u64 = 20;
+/// The pause before each piece that is read slowly.
+const SLOW_READ_PAUSE: Duration = Duration::from_millis(30);
+/// How many pieces of an answer are read slowly; the pauses end well before [`LATE`].
+const SLOW_PIECES: usize = 10;
 /// The longest pause that a refusal can make a caller take.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
@@ -160,7 +166,11 @@
             let leaves_ms = self.random.random_range(1..LEAVES_MS);
             return self.leave(sender, request, attempt, leaves_ms).await;
         }
-        let answering = receive(sender, request);
+        let slow_pieces = match self.asked % SLOW_READ_EVERY {
+            0 => SLOW_PIECES,
+            _ => 0,
+        };
+        let answering = receive(sender, request, slow_pieces);
         let waited = tokio::time::timeout((patience + LATE).as_duration(), answering).await;
         let answer =
             waited.unwrap_or_else(|_| ReceivedAnswer::with_outcome(CallerOutcome::Nothing));
@@ -186,7 +196,7 @@
         leaves_ms: u64,
     ) -> ConnectionUse {
         let wait = Duration::from_millis(leaves_ms);
-        drop(tokio::time::timeout(wait, receive(sender, request)).await);
+        drop(tokio::time::timeout(wait, receive(sender, request, 0)).await);
         let fleet = Arc::clone(&self.fleet);
         tokio::spawn(async move {
             tokio::time::sleep(STOP_SLACK).await;
@@ -265,7 +275,12 @@
     }
 }
 
-async fn receive(sender: &mut RequestSender, request: Request<Full<Bytes>>) -> ReceivedAnswer {
+/// Sends a request and reads the answer, its first `slow_pieces` pieces slowly.
+async fn receive(
+    sender: &mut RequestSender,
+    request: Request<Full<Bytes>>,
+    slow_pieces: usize,
+) -> ReceivedAnswer {
     let response = match sender.send_request(request).await {
         Ok(response) => response,
         Err(_) => return ReceivedAnswer::with_outcome(CallerOutcome::Cut),
@@ -276,7 +291,7 @@
     let is_signed = field(headers::SIGNATURE).is_some();
     let is_stream = field("content-type") == Some("text/event-stream");
     let status = response.status().as_u16();
-    let (body, is_ended) = read_body(response).await;
+    let (body, is_ended) = read_body(response, slow_pieces).await;
     let outcome = match (status, is_stream) {
         (200, true) => CallerOutcome::Stream {
             is_signed,
@@ -296,10 +311,15 @@
     }
 }
 
-async fn read_body(response: Response<Incoming>) -> (String, bool) {
+async fn read_body(response: Response<Incoming>, slow_pieces: usize) -> (String, bool) {
     let mut body = response.into_body();
     let mut bytes = Vec::new();
+    let mut pieces = 0;
     loop {
+        if pieces < slow_pieces {
+            tokio::time::sleep(SLOW_READ_PAUSE).await;
+        }
+        pieces += 1;
         match body.frame().await {
             None => return (String::from_utf8_lossy(&bytes).to_string(), true),
             Some(Ok(frame)) => {
