--- a/crates/ingress/src/peers/registry.rs
+++ b/crates/ingress/src/peers/registry.rs
@@ -17,7 +17,7 @@
 use crate::{
     context::EntryContext,
     peers::{messages::PeerRecord, table::KnownPeer},
-    state_transfer::{self, PeerListMessage, PeerMessage, StateKind},
+    state_transfer::{self, ListedPeer, PeerList, StateKind},
     sync::{READ_TIMEOUT, StoreBackoff},
 };
 
@@ -74,7 +74,7 @@
     }
     while context.now().since(started) < COPY_PERIOD {
         match state_transfer::fetch(context, StateKind::Peers, 0).await {
-            Ok(copy) => match PeerListMessage::decode(&copy.content[..]) {
+            Ok(copy) => match PeerList::decode(&copy.content[..]) {
                 Ok(list) => {
                     list.peers.iter().for_each(|peer| add_copied(context, peer));
                     return true;
@@ -157,7 +157,7 @@
     }
 }
 
-fn add_copied(context: &EntryContext, peer: &PeerMessage) {
+fn add_copied(context: &EntryContext, peer: &ListedPeer) {
     add_peer(context, &peer.instance, &peer.record);
 }
 
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     peers::messages::{ChangeMessage, PeerRecord, StageMessage},
-    state_transfer::{PeerListMessage, PeerMessage},
+    state_transfer::{ListedPeer, PeerList},
 };
 
 /// How long an instance counts as alive after its last message.
@@ -376,8 +376,8 @@
     }
 
     /// The registrations of all instances.
-    pub fn to_list(&self) -> PeerListMessage {
-        let peers = self.peers.iter().map(|(instance, peer)| PeerMessage {
+    pub fn to_list(&self) -> PeerList {
+        let peers = self.peers.iter().map(|(instance, peer)| ListedPeer {
             instance: instance.to_string(),
             record: PeerRecord {
                 address: peer.address.to_string(),
@@ -385,7 +385,7 @@
                 domain: peer.domain.to_string(),
             },
         });
-        PeerListMessage {
+        PeerList {
             peers: peers.collect(),
         }
     }
--- a/crates/ingress/src/state_transfer/messages.rs
+++ b/crates/ingress/src/state_transfer/messages.rs
@@ -12,7 +12,7 @@
     Configuration = 0,
     /// The registrations of all endpoints, as a JSON list.
     Endpoints = 1,
-    /// The registrations of all instances, a [`PeerListMessage`].
+    /// The registrations of all instances, a [`PeerList`].
     Peers = 2,
 }
 
@@ -60,15 +60,15 @@
 
 /// The registrations of instances.
 #[derive(Clone, PartialEq, Message)]
-pub struct PeerListMessage {
+pub struct PeerList {
     /// The instances.
     #[prost(message, repeated, tag = "1")]
-    pub peers: Vec<PeerMessage>,
+    pub peers: Vec<ListedPeer>,
 }
 
 /// The registration of one instance.
 #[derive(Clone, PartialEq, Message)]
-pub struct PeerMessage {
+pub struct ListedPeer {
     /// Its id.
     #[prost(string, tag = "1")]
     pub instance: String,
--- a/crates/ingress/src/state_transfer/mod.rs
+++ b/crates/ingress/src/state_transfer/mod.rs
@@ -12,6 +12,6 @@
 
 pub use self::{
     client::{CopyError, fetch},
-    messages::{PeerListMessage, PeerMessage, StateKind},
+    messages::{ListedPeer, PeerList, StateKind},
     server::{PackedState, StateCache, start},
 };
--- a/crates/ingress/src/state_transfer/server.rs
+++ b/crates/ingress/src/state_transfer/server.rs
@@ -21,7 +21,7 @@
     context::EntryContext,
     peers::{local_address, local_record},
     state_transfer::{
-        PeerMessage, StateKind,
+        ListedPeer, StateKind,
         messages::{StateReply, StateRequest},
     },
 };
@@ -201,7 +201,7 @@
         }
         peers.to_list()
     };
-    list.peers.push(PeerMessage {
+    list.peers.push(ListedPeer {
         instance: context.writer.instance.to_string(),
         record: local_record(context),
     });
