Take no copy that is older than the state here, and the need of the last leader as it is

A copy from an instance that is behind would bring back endpoints that have left; it now counts as failed. A need that an earlier leader handed over could only grow at the instances that read its records; it is replaced.

--- a/crates/core/src/provision/size.rs
+++ b/crates/core/src/provision/size.rs
@@ -34,7 +34,7 @@
 impl SizeEstimate {
     /// Sets the number of engines that an earlier leader found to be needed.
     pub fn set(&mut self, engines: f64) {
-        self.peak = Some(self.peak.map_or(engines, |peak| peak.max(engines)));
+        self.peak = Some(engines);
         self.is_known = true;
     }
 
--- a/crates/ingress/src/state_transfer/server.rs
+++ b/crates/ingress/src/state_transfer/server.rs
@@ -112,18 +112,15 @@
 }
 
 async fn answer(context: &EntryContext, stream: TcpStream) -> io::Result<()> {
-    let mut framed = Framed::new(stream, frames(MAX_REPLY_BYTES));
+    let mut framed = Framed::new(stream, frames(MAX_REQUEST_BYTES));
     let Some(request) = framed.next().await else {
         return Ok(());
     };
-    let request = request?;
-    if request.len() > MAX_REQUEST_BYTES {
-        return Err(io::Error::other("the request is too long"));
-    }
-    let request = StateRequest::decode(request)?;
+    let request = StateRequest::decode(request?)?;
     let reply = available_reply(context, request);
     let reply = tokio::time::timeout(MAX_WAIT, reply).await;
     let reply = reply.unwrap_or(Ok(StateReply::default()))?;
+    framed.codec_mut().set_max_frame_length(MAX_REPLY_BYTES);
     framed.send(Bytes::from(reply.encode_to_vec())).await
 }
 
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -106,6 +106,15 @@
         Err(CopyError::NoPeer) => return false,
         Err(error) => Err(error.to_string()),
     };
+    // An older list would bring back endpoints that have left since.
+    let known_at_here = context.relayed.lock().endpoints_synced_at;
+    let registered =
+        registered.and_then(
+            |(known_at, registered)| match Some(known_at) > known_at_here {
+                true => Ok((known_at, registered)),
+                false => Err("the copy is older than the state here".to_string()),
+            },
+        );
     match registered {
         Ok((known_at, registered)) => {
             enter_all(context, &registered);
