Know the neighbours before any other read of the store

Cause, from the logs of some instances up to the first caller: all 985 read a page of registrations at the same moment, some answers took over 2.7 s, and 3 s after its start each went on to read configuration, endpoints and the leader's topic without knowing its neighbours, which is the storm that the copies are to prevent. Ruled out: the key that the page starts after (28 neighbours and rank 12 on a deployment of 85, 219 and rank 57 here).

Change: nothing else is read before the neighbours are known, by the registrations or by their messages; the first read of a first start is spread over 1.2 s. The mark before the keys of a failure domain is a record of its own. The neighbours are logged.

--- a/crates/ingress/src/peers/registry.rs
+++ b/crates/ingress/src/peers/registry.rs
@@ -13,6 +13,7 @@
 };
 use bluebell_daemon::logs::LogLine;
 use prost::Message;
+use rand::Rng;
 
 use crate::{
     context::EntryContext,
@@ -23,9 +24,17 @@
 
 const PART: TopicPart = TopicPart::first("keyed.peers");
 
-/// How long after its own registration an instance of a system that starts for the first
-/// time reads those of the others, which start at about the same moment.
-const FIRST_START_DELAY: Duration = Duration::from_millis(600);
+/// Separates the failure domain from the instance in a key.
+const KEY_SEPARATOR: char = '~';
+
+/// The value of a key that marks the start of a failure domain's instances: a page can only
+/// start after a key that exists.
+const FIRST_KEY_VALUE: &[u8] = b"-";
+
+/// The shortest and the longest time in ms after its own registration at which an instance of
+/// a system that starts for the first time reads those of the others. They start at about
+/// the same moment, and all read a page, which takes the store a second for 1,000 of them.
+const FIRST_START_DELAY_MS: (u64, u64) = (200, 1_400);
 
 /// How long an instance tries to copy the registrations before it reads them all.
 const COPY_PERIOD: TimeSpan = TimeSpan::from_secs(8);
@@ -46,13 +55,16 @@
     }
     backoff.note_answer(&context);
     if context.settings.is_first_start {
-        tokio::time::sleep(FIRST_START_DELAY).await;
+        let (shortest, longest) = FIRST_START_DELAY_MS;
+        let delay_ms = rand::rng().random_range(shortest..longest);
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     }
     while let Err(error) = read_own_domain(&context, backoff.read_timeout()).await {
         backoff.wait_after_failure(&context, &error).await;
     }
     backoff.note_answer(&context);
     context.peers.lock().note_bootstrap();
+    log_neighbours(&context);
     if !copy_all(&context).await {
         while let Err(error) = read_all(&context, backoff.read_timeout()).await {
             backoff.wait_after_failure(&context, &error).await;
@@ -63,6 +75,17 @@
     context.peers.lock().note_read(now);
 }
 
+/// Logs how many instances of the failure domain are known, and the rank among them.
+fn log_neighbours(context: &EntryContext) {
+    let (local, domain) = (&context.writer.instance, &context.settings.domain);
+    let peers = context.peers.lock();
+    let rank = peers.rank(context.now(), local, domain);
+    LogLine::new("neighbours")
+        .with("known", peers.len())
+        .with("rank", rank.unwrap_or_default())
+        .info();
+}
+
 /// Copies the registrations from another instance; returns false if this instance has to
 /// read them.
 async fn copy_all(context: &EntryContext) -> bool {
@@ -90,8 +113,11 @@
 
 async fn register(context: &EntryContext) -> Result<(), CallError> {
     let record = local_record(context);
-    let key = key_prefix(&context.settings.domain) + context.writer.instance.as_str();
-    let records = [keyed_record(&key, &record.encode_to_vec())];
+    let key = first_key(&context.settings.domain) + context.writer.instance.as_str();
+    let records = [
+        keyed_record(&first_key(&context.settings.domain), FIRST_KEY_VALUE),
+        keyed_record(&key, &record.encode_to_vec()),
+    ];
     let appended = context.store.append(PART, None, &records, READ_TIMEOUT);
     appended.await.map(drop)
 }
@@ -113,11 +139,11 @@
 
 /// Reads the first page of the registrations of this failure domain.
 async fn read_own_domain(context: &EntryContext, timeout: TimeSpan) -> Result<(), CallError> {
-    let before_first = key_prefix(&context.settings.domain);
-    let page = context.store.newest(PART, Some(&before_first), timeout);
+    let first_key = first_key(&context.settings.domain);
+    let page = context.store.newest(PART, Some(&first_key), timeout);
     let page = page.await?;
     let own = page.items.iter();
-    for item in own.filter(|item| item.key.starts_with(&before_first)) {
+    for item in own.filter(|item| item.key.starts_with(&first_key)) {
         add_stored(context, &item.key, &item.value);
     }
     Ok(())
@@ -140,14 +166,17 @@
     }
 }
 
-/// The start of the keys of the instances in `domain`. Pages are in the order of the keys,
-/// so the instances of a failure domain are next to each other.
-fn key_prefix(domain: &FailureDomain) -> String {
-    format!("{domain}/")
+/// The key before those of the instances in `domain`, which start with it. Pages are in the
+/// order of the keys, so the instances of a failure domain are next to each other.
+fn first_key(domain: &FailureDomain) -> String {
+    format!("{domain}{KEY_SEPARATOR}")
 }
 
 fn add_stored(context: &EntryContext, key: &str, value: &[u8]) {
-    let instance = key.rsplit('/').next().unwrap_or(key);
+    let instance = key.rsplit(KEY_SEPARATOR).next().unwrap_or(key);
+    if instance.is_empty() {
+        return;
+    }
     match PeerRecord::decode(value) {
         Ok(record) => add_peer(context, instance, &record),
         Err(error) => LogLine::new("peer_rejected")
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -16,10 +16,6 @@
     sync,
 };
 
-/// How long after the start an instance waits for the registrations of the others before
-/// it reads the store without knowing them.
-const REGISTRY_TIMEOUT: TimeSpan = TimeSpan::from_millis(3_000);
-
 impl EntryContext {
     /// Whether this instance reads the store for its failure domain: it is the first there,
     /// or it reads the store as nobody relays current state.
@@ -92,9 +88,9 @@
         match rank {
             Some(0) => StateSource::Store,
             Some(rank) => relay::state_source(rank, state),
-            // Nobody to copy from is known yet.
-            None if now.since(self.started_at) < REGISTRY_TIMEOUT => StateSource::Copy,
-            None => StateSource::Store,
+            // Nobody to copy from is known yet. The instance reads the registrations of the
+            // others first: further reads would only keep a busy store from answering that.
+            None => StateSource::Copy,
         }
     }
 }
