Register the instances of each failure domain in a partition of their own

A partition carries out its appends one after the other, 2 ms each, so 985 take 2 s, are given up, repeated and carried out nevertheless. And instances that had received a datagram took the few neighbours known from datagrams for all, so most took themselves for one of the first eight.

Change: the failure domains, named by the settings, have partitions of their own, so the appends of one take 0.4 s at 220 instances; one page of that partition names the neighbours. Ranks count only once the registrations are known. The mark before the keys is gone.

--- a/crates/ingress/src/peers/registry.rs
+++ b/crates/ingress/src/peers/registry.rs
@@ -4,7 +4,7 @@
 
 use bluebell_adapter::{
     CallError,
-    store::{TopicPart, keyed_record},
+    store::{NewestPage, TopicPart, keyed_record},
 };
 use bluebell_core::{
     clock::TimeSpan,
@@ -22,18 +22,13 @@
     sync::{READ_TIMEOUT, StoreBackoff},
 };
 
-const PART: TopicPart = TopicPart::first("keyed.peers");
-
-/// Separates the failure domain from the instance in a key.
-const KEY_SEPARATOR: char = '~';
-
-/// The value of a key that marks the start of a failure domain's instances: a page can only
-/// start after a key that exists.
-const FIRST_KEY_VALUE: &[u8] = b"-";
+/// The topic of the registrations. A partition carries out its appends one after the other,
+/// so each failure domain has its own, as far as there are enough.
+const TOPIC: &str = "keyed.peers";
 
 /// The shortest and the longest time in ms after its own registration at which an instance of
 /// a system that starts for the first time reads those of the others. They start at about
-/// the same moment, and all read a page, which takes the store a second for 1,000 of them.
+/// the same moment, and each reads a page of them.
 const FIRST_START_DELAY_MS: (u64, u64) = (200, 1_400);
 
 /// How long an instance tries to copy the registrations before it reads them all.
@@ -112,13 +107,10 @@
 }
 
 async fn register(context: &EntryContext) -> Result<(), CallError> {
-    let record = local_record(context);
-    let key = first_key(&context.settings.domain) + context.writer.instance.as_str();
-    let records = [
-        keyed_record(&first_key(&context.settings.domain), FIRST_KEY_VALUE),
-        keyed_record(&key, &record.encode_to_vec()),
-    ];
-    let appended = context.store.append(PART, None, &records, READ_TIMEOUT);
+    let key = context.writer.instance.as_str();
+    let records = [keyed_record(key, &local_record(context).encode_to_vec())];
+    let part = domain_part(context);
+    let appended = context.store.append(part, None, &records, READ_TIMEOUT);
     appended.await.map(drop)
 }
 
@@ -137,28 +129,46 @@
     SocketAddr::new(settings.frontend_address.ip(), settings.peer_port)
 }
 
-/// Reads the first page of the registrations of this failure domain.
-async fn read_own_domain(context: &EntryContext, timeout: TimeSpan) -> Result<(), CallError> {
-    let first_key = first_key(&context.settings.domain);
-    let page = context.store.newest(PART, Some(&first_key), timeout);
-    let page = page.await?;
-    let own = page.items.iter();
-    for item in own.filter(|item| item.key.starts_with(&first_key)) {
-        add_stored(context, &item.key, &item.value);
+/// The partition with the registrations of the failure domain of this instance.
+fn domain_part(context: &EntryContext) -> TopicPart {
+    let settings = &context.settings;
+    let mut domains = settings.domains.iter();
+    let index = domains.position(|domain| *domain == settings.domain);
+    TopicPart {
+        topic: TOPIC,
+        part: index.unwrap_or_default() as u32 % settings.store.parts,
     }
+}
+
+/// Reads the first page of the partition with the instances of this failure domain.
+async fn read_own_domain(context: &EntryContext, timeout: TimeSpan) -> Result<(), CallError> {
+    let page = context.store.newest(domain_part(context), None, timeout);
+    add_page(context, &page.await?);
     Ok(())
 }
 
 async fn read_all(context: &EntryContext, timeout: TimeSpan) -> Result<(), CallError> {
+    let domains = context.settings.domains.len().max(1) as u32;
+    for part in 0..domains.min(context.settings.store.parts) {
+        read_part(context, TopicPart { topic: TOPIC, part }, timeout).await?;
+    }
+    Ok(())
+}
+
+async fn read_part(
+    context: &EntryContext,
+    part: TopicPart,
+    timeout: TimeSpan,
+) -> Result<(), CallError> {
     let mut after: Option<String> = None;
     loop {
-        let page = context
-            .store
-            .newest(PART, after.as_deref(), timeout)
-            .await?;
-        for item in &page.items {
-            add_stored(context, &item.key, &item.value);
-        }
+        let page = context.store.newest(part, after.as_deref(), timeout).await;
+        let page = match page {
+            // A topic without any record does not exist yet.
+            Err(CallError::Status { status: 404, .. }) => return Ok(()),
+            page => page?,
+        };
+        add_page(context, &page);
         after = page.items.last().map(|item| item.key.clone());
         if !page.has_more || after.is_none() {
             return Ok(());
@@ -166,23 +176,15 @@
     }
 }
 
-/// The key before those of the instances in `domain`, which start with it. Pages are in the
-/// order of the keys, so the instances of a failure domain are next to each other.
-fn first_key(domain: &FailureDomain) -> String {
-    format!("{domain}{KEY_SEPARATOR}")
-}
-
-fn add_stored(context: &EntryContext, key: &str, value: &[u8]) {
-    let instance = key.rsplit(KEY_SEPARATOR).next().unwrap_or(key);
-    if instance.is_empty() {
-        return;
-    }
-    match PeerRecord::decode(value) {
-        Ok(record) => add_peer(context, instance, &record),
-        Err(error) => LogLine::new("peer_rejected")
-            .with("key", key)
-            .with("error", error)
-            .warn(),
+fn add_page(context: &EntryContext, page: &NewestPage) {
+    for item in &page.items {
+        match PeerRecord::decode(&item.value[..]) {
+            Ok(record) => add_peer(context, &item.key, &record),
+            Err(error) => LogLine::new("peer_rejected")
+                .with("key", &item.key)
+                .with("error", error)
+                .warn(),
+        }
     }
 }
 
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -360,7 +360,7 @@
         now: ClockTime,
         domain: &FailureDomain,
     ) -> Option<Vec<(&InstanceId, SocketAddr)>> {
-        if !self.is_bootstrapped && !self.has_alive_peer_in(now, domain) {
+        if !self.is_bootstrapped {
             return None;
         }
         let is_complete = self.is_complete(now);
