Reduce engines also where the preemptible ones keep their stage

Cause: engines were removed only once the preemptible ones prefill, and where nobody needs more of those they are not ordered to. Change: that is waited for only as long as the first number of engines is kept.

--- a/crates/core/src/provision/mod.rs
+++ b/crates/core/src/provision/mod.rs
@@ -379,7 +379,7 @@
         if count.reserved < reserved {
             return order(self, false, reserved, count.reserved);
         }
-        let is_replaced = count.in_service * 2 >= preemptible;
+        let is_replaced = target.is_reduced || count.in_service * 2 >= preemptible;
         if target.is_exceeded_by(count.reserved) && is_replaced && self.may_reduce(now) {
             return order(self, false, reserved, count.reserved);
         }
--- a/crates/core/tests/provision_size.rs
+++ b/crates/core/tests/provision_size.rs
@@ -152,6 +152,19 @@
     assert!(total < 300, "{total} engines are left");
 }
 
+/// Guards against a fleet that keeps all its engines because those that would replace them
+/// have no work that they have to change their stage for.
+#[test]
+fn engines_are_reduced_although_preemptible_ones_keep_their_stage() {
+    let mut fleet = fleet_with_preemptible(300, 64);
+    for engine in fleet.iter_mut().filter(|engine| engine.is_preemptible) {
+        engine.stage = Some(EngineStage::Decode);
+    }
+    let mut planner = ProvisionPlanner::new();
+    let (reserved, _, _) = orders(&mut planner, &fleet, demand());
+    assert_eq!(reserved.len(), DOMAINS.len());
+}
+
 /// Guards against taking engines away from a fleet that its demand keeps busy.
 #[test]
 fn a_fleet_without_spare_engines_keeps_them() {
