Replace a reader that the store turns away before its state is too old

Cause: instances past the eighth wait for copies, up to a second for each of three sources, where each read the store before, and the first eight step in only when the relayed state is too old for use.

Change: the first eight read the store as soon as the reader's own state, by its word, is 1.5 s old, and relay it; a source that lacks the state says so after 0.25 s.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -20,7 +20,8 @@
     VersionSource,
 };
 pub use self::source::{
-    DIRECT_READERS, KnownState, StateSource, direct_read_delay, parent_rank, state_source,
+    DIRECT_READERS, KnownState, MAX_READER_AGE, StateSource, direct_read_delay, parent_rank,
+    state_source,
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
--- a/crates/core/src/relay/source.rs
+++ b/crates/core/src/relay/source.rs
@@ -17,6 +17,10 @@
 /// An answer of the store takes less, so a group copies what the one before it has read.
 const DIRECT_READ_STEP: TimeSpan = TimeSpan::from_millis(400);
 
+/// The age of a reader's own state from which on others read the store in its place. A reader
+/// that reaches the store reads it twice a second.
+pub const MAX_READER_AGE: TimeSpan = TimeSpan::from_millis(1_500);
+
 /// Failed copies in a row after which an instance reads the store. The instances that it
 /// tried may have failed, and the next ones are tried at random.
 const MAX_FAILED_COPIES: u32 = 4;
@@ -41,6 +45,9 @@
     pub age_limit: TimeSpan,
     /// Whether there is none yet, or it differs from the reader's.
     pub is_incomplete: bool,
+    /// Whether the reader relays state that it has not read for [`MAX_READER_AGE`]: the store
+    /// turns it away.
+    pub is_reader_behind: bool,
     /// The number of attempts in a row to copy it that have failed.
     pub failed_copies: u32,
 }
@@ -55,6 +62,9 @@
 /// is the number of instances there with lower names.
 pub fn state_source(rank: usize, state: KnownState) -> StateSource {
     let is_stale = state.age >= state.age_limit;
+    if state.is_reader_behind && rank < DIRECT_READERS {
+        return StateSource::Store;
+    }
     if !is_stale && !state.is_incomplete {
         return StateSource::Relay;
     }
--- a/crates/core/tests/relay_source.rs
+++ b/crates/core/tests/relay_source.rs
@@ -14,6 +14,7 @@
         age: TimeSpan::from_millis(age_ms),
         age_limit: AGE_LIMIT,
         is_incomplete,
+        is_reader_behind: false,
         failed_copies: 0,
     }
 }
@@ -91,6 +92,20 @@
     assert_eq!(readers(1_700), 2 * DIRECT_READERS);
 }
 
+/// Guards against a new configuration that reaches a failure domain only when the state of
+/// its reader, which the store turns away, is too old for use.
+#[test]
+fn a_reader_that_is_turned_away_is_replaced_before_its_state_is_too_old() {
+    let behind = KnownState {
+        is_reader_behind: true,
+        ..state(900, false)
+    };
+    let ranks = 0..200;
+    let sources = ranks.map(|rank| state_source(rank, behind));
+    let readers = sources.filter(|source| *source == StateSource::Store);
+    assert_eq!(readers.count(), DIRECT_READERS);
+}
+
 /// Guards against an instance that never gets the state because none of the instances that
 /// it knows is alive.
 #[test]
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -82,6 +82,8 @@
     pub endpoints_synced_at: Option<ClockTime>,
     /// Tracks whether the local list of endpoints differs from the reader's.
     pub difference: DigestMismatchTimer,
+    /// Whether the reader relays state that it has not read for some time.
+    pub is_reader_behind: bool,
     /// Whether all endpoints must be read again.
     pub must_resync: bool,
     /// The number of attempts in a row to copy the configuration that have failed.
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -3,7 +3,10 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{EndpointId, InstanceId, LogOffset},
-    relay::{self, KnownState, StateSource, VersionAdvertisement, VersionSource, relay_age_limit},
+    relay::{
+        self, KnownState, MAX_READER_AGE, StateSource, VersionAdvertisement, VersionSource,
+        relay_age_limit,
+    },
 };
 use bluebell_daemon::logs::LogLine;
 
@@ -43,9 +46,14 @@
     /// From where the configuration and keys are taken.
     pub fn configuration_source(&self) -> StateSource {
         let now = self.now();
-        let (advertised, failed_copies) = {
+        let (advertised, is_reader_behind, failed_copies) = {
             let relayed = self.relayed.lock();
-            (relayed.configuration, relayed.failed_configuration_copies)
+            let failed_copies = relayed.failed_configuration_copies;
+            (
+                relayed.configuration,
+                relayed.is_reader_behind,
+                failed_copies,
+            )
         };
         let (version, age) = {
             let tracker = self.configuration.lock();
@@ -57,6 +65,7 @@
             age: age.unwrap_or(now.since(self.started_at)),
             age_limit: relay_age_limit(self.settings.bounds.configuration_rollout),
             is_incomplete: age.is_none() || (is_behind && is_available),
+            is_reader_behind,
             failed_copies,
         })
     }
@@ -64,21 +73,18 @@
     /// From where the endpoints are taken.
     pub fn endpoints_source(&self) -> StateSource {
         let now = self.now();
-        let (synced_at, must_resync, failed_copies) = {
+        let state = {
             let relayed = self.relayed.lock();
-            let failed_copies = relayed.failed_endpoint_copies;
-            (
-                relayed.endpoints_synced_at,
-                relayed.must_resync,
-                failed_copies,
-            )
+            let synced_at = relayed.endpoints_synced_at;
+            KnownState {
+                age: now.since(synced_at.unwrap_or(self.started_at)),
+                age_limit: relay_age_limit(self.settings.bounds.endpoint_drain),
+                is_incomplete: synced_at.is_none() || relayed.must_resync,
+                is_reader_behind: relayed.is_reader_behind,
+                failed_copies: relayed.failed_endpoint_copies,
+            }
         };
-        self.state_source(KnownState {
-            age: now.since(synced_at.unwrap_or(self.started_at)),
-            age_limit: relay_age_limit(self.settings.bounds.endpoint_drain),
-            is_incomplete: synced_at.is_none() || must_resync,
-            failed_copies,
-        })
+        self.state_source(state)
     }
 
     fn state_source(&self, state: KnownState) -> StateSource {
@@ -147,8 +153,13 @@
 /// domain.
 pub fn apply(context: &EntryContext, peer: &InstanceId, message: &PeerMessage) {
     let Some(relay) = &message.relay else { return };
-    let is_same_domain = message.domain == context.settings.domain.as_str();
-    if !is_same_domain || !is_current(context, relay) {
+    if message.domain != context.settings.domain.as_str() {
+        return;
+    }
+    let reader_age_ms = relay.keys_age_ms.max(relay.endpoints_age_ms);
+    let is_behind = TimeSpan::from_millis(reader_age_ms) >= MAX_READER_AGE;
+    context.relayed.lock().is_reader_behind = is_behind;
+    if !is_current(context, relay) {
         return;
     }
     let now = context.now();
--- a/crates/ingress/src/state_transfer/server.rs
+++ b/crates/ingress/src/state_transfer/server.rs
@@ -29,8 +29,9 @@
 /// The maximum size of a reply in bytes.
 pub const MAX_REPLY_BYTES: usize = 32_000_000;
 
-/// How long an instance that does not have the state yet waits for it before it says so.
-pub const MAX_WAIT: Duration = Duration::from_millis(1_000);
+/// How long an instance that does not have the state yet waits for it before it says so. The
+/// other one fetches no newer configuration while it waits.
+pub const MAX_WAIT: Duration = Duration::from_millis(250);
 
 /// How often it checks for the state meanwhile.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
