--- a/crates/core/src/relay/source.rs
+++ b/crates/core/src/relay/source.rs
@@ -13,7 +13,7 @@
 /// of copies that one instance hands on.
 pub const DIRECT_READERS: usize = 8;
 
-/// The delay between the groups of instances that read the store where nobody has the state.
+/// The delay between the groups of instances that read the store where no copy is available.
 /// An answer of the store takes less, so a group copies what the one before it has read.
 const DIRECT_READ_STEP: TimeSpan = TimeSpan::from_millis(400);
 
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -40,7 +40,7 @@
 const PACE_DELAY_LIMIT: TimeSpan = TimeSpan::from_millis(50);
 
 /// How long a caller has to leave events unread before a later break of its stream is
-/// attributed to that: engines end streams that nobody reads after some seconds, and the
+/// attributed to that: engines end unread streams after some seconds, and the
 /// events that they sent before then are still delivered.
 const UNREAD_BREAK_DELAY: TimeSpan = TimeSpan::from_millis(1_000);
 
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -21,7 +21,7 @@
 
 impl EntryContext {
     /// Whether this instance reads the store for its failure domain: it is the first there,
-    /// or it reads the store as nobody relays current state.
+    /// or it reads the store as no current state is relayed.
     pub fn is_reader(&self) -> bool {
         let (local, domain) = (&self.writer.instance, &self.settings.domain);
         let peers = self.peers.lock();
@@ -94,7 +94,7 @@
         match rank {
             Some(0) => StateSource::Store,
             Some(rank) => relay::state_source(rank, state),
-            // Nobody to copy from is known yet. The instance reads the registrations of the
+            // No source of copies is known yet. The instance reads the registrations of the
             // others first: further reads would only keep a busy store from answering that.
             None => StateSource::Copy,
         }
--- a/crates/ingress/tests/copy_sources.rs
+++ b/crates/ingress/tests/copy_sources.rs
@@ -39,7 +39,7 @@
 }
 
 /// Guards against all instances of a failure domain taking themselves for its reader at a
-/// start, as they have heard nothing of each other yet.
+/// start, before any message has arrived.
 #[test]
 fn instances_that_start_together_agree_on_the_readers() {
     let ranks = (0..INSTANCES).map(|number| {
