--- a/crates/core/src/retries/arrivals.rs
+++ b/crates/core/src/retries/arrivals.rs
@@ -32,6 +32,11 @@
         RequestArrivals::default()
     }
 
+    /// Whether an engine has carried out a prefill.
+    pub fn has_prefilled(&self) -> bool {
+        self.has_prefilled
+    }
+
     /// Whether a retry has to be granted before the next call.
     pub fn needs_grant(&self) -> bool {
         self.counted > self.granted
--- a/crates/core/src/retries/mod.rs
+++ b/crates/core/src/retries/mod.rs
@@ -20,7 +20,7 @@
 
 pub use self::{
     arrivals::{EngineArrival, RequestArrivals},
-    shared::{RetryAllowance, SharedRetryBudget},
+    shared::{RetryAllowance, RetryStatus, SharedRetryBudget},
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
--- a/crates/core/src/retries/shared.rs
+++ b/crates/core/src/retries/shared.rs
@@ -7,6 +7,8 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use serde::Serialize;
+
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::ServiceName,
@@ -38,6 +40,17 @@
     retries: u32,
 }
 
+/// Use of the retry budget of a service in the current window.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct RetryStatus {
+    /// Requests for the service.
+    pub requests: u32,
+    /// Retries granted and not returned.
+    pub retries: u32,
+    /// Retries that this entry may use in addition to the share of the requests.
+    pub extra: f64,
+}
+
 /// Retry budget of one entry, by service.
 #[derive(Clone, Debug)]
 pub struct SharedRetryBudget {
@@ -89,6 +102,23 @@
         slice.retries = slice.retries.saturating_sub(retries);
     }
 
+    /// The use of the budget of each service in the current window.
+    pub fn status(&mut self, now: ClockTime) -> BTreeMap<ServiceName, RetryStatus> {
+        let services: Vec<ServiceName> = self.services.keys().cloned().collect();
+        for service in &services {
+            self.slice(now, service);
+        }
+        let used = self.services.iter().map(|(service, slices)| {
+            let status = RetryStatus {
+                requests: slices.iter().map(|slice| slice.requests).sum(),
+                retries: slices.iter().map(|slice| slice.retries).sum(),
+                extra: self.allowance.extra,
+            };
+            (service.clone(), status)
+        });
+        used.collect()
+    }
+
     fn slice(&mut self, now: ClockTime, service: &ServiceName) -> &mut WindowSlice {
         let length = (self.allowance.window.as_millis() / SLICES_PER_WINDOW).max(1);
         let number = now.as_millis() / length;
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -185,9 +185,7 @@
         if !self.arrivals.needs_grant() {
             return Ok(());
         }
-        let now = self.context.now();
-        let service = &self.request.service;
-        if self.context.budget.lock().try_retry(now, service) {
+        if self.context.try_retry(&self.request.service) {
             self.arrivals.note_grant();
             return Ok(());
         }
@@ -200,11 +198,18 @@
     /// crash of many engines would exhaust the budget, and requests would be refused
     /// while working engines are idle.
     pub(super) fn note_sent(&mut self, outcome: &SendOutcome, arrival: EngineArrival) {
+        let call = match arrival {
+            EngineArrival::PrefillDone if self.arrivals.has_prefilled() => "prefill_again",
+            EngineArrival::PrefillDone => "prefill",
+            EngineArrival::Counted => "run",
+        };
         let arrival = match outcome {
             SendOutcome::NotSent(_) => return,
             SendOutcome::Answered(answer) if answer.response.status().is_success() => arrival,
             _ => EngineArrival::Counted,
         };
+        let counters = &self.context.metrics.engine_calls;
+        counters.with_label_values(&[call, outcome.as_str()]).inc();
         self.calls += 1;
         self.arrivals.note_arrival(arrival);
     }
@@ -484,11 +489,6 @@
             charge.settle(self.attempts.outcome());
         }
         let unused = self.arrivals.unused_grants();
-        if unused > 0 {
-            let now = self.context.now();
-            let service = &self.request.service;
-            let mut budget = self.context.budget.lock();
-            budget.return_unsent(now, service, unused);
-        }
+        self.context.return_retries(&self.request.service, unused);
     }
 }
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -234,8 +234,7 @@
         if reason == RefusalReason::NoEndpoint {
             return true;
         }
-        let service = &self.request.service;
-        self.context.budget.lock().try_retry(now, service)
+        self.context.try_retry(&self.request.service)
     }
 
     fn meter(&mut self) {
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -17,6 +17,10 @@
     pub answers: IntCounterVec,
     /// Attempts at endpoints by outcome.
     pub attempts: IntCounterVec,
+    /// Decisions of the retry budget by outcome.
+    pub retries: IntCounterVec,
+    /// Calls that reached engines by what they were for and whether the engine did it.
+    pub engine_calls: IntCounterVec,
     /// Time to the first event or the complete answer in seconds, by route kind.
     pub latency: HistogramVec,
     /// Absolute error of the estimated time to the first token, in seconds.
@@ -71,6 +75,16 @@
                 &["kind", "outcome"],
             )?,
             attempts: counter("bluebell_attempts_total", "attempts at endpoints", &["end"])?,
+            retries: counter(
+                "bluebell_retries_total",
+                "decisions of the retry budget",
+                &["outcome"],
+            )?,
+            engine_calls: counter(
+                "bluebell_engine_calls_total",
+                "calls that reached engines",
+                &["call", "outcome"],
+            )?,
             store_calls: counter(
                 "bluebell_store_calls_total",
                 "calls to the store",
--- a/crates/ingress/src/ready.rs
+++ b/crates/ingress/src/ready.rs
@@ -70,6 +70,7 @@
         "start": context.writer.start,
         "configuration": { "version": version, "age": age },
         "limits": limits,
+        "retries": context.budget.lock().status(now),
         "memory": context.memory.status(),
         "endpoints": endpoints,
         "ready": match ready_state(context) {
