Charge the retry budget for each repeated prefill

Cause: a request's first counted call was free whatever it was. With no engine to take a prompt over, it was prefilled a second time, and that second prefill took the free place of the run that never came. Besides, an engine that refused the connection counted like one that rejected the prompt, so two crashed engines were enough to prefill again.

So each further prefill is a retry, whether or not a run follows.

Ruled out: a wrong division of the budget (no instance restarted; sums of the parts are below the limit), and arrivals of runs (they were not sent).

Change: a repeated prefill needs a grant before it is sent. A prompt stays with its engine when another one can't be reached; only rejections lead to a new prefill.

--- a/crates/core/src/retries/arrivals.rs
+++ b/crates/core/src/retries/arrivals.rs
@@ -1,13 +1,24 @@
 //! Counts the arrivals of one request at engines against the retry budget.
 //!
-//! The operators count each arrival at an engine beyond the first of a request as a
-//! retry, including those that the engine rejects. Only the first prefill that an
-//! engine carries out is not counted. Whether an engine rejects a prefill is known too
-//! late to take budget before sending it, so the budget for a rejected arrival is taken
-//! before the next call of the request. A request that gets no budget ends at this
-//! point, with a single arrival, which is within the limit. If rejections were counted
-//! only afterwards, outdated knowledge of the stages of the engines would let all
-//! entries together exceed the budget within a second.
+//! The operators count as retries all arrivals of a request at engines but the first one,
+//! including those that the engine rejects, and each prefill that an engine carries out
+//! after the first. Only the first prefill that is carried out is no arrival: a request
+//! whose prompt is prefilled twice has made a retry before it was sent to be run.
+//!
+//! Whether an engine rejects a prefill is known too late to take budget before sending it,
+//! so the budget for a rejected arrival is taken before the next call of the request. A
+//! request that gets no budget ends at this point, with a single arrival, which is within
+//! the limit. If rejections were counted only afterwards, outdated knowledge of the stages
+//! of the engines would let all entries together exceed the budget within a second.
+
+/// A call to an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineCall {
+    /// Prefills the prompt.
+    Prefill,
+    /// Runs the request.
+    Run,
+}
 
 /// How a call that reached an engine counts for the operators.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +33,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RequestArrivals {
     counted: u32,
+    repeated_prefills: u32,
     granted: u32,
     has_prefilled: bool,
 }
@@ -38,8 +50,10 @@
     }
 
     /// Whether a retry has to be granted before the next call.
-    pub fn needs_grant(&self) -> bool {
-        self.counted > self.granted
+    pub fn needs_grant(&self, next: EngineCall) -> bool {
+        let is_repeated = next == EngineCall::Prefill && self.has_prefilled;
+        let is_retry = self.counted > 0 || is_repeated;
+        self.retries() + u32::from(is_retry) > self.granted
     }
 
     /// Records that a retry was granted by the budget.
@@ -49,14 +63,21 @@
 
     /// Records a call that reached an engine.
     pub fn note_arrival(&mut self, arrival: EngineArrival) {
-        let is_uncounted = arrival == EngineArrival::PrefillDone && !self.has_prefilled;
-        self.has_prefilled |= arrival == EngineArrival::PrefillDone;
-        self.counted += u32::from(!is_uncounted);
+        match arrival {
+            EngineArrival::Counted => self.counted += 1,
+            EngineArrival::PrefillDone if self.has_prefilled => self.repeated_prefills += 1,
+            EngineArrival::PrefillDone => self.has_prefilled = true,
+        }
     }
 
     /// Number of granted retries that were not used. To be called when the request
     /// sends nothing more.
     pub fn unused_grants(&self) -> u32 {
-        self.granted.saturating_sub(self.counted.saturating_sub(1))
+        self.granted.saturating_sub(self.retries())
+    }
+
+    /// The arrivals that the operators count as retries.
+    fn retries(&self) -> u32 {
+        self.repeated_prefills + self.counted.saturating_sub(1)
     }
 }
--- a/crates/core/src/retries/mod.rs
+++ b/crates/core/src/retries/mod.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::{
-    arrivals::{EngineArrival, RequestArrivals},
+    arrivals::{EngineArrival, EngineCall, RequestArrivals},
     shared::{RetryAllowance, RetryStatus, SharedRetryBudget},
 };
 use crate::{
--- a/crates/core/tests/shared_budget.rs
+++ b/crates/core/tests/shared_budget.rs
@@ -3,7 +3,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::ServiceName,
-    retries::{EngineArrival, RequestArrivals, RetryAllowance, SharedRetryBudget},
+    retries::{EngineArrival, EngineCall, RequestArrivals, RetryAllowance, SharedRetryBudget},
 };
 use quickcheck::quickcheck;
 
@@ -55,13 +55,13 @@
     // Each rejection is an arrival; a request that gets no budget for it ends there.
     let mut budget = budget(1.0);
     let mut arrivals = RequestArrivals::new();
-    assert!(!arrivals.needs_grant());
+    assert!(!arrivals.needs_grant(EngineCall::Prefill));
     arrivals.note_arrival(EngineArrival::Counted);
-    assert!(arrivals.needs_grant());
+    assert!(arrivals.needs_grant(EngineCall::Prefill));
     assert!(budget.try_retry(at(0), &service()));
     arrivals.note_grant();
     arrivals.note_arrival(EngineArrival::Counted);
-    assert!(arrivals.needs_grant());
+    assert!(arrivals.needs_grant(EngineCall::Prefill));
     assert!(!budget.try_retry(at(1), &service()));
     assert_eq!(arrivals.unused_grants(), 0);
     budget.set_extra(2.0);
@@ -71,15 +71,30 @@
 #[test]
 fn the_first_prefill_and_its_run_need_no_grant() {
     let mut arrivals = RequestArrivals::new();
+    assert!(!arrivals.needs_grant(EngineCall::Prefill));
     arrivals.note_arrival(EngineArrival::PrefillDone);
-    assert!(!arrivals.needs_grant());
+    assert!(!arrivals.needs_grant(EngineCall::Run));
     arrivals.note_arrival(EngineArrival::Counted);
     assert_eq!(arrivals.unused_grants(), 0);
     // The run failed; the next prefill counts like any other arrival.
-    assert!(arrivals.needs_grant());
+    assert!(arrivals.needs_grant(EngineCall::Prefill));
     arrivals.note_grant();
     arrivals.note_arrival(EngineArrival::PrefillDone);
-    assert!(arrivals.needs_grant());
+    assert!(arrivals.needs_grant(EngineCall::Prefill));
+}
+
+/// Guards against prefills that are repeated outside the budget while no engine runs the
+/// request.
+#[test]
+fn a_repeated_prefill_needs_a_grant_before_it_is_sent() {
+    let mut arrivals = RequestArrivals::new();
+    arrivals.note_arrival(EngineArrival::PrefillDone);
+    assert!(arrivals.needs_grant(EngineCall::Prefill));
+    arrivals.note_grant();
+    arrivals.note_arrival(EngineArrival::PrefillDone);
+    assert_eq!(arrivals.unused_grants(), 0);
+    assert!(arrivals.needs_grant(EngineCall::Prefill));
+    assert!(!arrivals.needs_grant(EngineCall::Run));
 }
 
 #[test]
@@ -88,10 +103,10 @@
     // arrival, even if the request never reaches its run.
     let mut arrivals = RequestArrivals::new();
     arrivals.note_arrival(EngineArrival::Counted);
-    assert!(arrivals.needs_grant());
+    assert!(arrivals.needs_grant(EngineCall::Prefill));
     arrivals.note_grant();
     arrivals.note_arrival(EngineArrival::Counted);
-    assert!(arrivals.needs_grant());
+    assert!(arrivals.needs_grant(EngineCall::Prefill));
     assert_eq!(arrivals.unused_grants(), 0);
 }
 
@@ -127,7 +142,11 @@
         let mut arrivals = RequestArrivals::new();
         let mut sent = 0;
         for call in 0..=REJECTIONS + 1 {
-            if arrivals.needs_grant() {
+            let next = match call {
+                call if call <= REJECTIONS => EngineCall::Prefill,
+                _ => EngineCall::Run,
+            };
+            if arrivals.needs_grant(next) {
                 if !budget.try_retry(now, &service()) {
                     break;
                 }
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -9,7 +9,7 @@
     ids::EndpointId,
     ingress::EngineRule,
     placement::{EndpointTarget, PlanRequest, PrefillPlan, PromptWork},
-    retries::{EngineArrival, RequestArrivals},
+    retries::{EngineArrival, EngineCall, RequestArrivals},
 };
 use hyper::Response;
 
@@ -45,7 +45,7 @@
 
 /// How many engines may refuse to take over a prefilled prompt before it is prefilled
 /// again. The first refusals usually concern the engine; later ones probably concern the
-/// prompt, which may have expired.
+/// prompt, which may have expired. An engine that can't be reached says nothing about it.
 const MAX_HANDOVER_REFUSALS: u32 = 2;
 
 /// Result of an attempt that an engine answered.
@@ -180,9 +180,9 @@
             && self.possible_runs < self.request.route.attempts_limit
     }
 
-    /// Charges the retry budget for the arrivals that the next call adds beyond the first.
-    pub(super) fn charge_next_call(&mut self) -> Result<(), FailedAttempt> {
-        if !self.arrivals.needs_grant() {
+    /// Charges the retry budget if the next call counts as a retry.
+    pub(super) fn charge_next_call(&mut self, next: EngineCall) -> Result<(), FailedAttempt> {
+        if !self.arrivals.needs_grant(next) {
             return Ok(());
         }
         if self.context.try_retry(&self.request.service) {
@@ -250,7 +250,8 @@
                 RefusalReason::EndpointsFull | RefusalReason::NoEndpoint
             )
         {
-            let refusals = prefilled.refusals + 1;
+            let is_refusal = failed.reason == RefusalReason::EndpointsFull;
+            let refusals = prefilled.refusals + u32::from(is_refusal);
             let retained = PrefilledSource {
                 refusals,
                 ..prefilled
@@ -336,7 +337,7 @@
         prefill: Option<PrefillGuard>,
         last_id: Option<u64>,
     ) -> Result<AttemptOutcome, FailedAttempt> {
-        self.charge_next_call()?;
+        self.charge_next_call(EngineCall::Run)?;
         let Ok(permit) = self.attempts.permit_send(&target.id) else {
             return Err(FailedAttempt::new(
                 RefusalReason::EndpointFailed,
