Keep the grant of a retry whose caller disconnects during the call

Callers saw nothing; each such call was an arrival that no budget paid for. Cause: a call counted only once its outcome was known, and the grant of a request that sends nothing more is returned. When the caller disconnects, the call in progress had no outcome yet, so its grant was returned although the engine had it.

Change: a call counts from its start and stops counting only if it was not sent. On the code before, the drop during the second call of a request returned its grant; the test names it.

--- a/crates/core/src/retries/arrivals.rs
+++ b/crates/core/src/retries/arrivals.rs
@@ -36,6 +36,9 @@
     repeated_prefills: u32,
     granted: u32,
     has_prefilled: bool,
+    /// The call that is in progress. It counts as one that reached its engine, as the
+    /// caller may disconnect before the outcome is known.
+    in_progress: Option<EngineCall>,
 }
 
 impl RequestArrivals {
@@ -51,9 +54,7 @@
 
     /// Whether a retry has to be granted before the next call.
     pub fn needs_grant(&self, next: EngineCall) -> bool {
-        let is_repeated = next == EngineCall::Prefill && self.has_prefilled;
-        let is_retry = self.counted > 0 || is_repeated;
-        self.retries() + u32::from(is_retry) > self.granted
+        self.retries() + u32::from(self.is_retry(next)) > self.granted
     }
 
     /// Records that a retry was granted by the budget.
@@ -61,8 +62,19 @@
         self.granted += 1;
     }
 
-    /// Records a call that reached an engine.
+    /// Records that a call is being sent.
+    pub fn start_call(&mut self, call: EngineCall) {
+        self.in_progress = Some(call);
+    }
+
+    /// Records that the call was not sent.
+    pub fn note_unsent(&mut self) {
+        self.in_progress = None;
+    }
+
+    /// Records that the call reached its engine.
     pub fn note_arrival(&mut self, arrival: EngineArrival) {
+        self.in_progress = None;
         match arrival {
             EngineArrival::Counted => self.counted += 1,
             EngineArrival::PrefillDone if self.has_prefilled => self.repeated_prefills += 1,
@@ -76,8 +88,15 @@
         self.granted.saturating_sub(self.retries())
     }
 
+    /// Whether the call counts as a retry if it reaches an engine.
+    fn is_retry(&self, call: EngineCall) -> bool {
+        let is_repeated_prefill = call == EngineCall::Prefill && self.has_prefilled;
+        self.counted > 0 || is_repeated_prefill
+    }
+
     /// The arrivals that the operators count as retries.
     fn retries(&self) -> u32 {
-        self.repeated_prefills + self.counted.saturating_sub(1)
+        let in_progress = self.in_progress.is_some_and(|call| self.is_retry(call));
+        self.repeated_prefills + self.counted.saturating_sub(1) + u32::from(in_progress)
     }
 }
--- a/crates/core/tests/shared_budget.rs
+++ b/crates/core/tests/shared_budget.rs
@@ -110,6 +110,20 @@
     assert_eq!(arrivals.unused_grants(), 0);
 }
 
+/// Guards against a budget that is refunded for a retry that reached its engine, because its
+/// caller disconnected before the answer.
+#[test]
+fn a_retry_in_progress_keeps_its_grant() {
+    let mut arrivals = RequestArrivals::new();
+    arrivals.start_call(EngineCall::Run);
+    arrivals.note_arrival(EngineArrival::Counted);
+    arrivals.note_grant();
+    arrivals.start_call(EngineCall::Run);
+    assert_eq!(arrivals.unused_grants(), 0);
+    arrivals.note_unsent();
+    assert_eq!(arrivals.unused_grants(), 1);
+}
+
 #[test]
 fn unused_grants_are_counted() {
     let mut arrivals = RequestArrivals::new();
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -180,17 +180,18 @@
             && self.possible_runs < self.request.route.attempts_limit
     }
 
-    /// Charges the retry budget if the next call counts as a retry.
-    pub(super) fn charge_next_call(&mut self, next: EngineCall) -> Result<(), FailedAttempt> {
-        if !self.arrivals.needs_grant(next) {
-            return Ok(());
-        }
-        if self.context.try_retry(&self.request.service) {
+    /// Starts a call, and charges the retry budget if it counts as a retry.
+    pub(super) fn start_call(&mut self, call: EngineCall) -> Result<(), FailedAttempt> {
+        if self.arrivals.needs_grant(call) {
+            if !self.context.try_retry(&self.request.service) {
+                let detail = "the retry budget of the service is exhausted";
+                let failed = FailedAttempt::new(RefusalReason::EndpointsFull, detail);
+                return Err(failed.without_retry());
+            }
             self.arrivals.note_grant();
-            return Ok(());
         }
-        let detail = "the retry budget of the service is exhausted";
-        Err(FailedAttempt::new(RefusalReason::EndpointsFull, detail).without_retry())
+        self.arrivals.start_call(call);
+        Ok(())
     }
 
     /// Counts a call that was sent. No engine received a call that was not sent, so its
@@ -204,7 +205,10 @@
             EngineArrival::Counted => "run",
         };
         let arrival = match outcome {
-            SendOutcome::NotSent(_) => return,
+            SendOutcome::NotSent(_) => {
+                self.arrivals.note_unsent();
+                return;
+            }
             SendOutcome::Answered(answer) if answer.response.status().is_success() => arrival,
             _ => EngineArrival::Counted,
         };
@@ -337,7 +341,7 @@
         prefill: Option<PrefillGuard>,
         last_id: Option<u64>,
     ) -> Result<AttemptOutcome, FailedAttempt> {
-        self.charge_next_call(EngineCall::Run)?;
+        self.start_call(EngineCall::Run)?;
         let Ok(permit) = self.attempts.permit_send(&target.id) else {
             return Err(FailedAttempt::new(
                 RefusalReason::EndpointFailed,
--- a/crates/ingress/src/forward/prefill.rs
+++ b/crates/ingress/src/forward/prefill.rs
@@ -45,7 +45,7 @@
         let mut extra_headers = self.extra_headers(None);
         extra_headers.push((headers::STAGE, headers::STAGE_PREFILL.to_string()));
         let remaining = self.request.time_left(self.context.now());
-        self.charge_next_call(EngineCall::Prefill)?;
+        self.start_call(EngineCall::Prefill)?;
         let outcome = attempt::send(
             &self.context,
             &self.request,
