Quarantine requests that crash the endpoints that run them

Callers saw: review and chat streams that broke off in the middle and 502, 273 in 15 s, whenever the same request came again: it ended 12 engines (the users' record: 15), each with the 10 to 20 requests that ran beside it, and at last no engine was left to run anything.

Cause: nothing on an entry instance knew that endpoints had crashed under a request. The product's own entries keep such records in their log (core/quarantine); the program of the platform's instances had no counterpart when it was built.

Ruled out: crashes without a request behind them.

Change: an entry that loses the connection to an endpoint in the middle of a run records the crash (endpoint and start) under the fingerprint of the request (organisation, target, body) and reports it at once with the datagrams that are sent anyway; representatives forward reports to other failure domains. Two crashes quarantine a request for ten minutes: it is refused with 503, which is true, before anything is sent. An endpoint that completes the request clears it everywhere. Reports are at most 16 in a datagram, histories at most 1,024: neither grows with the fleet. Requests with more crashes go first. EndpointTarget carries the start of the endpoint, as engines may restart under their ids.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -240,6 +240,22 @@
         RequestFingerprint(hex(&digest.finalize()[..16]))
     }
 
+    /// Computes the fingerprint of a request to `target` with `body`. Its `caller` is `None`
+    /// without authentication.
+    pub fn with_request(
+        caller: Option<&OrganisationId>,
+        target: &str,
+        body: &[u8],
+    ) -> RequestFingerprint {
+        let mut digest = Sha256::new();
+        digest.update(caller.map_or("", OrganisationId::as_str).as_bytes());
+        digest.update([0]);
+        digest.update(target.as_bytes());
+        digest.update([0]);
+        digest.update(body);
+        RequestFingerprint(hex(&digest.finalize()[..16]))
+    }
+
     /// The fingerprint as text.
     pub fn as_str(&self) -> &str {
         &self.0
--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -187,6 +187,7 @@
             target: EndpointTarget {
                 id: registration.id.clone(),
                 address: registration.address,
+                start: registration.start,
             },
             start: registration.start,
             service: registration.service.clone(),
--- a/crates/core/src/placement/plan.rs
+++ b/crates/core/src/placement/plan.rs
@@ -19,6 +19,8 @@
     pub id: EndpointId,
     /// The address on which the endpoint listens.
     pub address: SocketAddr,
+    /// The time of the endpoint's start, which distinguishes its incarnations.
+    pub start: u64,
 }
 
 /// Prefill work that is planned for an engine's queue.
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -12,17 +12,24 @@
 //! cleared. A request costs two endpoints at most, and an innocent request is
 //! quarantined only if it loses two endpoints for other reasons before it ends.
 //!
+//! On the users' platform entries keep no log of such records. There they exchange them as
+//! reports ([`SharedQuarantine`]); a suspect is run again on any endpoint.
+//!
 //! The bound requires that the crash record is read before the next attempt: other
 //! attempts at the same request that are running at that moment can each cost another
 //! endpoint.
 
+mod shared;
 mod trials;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
 
-pub use self::trials::{CrashTrials, TrialChoice};
+pub use self::{
+    shared::{CrashReport, MAX_REPORTS_PER_DATAGRAM, ReportScope, SharedQuarantine, SiteHash},
+    trials::{CrashTrials, TrialChoice},
+};
 use crate::{
     clock::ClockTime,
     ids::{EndpointId, InstanceId, LogOffset, RequestFingerprint},
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -10,6 +10,7 @@
     ingress::ConfigurationTracker,
     placement::{EngineTable, ReplicaTable},
     provision::DemandTable,
+    quarantine::SharedQuarantine,
     quota::RateLimiter,
     relay::{AdvertisedConfiguration, DigestMismatchTimer},
     retries::{RetryAllowance, SharedRetryBudget},
@@ -119,6 +120,8 @@
     pub replicas: Shared<ReplicaTable>,
     /// The retry budget.
     pub budget: Shared<SharedRetryBudget>,
+    /// The requests that ran on endpoints that crashed.
+    pub quarantine: Shared<SharedQuarantine>,
     /// The limits of organisations and their usage at all instances.
     pub limiter: Shared<RateLimiter>,
     /// The usage of organisations per usage window.
@@ -135,7 +138,7 @@
     pub peer_usage: Shared<PeerUsage>,
     /// Wakes the tasks that follow the store and that send messages to peers.
     pub wake: Notify,
-    /// Wakes the task that reports usage of limits to the other instances.
+    /// Wakes the task that reports usage of limits and crashes to the other instances.
     pub report_due: Notify,
     /// Idle connections to endpoints.
     pub pools: ConnectionPools,
@@ -189,6 +192,7 @@
             demands: Shared::new(DemandTable::new()),
             replicas: Shared::new(ReplicaTable::new(routing).with_seed(seed)),
             budget: Shared::new(SharedRetryBudget::new(allowance)),
+            quarantine: Shared::new(SharedQuarantine::new()),
             limiter: Shared::new(limiter),
             meter: Shared::new(UsageMeter::new()),
             peers: Shared::new(PeerTable::new()),
--- a/crates/ingress/src/forward/engine_failures.rs
+++ b/crates/ingress/src/forward/engine_failures.rs
@@ -2,9 +2,15 @@
 
 use bluebell_core::{ids::EndpointId, placement::EndpointTarget};
 
-use crate::forward::generate::GenerationRun;
+use crate::forward::{crashes, generate::GenerationRun};
 
 impl GenerationRun {
+    /// Records that the connection to `target` broke while the request ran there.
+    pub(super) fn note_lost_run(&mut self, target: &EndpointTarget) {
+        crashes::note_crash(&self.context, &self.request, target);
+        self.note_possible_run(&target.id);
+    }
+
     /// Records that the request may have run on `engine` and that its answer is lost.
     pub(super) fn note_possible_run(&mut self, engine: &EndpointId) {
         self.possible_runs += 1;
--- a/crates/ingress/src/forward/failed_attempt.rs
+++ b/crates/ingress/src/forward/failed_attempt.rs
@@ -3,7 +3,10 @@
 use bluebell_core::{clock::TimeSpan, placement::PlacementError};
 use rand::Rng;
 
-use crate::frontend::{DEFAULT_RETRY_AFTER, RefusalReason};
+use crate::{
+    forward::crashes::Quarantined,
+    frontend::{DEFAULT_RETRY_AFTER, RefusalReason},
+};
 
 /// Why an attempt did not start a run.
 pub struct FailedAttempt {
@@ -31,6 +34,14 @@
         }
     }
 
+    /// Creates the failure of a request that crashes endpoints.
+    pub(super) fn quarantined(quarantined: Quarantined) -> FailedAttempt {
+        FailedAttempt {
+            retry_after: Some(quarantined.remaining),
+            ..FailedAttempt::new(RefusalReason::Quarantined, quarantined.detail).without_retry()
+        }
+    }
+
     /// Marks the failure as final: no other attempt follows.
     pub(super) fn without_retry(mut self) -> FailedAttempt {
         self.is_final = true;
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -18,6 +18,7 @@
     forward::{
         answer::CompleteAnswer,
         attempt::{self, EndpointAnswer, ExtraHeaders, SendOutcome},
+        crashes,
         events::{EventReader, NextEvents},
         failed_attempt::{FailedAttempt, no_engine_failure},
         guards::{PrefillGuard, RunGuard},
@@ -68,7 +69,7 @@
     pub(super) attempted: Vec<EndpointId>,
     pub(super) calls: usize,
     pub(super) possible_runs: u32,
-    arrivals: RequestArrivals,
+    pub(super) arrivals: RequestArrivals,
     source: Option<PrefilledSource>,
     is_metered: bool,
     charge: Option<QuotaCharge>,
@@ -132,13 +133,13 @@
     /// answer.
     pub async fn resume(
         &mut self,
-        failed: &EndpointId,
+        failed: &EndpointTarget,
         is_engine_fault: bool,
         last_id: Option<u64>,
     ) -> Option<RunningStream> {
         match is_engine_fault {
-            true => self.note_possible_run(failed),
-            false => self.note_unread_run(failed),
+            true => self.note_lost_run(failed),
+            false => self.note_unread_run(&failed.id),
         }
         if self.request.route.work_kind() != WorkKind::Repeatable || !self.may_retry() {
             return None;
@@ -180,44 +181,6 @@
             && self.possible_runs < self.request.route.attempts_limit
     }
 
-    /// Starts a call, and charges the retry budget if it counts as a retry.
-    pub(super) fn start_call(&mut self, call: EngineCall) -> Result<(), FailedAttempt> {
-        if self.arrivals.needs_grant(call) {
-            if !self.context.try_retry(&self.request.service) {
-                let detail = "the retry budget of the service is exhausted";
-                let failed = FailedAttempt::new(RefusalReason::EndpointsFull, detail);
-                return Err(failed.without_retry());
-            }
-            self.arrivals.note_grant();
-        }
-        self.arrivals.start_call(call);
-        Ok(())
-    }
-
-    /// Counts a call that was sent. No engine received a call that was not sent, so its
-    /// charge applies to the next call. If unsent calls were counted, a simultaneous
-    /// crash of many engines would exhaust the budget, and requests would be refused
-    /// while working engines are idle.
-    pub(super) fn note_sent(&mut self, outcome: &SendOutcome, arrival: EngineArrival) {
-        let call = match arrival {
-            EngineArrival::PrefillDone if self.arrivals.has_prefilled() => "prefill_again",
-            EngineArrival::PrefillDone => "prefill",
-            EngineArrival::Counted => "run",
-        };
-        let arrival = match outcome {
-            SendOutcome::NotSent(_) => {
-                self.arrivals.note_unsent();
-                return;
-            }
-            SendOutcome::Answered(answer) if answer.response.status().is_success() => arrival,
-            _ => EngineArrival::Counted,
-        };
-        let counters = &self.context.metrics.engine_calls;
-        counters.with_label_values(&[call, outcome.as_str()]).inc();
-        self.calls += 1;
-        self.arrivals.note_arrival(arrival);
-    }
-
     async fn attempt_once(
         &mut self,
         last_id: Option<u64>,
@@ -381,7 +344,7 @@
                 Err(FailedAttempt::new(RefusalReason::EndpointsFull, detail))
             }
             SendOutcome::MaybeRun(detail) => {
-                self.note_possible_run(&target.id);
+                self.note_lost_run(target);
                 let detail = format!("run at {}: {detail}", target.id);
                 Err(FailedAttempt::new(RefusalReason::EndpointFailed, detail))
             }
@@ -416,10 +379,11 @@
                 CompleteAnswer::read(&self.context, &self.request, target, answer, remaining);
             let complete = complete.await;
             let Some(complete) = complete else {
-                self.note_possible_run(&target.id);
+                self.note_lost_run(target);
                 let detail = "the answer is incomplete";
                 return Err(FailedAttempt::new(RefusalReason::EndpointFailed, detail));
             };
+            crashes::note_completed(&self.context, &self.request);
             self.meter();
             self.attempts.end();
             return Ok(AttemptOutcome::Complete(complete));
@@ -438,7 +402,7 @@
                 ));
             }
             NextEvents::Broken => {
-                self.note_possible_run(&target.id);
+                self.note_lost_run(target);
                 let detail = "the stream broke before its first event";
                 return Err(FailedAttempt::new(RefusalReason::EndpointFailed, detail));
             }
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -3,6 +3,8 @@
 mod answer;
 mod attempt;
 mod connection;
+mod crashes;
+mod engine_calls;
 mod engine_failures;
 mod events;
 mod failed_attempt;
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -15,6 +15,7 @@
     forward::{
         answer::CompleteAnswer,
         attempt::{self, SendOutcome},
+        crashes,
         guards::ReplicaGuard,
         meter,
         quota::QuotaCharge,
@@ -51,6 +52,8 @@
     possible_runs: u32,
     /// The latest signed failure of a replica, returned if no other replica answers.
     failed_answer: Option<CompleteAnswer>,
+    /// When the caller may retry, if a better value than the default is known.
+    retry_after: Option<TimeSpan>,
     is_metered: bool,
     charge: Option<QuotaCharge>,
 }
@@ -69,6 +72,7 @@
         attempted: Vec::new(),
         possible_runs: 0,
         failed_answer: None,
+        retry_after: None,
         is_metered: false,
         charge,
     };
@@ -104,10 +108,11 @@
             .replicas
             .lock()
             .choose(now, candidates, &self.attempted)?;
-        let address = directory.get(&choice.endpoint)?.address;
+        let registration = directory.get(&choice.endpoint)?;
         Some(EndpointTarget {
             id: choice.endpoint,
-            address,
+            address: registration.address,
+            start: registration.start,
         })
     }
 
@@ -120,6 +125,10 @@
                 "the deadline of the request has passed".to_string(),
             );
         }
+        if let Some(quarantined) = crashes::quarantined(self.context, self.request) {
+            self.retry_after = Some(quarantined.remaining);
+            return NextStep::Refuse(RefusalReason::Quarantined, quarantined.detail);
+        }
         let Ok(permit) = self.attempts.permit_send(&target.id) else {
             return NextStep::Refuse(
                 RefusalReason::EndpointFailed,
@@ -149,6 +158,7 @@
             }
             SendOutcome::MaybeRun(detail) => {
                 guard.failed();
+                crashes::note_crash(self.context, self.request, target);
                 let detail = format!("{}: {detail}", target.id);
                 self.note_possible_run(RefusalReason::EndpointFailed, detail)
             }
@@ -173,6 +183,7 @@
                     }
                     None => {
                         guard.failed();
+                        crashes::note_crash(self.context, self.request, target);
                         let detail = "the answer is incomplete".to_string();
                         self.note_possible_run(RefusalReason::EndpointFailed, detail)
                     }
@@ -200,6 +211,7 @@
     /// Handles a complete and signed answer.
     fn handle_answer(&mut self, guard: ReplicaGuard, answer: CompleteAnswer) -> NextStep {
         guard.answered();
+        crashes::note_completed(self.context, self.request);
         self.meter();
         let is_repeatable = self.request.route.work_kind() == WorkKind::Repeatable;
         if !answer.is_failure() || !is_repeatable {
@@ -274,6 +286,7 @@
             return failed_answer.into_response();
         }
         let refusal = Refusal::with_outcome(self.attempts.outcome(), reason);
+        let refusal = refusal.with_retry_after(self.retry_after);
         refuse(self.context, self.request, refusal, detail)
     }
 }
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -17,6 +17,7 @@
         answer::end_to_end_headers,
         attempt,
         connection::EndpointConnection,
+        crashes,
         events::{EventReader, NextEvents},
         generate::GenerationRun,
         guards::RunGuard,
@@ -191,11 +192,11 @@
             return false;
         }
         let last_id = self.running.events.last_id();
-        let failed = self.running.target.id.clone();
+        let failed = self.running.target.clone();
         match self.run.resume(&failed, is_engine_fault, last_id).await {
             Some(running) => {
                 request_log_line(&self.run.context, "stream_resumed", &self.run.request)
-                    .with("from", failed)
+                    .with("from", failed.id)
                     .with("to", &running.target.id)
                     .with("after_event", last_id.unwrap_or_default())
                     .info();
@@ -210,6 +211,7 @@
         self.has_ended = true;
         self.run.end();
         let context = &self.run.context;
+        crashes::note_completed(context, &self.run.request);
         if let Some(connection) = self.running.connection.take() {
             attempt::return_to_pool(context, &self.running.target, connection);
         }
--- a/crates/ingress/src/frontend/refusal.rs
+++ b/crates/ingress/src/frontend/refusal.rs
@@ -48,6 +48,8 @@
     Overloaded,
     /// Every attempted endpoint refused the request.
     EndpointsFull,
+    /// Endpoints crashed while they ran the request.
+    Quarantined,
     /// The endpoint failed; the request may have run.
     EndpointFailed,
     /// The deadline has passed; the request may have run.
@@ -73,6 +75,7 @@
             RefusalReason::NoEndpoint => "no_endpoint",
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::EndpointsFull => "endpoints_full",
+            RefusalReason::Quarantined => "quarantined",
             RefusalReason::EndpointFailed => "endpoint_failed",
             RefusalReason::TimedOut => "timed_out",
             RefusalReason::TimedOutNotRun => "timed_out_not_run",
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -1,11 +1,11 @@
 //! Reads the requests of callers: route, API key, deadline and body.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bluebell_adapter::headers;
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    ids::{KeyDigest, OrganisationId, RequestId, ServiceName},
+    ids::{KeyDigest, OrganisationId, RequestFingerprint, RequestId, ServiceName},
     ingress::{RouteRule, RouteTable},
     placement::PromptWork,
     units::TokenCount,
@@ -76,6 +76,7 @@
     pub deadline: ClockTime,
     /// Closes the connection of the caller when cancelled.
     pub connection: CancellationToken,
+    fingerprint: OnceLock<RequestFingerprint>,
 }
 
 impl CallerRequest {
@@ -84,6 +85,13 @@
         self.deadline.since(now)
     }
 
+    /// The fingerprint, which is the same if the caller sends the request again.
+    pub fn fingerprint(&self) -> &RequestFingerprint {
+        let caller = self.organisation.as_ref();
+        self.fingerprint
+            .get_or_init(|| RequestFingerprint::with_request(caller, &self.target, &self.body))
+    }
+
     /// The caller, to account for the answer to it.
     pub fn answered_caller(&self) -> AnsweredCaller {
         AnsweredCaller {
@@ -173,6 +181,7 @@
         arrived,
         deadline,
         connection,
+        fingerprint: OnceLock::new(),
     })
 }
 
--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -6,6 +6,7 @@
     clock::{ClockTime, TimeSpan},
     ids::{FailureDomain, InstanceId, ServiceName},
     provision::EngineDemand,
+    quarantine::{CrashReport, ReportScope},
     quota::{ReportSource, UsageReport},
 };
 use bluebell_daemon::logs::LogLine;
@@ -152,6 +153,7 @@
         if now.since(self.swept_at) >= SWEEP_INTERVAL {
             self.swept_at = now;
             self.context.limiter.lock().sweep(now);
+            self.context.quarantine.lock().sweep(now);
         }
         let entries = self.context.peers.lock().len() + 1;
         let share = (MAX_ENTRIES_FOR_ALL_ENGINES / entries as f64).powi(2);
@@ -166,7 +168,8 @@
         let is_cross_domain = self.context.is_representative(now) || !stages.is_empty();
         let usages = self.context.limiter.lock().local_reports(now);
         let has_load = !loads.is_empty() || !refusing.is_empty() || relay.is_some();
-        let has_news = !parts.is_empty() || !usages.is_empty();
+        let crashes = self.take_crash_reports(now, ReportScope::Direct);
+        let has_news = !parts.is_empty() || !usages.is_empty() || !crashes.is_empty();
         let has_update = has_load || has_news || is_cross_domain || self.has_sent_load;
         let heartbeat_interval = match self.context.limiter.lock().has_limits() {
             true => HEARTBEAT_INTERVAL_WITH_LIMITS,
@@ -181,7 +184,8 @@
             .with_stages(stages.clone())
             .with_demands(&self.context.demands.lock().local(now))
             .with_usages(&usages)
-            .with_refusing(refusing.clone());
+            .with_refusing(refusing.clone())
+            .with_crashes(&crashes);
         let targets = self
             .selector
             .broadcast_targets(now, &self.context.peers.lock());
@@ -217,6 +221,7 @@
             .with_stages(stages)
             .with_refusing(refusing)
             .with_domain_usages(entries, &usages)
+            .with_crashes(&self.take_crash_reports(now, ReportScope::OtherDomains))
             .with_domain_demands(&self.context.demands.lock().directly_reported(now));
         self.send(now, message, None, &targets).await;
     }
@@ -353,6 +358,7 @@
         }
         self.note_demands(now, &peer, &domain, &message);
         self.note_usages(now, &peer, &domain, &message);
+        self.note_crashes(now, &domain, &message);
         let (loads, parts) = (message.peer_loads(), message.peer_parts());
         let mut engines = self.context.engines.lock();
         if message.includes_loads {
@@ -366,6 +372,24 @@
         }
     }
 
+    fn take_crash_reports(&self, now: ClockTime, scope: ReportScope) -> Vec<CrashReport> {
+        self.context.quarantine.lock().take_reports(now, scope)
+    }
+
+    fn note_crashes(&self, now: ClockTime, domain: &FailureDomain, message: &PeerMessage) {
+        let is_same_domain = *domain == self.context.settings.domain;
+        let mut quarantine = self.context.quarantine.lock();
+        for crashes in &message.crashes {
+            let report = crashes.report();
+            if quarantine.note_report(now, &report, is_same_domain) {
+                LogLine::new("request_quarantined")
+                    .with("fingerprint", &report.fingerprint)
+                    .with("source", &message.instance)
+                    .warn();
+            }
+        }
+    }
+
     fn note_usages(
         &self,
         now: ClockTime,
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -7,6 +7,7 @@
     ids::{FailureDomain, LogOffset, ServiceName},
     placement::{EngineLoad, PRIORITY_RANKS, PeerLoad, PeerPart},
     provision::EngineDemand,
+    quarantine::CrashReport,
     quota::{OrganisationHash, UsageReport, UsageSums},
     relay::{CopyLocation, CopyState},
     units::ByteSize,
@@ -17,6 +18,7 @@
 use crate::{
     compression::{compress, decompress},
     leader::UsageRecord,
+    peers::crashes::CrashMessage,
 };
 
 /// The size limit of the decompressed changes of one datagram.
@@ -118,6 +120,9 @@
     /// The number of entries whose usage `domain_usages` contains; 0 if it is not reported.
     #[prost(uint32, tag = "17")]
     pub domain_entries: u32,
+    /// Crashes of endpoints that ran the same request.
+    #[prost(message, repeated, tag = "18")]
+    pub crashes: Vec<CrashMessage>,
 }
 
 /// The usage of the limit of one organisation, in tokens or requests.
@@ -445,6 +450,12 @@
         self
     }
 
+    /// Sets the crashes of endpoints that ran the same request.
+    pub fn with_crashes(mut self, reports: &[CrashReport]) -> PeerMessage {
+        self.crashes = reports.iter().map(CrashMessage::new).collect();
+        self
+    }
+
     /// Sets the recently ordered stage changes.
     pub fn with_stages(mut self, stages: Vec<StageMessage>) -> PeerMessage {
         self.stages = stages;
--- a/crates/ingress/src/peers/mod.rs
+++ b/crates/ingress/src/peers/mod.rs
@@ -8,6 +8,7 @@
 //! An entry that receives no messages serves requests by its own state alone.
 
 mod broadcast;
+mod crashes;
 mod fleet_size;
 mod messages;
 mod registry;
--- a/crates/ingress/src/ready.rs
+++ b/crates/ingress/src/ready.rs
@@ -71,6 +71,7 @@
         "configuration": { "version": version, "age": age },
         "limits": limits,
         "retries": context.budget.lock().status(now),
+        "quarantine": &*context.quarantine.lock(),
         "memory": context.memory.status(),
         "endpoints": endpoints,
         "ready": match ready_state(context) {
