Have other engines run requests in place of those that name limits

Cause: each failure domain has one or two engines that run requests. The plan of the stages counts engines, not what they take, so it saw enough of them although all were limited.

Change: the leader leaves engines with limits out of the plan; they keep their stage and what is left of their capacity, and others are planned in their place.

The test fails without the change.

--- a/crates/core/src/endpoint_limits.rs
+++ b/crates/core/src/endpoint_limits.rs
@@ -196,6 +196,11 @@
             .collect()
     }
 
+    /// The endpoints that have a limit.
+    pub fn limited(&self) -> Vec<EndpointId> {
+        self.limits.keys().cloned().collect()
+    }
+
     /// The time until an exhausted endpoint may get a request of this entry again.
     pub fn room_in(&self, now: ClockTime) -> Option<TimeSpan> {
         let limits = self.limits.values();
--- a/crates/core/src/provision/mod.rs
+++ b/crates/core/src/provision/mod.rs
@@ -80,6 +80,8 @@
     pub demand: EngineDemand,
     /// The number of entry instances that send requests to it.
     pub entries: usize,
+    /// The engines that limit their requests at present. Others are planned in their place.
+    pub limited: &'a [EndpointId],
 }
 
 /// An order that is to be given.
@@ -266,14 +268,7 @@
         }
         if let Some(engine) = service.engine {
             let stages = self.stages.entry(service.name.clone()).or_default();
-            steps.extend(stages.steps(
-                now,
-                engine,
-                service.demand,
-                service.entries,
-                &endpoints,
-                &desired,
-            ));
+            steps.extend(stages.steps(now, service, engine, &endpoints, &desired));
         }
         steps
     }
--- a/crates/core/src/provision/stages.rs
+++ b/crates/core/src/provision/stages.rs
@@ -14,7 +14,7 @@
     directory::{EndpointRegistration, EngineStage},
     ids::{EndpointId, FailureDomain},
     ingress::EngineRule,
-    provision::{EngineDemand, ProvisionStep, demand::SmoothedEstimate},
+    provision::{EngineDemand, ProvisionService, ProvisionStep, demand::SmoothedEstimate},
 };
 
 /// Maximum share of its time that an engine should prefill. Above it, prompts wait
@@ -118,14 +118,12 @@
     }
 
     /// The stage changes to order now. `desired` is the number of engines that each
-    /// failure domain should have; some of them may not have registered yet. `entries` is
-    /// the number of entry instances that send requests.
+    /// failure domain should have; some of them may not have registered yet.
     pub fn steps(
         &mut self,
         now: ClockTime,
+        service: ProvisionService<'_>,
         rule: &EngineRule,
-        demand: EngineDemand,
-        entries: usize,
         endpoints: &[&EndpointRegistration],
         desired: &BTreeMap<FailureDomain, u32>,
     ) -> Vec<ProvisionStep> {
@@ -134,10 +132,12 @@
         let staged = endpoints
             .iter()
             .filter(|endpoint| endpoint.stage.is_some() && !endpoint.is_leaving);
-        let staged: Vec<&EndpointRegistration> = staged.copied().collect();
-        self.update_needs(now, demand, &staged);
+        let mut staged: Vec<&EndpointRegistration> = staged.copied().collect();
+        self.update_needs(now, service.demand, &staged);
+        // A limited engine keeps its stage, as a change would take the rest of its capacity.
+        staged.retain(|engine| !service.limited.contains(&engine.id));
         let domains = group_by_domain(&staged, desired);
-        self.plan_engines(&domains, entries);
+        self.plan_engines(&domains, service.entries);
         let max_switching = ((staged.len() as f64 * MAX_SWITCHING_SHARE).ceil() as usize).max(1);
         let mut remaining = max_switching.saturating_sub(self.switching.len());
         let mut steps = Vec::new();
--- a/crates/core/tests/provision.rs
+++ b/crates/core/tests/provision.rs
@@ -90,6 +90,7 @@
             engine: Some(&self.engine),
             demand: EngineDemand::default(),
             entries: 9,
+            limited: &[],
         }
     }
 }
@@ -357,3 +358,41 @@
     }
     assert_eq!(stage_orders, 0);
 }
+
+/// Guards against requests that are refused for lack of engines to run them while engines
+/// that could run them prefill: all engines that run requests limit them.
+#[test]
+fn other_engines_run_requests_in_place_of_limited_ones() {
+    let mut planner = settled_planner();
+    let fleet: Vec<EndpointRegistration> = ["a", "b", "c"]
+        .into_iter()
+        .flat_map(|name| {
+            (0..4).map(move |index| {
+                let stage = match index {
+                    0 => EngineStage::Decode,
+                    _ => EngineStage::Prefill,
+                };
+                engine(&format!("{name}{index}"), name, stage)
+            })
+        })
+        .collect();
+    let limited = ["a0", "b0", "c0"].map(|name| EndpointId::new(name).unwrap());
+    let rules = Rules::new();
+    let service = ProvisionService {
+        demand: streams(0.9),
+        limited: &limited,
+        ..rules.service()
+    };
+    let mut ordered = Vec::new();
+    for now in (2_000..32_000).step_by(250) {
+        ordered = stages(&planner.steps(at(now), service, fleet.iter()));
+    }
+    for name in ["a", "b", "c"] {
+        let runs = |(endpoint, stage): &(String, EngineStage)| {
+            endpoint.starts_with(name) && *stage == EngineStage::Decode
+        };
+        assert!(ordered.iter().any(runs), "{ordered:?}");
+    }
+    let is_limited = |endpoint: &String| limited.iter().any(|id| id.as_str() == endpoint);
+    assert!(!ordered.iter().any(|(endpoint, _)| is_limited(endpoint)));
+}
--- a/crates/core/tests/provision_size.rs
+++ b/crates/core/tests/provision_size.rs
@@ -75,6 +75,7 @@
         engine: Some(&engine),
         demand,
         entries: fleet.len() / 3,
+        limited: &[],
     };
     planner.steps(at(now), provisioned, fleet.iter())
 }
--- a/crates/ingress/src/leader/orders.rs
+++ b/crates/ingress/src/leader/orders.rs
@@ -29,6 +29,7 @@
             return Vec::new();
         };
         let entries = self.context.peers.lock().len() + 1;
+        let limited = self.context.endpoint_limits.lock().limited();
         let directory = self.context.directory.lock();
         let services = table.configuration().services.values();
         let planner = &mut self.planner;
@@ -40,6 +41,7 @@
                 engine: rule.engine.as_ref(),
                 demand: demands.total(now, &rule.name),
                 entries,
+                limited: &limited,
             };
             planner.steps(now, service, directory.iter())
         });
