Base the retry delay on limits only where a limit refused the request

A caller that was refused for lack of endpoints got the time until the least recently used limited endpoint has room, also where that endpoint had room already (0 s) or belongs to another service. Found by reading. Only exhausted endpoints of the request's service count now, and the delay is not below the default.

--- a/crates/core/src/endpoint_limits.rs
+++ b/crates/core/src/endpoint_limits.rs
@@ -111,8 +111,12 @@
         self.sent_in_window(now) >= self.part() && !self.is_probe_due(now)
     }
 
-    /// The time until the entry may send a request again; `None` without a part.
+    /// The time until the entry may send a request again; `None` if it may now, or without a
+    /// part.
     fn room_in(&self, now: ClockTime) -> Option<TimeSpan> {
+        if !self.is_exhausted(now) {
+            return None;
+        }
         let part = self.part() as usize;
         let oldest = self.sent.len().checked_sub(part)?;
         let at = self.sent.get(oldest)?;
@@ -201,10 +205,15 @@
         self.limits.keys().cloned().collect()
     }
 
-    /// The time until an exhausted endpoint may get a request of this entry again.
-    pub fn room_in(&self, now: ClockTime) -> Option<TimeSpan> {
-        let limits = self.limits.values();
-        limits.filter_map(|limit| limit.room_in(now)).min()
+    /// The time until an exhausted endpoint among the `candidates` may get a request of this
+    /// entry again.
+    pub fn room_in<Candidates>(&self, now: ClockTime, candidates: Candidates) -> Option<TimeSpan>
+    where
+        Candidates: Fn(&EndpointId) -> bool,
+    {
+        let limits = self.limits.iter();
+        let limits = limits.filter(|(endpoint, _)| candidates(endpoint));
+        limits.filter_map(|(_, limit)| limit.room_in(now)).min()
     }
 
     /// Removes the limits of endpoints that have not answered for long.
--- a/crates/core/tests/endpoint_limits.rs
+++ b/crates/core/tests/endpoint_limits.rs
@@ -131,9 +131,11 @@
         limits.note_sent(at(now), &endpoint(0));
     }
     assert_eq!(limits.exhausted(at(1_500)), [endpoint(0)]);
-    let room_in = limits.room_in(at(1_500));
+    let room_in = limits.room_in(at(1_500), |_| true);
     assert_eq!(room_in, Some(TimeSpan::from_millis(2_500)));
+    assert_eq!(limits.room_in(at(1_500), |_| false), None);
     assert!(limits.exhausted(at(4_000)).is_empty());
+    assert_eq!(limits.room_in(at(9_000), |_| true), None);
 }
 
 #[test]
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -298,7 +298,8 @@
         let failed = no_engine_failure(error);
         let retry_after = failed.retry_after;
         FailedAttempt {
-            retry_after: retry_after.or_else(|| limits::retry_after(&self.context)),
+            retry_after: retry_after
+                .or_else(|| limits::retry_after(&self.context, &self.request.service)),
             ..failed
         }
     }
--- a/crates/ingress/src/forward/limits.rs
+++ b/crates/ingress/src/forward/limits.rs
@@ -4,12 +4,15 @@
 
 use bluebell_adapter::headers;
 use bluebell_core::{
-    clock::TimeSpan, endpoint_limits::LimitStatement, ids::EndpointId, placement::EndpointTarget,
+    clock::TimeSpan,
+    endpoint_limits::LimitStatement,
+    ids::{EndpointId, ServiceName},
+    placement::EndpointTarget,
 };
 use bluebell_daemon::logs::LogLine;
 use hyper::{HeaderMap, StatusCode};
 
-use crate::context::EntryContext;
+use crate::{context::EntryContext, frontend::DEFAULT_RETRY_AFTER};
 
 /// Records what an answer of `target` says about its limit. An endpoint that rejects a
 /// request may do so without naming its limit, so only a success lifts the limit.
@@ -74,8 +77,15 @@
     limits.note_sent(context.now(), &target.id);
 }
 
-/// The time until the limit of an endpoint leaves room for a request that was refused for
-/// lack of endpoints, if limits may be the reason.
-pub fn retry_after(context: &EntryContext) -> Option<TimeSpan> {
-    context.endpoint_limits.lock().room_in(context.now())
+/// The time until the limit of an endpoint leaves room for a request to `service` that was
+/// refused for lack of endpoints; `None` if no limit is the reason.
+pub fn retry_after(context: &EntryContext, service: &ServiceName) -> Option<TimeSpan> {
+    let directory = context.directory.lock();
+    let is_candidate = |endpoint: &EndpointId| {
+        let registration = directory.get(endpoint);
+        registration.is_some_and(|registration| registration.service == *service)
+    };
+    let limits = context.endpoint_limits.lock();
+    let room_in = limits.room_in(context.now(), is_candidate);
+    room_in.map(|span| span.max(DEFAULT_RETRY_AFTER))
 }
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -78,7 +78,7 @@
     };
     loop {
         let Some(target) = run.choose_replica() else {
-            run.retry_after = limits::retry_after(context);
+            run.retry_after = limits::retry_after(context, &request.service);
             return run
                 .respond_failed(RefusalReason::NoEndpoint, "no further replica is available");
         };
