Repeat the report of a quarantined request only while its caller sends it

Each crash storm quarantines some requests that ran beside others and never come again; their reports were repeated every 2 s for ten minutes by the entries that saw the crashes, up to 16 in a datagram. Entries that refuse the request, or saw a crash of it, within 30 s repeat it now, so what is sent follows the callers that still send such requests. Found by reading.

--- a/crates/core/src/quarantine/shared.rs
+++ b/crates/core/src/quarantine/shared.rs
@@ -30,10 +30,14 @@
 /// How often a change is sent, since datagrams can be lost.
 const SENDS_PER_CHANGE: u8 = 3;
 
-/// How often an entry repeats the report of a quarantined request, for entries that have
-/// started since.
+/// How often an entry repeats the report of a quarantined request that it refuses, for
+/// entries that have started since.
 const REPEAT_INTERVAL: TimeSpan = TimeSpan::from_millis(2_000);
 
+/// How long after its last crash or refusal a request counts as one that its caller still
+/// sends.
+const ACTIVE_PERIOD: TimeSpan = TimeSpan::from_secs(30);
+
 /// How long a request is kept after its last crash: the endpoints may have been repaired.
 const RETENTION: TimeSpan = TimeSpan::from_secs(600);
 
@@ -86,8 +90,9 @@
 struct SuspectHistory {
     sites: BTreeSet<SiteHash>,
     is_cleared: bool,
-    /// Whether this entry observed a crash of the request.
-    is_observed: bool,
+    /// When the request was last sent to this entry, as far as it is known from a crash or a
+    /// refusal.
+    received_at: Option<ClockTime>,
     changed_at: ClockTime,
     direct_sends: u8,
     domain_sends: u8,
@@ -114,7 +119,9 @@
     fn schedule_repeat(&mut self, now: ClockTime) {
         let is_quarantined = self.status() == CrashStatus::Quarantined;
         let is_due = now.since(self.repeated_at) >= REPEAT_INTERVAL;
-        if self.is_observed && is_quarantined && is_due {
+        let received_at = self.received_at;
+        let is_active = received_at.is_some_and(|at| now.since(at) < ACTIVE_PERIOD);
+        if is_active && is_quarantined && is_due {
             self.repeated_at = now;
             self.direct_sends = self.direct_sends.max(1);
             self.domain_sends = self.domain_sends.max(1);
@@ -173,7 +180,7 @@
     ) -> CrashStatus {
         let history = self.history(now, fingerprint);
         let is_news = history.sites.len() < MAX_SITES && history.sites.insert(site);
-        history.is_observed = true;
+        history.received_at = Some(now);
         if is_news {
             history.changed_at = now;
             history.direct_sends = SENDS_PER_CHANGE;
@@ -182,6 +189,13 @@
         history.status()
     }
 
+    /// Records that the request was refused because it is quarantined.
+    pub fn note_refused(&mut self, now: ClockTime, fingerprint: &RequestFingerprint) {
+        if let Some(history) = self.histories.get_mut(fingerprint) {
+            history.received_at = Some(now);
+        }
+    }
+
     /// Records that an endpoint completed the request.
     pub fn note_completed(&mut self, now: ClockTime, fingerprint: &RequestFingerprint) {
         let Some(history) = self.histories.get_mut(fingerprint) else {
--- a/crates/core/tests/quarantine_shared.rs
+++ b/crates/core/tests/quarantine_shared.rs
@@ -88,6 +88,15 @@
         assert!(started.note_report(at(3_001), report, true));
     }
     assert_eq!(reports.len(), 1);
+    // Without the request, its report is no longer repeated.
+    assert!(
+        quarantine
+            .take_reports(at(60_000), ReportScope::Direct)
+            .is_empty()
+    );
+    quarantine.note_refused(at(60_000), &fingerprint(1));
+    let reports = quarantine.take_reports(at(60_100), ReportScope::Direct);
+    assert_eq!(reports.len(), 1);
 }
 
 #[test]
--- a/crates/ingress/src/forward/crashes.rs
+++ b/crates/ingress/src/forward/crashes.rs
@@ -25,8 +25,10 @@
         return None;
     }
     let fingerprint = request.fingerprint();
-    let quarantine = context.quarantine.lock();
-    let remaining = quarantine.quarantined_for(context.now(), fingerprint)?;
+    let now = context.now();
+    let mut quarantine = context.quarantine.lock();
+    let remaining = quarantine.quarantined_for(now, fingerprint)?;
+    quarantine.note_refused(now, fingerprint);
     let crashes = quarantine.crashes(fingerprint);
     Some(Quarantined {
         remaining,
