Log each decision of the retry budget, and keep counters ahead of histograms

Change: a `retry` line for each decision with the requests, the retries and the extra of the window; `call_abandoned`; counters and gauges precede histograms on the page of metrics.

--- a/crates/core/src/retries/arrivals.rs
+++ b/crates/core/src/retries/arrivals.rs
@@ -20,6 +20,16 @@
     Run,
 }
 
+impl EngineCall {
+    /// The name of the call in the log.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            EngineCall::Prefill => "prefill",
+            EngineCall::Run => "run",
+        }
+    }
+}
+
 /// How a call that reached an engine counts for the operators.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EngineArrival {
@@ -67,6 +77,11 @@
         self.in_progress = Some(call);
     }
 
+    /// The call that is in progress.
+    pub fn call_in_progress(&self) -> Option<EngineCall> {
+        self.in_progress
+    }
+
     /// Records that the call was not sent.
     pub fn note_unsent(&mut self) {
         self.in_progress = None;
--- a/crates/core/src/retries/shared.rs
+++ b/crates/core/src/retries/shared.rs
@@ -80,15 +80,9 @@
     /// Returns whether a request to the service may be sent once more. If so, the retry
     /// is counted.
     pub fn try_retry(&mut self, now: ClockTime, service: &ServiceName) -> bool {
-        let allowance = self.allowance;
-        self.slice(now, service);
-        let Some(slices) = self.services.get(service) else {
-            return false;
-        };
-        let requests: u32 = slices.iter().map(|slice| slice.requests).sum();
-        let retries: u32 = slices.iter().map(|slice| slice.retries).sum();
-        let allowed = USED_SHARE * allowance.share * f64::from(requests) + allowance.extra;
-        if f64::from(retries) + 1.0 > allowed {
+        let status = self.service_status(now, service);
+        let earned = USED_SHARE * self.allowance.share * f64::from(status.requests);
+        if f64::from(status.retries) + 1.0 > earned + status.extra {
             return false;
         }
         self.slice(now, service).retries += 1;
@@ -105,18 +99,22 @@
     /// The use of the budget of each service in the current window.
     pub fn status(&mut self, now: ClockTime) -> BTreeMap<ServiceName, RetryStatus> {
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
-        for service in &services {
-            self.slice(now, service);
-        }
-        let used = self.services.iter().map(|(service, slices)| {
-            let status = RetryStatus {
-                requests: slices.iter().map(|slice| slice.requests).sum(),
-                retries: slices.iter().map(|slice| slice.retries).sum(),
-                extra: self.allowance.extra,
-            };
-            (service.clone(), status)
+        let statuses = services.into_iter().map(|service| {
+            let status = self.service_status(now, &service);
+            (service, status)
         });
-        used.collect()
+        statuses.collect()
+    }
+
+    /// The use of the budget of `service` in the current window.
+    pub fn service_status(&mut self, now: ClockTime, service: &ServiceName) -> RetryStatus {
+        self.slice(now, service);
+        let slices = &self.services[service];
+        RetryStatus {
+            requests: slices.iter().map(|slice| slice.requests).sum(),
+            retries: slices.iter().map(|slice| slice.retries).sum(),
+            extra: self.allowance.extra,
+        }
     }
 
     fn slice(&mut self, now: ClockTime, service: &ServiceName) -> &mut WindowSlice {
--- a/crates/daemon/src/ops.rs
+++ b/crates/daemon/src/ops.rs
@@ -7,7 +7,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use prometheus::{Encoder, Registry, TextEncoder};
+use prometheus::{Encoder, Registry, TextEncoder, proto::MetricType};
 use rocket::{
     Build, Rocket, Shutdown, State,
     fairing::AdHoc,
@@ -66,7 +66,9 @@
 #[get("/metrics")]
 fn metrics(source: &State<OpsSource>) -> (ContentType, Vec<u8>) {
     let mut text = Vec::new();
-    let families = source.registry.gather();
+    let mut families = source.registry.gather();
+    // Scrapers may keep only the start of a long page. Histograms have most of its lines.
+    families.sort_by_key(|family| family.get_field_type() == MetricType::HISTOGRAM);
     if let Err(error) = TextEncoder::new().encode(&families, &mut text) {
         log::warn!("event=metrics_failed error={error:?}");
     }
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -7,7 +7,7 @@
     clock::{ClockSource, ClockTime, TimeSpan},
     directory::EndpointDirectory,
     endpoint_limits::EndpointLimits,
-    ids::{InstanceId, LogOffset, ServiceName},
+    ids::{InstanceId, LogOffset},
     ingress::ConfigurationTracker,
     placement::{EngineTable, ReplicaTable},
     provision::DemandTable,
@@ -218,27 +218,6 @@
         self.clock.now()
     }
 
-    /// Whether the retry budget allows the service to be sent one more repeat now; counts
-    /// the decision.
-    pub fn try_retry(&self, service: &ServiceName) -> bool {
-        let is_granted = self.budget.lock().try_retry(self.now(), service);
-        let outcome = if is_granted { "granted" } else { "exhausted" };
-        self.metrics.retries.with_label_values(&[outcome]).inc();
-        is_granted
-    }
-
-    /// Returns retries to the budget that were granted but not sent.
-    pub fn return_retries(&self, service: &ServiceName, unused: u32) {
-        if unused == 0 {
-            return;
-        }
-        let mut budget = self.budget.lock();
-        budget.return_unsent(self.now(), service, unused);
-        drop(budget);
-        let returned = self.metrics.retries.with_label_values(&["returned"]);
-        returned.inc_by(u64::from(unused));
-    }
-
     /// Updates this entry's share of the extra retries allowed to all entries together.
     /// Known but unresponsive entries count as well: they may be partitioned and still
     /// use their share. An entry that has not discovered the others yet uses only the
--- a/crates/ingress/src/forward/engine_calls.rs
+++ b/crates/ingress/src/forward/engine_calls.rs
@@ -5,6 +5,7 @@
 use crate::{
     forward::{
         attempt::SendOutcome, crashes, failed_attempt::FailedAttempt, generate::GenerationRun,
+        retries,
     },
     frontend::RefusalReason,
 };
@@ -17,7 +18,7 @@
             return Err(FailedAttempt::quarantined(quarantined));
         }
         if self.arrivals.needs_grant(call) {
-            if !self.context.try_retry(&self.request.service) {
+            if !retries::try_retry(&self.context, &self.request, call.as_str()) {
                 let detail = "the retry budget of the service is exhausted";
                 let failed = FailedAttempt::new(RefusalReason::EndpointsFull, detail);
                 return Err(failed.without_retry());
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -25,7 +25,7 @@
         limits, meter,
         prefill::PrefilledSource,
         quota::QuotaCharge,
-        refuse, request_log_line,
+        refuse, request_log_line, retries,
         stream::{self, RunningStream, StreamPosition},
     },
     frontend::{AnswerBody, CallerRequest, Refusal, RefusalReason},
@@ -476,7 +476,10 @@
         if let Some(charge) = &mut self.charge {
             charge.settle(self.attempts.outcome());
         }
+        if let Some(call) = self.arrivals.call_in_progress() {
+            retries::log_abandoned(&self.context, &self.request, call.as_str());
+        }
         let unused = self.arrivals.unused_grants();
-        self.context.return_retries(&self.request.service, unused);
+        retries::return_unsent(&self.context, &self.request, unused);
     }
 }
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod prefill;
 mod quota;
+mod retries;
 mod stream;
 
 use std::sync::Arc;
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bluebell_core::{
-    attempts::{RequestAttempts, WorkKind},
+    attempts::{AttemptPhase, RequestAttempts, WorkKind},
     clock::TimeSpan,
     ids::EndpointId,
     placement::EndpointTarget,
@@ -19,7 +19,7 @@
         guards::ReplicaGuard,
         limits, meter,
         quota::QuotaCharge,
-        refuse, request_log_line,
+        refuse, request_log_line, retries,
     },
     frontend::{AnswerBody, CallerRequest, Refusal, RefusalReason},
 };
@@ -35,6 +35,9 @@
 /// Minimum timeout of one attempt of an idempotent request.
 const MIN_ATTEMPT_TIMEOUT: TimeSpan = TimeSpan::from_millis(300);
 
+/// The name of a call to a replica in the log.
+const CALL_NAME: &str = "plain";
+
 /// The step that follows an attempt.
 enum NextStep {
     Answer(CompleteAnswer),
@@ -248,7 +251,7 @@
         if reason == RefusalReason::NoEndpoint {
             return true;
         }
-        self.context.try_retry(&self.request.service)
+        retries::try_retry(self.context, self.request, CALL_NAME)
     }
 
     fn meter(&mut self) {
@@ -297,6 +300,9 @@
     /// Gives the charge to the limit back if the request has not run, also when the caller
     /// has disconnected.
     fn drop(&mut self) {
+        if matches!(self.attempts.phase(), AttemptPhase::Sent { .. }) {
+            retries::log_abandoned(self.context, self.request, CALL_NAME);
+        }
         if let Some(charge) = &mut self.charge {
             charge.settle(self.attempts.outcome());
         }
