Grant few retries in the first window of a process

Cause: an instance that starts again forgets what it granted. Its window begins empty, so it grants its share and its part of the extra a second time within the window of the operators, which goes on. Class: a limit over a window that is kept in the memory of one process. The share is concerned as much as the extra: all retries of a window may fall into its end.

Change: until a window has passed since its start, a process uses the fifth of the share that running instances leave unused, and no extra. What its predecessor granted and what it grants stay within one limit, however often it starts. A process that starts for the first time does the same; callers come later than that window.

Ruled out: asking peers what the predecessor granted (all may restart at once), keeping it in the store (a write for each retry).

--- a/crates/core/src/retries/shared.rs
+++ b/crates/core/src/retries/shared.rs
@@ -4,6 +4,9 @@
 //! sent a second time in any window. Each entry limits its retries to the share of its
 //! own requests, so the sum over all entries stays within the share independently of
 //! the others. The extra is divided among all known entries.
+//!
+//! A process that starts does not know what its predecessor granted just before it ended. In
+//! its first window it uses only the part of the share that running entries leave unused.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -22,6 +25,10 @@
 /// theirs.
 const USED_SHARE: f64 = 0.8;
 
+/// Part of the share that is used in the first window of a process. Its predecessor may have
+/// used the rest.
+const FIRST_WINDOW_SHARE: f64 = 0.2;
+
 /// Limit that the operators set on retries of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryAllowance {
@@ -55,18 +62,27 @@
 #[derive(Clone, Debug)]
 pub struct SharedRetryBudget {
     allowance: RetryAllowance,
+    /// When the process started; `None` if it has no predecessor.
+    started_at: Option<ClockTime>,
     services: BTreeMap<ServiceName, VecDeque<WindowSlice>>,
 }
 
 impl SharedRetryBudget {
-    /// Creates a budget without any requests.
+    /// Creates a budget without any requests, of a process without a predecessor.
     pub fn new(allowance: RetryAllowance) -> SharedRetryBudget {
         SharedRetryBudget {
             allowance,
+            started_at: None,
             services: BTreeMap::new(),
         }
     }
 
+    /// Sets when the process started. Its predecessor may have granted retries until then.
+    pub fn with_start(mut self, started_at: ClockTime) -> SharedRetryBudget {
+        self.started_at = Some(started_at);
+        self
+    }
+
     /// Sets the additional retries per window that this entry may use.
     pub fn set_extra(&mut self, extra: f64) {
         self.allowance.extra = extra;
@@ -81,7 +97,7 @@
     /// is counted.
     pub fn try_retry(&mut self, now: ClockTime, service: &ServiceName) -> bool {
         let status = self.service_status(now, service);
-        let earned = USED_SHARE * self.allowance.share * f64::from(status.requests);
+        let earned = self.used_share(now) * f64::from(status.requests);
         if f64::from(status.retries) + 1.0 > earned + status.extra {
             return false;
         }
@@ -113,10 +129,33 @@
         RetryStatus {
             requests: slices.iter().map(|slice| slice.requests).sum(),
             retries: slices.iter().map(|slice| slice.retries).sum(),
-            extra: self.allowance.extra,
+            extra: self.used_extra(now),
         }
     }
 
+    /// Retries per request that are granted.
+    fn used_share(&self, now: ClockTime) -> f64 {
+        let part = match self.is_first_window(now) {
+            true => FIRST_WINDOW_SHARE,
+            false => USED_SHARE,
+        };
+        part * self.allowance.share
+    }
+
+    /// Additional retries in the current window that are granted.
+    fn used_extra(&self, now: ClockTime) -> f64 {
+        match self.is_first_window(now) {
+            true => 0.0,
+            false => self.allowance.extra,
+        }
+    }
+
+    /// Whether the current window contains time before the start of the process.
+    fn is_first_window(&self, now: ClockTime) -> bool {
+        let window = self.allowance.window;
+        self.started_at.is_some_and(|at| now.since(at) < window)
+    }
+
     fn slice(&mut self, now: ClockTime, service: &ServiceName) -> &mut WindowSlice {
         let length = (self.allowance.window.as_millis() / SLICES_PER_WINDOW).max(1);
         let number = now.as_millis() / length;
--- a/crates/core/tests/shared_budget.rs
+++ b/crates/core/tests/shared_budget.rs
@@ -49,6 +49,20 @@
     assert!(budget.try_retry(at(WINDOW + 2_000), &service()));
 }
 
+/// Guards against a process that uses its own part of the additional retries beside that of
+/// its predecessor.
+#[test]
+fn a_process_grants_no_additional_retries_in_its_first_window() {
+    let mut budget = budget(10.0).with_start(at(1_000));
+    assert!(!budget.try_retry(at(1_500), &service()));
+    for _ in 0..25 {
+        budget.note_request(at(2_000), &service());
+    }
+    assert!(budget.try_retry(at(2_000), &service()));
+    assert!(!budget.try_retry(at(2_000), &service()));
+    assert!(budget.try_retry(at(1_000 + WINDOW), &service()));
+}
+
 #[test]
 fn a_rejected_prefill_needs_a_grant_before_the_next_call() {
     // An engine that has changed its stage rejects a prefill, and so does the next one.
@@ -219,6 +233,38 @@
             within(&retries, *from) <= SHARE * requested + EXTRA
         })
     }
+
+    /// Guards against retries beyond the limit in windows in which processes end and start
+    /// again, each with a new budget.
+    fn no_window_has_more_retries_than_allowed_across_restarts(
+        steps: Vec<(u8, u8, bool, u8)>
+    ) -> bool {
+        const ENTRIES: usize = 9;
+        const STEPS_PER_RESTART: u8 = 8;
+        let mut budgets: Vec<SharedRetryBudget> =
+            (0..ENTRIES).map(|_| budget(EXTRA / ENTRIES as f64)).collect();
+        let (mut now, mut requests, mut retries) = (0, Vec::new(), Vec::new());
+        for (entry, wait, fails, restart) in steps {
+            now += u64::from(wait) * 4;
+            let budget_of = &mut budgets[usize::from(entry) % ENTRIES];
+            if restart % STEPS_PER_RESTART == 0 {
+                *budget_of = budget(EXTRA / ENTRIES as f64).with_start(at(now));
+            }
+            budget_of.note_request(at(now), &service());
+            requests.push(now);
+            while fails && budget_of.try_retry(at(now), &service()) {
+                retries.push(now);
+            }
+        }
+        let within = |times: &[u64], from: u64| {
+            times.iter().filter(|time| (from..from + WINDOW).contains(time)).count() as f64
+        };
+        retries.iter().all(|from| {
+            let before = from.saturating_sub(WINDOW);
+            let requested = within(&requests, *from).max(within(&requests, before));
+            within(&retries, *from) <= SHARE * requested + EXTRA
+        })
+    }
 }
 
 #[test]
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -178,13 +178,14 @@
             instance: settings.instance.clone(),
             start: crate::time::wall_time().as_millis(),
         };
+        let started_at = clock.now();
         let directory = EndpointDirectory::new().with_heartbeat(settings.heartbeat);
         let seed = rand::random();
-        let limiter = RateLimiter::new(clock.now(), bounds.quota).with_seed(seed);
+        let limiter = RateLimiter::new(started_at, bounds.quota).with_seed(seed);
         let memory = MemoryAccount::new(settings.memory_mb, clock.clone());
         EntryContext {
             settings,
-            started_at: clock.now(),
+            started_at,
             clock,
             writer,
             store,
@@ -194,7 +195,7 @@
             engines: Shared::new(EngineTable::new(routing.clone()).with_seed(seed)),
             demands: Shared::new(DemandTable::new()),
             replicas: Shared::new(ReplicaTable::new(routing).with_seed(seed)),
-            budget: Shared::new(SharedRetryBudget::new(allowance)),
+            budget: Shared::new(SharedRetryBudget::new(allowance).with_start(started_at)),
             quarantine: Shared::new(SharedQuarantine::new()),
             limiter: Shared::new(limiter),
             endpoint_limits: Shared::new(EndpointLimits::new()),
