Hand requests to other instances where no endpoint is reached

Callers of instances that are partitioned from all endpoints were served at 32 of 387 first tries, those of the others at 317 of 345. Their requests waited 300 ms for each connection and were refused, and requests at instances that reach all endpoints were refused too.

Cause: an instance that reaches no endpoint saw what it would see if all of them had failed, and acted on it: it had no other way for its requests, and told the others that the engines refuse, so that they left them out. Class: a fault of the observer that is taken for a fault of what is observed.

Change: failures of two endpoints in a row put a service in doubt, and connections to four of its endpoints decide (core/reachability). While it is unreachable, requests for it go to instances at random that do not report the same; these treat them like those of their own callers, so keys, limits, the retry budget and usage are counted once. A request that has not run is handed on also if its own attempts just failed. Nothing the instance observes in doubt is reported: refusing engines and crashes are held back, crashes observed since the failures began are retracted, ejections are forgotten when endpoints are reached again, and a leader lets another instance take over. A datagram names the unreachable services, if there are any.

Ruled out: reporting not ready (with most of a failure domain gone the platform uses all its instances, and open connections stay); tunnels for connections to endpoints (the instance would go on to judge endpoints by what the tunnel does).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod publication;
 pub mod quarantine;
 pub mod quota;
+pub mod reachability;
 pub mod records;
 pub mod relay;
 pub mod retries;
--- a/crates/core/src/placement/engine_outcomes.rs
+++ b/crates/core/src/placement/engine_outcomes.rs
@@ -3,12 +3,13 @@
 use crate::{
     clock::{ClockTime, TimeSpan},
     directory::EngineStage,
-    ids::{EndpointId, InstanceId},
+    ids::{EndpointId, InstanceId, ServiceName},
     placement::{
         EngineTable, PeerLoad, PeerPart, PrefillPlan, PrefillTicket, PromptWork,
         engine::{EngineState, FIXED_LATENCY_MS, INITIAL_PREFILL_RATE},
         queue::EngineLoad,
     },
+    routing::EndpointHealth,
 };
 
 /// Weight of the newest measurement in the moving average of the prefill rate.
@@ -158,6 +159,18 @@
         }
     }
 
+    /// Forgets what this entry observed of failures and refusals of the engines of `service`:
+    /// it could not reach them.
+    pub fn forget_failures(&mut self, service: &ServiceName) {
+        let engines = self.engines.values_mut();
+        for state in engines.filter(|state| state.service == *service) {
+            state.health = EndpointHealth::new();
+            state.consecutive_refusals = 0;
+            state.local_refusal_until = ClockTime::default();
+            state.excluded_until = ClockTime::default();
+        }
+    }
+
     /// Returns the hashes of the engines that refused requests of this entry recently,
     /// to be broadcast to the other entries.
     pub fn refusing(&self, now: ClockTime) -> Vec<u64> {
--- a/crates/core/src/placement/replicas.rs
+++ b/crates/core/src/placement/replicas.rs
@@ -167,6 +167,13 @@
         }
     }
 
+    /// Forgets the failures of the replica: this entry could not reach it.
+    pub fn forget_failures(&mut self, endpoint: &EndpointId) {
+        if let Some(state) = self.replicas.get_mut(endpoint) {
+            state.health = EndpointHealth::new();
+        }
+    }
+
     /// Removes a replica that is no longer registered.
     pub fn remove(&mut self, endpoint: &EndpointId) {
         self.replicas.remove(endpoint);
--- a/crates/core/src/quarantine/shared.rs
+++ b/crates/core/src/quarantine/shared.rs
@@ -89,6 +89,8 @@
 #[derive(Clone, Debug, Default, Serialize)]
 struct SuspectHistory {
     sites: BTreeSet<SiteHash>,
+    /// The crashes that this entry observed itself.
+    observed: BTreeMap<SiteHash, ClockTime>,
     is_cleared: bool,
     /// When the request was last sent to this entry, as far as it is known from a crash or a
     /// refusal.
@@ -182,6 +184,7 @@
         let is_news = history.sites.len() < MAX_SITES && history.sites.insert(site);
         history.received_at = Some(now);
         if is_news {
+            history.observed.insert(site, now);
             history.changed_at = now;
             history.direct_sends = SENDS_PER_CHANGE;
             history.domain_sends = SENDS_PER_CHANGE;
@@ -189,6 +192,25 @@
         history.status()
     }
 
+    /// Removes the crashes that this entry observed since `since`: what broke were its paths
+    /// to the endpoints.
+    pub fn retract_observed(&mut self, since: ClockTime) {
+        for history in self.histories.values_mut() {
+            let observed = &mut history.observed;
+            let retracted: Vec<SiteHash> = observed
+                .iter()
+                .filter(|(_, at)| **at >= since)
+                .map(|(site, _)| *site)
+                .collect();
+            for site in retracted {
+                history.observed.remove(&site);
+                history.sites.remove(&site);
+            }
+        }
+        self.histories
+            .retain(|_, history| history.is_cleared || !history.sites.is_empty());
+    }
+
     /// Records that the request was refused because it is quarantined.
     pub fn note_refused(&mut self, now: ClockTime, fingerprint: &RequestFingerprint) {
         if let Some(history) = self.histories.get_mut(fingerprint) {
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -13,6 +13,7 @@
     provision::DemandTable,
     quarantine::SharedQuarantine,
     quota::RateLimiter,
+    reachability::ReachTable,
     relay::{AdvertisedConfiguration, DigestMismatchTimer},
     retries::{RetryAllowance, SharedRetryBudget},
     routing::RoutingSettings,
@@ -123,6 +124,8 @@
     pub budget: Shared<SharedRetryBudget>,
     /// The requests that ran on endpoints that crashed.
     pub quarantine: Shared<SharedQuarantine>,
+    /// Whether this instance reaches the endpoints of each service.
+    pub reach: Shared<ReachTable>,
     /// The limits of organisations and their usage at all instances.
     pub limiter: Shared<RateLimiter>,
     /// The limits that endpoints named for the requests of all entries together.
@@ -143,6 +146,10 @@
     pub wake: Notify,
     /// Wakes the task that reports usage of limits and crashes to the other instances.
     pub report_due: Notify,
+    /// Wakes the task that probes the endpoints of services in doubt.
+    pub probe_due: Notify,
+    /// Wakes requests that wait for the result of a probe.
+    pub probed: Notify,
     /// Idle connections to endpoints.
     pub pools: ConnectionPools,
     /// The bytes held for callers and endpoints.
@@ -197,6 +204,7 @@
             replicas: Shared::new(ReplicaTable::new(routing).with_seed(seed)),
             budget: Shared::new(SharedRetryBudget::new(allowance).with_start(started_at)),
             quarantine: Shared::new(SharedQuarantine::new()),
+            reach: Shared::new(ReachTable::new()),
             limiter: Shared::new(limiter),
             endpoint_limits: Shared::new(EndpointLimits::new()),
             meter: Shared::new(UsageMeter::new()),
@@ -207,6 +215,8 @@
             peer_usage: Shared::new(PeerUsage::default()),
             wake: Notify::new(),
             report_due: Notify::new(),
+            probe_due: Notify::new(),
+            probed: Notify::new(),
             pools: ConnectionPools::new(),
             memory,
             metrics,
@@ -272,6 +282,14 @@
         !peers.is_full_mesh() && peers.is_representative(now, local, domain)
     }
 
+    /// Whether an instance that reaches all services is alive while this one does not.
+    pub fn is_partitioned(&self) -> bool {
+        if self.reach.lock().unreachable().next().is_none() {
+            return false;
+        }
+        self.peers.lock().has_alive_peer_with_endpoints(self.now())
+    }
+
     /// Maximum age of the last confirmation of the API keys while keys are accepted.
     pub fn max_key_age(&self) -> TimeSpan {
         self.settings
--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -5,7 +5,10 @@
 //! any other failure the request may have run.
 
 use bluebell_adapter::headers;
-use bluebell_core::{clock::TimeSpan, placement::EndpointTarget};
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    placement::EndpointTarget,
+};
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
@@ -15,7 +18,7 @@
 
 use crate::{
     context::EntryContext,
-    forward::{connection::EndpointConnection, limits},
+    forward::{connection::EndpointConnection, limits, reach},
     frontend::CallerRequest,
 };
 
@@ -102,8 +105,14 @@
         }
     }
     match EndpointConnection::connect(target.address).await {
-        Ok(connection) => exchange_on(context, request, target, extra_headers, connection).await,
-        Err(error) => SendOutcome::NotSent(error.to_string()),
+        Ok(connection) => {
+            reach::note_connected(context, &request.service);
+            exchange_on(context, request, target, extra_headers, connection).await
+        }
+        Err(error) => {
+            reach::note_not_connected(context, &request.service, &target.id);
+            SendOutcome::NotSent(error.to_string())
+        }
     }
 }
 
@@ -119,14 +128,23 @@
         Ok(outgoing) => outgoing,
         Err(error) => return SendOutcome::NotSent(error.to_string()),
     };
-    let response = match connection.sender.try_send_request(outgoing).await {
-        Ok(response) => response,
+    let sent = context.now();
+    let sending = connection.sender.try_send_request(outgoing);
+    let noticing = notice_silence(context, request, target, sent);
+    let response = match first_of(sending, noticing).await {
+        Ok(response) => {
+            reach::note_answered(context, &request.service);
+            response
+        }
         Err(mut failure) => {
             let is_unsent = failure.take_message().is_some();
             let error = failure.into_error().to_string();
             return match is_unsent {
                 true => SendOutcome::NotSent(error),
-                false => SendOutcome::MaybeRun(error),
+                false => {
+                    reach::note_broken(context, &request.service, &target.id);
+                    SendOutcome::MaybeRun(error)
+                }
             };
         }
     };
@@ -163,6 +181,31 @@
     })
 }
 
+/// Counts a call that stays unanswered for long against the path to its endpoint.
+async fn notice_silence(
+    context: &EntryContext,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+    sent: ClockTime,
+) {
+    tokio::time::sleep(reach::MAX_SILENCE.as_duration()).await;
+    reach::note_silent(context, &request.service, &target.id, sent);
+}
+
+/// Runs `other` beside `main` and returns the result of `main`.
+async fn first_of<Main, Other>(main: Main, other: Other) -> Main::Output
+where
+    Main: Future,
+    Other: Future<Output = ()>,
+{
+    let main = std::pin::pin!(main);
+    let other = std::pin::pin!(other);
+    match futures::future::select(main, other).await {
+        futures::future::Either::Left((output, _)) => output,
+        futures::future::Either::Right(((), main)) => main.await,
+    }
+}
+
 /// Reads and discards the short rest of an answer and returns the connection to the pool.
 async fn discard_body(context: &EntryContext, target: &EndpointTarget, answer: EndpointAnswer) {
     /// The body of a refusal is a few bytes long. A connection that does not deliver it
--- a/crates/ingress/src/forward/crashes.rs
+++ b/crates/ingress/src/forward/crashes.rs
@@ -7,7 +7,11 @@
     quarantine::{CrashStatus, SiteHash},
 };
 
-use crate::{context::EntryContext, forward::request_log_line, frontend::CallerRequest};
+use crate::{
+    context::EntryContext,
+    forward::{reach, request_log_line},
+    frontend::CallerRequest,
+};
 
 /// Why and for how long a request is refused.
 #[derive(Clone, Debug)]
@@ -39,6 +43,7 @@
 /// Records that the connection to `target` broke while the request ran there, and has it
 /// reported to the other entries.
 pub fn note_crash(context: &EntryContext, request: &CallerRequest, target: &EndpointTarget) {
+    reach::note_broken(context, &request.service, &target.id);
     let site = SiteHash::with_endpoint(&target.id, target.start);
     let fingerprint = request.fingerprint();
     let status = {
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -4,7 +4,7 @@
 
 use bluebell_adapter::headers;
 use bluebell_core::{
-    attempts::{RequestAttempts, WorkKind},
+    attempts::{RequestAttempts, RunOutcome, WorkKind},
     clock::TimeSpan,
     ids::EndpointId,
     ingress::EngineRule,
@@ -24,6 +24,7 @@
         guards::{PrefillGuard, RunGuard},
         limits, meter,
         prefill::PrefilledSource,
+        proxy,
         quota::QuotaCharge,
         refuse, request_log_line, retries,
         stream::{self, RunningStream, StreamPosition},
@@ -94,6 +95,11 @@
             answer.into_response()
         }
         Err(failed) => {
+            if run.may_be_proxied(&failed).await
+                && let Some(response) = proxy::serve(context, request).await
+            {
+                return response;
+            }
             let refusal = Refusal::with_outcome(run.attempts.outcome(), failed.reason);
             let refusal = refusal.with_retry_after(failed.retry_after);
             refuse(context, request, refusal, &failed.detail)
@@ -123,6 +129,21 @@
         }
     }
 
+    /// Whether another instance may serve the request after `failed`: it has not run, and no
+    /// endpoint is reached from here.
+    async fn may_be_proxied(&mut self, failed: &FailedAttempt) -> bool {
+        let is_unserved = failed.reason == RefusalReason::NoEndpoint
+            && matches!(self.attempts.outcome(), RunOutcome::NotRun(_));
+        if !is_unserved || !proxy::is_needed(&self.context, &self.request).await {
+            return false;
+        }
+        let is_granted = self.start_call(EngineCall::Prefill).is_ok();
+        if is_granted {
+            self.arrivals.note_arrival(EngineArrival::Counted);
+        }
+        is_granted
+    }
+
     /// Records that the stream has ended or has been aborted.
     pub fn end(&mut self) {
         self.attempts.end();
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -14,7 +14,9 @@
 mod plain;
 mod pool;
 mod prefill;
+mod proxy;
 mod quota;
+mod reach;
 mod retries;
 mod stream;
 
@@ -23,6 +25,7 @@
 use bluebell_core::records::UsageWindow;
 use bluebell_daemon::logs::LogLine;
 use hyper::Response;
+use tokio_util::sync::CancellationToken;
 
 pub use self::pool::ConnectionPools;
 use crate::{
@@ -31,8 +34,24 @@
     time::wall_time,
 };
 
+/// Spawns the task that probes endpoints in doubt; it ends with `stop`.
+pub fn start(context: &Arc<EntryContext>, stop: &CancellationToken) {
+    let probing = reach::run(Arc::clone(context));
+    let stop = stop.clone();
+    tokio::spawn(async move { stop.run_until_cancelled(probing).await });
+}
+
 /// Forwards a request to an endpoint of its service and returns the answer or a refusal.
 pub async fn serve(context: &Arc<EntryContext>, request: CallerRequest) -> Response<AnswerBody> {
+    if context.reach.lock().is_unreachable(&request.service) {
+        if request.is_proxied {
+            let detail = "the endpoints of the service are not reached from here";
+            return refuse(context, &request, Refusal::not_taken(), detail);
+        }
+        if let Some(response) = proxy::serve(context, &request).await {
+            return response;
+        }
+    }
     let now = context.now();
     context.budget.lock().note_request(now, &request.service);
     let charge = match quota::charge(context, &request) {
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bluebell_core::{
-    attempts::{AttemptPhase, RequestAttempts, WorkKind},
+    attempts::{AttemptPhase, RequestAttempts, RunOutcome, WorkKind},
     clock::TimeSpan,
     ids::EndpointId,
     placement::EndpointTarget,
@@ -17,7 +17,7 @@
         attempt::{self, SendOutcome},
         crashes,
         guards::ReplicaGuard,
-        limits, meter,
+        limits, meter, proxy,
         quota::QuotaCharge,
         refuse, request_log_line, retries,
     },
@@ -81,6 +81,11 @@
     };
     loop {
         let Some(target) = run.choose_replica() else {
+            if run.may_be_proxied().await
+                && let Some(response) = proxy::serve(context, request).await
+            {
+                return response;
+            }
             run.retry_after = limits::retry_after(context, &request.service);
             return run
                 .respond_failed(RefusalReason::NoEndpoint, "no further replica is available");
@@ -89,6 +94,12 @@
             NextStep::Answer(answer) => return run.answer(&target, answer),
             NextStep::Refuse(reason, detail) => return run.respond_failed(reason, &detail),
             NextStep::Retry(reason, detail) => {
+                if reason == RefusalReason::NoEndpoint
+                    && run.may_be_proxied().await
+                    && let Some(response) = proxy::serve(context, request).await
+                {
+                    return response;
+                }
                 if !run.may_retry(reason) {
                     return run.respond_failed(reason, &detail);
                 }
@@ -121,6 +132,13 @@
         })
     }
 
+    /// Whether another instance may serve the request: it has not run, and no endpoint is
+    /// reached from here.
+    async fn may_be_proxied(&self) -> bool {
+        let is_unserved = matches!(self.attempts.outcome(), RunOutcome::NotRun(_));
+        is_unserved && proxy::is_needed(self.context, self.request).await
+    }
+
     /// Sends the request to `target` and determines the next step.
     async fn attempt(&mut self, target: &EndpointTarget) -> NextStep {
         let remaining = self.request.time_left(self.context.now());
--- a/crates/ingress/src/frontend/listener.rs
+++ b/crates/ingress/src/frontend/listener.rs
@@ -3,7 +3,7 @@
 use std::{
     convert::Infallible,
     io,
-    net::TcpListener as StdListener,
+    net::{SocketAddr, TcpListener as StdListener},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -19,7 +19,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{context::EntryContext, frontend};
+use crate::{
+    context::EntryContext,
+    frontend::{self, RequestSource},
+    peers,
+};
 
 /// Length of the accept queue. A SYN packet that meets a full queue is retransmitted
 /// only after a second, which is as long as callers wait.
@@ -65,16 +69,7 @@
     /// [`FrontendServer::close`]. Fails if the address can't be bound.
     pub fn bind(context: Arc<EntryContext>) -> io::Result<FrontendServer> {
         let address = context.settings.frontend_address;
-        let socket = Socket::new(
-            Domain::for_address(address),
-            Type::STREAM,
-            Some(Protocol::TCP),
-        )?;
-        socket.set_reuse_address(true)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&address.into())?;
-        socket.listen(ACCEPT_BACKLOG)?;
-        let listener = TcpListener::from_std(StdListener::from(socket))?;
+        let listener = listen(address)?;
         let max_connections = context.settings.max_sockets * CALLER_SOCKETS_PERCENT / 100;
         let frontend = FrontendServer {
             context,
@@ -83,19 +78,31 @@
             max_connections,
             closing: CancellationToken::new(),
         };
-        frontend
-            .connections
-            .spawn(accept(frontend.clone(), listener));
+        frontend.spawn_accept(listener, RequestSource::Caller);
         Ok(frontend)
     }
 
+    /// Serves also the requests that other instances hand to this one. Fails if the address
+    /// for them can't be bound.
+    pub fn bind_for_instances(&self) -> io::Result<()> {
+        let address = peers::proxy_address(peers::local_address(&self.context));
+        let listener = listen(address)?;
+        self.spawn_accept(listener, RequestSource::Instance);
+        Ok(())
+    }
+
+    fn spawn_accept(&self, listener: TcpListener, source: RequestSource) {
+        self.connections
+            .spawn(accept(self.clone(), listener, source));
+    }
+
     /// Stops accepting connections, closes those without a request, and closes each other
     /// connection after its current answer.
     pub fn close(&self) {
         self.closing.cancel();
     }
 
-    fn accept_connection(&self, stream: TcpStream) {
+    fn accept_connection(&self, stream: TcpStream, source: RequestSource) {
         if self.open_connections.load(Ordering::Relaxed) >= self.max_connections {
             LogLine::new("connection_refused")
                 .with("open", self.max_connections)
@@ -103,7 +110,7 @@
             return;
         }
         self.open_connections.fetch_add(1, Ordering::Relaxed);
-        self.connections.spawn(serve(self.clone(), stream));
+        self.connections.spawn(serve(self.clone(), stream, source));
     }
 
     /// Waits until all connections are closed.
@@ -113,6 +120,20 @@
     }
 }
 
+/// Opens a listener at `address`.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(ACCEPT_BACKLOG)?;
+    TcpListener::from_std(StdListener::from(socket))
+}
+
 /// Accepts connections until the frontend is closed, then closes the listener.
 ///
 /// While a listener is open, the kernel completes connections even if the process no
@@ -120,14 +141,14 @@
 /// ends some seconds later. The connections that are already queued are therefore
 /// accepted before the listener is closed; later ones are refused immediately and go to
 /// another instance.
-async fn accept(frontend: FrontendServer, listener: TcpListener) {
+async fn accept(frontend: FrontendServer, listener: TcpListener, source: RequestSource) {
     loop {
         let accepted = tokio::select! {
             () = frontend.closing.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => frontend.accept_connection(stream),
+            Ok((stream, _)) => frontend.accept_connection(stream, source),
             Err(error) => {
                 LogLine::new("accept_failed").with("error", error).warn();
                 // File descriptors may be exhausted; the next attempt may succeed.
@@ -135,20 +156,24 @@
             }
         }
     }
-    if let Err(error) = accept_pending(&frontend, listener) {
+    if let Err(error) = accept_pending(&frontend, listener, source) {
         LogLine::new("accept_failed").with("error", error).warn();
     }
 }
 
 /// Accepts the connections queued in the kernel. The asynchronous listener may not have
 /// been notified of them yet, so `accept` is called on the socket directly.
-fn accept_pending(frontend: &FrontendServer, listener: TcpListener) -> io::Result<()> {
+fn accept_pending(
+    frontend: &FrontendServer,
+    listener: TcpListener,
+    source: RequestSource,
+) -> io::Result<()> {
     let listener = listener.into_std()?;
     loop {
         match listener.accept() {
             Ok((stream, _)) => {
                 stream.set_nonblocking(true)?;
-                frontend.accept_connection(TcpStream::from_std(stream)?);
+                frontend.accept_connection(TcpStream::from_std(stream)?, source);
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
             Err(error) => return Err(error),
@@ -156,7 +181,7 @@
     }
 }
 
-async fn serve(frontend: FrontendServer, stream: TcpStream) {
+async fn serve(frontend: FrontendServer, stream: TcpStream, source: RequestSource) {
     if let Err(error) = configure_socket(&stream) {
         LogLine::new("connection_not_prepared")
             .with("error", error)
@@ -177,7 +202,10 @@
     let token = disconnect.clone();
     let service = service_fn(move |request| {
         let (context, token) = (Arc::clone(&context), token.clone());
-        async move { Ok::<_, Infallible>(frontend::serve_request(context, token, request).await) }
+        async move {
+            let response = frontend::serve_request(context, token, source, request).await;
+            Ok::<_, Infallible>(response)
+        }
     });
     // hyper includes the idle time between requests in the header read timeout, so the
     // longer of the two limits applies to both.
--- a/crates/ingress/src/frontend/mod.rs
+++ b/crates/ingress/src/frontend/mod.rs
@@ -20,7 +20,7 @@
     body::{AnswerBody, StreamAborted, empty_body, pieces_body, stream_body},
     listener::FrontendServer,
     refusal::{DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
-    request::CallerRequest,
+    request::{CallerRequest, RequestSource},
 };
 use crate::{context::EntryContext, forward};
 
@@ -46,10 +46,11 @@
 pub async fn serve_request(
     context: Arc<EntryContext>,
     connection: CancellationToken,
+    source: RequestSource,
     incoming: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let _guard = OpenRequestGuard::new(&context);
-    let mut response = match request::read(&context, connection, incoming).await {
+    let mut response = match request::read(&context, connection, source, incoming).await {
         Ok(request) => forward::serve(&context, request).await,
         Err(refusal) => {
             let line = LogLine::new("refused")
--- a/crates/ingress/src/frontend/refusal.rs
+++ b/crates/ingress/src/frontend/refusal.rs
@@ -117,6 +117,13 @@
         Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason, Some(retry_after))
     }
 
+    /// Creates a refusal of a request of another instance, which may hand it to a further
+    /// one. The request was not sent to an endpoint.
+    pub fn not_taken() -> Refusal {
+        let status = StatusCode::MISDIRECTED_REQUEST;
+        Refusal::new(status, RefusalReason::NoEndpoint, None)
+    }
+
     /// Creates a refusal of a request that exceeds the limit of its organisation and was
     /// not sent to an endpoint; the caller may retry it after `retry_after`.
     pub fn rate_limited(retry_after: TimeSpan) -> Refusal {
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -14,7 +14,7 @@
 use hyper::{
     HeaderMap, Method, Request,
     body::Incoming,
-    header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName},
+    header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue},
 };
 use rand::Rng;
 use tokio_util::sync::CancellationToken;
@@ -42,6 +42,15 @@
     HeaderName::from_static(headers::DEADLINE_MS),
 ];
 
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestSource {
+    /// From a caller.
+    Caller,
+    /// From another instance, which does not reach the endpoints.
+    Instance,
+}
+
 /// A request that was read completely and is allowed.
 #[derive(Clone, Debug)]
 pub struct CallerRequest {
@@ -63,6 +72,10 @@
     pub service: ServiceName,
     /// The organisation that the API key belongs to; `None` without authentication.
     pub organisation: Option<OrganisationId>,
+    /// The API key as the caller sent it, for an instance that the request is handed to.
+    pub key: Option<HeaderValue>,
+    /// Whether another instance handed the request to this one.
+    pub is_proxied: bool,
     /// The priority; 0 is the most urgent.
     pub priority: u8,
     /// The token counts and the prefix of the prompt, for model services only.
@@ -106,6 +119,7 @@
 pub async fn read(
     context: &EntryContext,
     connection: CancellationToken,
+    source: RequestSource,
     incoming: Request<Incoming>,
 ) -> Result<CallerRequest, Refusal> {
     let arrived = context.now();
@@ -175,6 +189,8 @@
         table,
         service,
         organisation,
+        key: private_key(&head.headers),
+        is_proxied: source == RequestSource::Instance,
         priority,
         work,
         stated_tokens: stated_tokens(&head.headers),
@@ -218,6 +234,13 @@
     }
 }
 
+/// The value of the header with the API key, which is left out of logs.
+fn private_key(headers: &HeaderMap) -> Option<HeaderValue> {
+    let mut key = headers.get(AUTHORIZATION)?.clone();
+    key.set_sensitive(true);
+    Some(key)
+}
+
 fn pick_service(route: &RouteRule) -> Option<ServiceName> {
     let total: u32 = route.targets.iter().map(|target| target.weight).sum();
     if total == 0 {
--- a/crates/ingress/src/leader/task.rs
+++ b/crates/ingress/src/leader/task.rs
@@ -107,8 +107,9 @@
     }
 
     async fn step(&mut self) -> Result<(), CallError> {
-        if self.context.stopping.is_cancelled() {
-            // Another instance takes over after the lease; nothing is started here.
+        if self.context.stopping.is_cancelled() || self.context.is_partitioned() {
+            // Another instance takes over after the lease; nothing is started here. What a
+            // partitioned instance sees says nothing about the engines.
             tokio::time::sleep(POLL_INTERVAL).await;
             return Ok(());
         }
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -35,6 +35,10 @@
     pub advertised_version: IntGauge,
     /// Registrations that disappeared from the store, by how they were handled.
     pub registrations_removed: IntCounterVec,
+    /// Requests that were handed to other instances, by outcome.
+    pub proxied: IntCounterVec,
+    /// Services whose endpoints are not reached.
+    pub unreachable_services: IntGauge,
     /// Requests in progress.
     pub requests_open: IntGauge,
 }
@@ -108,6 +112,15 @@
                 "registrations that went, by what was made of it",
                 &["outcome"],
             )?,
+            proxied: counter(
+                "bluebell_proxied_total",
+                "requests handed to other instances",
+                &["outcome"],
+            )?,
+            unreachable_services: gauge(
+                "bluebell_unreachable_services",
+                "services whose endpoints are not reached",
+            )?,
             requests_open: gauge("bluebell_requests_open", "requests under way")?,
             latency,
             estimate_error,
--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -160,9 +160,14 @@
         let entries = self.context.peers.lock().len() + 1;
         let share = (MAX_ENTRIES_FOR_ALL_ENGINES / entries as f64).powi(2);
         self.context.engines.lock().set_candidate_share(share);
+        let is_in_doubt = self.context.reach.lock().is_any_in_doubt(now);
         let (loads, parts, refusing) = {
             let mut engines = self.context.engines.lock();
-            let refusing = engines.refusing(now);
+            // What this instance does not reach may work for all others.
+            let refusing = match is_in_doubt {
+                true => Vec::new(),
+                false => engines.refusing(now),
+            };
             (engines.local_loads(), engines.take_unsent_parts(), refusing)
         };
         let stages = self.context.peers.lock().stage_orders(now);
@@ -170,7 +175,10 @@
         let is_cross_domain = self.context.is_representative(now) || !stages.is_empty();
         let usages = self.context.limiter.lock().local_reports(now);
         let has_load = !loads.is_empty() || !refusing.is_empty() || relay.is_some();
-        let crashes = self.take_crash_reports(now, ReportScope::Direct);
+        let crashes = match is_in_doubt {
+            true => Vec::new(),
+            false => self.take_crash_reports(now, ReportScope::Direct),
+        };
         let has_news = !parts.is_empty() || !usages.is_empty() || !crashes.is_empty();
         let has_update = has_load || has_news || is_cross_domain || self.has_sent_load;
         let heartbeat_interval = match self.context.limiter.lock().has_limits() {
@@ -296,7 +304,11 @@
     ) {
         let writer = &self.context.writer;
         let domain = &self.context.settings.domain;
-        let message = message.with_sender(writer, domain, now.as_millis());
+        let mut message = message.with_sender(writer, domain, now.as_millis());
+        message.unreachable = {
+            let reach = self.context.reach.lock();
+            reach.unreachable().map(ToString::to_string).collect()
+        };
         let shared = message.encode_to_vec();
         let usage = self.usage_due(now);
         for target in targets {
@@ -353,6 +365,7 @@
             };
             peers.register(&peer, known);
             peers.note_message(now, &peer, message.stamp);
+            peers.note_unreachable(&peer, decode_services(&message.unreachable));
         }
         relay::apply(&self.context, &peer, &message);
         if let Some(usage) = &message.usage {
@@ -436,6 +449,12 @@
     }
 }
 
+/// Decodes the names of services; invalid ones are dropped.
+fn decode_services(names: &[String]) -> BTreeSet<ServiceName> {
+    let services = names.iter().map(|name| ServiceName::new(name.as_str()));
+    services.filter_map(Result::ok).collect()
+}
+
 /// Decodes the demands of a datagram; those with an invalid service name are dropped.
 fn decode_demands(
     messages: &[DemandMessage],
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -123,6 +123,9 @@
     /// Crashes of endpoints that ran the same request.
     #[prost(message, repeated, tag = "18")]
     pub crashes: Vec<CrashMessage>,
+    /// The services whose endpoints the sender does not reach.
+    #[prost(string, repeated, tag = "19")]
+    pub unreachable: Vec<String>,
 }
 
 /// The usage of the limit of one organisation, in tokens or requests.
--- a/crates/ingress/src/peers/mod.rs
+++ b/crates/ingress/src/peers/mod.rs
@@ -23,7 +23,7 @@
 pub use self::{
     fleet_size::fleet_size,
     messages::{ChangeMessage, PeerRecord, RelayMessage, StageMessage, pack_changes},
-    registry::{local_address, local_record},
+    registry::{local_address, local_record, proxy_address},
     table::{KnownPeer, MAX_CHANGES_PER_DATAGRAM, PeerTable},
     targets::{BroadcastTarget, TargetSelector},
 };
--- a/crates/ingress/src/peers/registry.rs
+++ b/crates/ingress/src/peers/registry.rs
@@ -26,6 +26,9 @@
 /// so each failure domain has its own, as far as there are enough.
 const TOPIC: &str = "keyed.peers";
 
+/// The port for requests of other instances, counted from the one for datagrams.
+const PROXY_PORT_OFFSET: u16 = 1;
+
 /// The shortest and the longest time in ms after its own registration at which an instance of
 /// a system that starts for the first time reads those of the others. They start at about
 /// the same moment, and each reads a page of them.
@@ -129,6 +132,12 @@
     SocketAddr::new(settings.frontend_address.ip(), settings.peer_port)
 }
 
+/// The address at which an instance that receives datagrams at `address` accepts requests of
+/// other instances.
+pub fn proxy_address(address: SocketAddr) -> SocketAddr {
+    SocketAddr::new(address.ip(), address.port() + PROXY_PORT_OFFSET)
+}
+
 /// The partition with the registrations of the failure domain of this instance.
 fn domain_part(context: &EntryContext) -> TopicPart {
     let settings = &context.settings;
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -7,7 +7,7 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    ids::{FailureDomain, InstanceId},
+    ids::{FailureDomain, InstanceId, ServiceName},
     relay::{self, EchoedTimestamp},
 };
 use rand::seq::IndexedRandom;
@@ -115,6 +115,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<InstanceId, KnownPeer>,
+    /// The services whose endpoints an instance reports as unreachable.
+    unreachable_services: BTreeMap<InstanceId, BTreeSet<ServiceName>>,
     /// When each instance last relayed current state of the store.
     relayed_at: BTreeMap<InstanceId, ClockTime>,
     /// Stage changes that this instance ordered, to be sent to the others.
@@ -153,6 +155,41 @@
         }
     }
 
+    /// Records the services whose endpoints `instance` does not reach.
+    pub fn note_unreachable(&mut self, instance: &InstanceId, services: BTreeSet<ServiceName>) {
+        match services.is_empty() {
+            true => self.unreachable_services.remove(instance),
+            false => self.unreachable_services.insert(instance.clone(), services),
+        };
+    }
+
+    /// Whether a peer is alive that reaches the endpoints of all services.
+    pub fn has_alive_peer_with_endpoints(&self, now: ClockTime) -> bool {
+        self.alive(now)
+            .any(|(name, _)| !self.unreachable_services.contains_key(name))
+    }
+
+    /// The addresses of up to `count` instances at random that serve requests beside one in
+    /// `domain` and do not report the endpoints of `service` as unreachable.
+    pub fn proxies(
+        &self,
+        now: ClockTime,
+        domain: &FailureDomain,
+        service: &ServiceName,
+        count: usize,
+    ) -> Vec<(InstanceId, SocketAddr)> {
+        let reaches = |name: &&InstanceId| {
+            let unreachable = self.unreachable_services.get(*name);
+            unreachable.is_none_or(|services| !services.contains(service))
+        };
+        let candidates: Vec<&InstanceId> = self.sharing(now, domain).filter(reaches).collect();
+        let chosen = candidates.choose_multiple(&mut rand::rng(), count);
+        let known = chosen.filter_map(|name| Some((*name, self.peers.get(*name)?)));
+        known
+            .map(|(name, peer)| (name.clone(), peer.address))
+            .collect()
+    }
+
     /// Records a stage change that this instance ordered.
     pub fn note_stage_order(&mut self, now: ClockTime, order: StageMessage) {
         self.stage_orders.push((now, order));
--- a/crates/ingress/src/program.rs
+++ b/crates/ingress/src/program.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     context::EntryContext,
+    forward,
     frontend::FrontendServer,
     leader,
     logs::{self, LogBuffer},
@@ -106,6 +107,10 @@
     leader::start(&context, &client, &background);
     let frontend = FrontendServer::bind(Arc::clone(&context))
         .context("failed to listen on the address for callers")?;
+    frontend
+        .bind_for_instances()
+        .context("failed to listen on the address for requests of other instances")?;
+    forward::start(&context, &background);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
