Wait two seconds for an endpoint that falls silent

Callers of requests that may not be repeated got 502 when a sound endpoint fell silent for a second: sent bytes that stay unacknowledged for 0.8 s ended the connection, and each run on it counted as one lost to a crash.

Calls that hang because the instance is partitioned from all endpoints are noticed after 0.6 s by other means.

--- a/crates/ingress/src/forward/connection.rs
+++ b/crates/ingress/src/forward/connection.rs
@@ -14,11 +14,11 @@
 /// retransmitted only after a second, and a retry on another endpoint is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How long sent bytes may stay unacknowledged before the connection is closed. A
-/// connection can stop carrying packets without a reset, and a caller with a deadline
-/// of 2.5 s must still get an answer. Two consecutive losses of a packet, at a loss
-/// rate of three in a hundred, do not close the connection.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long sent bytes may stay unacknowledged before the connection is closed; it also
+/// decides when keep-alive probes give up. A sound endpoint may be silent for a second and
+/// go on. A connection can also stop carrying packets without a reset, and a caller with a
+/// deadline of 2.5 s must still get an answer then.
+const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_RETRIES: u32 = 2;
