Offer requests to more instances, and probe all services when one is lost

On a deployment of 84 instances, 46 of them partitioned, a sixth of the requests met three instances in turn that miss the endpoints too: what instances of other failure domains reach is not known from datagrams there. The plain service was found unreachable only when its own requests had timed out.

Change: up to eight instances are offered a request; one that does not take it is left out for 2 s, the age at which reports expire too. When a service is lost, all others are probed at once.

The test of the decision goes into `core/reachability`.

--- a/crates/core/src/reachability.rs
+++ b/crates/core/src/reachability.rs
@@ -154,6 +154,17 @@
         reach.note_failure(now, known)
     }
 
+    /// Puts `service` in doubt because another one is unreachable: a partition rarely concerns
+    /// one service alone.
+    pub fn suspect(&mut self, now: ClockTime, service: &ServiceName) {
+        let reach = self.reach(service);
+        if reach.state == ReachState::Reached {
+            reach.state = ReachState::InDoubt;
+            reach.failing_since.get_or_insert(now);
+            reach.last_failure = now;
+        }
+    }
+
     /// Records whether a connection to any of the probed endpoints of `service` could be
     /// opened.
     pub fn note_probed(&mut self, service: &ServiceName, is_reached: bool) -> Option<ReachChange> {
--- a/crates/core/tests/reachability.rs
+++ b/crates/core/tests/reachability.rs
@@ -74,6 +74,18 @@
     assert!(table.note_not_connected(at(0), &service(), &endpoint(0), 1));
 }
 
+/// Guards against services whose requests have to time out one after the other until each
+/// of them is known to be unreachable.
+#[test]
+fn a_lost_service_puts_the_others_in_doubt_until_they_are_probed() {
+    let other = ServiceName::new("till").unwrap();
+    let mut table = ReachTable::new();
+    table.suspect(at(1_000), &other);
+    assert_eq!(table.probe_due(at(1_000)), vec![other.clone()]);
+    assert_eq!(table.note_probed(&other, true), None);
+    assert!(table.probe_due(at(1_100)).is_empty());
+}
+
 /// Guards against a doubt that outlives its cause and holds back reports for good.
 #[test]
 fn a_doubt_without_a_probe_ends() {
--- a/crates/ingress/src/forward/engine_calls.rs
+++ b/crates/ingress/src/forward/engine_calls.rs
@@ -1,11 +1,14 @@
 //! The calls to engines that one request makes, against the retry budget and the quarantine.
 
-use bluebell_core::retries::{EngineArrival, EngineCall};
+use bluebell_core::{
+    attempts::RunOutcome,
+    retries::{EngineArrival, EngineCall},
+};
 
 use crate::{
     forward::{
         attempt::SendOutcome, crashes, failed_attempt::FailedAttempt, generate::GenerationRun,
-        retries,
+        proxy, retries,
     },
     frontend::RefusalReason,
 };
@@ -52,4 +55,19 @@
         self.calls += 1;
         self.arrivals.note_arrival(arrival);
     }
+
+    /// Whether another instance may serve the request after `failed`: it has not run, and no
+    /// endpoint is reached from here.
+    pub(super) async fn may_be_proxied(&mut self, failed: &FailedAttempt) -> bool {
+        let is_unserved = failed.reason == RefusalReason::NoEndpoint
+            && matches!(self.attempts.outcome(), RunOutcome::NotRun(_));
+        if !is_unserved || !proxy::is_needed(&self.context, &self.request).await {
+            return false;
+        }
+        let is_granted = self.start_call(EngineCall::Prefill).is_ok();
+        if is_granted {
+            self.arrivals.note_arrival(EngineArrival::Counted);
+        }
+        is_granted
+    }
 }
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -4,7 +4,7 @@
 
 use bluebell_adapter::headers;
 use bluebell_core::{
-    attempts::{RequestAttempts, RunOutcome, WorkKind},
+    attempts::{RequestAttempts, WorkKind},
     clock::TimeSpan,
     ids::EndpointId,
     ingress::EngineRule,
@@ -129,21 +129,6 @@
         }
     }
 
-    /// Whether another instance may serve the request after `failed`: it has not run, and no
-    /// endpoint is reached from here.
-    async fn may_be_proxied(&mut self, failed: &FailedAttempt) -> bool {
-        let is_unserved = failed.reason == RefusalReason::NoEndpoint
-            && matches!(self.attempts.outcome(), RunOutcome::NotRun(_));
-        if !is_unserved || !proxy::is_needed(&self.context, &self.request).await {
-            return false;
-        }
-        let is_granted = self.start_call(EngineCall::Prefill).is_ok();
-        if is_granted {
-            self.arrivals.note_arrival(EngineArrival::Counted);
-        }
-        is_granted
-    }
-
     /// Records that the stream has ended or has been aborted.
     pub fn end(&mut self) {
         self.attempts.end();
--- a/crates/ingress/src/forward/proxy.rs
+++ b/crates/ingress/src/forward/proxy.rs
@@ -4,7 +4,7 @@
 //! that do. They treat them like those of their own callers: they check keys and limits,
 //! choose endpoints and account for retries and usage. A proxied request is not proxied again.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use bluebell_adapter::headers;
 use bluebell_core::{
@@ -31,8 +31,9 @@
     peers,
 };
 
-/// The number of instances that a request is handed to at most.
-const MAX_PROXIES: usize = 3;
+/// The number of instances that a request is offered to at most. Those of other failure
+/// domains may miss the endpoints as well, and say so within a round trip.
+const MAX_PROXIES: usize = 8;
 
 /// The name of a proxied call in the log.
 const CALL_NAME: &str = "proxy";
@@ -76,7 +77,12 @@
             ProxyOutcome::Answered(response, connection) => {
                 return Some(into_response(context, request, response, connection));
             }
-            ProxyOutcome::NotTaken(_) => attempts.not_sent(permit),
+            ProxyOutcome::NotTaken(_) => {
+                attempts.not_sent(permit);
+                let missed = BTreeSet::from([request.service.clone()]);
+                let mut peers = context.peers.lock();
+                peers.note_unreachable(context.now(), &peer, missed);
+            }
             ProxyOutcome::TimedOut => {
                 failure = Some((RefusalReason::TimedOut, "no answer in time".to_string()));
                 break;
--- a/crates/ingress/src/forward/reach.rs
+++ b/crates/ingress/src/forward/reach.rs
@@ -96,18 +96,36 @@
             context.probe_due.notified().await;
             continue;
         }
+        let mut is_any_lost = false;
         for service in services {
-            probe(&context, &service).await;
+            is_any_lost |= probe(&context, &service).await;
         }
         context.probed.notify_waiters();
-        tokio::time::sleep(PROBE_INTERVAL).await;
+        if is_any_lost {
+            suspect_all(&context);
+        } else {
+            tokio::time::sleep(PROBE_INTERVAL).await;
+        }
+    }
+}
+
+/// Puts all services in doubt, so that they are probed before their requests time out.
+fn suspect_all(context: &EntryContext) {
+    let Some(table) = context.configuration.lock().table().cloned() else {
+        return;
+    };
+    let now = context.now();
+    let mut reach = context.reach.lock();
+    for service in table.configuration().services.keys() {
+        reach.suspect(now, service);
     }
 }
 
-async fn probe(context: &EntryContext, service: &ServiceName) {
+/// Probes the endpoints of `service`; returns whether it became unreachable.
+async fn probe(context: &EntryContext, service: &ServiceName) -> bool {
     let addresses = sample(context, service);
     if addresses.is_empty() {
-        return;
+        return false;
     }
     let is_reached = is_any_reached(addresses).await;
     let change = context.reach.lock().note_probed(service, is_reached);
@@ -116,6 +134,7 @@
         Some(ReachChange::Regained) => handle_regained(context, service),
         None => {}
     }
+    matches!(change, Some(ReachChange::Lost(_)))
 }
 
 fn sample(context: &EntryContext, service: &ServiceName) -> Vec<SocketAddr> {
--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -365,7 +365,7 @@
             };
             peers.register(&peer, known);
             peers.note_message(now, &peer, message.stamp);
-            peers.note_unreachable(&peer, decode_services(&message.unreachable));
+            peers.note_unreachable(now, &peer, decode_services(&message.unreachable));
         }
         relay::apply(&self.context, &peer, &message);
         if let Some(usage) = &message.usage {
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -49,6 +49,10 @@
 /// store. Readers relay four times a second.
 const RELAY_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
 
+/// How long it is assumed that an instance does not reach the endpoints of a service. It
+/// repeats that at least once a second to the instances that it sends to.
+const UNREACHABLE_TIMEOUT: TimeSpan = TimeSpan::from_millis(2_000);
+
 /// The number of instances at random from which the state is copied if the first source
 /// can't be reached.
 const SPARE_COPY_SOURCES: usize = 2;
@@ -115,8 +119,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<InstanceId, KnownPeer>,
-    /// The services whose endpoints an instance reports as unreachable.
-    unreachable_services: BTreeMap<InstanceId, BTreeSet<ServiceName>>,
+    /// The services whose endpoints an instance does not reach, and when that was known.
+    unreachable_services: BTreeMap<InstanceId, (ClockTime, BTreeSet<ServiceName>)>,
     /// When each instance last relayed current state of the store.
     relayed_at: BTreeMap<InstanceId, ClockTime>,
     /// Stage changes that this instance ordered, to be sent to the others.
@@ -156,13 +160,32 @@
     }
 
     /// Records the services whose endpoints `instance` does not reach.
-    pub fn note_unreachable(&mut self, instance: &InstanceId, services: BTreeSet<ServiceName>) {
+    pub fn note_unreachable(
+        &mut self,
+        now: ClockTime,
+        instance: &InstanceId,
+        services: BTreeSet<ServiceName>,
+    ) {
+        let known = &mut self.unreachable_services;
         match services.is_empty() {
-            true => self.unreachable_services.remove(instance),
-            false => self.unreachable_services.insert(instance.clone(), services),
+            true => known.remove(instance),
+            false => known.insert(instance.clone(), (now, services)),
         };
     }
 
+    /// Whether it is known that `instance` does not reach the endpoints of `service`.
+    fn is_unreachable_from(
+        &self,
+        now: ClockTime,
+        instance: &InstanceId,
+        service: &ServiceName,
+    ) -> bool {
+        let known = self.unreachable_services.get(instance);
+        known.is_some_and(|(at, services)| {
+            now.since(*at) < UNREACHABLE_TIMEOUT && services.contains(service)
+        })
+    }
+
     /// Whether a peer is alive that reaches the endpoints of all services.
     pub fn has_alive_peer_with_endpoints(&self, now: ClockTime) -> bool {
         self.alive(now)
@@ -170,7 +193,7 @@
     }
 
     /// The addresses of up to `count` instances at random that serve requests beside one in
-    /// `domain` and do not report the endpoints of `service` as unreachable.
+    /// `domain` and are not known to miss the endpoints of `service`.
     pub fn proxies(
         &self,
         now: ClockTime,
@@ -178,10 +201,7 @@
         service: &ServiceName,
         count: usize,
     ) -> Vec<(InstanceId, SocketAddr)> {
-        let reaches = |name: &&InstanceId| {
-            let unreachable = self.unreachable_services.get(*name);
-            unreachable.is_none_or(|services| !services.contains(service))
-        };
+        let reaches = |name: &&InstanceId| !self.is_unreachable_from(now, name, service);
         let candidates: Vec<&InstanceId> = self.sharing(now, domain).filter(reaches).collect();
         let chosen = candidates.choose_multiple(&mut rand::rng(), count);
         let known = chosen.filter_map(|name| Some((*name, self.peers.get(*name)?)));
