--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -188,6 +188,42 @@
     assert_eq!(world.broken()[1..], [Promise::RightService]);
 }
 
+/// Guards against a run that is taken for one under a later configuration, which leads to the
+/// same service again.
+#[test]
+fn a_route_that_leads_back_to_a_service_is_followed_in_order() {
+    let world = World::new();
+    world.checker.route_led("/charge/", "till-next");
+    world.checker.route_led("/charge/", "till");
+    world.checker.route_led("/charge/", "till-next");
+    for (attempt, service) in [("a", "till-next"), ("b", "till"), ("c", "till-next")] {
+        world.send(attempt, OperatorKind::Unsafe);
+        world.run_at(attempt, service);
+        world.pass(300);
+    }
+    assert_eq!(world.broken(), []);
+    world.send("d", OperatorKind::Unsafe);
+    world.run_at("d", "till");
+    assert_eq!(world.broken(), [Promise::NoOlderConfiguration]);
+}
+
+/// Guards against a configuration that is undone unseen because an older one, which no
+/// instance may follow any more, led to the same service.
+#[test]
+fn a_run_shows_the_latest_configuration_where_older_ones_are_out_of_date() {
+    let world = World::new();
+    world.checker.route_led("/charge/", "till-next");
+    world.checker.route_led("/charge/", "till");
+    world.pass(2_100);
+    world.checker.route_led("/charge/", "till-next");
+    world.send("a", OperatorKind::Unsafe);
+    world.run_at("a", "till-next");
+    world.pass(300);
+    world.send("b", OperatorKind::Unsafe);
+    world.run_at("b", "till");
+    assert_eq!(world.broken(), [Promise::NoOlderConfiguration]);
+}
+
 #[test]
 fn an_older_holder_and_a_shared_fence_are_seen() {
     let world = World::new();
