Have no instance with an older configuration answer for another one

A caller may have seen the effect of a configuration at its instance; an instance that its request is handed to and that has not read it yet would answer under the older one. Found by reading, not seen.

Change: the request names the version, and an instance with an older one does not take it.

--- a/crates/ingress/src/forward/proxy.rs
+++ b/crates/ingress/src/forward/proxy.rs
@@ -4,11 +4,11 @@
 //! that do. They treat them like those of their own callers: they check keys and limits,
 //! choose endpoints and account for retries and usage. A proxied request is not proxied again.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use bluebell_adapter::headers;
 use bluebell_core::{
-    attempts::{RequestAttempts, WorkKind},
+    attempts::{RequestAttempts, SendPermit, WorkKind},
     ids::{EndpointId, InstanceId},
 };
 use bytes::Bytes;
@@ -26,7 +26,10 @@
         answer::end_to_end_headers, connection::EndpointConnection, reach, refuse,
         request_log_line, retries,
     },
-    frontend::{AnswerBody, CallerRequest, Refusal, RefusalReason, StreamAborted, stream_body},
+    frontend::{
+        AnswerBody, CONFIGURATION_VERSION, CallerRequest, Refusal, RefusalReason, StreamAborted,
+        stream_body,
+    },
     memory::AnswerMemory,
     peers,
 };
@@ -41,7 +44,8 @@
 /// What became of a request that was sent to another instance.
 enum ProxyOutcome {
     Answered(Response<Incoming>, EndpointConnection),
-    /// The request was not sent, or the other instance does not reach the endpoints either.
+    /// The request was not sent, or the other instance does not reach the endpoints either or
+    /// has an older configuration.
     NotTaken(String),
     MaybeRun(String),
     TimedOut,
@@ -102,10 +106,7 @@
     Some(refuse(context, request, refusal, &detail))
 }
 
-fn permit_send(
-    attempts: &mut RequestAttempts,
-    peer: &InstanceId,
-) -> Option<bluebell_core::attempts::SendPermit> {
+fn permit_send(attempts: &mut RequestAttempts, peer: &InstanceId) -> Option<SendPermit> {
     let target = EndpointId::new(peer.as_str()).ok()?;
     attempts.permit_send(&target).ok()
 }
@@ -113,7 +114,7 @@
 async fn send(
     context: &EntryContext,
     request: &CallerRequest,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
 ) -> ProxyOutcome {
     let remaining = request.time_left(context.now());
     let exchange = exchange(context, request, address);
@@ -124,7 +125,7 @@
 async fn exchange(
     context: &EntryContext,
     request: &CallerRequest,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
 ) -> ProxyOutcome {
     let mut connection = match EndpointConnection::connect(address).await {
         Ok(connection) => connection,
@@ -137,7 +138,7 @@
     match connection.sender.try_send_request(outgoing).await {
         // The other instance states in this way that it has not sent the request anywhere.
         Ok(response) if response.status() == StatusCode::MISDIRECTED_REQUEST => {
-            ProxyOutcome::NotTaken("the endpoints are not reached there either".to_string())
+            ProxyOutcome::NotTaken("endpoints or configuration missing there as well".to_string())
         }
         Ok(response) => ProxyOutcome::Answered(response, connection),
         Err(mut failure) => {
@@ -162,6 +163,8 @@
     let mut headers_to_send = request.headers.clone();
     let remaining = request.time_left(context.now()).as_millis();
     headers_to_send.insert(headers::DEADLINE_MS, HeaderValue::from(remaining));
+    let version = request.table.configuration().version;
+    headers_to_send.insert(CONFIGURATION_VERSION, HeaderValue::from(version));
     if let Some(key) = &request.key {
         headers_to_send.insert(AUTHORIZATION, key.clone());
     }
--- a/crates/ingress/src/frontend/mod.rs
+++ b/crates/ingress/src/frontend/mod.rs
@@ -20,7 +20,7 @@
     body::{AnswerBody, StreamAborted, empty_body, pieces_body, stream_body},
     listener::FrontendServer,
     refusal::{DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
-    request::{CallerRequest, RequestSource},
+    request::{CONFIGURATION_VERSION, CallerRequest, RequestSource},
 };
 use crate::{context::EntryContext, forward};
 
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -33,9 +33,14 @@
 /// configuration or API keys are out of date.
 const SYNC_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(600);
 
+/// The header in which an instance names the version of its configuration when it hands a
+/// request to another one. Its caller may have seen the effect of that version already.
+pub const CONFIGURATION_VERSION: HeaderName = HeaderName::from_static("bluebell-configuration");
+
 /// Headers of callers that are not forwarded: the entry sets them itself or only reads
 /// them.
-const FRAMING_HEADERS: [HeaderName; 4] = [
+const FRAMING_HEADERS: [HeaderName; 5] = [
+    CONFIGURATION_VERSION,
     AUTHORIZATION,
     CONTENT_LENGTH,
     hyper::header::EXPECT,
@@ -134,6 +139,9 @@
     if context.configuration_is_outdated(arrived) {
         return Err(not_synced(RefusalReason::ConfigurationOutdated));
     }
+    if source == RequestSource::Instance && is_older(&table, &head.headers) {
+        return Err(with_id(Refusal::not_taken()));
+    }
     let invalid_request = |reason| with_id(Refusal::invalid_request(reason));
     let host = header_text(&head.headers, HOST.as_str()).unwrap_or_default();
     let host = host
@@ -234,6 +242,13 @@
     }
 }
 
+/// Whether the configuration is older than that of the instance that handed the request on.
+fn is_older(table: &RouteTable, headers: &HeaderMap) -> bool {
+    let stated = header_text(headers, CONFIGURATION_VERSION.as_str());
+    let stated = stated.and_then(|value| value.parse::<u64>().ok());
+    stated.is_some_and(|version| table.configuration().version < version)
+}
+
 /// The value of the header with the API key, which is left out of logs.
 fn private_key(headers: &HeaderMap) -> Option<HeaderValue> {
     let mut key = headers.get(AUTHORIZATION)?.clone();
