Split the soak's promises from what holds them against events

The promises and what callers send and get go into a module of their own; code is moved only, but for imports.

--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -1,21 +1,20 @@
 //! What callers got and endpoints ran, held against the promises as it happens.
 
+mod messages;
+
 use std::{
     collections::{BTreeMap, HashMap},
-    fmt,
     sync::{Mutex, MutexGuard},
 };
 
-use bluebell_core::{
-    clock::{ClockSource, ClockTime, TimeSpan},
-    ids::InstanceId,
-};
+use bluebell_core::clock::{ClockSource, ClockTime, TimeSpan};
 use bluebell_platform_standin::{
     endpoint::EVENTS,
     events::{PlatformEvent, RunStart, SeenAuthority},
     operator::OperatorKind,
 };
-use serde::Serialize;
+
+pub use self::messages::{BrokenPromise, CallerOutcome, ProcessName, Promise, SentRequest};
 
 /// How long after a disturbance an instance is held to what is bound in time.
 const STABLE_WINDOW: TimeSpan = TimeSpan::from_millis(3_000);
@@ -29,150 +28,6 @@
 /// answer counts as a loss.
 const LOSS_SLACK: TimeSpan = TimeSpan::from_millis(200);
 
-/// A promise that the system makes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-pub enum Promise {
-    /// Nothing runs that no caller asked for.
-    AskedFor,
-    /// What may not be repeated runs once at most.
-    RunOnce,
-    /// A refusal that says "not run" is true, then and later.
-    RefusalTrue,
-    /// A success is the whole signed answer to this very request.
-    OwnAnswer,
-    /// Events come once each and in order, and an end that looks whole is.
-    WholeStream,
-    /// A withdrawn key stops working.
-    WithdrawnKey,
-    /// Endpoints see the right organisation and no key.
-    RightOrganisation,
-    /// A request runs where some configuration led it.
-    RightService,
-    /// A configuration comes into force in time and is never undone.
-    NoOlderConfiguration,
-    /// An endpoint that left gets no new work.
-    DrainRespected,
-    /// What is allowed is not denied.
-    NotDenied,
-    /// One report for a window.
-    OneReport,
-    /// One holder of a duty at a time.
-    OneHolder,
-    /// A request that was taken gets an answer.
-    AnswerGiven,
-    /// It gets it in time.
-    AnswerInTime,
-    /// Work ends when its caller has left.
-    StopsWithCaller,
-    /// Processes don't end by themselves, and stop when asked.
-    NoOwnEnd,
-    /// After the faults all failure domains are served again.
-    ServesAgain,
-    /// After the faults all instances are ready again.
-    ReadyAgain,
-}
-
-impl Promise {
-    /// Whether the verdict depends on how fast this machine is.
-    pub fn is_timed(self) -> bool {
-        matches!(
-            self,
-            Promise::AnswerInTime
-                | Promise::StopsWithCaller
-                | Promise::NoOlderConfiguration
-                | Promise::DrainRespected
-        )
-    }
-}
-
-/// A promise that was broken.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct BrokenPromise {
-    /// Which.
-    pub promise: Promise,
-    /// When, in ms from the start of the soak's clock.
-    pub at_ms: u64,
-    /// What was seen.
-    pub detail: String,
-}
-
-impl fmt::Display for BrokenPromise {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let BrokenPromise {
-            promise,
-            at_ms,
-            detail,
-        } = self;
-        write!(f, "broken={promise:?} at_ms={at_ms} {detail}")
-    }
-}
-
-/// One process of an instance.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ProcessName {
-    /// The instance.
-    pub instance: InstanceId,
-    /// Which of its processes, counted from its first start.
-    pub start: u32,
-}
-
-/// A request as a caller sends it.
-#[derive(Clone, Debug)]
-pub struct SentRequest {
-    /// Its id.
-    pub attempt: String,
-    /// Who got it.
-    pub process: ProcessName,
-    /// The start of its path.
-    pub prefix: String,
-    /// What may be repeated.
-    pub kind: OperatorKind,
-    /// Whose key it bears.
-    pub organisation: String,
-    /// Whether it is the first on its connection.
-    pub is_first: bool,
-}
-
-/// What a caller got.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CallerOutcome {
-    /// An answer with this status.
-    Status(u16),
-    /// A success in one piece.
-    Whole {
-        /// Whether it bore a signature.
-        is_signed: bool,
-        /// The body.
-        body: String,
-    },
-    /// Events; `is_ended` if they came to a clean end.
-    Stream {
-        /// Whether it bore a signature.
-        is_signed: bool,
-        /// What came.
-        body: String,
-        /// Whether it looked whole.
-        is_ended: bool,
-    },
-    /// The connection ended before any of the answer came.
-    Cut,
-    /// The connection ended in the middle of an answer.
-    CutInside,
-    /// Nothing came in time.
-    Nothing,
-}
-
-impl CallerOutcome {
-    /// Whether the caller was served.
-    pub fn is_served(&self) -> bool {
-        match self {
-            CallerOutcome::Whole { .. } => true,
-            CallerOutcome::Stream { is_ended, .. } => *is_ended,
-            _ => false,
-        }
-    }
-}
-
 #[derive(Debug)]
 struct AttemptBook {
     request: SentRequest,
