Read and log the version of endpoints' software, and streams that callers take up

The registration was decoded without the version of the software, and nothing in the logs told that a request takes up a stream of an earlier attempt. No decision has changed, but for one thing: a registration without a version, or with one that is not a text, names no endpoint to use, as for the other fields that the platform's page lists.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -19,7 +19,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-pub use self::registration::{EndpointRegistration, EngineStage};
+pub use self::registration::{EndpointRegistration, EngineStage, SoftwareVersion};
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::{EndpointId, ServiceName},
@@ -221,6 +221,7 @@
             hasher.update(entry.id.as_str().as_bytes());
             hasher.update(&entry.start.to_le_bytes());
             hasher.update(entry.service.as_str().as_bytes());
+            hasher.update(entry.version.as_str().as_bytes());
             hasher.update(entry.address.to_string().as_bytes());
             let stage = match entry.stage {
                 None => 0,
--- a/crates/core/src/directory/registration.rs
+++ b/crates/core/src/directory/registration.rs
@@ -1,6 +1,6 @@
 //! The registration of an endpoint.
 
-use std::net::SocketAddr;
+use std::{convert::Infallible, fmt, net::SocketAddr, str::FromStr};
 
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +19,40 @@
     Decode,
 }
 
+/// The version of an endpoint's software, as the endpoint states it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SoftwareVersion(String);
+
+impl SoftwareVersion {
+    /// Creates the version with this name.
+    pub fn new<Text>(text: Text) -> SoftwareVersion
+    where
+        Text: Into<String>,
+    {
+        SoftwareVersion(text.into())
+    }
+
+    /// The version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> Result<SoftwareVersion, Infallible> {
+        Ok(SoftwareVersion::new(text))
+    }
+}
+
 /// The registration of an endpoint as stored.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointRegistration {
@@ -32,6 +66,8 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub domain: FailureDomain,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     /// The maximum number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is leaving and receives no new work.
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -4,6 +4,7 @@
     clock::{ClockTime, TimeSpan},
     directory::{
         DirectoryChange, EndpointDirectory, EndpointRegistration, EngineStage, LAPSE_GRACE,
+        SoftwareVersion,
     },
     ids::{EndpointId, FailureDomain, ServiceName},
 };
@@ -27,6 +28,7 @@
         service: chat(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: FailureDomain::new("se-a").unwrap(),
+        version: SoftwareVersion::new("v1"),
         slots: 8,
         is_leaving: false,
         leaves_in: None,
--- a/crates/core/tests/placement_engines.rs
+++ b/crates/core/tests/placement_engines.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    directory::{EndpointRegistration, EngineStage},
+    directory::{EndpointRegistration, EngineStage, SoftwareVersion},
     ids::{EndpointId, FailureDomain, InstanceId, ServiceName},
     ingress::EngineRule,
     placement::{
@@ -36,6 +36,7 @@
         service: service(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: FailureDomain::new(domain).unwrap(),
+        version: SoftwareVersion::new("v1"),
         slots: 64,
         is_leaving: false,
         leaves_in: None,
--- a/crates/core/tests/placement_replicas.rs
+++ b/crates/core/tests/placement_replicas.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    directory::EndpointRegistration,
+    directory::{EndpointRegistration, SoftwareVersion},
     ids::{EndpointId, FailureDomain, ServiceName},
     placement::ReplicaTable,
     routing::RoutingSettings,
@@ -25,6 +25,7 @@
         service: ServiceName::new("till").unwrap(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: FailureDomain::new(domain).unwrap(),
+        version: SoftwareVersion::new("v1"),
         slots: 6,
         is_leaving: false,
         leaves_in: None,
--- a/crates/core/tests/provision.rs
+++ b/crates/core/tests/provision.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    directory::{EndpointRegistration, EngineStage},
+    directory::{EndpointRegistration, EngineStage, SoftwareVersion},
     ids::{EndpointId, FailureDomain, ServiceName},
     ingress::{EngineRule, ScalingRule},
     provision::{DomainBaseline, EngineDemand, ProvisionPlanner, ProvisionService, ProvisionStep},
@@ -30,6 +30,7 @@
         service: service(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: domain(domain_name),
+        version: SoftwareVersion::new("v1"),
         slots: 64,
         is_leaving: false,
         leaves_in: None,
--- a/crates/core/tests/provision_size.rs
+++ b/crates/core/tests/provision_size.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    directory::{EndpointRegistration, EngineStage},
+    directory::{EndpointRegistration, EngineStage, SoftwareVersion},
     ids::{EndpointId, FailureDomain, ServiceName},
     ingress::{EngineRule, ScalingRule},
     provision::{EngineDemand, ProvisionPlanner, ProvisionService, ProvisionStep},
@@ -33,6 +33,7 @@
         service: service(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: FailureDomain::new(domain).unwrap(),
+        version: SoftwareVersion::new("v1"),
         slots: 24,
         is_leaving: false,
         leaves_in: None,
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -26,7 +26,7 @@
         prefill::PrefilledSource,
         proxy,
         quota::QuotaCharge,
-        refuse, request_log_line, retries,
+        refuse, request_log_line, retries, software,
         stream::{self, RunningStream, StreamPosition},
     },
     frontend::{AnswerBody, CallerRequest, Refusal, RefusalReason},
@@ -440,6 +440,7 @@
         request_log_line(&self.context, "first_event", &self.request)
             .with("prefill", &plan.engine.id)
             .with("run", &target.id)
+            .with("software", software(&self.context, &target.id))
             .with("held", plan.held_tokens)
             .with("prompt", self.work.prompt)
             .with("expected", plan.first_token)
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -22,7 +22,8 @@
 
 use std::sync::Arc;
 
-use bluebell_core::records::UsageWindow;
+use bluebell_adapter::headers;
+use bluebell_core::{ids::EndpointId, records::UsageWindow};
 use bluebell_daemon::logs::LogLine;
 use hyper::Response;
 use tokio_util::sync::CancellationToken;
@@ -59,6 +60,7 @@
         Err(excess) => return refuse(context, &request, excess.refusal, &excess.detail),
     };
     let request = Arc::new(request);
+    log_resumed(context, &request);
     match request.work {
         Some(_) => generate::serve(context, &request, charge).await,
         None => plain::serve(context, &request, charge).await,
@@ -91,6 +93,26 @@
         .with("elapsed", now.since(request.arrived))
 }
 
+/// Logs that a request takes up a stream that an earlier attempt of its caller began.
+fn log_resumed(context: &EntryContext, request: &CallerRequest) {
+    let Some(stream) = &request.resumes else {
+        return;
+    };
+    let last_event = request.headers.get(headers::LAST_EVENT_ID);
+    let last_event = last_event.and_then(|value| value.to_str().ok());
+    request_log_line(context, "stream_taken_up", request)
+        .with("stream", stream)
+        .with("after_event", last_event.unwrap_or("-"))
+        .info();
+}
+
+/// The version of an endpoint's software for the log.
+fn software(context: &EntryContext, endpoint: &EndpointId) -> String {
+    let directory = context.directory.lock();
+    let registration = directory.get(endpoint);
+    registration.map_or("-".to_string(), |known| known.version.to_string())
+}
+
 /// Refuses a request: counts and logs the refusal and returns the response.
 fn refuse(
     context: &EntryContext,
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -19,7 +19,7 @@
         guards::ReplicaGuard,
         limits, meter, proxy,
         quota::QuotaCharge,
-        refuse, request_log_line, retries,
+        refuse, request_log_line, retries, software,
     },
     frontend::{AnswerBody, CallerRequest, Refusal, RefusalReason},
 };
@@ -293,6 +293,7 @@
             .inc();
         request_log_line(self.context, "answered", self.request)
             .with("endpoint", &target.id)
+            .with("software", software(self.context, &target.id))
             .with("status", answer.status.as_u16())
             .with("asked", self.attempted.len())
             .info();
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -21,7 +21,7 @@
         events::{EventReader, NextEvents},
         generate::GenerationRun,
         guards::RunGuard,
-        request_log_line,
+        request_log_line, software,
     },
     frontend::{AnswerBody, StreamAborted, stream_body},
     memory::AnswerMemory,
@@ -198,6 +198,7 @@
                 request_log_line(&self.run.context, "stream_resumed", &self.run.request)
                     .with("from", failed.id)
                     .with("to", &running.target.id)
+                    .with("software", software(&self.run.context, &running.target.id))
                     .with("after_event", last_id.unwrap_or_default())
                     .info();
                 self.running = running;
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -83,6 +83,9 @@
     pub is_proxied: bool,
     /// The priority; 0 is the most urgent.
     pub priority: u8,
+    /// The caller's attempt that brought the first event of the stream that the request takes
+    /// up.
+    pub resumes: Option<RequestId>,
     /// The token counts and the prefix of the prompt, for model services only.
     pub work: Option<PromptWork>,
     /// The prompt and output tokens that the caller states, for the limit of the
@@ -200,6 +203,7 @@
         key: private_key(&head.headers),
         is_proxied: source == RequestSource::Instance,
         priority,
+        resumes: resumed_stream(&head.headers),
         work,
         stated_tokens: stated_tokens(&head.headers),
         arrived,
@@ -281,6 +285,13 @@
     PromptWork::new(sizes, parts).map_err(|_| ())
 }
 
+/// The attempt that the request names as the one that began its stream. An invalid id names
+/// none.
+fn resumed_stream(received: &HeaderMap) -> Option<RequestId> {
+    let id = header_text(received, headers::RESUMES)?;
+    RequestId::new(id.trim()).ok()
+}
+
 /// The sum of the token counts that the caller states, on requests of any service.
 fn stated_tokens(headers: &HeaderMap) -> Option<TokenCount> {
     let sizes = header_text(headers, headers::TOKEN_USAGE)?;
@@ -320,6 +331,7 @@
         headers::TOKEN_USAGE,
         headers::PROMPT_PREFIX,
         headers::LAST_EVENT_ID,
+        headers::RESUMES,
     ]
     .contains(&name.as_str())
 }
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -281,6 +281,7 @@
         .with("failure_domain", &registration.domain)
         .with("address", registration.address)
         .with("start", registration.start)
+        .with("software", &registration.version)
         .with("stage", format!("{:?}", registration.stage))
         .with("preemptible", registration.is_preemptible)
         .with("leaving", registration.is_leaving)
