Move the shared mutex out of the module of the entry's state

Modules that only need the mutex imported the module with the state of the entry, which imports them. Code is moved only; of the files that import each other round EntryContext the connection pool no longer does.

--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -1,6 +1,6 @@
 //! State shared by all parts of an entry.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use bluebell_adapter::{engines::EngineClient, settings::InstanceSettings, store::StoreClient};
 use bluebell_core::{
@@ -28,6 +28,7 @@
     memory::MemoryAccount,
     metrics::EntryMetrics,
     peers::{self, PeerTable},
+    shared::Shared,
     state_transfer::StateCache,
     sync::copies::PublishedCopy,
 };
@@ -57,23 +58,6 @@
 /// Time until an endpoint receives its full share of requests after an ejection.
 const SLOW_START: TimeSpan = TimeSpan::from_millis(2_000);
 
-/// A mutex whose value stays usable after a holder panicked: each of the shared types
-/// keeps its own invariants between calls.
-#[derive(Debug, Default)]
-pub struct Shared<Value>(Mutex<Value>);
-
-impl<Value> Shared<Value> {
-    /// Wraps `value` in a mutex.
-    pub fn new(value: Value) -> Shared<Value> {
-        Shared(Mutex::new(value))
-    }
-
-    /// Locks the value. The guard must not be held across an `await`.
-    pub fn lock(&self) -> MutexGuard<'_, Value> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// State relayed by the reader of the failure domain, and freshness of the endpoints.
 #[derive(Debug, Default)]
 pub struct RelayedState {
--- a/crates/ingress/src/forward/pool.rs
+++ b/crates/ingress/src/forward/pool.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{clock::ClockTime, ids::EndpointId};
 
-use crate::{context::Shared, forward::connection::EndpointConnection};
+use crate::{forward::connection::EndpointConnection, shared::Shared};
 
 /// Maximum number of idle connections to one endpoint: all entries share the
 /// connections that an endpoint accepts.
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peers;
 pub mod program;
 pub mod ready;
+mod shared;
 mod state_transfer;
 pub mod sync;
 pub mod time;
--- a/crates/ingress/src/memory.rs
+++ b/crates/ingress/src/memory.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::context::Shared;
+use crate::shared::Shared;
 
 /// The share of the process's memory limit for bodies and answers, in percent. The rest is
 /// for the state of the fleet, connections and buffers.
