--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -23,6 +23,7 @@
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::{EndpointId, ServiceName},
+    streams::VersionHistory,
 };
 
 /// How long a lapsed registration is kept after the store recovers: live endpoints
@@ -65,6 +66,8 @@
 #[derive(Clone, Debug)]
 pub struct EndpointDirectory {
     endpoints: BTreeMap<EndpointId, KnownEndpoint>,
+    /// The software versions that were registered lately.
+    versions: VersionHistory,
     /// The digest, unless the endpoints have changed since it was computed.
     digest: Option<u64>,
     /// The shortest outage in which a registration can lapse.
@@ -89,6 +92,7 @@
     pub fn new() -> EndpointDirectory {
         EndpointDirectory {
             endpoints: BTreeMap::new(),
+            versions: VersionHistory::new(),
             digest: None,
             min_outage: TimeSpan::ZERO,
             answered_at: None,
@@ -106,6 +110,22 @@
         self
     }
 
+    /// Sets whether the whole system starts for the first time.
+    pub fn with_first_start(mut self, is_first_start: bool) -> EndpointDirectory {
+        self.versions = self.versions.with_first_start(is_first_start);
+        self
+    }
+
+    /// The software versions that were registered lately.
+    pub fn versions(&self) -> &VersionHistory {
+        &self.versions
+    }
+
+    /// The software versions that were registered lately, to record what is known of them.
+    pub fn versions_mut(&mut self) -> &mut VersionHistory {
+        &mut self.versions
+    }
+
     /// Records that a read of the registrations failed.
     pub fn note_outage(&mut self, now: ClockTime) {
         let last_answer = self.answered_at.unwrap_or(now);
@@ -152,7 +172,16 @@
             registration,
             expires_at: None,
         };
+        let (service, origin) = (
+            known.registration.service.clone(),
+            known.registration.origin(),
+        );
         let earlier = self.endpoints.insert(id, known);
+        self.versions.note_registered(&service, origin);
+        if let Some(KnownEndpoint { registration, .. }) = &earlier {
+            let origin = registration.origin();
+            self.versions.note_removed(&registration.service, origin);
+        }
         let was_lapsed = earlier.is_some_and(|earlier| earlier.expires_at.is_some());
         if was_lapsed || change != DirectoryChange::Same {
             self.digest = None;
@@ -180,8 +209,7 @@
                 DirectoryChange::Lapsed
             }
             _ => {
-                self.endpoints.remove(id);
-                self.digest = None;
+                self.remove_endpoint(id);
                 DirectoryChange::Gone
             }
         }
@@ -249,7 +277,11 @@
 
     /// Removes an endpoint at whose address another endpoint answered.
     pub fn remove_endpoint(&mut self, id: &EndpointId) {
-        self.endpoints.remove(id);
+        let removed = self.endpoints.remove(id);
+        if let Some(KnownEndpoint { registration, .. }) = removed {
+            let origin = registration.origin();
+            self.versions.note_removed(&registration.service, origin);
+        }
         self.digest = None;
     }
 
@@ -259,7 +291,7 @@
         let ids = self.endpoints.iter().filter(|(_, known)| lapsed(known));
         let ids: Vec<EndpointId> = ids.map(|(id, _)| id.clone()).collect();
         for id in &ids {
-            self.endpoints.remove(id);
+            self.remove_endpoint(id);
         }
         ids
     }
--- a/crates/core/src/directory/registration.rs
+++ b/crates/core/src/directory/registration.rs
@@ -7,6 +7,7 @@
 use crate::{
     clock::TimeSpan,
     ids::{EndpointId, FailureDomain, ServiceName},
+    streams::OriginHash,
 };
 
 /// The stage of model inference that an engine runs.
@@ -85,6 +86,11 @@
 }
 
 impl EndpointRegistration {
+    /// The service and version that begin a stream at this endpoint.
+    pub fn origin(&self) -> OriginHash {
+        OriginHash::with_version(&self.service, &self.version)
+    }
+
     /// Whether `other` is equal but for the heartbeat number and the warming time.
     pub fn same_except_heartbeat(&self, other: &EndpointRegistration) -> bool {
         let other = EndpointRegistration {
--- a/crates/core/src/ingress/configuration.rs
+++ b/crates/core/src/ingress/configuration.rs
@@ -184,6 +184,13 @@
 }
 
 impl IngressConfiguration {
+    /// The longest timeout of the routes whose streams can be resumed.
+    pub fn resumable_timeout(&self) -> TimeSpan {
+        let routes = self.routes.iter().filter(|route| route.is_resumable);
+        let longest = routes.map(|route| route.timeout).max();
+        longest.unwrap_or(TimeSpan::ZERO)
+    }
+
     /// The organisations that have a limit.
     pub fn rate_limits(&self) -> impl Iterator<Item = (OrganisationId, RateLimit)> + '_ {
         let rules = self.organisations.iter().flatten();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod retries;
 pub mod roles;
 pub mod routing;
+pub mod streams;
 pub mod units;
 pub mod usage;
 pub mod view;
--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -188,6 +188,7 @@
                 id: registration.id.clone(),
                 address: registration.address,
                 start: registration.start,
+                origin: registration.origin(),
             },
             start: registration.start,
             service: registration.service.clone(),
@@ -322,6 +323,9 @@
         self.engines.values().filter(move |state| {
             state.service == *request.service
                 && state.accepts_work(now)
+                && request
+                    .origin
+                    .is_none_or(|origin| origin == state.target.origin)
                 && !request.excluded.contains(&state.target.id)
                 && (!healthy_only || self.is_healthy(now, state))
         })
--- a/crates/core/src/placement/plan.rs
+++ b/crates/core/src/placement/plan.rs
@@ -10,6 +10,7 @@
         PromptWork,
         queue::{EngineLoad, PRIORITY_RANKS},
     },
+    streams::OriginHash,
 };
 
 /// The id and address of an endpoint to which a request is sent.
@@ -21,6 +22,8 @@
     pub address: SocketAddr,
     /// The time of the endpoint's start, which distinguishes its incarnations.
     pub start: u64,
+    /// The service and software version of the endpoint.
+    pub origin: OriginHash,
 }
 
 /// Prefill work that is planned for an engine's queue.
@@ -59,6 +62,8 @@
     pub priority: u8,
     /// Engines to which the request must not be sent.
     pub excluded: &'a [EndpointId],
+    /// Where the stream began that the request continues; it goes on there only.
+    pub origin: Option<OriginHash>,
     /// Time left until the caller's deadline.
     pub time_left: TimeSpan,
 }
--- /dev/null
+++ b/crates/core/src/streams/mod.rs
@@ -0,0 +1,28 @@
+//! Which software version a stream began at, so that it goes on at that version only.
+//!
+//! What two versions of an endpoint's software write doesn't fit together, and endpoints don't
+//! check it. The instance that resumes a stream of its own knows the version. A caller may take
+//! its stream up at any instance, which finds the version in one of two ways:
+//!
+//! - Only one version of the service was in view for as long as a stream can last
+//!   ([`VersionHistory`]).
+//! - It is recorded. An instance that can't rule out a second version records the versions of
+//!   the streams that begin there with a few other instances ([`StreamTable`]). Which ones
+//!   follows from the id of the stream ([`recording_peers`], [`queried_peers`]), so any instance
+//!   knows whom to ask.
+//!
+//! A stream whose version is not found this way is refused.
+
+mod history;
+mod origin;
+mod peers;
+mod resolution;
+mod table;
+
+pub use self::{
+    history::{MAX_STREAM_AGE, MAX_VIEW_AGE, VersionHistory},
+    origin::{OriginHash, StreamHash},
+    peers::{RecordPeer, queried_peers, recording_peers},
+    resolution::{UnknownOrigin, resolve_origin},
+    table::{RecordScope, RecordedOrigin, StreamRecord, StreamTable},
+};
--- /dev/null
+++ b/crates/core/src/streams/table.rs
@@ -0,0 +1,201 @@
+//! The versions of streams that began at this instance, and of those that others record here.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::Serialize;
+
+use crate::{
+    clock::ClockTime,
+    ids::{InstanceId, ServiceName},
+    streams::{MAX_STREAM_AGE, OriginHash, RecordPeer, StreamHash},
+};
+
+/// The maximum number of streams that are kept of each kind. Beyond it the oldest go first.
+const MAX_STREAMS: usize = 16_384;
+
+/// A stream and where it began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamRecord {
+    /// The stream.
+    pub stream: StreamHash,
+    /// The service and the version that began it.
+    pub origin: OriginHash,
+}
+
+/// The streams whose records are due.
+#[derive(Clone, Copy, Debug)]
+pub enum RecordScope<'a> {
+    /// One stream.
+    Stream(StreamHash),
+    /// All streams of these services.
+    Services(&'a [ServiceName]),
+}
+
+/// What is recorded of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum RecordedOrigin {
+    /// It began there.
+    Known(OriginHash),
+    /// Two instances named different origins.
+    Contradictory,
+}
+
+impl RecordedOrigin {
+    /// Combines two statements about one stream.
+    pub fn combine(self, other: RecordedOrigin) -> RecordedOrigin {
+        match self == other {
+            true => self,
+            false => RecordedOrigin::Contradictory,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct BegunStream {
+    origin: OriginHash,
+    service: ServiceName,
+    /// The instances that were sent the record, with their starts.
+    recorded_at: Vec<(InstanceId, u64)>,
+}
+
+/// A map of streams in the order in which they were entered.
+#[derive(Clone, Debug)]
+struct AgedStreams<Entry> {
+    entries: BTreeMap<StreamHash, Entry>,
+    entered: VecDeque<(ClockTime, StreamHash)>,
+}
+
+impl<Entry> AgedStreams<Entry> {
+    const fn new() -> AgedStreams<Entry> {
+        AgedStreams {
+            entries: BTreeMap::new(),
+            entered: VecDeque::new(),
+        }
+    }
+
+    /// The entry of `stream`, which `create` returns if it is missing.
+    fn entry<Create>(&mut self, now: ClockTime, stream: StreamHash, create: Create) -> &mut Entry
+    where
+        Create: FnOnce() -> Entry,
+    {
+        if !self.entries.contains_key(&stream) {
+            self.remove_old(now);
+            self.entered.push_back((now, stream));
+        }
+        self.entries.entry(stream).or_insert_with(create)
+    }
+
+    fn remove_old(&mut self, now: ClockTime) {
+        while let Some((entered_at, stream)) = self.entered.front() {
+            let is_old = now.since(*entered_at) >= MAX_STREAM_AGE;
+            if !is_old && self.entered.len() < MAX_STREAMS {
+                return;
+            }
+            self.entries.remove(stream);
+            self.entered.pop_front();
+        }
+    }
+}
+
+/// The streams that one instance knows.
+#[derive(Clone, Debug)]
+pub struct StreamTable {
+    begun: AgedStreams<BegunStream>,
+    recorded: AgedStreams<RecordedOrigin>,
+}
+
+impl Default for StreamTable {
+    fn default() -> StreamTable {
+        StreamTable::new()
+    }
+}
+
+impl StreamTable {
+    /// Creates an empty table.
+    pub const fn new() -> StreamTable {
+        StreamTable {
+            begun: AgedStreams::new(),
+            recorded: AgedStreams::new(),
+        }
+    }
+
+    /// Records that a stream of `service` began here.
+    pub fn note_begun(&mut self, now: ClockTime, record: StreamRecord, service: &ServiceName) {
+        self.begun.entry(now, record.stream, || BegunStream {
+            origin: record.origin,
+            service: service.clone(),
+            recorded_at: Vec::new(),
+        });
+    }
+
+    /// Records that a stream that began here has ended, so that nobody takes it up.
+    pub fn note_ended(&mut self, stream: StreamHash) {
+        self.begun.entries.remove(&stream);
+    }
+
+    /// Records what another instance states about a stream that began there.
+    pub fn note_record(&mut self, now: ClockTime, record: StreamRecord) {
+        let stated = RecordedOrigin::Known(record.origin);
+        let recorded = self.recorded.entry(now, record.stream, || stated);
+        *recorded = recorded.combine(stated);
+    }
+
+    /// Where `stream` began, as far as it is known here.
+    pub fn origin(&self, stream: StreamHash) -> Option<RecordedOrigin> {
+        let begun = self.begun.entries.get(&stream);
+        let begun = begun.map(|begun| RecordedOrigin::Known(begun.origin));
+        begun.or_else(|| self.recorded.entries.get(&stream).copied())
+    }
+
+    /// The services of the streams that began here.
+    pub fn begun_services(&self) -> Vec<ServiceName> {
+        let mut services: Vec<ServiceName> = Vec::new();
+        for begun in self.begun.entries.values() {
+            if !services.contains(&begun.service) {
+                services.push(begun.service.clone());
+            }
+        }
+        services
+    }
+
+    /// Returns the records of the streams in `scope` for the peers that `choose` assigns to each
+    /// and that have not been sent it, and records them as sent.
+    pub fn take_due<Address, Choose>(
+        &mut self,
+        scope: RecordScope<'_>,
+        choose: Choose,
+    ) -> Vec<(Address, Vec<StreamRecord>)>
+    where
+        Address: Copy + Ord,
+        Choose: Fn(StreamHash) -> Vec<RecordPeer<Address>>,
+    {
+        let mut due: BTreeMap<Address, Vec<StreamRecord>> = BTreeMap::new();
+        for (stream, begun) in &mut self.begun.entries {
+            let is_in_scope = match scope {
+                RecordScope::Stream(one) => *stream == one,
+                RecordScope::Services(services) => services.contains(&begun.service),
+            };
+            if !is_in_scope {
+                continue;
+            }
+            for peer in choose(*stream) {
+                let recipient = (peer.instance, peer.start);
+                if begun.recorded_at.contains(&recipient) {
+                    continue;
+                }
+                begun.recorded_at.push(recipient);
+                due.entry(peer.address).or_default().push(StreamRecord {
+                    stream: *stream,
+                    origin: begun.origin,
+                });
+            }
+        }
+        due.into_iter().collect()
+    }
+
+    /// Removes the streams that nobody takes up any more.
+    pub fn sweep(&mut self, now: ClockTime) {
+        self.begun.remove_old(now);
+        self.recorded.remove_old(now);
+    }
+}
--- a/crates/core/tests/placement_engines.rs
+++ b/crates/core/tests/placement_engines.rs
@@ -104,6 +104,7 @@
             work: &self.work,
             priority: self.priority,
             excluded: &self.excluded,
+            origin: None,
             time_left: self.time_left,
         }
     }
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -1,6 +1,6 @@
 //! State shared by all parts of an entry.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use bluebell_adapter::{engines::EngineClient, settings::InstanceSettings, store::StoreClient};
 use bluebell_core::{
@@ -17,6 +17,7 @@
     relay::{AdvertisedConfiguration, DigestMismatchTimer},
     retries::{RetryAllowance, SharedRetryBudget},
     routing::RoutingSettings,
+    streams::RecordPeer,
     usage::{MeterWriter, UsageMeter},
 };
 use tokio::sync::Notify;
@@ -30,6 +31,7 @@
     peers::{self, PeerTable},
     shared::Shared,
     state_transfer::StateCache,
+    stream_origins::StreamOrigins,
     sync::copies::PublishedCopy,
 };
 
@@ -108,6 +110,8 @@
     pub budget: Shared<SharedRetryBudget>,
     /// The requests that ran on endpoints that crashed.
     pub quarantine: Shared<SharedQuarantine>,
+    /// The versions at which streams began.
+    pub streams: StreamOrigins,
     /// Whether this instance reaches the endpoints of each service.
     pub reach: Shared<ReachTable>,
     /// The limits of organisations and their usage at all instances.
@@ -170,7 +174,9 @@
             start: crate::time::wall_time().as_millis(),
         };
         let started_at = clock.now();
-        let directory = EndpointDirectory::new().with_heartbeat(settings.heartbeat);
+        let directory = EndpointDirectory::new()
+            .with_heartbeat(settings.heartbeat)
+            .with_first_start(settings.is_first_start);
         let seed = rand::random();
         let limiter = RateLimiter::new(started_at, bounds.quota).with_seed(seed);
         let memory = MemoryAccount::new(settings.memory_mb, clock.clone());
@@ -188,6 +194,7 @@
             replicas: Shared::new(ReplicaTable::new(routing).with_seed(seed)),
             budget: Shared::new(SharedRetryBudget::new(allowance).with_start(started_at)),
             quarantine: Shared::new(SharedQuarantine::new()),
+            streams: StreamOrigins::new(),
             reach: Shared::new(ReachTable::new()),
             limiter: Shared::new(limiter),
             endpoint_limits: Shared::new(EndpointLimits::new()),
@@ -247,6 +254,12 @@
         self.endpoint_limits.lock().set_entries(local, &others);
     }
 
+    /// The other instances as those that can record streams.
+    pub fn record_peers(&self) -> Vec<RecordPeer<SocketAddr>> {
+        let peers = self.peers.lock();
+        peers::record_peers(&peers, self.now(), &self.settings.domain)
+    }
+
     /// Updates the size of the fleet, whose instances report their usage of limits every
     /// `interval`.
     pub fn update_fleet_size(&self, interval: TimeSpan) {
--- /dev/null
+++ b/crates/ingress/src/forward/engine_choice.rs
@@ -0,0 +1,105 @@
+//! Which engines a request is sent to, and with which headers.
+
+use bluebell_adapter::headers;
+use bluebell_core::{
+    ids::EndpointId,
+    ingress::EngineRule,
+    placement::{EndpointTarget, PlacementError, PlanRequest, PrefillPlan},
+};
+
+use crate::{
+    forward::{
+        attempt::ExtraHeaders,
+        failed_attempt::{FailedAttempt, no_engine_failure},
+        generate::GenerationRun,
+        limits,
+    },
+    frontend::RefusalReason,
+};
+
+/// Number of engine priority levels per level of route priority.
+const PRIORITY_STEP: u8 = 3;
+/// The least urgent priority level of engines.
+const LOWEST_ENGINE_PRIORITY: u8 = 9;
+
+impl GenerationRun {
+    fn engine_rule(&self) -> Option<&EngineRule> {
+        let service = self.request.table.service(&self.request.service)?;
+        service.engine.as_ref()
+    }
+
+    /// The fraction of an engine that the request takes while it runs.
+    pub(super) fn run_share(&self) -> f64 {
+        let tokens = self.work.prompt + self.work.output;
+        self.engine_rule()
+            .map_or(0.0, |rule| rule.capacity_share(tokens))
+    }
+
+    fn plan_request<'a>(
+        &'a self,
+        excluded: &'a [EndpointId],
+    ) -> Result<PlanRequest<'a>, FailedAttempt> {
+        let Some(rule) = self.engine_rule() else {
+            // No later attempt can succeed, and retrying in a loop would block all other
+            // tasks of this process.
+            let detail = "the service has no engines";
+            return Err(FailedAttempt::new(RefusalReason::NoEndpoint, detail).without_retry());
+        };
+        Ok(PlanRequest {
+            service: &self.request.service,
+            rule,
+            work: &self.work,
+            priority: self.request.priority,
+            excluded,
+            origin: self.begun.origin(),
+            time_left: self.request.time_left(self.context.now()),
+        })
+    }
+
+    /// Selects the engine that prefills the prompt.
+    pub(super) fn plan(&self) -> Result<PrefillPlan, FailedAttempt> {
+        let now = self.context.now();
+        let excluded = limits::excluded(&self.context, &self.attempted);
+        let request = self.plan_request(&excluded)?;
+        let plan = self.context.engines.lock().plan(now, request);
+        // An immediate retry would find no engine either, and would block all other
+        // tasks of this process meanwhile.
+        plan.map_err(|error| self.no_engine(error).without_retry())
+    }
+
+    /// Selects the engine that runs the request once its prompt has been prefilled by `plan`.
+    pub(super) fn choose_runner(
+        &self,
+        plan: &PrefillPlan,
+    ) -> Result<EndpointTarget, FailedAttempt> {
+        let now = self.context.now();
+        let excluded = limits::excluded(&self.context, &self.attempted);
+        let request = self.plan_request(&excluded)?;
+        let mut engines = self.context.engines.lock();
+        let target = engines.choose_runner(now, request, &plan.engine.id);
+        drop(engines);
+        target.map_err(|error| self.no_engine(error))
+    }
+
+    /// Returns the failure for a request that no engine can take.
+    fn no_engine(&self, error: PlacementError) -> FailedAttempt {
+        let failed = no_engine_failure(error);
+        let retry_after = failed.retry_after;
+        FailedAttempt {
+            retry_after: retry_after
+                .or_else(|| limits::retry_after(&self.context, &self.request.service)),
+            ..failed
+        }
+    }
+
+    /// The headers of a call to an engine; `last_id` is the last event that the caller has.
+    pub(super) fn extra_headers(&self, last_id: Option<u64>) -> ExtraHeaders {
+        let priority = self.request.priority.saturating_mul(PRIORITY_STEP);
+        let priority = priority.min(LOWEST_ENGINE_PRIORITY);
+        let mut extra_headers = vec![(headers::REQUEST_PRIORITY, priority.to_string())];
+        if let Some(id) = last_id {
+            extra_headers.push((headers::LAST_EVENT_ID, id.to_string()));
+        }
+        extra_headers
+    }
+}
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -7,8 +7,7 @@
     attempts::{RequestAttempts, WorkKind},
     clock::TimeSpan,
     ids::EndpointId,
-    ingress::EngineRule,
-    placement::{EndpointTarget, PlacementError, PlanRequest, PrefillPlan, PromptWork},
+    placement::{EndpointTarget, PrefillPlan, PromptWork},
     retries::{EngineArrival, EngineCall, RequestArrivals},
 };
 use hyper::Response;
@@ -20,13 +19,15 @@
         attempt::{self, EndpointAnswer, ExtraHeaders, SendOutcome},
         crashes,
         events::{EventReader, NextEvents},
-        failed_attempt::{FailedAttempt, no_engine_failure},
+        failed_attempt::FailedAttempt,
         guards::{PrefillGuard, RunGuard},
-        limits, meter,
+        meter,
         prefill::PrefilledSource,
         proxy,
         quota::QuotaCharge,
-        refuse, request_log_line, retries, software,
+        refuse, request_log_line,
+        resume::{self, BegunStream},
+        retries, software,
         stream::{self, RunningStream, StreamPosition},
     },
     frontend::{AnswerBody, CallerRequest, Refusal, RefusalReason},
@@ -40,11 +41,6 @@
 /// engines in a row.
 const MAX_ATTEMPTED_ENGINES: usize = 9;
 
-/// Number of engine priority levels per level of route priority.
-const PRIORITY_STEP: u8 = 3;
-/// The least urgent priority level of engines.
-const LOWEST_ENGINE_PRIORITY: u8 = 9;
-
 /// How many engines may refuse to take over a prefilled prompt before it is prefilled
 /// again. The first refusals usually concern the engine; later ones probably concern the
 /// prompt, which may have expired. An engine that can't be reached says nothing about it.
@@ -72,6 +68,8 @@
     pub(super) possible_runs: u32,
     pub(super) arrivals: RequestArrivals,
     source: Option<PrefilledSource>,
+    /// Where the stream began, once it has.
+    pub(super) begun: BegunStream,
     is_metered: bool,
     charge: Option<QuotaCharge>,
 }
@@ -124,6 +122,7 @@
             possible_runs: 0,
             arrivals: RequestArrivals::new(),
             source: None,
+            begun: BegunStream::with_origin(request.origin),
             is_metered: false,
             charge,
         }
@@ -147,7 +146,8 @@
             true => self.note_lost_run(failed),
             false => self.note_unread_run(&failed.id),
         }
-        if self.request.route.work_kind() != WorkKind::Repeatable || !self.may_retry() {
+        let is_repeatable = self.request.route.work_kind() == WorkKind::Repeatable;
+        if !is_repeatable || self.begun == BegunStream::Unknown || !self.may_retry() {
             return None;
         }
         match self.start_run(last_id).await {
@@ -247,79 +247,6 @@
             .await
     }
 
-    fn engine_rule(&self) -> Option<&EngineRule> {
-        let service = self.request.table.service(&self.request.service)?;
-        service.engine.as_ref()
-    }
-
-    /// The fraction of an engine that the request takes while it runs.
-    fn run_share(&self) -> f64 {
-        let tokens = self.work.prompt + self.work.output;
-        self.engine_rule()
-            .map_or(0.0, |rule| rule.capacity_share(tokens))
-    }
-
-    fn plan_request<'a>(
-        &'a self,
-        excluded: &'a [EndpointId],
-    ) -> Result<PlanRequest<'a>, FailedAttempt> {
-        let Some(rule) = self.engine_rule() else {
-            // No later attempt can succeed, and retrying in a loop would block all other
-            // tasks of this process.
-            let detail = "the service has no engines";
-            return Err(FailedAttempt::new(RefusalReason::NoEndpoint, detail).without_retry());
-        };
-        Ok(PlanRequest {
-            service: &self.request.service,
-            rule,
-            work: &self.work,
-            priority: self.request.priority,
-            excluded,
-            time_left: self.request.time_left(self.context.now()),
-        })
-    }
-
-    fn plan(&self) -> Result<PrefillPlan, FailedAttempt> {
-        let now = self.context.now();
-        let excluded = limits::excluded(&self.context, &self.attempted);
-        let request = self.plan_request(&excluded)?;
-        let plan = self.context.engines.lock().plan(now, request);
-        // An immediate retry would find no engine either, and would block all other
-        // tasks of this process meanwhile.
-        plan.map_err(|error| self.no_engine(error).without_retry())
-    }
-
-    fn choose_runner(&self, plan: &PrefillPlan) -> Result<EndpointTarget, FailedAttempt> {
-        let now = self.context.now();
-        let excluded = limits::excluded(&self.context, &self.attempted);
-        let request = self.plan_request(&excluded)?;
-        let mut engines = self.context.engines.lock();
-        let target = engines.choose_runner(now, request, &plan.engine.id);
-        drop(engines);
-        target.map_err(|error| self.no_engine(error))
-    }
-
-    /// Returns the failure for a request that no engine can take.
-    fn no_engine(&self, error: PlacementError) -> FailedAttempt {
-        let failed = no_engine_failure(error);
-        let retry_after = failed.retry_after;
-        FailedAttempt {
-            retry_after: retry_after
-                .or_else(|| limits::retry_after(&self.context, &self.request.service)),
-            ..failed
-        }
-    }
-
-    pub(super) fn extra_headers(&self, last_id: Option<u64>) -> ExtraHeaders {
-        let priority = self.request.priority.saturating_mul(PRIORITY_STEP);
-        let priority = priority.min(LOWEST_ENGINE_PRIORITY);
-        let mut extra_headers = vec![(headers::REQUEST_PRIORITY, priority.to_string())];
-        if let Some(id) = last_id {
-            extra_headers.push((headers::LAST_EVENT_ID, id.to_string()));
-        }
-        extra_headers
-    }
-
     /// Sends the request to `target` to be run, and waits for the start of its answer.
     async fn run(
         &mut self,
@@ -435,6 +362,9 @@
         if let Some(prefill) = prefill {
             prefill.finish();
         }
+        if !first_events.is_empty() {
+            self.begun = resume::note_begun(&self.context, &self.request, target);
+        }
         self.meter();
         let now = self.context.now();
         request_log_line(&self.context, "first_event", &self.request)
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod crashes;
 mod engine_calls;
+mod engine_choice;
 mod engine_failures;
 mod events;
 mod failed_attempt;
@@ -17,12 +18,12 @@
 mod proxy;
 mod quota;
 mod reach;
+mod resume;
 mod retries;
 mod stream;
 
 use std::sync::Arc;
 
-use bluebell_adapter::headers;
 use bluebell_core::{ids::EndpointId, records::UsageWindow};
 use bluebell_daemon::logs::LogLine;
 use hyper::Response;
@@ -43,7 +44,10 @@
 }
 
 /// Forwards a request to an endpoint of its service and returns the answer or a refusal.
-pub async fn serve(context: &Arc<EntryContext>, request: CallerRequest) -> Response<AnswerBody> {
+pub async fn serve(
+    context: &Arc<EntryContext>,
+    mut request: CallerRequest,
+) -> Response<AnswerBody> {
     if context.reach.lock().is_unreachable(&request.service) {
         if request.is_proxied {
             let detail = "the endpoints of the service are not reached from here";
@@ -53,6 +57,12 @@
             return response;
         }
     }
+    if request.is_taken_up() {
+        request = match resume::find_origin(context, request).await {
+            Ok(request) => request,
+            Err(refused) => return *refused,
+        };
+    }
     let now = context.now();
     context.budget.lock().note_request(now, &request.service);
     let charge = match quota::charge(context, &request) {
@@ -60,7 +70,6 @@
         Err(excess) => return refuse(context, &request, excess.refusal, &excess.detail),
     };
     let request = Arc::new(request);
-    log_resumed(context, &request);
     match request.work {
         Some(_) => generate::serve(context, &request, charge).await,
         None => plain::serve(context, &request, charge).await,
@@ -93,19 +102,6 @@
         .with("elapsed", now.since(request.arrived))
 }
 
-/// Logs that a request takes up a stream that an earlier attempt of its caller began.
-fn log_resumed(context: &EntryContext, request: &CallerRequest) {
-    let Some(stream) = &request.resumes else {
-        return;
-    };
-    let last_event = request.headers.get(headers::LAST_EVENT_ID);
-    let last_event = last_event.and_then(|value| value.to_str().ok());
-    request_log_line(context, "stream_taken_up", request)
-        .with("stream", stream)
-        .with("after_event", last_event.unwrap_or("-"))
-        .info();
-}
-
 /// The version of an endpoint's software for the log.
 fn software(context: &EntryContext, endpoint: &EndpointId) -> String {
     let directory = context.directory.lock();
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -6,6 +6,7 @@
     attempts::{AttemptPhase, RequestAttempts, RunOutcome, WorkKind},
     clock::TimeSpan,
     ids::EndpointId,
+    ingress::RouteKind,
     placement::EndpointTarget,
 };
 use hyper::Response;
@@ -19,7 +20,7 @@
         guards::ReplicaGuard,
         limits, meter, proxy,
         quota::QuotaCharge,
-        refuse, request_log_line, retries, software,
+        refuse, request_log_line, resume, retries, software,
     },
     frontend::{AnswerBody, CallerRequest, Refusal, RefusalReason},
 };
@@ -118,7 +119,10 @@
         let now = self.context.now();
         let excluded = limits::excluded(self.context, &self.attempted);
         let directory = self.context.directory.lock();
-        let candidates = directory.available_for(&self.request.service);
+        let origin = self.request.origin;
+        let candidates = directory
+            .available_for(&self.request.service)
+            .filter(|candidate| origin.is_none_or(|origin| origin == candidate.origin()));
         let choice = self
             .context
             .replicas
@@ -129,6 +133,7 @@
             id: choice.endpoint,
             address: registration.address,
             start: registration.start,
+            origin: registration.origin(),
         })
     }
 
@@ -280,6 +285,9 @@
     }
 
     fn answer(&self, target: &EndpointTarget, answer: CompleteAnswer) -> Response<AnswerBody> {
+        if self.request.route.kind == RouteKind::Streaming && answer.status.is_success() {
+            resume::note_begun(self.context, self.request, target);
+        }
         let metrics = &self.context.metrics;
         let now = self.context.now();
         let elapsed = now.since(self.request.arrived).as_millis() as f64 / 1_000.0;
--- a/crates/ingress/src/forward/proxy.rs
+++ b/crates/ingress/src/forward/proxy.rs
@@ -10,6 +10,7 @@
 use bluebell_core::{
     attempts::{RequestAttempts, SendPermit, WorkKind},
     ids::{EndpointId, InstanceId},
+    ingress::RouteKind,
 };
 use bytes::Bytes;
 use futures::Stream;
@@ -94,8 +95,10 @@
             ProxyOutcome::MaybeRun(detail) => {
                 attempts.connection_lost();
                 failure = Some((RefusalReason::EndpointFailed, detail));
-                if kind != WorkKind::Repeatable || !retries::try_retry(context, request, CALL_NAME)
-                {
+                // The instance may have recorded that the stream began there.
+                let is_stream = request.route.kind == RouteKind::Streaming;
+                let is_repeatable = kind == WorkKind::Repeatable && !is_stream;
+                if !is_repeatable || !retries::try_retry(context, request, CALL_NAME) {
                     break;
                 }
             }
--- /dev/null
+++ b/crates/ingress/src/forward/resume.rs
@@ -0,0 +1,137 @@
+//! Streams that callers take up, and streams that they may take up later.
+
+use std::sync::Arc;
+
+use bluebell_adapter::headers;
+use bluebell_core::{
+    placement::EndpointTarget,
+    streams::{OriginHash, StreamHash, StreamRecord, UnknownOrigin},
+};
+use hyper::Response;
+
+use crate::{
+    context::EntryContext,
+    forward::{refuse, request_log_line},
+    frontend::{AnswerBody, CallerRequest, DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
+    stream_origins::{self, ResumedStream},
+};
+
+/// Where the stream of a request began, of which its caller may have events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BegunStream {
+    /// The caller has no event.
+    NotBegun,
+    /// It goes on at this origin only.
+    At(OriginHash),
+    /// It can't go on.
+    Unknown,
+}
+
+impl BegunStream {
+    /// The state of a request that takes up a stream of `origin`, or begins one.
+    pub fn with_origin(origin: Option<OriginHash>) -> BegunStream {
+        origin.map_or(BegunStream::NotBegun, BegunStream::At)
+    }
+
+    /// The only origin at which the stream may go on, if it has begun.
+    pub fn origin(self) -> Option<OriginHash> {
+        match self {
+            BegunStream::At(origin) => Some(origin),
+            BegunStream::NotBegun | BegunStream::Unknown => None,
+        }
+    }
+}
+
+/// Finds where the stream began that the request takes up, and has it go on there. Returns the
+/// refusal if that is not known, or not possible under the route.
+pub async fn find_origin(
+    context: &Arc<EntryContext>,
+    request: CallerRequest,
+) -> Result<CallerRequest, Box<Response<AnswerBody>>> {
+    let stream = request.resumes.is_some().then(|| request.stream());
+    let peers = context.record_peers();
+    let resolved = context
+        .streams
+        .resolve(
+            &context.clock,
+            &context.directory,
+            stream,
+            &request.service,
+            &peers,
+        )
+        .await;
+    log_taken_up(context, &request, &resolved);
+    let refuse_unknown = |request: &CallerRequest, detail: &str| {
+        let reason = RefusalReason::VersionUnknown;
+        let refusal = Refusal::before_sending(reason, DEFAULT_RETRY_AFTER);
+        Box::new(refuse(context, request, refusal, detail))
+    };
+    let resumed = match resolved {
+        Ok(resumed) => resumed,
+        Err(error) => return Err(refuse_unknown(&request, &error.to_string())),
+    };
+    if !request.route.allows_service(&resumed.service) {
+        let detail = format!("the route no longer leads to `{}`", resumed.service);
+        return Err(refuse_unknown(&request, &detail));
+    }
+    let mut request = match request.service == resumed.service {
+        true => request,
+        false => request
+            .with_service(resumed.service)
+            .map_err(|refusal| Box::new(refusal.into_response()))?,
+    };
+    request.origin = Some(resumed.origin);
+    Ok(request)
+}
+
+fn log_taken_up(
+    context: &EntryContext,
+    request: &CallerRequest,
+    resolved: &Result<ResumedStream, UnknownOrigin>,
+) {
+    let last_event = request.headers.get(headers::LAST_EVENT_ID);
+    let last_event = last_event.and_then(|value| value.to_str().ok());
+    let stream = request.resumes.as_ref();
+    let source = match resolved {
+        Ok(resumed) => resumed.source,
+        Err(_) => "unknown",
+    };
+    context.metrics.resumed.with_label_values(&[source]).inc();
+    request_log_line(context, "stream_taken_up", request)
+        .with("stream", stream.map_or("-", |stream| stream.as_str()))
+        .with("after_event", last_event.unwrap_or("-"))
+        .with("known_by", source)
+        .info();
+}
+
+/// Records that the first events of the request's stream came from `target`.
+pub fn note_begun(
+    context: &EntryContext,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+) -> BegunStream {
+    let origin = stream_origins::begun_origin(&context.directory.lock(), target);
+    let Some(origin) = origin else {
+        return BegunStream::Unknown;
+    };
+    if request.route.is_resumable {
+        let record = StreamRecord {
+            stream: request.stream(),
+            origin,
+        };
+        context.streams.begin(
+            context.now(),
+            &context.directory,
+            record,
+            &request.service,
+            &context.settings.domain,
+            || context.record_peers(),
+        );
+    }
+    BegunStream::At(origin)
+}
+
+/// Records that the stream has ended, so that nobody takes it up.
+pub fn note_ended(context: &EntryContext, stream: StreamHash) {
+    context.streams.note_ended(stream);
+}
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -21,7 +21,7 @@
         events::{EventReader, NextEvents},
         generate::GenerationRun,
         guards::RunGuard,
-        request_log_line, software,
+        request_log_line, resume, software,
     },
     frontend::{AnswerBody, StreamAborted, stream_body},
     memory::AnswerMemory,
@@ -213,6 +213,7 @@
         self.run.end();
         let context = &self.run.context;
         crashes::note_completed(context, &self.run.request);
+        resume::note_ended(context, self.run.request.stream());
         if let Some(connection) = self.running.connection.take() {
             attempt::return_to_pool(context, &self.running.target, connection);
         }
--- a/crates/ingress/src/frontend/refusal.rs
+++ b/crates/ingress/src/frontend/refusal.rs
@@ -48,6 +48,8 @@
     Overloaded,
     /// Every attempted endpoint refused the request.
     EndpointsFull,
+    /// It is not known at which version the stream began that the request takes up.
+    VersionUnknown,
     /// Endpoints crashed while they ran the request.
     Quarantined,
     /// The endpoint failed; the request may have run.
@@ -75,6 +77,7 @@
             RefusalReason::NoEndpoint => "no_endpoint",
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::EndpointsFull => "endpoints_full",
+            RefusalReason::VersionUnknown => "version_unknown",
             RefusalReason::Quarantined => "quarantined",
             RefusalReason::EndpointFailed => "endpoint_failed",
             RefusalReason::TimedOut => "timed_out",
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -6,8 +6,9 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{KeyDigest, OrganisationId, RequestFingerprint, RequestId, ServiceName},
-    ingress::{RouteRule, RouteTable},
+    ingress::{RouteKind, RouteRule, RouteTable},
     placement::PromptWork,
+    streams::{OriginHash, StreamHash},
     units::TokenCount,
 };
 use bytes::Bytes;
@@ -86,6 +87,8 @@
     /// The caller's attempt that brought the first event of the stream that the request takes
     /// up.
     pub resumes: Option<RequestId>,
+    /// Where the stream began that the request takes up; it goes on there only.
+    pub origin: Option<OriginHash>,
     /// The token counts and the prefix of the prompt, for model services only.
     pub work: Option<PromptWork>,
     /// The prompt and output tokens that the caller states, for the limit of the
@@ -106,6 +109,26 @@
         self.deadline.since(now)
     }
 
+    /// The stream that the request begins or takes up.
+    pub fn stream(&self) -> StreamHash {
+        StreamHash::with_attempt(self.resumes.as_ref().unwrap_or(&self.id))
+    }
+
+    /// Whether the request takes up a stream of which its caller has events.
+    pub fn is_taken_up(&self) -> bool {
+        let last_event = header_text(&self.headers, headers::LAST_EVENT_ID);
+        let has_events = last_event.is_some_and(|id| id.trim() != "0");
+        self.route.kind == RouteKind::Streaming && (self.resumes.is_some() || has_events)
+    }
+
+    /// Sends the request to `service`, another one of its route.
+    pub fn with_service(mut self, service: ServiceName) -> Result<CallerRequest, Refusal> {
+        let malformed = Refusal::invalid_request(RefusalReason::Malformed);
+        self.work = read_work(&self.table, &service, &self.headers).map_err(|()| malformed)?;
+        self.service = service;
+        Ok(self)
+    }
+
     /// The fingerprint, which is the same if the caller sends the request again.
     pub fn fingerprint(&self) -> &RequestFingerprint {
         let caller = self.organisation.as_ref();
@@ -164,13 +187,8 @@
             DEFAULT_RETRY_AFTER,
         ))
     })?;
-    let rule = table.service(&service);
-    let work = match rule.is_some_and(|rule| rule.engine.is_some()) {
-        true => Some(
-            read_prompt(&head.headers).map_err(|()| invalid_request(RefusalReason::Malformed))?,
-        ),
-        false => None,
-    };
+    let work = read_work(&table, &service, &head.headers)
+        .map_err(|()| invalid_request(RefusalReason::Malformed))?;
     let deadline_ms = header_text(&head.headers, headers::DEADLINE_MS);
     let deadline_ms = deadline_ms.and_then(|value| value.trim().parse::<u64>().ok());
     let timeout = deadline_ms
@@ -204,6 +222,7 @@
         is_proxied: source == RequestSource::Instance,
         priority,
         resumes: resumed_stream(&head.headers),
+        origin: None,
         work,
         stated_tokens: stated_tokens(&head.headers),
         arrived,
@@ -275,6 +294,19 @@
     None
 }
 
+/// Reads the prompt of a request to a model service; `None` for other services.
+fn read_work(
+    table: &RouteTable,
+    service: &ServiceName,
+    headers: &HeaderMap,
+) -> Result<Option<PromptWork>, ()> {
+    let rule = table.service(service);
+    match rule.is_some_and(|rule| rule.engine.is_some()) {
+        true => read_prompt(headers).map(Some),
+        false => Ok(None),
+    }
+}
+
 /// Reads the token counts and the prefix of the prompt from the headers. Called for model
 /// services only: the kind of a request follows from its route, never from its headers.
 fn read_prompt(headers: &HeaderMap) -> Result<PromptWork, ()> {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod ready;
 mod shared;
 mod state_transfer;
+mod stream_origins;
 pub mod sync;
 pub mod time;
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -37,6 +37,8 @@
     pub registrations_removed: IntCounterVec,
     /// Requests that were handed to other instances, by outcome.
     pub proxied: IntCounterVec,
+    /// Streams that callers took up, by how their version was known.
+    pub resumed: IntCounterVec,
     /// Services whose endpoints are not reached.
     pub unreachable_services: IntGauge,
     /// Requests in progress.
@@ -117,6 +119,11 @@
                 "requests handed to other instances",
                 &["outcome"],
             )?,
+            resumed: counter(
+                "bluebell_resumed_streams_total",
+                "streams that callers took up",
+                &["known_by"],
+            )?,
             unreachable_services: gauge(
                 "bluebell_unreachable_services",
                 "services whose endpoints are not reached",
--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -1,13 +1,11 @@
 //! Sending this entry's state to the other instances, and receiving theirs.
 
-use std::{collections::BTreeSet, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, io, sync::Arc, time::Duration};
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    ids::{FailureDomain, InstanceId, ServiceName},
-    provision::EngineDemand,
+    ids::FailureDomain,
     quarantine::{CrashReport, ReportScope},
-    quota::{ReportSource, UsageReport},
 };
 use bluebell_daemon::logs::LogLine;
 use bytes::BytesMut;
@@ -20,12 +18,9 @@
     context::EntryContext,
     leader::{self, UsageRecord},
     peers::{
-        messages::{
-            DemandMessage, PeerMessage, PerTargetMessage, RelayMessage, StageMessage, UsageMessage,
-        },
+        messages::{PeerMessage, PerTargetMessage, RelayMessage, StageMessage},
         registry::local_address,
         relay,
-        table::KnownPeer,
         targets::{BroadcastTarget, TargetSelector},
     },
 };
@@ -68,14 +63,19 @@
 /// How often usage of limits that no longer matters is forgotten.
 const SWEEP_INTERVAL: TimeSpan = TimeSpan::from_millis(5_000);
 
+/// How often other instances are asked for what they know of software versions, while that is
+/// not known here.
+const PROOF_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
+
 /// The socket and schedule with which one entry exchanges messages with the others.
 pub struct PeerBroadcaster {
-    context: Arc<EntryContext>,
-    frames: UdpFramed<BytesCodec>,
+    pub(super) context: Arc<EntryContext>,
+    frames: UdpFramed<BytesCodec, Arc<UdpSocket>>,
     broadcast_sent_at: ClockTime,
     selector: TargetSelector,
     usage_sent_at: ClockTime,
     swept_at: ClockTime,
+    proofs_asked_at: ClockTime,
     /// Whether the last broadcast reported any load.
     has_sent_load: bool,
     /// The failure domains that were unreachable at the last broadcast.
@@ -85,7 +85,8 @@
 impl PeerBroadcaster {
     /// Binds the socket for datagrams.
     pub async fn bind(context: Arc<EntryContext>) -> io::Result<PeerBroadcaster> {
-        let socket = UdpSocket::bind(local_address(&context)).await?;
+        let socket = Arc::new(UdpSocket::bind(local_address(&context)).await?);
+        context.streams.set_socket(Arc::clone(&socket));
         let instance = context.writer.instance.clone();
         let selector = TargetSelector::new(instance, context.settings.domain.clone());
         Ok(PeerBroadcaster {
@@ -95,6 +96,7 @@
             selector,
             usage_sent_at: ClockTime::default(),
             swept_at: ClockTime::default(),
+            proofs_asked_at: ClockTime::default(),
             has_sent_load: false,
             unreachable_domains: BTreeSet::new(),
         })
@@ -156,7 +158,10 @@
             self.context.limiter.lock().sweep(now);
             self.context.quarantine.lock().sweep(now);
             self.context.endpoint_limits.lock().sweep(now);
+            self.context.streams.sweep(now);
+            self.context.directory.lock().versions_mut().sweep(now);
         }
+        self.update_streams(now);
         let entries = self.context.peers.lock().len() + 1;
         let share = (MAX_ENTRIES_FOR_ALL_ENGINES / entries as f64).powi(2);
         self.context.engines.lock().set_candidate_share(share);
@@ -206,6 +211,28 @@
         }
     }
 
+    /// Records streams with other instances where that has become necessary, and has some of
+    /// them prove which services had a single version before this process started.
+    fn update_streams(&mut self, now: ClockTime) {
+        let context = &self.context;
+        let domain = &context.settings.domain;
+        let peers = || context.record_peers();
+        context
+            .streams
+            .record_due(now, &context.directory, domain, peers);
+        let is_due = now.since(self.proofs_asked_at) >= PROOF_INTERVAL;
+        if !is_due || !context.directory.lock().versions().needs_proof(now) {
+            return;
+        }
+        self.proofs_asked_at = now;
+        let context = Arc::clone(&self.context);
+        tokio::spawn(async move {
+            let peers = context.record_peers();
+            let (clock, directory) = (&context.clock, &context.directory);
+            context.streams.prove(clock, directory, &peers).await;
+        });
+    }
+
     /// Sends the state of this failure domain to other ones, if not all instances send to
     /// each other. Loads are left out: they change before the message arrives.
     async fn send_to_other_domains(
@@ -335,135 +362,7 @@
         leader::recent_usage(&self.context)
     }
 
-    fn receive(&mut self, bytes: &BytesMut, from: SocketAddr) {
-        let message = match PeerMessage::decode(&bytes[..]) {
-            Ok(message) => message,
-            Err(error) => {
-                LogLine::new("datagram_rejected")
-                    .with("error", error)
-                    .warn();
-                return;
-            }
-        };
-        let peer = InstanceId::new(message.instance.as_str());
-        let domain = FailureDomain::new(message.domain.as_str());
-        let (Ok(peer), Ok(domain)) = (peer, domain) else {
-            LogLine::new("datagram_rejected")
-                .with("error", "invalid instance or failure domain name")
-                .warn();
-            return;
-        };
-        let now = self.context.now();
-        {
-            let mut peers = self.context.peers.lock();
-            let known = KnownPeer {
-                address: from,
-                start: message.start,
-                domain: domain.clone(),
-                last_seen: None,
-                stamp: 0,
-            };
-            peers.register(&peer, known);
-            peers.note_message(now, &peer, message.stamp);
-            peers.note_unreachable(now, &peer, decode_services(&message.unreachable));
-        }
-        relay::apply(&self.context, &peer, &message);
-        if let Some(usage) = &message.usage {
-            leader::note_peer_usage(&self.context, usage);
-        }
-        self.note_demands(now, &peer, &domain, &message);
-        self.note_usages(now, &peer, &domain, &message);
-        self.note_crashes(now, &domain, &message);
-        let (loads, parts) = (message.peer_loads(), message.peer_parts());
-        let mut engines = self.context.engines.lock();
-        if message.includes_loads {
-            engines.note_peer(now, &peer, &loads, &parts);
-        }
-        for engine in &message.refusing {
-            engines.note_peer_refusal(now, *engine);
-        }
-        for order in &message.stages {
-            engines.stage_ordered(now, order.engine, order.stage());
-        }
-    }
-
     fn take_crash_reports(&self, now: ClockTime, scope: ReportScope) -> Vec<CrashReport> {
         self.context.quarantine.lock().take_reports(now, scope)
     }
-
-    fn note_crashes(&self, now: ClockTime, domain: &FailureDomain, message: &PeerMessage) {
-        let is_same_domain = *domain == self.context.settings.domain;
-        let mut quarantine = self.context.quarantine.lock();
-        for crashes in &message.crashes {
-            let report = crashes.report();
-            if quarantine.note_report(now, &report, is_same_domain) {
-                LogLine::new("request_quarantined")
-                    .with("fingerprint", &report.fingerprint)
-                    .with("source", &message.instance)
-                    .warn();
-            }
-        }
-    }
-
-    fn note_usages(
-        &self,
-        now: ClockTime,
-        peer: &InstanceId,
-        domain: &FailureDomain,
-        message: &PeerMessage,
-    ) {
-        let source = ReportSource {
-            instance: peer.clone(),
-            start: message.start,
-            stamp: message.stamp,
-            domain: domain.clone(),
-        };
-        let is_same_domain = *domain == self.context.settings.domain;
-        let decode = |usages: &[UsageMessage]| -> Vec<UsageReport> {
-            usages.iter().map(UsageMessage::report).collect()
-        };
-        let mut limiter = self.context.limiter.lock();
-        match message.domain_entries as usize {
-            0 => limiter.note_instance(now, &source, is_same_domain, &decode(&message.usages)),
-            entries if !is_same_domain => {
-                limiter.note_domain(now, &source, entries, &decode(&message.domain_usages));
-            }
-            _ => {}
-        }
-    }
-
-    fn note_demands(
-        &self,
-        now: ClockTime,
-        peer: &InstanceId,
-        domain: &FailureDomain,
-        message: &PeerMessage,
-    ) {
-        let mut demands = self.context.demands.lock();
-        for (service, demand) in decode_demands(&message.demands) {
-            demands.note_peer(now, peer, service, demand);
-        }
-        for (service, demand) in decode_demands(&message.domain_demands) {
-            demands.note_domain(now, domain, service, demand);
-        }
-    }
-}
-
-/// Decodes the names of services; invalid ones are dropped.
-fn decode_services(names: &[String]) -> BTreeSet<ServiceName> {
-    let services = names.iter().map(|name| ServiceName::new(name.as_str()));
-    services.filter_map(Result::ok).collect()
-}
-
-/// Decodes the demands of a datagram; those with an invalid service name are dropped.
-fn decode_demands(
-    messages: &[DemandMessage],
-) -> impl Iterator<Item = (ServiceName, EngineDemand)> + '_ {
-    messages.iter().filter_map(|message| {
-        let service = ServiceName::new(message.service.as_str());
-        let service = service.inspect_err(|error| {
-            log::debug!("event=demand_rejected error={error:?}");
-        });
-        Some((service.ok()?, message.demand()))
-    })
 }
--- a/crates/ingress/src/peers/mod.rs
+++ b/crates/ingress/src/peers/mod.rs
@@ -9,8 +9,11 @@
 
 mod broadcast;
 mod crashes;
+mod demands;
 mod fleet_size;
 mod messages;
+mod receive;
+mod recorders;
 mod registry;
 mod relay;
 mod table;
@@ -23,6 +26,7 @@
 pub use self::{
     fleet_size::fleet_size,
     messages::{ChangeMessage, PeerRecord, RelayMessage, StageMessage, pack_changes},
+    recorders::record_peers,
     registry::{local_address, local_record, proxy_address},
     table::{KnownPeer, MAX_CHANGES_PER_DATAGRAM, PeerTable},
     targets::{BroadcastTarget, TargetSelector},
--- /dev/null
+++ b/crates/ingress/src/peers/receive.rs
@@ -0,0 +1,161 @@
+//! Applying the messages of other instances.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use bluebell_core::{
+    clock::ClockTime,
+    ids::{FailureDomain, InstanceId, ServiceName},
+    provision::EngineDemand,
+    quota::{ReportSource, UsageReport},
+};
+use bluebell_daemon::logs::LogLine;
+use bytes::BytesMut;
+use prost::Message;
+
+use crate::{
+    leader,
+    peers::{
+        broadcast::PeerBroadcaster,
+        demands::DemandMessage,
+        messages::{PeerMessage, UsageMessage},
+        relay,
+        table::KnownPeer,
+    },
+};
+
+impl PeerBroadcaster {
+    /// Applies a datagram that arrived from `from`.
+    pub(super) fn receive(&mut self, bytes: &BytesMut, from: SocketAddr) {
+        let message = match PeerMessage::decode(&bytes[..]) {
+            Ok(message) => message,
+            Err(error) => {
+                LogLine::new("datagram_rejected")
+                    .with("error", error)
+                    .warn();
+                return;
+            }
+        };
+        let now = self.context.now();
+        if let Some(origins) = message.origins {
+            let directory = &self.context.directory;
+            let prove = || directory.lock().versions().sole_origins(now).collect();
+            self.context.streams.receive(now, origins, from, prove);
+            return;
+        }
+        let peer = InstanceId::new(message.instance.as_str());
+        let domain = FailureDomain::new(message.domain.as_str());
+        let (Ok(peer), Ok(domain)) = (peer, domain) else {
+            LogLine::new("datagram_rejected")
+                .with("error", "invalid instance or failure domain name")
+                .warn();
+            return;
+        };
+        {
+            let mut peers = self.context.peers.lock();
+            let known = KnownPeer {
+                address: from,
+                start: message.start,
+                domain: domain.clone(),
+                last_seen: None,
+                stamp: 0,
+            };
+            peers.register(&peer, known);
+            peers.note_message(now, &peer, message.stamp);
+            peers.note_unreachable(now, &peer, decode_services(&message.unreachable));
+        }
+        relay::apply(&self.context, &peer, &message);
+        if let Some(usage) = &message.usage {
+            leader::note_peer_usage(&self.context, usage);
+        }
+        self.note_demands(now, &peer, &domain, &message);
+        self.note_usages(now, &peer, &domain, &message);
+        self.note_crashes(now, &domain, &message);
+        let (loads, parts) = (message.peer_loads(), message.peer_parts());
+        let mut engines = self.context.engines.lock();
+        if message.includes_loads {
+            engines.note_peer(now, &peer, &loads, &parts);
+        }
+        for engine in &message.refusing {
+            engines.note_peer_refusal(now, *engine);
+        }
+        for order in &message.stages {
+            engines.stage_ordered(now, order.engine, order.stage());
+        }
+    }
+
+    fn note_crashes(&self, now: ClockTime, domain: &FailureDomain, message: &PeerMessage) {
+        let is_same_domain = *domain == self.context.settings.domain;
+        let mut quarantine = self.context.quarantine.lock();
+        for crashes in &message.crashes {
+            let report = crashes.report();
+            if quarantine.note_report(now, &report, is_same_domain) {
+                LogLine::new("request_quarantined")
+                    .with("fingerprint", &report.fingerprint)
+                    .with("source", &message.instance)
+                    .warn();
+            }
+        }
+    }
+
+    fn note_usages(
+        &self,
+        now: ClockTime,
+        peer: &InstanceId,
+        domain: &FailureDomain,
+        message: &PeerMessage,
+    ) {
+        let source = ReportSource {
+            instance: peer.clone(),
+            start: message.start,
+            stamp: message.stamp,
+            domain: domain.clone(),
+        };
+        let is_same_domain = *domain == self.context.settings.domain;
+        let decode = |usages: &[UsageMessage]| -> Vec<UsageReport> {
+            usages.iter().map(UsageMessage::report).collect()
+        };
+        let mut limiter = self.context.limiter.lock();
+        match message.domain_entries as usize {
+            0 => limiter.note_instance(now, &source, is_same_domain, &decode(&message.usages)),
+            entries if !is_same_domain => {
+                limiter.note_domain(now, &source, entries, &decode(&message.domain_usages));
+            }
+            _ => {}
+        }
+    }
+
+    fn note_demands(
+        &self,
+        now: ClockTime,
+        peer: &InstanceId,
+        domain: &FailureDomain,
+        message: &PeerMessage,
+    ) {
+        let mut demands = self.context.demands.lock();
+        for (service, demand) in decode_demands(&message.demands) {
+            demands.note_peer(now, peer, service, demand);
+        }
+        for (service, demand) in decode_demands(&message.domain_demands) {
+            demands.note_domain(now, domain, service, demand);
+        }
+    }
+}
+
+/// Decodes the names of services; invalid ones are dropped.
+fn decode_services(names: &[String]) -> BTreeSet<ServiceName> {
+    let services = names.iter().map(|name| ServiceName::new(name.as_str()));
+    services.filter_map(Result::ok).collect()
+}
+
+/// Decodes the demands of a datagram; those with an invalid service name are dropped.
+fn decode_demands(
+    messages: &[DemandMessage],
+) -> impl Iterator<Item = (ServiceName, EngineDemand)> + '_ {
+    messages.iter().filter_map(|message| {
+        let service = ServiceName::new(message.service.as_str());
+        let service = service.inspect_err(|error| {
+            log::debug!("event=demand_rejected error={error:?}");
+        });
+        Some((service.ok()?, message.demand()))
+    })
+}
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -187,7 +187,14 @@
             tracker.confirm(keys_known_at);
         }
     }
-    let digest = context.directory.lock().digest();
+    let digest = {
+        let mut directory = context.directory.lock();
+        let digest = directory.digest();
+        if digest == relay.digest {
+            directory.versions_mut().note_current(endpoints_known_at);
+        }
+        digest
+    };
     let mut relayed = context.relayed.lock();
     if relay.version > relayed.configuration.version() {
         log_advertised_version(context, peer, relay.version);
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -275,6 +275,11 @@
             .is_some_and(|at| now.since(at) >= DISCOVERY_PERIOD)
     }
 
+    /// A registered instance.
+    pub fn get(&self, instance: &InstanceId) -> Option<&KnownPeer> {
+        self.peers.get(instance)
+    }
+
     /// All registered instances, in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &KnownPeer)> {
         self.peers.iter()
--- /dev/null
+++ b/crates/ingress/src/stream_origins/mod.rs
@@ -0,0 +1,241 @@
+//! Records with other instances where streams began, and asks them for it.
+//!
+//! The decisions are in [`bluebell_core::streams`]. Records and queries are datagrams on the socket
+//! for messages between instances. A record that is lost is one of several; a query is repeated.
+
+mod messages;
+mod resumption;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
+
+use bluebell_core::{
+    clock::ClockTime,
+    ids::FailureDomain,
+    streams::{
+        OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash, StreamTable,
+        queried_peers, recording_peers,
+    },
+};
+use prost::Message;
+use tokio::{net::UdpSocket, sync::mpsc};
+
+use self::messages::{MAX_RECORDS, OriginAnswer, OriginContent, OriginQuery, OriginRecords};
+pub use self::{
+    messages::OriginMessage,
+    resumption::{ResumedStream, begun_origin},
+};
+use crate::shared::Shared;
+
+/// How long answers to a query are awaited. The instances of a region are a few ms away.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// After which time a query is repeated where no answer has arrived.
+const QUERY_REPEAT_DELAY: Duration = Duration::from_millis(50);
+
+/// What other instances answered to a query.
+#[derive(Clone, Debug, Default)]
+struct QueryResult {
+    /// Where the stream began, if any of them knows.
+    origin: Option<RecordedOrigin>,
+    /// What they can prove about services with a single version.
+    proved: BTreeSet<OriginHash>,
+    /// The instances that answered.
+    answered: BTreeSet<SocketAddr>,
+    /// The number of instances that were asked.
+    asked: usize,
+}
+
+/// An answer and the instance that sent it.
+type ReceivedAnswer = (SocketAddr, OriginAnswer);
+
+/// The fields of a datagram that concern streams. They decode as those of a message between
+/// instances, which has them at the same tag.
+#[derive(Clone, PartialEq, Message)]
+struct OriginDatagram {
+    #[prost(message, optional, tag = "20")]
+    origins: Option<OriginMessage>,
+}
+
+/// The streams that this instance knows, and the queries in progress.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    table: Shared<StreamTable>,
+    queries: Shared<BTreeMap<u64, mpsc::UnboundedSender<ReceivedAnswer>>>,
+    socket: OnceLock<Arc<UdpSocket>>,
+    /// For which services and instances the streams that began here were last recorded.
+    recorded_for: Shared<Option<u64>>,
+}
+
+/// Removes a query when its result is no longer awaited.
+struct QueryGuard<'a> {
+    origins: &'a StreamOrigins,
+    number: u64,
+}
+
+impl Drop for QueryGuard<'_> {
+    fn drop(&mut self) {
+        self.origins.queries.lock().remove(&self.number);
+    }
+}
+
+impl StreamOrigins {
+    /// Creates an empty table. Nothing is sent before [`Self::set_socket`].
+    pub fn new() -> StreamOrigins {
+        StreamOrigins::default()
+    }
+
+    /// Sets the socket for messages between instances.
+    pub fn set_socket(&self, socket: Arc<UdpSocket>) {
+        // There is one socket for the life of the process.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Records that a stream that began here has ended, so that nobody takes it up.
+    pub fn note_ended(&self, stream: StreamHash) {
+        self.table.lock().note_ended(stream);
+    }
+
+    /// Where `stream` began, as far as it is known here.
+    fn origin(&self, stream: StreamHash) -> Option<RecordedOrigin> {
+        self.table.lock().origin(stream)
+    }
+
+    /// Removes the streams that nobody takes up any more.
+    pub fn sweep(&self, now: ClockTime) {
+        self.table.lock().sweep(now);
+    }
+
+    /// Records the streams in `scope` with those of `peers` that have not been sent them. This
+    /// instance is in `domain`.
+    fn record(
+        &self,
+        scope: RecordScope<'_>,
+        domain: &FailureDomain,
+        peers: &[RecordPeer<SocketAddr>],
+    ) {
+        let due = self.table.lock().take_due(scope, |stream| {
+            let chosen = recording_peers(stream, domain, peers);
+            chosen.into_iter().cloned().collect()
+        });
+        for (address, records) in due {
+            for records in records.chunks(MAX_RECORDS) {
+                self.send(address, OriginContent::Records(OriginRecords::new(records)));
+            }
+        }
+    }
+
+    /// Asks those of `peers` that may have recorded `stream`. Ends as soon as one knows it.
+    async fn query(&self, stream: StreamHash, peers: &[RecordPeer<SocketAddr>]) -> QueryResult {
+        let asked = queried_peers(stream, peers);
+        let addresses: Vec<SocketAddr> = asked.into_iter().map(|peer| peer.address).collect();
+        self.ask(Some(stream), &addresses).await
+    }
+
+    /// Asks the instances at `addresses` for what they can prove.
+    async fn query_proofs(&self, addresses: &[SocketAddr]) -> QueryResult {
+        self.ask(None, addresses).await
+    }
+
+    async fn ask(&self, stream: Option<StreamHash>, addresses: &[SocketAddr]) -> QueryResult {
+        let query = OriginQuery {
+            number: rand::random(),
+            stream: stream.map(StreamHash::number),
+        };
+        let (sender, mut answers) = mpsc::unbounded_channel();
+        self.queries.lock().insert(query.number, sender);
+        let _guard = QueryGuard {
+            origins: self,
+            number: query.number,
+        };
+        let mut result = QueryResult {
+            asked: addresses.len(),
+            ..QueryResult::default()
+        };
+        let collecting = async {
+            for wait in [QUERY_REPEAT_DELAY, QUERY_TIMEOUT - QUERY_REPEAT_DELAY] {
+                for address in addresses {
+                    if result.answered.contains(address) {
+                        continue;
+                    }
+                    self.send(*address, OriginContent::Query(query));
+                }
+                let reading = read_answers(&mut answers, &mut result);
+                if tokio::time::timeout(wait, reading).await.is_ok() {
+                    return;
+                }
+            }
+        };
+        collecting.await;
+        result
+    }
+
+    /// Handles a datagram about streams. `proofs` computes what this instance can prove about
+    /// services with a single version.
+    pub fn receive<Proofs>(
+        &self,
+        now: ClockTime,
+        message: OriginMessage,
+        from: SocketAddr,
+        proofs: Proofs,
+    ) where
+        Proofs: FnOnce() -> Vec<OriginHash>,
+    {
+        match message.content {
+            Some(OriginContent::Records(records)) => {
+                let mut table = self.table.lock();
+                for record in records.records() {
+                    table.note_record(now, record);
+                }
+            }
+            Some(OriginContent::Query(query)) => {
+                let stream = query.stream.map(StreamHash::new);
+                let known = stream.and_then(|stream| self.origin(stream));
+                let proved = proofs().into_iter();
+                let answer = OriginAnswer::new(query.number, known, proved);
+                self.send(from, OriginContent::Answer(answer));
+            }
+            Some(OriginContent::Answer(answer)) => {
+                let queries = self.queries.lock();
+                if let Some(query) = queries.get(&answer.number) {
+                    // Fails if the result is no longer awaited.
+                    let _ = query.send((from, answer));
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn send(&self, address: SocketAddr, content: OriginContent) {
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        let datagram = OriginDatagram {
+            origins: Some(OriginMessage {
+                content: Some(content),
+            }),
+        };
+        if let Err(error) = socket.try_send_to(&datagram.encode_to_vec(), address) {
+            log::debug!("event=datagram_failed address={address} error={error:?}");
+        }
+    }
+}
+
+/// Reads answers until the origin is known or all that were asked have answered.
+async fn read_answers(
+    answers: &mut mpsc::UnboundedReceiver<ReceivedAnswer>,
+    result: &mut QueryResult,
+) {
+    while result.origin.is_none() && result.answered.len() < result.asked {
+        let Some((from, answer)) = answers.recv().await else {
+            return;
+        };
+        result.answered.insert(from);
+        result.origin = answer.recorded();
+        result.proved.extend(answer.proofs());
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/stream_origins/resumption.rs
@@ -0,0 +1,174 @@
+//! Finds where a stream began that is to be continued.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+};
+
+use bluebell_core::{
+    clock::{ClockSource, ClockTime},
+    directory::EndpointDirectory,
+    ids::{FailureDomain, ServiceName},
+    placement::EndpointTarget,
+    streams::{
+        OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash, StreamRecord,
+        UnknownOrigin, resolve_origin,
+    },
+};
+
+use rand::seq::IndexedRandom;
+
+use crate::{shared::Shared, stream_origins::StreamOrigins};
+
+/// The number of instances that are asked for proofs.
+const PROVING_PEERS: usize = 3;
+
+/// A stream that a caller takes up.
+#[derive(Clone, Debug)]
+pub struct ResumedStream {
+    /// Where it began, and goes on.
+    pub origin: OriginHash,
+    /// The service of the origin.
+    pub service: ServiceName,
+    /// How the origin is known, for the log.
+    pub source: &'static str,
+}
+
+/// Where a stream began at `target`; `None` if the endpoint may have been replaced by one of
+/// another version under the same id.
+pub fn begun_origin(directory: &EndpointDirectory, target: &EndpointTarget) -> Option<OriginHash> {
+    let current = directory.get(&target.id);
+    let is_replaced =
+        current.is_some_and(|known| known.start != target.start && known.origin() != target.origin);
+    (!is_replaced).then_some(target.origin)
+}
+
+/// Identifies the services whose streams are recorded, and the instances that record them.
+fn fingerprint(services: &[ServiceName], peers: &[RecordPeer<SocketAddr>]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    services.hash(&mut hasher);
+    for peer in peers {
+        (&peer.instance, peer.start).hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
+impl StreamOrigins {
+    /// Records that `record` began here, and records it with other instances unless only one
+    /// version is possible. `peers` are the other instances; this one is in `domain`.
+    pub fn begin<Peers>(
+        &self,
+        now: ClockTime,
+        directory: &Shared<EndpointDirectory>,
+        record: StreamRecord,
+        service: &ServiceName,
+        domain: &FailureDomain,
+        peers: Peers,
+    ) where
+        Peers: FnOnce() -> Vec<RecordPeer<SocketAddr>>,
+    {
+        self.table.lock().note_begun(now, record, service);
+        let sole = directory.lock().versions().sole_origin(now, service);
+        if sole.is_none() {
+            self.record(RecordScope::Stream(record.stream), domain, &peers());
+        }
+    }
+
+    /// Records the streams that began here with other instances where that has become
+    /// necessary: a second version is possible now, or the instances have changed.
+    pub fn record_due<Peers>(
+        &self,
+        now: ClockTime,
+        directory: &Shared<EndpointDirectory>,
+        domain: &FailureDomain,
+        peers: Peers,
+    ) where
+        Peers: FnOnce() -> Vec<RecordPeer<SocketAddr>>,
+    {
+        let mut services = self.table.lock().begun_services();
+        let directory = directory.lock();
+        services.retain(|service| directory.versions().sole_origin(now, service).is_none());
+        drop(directory);
+        if services.is_empty() {
+            *self.recorded_for.lock() = None;
+            return;
+        }
+        let peers = peers();
+        let recorded_for = Some(fingerprint(&services, &peers));
+        let earlier = std::mem::replace(&mut *self.recorded_for.lock(), recorded_for);
+        if earlier != recorded_for {
+            self.record(RecordScope::Services(&services), domain, &peers);
+        }
+    }
+
+    /// Finds where a stream began that a caller takes up, at `service` by the routes in force.
+    /// `stream` is `None` if the caller does not name it.
+    pub async fn resolve(
+        &self,
+        clock: &ClockSource,
+        directory: &Shared<EndpointDirectory>,
+        stream: Option<StreamHash>,
+        service: &ServiceName,
+        peers: &[RecordPeer<SocketAddr>],
+    ) -> Result<ResumedStream, UnknownOrigin> {
+        let (known, source) = match stream {
+            Some(stream) => self.find(clock, directory, stream, peers).await,
+            None => {
+                self.prove(clock, directory, peers).await;
+                (None, "versions")
+            }
+        };
+        let mut directory = directory.lock();
+        let versions = directory.versions_mut();
+        versions.sweep(clock.now());
+        let (origin, service) = resolve_origin(clock.now(), known, versions, service)?;
+        Ok(ResumedStream {
+            origin,
+            service,
+            source,
+        })
+    }
+
+    /// Looks the stream up here and at the instances that may have recorded it. Their proofs
+    /// are applied to what is known of the versions.
+    async fn find(
+        &self,
+        clock: &ClockSource,
+        directory: &Shared<EndpointDirectory>,
+        stream: StreamHash,
+        peers: &[RecordPeer<SocketAddr>],
+    ) -> (Option<RecordedOrigin>, &'static str) {
+        if let Some(known) = self.origin(stream) {
+            return (Some(known), "local");
+        }
+        let result = self.query(stream, peers).await;
+        let mut directory = directory.lock();
+        directory
+            .versions_mut()
+            .note_vouched(clock.now(), &result.proved);
+        match result.origin {
+            Some(known) => (Some(known), "record"),
+            None => (None, "versions"),
+        }
+    }
+
+    /// Has some of `peers` prove which services had a single version before this instance knew
+    /// them, unless that is known.
+    pub async fn prove(
+        &self,
+        clock: &ClockSource,
+        directory: &Shared<EndpointDirectory>,
+        peers: &[RecordPeer<SocketAddr>],
+    ) {
+        if !directory.lock().versions().needs_proof(clock.now()) {
+            return;
+        }
+        let asked = peers.choose_multiple(&mut rand::rng(), PROVING_PEERS);
+        let asked: Vec<SocketAddr> = asked.map(|peer| peer.address).collect();
+        let result = self.query_proofs(&asked).await;
+        let mut directory = directory.lock();
+        directory
+            .versions_mut()
+            .note_vouched(clock.now(), &result.proved);
+    }
+}
--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -198,6 +198,7 @@
     };
     let version = configuration.version;
     let (routes, services) = (configuration.routes.len(), configuration.services.len());
+    let resumable_timeout = configuration.resumable_timeout();
     let size = ByteSize::new(value.len() as u64);
     // No copy is made of the first version after a start: the other instances already
     // have it.
@@ -217,6 +218,9 @@
                 tokio::spawn(copies::publish(Arc::clone(context), version, value));
             }
             apply_rate_limits(context);
+            let mut directory = context.directory.lock();
+            directory.versions_mut().set_timeout(resumable_timeout);
+            drop(directory);
             context.metrics.configuration_version.set(version as i64);
             LogLine::new("configuration")
                 .with("version", version)
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -157,6 +157,7 @@
 
 /// Records that the directory covers everything that was in the store at `sent`.
 fn mark_synced(context: &EntryContext, sent: ClockTime) {
+    context.directory.lock().versions_mut().note_current(sent);
     let mut relayed = context.relayed.lock();
     relayed.endpoints_synced_at = relayed.endpoints_synced_at.max(Some(sent));
     relayed.must_resync = false;
