Hand prompts over within one software version

Now a prompt is prefilled only where an engine of the same version runs requests, and handed over to one of these. If the last of them leaves in between, the prompt is prefilled anew, against the retry budget.

So that a version does not lie idle, the leader keeps an engine of each version in the decode stage. With one version the plan is the same as before: the first engine by the existing order is that engine.

Tests that fail before: a_prompt_is_handed_over_within_one_version (a prefill without a runner), and for the plan each_version_keeps_an_engine_that_runs_requests.

--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -25,6 +25,7 @@
         PromptWork, queue::EngineQueue,
     },
     routing::{EndpointHealth, RoutingSettings},
+    streams::OriginHash,
 };
 
 /// Prefill rate of an engine in tokens per ms, assumed until one has been measured. It
@@ -278,11 +279,7 @@
         healthy_only: bool,
     ) -> Option<PrefillPlan> {
         let engines: Vec<&EngineState> = self.usable_engines(now, request, healthy_only).collect();
-        let handover_ms = engines
-            .iter()
-            .filter(|state| state.runs_requests())
-            .map(|state| run_cost_ms(now, state, None, request))
-            .min_by(f64::total_cmp)?;
+        let handovers = handover_costs_ms(now, &engines, request);
         let preferred = rendezvous_engine(&engines, request.work);
         let mut costs: Vec<(f64, PrefillPlan)> = Vec::with_capacity(engines.len());
         let share = self.candidate_share;
@@ -303,7 +300,11 @@
             let wait_ms = state.queue.wait_ms(now, request.rank());
             let overhead_ms = match state.stage {
                 Some(EngineStage::Decode) => DECODE_INTERFERENCE_MS,
-                Some(EngineStage::Prefill) => handover_ms,
+                Some(EngineStage::Prefill) => match handovers.get(&state.target.origin) {
+                    Some(handover_ms) => *handover_ms,
+                    // No engine of its version runs requests.
+                    None => continue,
+                },
                 None => f64::from(state.queue.running(now)) * RUNNING_REQUEST_COST_MS,
             };
             let first_token_ms = wait_ms + plan.work_ms + FIXED_LATENCY_MS + overhead_ms;
@@ -454,6 +455,22 @@
     HANDOVER_MS + transfer_ms * handover_factor + wait_ms + running_ms
 }
 
+/// Returns the lowest cost in ms of running a request for each version of the engines. A prompt
+/// is handed over within one version only.
+fn handover_costs_ms(
+    now: ClockTime,
+    engines: &[&EngineState],
+    request: PlanRequest<'_>,
+) -> BTreeMap<OriginHash, f64> {
+    let mut costs: BTreeMap<OriginHash, f64> = BTreeMap::new();
+    for state in engines.iter().filter(|state| state.runs_requests()) {
+        let cost = run_cost_ms(now, state, None, request);
+        let lowest = costs.entry(state.target.origin).or_insert(cost);
+        *lowest = lowest.min(cost);
+    }
+    costs
+}
+
 /// Returns the number of the engine to which all entries assign the last shared part:
 /// of the engines that prefill at full speed, the one with the highest hash.
 fn rendezvous_engine(engines: &[&EngineState], work: &PromptWork) -> Option<u32> {
--- a/crates/core/src/provision/stages.rs
+++ b/crates/core/src/provision/stages.rs
@@ -5,13 +5,13 @@
 //! number of engines for each stage follows from the work that the entries measure, and
 //! changes with it; each change makes an engine unavailable for seconds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
 
 use crate::{
     clock::{ClockTime, TimeSpan},
-    directory::{EndpointRegistration, EngineStage},
+    directory::{EndpointRegistration, EngineStage, SoftwareVersion},
     ids::{EndpointId, FailureDomain},
     ingress::EngineRule,
     provision::{EngineDemand, ProvisionService, ProvisionStep, demand::SmoothedEstimate},
@@ -88,6 +88,8 @@
 struct DomainEngines<'a> {
     /// The registered engines; those that should run requests come first.
     present: Vec<&'a EndpointRegistration>,
+    /// How many of them have to run requests, as no other engine of their version does.
+    representatives: usize,
     /// Number of engines that there should be.
     desired: usize,
 }
@@ -146,6 +148,7 @@
             // At least one engine for each stage, if there are two engines.
             let decode_engines = decode_engines
                 .min(engines.present.len().saturating_sub(1))
+                .max(engines.representatives)
                 .max(1);
             let prefill_engines = self.prefill_engines.get(&domain).copied();
             let other_engines = engines.present.len() - decode_engines;
@@ -280,8 +283,30 @@
     }
 }
 
-/// Groups the engines by failure domain. Engines that already run requests come first,
-/// because a change costs seconds, and among them the reserved ones.
+/// The order in which engines should run requests: those that already do come first, because a
+/// change costs seconds, and among them the reserved ones.
+fn runner_rank(engine: &EndpointRegistration) -> (bool, bool, EndpointId) {
+    let runs = engine.stage == Some(EngineStage::Decode);
+    (!runs, engine.is_preemptible, engine.id.clone())
+}
+
+/// The engine of each software version that has to run requests. Prompts are handed over, and
+/// streams resumed, within one version only.
+fn representatives(staged: &[&EndpointRegistration]) -> BTreeSet<EndpointId> {
+    let mut first: BTreeMap<&SoftwareVersion, &EndpointRegistration> = BTreeMap::new();
+    for engine in staged {
+        let known = first.entry(&engine.version).or_insert(engine);
+        if runner_rank(engine) < runner_rank(known) {
+            *known = engine;
+        }
+    }
+    first
+        .into_values()
+        .map(|engine| engine.id.clone())
+        .collect()
+}
+
+/// Groups the engines by failure domain, in the order in which they should run requests.
 fn group_by_domain<'a>(
     staged: &[&'a EndpointRegistration],
     desired: &BTreeMap<FailureDomain, u32>,
@@ -291,11 +316,12 @@
         let engines = domains.entry(endpoint.domain.clone()).or_default();
         engines.present.push(endpoint);
     }
+    let representatives = representatives(staged);
     for (domain, engines) in &mut domains {
-        engines.present.sort_by_key(|engine| {
-            let runs = engine.stage == Some(EngineStage::Decode);
-            (!runs, engine.is_preemptible, engine.id.clone())
-        });
+        let represents = |engine: &EndpointRegistration| representatives.contains(&engine.id);
+        let present = &mut engines.present;
+        present.sort_by_cached_key(|engine| (!represents(engine), runner_rank(engine)));
+        engines.representatives = present.iter().filter(|engine| represents(engine)).count();
         let desired = desired.get(domain).copied().unwrap_or_default();
         engines.desired = engines.present.len().max(desired as usize);
     }
--- a/crates/core/tests/placement_engines.rs
+++ b/crates/core/tests/placement_engines.rs
@@ -574,3 +574,32 @@
         .with_priority(2);
     assert!(table.plan(at(0), less_urgent.plan_request()).is_err());
 }
+
+/// Guards against a prompt that an engine of one software version prefills and one of another
+/// takes over.
+#[test]
+fn a_prompt_is_handed_over_within_one_version() {
+    let mut table = table(&[("p1", "a", P), ("d1", "a", D)]);
+    for (name, stage) in [("p2", P), ("d2", D)] {
+        let mut other = engine(name, "a", stage);
+        other.version = SoftwareVersion::new("v2");
+        table.set_engine(at(0), &other);
+    }
+    for number in 0..50 {
+        let request = TestRequest::new("800,20", &format!("aa:200,{number}:600"));
+        let chosen = plan(&mut table, number, &request);
+        let runner = PlanRequest {
+            origin: Some(chosen.engine.origin),
+            ..request.plan_request()
+        };
+        let runner = table.choose_runner(at(number), runner, &chosen.engine.id);
+        assert_eq!(runner.unwrap().origin, chosen.engine.origin);
+    }
+    // Without an engine of its version that runs requests, an engine prefills nothing.
+    table.remove_engine(&id("d2"));
+    for number in 0..50 {
+        let request = TestRequest::new("800,20", &format!("bb:200,{number}:600"));
+        let chosen = plan(&mut table, number, &request);
+        assert_ne!(chosen.engine.id, id("p2"));
+    }
+}
--- a/crates/core/tests/provision.rs
+++ b/crates/core/tests/provision.rs
@@ -397,3 +397,37 @@
     let is_limited = |endpoint: &String| limited.iter().any(|id| id.as_str() == endpoint);
     assert!(!ordered.iter().any(|(endpoint, _)| is_limited(endpoint)));
 }
+
+/// Guards against a software version whose engines all prefill: no other engine takes their
+/// prompts over, and no stream of the version can be resumed.
+#[test]
+fn each_version_keeps_an_engine_that_runs_requests() {
+    let mut fleet = fleet();
+    for engine in &mut fleet {
+        if engine.stage == Some(EngineStage::Prefill) {
+            engine.version = SoftwareVersion::new("v2");
+        }
+    }
+    let mut planner = ProvisionPlanner::new();
+    let mut ordered = Vec::new();
+    for now in (0..60_000).step_by(500) {
+        for step in steps_for(&mut planner, now, &fleet, streams(0.9)) {
+            planner.note_ordered(at(now), &step);
+            let ProvisionStep::Stage {
+                endpoint, stage, ..
+            } = step
+            else {
+                continue;
+            };
+            let engine = fleet.iter_mut().find(|engine| engine.id == endpoint);
+            let engine = engine.unwrap();
+            engine.stage = Some(stage);
+            if engine.version == SoftwareVersion::new("v2") {
+                ordered.push((endpoint, stage));
+            }
+        }
+    }
+    let [(_, EngineStage::Decode)] = ordered[..] else {
+        panic!("{ordered:?}");
+    };
+}
--- a/crates/ingress/src/forward/engine_choice.rs
+++ b/crates/ingress/src/forward/engine_choice.rs
@@ -67,14 +67,18 @@
         plan.map_err(|error| self.no_engine(error).without_retry())
     }
 
-    /// Selects the engine that runs the request once its prompt has been prefilled by `plan`.
+    /// Selects the engine that runs the request once its prompt has been prefilled by `plan`, one
+    /// of the version that prefilled it.
     pub(super) fn choose_runner(
         &self,
         plan: &PrefillPlan,
     ) -> Result<EndpointTarget, FailedAttempt> {
         let now = self.context.now();
         let excluded = limits::excluded(&self.context, &self.attempted);
-        let request = self.plan_request(&excluded)?;
+        let request = PlanRequest {
+            origin: Some(plan.engine.origin),
+            ..self.plan_request(&excluded)?
+        };
         let mut engines = self.context.engines.lock();
         let target = engines.choose_runner(now, request, &plan.engine.id);
         drop(engines);
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -209,8 +209,9 @@
         let target = match self.choose_runner(&prefilled.plan) {
             Ok(target) => target,
             Err(failed) => {
+                // Engines of another version may be left; they need the prompt prefilled anew.
                 self.free_prefilled(&prefilled);
-                return Err(failed.without_retry());
+                return Err(failed);
             }
         };
         let mut extra_headers = self.extra_headers(last_id);
