Have the soak replace endpoints by other versions under streams that callers take up

The stand-in's endpoints register a version and mark their events with it. The checker holds two more promises: at most two streams hold events of two versions, and of 12 or more that are taken up half as many go on as new ones begin.

The checker's test of events carries a version in its events now, otherwise it is the same.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -12,7 +12,7 @@
 use bluebell_platform_standin::operator::OperatorKind;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, Response, body::Incoming, client::conn::http1};
+use hyper::{Method, Request, Response, body::Incoming, client::conn::http1, header::HeaderValue};
 use hyper_util::rt::TokioIo;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -25,7 +25,7 @@
         HOST, InstanceSlot, ORGANISATIONS, ROUTES, RouteSample, SoakFleet, organisation_key,
         organisation_name,
     },
-    promises::{CallerOutcome, ProcessName, Promise, SentRequest},
+    promises::{CallerOutcome, ProcessName, Promise, ReceivedEvents, SentRequest, TakenUpStream},
 };
 
 /// How long a connection may take to open.
@@ -52,6 +52,12 @@
 const SLOW_READ_PAUSE: Duration = Duration::from_millis(30);
 /// How many pieces of an answer are read slowly; the pauses end well before [`LATE`].
 const SLOW_PIECES: usize = 10;
+/// The share of streams that callers break off to take them up elsewhere.
+const BREAKING_OFF: f64 = 0.3;
+/// How many pieces of these they read before.
+const KEPT_PIECES: usize = 3;
+/// How many engines of a version have to serve for its streams to go on.
+const SERVING_ENGINES: usize = 2;
 /// The longest pause that a refusal can make a caller take.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
@@ -76,6 +82,7 @@
     number: usize,
     random: ChaCha8Rng,
     asked: u64,
+    takes_up: bool,
 }
 
 type RequestSender = http1::SendRequest<Full<Bytes>>;
@@ -96,9 +103,16 @@
             number,
             random: ChaCha8Rng::seed_from_u64(seed),
             asked: 0,
+            takes_up: false,
         }
     }
 
+    /// Sets whether the caller takes up streams that broke, and breaks some off to do so.
+    pub fn with_taking_up(mut self, takes_up: bool) -> SoakCaller {
+        self.takes_up = takes_up;
+        self
+    }
+
     /// Sends requests until `stop`.
     pub async fn call(mut self, stop: CancellationToken) {
         let fleet = Arc::clone(&self.fleet);
@@ -160,6 +174,7 @@
             kind: route.kind,
             organisation: organisation_name(organisation),
             is_first,
+            takes_up: None,
         });
         let request = build_request(route, &attempt, organisation, patience_ms);
         if self.random.random_bool(LEAVING) {
@@ -170,7 +185,13 @@
             0 => SLOW_PIECES,
             _ => 0,
         };
-        let answering = receive(sender, request, slow_pieces);
+        let is_resumable = self.takes_up && route.kind == OperatorKind::Resumable;
+        let breaks_off = is_resumable && self.random.random_bool(BREAKING_OFF);
+        let pace = ReadPace {
+            slow_pieces,
+            most_pieces: if breaks_off { KEPT_PIECES } else { usize::MAX },
+        };
+        let answering = receive(sender, request, pace);
         let waited = tokio::time::timeout((patience + LATE).as_duration(), answering).await;
         let answer =
             waited.unwrap_or_else(|_| ReceivedAnswer::with_outcome(CallerOutcome::Nothing));
@@ -180,6 +201,10 @@
             checker.broke(Promise::RefusalTrue, detail);
         }
         self.count(route.prefix, &answer.outcome);
+        if is_resumable {
+            self.take_up(route, &attempt, organisation, &answer.outcome)
+                .await;
+        }
         tokio::time::sleep(answer.pause).await;
         match answer.is_kept {
             true => ConnectionUse::Keep,
@@ -187,6 +212,68 @@
         }
     }
 
+    /// Takes up a stream that has broken after its first events, at an instance that the
+    /// balancer picks anew.
+    async fn take_up(
+        &mut self,
+        route: &RouteSample,
+        stream: &str,
+        organisation: usize,
+        outcome: &CallerOutcome,
+    ) {
+        let CallerOutcome::Stream {
+            body,
+            is_ended: false,
+            ..
+        } = outcome
+        else {
+            return;
+        };
+        let Ok(events) = ReceivedEvents::read(stream, body, 0, false) else {
+            return;
+        };
+        let Some(version) = events.versions.first() else {
+            return;
+        };
+        let fleet = Arc::clone(&self.fleet);
+        let rotation = &fleet.rotation;
+        let slot = rotation.pick(&fleet.instances, &self.domain, &mut self.random);
+        let start = slot.starts.load(Ordering::SeqCst);
+        let Some(mut sender) = connect(slot).await else {
+            return;
+        };
+        let attempt = format!("{stream}-again");
+        fleet.checker.sent(SentRequest {
+            attempt: attempt.clone(),
+            process: ProcessName {
+                instance: slot.name.clone(),
+                start,
+            },
+            prefix: route.prefix.to_string(),
+            kind: route.kind,
+            organisation: organisation_name(organisation),
+            is_first: true,
+            takes_up: Some(TakenUpStream {
+                stream: stream.to_string(),
+                last: events.last,
+                version: version.clone(),
+                is_owed: fleet.serving(version) >= SERVING_ENGINES,
+            }),
+        });
+        let mut request = build_request(route, &attempt, organisation, PATIENCE_MS.0);
+        let request_headers = request.headers_mut();
+        request_headers.insert(headers::LAST_EVENT_ID, HeaderValue::from(events.last));
+        if let Ok(stream) = HeaderValue::from_str(stream) {
+            request_headers.insert(headers::RESUMES, stream);
+        }
+        let patience = TimeSpan::from_millis(PATIENCE_MS.0) + LATE;
+        let answering = receive(&mut sender, request, ReadPace::default());
+        let answer = tokio::time::timeout(patience.as_duration(), answering).await;
+        let answer =
+            answer.unwrap_or_else(|_| ReceivedAnswer::with_outcome(CallerOutcome::Nothing));
+        fleet.checker.got(&attempt, &answer.outcome);
+    }
+
     /// Sends the request and leaves without waiting for its answer.
     async fn leave(
         &self,
@@ -196,7 +283,7 @@
         leaves_ms: u64,
     ) -> ConnectionUse {
         let wait = Duration::from_millis(leaves_ms);
-        drop(tokio::time::timeout(wait, receive(sender, request, 0)).await);
+        drop(tokio::time::timeout(wait, receive(sender, request, ReadPace::default())).await);
         let fleet = Arc::clone(&self.fleet);
         tokio::spawn(async move {
             tokio::time::sleep(STOP_SLACK).await;
@@ -275,11 +362,29 @@
     }
 }
 
-/// Sends a request and reads the answer, its first `slow_pieces` pieces slowly.
+/// How a caller reads an answer.
+#[derive(Clone, Copy, Debug)]
+struct ReadPace {
+    /// How many of the first pieces it reads slowly.
+    slow_pieces: usize,
+    /// After how many pieces it breaks off.
+    most_pieces: usize,
+}
+
+impl Default for ReadPace {
+    fn default() -> ReadPace {
+        ReadPace {
+            slow_pieces: 0,
+            most_pieces: usize::MAX,
+        }
+    }
+}
+
+/// Sends a request and reads the answer.
 async fn receive(
     sender: &mut RequestSender,
     request: Request<Full<Bytes>>,
-    slow_pieces: usize,
+    pace: ReadPace,
 ) -> ReceivedAnswer {
     let response = match sender.send_request(request).await {
         Ok(response) => response,
@@ -291,7 +396,7 @@
     let is_signed = field(headers::SIGNATURE).is_some();
     let is_stream = field("content-type") == Some("text/event-stream");
     let status = response.status().as_u16();
-    let (body, is_ended) = read_body(response, slow_pieces).await;
+    let (body, is_ended) = read_body(response, pace).await;
     let outcome = match (status, is_stream) {
         (200, true) => CallerOutcome::Stream {
             is_signed,
@@ -311,12 +416,15 @@
     }
 }
 
-async fn read_body(response: Response<Incoming>, slow_pieces: usize) -> (String, bool) {
+async fn read_body(response: Response<Incoming>, pace: ReadPace) -> (String, bool) {
     let mut body = response.into_body();
     let mut bytes = Vec::new();
     let mut pieces = 0;
     loop {
-        if pieces < slow_pieces {
+        if pieces >= pace.most_pieces {
+            return (String::from_utf8_lossy(&bytes).to_string(), false);
+        }
+        if pieces < pace.slow_pieces {
             tokio::time::sleep(SLOW_READ_PAUSE).await;
         }
         pieces += 1;
--- a/crates/soak/src/commands.rs
+++ b/crates/soak/src/commands.rs
@@ -24,6 +24,7 @@
     instances: usize,
     callers: usize,
     is_growing: bool,
+    has_versions: bool,
     folder: Option<PathBuf>,
     program: Option<PathBuf>,
     is_untimed: bool,
@@ -43,6 +44,9 @@
     let is_growing = long("growing")
         .help("the configuration grows over narrow paths; endpoints are withdrawn unannounced")
         .switch();
+    let has_versions = long("versions")
+        .help("endpoints are replaced by other software versions; callers take streams up")
+        .switch();
     let folder = long("folder")
         .help("where settings, logs and reports are kept; a temporary folder otherwise")
         .argument("DIR")
@@ -61,6 +65,7 @@
         instances,
         callers,
         is_growing,
+        has_versions,
         folder,
         program,
         is_untimed
@@ -106,6 +111,7 @@
             span_ms: options.seconds * 1_000,
             callers: options.callers,
             is_growing: options.is_growing,
+            has_versions: options.has_versions,
             program: program.clone(),
             size: FleetSize {
                 instances: options.instances,
@@ -133,6 +139,7 @@
         tally.failed,
         report.broken.len()
     );
+    println!("event=streams seed={} {}", report.seed, report.streams);
     for broken in &report.broken {
         println!("event=promise seed={} {broken}", report.seed);
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -138,6 +138,8 @@
     pub path: LoopbackPath,
     /// The endpoint, with its id.
     pub running: Mutex<(String, RunningEndpoint)>,
+    /// The number of the software version that runs there.
+    pub version: AtomicU32,
 }
 
 impl EndpointSlot {
@@ -182,6 +184,14 @@
     pub folder: PathBuf,
 }
 
+/// The version that all endpoints run at first.
+const FIRST_VERSION: u32 = 1;
+
+/// The name of a software version of endpoints.
+pub fn version_name(number: u32) -> String {
+    format!("v{number}")
+}
+
 /// The name of an organisation.
 pub fn organisation_name(number: usize) -> String {
     format!("organisation-{number}")
@@ -298,6 +308,7 @@
         let running = self.run_endpoint(plan.clone(), listener);
         Ok(EndpointSlot {
             running: Mutex::new((plan.id.clone(), running)),
+            version: AtomicU32::new(FIRST_VERSION),
             plan,
             path,
         })
@@ -331,12 +342,22 @@
         };
         let plan = EndpointSpec {
             id: id.clone(),
+            version: version_name(slot.version.load(Ordering::SeqCst)),
             ..slot.plan.clone()
         };
         let running = self.run_endpoint(plan, listener);
         *slot.running.lock().expect("held briefly") = (id, running);
     }
 
+    /// How many engines of a version serve undisturbed.
+    pub fn serving(&self, version: &str) -> usize {
+        let serves = |slot: &&EndpointSlot| {
+            let is_version = version_name(slot.version.load(Ordering::SeqCst)) == version;
+            slot.plan.prefills.is_some() && is_version && self.checker.serves(&slot.current().0)
+        };
+        self.endpoints.iter().filter(serves).count()
+    }
+
     /// Changes the configuration and puts it in force.
     pub fn publish<Change>(&self, change: Change)
     where
@@ -419,6 +440,7 @@
                 service: service.to_string(),
                 domain: domain.to_string(),
                 address: unknown,
+                version: version_name(FIRST_VERSION),
                 prefills: None,
                 work_ms: 15,
             });
@@ -430,6 +452,7 @@
                 service: POOL.to_string(),
                 domain: domain.to_string(),
                 address: unknown,
+                version: version_name(FIRST_VERSION),
                 prefills: Some(prefills),
                 work_ms: 15,
             });
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod caller;
 pub mod commands;
 pub mod fleet;
+pub mod inject;
 pub mod process;
+pub mod processes;
 pub mod promises;
 pub mod proxy;
 pub mod rotation;
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -1,6 +1,7 @@
 //! What callers got and endpoints ran, held against the promises as it happens.
 
 mod messages;
+mod streams;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -9,12 +10,14 @@
 
 use bluebell_core::clock::{ClockSource, ClockTime, TimeSpan};
 use bluebell_platform_standin::{
-    endpoint::EVENTS,
     events::{PlatformEvent, RunStart, SeenAuthority},
     operator::OperatorKind,
 };
 
-pub use self::messages::{BrokenPromise, CallerOutcome, ProcessName, Promise, SentRequest};
+pub use self::{
+    messages::{BrokenPromise, CallerOutcome, ProcessName, Promise, SentRequest},
+    streams::{ReceivedEvents, StreamTally, TakenUpStream},
+};
 
 /// How long after a disturbance an instance is held to what is bound in time.
 const STABLE_WINDOW: TimeSpan = TimeSpan::from_millis(3_000);
@@ -54,6 +57,7 @@
     followed: BTreeMap<(ProcessName, String), (usize, ClockTime)>,
     /// Since when endpoints are known to the store to have left.
     left: BTreeMap<String, ClockTime>,
+    streams: StreamTally,
     reports: BTreeMap<u64, BTreeMap<String, u64>>,
     fences: BTreeMap<String, SeenAuthority>,
     disturbances: BTreeMap<String, Vec<Disturbance>>,
@@ -135,6 +139,11 @@
         book.left.entry(endpoint.to_string()).or_insert(now);
     }
 
+    /// An endpoint that left is back under the id that it had.
+    pub fn endpoint_returned(&self, endpoint: &str) {
+        self.hold().left.remove(endpoint);
+    }
+
     /// `what` is disturbed from now on: an instance, an endpoint, or the store.
     pub fn disturb(&self, what: &str, is_planned: bool) {
         let disturbance = Disturbance {
@@ -301,14 +310,20 @@
             return;
         };
         let (request, sent, runs) = (known.request.clone(), known.sent, known.runs);
+        known.is_refused |= outcome.is_refusal();
         let instance = request.process.instance.to_string();
         let who = format!(
             "attempt={attempt} instance={instance} kind={:?}",
             request.kind
         );
+        if request.kind == OperatorKind::Resumable {
+            let is_in_touch = book.is_in_touch(&instance, sent, now);
+            let taken_up = request.takes_up.as_ref();
+            let has_events = matches!(outcome, CallerOutcome::Stream { .. });
+            book.streams.count(taken_up, is_in_touch, has_events);
+        }
         match outcome {
             CallerOutcome::Status(status @ (408 | 421 | 429 | 503)) => {
-                known.is_refused = true;
                 if runs > 0 && !is_repeatable(request.kind) {
                     let detail = format!("{who} status={status} had run");
                     book.broke(now, Promise::RefusalTrue, detail);
@@ -334,8 +349,13 @@
                 if !is_signed {
                     book.broke(now, Promise::OwnAnswer, format!("{who} unsigned"));
                 }
-                if let Some(wrong) = wrong_events(attempt, body, *is_ended) {
-                    book.broke(now, Promise::WholeStream, format!("{who} {wrong}"));
+                let taken_up = request.takes_up.as_ref();
+                let after = taken_up.map_or(0, |stream| stream.last);
+                match ReceivedEvents::read(attempt, body, after, *is_ended) {
+                    Ok(events) => book.streams.check_versions(&who, taken_up, &events),
+                    Err(wrong) => {
+                        book.broke(now, Promise::WholeStream, format!("{who} {wrong}"));
+                    }
                 }
             }
             CallerOutcome::Cut => {
@@ -376,6 +396,26 @@
         }
     }
 
+    /// Checks the streams of the whole soak together; returns how they fared.
+    pub fn check_streams(&self) -> String {
+        let now = self.now();
+        let mut book = self.hold();
+        if let Some(detail) = book.streams.mixed() {
+            book.broke(now, Promise::OneVersion, detail);
+        }
+        if let Some(detail) = book.streams.lost() {
+            book.broke(now, Promise::StreamsGoOn, detail);
+        }
+        book.streams.to_string()
+    }
+
+    /// Whether an endpoint serves undisturbed.
+    pub fn serves(&self, endpoint: &str) -> bool {
+        let now = self.now();
+        let book = self.hold();
+        !book.left.contains_key(endpoint) && book.is_calm(endpoint, now, now, true)
+    }
+
     /// Whether `what` has been undisturbed, with the time to settle, up to now.
     pub fn is_calm(&self, what: &str) -> bool {
         let now = self.now();
@@ -395,20 +435,6 @@
     matches!(kind, OperatorKind::Safe | OperatorKind::Resumable)
 }
 
-/// What is wrong with the events that a caller got.
-fn wrong_events(attempt: &str, body: &str, is_ended: bool) -> Option<String> {
-    let mut expected = 1;
-    let whole = body.rfind("\n\n").map_or("", |end| &body[..end + 2]);
-    for event in whole.split_terminator("\n\n") {
-        if event != format!("id: {expected}\ndata: {attempt} {expected}/{EVENTS}") {
-            return Some(format!("expected={expected} got={event:?}"));
-        }
-        expected += 1;
-    }
-    let is_whole = expected == EVENTS + 1 && whole.len() == body.len();
-    (is_ended && !is_whole).then(|| format!("ended before event {expected}"))
-}
-
 impl PromiseBook {
     fn broke(&mut self, now: ClockTime, promise: Promise, detail: String) {
         self.broken.push(BrokenPromise {
--- a/crates/soak/src/promises/messages.rs
+++ b/crates/soak/src/promises/messages.rs
@@ -6,6 +6,8 @@
 use bluebell_platform_standin::operator::OperatorKind;
 use serde::Serialize;
 
+use crate::promises::TakenUpStream;
+
 /// A promise that the system makes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub enum Promise {
@@ -19,6 +21,10 @@
     OwnAnswer,
     /// Events come once each and in order, and an end that looks whole is.
     WholeStream,
+    /// A stream holds events of one software version of its endpoints.
+    OneVersion,
+    /// Streams that callers take up go on.
+    StreamsGoOn,
     /// A withdrawn key stops working.
     WithdrawnKey,
     /// Endpoints see the right organisation and no key.
@@ -108,6 +114,8 @@
     pub organisation: String,
     /// Whether it is the first on its connection.
     pub is_first: bool,
+    /// The stream that it takes up.
+    pub takes_up: Option<TakenUpStream>,
 }
 
 /// What a caller got.
@@ -140,6 +148,11 @@
 }
 
 impl CallerOutcome {
+    /// Whether the answer says that the request has not run.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, CallerOutcome::Status(408 | 421 | 429 | 503))
+    }
+
     /// Whether the caller was served.
     pub fn is_served(&self) -> bool {
         match self {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -26,6 +26,13 @@
 /// Keeps the draws of growth apart from those of faults.
 const GROWTH_STREAM: u64 = 1;
 
+/// Keeps the draws of versions apart from those of faults.
+const VERSION_STREAM: u64 = 2;
+/// The shortest and the longest time between two replacements by another version, in ms.
+const REPLACED_PAUSE_MS: (u64, u64) = (300, 2_500);
+/// The most versions by which a replacement is newer than the first.
+const NEWER_VERSIONS: u32 = 2;
+
 /// What a schedule is drawn for.
 #[derive(Clone, Copy, Debug)]
 pub struct ScheduleSize {
@@ -132,6 +139,16 @@
         /// Which endpoint.
         endpoint: usize,
     },
+    /// An endpoint announces that it leaves, and one of another software version takes its
+    /// place before it ends.
+    EndpointReplaced {
+        /// Which endpoint.
+        endpoint: usize,
+        /// The number of the version.
+        version: u32,
+        /// Whether the other one has an id of its own.
+        has_new_id: bool,
+    },
     /// The configuration grows by routes that nobody uses.
     GrowConfiguration {
         /// How many.
@@ -249,6 +266,27 @@
     }
 }
 
+/// Draws how endpoints are replaced by other software versions beside the faults of [`draw`]:
+/// the same for the same seed and size.
+pub fn draw_versions(seed: u64, size: ScheduleSize) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(VERSION_STREAM);
+    let mut schedule = Vec::new();
+    let mut at_ms = 0;
+    loop {
+        at_ms += random.random_range(REPLACED_PAUSE_MS.0..=REPLACED_PAUSE_MS.1);
+        if at_ms >= size.span_ms {
+            return schedule;
+        }
+        let fault = SoakFault::EndpointReplaced {
+            endpoint: random.random_range(0..size.endpoints),
+            version: 1 + random.random_range(0..=NEWER_VERSIONS),
+            has_new_id: random.random_bool(0.7),
+        };
+        schedule.push(ScheduledFault { at_ms, fault });
+    }
+}
+
 /// The faults of both schedules, in the order of their times.
 pub fn merge(one: Vec<ScheduledFault>, other: Vec<ScheduledFault>) -> Vec<ScheduledFault> {
     let mut merged = one;
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -49,6 +49,7 @@
             kind,
             organisation: "one".to_string(),
             is_first: true,
+            takes_up: None,
         });
     }
 
@@ -91,7 +92,9 @@
 }
 
 fn stream(ids: &[u64], is_ended: bool) -> CallerOutcome {
-    let events = ids.iter().map(|id| format!("id: {id}\ndata: a {id}/8\n\n"));
+    let events = ids
+        .iter()
+        .map(|id| format!("id: {id}\ndata: a {id}/8 v1\n\n"));
     CallerOutcome::Stream {
         is_signed: true,
         body: events.collect(),
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -16,6 +16,10 @@
 /// older version for longer than they may, and were never ready again.
 const GROWING_SEEDS: [u64; 1] = [4];
 
+/// Seed 1 with other versions: on an instance that does not read them, streams that callers take
+/// up change their version.
+const VERSION_SEEDS: [u64; 1] = [1];
+
 /// How long faults come.
 const SECONDS: &str = "6";
 
@@ -31,6 +35,13 @@
     soak("growth", &GROWING_SEEDS, &["--growing"]);
 }
 
+/// Guards against streams that change their version, or don't go on, while endpoints are
+/// replaced by other versions under callers that take streams up.
+#[test]
+fn promises_hold_while_endpoints_are_replaced_by_other_versions() {
+    soak("versions", &VERSION_SEEDS, &["--versions"]);
+}
+
 fn soak(name: &str, seeds: &[u64], options: &[&str]) {
     let folder = std::env::temp_dir().join(format!("soak-{name}-{}", std::process::id()));
     for seed in seeds {
