Keep streams at their service where routes are split or move

The service of a request follows from the id of its stream now, so a split needs no records. While a route has moved lately its streams are recorded, and without a record they are refused. Tests in core/streams; without the change there is no function that they could call. What remains: an instance that has started after the move doesn't know of it.

--- a/crates/core/src/ingress/configuration.rs
+++ b/crates/core/src/ingress/configuration.rs
@@ -9,6 +9,7 @@
     clock::TimeSpan,
     ids::{FailureDomain, KeyDigest, OrganisationId, ServiceName},
     quota::RateLimit,
+    streams::StreamHash,
     units::{ByteSize, TokenCount},
 };
 
@@ -74,6 +75,21 @@
         }
     }
 
+    /// The service that the requests of `stream` are sent to. A stream that is taken up goes to
+    /// the service that began it, as long as the weights stay the same.
+    pub fn service_for(&self, stream: StreamHash) -> Option<&ServiceName> {
+        let weights = self.targets.iter().map(|target| u64::from(target.weight));
+        let total: u64 = weights.sum();
+        let mut draw = stream.number().checked_rem(total)?;
+        let drawn = self.targets.iter().find(|target| {
+            let weight = u64::from(target.weight);
+            let is_drawn = draw < weight;
+            draw = draw.saturating_sub(weight);
+            is_drawn
+        });
+        drawn.map(|target| &target.service)
+    }
+
     /// Whether requests may be sent to `service`.
     pub fn allows_service(&self, service: &ServiceName) -> bool {
         self.targets.iter().any(|target| target.service == *service)
--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -82,6 +82,11 @@
         self.stream_age = stream_age.max(MIN_STREAM_AGE).min(MAX_STREAM_AGE);
     }
 
+    /// For how long streams of a version that has left are still taken up.
+    pub fn stream_age(&self) -> TimeSpan {
+        self.stream_age
+    }
+
     /// Records a registration of an endpoint of `service`.
     pub fn note_registered(&mut self, service: &ServiceName, origin: OriginHash) {
         let known = self.services.entry(service.clone()).or_default();
--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -17,6 +17,7 @@
 mod origin;
 mod peers;
 mod resolution;
+mod routes;
 mod table;
 
 pub use self::{
@@ -24,5 +25,6 @@
     origin::{OriginHash, StreamHash},
     peers::{RecordPeer, queried_peers, recording_peers},
     resolution::{UnknownOrigin, resolve_origin},
+    routes::RouteHistory,
     table::{RecordScope, RecordedOrigin, StreamRecord, StreamTable},
 };
--- /dev/null
+++ b/crates/core/tests/streams.rs
@@ -0,0 +1,89 @@
+//! Routes of streams that are split or move to other services.
+
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::{RequestId, ServiceName},
+    ingress::{CallerLimits, IngressConfiguration, RouteKind, RouteRule, WeightedService},
+    streams::{RouteHistory, StreamHash},
+    units::ByteSize,
+};
+
+const AGE: TimeSpan = TimeSpan::from_secs(20);
+
+fn route(prefix: &str, targets: &[(&str, u32)]) -> RouteRule {
+    let targets = targets.iter().map(|(service, weight)| WeightedService {
+        service: ServiceName::new(*service).unwrap(),
+        weight: *weight,
+    });
+    RouteRule {
+        name: "r".to_string(),
+        host: "kiosk.example".to_string(),
+        path_prefix: prefix.to_string(),
+        kind: RouteKind::Streaming,
+        timeout: TimeSpan::from_secs(10),
+        objective: TimeSpan::from_millis(300),
+        gap_objective: None,
+        priority: 1,
+        targets: targets.collect(),
+        attempts_limit: 2,
+        is_public: false,
+        is_resumable: true,
+    }
+}
+
+fn configuration(routes: Vec<RouteRule>) -> IngressConfiguration {
+    IngressConfiguration {
+        version: 1,
+        routes,
+        services: Default::default(),
+        limits: CallerLimits {
+            head: ByteSize::new(16_384),
+            body: ByteSize::new(1_000_000),
+            head_timeout: TimeSpan::from_secs(3),
+            idle_timeout: TimeSpan::from_secs(15),
+        },
+        organisations: None,
+    }
+}
+
+/// Guards against a stream of a split route that is taken up at the other service.
+#[test]
+fn a_stream_of_a_split_route_goes_to_the_service_that_began_it() {
+    let split = route("/chat/", &[("pool", 90), ("other", 10)]);
+    let mut others = 0;
+    for number in 0..2_000 {
+        let stream = StreamHash::with_attempt(&RequestId::new(format!("a{number}")).unwrap());
+        let service = split.service_for(stream).unwrap();
+        assert_eq!(split.service_for(stream), Some(service));
+        others += u32::from(service.as_str() == "other");
+    }
+    assert!((100..300).contains(&others), "{others} of 2000 for a tenth");
+    let stream = StreamHash::new(1);
+    assert_eq!(route("/chat/", &[("pool", 0)]).service_for(stream), None);
+}
+
+/// Guards against a stream that goes on at the service to which its route has moved.
+#[test]
+fn a_route_that_moved_proves_nothing_about_its_streams() {
+    let at = ClockTime::from_millis;
+    let mut history = RouteHistory::new();
+    let moved = |history: &RouteHistory, ms, path| {
+        history.may_have_moved(at(ms), "kiosk.example", path, AGE)
+    };
+    history.note_configuration(at(0), &configuration(vec![route("/chat/", &[("pool", 1)])]));
+    assert!(!moved(&history, 1, "/chat/x"), "the first configuration");
+    let narrower = [("/chat/", "pool"), ("/chat/new/", "next")];
+    let routes = narrower.map(|(prefix, service)| route(prefix, &[(service, 1)]));
+    history.note_configuration(at(1_000), &configuration(routes.to_vec()));
+    assert!(moved(&history, 2_000, "/chat/new/x"));
+    assert!(!moved(&history, 2_000, "/chat/x"));
+    history.note_configuration(
+        at(5_000),
+        &configuration(vec![route("/chat/", &[("next", 1)])]),
+    );
+    assert!(moved(&history, 6_000, "/chat/x"));
+    assert!(!history.may_have_moved(at(6_000), "other.example", "/chat/x", AGE));
+    assert!(!moved(&history, 25_000, "/chat/x"), "long ago");
+    history.sweep(at(25_000), AGE);
+    assert!(!history.has_moved(at(25_000), AGE));
+}
--- a/crates/ingress/src/forward/resume.rs
+++ b/crates/ingress/src/forward/resume.rs
@@ -13,7 +13,7 @@
     context::EntryContext,
     forward::{refuse, request_log_line},
     frontend::{AnswerBody, CallerRequest, DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
-    stream_origins::{self, ResumedStream},
+    stream_origins::{self, ResumedStream, StreamRequest},
 };
 
 /// Where the stream of a request began, of which its caller may have events.
@@ -48,18 +48,17 @@
     context: &Arc<EntryContext>,
     request: CallerRequest,
 ) -> Result<CallerRequest, Box<Response<AnswerBody>>> {
-    let stream = request.resumes.is_some().then(|| request.stream());
+    let stream = request.resumes.is_some().then_some(request.stream);
     let peers = context.record_peers();
-    let resolved = context
-        .streams
-        .resolve(
-            &context.clock,
-            &context.directory,
-            stream,
-            &request.service,
-            &peers,
-        )
-        .await;
+    let taken_up = StreamRequest {
+        stream,
+        host: &request.route.host,
+        path: &request.target,
+        service: &request.service,
+    };
+    let (clock, directory) = (&context.clock, &context.directory);
+    let resolving = context.streams.resolve(clock, directory, taken_up, &peers);
+    let resolved = resolving.await;
     log_taken_up(context, &request, &resolved);
     let refuse_unknown = |request: &CallerRequest, detail: &str| {
         let reason = RefusalReason::VersionUnknown;
@@ -116,7 +115,7 @@
     };
     if request.route.is_resumable {
         let record = StreamRecord {
-            stream: request.stream(),
+            stream: request.stream,
             origin,
         };
         context.streams.begin(
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -213,7 +213,7 @@
         self.run.end();
         let context = &self.run.context;
         crashes::note_completed(context, &self.run.request);
-        resume::note_ended(context, self.run.request.stream());
+        resume::note_ended(context, self.run.request.stream);
         if let Some(connection) = self.running.connection.take() {
             attempt::return_to_pool(context, &self.running.target, connection);
         }
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -17,7 +17,6 @@
     body::Incoming,
     header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue},
 };
-use rand::Rng;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -87,6 +86,8 @@
     /// The caller's attempt that brought the first event of the stream that the request takes
     /// up.
     pub resumes: Option<RequestId>,
+    /// The stream that the request begins or takes up.
+    pub stream: StreamHash,
     /// Where the stream began that the request takes up; it goes on there only.
     pub origin: Option<OriginHash>,
     /// The token counts and the prefix of the prompt, for model services only.
@@ -109,11 +110,6 @@
         self.deadline.since(now)
     }
 
-    /// The stream that the request begins or takes up.
-    pub fn stream(&self) -> StreamHash {
-        StreamHash::with_attempt(self.resumes.as_ref().unwrap_or(&self.id))
-    }
-
     /// Whether the request takes up a stream of which its caller has events.
     pub fn is_taken_up(&self) -> bool {
         let last_event = header_text(&self.headers, headers::LAST_EVENT_ID);
@@ -181,7 +177,9 @@
         authorise(context, &table, &route, &head.headers, arrived).map_err(with_id)?;
     let request_id =
         RequestId::new(id.as_str()).map_err(|_| invalid_request(RefusalReason::Malformed))?;
-    let service = pick_service(&route).ok_or_else(|| {
+    let resumes = resumed_stream(&head.headers);
+    let stream = StreamHash::with_attempt(resumes.as_ref().unwrap_or(&request_id));
+    let service = route.service_for(stream).cloned().ok_or_else(|| {
         with_id(Refusal::before_sending(
             RefusalReason::NoEndpoint,
             DEFAULT_RETRY_AFTER,
@@ -221,7 +219,8 @@
         key: private_key(&head.headers),
         is_proxied: source == RequestSource::Instance,
         priority,
-        resumes: resumed_stream(&head.headers),
+        resumes,
+        stream,
         origin: None,
         work,
         stated_tokens: stated_tokens(&head.headers),
@@ -279,21 +278,6 @@
     Some(key)
 }
 
-fn pick_service(route: &RouteRule) -> Option<ServiceName> {
-    let total: u32 = route.targets.iter().map(|target| target.weight).sum();
-    if total == 0 {
-        return None;
-    }
-    let mut draw = rand::rng().random_range(0..total);
-    for target in &route.targets {
-        if draw < target.weight {
-            return Some(target.service.clone());
-        }
-        draw -= target.weight;
-    }
-    None
-}
-
 /// Reads the prompt of a request to a model service; `None` for other services.
 fn read_work(
     table: &RouteTable,
--- a/crates/ingress/src/stream_origins/mod.rs
+++ b/crates/ingress/src/stream_origins/mod.rs
@@ -16,9 +16,10 @@
 use bluebell_core::{
     clock::ClockTime,
     ids::FailureDomain,
+    ingress::IngressConfiguration,
     streams::{
-        OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash, StreamTable,
-        queried_peers, recording_peers,
+        MAX_STREAM_AGE, OriginHash, RecordPeer, RecordScope, RecordedOrigin, RouteHistory,
+        StreamHash, StreamTable, queried_peers, recording_peers,
     },
 };
 use prost::Message;
@@ -27,7 +28,7 @@
 use self::messages::{MAX_RECORDS, OriginAnswer, OriginContent, OriginQuery, OriginRecords};
 pub use self::{
     messages::OriginMessage,
-    resumption::{ResumedStream, begun_origin},
+    resumption::{ResumedStream, StreamRequest, begun_origin},
 };
 use crate::shared::Shared;
 
@@ -65,6 +66,7 @@
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
     table: Shared<StreamTable>,
+    routes: Shared<RouteHistory>,
     queries: Shared<BTreeMap<u64, mpsc::UnboundedSender<ReceivedAnswer>>>,
     socket: OnceLock<Arc<UdpSocket>>,
     /// For which services and instances the streams that began here were last recorded.
@@ -95,6 +97,11 @@
         let _ = self.socket.set(socket);
     }
 
+    /// Records that `configuration` is in force from now on.
+    pub fn note_configuration(&self, now: ClockTime, configuration: &IngressConfiguration) {
+        self.routes.lock().note_configuration(now, configuration);
+    }
+
     /// Records that a stream that began here has ended, so that nobody takes it up.
     pub fn note_ended(&self, stream: StreamHash) {
         self.table.lock().note_ended(stream);
@@ -108,6 +115,7 @@
     /// Removes the streams that nobody takes up any more.
     pub fn sweep(&self, now: ClockTime) {
         self.table.lock().sweep(now);
+        self.routes.lock().sweep(now, MAX_STREAM_AGE);
     }
 
     /// Records the streams in `scope` with those of `peers` that have not been sent them. This
--- a/crates/ingress/src/stream_origins/resumption.rs
+++ b/crates/ingress/src/stream_origins/resumption.rs
@@ -23,6 +23,19 @@
 /// The number of instances that are asked for proofs.
 const PROVING_PEERS: usize = 3;
 
+/// A request that takes up a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamRequest<'a> {
+    /// The stream; `None` if the caller does not name it.
+    pub stream: Option<StreamHash>,
+    /// The host of the request.
+    pub host: &'a str,
+    /// The path of the request.
+    pub path: &'a str,
+    /// The service that the routes in force lead to.
+    pub service: &'a ServiceName,
+}
+
 /// A stream that a caller takes up.
 #[derive(Clone, Debug)]
 pub struct ResumedStream {
@@ -55,7 +68,7 @@
 
 impl StreamOrigins {
     /// Records that `record` began here, and records it with other instances unless only one
-    /// version is possible. `peers` are the other instances; this one is in `domain`.
+    /// origin is possible. `peers` are the other instances; this one is in `domain`.
     pub fn begin<Peers>(
         &self,
         now: ClockTime,
@@ -68,14 +81,18 @@
         Peers: FnOnce() -> Vec<RecordPeer<SocketAddr>>,
     {
         self.table.lock().note_begun(now, record, service);
-        let sole = directory.lock().versions().sole_origin(now, service);
-        if sole.is_none() {
+        let (sole, stream_age) = {
+            let directory = directory.lock();
+            let versions = directory.versions();
+            (versions.sole_origin(now, service), versions.stream_age())
+        };
+        if sole.is_none() || self.routes.lock().has_moved(now, stream_age) {
             self.record(RecordScope::Stream(record.stream), domain, &peers());
         }
     }
 
     /// Records the streams that began here with other instances where that has become
-    /// necessary: a second version is possible now, or the instances have changed.
+    /// necessary: a second version is possible now, routes or instances have changed.
     pub fn record_due<Peers>(
         &self,
         now: ClockTime,
@@ -87,7 +104,9 @@
     {
         let mut services = self.table.lock().begun_services();
         let directory = directory.lock();
-        services.retain(|service| directory.versions().sole_origin(now, service).is_none());
+        let versions = directory.versions();
+        let has_moved = self.routes.lock().has_moved(now, versions.stream_age());
+        services.retain(|service| has_moved || versions.sole_origin(now, service).is_none());
         drop(directory);
         if services.is_empty() {
             *self.recorded_for.lock() = None;
@@ -101,17 +120,15 @@
         }
     }
 
-    /// Finds where a stream began that a caller takes up, at `service` by the routes in force.
-    /// `stream` is `None` if the caller does not name it.
+    /// Finds where a stream began that a caller takes up.
     pub async fn resolve(
         &self,
         clock: &ClockSource,
         directory: &Shared<EndpointDirectory>,
-        stream: Option<StreamHash>,
-        service: &ServiceName,
+        request: StreamRequest<'_>,
         peers: &[RecordPeer<SocketAddr>],
     ) -> Result<ResumedStream, UnknownOrigin> {
-        let (known, source) = match stream {
+        let (known, source) = match request.stream {
             Some(stream) => self.find(clock, directory, stream, peers).await,
             None => {
                 self.prove(clock, directory, peers).await;
@@ -121,7 +138,15 @@
         let mut directory = directory.lock();
         let versions = directory.versions_mut();
         versions.sweep(clock.now());
-        let (origin, service) = resolve_origin(clock.now(), known, versions, service)?;
+        let now = clock.now();
+        let has_moved = {
+            let routes = self.routes.lock();
+            routes.may_have_moved(now, request.host, request.path, versions.stream_age())
+        };
+        if known.is_none() && has_moved {
+            return Err(UnknownOrigin::NotRecorded);
+        }
+        let (origin, service) = resolve_origin(now, known, versions, request.service)?;
         Ok(ResumedStream {
             origin,
             service,
--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -198,7 +198,6 @@
     };
     let version = configuration.version;
     let (routes, services) = (configuration.routes.len(), configuration.services.len());
-    let resumable_timeout = configuration.resumable_timeout();
     let size = ByteSize::new(value.len() as u64);
     // No copy is made of the first version after a start: the other instances already
     // have it.
@@ -218,9 +217,7 @@
                 tokio::spawn(copies::publish(Arc::clone(context), version, value));
             }
             apply_rate_limits(context);
-            let mut directory = context.directory.lock();
-            directory.versions_mut().set_timeout(resumable_timeout);
-            drop(directory);
+            note_routes(context);
             context.metrics.configuration_version.set(version as i64);
             LogLine::new("configuration")
                 .with("version", version)
@@ -238,6 +235,19 @@
     }
 }
 
+/// Records where the routes of streams lead, and how long their streams may last.
+fn note_routes(context: &EntryContext) {
+    let table = context.configuration.lock().table().cloned();
+    let Some(table) = table else { return };
+    let configuration = table.configuration();
+    context
+        .streams
+        .note_configuration(context.now(), configuration);
+    let mut directory = context.directory.lock();
+    let timeout = configuration.resumable_timeout();
+    directory.versions_mut().set_timeout(timeout);
+}
+
 /// Keeps the configuration in force compressed, for the instances that copy it from here.
 fn cache_packed(context: &EntryContext, version: u64, value: &[u8], packed: Option<Bytes>) {
     let packed = packed.map_or_else(|| compress(value).map(Bytes::from), Ok);
