Look back in the log of registrations after a start of all instances

The log of registrations is what survives, and each endpoint writes its version with every heartbeat. Test: the_log_shows_the_versions_of_the_time_before_the_start.

--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -163,6 +163,24 @@
         }
     }
 
+    /// Records that the log showed the versions of the last `span`, the `seen` ones.
+    pub fn note_looked_back(
+        &mut self,
+        now: ClockTime,
+        span: TimeSpan,
+        seen: &BTreeSet<(ServiceName, OriginHash)>,
+    ) {
+        let Some(since) = &mut self.complete_since else {
+            return;
+        };
+        *since = (*since).min(now - span);
+        for (service, origin) in seen {
+            let known = self.services.entry(service.clone()).or_default();
+            known.versions.entry(*origin).or_default();
+        }
+        self.sweep(now);
+    }
+
     /// Whether a service has a single version here, but nothing is proved of the time before.
     pub fn needs_proof(&self, now: ClockTime) -> bool {
         let mut services = self.services.values();
--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -14,6 +14,7 @@
 //! A stream whose version is not found this way is refused.
 
 mod history;
+mod look_back;
 mod origin;
 mod peers;
 mod resolution;
@@ -22,6 +23,7 @@
 
 pub use self::{
     history::{MAX_STREAM_AGE, MAX_VIEW_AGE, VersionHistory},
+    look_back::LookBack,
     origin::{OriginHash, StreamHash},
     peers::{RecordPeer, queried_peers, recording_peers},
     resolution::{UnknownOrigin, resolve_origin},
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -1,10 +1,11 @@
-//! Routes of streams that are split or move to other services.
+//! Routes of streams that are split or move, and versions that the log of registrations shows.
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    ids::{RequestId, ServiceName},
+    directory::{EndpointRegistration, SoftwareVersion},
+    ids::{EndpointId, FailureDomain, RequestId, ServiceName},
     ingress::{CallerLimits, IngressConfiguration, RouteKind, RouteRule, WeightedService},
-    streams::{RouteHistory, StreamHash},
+    streams::{LookBack, RouteHistory, StreamHash, VersionHistory},
     units::ByteSize,
 };
 
@@ -87,3 +88,49 @@
     history.sweep(at(25_000), AGE);
     assert!(!history.has_moved(at(25_000), AGE));
 }
+
+fn heartbeat(name: &str, version: &str, sequence: u64) -> EndpointRegistration {
+    EndpointRegistration {
+        id: EndpointId::new(name).unwrap(),
+        start: 1,
+        service: ServiceName::new("chat").unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: FailureDomain::new("se-a").unwrap(),
+        version: SoftwareVersion::new(version),
+        slots: 8,
+        is_leaving: false,
+        leaves_in: None,
+        is_preemptible: false,
+        stage: None,
+        warming: TimeSpan::ZERO,
+        sequence,
+    }
+}
+
+/// Guards against streams that are refused after all instances have started anew, though one
+/// version has served all the while, and against a version that only the log still shows.
+#[test]
+fn the_log_shows_the_versions_of_the_time_before_the_start() {
+    let now = ClockTime::from_millis(1_000_000);
+    let interval = TimeSpan::from_millis(1_200);
+    for gone_in_between in [false, true] {
+        let mut look_back = LookBack::new();
+        for beat in 0..20 {
+            look_back.add(&heartbeat("one", "v2", 100 + beat));
+            if gone_in_between && beat < 5 {
+                look_back.add(&heartbeat("two", "v1", 7 + beat));
+            }
+        }
+        let span = look_back.span(interval);
+        assert!(span <= TimeSpan::from_millis(19 * 1_200) && span >= TimeSpan::from_secs(20));
+        let mut versions = VersionHistory::new();
+        versions.set_timeout(TimeSpan::from_secs(10));
+        let current = heartbeat("one", "v2", 120);
+        versions.note_registered(&current.service, current.origin());
+        versions.note_current(now);
+        assert!(versions.needs_proof(now));
+        versions.note_looked_back(now, span, look_back.seen());
+        let sole = versions.sole_origin(now, &current.service);
+        assert_eq!(sole.is_some(), !gone_in_between);
+    }
+}
--- a/crates/ingress/src/sync/mod.rs
+++ b/crates/ingress/src/sync/mod.rs
@@ -3,6 +3,7 @@
 pub mod configuration;
 pub mod copies;
 mod endpoints;
+mod look_back;
 
 use std::{sync::Arc, time::Duration};
 
@@ -57,6 +58,7 @@
     for follower in [
         Box::pin(configuration) as std::pin::Pin<Box<dyn Future<Output = ()> + Send>>,
         Box::pin(endpoints),
+        Box::pin(look_back::run(Arc::clone(context))),
     ] {
         let stop = stop.clone();
         tokio::spawn(async move {
