--- a/crates/lab/src/commands/capacity.rs
+++ b/crates/lab/src/commands/capacity.rs
@@ -14,7 +14,8 @@
 pub fn args() -> impl Parser<CapacityArgs> {
     let only = long("only")
         .help(
-            "Measure this slope alone: view, routing, admission, retries, gossip, plans or records",
+            "Measure this slope alone: view, routing, admission, limits, retries, streams, gossip, \
+             plans or records",
         )
         .argument("SLOPE")
         .optional();
--- a/crates/lab/src/slopes/mod.rs
+++ b/crates/lab/src/slopes/mod.rs
@@ -8,6 +8,7 @@
 mod records;
 mod retries;
 mod routing;
+mod streams;
 mod view;
 
 /// A slope and its name.
@@ -40,6 +41,10 @@
         name: "retries",
         run: retries::table,
     },
+    LabSlope {
+        name: "streams",
+        run: streams::table,
+    },
     LabSlope {
         name: "gossip",
         run: gossip::table,
