--- a/crates/core/src/streams/resolution.rs
+++ b/crates/core/src/streams/resolution.rs
@@ -9,7 +9,7 @@
 /// Why it is not known where a stream goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum UnknownOrigin {
-    /// Nobody has a record, and several versions are possible.
+    /// No record was found, and several versions are possible.
     #[error("no instance has a record of the stream, and it may have begun at several versions")]
     NotRecorded,
     /// Two instances named different origins.
--- a/crates/core/src/streams/table.rs
+++ b/crates/core/src/streams/table.rs
@@ -128,7 +128,7 @@
         });
     }
 
-    /// Records that a stream that began here has ended, so that nobody takes it up.
+    /// Removes a stream that began here and has ended.
     pub fn note_ended(&mut self, stream: StreamHash) {
         self.begun.entries.remove(&stream);
     }
@@ -193,7 +193,7 @@
         due.into_iter().collect()
     }
 
-    /// Removes the streams that nobody takes up any more.
+    /// Removes the streams that are too old to be taken up.
     pub fn sweep(&mut self, now: ClockTime) {
         self.begun.remove_old(now);
         self.recorded.remove_old(now);
--- a/crates/ingress/src/forward/resume.rs
+++ b/crates/ingress/src/forward/resume.rs
@@ -92,7 +92,7 @@
     let last_event = last_event.and_then(|value| value.to_str().ok());
     let stream = request.resumes.as_ref();
     let source = match resolved {
-        Ok(resumed) => resumed.source,
+        Ok(resumed) => resumed.source.as_str(),
         Err(_) => "unknown",
     };
     context.metrics.resumed.with_label_values(&[source]).inc();
@@ -130,7 +130,7 @@
     BegunStream::At(origin)
 }
 
-/// Records that the stream has ended, so that nobody takes it up.
+/// Records that the stream has ended.
 pub fn note_ended(context: &EntryContext, stream: StreamHash) {
     context.streams.note_ended(stream);
 }
--- a/crates/ingress/src/stream_origins/mod.rs
+++ b/crates/ingress/src/stream_origins/mod.rs
@@ -102,7 +102,7 @@
         self.routes.lock().note_configuration(now, configuration);
     }
 
-    /// Records that a stream that began here has ended, so that nobody takes it up.
+    /// Removes a stream that began here and has ended.
     pub fn note_ended(&self, stream: StreamHash) {
         self.table.lock().note_ended(stream);
     }
@@ -112,7 +112,7 @@
         self.table.lock().origin(stream)
     }
 
-    /// Removes the streams that nobody takes up any more.
+    /// Removes the streams that are too old to be taken up.
     pub fn sweep(&self, now: ClockTime) {
         self.table.lock().sweep(now);
         self.routes.lock().sweep(now, MAX_STREAM_AGE);
--- a/crates/ingress/src/stream_origins/resumption.rs
+++ b/crates/ingress/src/stream_origins/resumption.rs
@@ -15,7 +15,6 @@
         UnknownOrigin, resolve_origin,
     },
 };
-
 use rand::seq::IndexedRandom;
 
 use crate::{shared::Shared, stream_origins::StreamOrigins};
@@ -36,6 +35,28 @@
     pub service: &'a ServiceName,
 }
 
+/// How it is known where a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OriginSource {
+    /// It began here, or was recorded here.
+    Local,
+    /// Another instance has a record.
+    Record,
+    /// Only one version is possible.
+    Versions,
+}
+
+impl OriginSource {
+    /// The label in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            OriginSource::Local => "local",
+            OriginSource::Record => "record",
+            OriginSource::Versions => "versions",
+        }
+    }
+}
+
 /// A stream that a caller takes up.
 #[derive(Clone, Debug)]
 pub struct ResumedStream {
@@ -43,8 +64,8 @@
     pub origin: OriginHash,
     /// The service of the origin.
     pub service: ServiceName,
-    /// How the origin is known, for the log.
-    pub source: &'static str,
+    /// How the origin is known.
+    pub source: OriginSource,
 }
 
 /// Where a stream began at `target`; `None` if the endpoint may have been replaced by one of
@@ -132,13 +153,13 @@
             Some(stream) => self.find(clock, directory, stream, peers).await,
             None => {
                 self.prove(clock, directory, peers).await;
-                (None, "versions")
+                (None, OriginSource::Versions)
             }
         };
+        let now = clock.now();
         let mut directory = directory.lock();
         let versions = directory.versions_mut();
-        versions.sweep(clock.now());
-        let now = clock.now();
+        versions.sweep(now);
         let has_moved = {
             let routes = self.routes.lock();
             routes.may_have_moved(now, request.host, request.path, versions.stream_age())
@@ -162,9 +183,9 @@
         directory: &Shared<EndpointDirectory>,
         stream: StreamHash,
         peers: &[RecordPeer<SocketAddr>],
-    ) -> (Option<RecordedOrigin>, &'static str) {
+    ) -> (Option<RecordedOrigin>, OriginSource) {
         if let Some(known) = self.origin(stream) {
-            return (Some(known), "local");
+            return (Some(known), OriginSource::Local);
         }
         let result = self.query(stream, peers).await;
         let mut directory = directory.lock();
@@ -172,8 +193,8 @@
             .versions_mut()
             .note_vouched(clock.now(), &result.proved);
         match result.origin {
-            Some(known) => (Some(known), "record"),
-            None => (None, "versions"),
+            Some(known) => (Some(known), OriginSource::Record),
+            None => (None, OriginSource::Versions),
         }
     }
 
