Keep one process under an id in the soak, and count one that is back as there

Trace: endpoint 2 is replaced at 2,982 ms and announces that it leaves; its crash at 3,346 ms restarts it under the same id at 3,687 ms, ready, with a newer start. The instances see it ready and send; the checker still counted from the first announcement. So the case is allowed: an endpoint that starts again under its id is there again. And a place that two overlapping faults restart kept both processes, which registered under one id in turn; the earlier one ends now. The line of streams names those that are mixed. Test: an_endpoint_that_is_back_gets_requests, which also checks that one that is not back gets none.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -336,10 +336,16 @@
             }
         };
         slot.path.set_target(address);
+        // Faults overlap: two processes must not register under one id.
+        let (earlier_id, earlier) = slot.current();
+        earlier.kill();
         let id = match has_new_id {
             true => format!("{}-{}", slot.plan.id, self.born.load(Ordering::SeqCst)),
-            false => slot.current().0,
+            false => earlier_id,
         };
+        if !has_new_id {
+            self.checker.endpoint_returned(&id);
+        }
         let plan = EndpointSpec {
             id: id.clone(),
             version: version_name(slot.version.load(Ordering::SeqCst)),
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -177,7 +177,6 @@
     if has_new_id {
         leaving.lapse();
     } else {
-        fleet.checker.endpoint_returned(&id);
         fleet.checker.settle(&id, false);
     }
 }
--- a/crates/soak/src/promises/streams.rs
+++ b/crates/soak/src/promises/streams.rs
@@ -130,10 +130,10 @@
             went_on,
             mixed,
         } = self;
-        let mixed = mixed.len();
+        let (count, details) = (mixed.len(), mixed.join("; "));
         write!(
             f,
-            "new={new} begun={begun} taken_up={owed} went_on={went_on} mixed={mixed}"
+            "new={new} begun={begun} taken_up={owed} went_on={went_on} mixed={count} {details}"
         )
     }
 }
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -102,6 +102,24 @@
     }
 }
 
+/// Guards against a checker that reports an endpoint that left, and is back under its id.
+#[test]
+fn an_endpoint_that_is_back_gets_requests() {
+    let world = World::new();
+    for is_back in [false, true] {
+        world.checker.endpoint_left("e1");
+        if is_back {
+            world.checker.endpoint_returned("e1");
+        }
+        world.pass(2_500);
+        let attempt = if is_back { "b" } else { "a" };
+        world.send(attempt, OperatorKind::Safe);
+        let before = world.checker.broken().len();
+        world.run(attempt);
+        assert_eq!(world.checker.broken().len() > before, !is_back);
+    }
+}
+
 #[test]
 fn what_is_kept_is_not_reported() {
     let world = World::new();
