Log what an instance knew of the configuration when it refused a request

A line `refused` named the reason only. Whether the table in force was old, whether a newer version was known, from whom and since when could not be told apart, and these are the hypotheses of the incident. The line now has all of it, so does `/dump`; `configuration_confirmed` tells that a configuration which was too old to be relayed is confirmed again, by what, and after how long; the gauge `bluebell_configuration_age_ms` has the age. No change of logic.

--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -16,5 +16,5 @@
         ScalingRule, ServiceRule, WeightedService,
     },
     routes::RouteTable,
-    tracker::{ConfigurationTracker, OfferOutcome},
+    tracker::{AdvertisedVersion, ConfigurationStatus, ConfigurationTracker, OfferOutcome},
 };
--- a/crates/core/src/ingress/tracker.rs
+++ b/crates/core/src/ingress/tracker.rs
@@ -1,9 +1,12 @@
 //! The configuration in force on this instance and the age of its last confirmation.
 
-use std::sync::Arc;
+use std::{fmt, sync::Arc};
+
+use serde::Serialize;
 
 use crate::{
     clock::{ClockTime, TimeSpan},
+    ids::InstanceId,
     ingress::{IngressConfiguration, RouteTable},
 };
 
@@ -18,6 +21,53 @@
     Older,
 }
 
+/// A version that another instance advertised before it was in force here.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct AdvertisedVersion {
+    /// The version.
+    pub version: u64,
+    /// When its first advertisement arrived.
+    pub advertised_at: ClockTime,
+    /// The instance that sent this advertisement.
+    pub source: InstanceId,
+}
+
+/// What is known of the configuration at some time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ConfigurationStatus {
+    /// The version in force; `None` before the first one.
+    pub version: Option<u64>,
+    /// The age of the newest confirmation that it is the newest version.
+    pub age: Option<TimeSpan>,
+    /// The newest version that is known but not in force.
+    pub newer: Option<AdvertisedVersion>,
+    /// The time since that version was first advertised.
+    pub newer_known_for: Option<TimeSpan>,
+}
+
+impl fmt::Display for ConfigurationStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.version {
+            Some(version) => write!(f, "version {version}")?,
+            None => write!(f, "no version")?,
+        }
+        match self.age {
+            Some(age) => write!(f, " confirmed {age} ago")?,
+            None => write!(f, " never confirmed")?,
+        }
+        let newer = self.newer.as_ref().zip(self.newer_known_for);
+        match newer {
+            Some((newer, known_for)) => {
+                let AdvertisedVersion {
+                    version, source, ..
+                } = newer;
+                write!(f, ", {version} advertised by {source} {known_for} ago")
+            }
+            None => write!(f, ", no newer one advertised"),
+        }
+    }
+}
+
 /// The configuration in force and its freshness.
 ///
 /// Times are of a clock that keeps running while the process is suspended: an instance
@@ -26,9 +76,8 @@
 pub struct ConfigurationTracker {
     table: Option<Arc<RouteTable>>,
     confirmed_at: Option<ClockTime>,
-    /// Newer versions that other instances advertised, each with the time at which it
-    /// was first received.
-    newer_versions: Vec<(u64, ClockTime)>,
+    /// Newer versions that other instances advertised, in rising order.
+    newer_versions: Vec<AdvertisedVersion>,
 }
 
 impl ConfigurationTracker {
@@ -49,18 +98,22 @@
             Some(version) if configuration.version < version => OfferOutcome::Older,
             _ => {
                 self.newer_versions
-                    .retain(|(newer, _)| *newer > configuration.version);
+                    .retain(|newer| newer.version > configuration.version);
                 self.table = Some(Arc::new(RouteTable::new(configuration)));
                 OfferOutcome::Newer
             }
         }
     }
 
-    /// Records that another instance advertises `version` as in force.
-    pub fn note_advertised(&mut self, now: ClockTime, version: u64) {
-        let newest = self.newer_versions.last().map(|(newest, _)| *newest);
+    /// Records that `source` advertises `version` as in force there.
+    pub fn note_advertised(&mut self, now: ClockTime, version: u64, source: &InstanceId) {
+        let newest = self.newer_versions.last().map(|newest| newest.version);
         if newest.max(self.version()) < Some(version) {
-            self.newer_versions.push((version, now));
+            self.newer_versions.push(AdvertisedVersion {
+                version,
+                advertised_at: now,
+                source: source.clone(),
+            });
         }
     }
 
@@ -69,7 +122,7 @@
     /// after the bound within which the operator's change has to take effect.
     pub fn is_outdated(&self, now: ClockTime, limit: TimeSpan) -> bool {
         let first = self.newer_versions.first();
-        first.is_some_and(|(_, advertised_at)| now.since(*advertised_at) >= limit)
+        first.is_some_and(|first| now.since(first.advertised_at) >= limit)
     }
 
     /// Records that a read sent at `sent` returned completely and has been applied:
@@ -78,6 +131,17 @@
         self.confirmed_at = self.confirmed_at.max(Some(sent));
     }
 
+    /// What is known of the configuration at `now`.
+    pub fn status(&self, now: ClockTime) -> ConfigurationStatus {
+        let newer = self.newer_versions.last().cloned();
+        ConfigurationStatus {
+            version: self.version(),
+            age: self.age(now),
+            newer_known_for: newer.as_ref().map(|newer| now.since(newer.advertised_at)),
+            newer,
+        }
+    }
+
     /// The route table of the configuration in force.
     pub fn table(&self) -> Option<&Arc<RouteTable>> {
         self.table.as_ref()
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -5,7 +5,7 @@
 use bluebell_core::{
     attempts::WorkKind,
     clock::{ClockTime, TimeSpan},
-    ids::{KeyDigest, OrganisationId, ServiceName},
+    ids::{InstanceId, KeyDigest, OrganisationId, ServiceName},
     ingress::{
         CallerLimits, ConfigurationTracker, IngressConfiguration, OfferOutcome, OrganisationRule,
         RouteKind, RouteRule, RouteTable, WeightedService,
@@ -160,11 +160,12 @@
 #[test]
 fn a_version_known_to_be_replaced_is_outdated_after_the_bound() {
     let mut tracker = ConfigurationTracker::new();
+    let reader = InstanceId::new("entry-1").unwrap();
     tracker.offer(configuration(18, Vec::new(), &[]));
-    tracker.note_advertised(at(1_000), 18);
+    tracker.note_advertised(at(1_000), 18, &reader);
     assert!(!tracker.is_outdated(at(60_000), span(2_000)));
-    tracker.note_advertised(at(64_000), 20);
-    tracker.note_advertised(at(65_900), 23);
+    tracker.note_advertised(at(64_000), 20, &reader);
+    tracker.note_advertised(at(65_900), 23, &reader);
     assert!(!tracker.is_outdated(at(65_999), span(2_000)));
     assert!(tracker.is_outdated(at(66_000), span(2_000)));
     // The intermediate version arrives: the version still missing was advertised later.
@@ -174,3 +175,23 @@
     tracker.offer(configuration(23, Vec::new(), &[]));
     assert!(!tracker.is_outdated(at(99_000), span(2_000)));
 }
+
+/// Guards against a refusal whose log line does not tell what the instance knew.
+#[test]
+fn the_status_names_the_newest_advertised_version_and_its_source() {
+    let mut tracker = ConfigurationTracker::new();
+    assert_eq!(
+        tracker.status(at(0)).to_string(),
+        "no version never confirmed, no newer one advertised"
+    );
+    tracker.offer(configuration(18, Vec::new(), &[]));
+    tracker.confirm(at(1_000));
+    tracker.note_advertised(at(2_000), 20, &InstanceId::new("entry-1").unwrap());
+    tracker.note_advertised(at(2_100), 20, &InstanceId::new("entry-2").unwrap());
+    assert_eq!(
+        tracker.status(at(3_500)).to_string(),
+        "version 18 confirmed 2500ms ago, 20 advertised by entry-1 1500ms ago"
+    );
+    tracker.offer(configuration(20, Vec::new(), &[]));
+    assert_eq!(tracker.status(at(3_600)).newer, None);
+}
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -220,6 +220,13 @@
         self.clock.now()
     }
 
+    /// Updates the metric of the age of the configuration.
+    pub fn update_configuration_age(&self, now: ClockTime) {
+        if let Some(age) = self.configuration.lock().age(now) {
+            self.metrics.configuration_age.set(age.as_millis() as i64);
+        }
+    }
+
     /// Updates this entry's share of the extra retries allowed to all entries together.
     /// Known but unresponsive entries count as well: they may be partitioned and still
     /// use their share. An entry that has not discovered the others yet uses only the
--- a/crates/ingress/src/frontend/mod.rs
+++ b/crates/ingress/src/frontend/mod.rs
@@ -53,11 +53,7 @@
     let mut response = match request::read(&context, connection, source, incoming).await {
         Ok(request) => forward::serve(&context, request).await,
         Err(refusal) => {
-            let line = LogLine::new("refused")
-                .with("request", refusal.request_id_text())
-                .with("status", refusal.status())
-                .with("reason", refusal.reason());
-            line.info();
+            log_refusal(&context, &refusal);
             let outcome = refusal.reason().as_str();
             let counters = &context.metrics.answers;
             counters.with_label_values(&["none", outcome]).inc();
@@ -72,3 +68,14 @@
     }
     response
 }
+
+/// Logs a refusal with what this instance knew of the configuration.
+fn log_refusal(context: &EntryContext, refusal: &Refusal) {
+    let known = context.configuration.lock().status(context.now());
+    LogLine::new("refused")
+        .with("request", refusal.request_id_text())
+        .with("status", refusal.status())
+        .with("reason", refusal.reason())
+        .with("configuration", known)
+        .info();
+}
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -33,6 +33,8 @@
     pub configuration_version: IntGauge,
     /// The newest version that the reader of the failure domain advertised.
     pub advertised_version: IntGauge,
+    /// The time in ms since the configuration in force was last known to be the newest.
+    pub configuration_age: IntGauge,
     /// Registrations that disappeared from the store, by how they were handled.
     pub registrations_removed: IntCounterVec,
     /// Requests that were handed to other instances, by outcome.
@@ -109,6 +111,10 @@
                 "bluebell_configuration_advertised_version",
                 "newest version that the reader of the failure domain advertised",
             )?,
+            configuration_age: gauge(
+                "bluebell_configuration_age_ms",
+                "time since the configuration in force was last known to be the newest",
+            )?,
             registrations_removed: counter(
                 "bluebell_registrations_gone_total",
                 "registrations that went, by what was made of it",
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -180,13 +180,11 @@
         }
         Err(error) => LogLine::new("relay_rejected").with("error", error).warn(),
     }
-    {
-        let mut tracker = context.configuration.lock();
-        tracker.note_advertised(now, relay.version);
-        if tracker.version() == Some(relay.version) {
-            tracker.confirm(keys_known_at);
-        }
-    }
+    context
+        .configuration
+        .lock()
+        .note_advertised(now, relay.version, peer);
+    sync::configuration::confirm_version(context, relay.version, keys_known_at, peer.as_str());
     let digest = {
         let mut directory = context.directory.lock();
         let digest = directory.digest();
--- a/crates/ingress/src/ready.rs
+++ b/crates/ingress/src/ready.rs
@@ -58,17 +58,14 @@
 /// Returns the state of the process as JSON. It contains no API keys.
 pub fn dump(context: &EntryContext) -> serde_json::Value {
     let now = context.now();
-    let (version, age) = {
-        let configuration = context.configuration.lock();
-        (configuration.version(), configuration.age(now))
-    };
+    let configuration = context.configuration.lock().status(now);
     let limits = limits(context, now);
     let endpoints: Vec<_> = context.directory.lock().iter().cloned().collect();
     json!({
         "instance": context.settings.instance,
         "failure_domain": context.settings.domain,
         "start": context.writer.start,
-        "configuration": { "version": version, "age": age },
+        "configuration": configuration,
         "limits": limits,
         "retries": context.budget.lock().status(now),
         "quarantine": &*context.quarantine.lock(),
--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -11,7 +11,7 @@
     clock::{ClockTime, TimeSpan},
     ids::LogOffset,
     ingress::OfferOutcome,
-    relay::StateSource,
+    relay::{StateSource, relay_age_limit},
     units::ByteSize,
 };
 use bluebell_daemon::logs::LogLine;
@@ -26,6 +26,9 @@
 
 const PART: TopicPart = TopicPart::first(TOPIC);
 
+/// The source of a confirmation in the log: a read of the store by this instance.
+const STORE: &str = "store";
+
 /// How long the store may hold a read until there is a record. The age of the state
 /// counts from when a read was sent, and instances that follow a relay read the store
 /// themselves once it is about 1.3 s old, so it has to be renewed well within that time.
@@ -85,7 +88,7 @@
         Ok(copied) => {
             apply(context, &copied.content, Some(copied.packed));
             if context.configuration.lock().version() == Some(copied.version) {
-                confirm(context, copied.known_at, copied.next);
+                confirm(context, copied.known_at, copied.next, "copy");
             }
             context.relayed.lock().failed_configuration_copies = 0;
             true
@@ -113,7 +116,7 @@
     for item in page.items.iter().filter(|item| item.key == KEY) {
         apply(context, &item.value, None);
     }
-    confirm(context, sent, page.end);
+    confirm(context, sent, page.end, STORE);
     Ok(Some(page.end))
 }
 
@@ -148,21 +151,43 @@
                 return Ok(Some(next));
             }
             let next = next.max(end);
-            confirm(context, sent, next);
+            confirm(context, sent, next, STORE);
             Ok(Some(next))
         }
     }
 }
 
-/// Records that a read sent at `sent` covered everything before `end`.
-fn confirm(context: &EntryContext, sent: ClockTime, end: LogOffset) {
+/// Records that `source` knew at `known_at` everything before `end`.
+fn confirm(context: &EntryContext, known_at: ClockTime, end: LogOffset, source: &str) {
     let mut relayed = context.relayed.lock();
     relayed.configuration_next = relayed.configuration_next.max(end);
     relayed.failed_configuration_copies = 0;
     drop(relayed);
+    let version = context.configuration.lock().version();
+    if let Some(version) = version {
+        confirm_version(context, version, known_at, source);
+    }
+}
+
+/// Confirms the version in force if it is `version`, which `source` knew to be the newest one
+/// at `known_at`. Logs the confirmation of a configuration that was too old to be relayed.
+pub fn confirm_version(context: &EntryContext, version: u64, known_at: ClockTime, source: &str) {
+    let now = context.now();
     let mut tracker = context.configuration.lock();
-    if tracker.table().is_some() {
-        tracker.confirm(sent);
+    if tracker.version() != Some(version) {
+        return;
+    }
+    let age = tracker.age(now);
+    tracker.confirm(known_at);
+    let confirmed_age = tracker.age(now);
+    drop(tracker);
+    let limit = relay_age_limit(context.settings.bounds.configuration_rollout);
+    if let Some(age) = age.filter(|age| *age >= limit && confirmed_age < Some(limit)) {
+        LogLine::new("configuration_confirmed")
+            .with("version", version)
+            .with("source", source)
+            .with("after", age)
+            .info();
     }
 }
 
@@ -178,10 +203,8 @@
 /// the same.
 pub fn confirm_advertised(context: &EntryContext) {
     let advertised = context.relayed.lock().configuration;
-    let mut tracker = context.configuration.lock();
-    if tracker.version() == Some(advertised.version()) {
-        tracker.confirm(advertised.known_at());
-    }
+    let known_at = advertised.known_at();
+    confirm_version(context, advertised.version(), known_at, "reader");
 }
 
 /// Decodes a configuration as stored and puts it in force unless it is older than the
