Have the soak's operator add, change and drop routes and keys that callers use at once

The soak added only routes that no caller uses and no keys, so it could not see a change that is confirmed and not in force. With `--changing` routes and keys are added, led elsewhere, dropped and withdrawn, in series that overlap, and callers use them from the acknowledgement on. `AddedServed` is broken by a denial, at an instance in touch, after the time that a change may take; `event=changes` counts all denials and runs under an older version by their age, whether in touch or not.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -40,6 +40,8 @@
 const LEAVING: f64 = 0.04;
 /// The longest time after which these leave, in ms.
 const LEAVES_MS: u64 = 60;
+/// The share of requests for routes that were added, and with keys that were.
+const USING_ADDED: f64 = 0.4;
 /// How long after a caller left its work may go on: the half second that the users
 /// allow, and what a busy machine takes.
 const STOP_SLACK: Duration = Duration::from_millis(900);
@@ -83,6 +85,7 @@
     random: ChaCha8Rng,
     asked: u64,
     takes_up: bool,
+    uses_added: bool,
 }
 
 type RequestSender = http1::SendRequest<Full<Bytes>>;
@@ -104,9 +107,16 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             asked: 0,
             takes_up: false,
+            uses_added: false,
         }
     }
 
+    /// Sets whether the caller uses routes and keys that were added.
+    pub fn with_added(mut self, uses_added: bool) -> SoakCaller {
+        self.uses_added = uses_added;
+        self
+    }
+
     /// Sets whether the caller takes up streams that broke, and breaks some off to do so.
     pub fn with_taking_up(mut self, takes_up: bool) -> SoakCaller {
         self.takes_up = takes_up;
@@ -162,8 +172,7 @@
     ) -> ConnectionUse {
         self.asked += 1;
         let attempt = format!("{}-{}-{}", self.fleet.seed, self.number, self.asked);
-        let route = &ROUTES[self.random.random_range(0..ROUTES.len())];
-        let organisation = self.random.random_range(0..ORGANISATIONS);
+        let (route, organisation) = self.draw_use();
         let patience_ms = self.random.random_range(PATIENCE_MS.0..=PATIENCE_MS.1);
         let patience = TimeSpan::from_millis(patience_ms.min(route.timeout_ms));
         let checker = &self.fleet.checker;
@@ -212,6 +221,21 @@
         }
     }
 
+    /// The route of the next request, and the organisation whose key it bears.
+    fn draw_use(&mut self) -> (&'static RouteSample, usize) {
+        let route = &ROUTES[self.random.random_range(0..ROUTES.len())];
+        let organisation = self.random.random_range(0..ORGANISATIONS);
+        if !self.uses_added || !self.random.random_bool(USING_ADDED) {
+            return (route, organisation);
+        }
+        let added = self.fleet.draw_added_route(&mut self.random);
+        let added_organisation = self.fleet.draw_added_organisation(&mut self.random);
+        (
+            added.unwrap_or(route),
+            added_organisation.unwrap_or(organisation),
+        )
+    }
+
     /// Takes up a stream that has broken after its first events, at an instance that the
     /// balancer picks anew.
     async fn take_up(
--- a/crates/soak/src/commands.rs
+++ b/crates/soak/src/commands.rs
@@ -25,6 +25,7 @@
     callers: usize,
     is_growing: bool,
     has_versions: bool,
+    is_changing: bool,
     folder: Option<PathBuf>,
     program: Option<PathBuf>,
     is_untimed: bool,
@@ -47,6 +48,9 @@
     let has_versions = long("versions")
         .help("endpoints are replaced by other software versions; callers take streams up")
         .switch();
+    let is_changing = long("changing")
+        .help("routes and keys are added, changed and dropped while callers use them")
+        .switch();
     let folder = long("folder")
         .help("where settings, logs and reports are kept; a temporary folder otherwise")
         .argument("DIR")
@@ -66,6 +70,7 @@
         callers,
         is_growing,
         has_versions,
+        is_changing,
         folder,
         program,
         is_untimed
@@ -112,6 +117,7 @@
             callers: options.callers,
             is_growing: options.is_growing,
             has_versions: options.has_versions,
+            is_changing: options.is_changing,
             program: program.clone(),
             size: FleetSize {
                 instances: options.instances,
@@ -140,6 +146,7 @@
         report.broken.len()
     );
     println!("event=streams seed={} {}", report.seed, report.streams);
+    println!("event=changes seed={} {}", report.seed, report.changes);
     for broken in &report.broken {
         println!("event=promise seed={} {broken}", report.seed);
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Everything that a soak runs: instances, their paths, endpoints, the platform.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     sync::{
@@ -26,6 +26,7 @@
     },
     store::StandinStore,
 };
+use rand::{Rng, seq::IteratorRandom};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -96,6 +97,24 @@
         timeout_ms: 3_000,
     },
 ];
+/// The routes that the operator adds, leads elsewhere and drops, and that callers use at once.
+pub const ADDED_ROUTES: [RouteSample; 6] = [
+    added_route("/added-0/"),
+    added_route("/added-1/"),
+    added_route("/added-2/"),
+    added_route("/added-3/"),
+    added_route("/added-4/"),
+    added_route("/added-5/"),
+];
+
+const fn added_route(prefix: &'static str) -> RouteSample {
+    RouteSample {
+        prefix,
+        kind: OperatorKind::Safe,
+        timeout_ms: 1_500,
+    }
+}
+
 /// How long callers of routes that nobody uses would be kept waiting, in ms.
 const UNUSED_TIMEOUT_MS: u64 = 1_500;
 /// How many of the routes may be led to another service.
@@ -149,6 +168,17 @@
     }
 }
 
+/// What the operator has added.
+#[derive(Debug, Default)]
+struct OperatorChanges {
+    /// The services of the routes that are there.
+    routes: BTreeMap<&'static str, &'static str>,
+    /// The organisations that have a key, the oldest first.
+    organisations: VecDeque<usize>,
+    /// How many organisations were added.
+    granted: usize,
+}
+
 /// All that a soak runs.
 pub struct SoakFleet {
     /// The seed.
@@ -169,6 +199,8 @@
     pub tallies: TallyBook,
     /// The configuration in force.
     pub configuration: Mutex<OperatorConfiguration>,
+    /// What was added to it; held while a change is published, before the configuration.
+    changes: Mutex<OperatorChanges>,
     handles: PrefilledHandles,
     watch: EventHandler,
     ip: IpAddr,
@@ -245,6 +277,7 @@
             rotation: CallerRotation::new(),
             tallies: Mutex::new(BTreeMap::new()),
             configuration: Mutex::new(first_configuration()),
+            changes: Mutex::default(),
             handles: PrefilledHandles::default(),
             watch,
             ip,
@@ -387,6 +420,81 @@
         });
     }
 
+    /// Adds a route, or leads it to the other of its services.
+    pub fn add_route(&self, number: usize) {
+        let sample = &ADDED_ROUTES[number];
+        let mut changes = self.changes.lock().expect("held briefly");
+        let service = match changes.routes.get(sample.prefix) {
+            Some(service) if *service == TILLS[0] => TILLS[1],
+            _ => TILLS[0],
+        };
+        self.publish(|configuration| {
+            configuration.routes.retain(|r| r.prefix != sample.prefix);
+            configuration.routes.push(OperatorRoute {
+                prefix: sample.prefix.to_string(),
+                kind: sample.kind,
+                service: service.to_string(),
+                timeout_ms: sample.timeout_ms,
+            });
+        });
+        self.checker.route_added(sample.prefix, service);
+        changes.routes.insert(sample.prefix, service);
+    }
+
+    /// Drops a route that was added.
+    pub fn drop_route(&self, number: usize) {
+        let prefix = ADDED_ROUTES[number].prefix;
+        let mut changes = self.changes.lock().expect("held briefly");
+        if changes.routes.remove(prefix).is_some() {
+            self.publish(|configuration| configuration.routes.retain(|r| r.prefix != prefix));
+            self.checker.route_dropped(prefix);
+        }
+    }
+
+    /// Gives a key to a further organisation.
+    pub fn add_organisation(&self) {
+        let mut changes = self.changes.lock().expect("held briefly");
+        let number = ORGANISATIONS + changes.granted;
+        changes.granted += 1;
+        let name = organisation_name(number);
+        self.publish(|configuration| {
+            configuration.organisations.push(OperatorOrganisation {
+                name: name.clone(),
+                keys: vec![organisation_key(number)],
+            });
+        });
+        self.checker.granted(&name);
+        changes.organisations.push_back(number);
+    }
+
+    /// Withdraws the key of the organisation that was added first.
+    pub fn withdraw_added(&self) {
+        let mut changes = self.changes.lock().expect("held briefly");
+        if let Some(number) = changes.organisations.pop_front() {
+            self.withdraw(number);
+        }
+    }
+
+    /// A route that was added and is there; `None` if there is none.
+    pub fn draw_added_route<Random>(&self, random: &mut Random) -> Option<&'static RouteSample>
+    where
+        Random: Rng,
+    {
+        let changes = self.changes.lock().expect("held briefly");
+        let routes = ADDED_ROUTES.iter();
+        let routes = routes.filter(|route| changes.routes.contains_key(route.prefix));
+        routes.choose(random)
+    }
+
+    /// An organisation that was added and has a key; `None` if there is none.
+    pub fn draw_added_organisation<Random>(&self, random: &mut Random) -> Option<usize>
+    where
+        Random: Rng,
+    {
+        let changes = self.changes.lock().expect("held briefly");
+        changes.organisations.iter().copied().choose(random)
+    }
+
     /// Adds routes that nobody uses.
     pub fn grow(&self, routes: usize) {
         self.publish(|configuration| {
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -96,6 +96,10 @@
         }
         SoakFault::MoveRoute { route } => fleet.move_route(route),
         SoakFault::GrowConfiguration { routes } => fleet.grow(routes),
+        SoakFault::AddRoute { route } => fleet.add_route(route),
+        SoakFault::DropRoute { route } => fleet.drop_route(route),
+        SoakFault::AddOrganisation => fleet.add_organisation(),
+        SoakFault::WithdrawAdded => fleet.withdraw_added(),
         SoakFault::Withdraw { organisation } => fleet.withdraw(organisation),
         fault => inject_at_endpoint(fleet, fault).await,
     }
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -1,10 +1,11 @@
 //! What callers got and endpoints ran, held against the promises as it happens.
 
+mod changes;
 mod messages;
 mod streams;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{Mutex, MutexGuard},
 };
 
@@ -15,6 +16,7 @@
 };
 
 pub use self::{
+    changes::ChangeTally,
     messages::{BrokenPromise, CallerOutcome, ProcessName, Promise, SentRequest},
     streams::{ReceivedEvents, StreamTally, TakenUpStream},
 };
@@ -31,6 +33,9 @@
 /// answer counts as a loss.
 const LOSS_SLACK: TimeSpan = TimeSpan::from_millis(200);
 
+/// The service of a route that was dropped: none has an empty name.
+const DROPPED: &str = "";
+
 #[derive(Debug)]
 struct AttemptBook {
     request: SentRequest,
@@ -51,8 +56,14 @@
 struct PromiseBook {
     attempts: HashMap<String, AttemptBook>,
     withdrawn: BTreeMap<String, ClockTime>,
-    /// Where each route was led, and since when that was acknowledged.
+    /// Since when the keys of organisations that were added are acknowledged.
+    granted: BTreeMap<String, ClockTime>,
+    /// Where each route was led, and since when that was acknowledged; [`DROPPED`] where it was
+    /// dropped.
     routes: BTreeMap<String, Vec<(ClockTime, String)>>,
+    /// The routes that were added after the start.
+    added: BTreeSet<String>,
+    changes: ChangeTally,
     /// The newest place in `routes` that a process was seen to follow.
     followed: BTreeMap<(ProcessName, String), (usize, ClockTime)>,
     /// Since when endpoints are known to the store to have left.
@@ -123,6 +134,29 @@
         }
     }
 
+    /// A configuration that adds a route to a service, or leads it there, was acknowledged.
+    pub fn route_added(&self, prefix: &str, service: &str) {
+        self.hold().added.insert(prefix.to_string());
+        self.route_led(prefix, service);
+    }
+
+    /// A configuration without the route was acknowledged.
+    pub fn route_dropped(&self, prefix: &str) {
+        self.route_led(prefix, DROPPED);
+    }
+
+    /// A configuration with the keys of a further organisation was acknowledged.
+    pub fn granted(&self, organisation: &str) {
+        let now = self.now();
+        let mut book = self.hold();
+        book.granted.entry(organisation.to_string()).or_insert(now);
+    }
+
+    /// How requests for what the operator added and changed fared.
+    pub fn changes(&self) -> ChangeTally {
+        self.hold().changes.clone()
+    }
+
     /// An organisation's keys were withdrawn, and that was acknowledged.
     pub fn withdrawn(&self, organisation: &str) {
         let now = self.now();
@@ -300,6 +334,9 @@
             let detail = format!("{who} service={} is not in force any more", run.service);
             book.broke(now, Promise::NoOlderConfiguration, detail);
         }
+        if let Some((since, _)) = places.get(place + 1) {
+            book.changes.count_old_run(sent.since(*since));
+        }
     }
 
     /// A caller got something.
@@ -311,6 +348,10 @@
         };
         let (request, sent, runs) = (known.request.clone(), known.sent, known.runs);
         known.is_refused |= outcome.is_refusal();
+        if book.added.contains(&request.prefix) || book.granted.contains_key(&request.organisation)
+        {
+            book.changes.count_asked(outcome.is_served());
+        }
         let instance = request.process.instance.to_string();
         let who = format!(
             "attempt={attempt} instance={instance} kind={:?}",
@@ -329,10 +370,8 @@
                     book.broke(now, Promise::RefusalTrue, detail);
                 }
             }
-            CallerOutcome::Status(status @ (401 | 403 | 404))
-                if !book.withdrawn.contains_key(&request.organisation) =>
-            {
-                book.broke(now, Promise::NotDenied, format!("{who} status={status}"));
+            CallerOutcome::Status(status @ (401 | 403 | 404)) => {
+                self.check_denial(&mut book, now, &request, sent, *status);
             }
             CallerOutcome::Status(_) => {}
             CallerOutcome::Whole { is_signed, body } => {
--- a/crates/soak/src/promises/messages.rs
+++ b/crates/soak/src/promises/messages.rs
@@ -37,6 +37,8 @@
     DrainRespected,
     /// What is allowed is not denied.
     NotDenied,
+    /// A route or key that was added is not denied once that has to be in force.
+    AddedServed,
     /// One report for a window.
     OneReport,
     /// One holder of a duty at a time.
@@ -63,6 +65,7 @@
             Promise::AnswerInTime
                 | Promise::StopsWithCaller
                 | Promise::NoOlderConfiguration
+                | Promise::AddedServed
                 | Promise::DrainRespected
         )
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     caller::{CallerTally, SoakCaller},
-    fleet::{FleetSize, MOVABLE_ROUTES, ORGANISATIONS, ROUTES, SoakFleet},
+    fleet::{ADDED_ROUTES, FleetSize, MOVABLE_ROUTES, ORGANISATIONS, ROUTES, SoakFleet},
     inject,
     processes::{start_process, stop_process},
     promises::{BrokenPromise, Promise},
@@ -46,6 +46,8 @@
     /// Whether endpoints are replaced by other software versions, under streams that callers
     /// take up.
     pub has_versions: bool,
+    /// Whether routes and keys are added, changed and dropped while callers use them.
+    pub is_changing: bool,
     /// The entry program.
     pub program: PathBuf,
     /// How large.
@@ -59,6 +61,8 @@
     pub seed: u64,
     /// How streams fared that can be resumed.
     pub streams: String,
+    /// How requests for added routes and with added keys fared.
+    pub changes: String,
     /// What was injected.
     pub faults: Vec<ScheduledFault>,
     /// How callers fared.
@@ -95,6 +99,9 @@
     if plan.has_versions {
         faults = schedule::merge(faults, schedule::draw_versions(plan.seed, size));
     }
+    if plan.is_changing {
+        faults = schedule::merge(faults, schedule::draw_changes(plan.seed, size));
+    }
     inject::inject(&fleet, &faults).await;
     inject::heal(&fleet);
     wait_until_served(&fleet, "after the faults").await;
@@ -106,6 +113,7 @@
     Ok(SoakReport {
         seed: plan.seed,
         streams,
+        changes: fleet.checker.changes().to_string(),
         faults,
         tally: sum(&fleet),
         broken: fleet.checker.broken(),
@@ -118,6 +126,7 @@
         endpoints: fleet.endpoints.len(),
         organisations: ORGANISATIONS,
         routes: MOVABLE_ROUTES,
+        added_routes: ADDED_ROUTES.len(),
         span_ms: plan.span_ms,
     }
 }
@@ -138,8 +147,9 @@
     let domains: Vec<FailureDomain> = domains(fleet).into_iter().collect();
     for number in 0..plan.callers * domains.len() {
         let domain = domains[number % domains.len()].clone();
-        let caller =
-            SoakCaller::new(Arc::clone(fleet), domain, number).with_taking_up(plan.has_versions);
+        let caller = SoakCaller::new(Arc::clone(fleet), domain, number)
+            .with_taking_up(plan.has_versions)
+            .with_added(plan.is_changing);
         tasks.spawn(caller.call(stop.clone()));
     }
     let (fleet, stop) = (Arc::clone(fleet), stop.clone());
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -33,6 +33,15 @@
 /// The most versions by which a replacement is newer than the first.
 const NEWER_VERSIONS: u32 = 2;
 
+/// Keeps the draws of changed routes and keys apart from those of faults.
+const CHANGE_STREAM: u64 = 3;
+/// The shortest and the longest time between two series of changes, in ms. Series overlap.
+const SERIES_PAUSE_MS: (u64, u64) = (200, 1_800);
+/// The most changes in a series.
+const SERIES_LENGTH: u64 = 6;
+/// The shortest and the longest time between two changes of a series, in ms.
+const CHANGE_PAUSE_MS: (u64, u64) = (5, 700);
+
 /// What a schedule is drawn for.
 #[derive(Clone, Copy, Debug)]
 pub struct ScheduleSize {
@@ -44,6 +53,8 @@
     pub organisations: usize,
     /// Routes that may be led elsewhere.
     pub routes: usize,
+    /// Routes that may be added and dropped.
+    pub added_routes: usize,
     /// How long faults go on, in ms.
     pub span_ms: u64,
 }
@@ -159,6 +170,20 @@
         /// Which of the routes that may be.
         route: usize,
     },
+    /// A route is added, or led to the other service if it is there.
+    AddRoute {
+        /// Which of the routes that may be.
+        route: usize,
+    },
+    /// A route that was added is dropped.
+    DropRoute {
+        /// Which of the routes that may be.
+        route: usize,
+    },
+    /// A further organisation gets a key.
+    AddOrganisation,
+    /// The key of the organisation that was added first, of those that have one, is withdrawn.
+    WithdrawAdded,
     /// The keys of an organisation are withdrawn.
     Withdraw {
         /// Which organisation.
@@ -287,6 +312,34 @@
     }
 }
 
+/// Draws how routes and keys are added, changed and dropped beside the faults of [`draw`], in
+/// series that overlap: the same for the same seed and size.
+pub fn draw_changes(seed: u64, size: ScheduleSize) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(CHANGE_STREAM);
+    let mut schedule = Vec::new();
+    let mut series_at_ms = 0;
+    loop {
+        series_at_ms += random.random_range(SERIES_PAUSE_MS.0..=SERIES_PAUSE_MS.1);
+        if series_at_ms >= size.span_ms {
+            schedule.sort_by_key(|scheduled: &ScheduledFault| scheduled.at_ms);
+            return schedule;
+        }
+        let pause_ms = random.random_range(CHANGE_PAUSE_MS.0..=CHANGE_PAUSE_MS.1);
+        for number in 0..random.random_range(1..=SERIES_LENGTH) {
+            let route = random.random_range(0..size.added_routes);
+            let fault = match random.random_range(0..10) {
+                0..=5 => SoakFault::AddRoute { route },
+                6 => SoakFault::DropRoute { route },
+                7 | 8 => SoakFault::AddOrganisation,
+                _ => SoakFault::WithdrawAdded,
+            };
+            let at_ms = series_at_ms + number * pause_ms;
+            schedule.push(ScheduledFault { at_ms, fault });
+        }
+    }
+}
+
 /// The faults of both schedules, in the order of their times.
 pub fn merge(one: Vec<ScheduledFault>, other: Vec<ScheduledFault>) -> Vec<ScheduledFault> {
     let mut merged = one;
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -316,3 +316,62 @@
     world.run("in touch");
     assert_eq!(world.broken(), [Promise::DrainRespected]);
 }
+
+/// The verdicts on a denial with `status`, of a request to a route added `since_ms` before.
+fn verdicts_on_added(since_ms: u64, status: u16, is_in_touch: bool) -> Vec<Promise> {
+    let world = World::new();
+    world.checker.route_added("/added/", "till");
+    world.checker.granted("added");
+    if !is_in_touch {
+        world.checker.disturb(&store_path("entry"), false);
+    }
+    world.pass(since_ms);
+    world.checker.sent(SentRequest {
+        attempt: "a".to_string(),
+        process: ProcessName {
+            instance: InstanceId::new("entry").unwrap(),
+            start: 1,
+        },
+        prefix: "/added/".to_string(),
+        kind: OperatorKind::Safe,
+        organisation: "added".to_string(),
+        is_first: true,
+        takes_up: None,
+    });
+    world.checker.got("a", &CallerOutcome::Status(status));
+    world.broken()
+}
+
+/// Guards against a checker that misses routes and keys which are denied after they have to be
+/// in force, or reports denials that are allowed.
+#[test]
+fn added_routes_and_keys_may_be_denied_for_as_long_as_a_change_takes() {
+    for status in [401, 404] {
+        assert_eq!(verdicts_on_added(1_900, status, true), []);
+        assert_eq!(
+            verdicts_on_added(2_100, status, true),
+            [Promise::AddedServed]
+        );
+        assert_eq!(verdicts_on_added(2_100, status, false), []);
+    }
+}
+
+/// Guards against a checker that misses a route that runs after it was dropped.
+#[test]
+fn a_dropped_route_may_run_and_be_denied_for_as_long_as_a_change_takes() {
+    let world = World::new();
+    world.checker.route_added("/charge/", "till");
+    world.checker.route_dropped("/charge/");
+    world.pass(1_900);
+    world.send("a", OperatorKind::Safe);
+    world.run("a");
+    world.pass(200);
+    world.send("b", OperatorKind::Safe);
+    world.checker.got("b", &CallerOutcome::Status(404));
+    assert_eq!(world.broken(), []);
+    world.send("c", OperatorKind::Safe);
+    world.run("c");
+    assert_eq!(world.broken(), [Promise::NoOlderConfiguration]);
+    let changes = world.checker.changes().to_string();
+    assert!(changes.contains("old_runs_by_s=0/1/1/"), "{changes}");
+}
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -9,6 +9,7 @@
     endpoints: 12,
     organisations: 4,
     routes: 2,
+    added_routes: 6,
     span_ms: 20_000,
 };
 
