Decide requests only by a configuration that was confirmed in time

Cause: a request was decided by whatever table was in force, however long ago that had been confirmed. Only a newer version that was advertised here stopped it, a second or more after the first advertisement arrived. An instance that heard nothing knew nothing.

Change: the tracker says what may be decided (`ConfigurationValidity`). Older than the time that a change may take, nothing is denied. Known routes are served only while the store can't be read, as the last read that counts has failed, so that a failure domain which is cut off goes on; a read that failed because this process did not run does not count. Such an instance is not ready.

--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod routes;
 mod tracker;
+mod validity;
 
 pub use self::{
     configuration::{
@@ -17,4 +18,5 @@
     },
     routes::RouteTable,
     tracker::{AdvertisedVersion, ConfigurationStatus, ConfigurationTracker, OfferOutcome},
+    validity::{ConfigurationValidity, StoreReads, ValidityLimits},
 };
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -8,7 +8,7 @@
     directory::EndpointDirectory,
     endpoint_limits::EndpointLimits,
     ids::{InstanceId, LogOffset},
-    ingress::ConfigurationTracker,
+    ingress::{ConfigurationTracker, ConfigurationValidity, StoreReads, ValidityLimits},
     placement::{EngineTable, ReplicaTable},
     provision::DemandTable,
     quarantine::SharedQuarantine,
@@ -45,6 +45,10 @@
 /// instance stops using the older configuration even if it has not read the newer one.
 const ADVERTISEMENT_DELAY: TimeSpan = TimeSpan::from_millis(1_000);
 
+/// Subtracted from the same time to limit the age of the last confirmation by which requests are
+/// decided: clocks drift.
+const CLOCK_MARGIN: TimeSpan = TimeSpan::from_millis(50);
+
 /// The fraction of the extra retries allowed to all entries together that the entries
 /// divide among them. The rest is a reserve, because an instance that has just started
 /// takes its share before the others count it when they compute theirs.
@@ -98,6 +102,8 @@
     pub engine_client: EngineClient,
     /// The configuration in force.
     pub configuration: Shared<ConfigurationTracker>,
+    /// Whether the configuration can be read from the store.
+    pub store_reads: Shared<StoreReads>,
     /// The registered endpoints.
     pub directory: Shared<EndpointDirectory>,
     /// The queues and the memory use of the engines.
@@ -132,6 +138,8 @@
     pub peer_usage: Shared<PeerUsage>,
     /// Wakes the tasks that follow the store and that send messages to peers.
     pub wake: Notify,
+    /// Wakes requests that wait for a confirmation of the configuration.
+    pub confirmed: Notify,
     /// Wakes the task that reports usage of limits and crashes to the other instances.
     pub report_due: Notify,
     /// Wakes the task that probes the endpoints of services in doubt.
@@ -188,6 +196,7 @@
             store,
             engine_client,
             configuration: Shared::new(ConfigurationTracker::new()),
+            store_reads: Shared::new(StoreReads::new()),
             directory: Shared::new(directory),
             engines: Shared::new(EngineTable::new(routing.clone()).with_seed(seed)),
             demands: Shared::new(DemandTable::new()),
@@ -205,6 +214,7 @@
             published_copy: Shared::new(PublishedCopy::default()),
             peer_usage: Shared::new(PeerUsage::default()),
             wake: Notify::new(),
+            confirmed: Notify::new(),
             report_due: Notify::new(),
             probe_due: Notify::new(),
             probed: Notify::new(),
@@ -302,15 +312,15 @@
             .saturating_sub(WITHDRAWAL_MARGIN)
     }
 
-    /// Whether the configuration in force has been superseded for so long that requests
-    /// may no longer be served under it.
-    pub fn configuration_is_outdated(&self, now: ClockTime) -> bool {
-        let limit = self
-            .settings
-            .bounds
-            .configuration_rollout
-            .saturating_sub(ADVERTISEMENT_DELAY);
-        self.configuration.lock().is_outdated(now, limit)
+    /// What requests may be decided by the configuration in force.
+    pub fn configuration_validity(&self, now: ClockTime) -> ConfigurationValidity {
+        let bound = self.settings.bounds.configuration_rollout;
+        let limits = ValidityLimits {
+            max_age: bound.saturating_sub(CLOCK_MARGIN),
+            max_superseded: bound.saturating_sub(ADVERTISEMENT_DELAY),
+        };
+        let reads = *self.store_reads.lock();
+        self.configuration.lock().validity(now, limits, reads)
     }
 
     /// Whether requests with API keys may be served.
--- a/crates/ingress/src/frontend/refusal.rs
+++ b/crates/ingress/src/frontend/refusal.rs
@@ -26,6 +26,9 @@
     /// The configuration in force has been superseded, and the newer version has not
     /// been read yet.
     ConfigurationOutdated,
+    /// The configuration in force may have been superseded, and has not been confirmed for too
+    /// long to decide the request by it.
+    ConfigurationUnconfirmed,
     /// The API keys of the configuration have not been confirmed for too long.
     KeysStale,
     /// No route matches the request.
@@ -66,6 +69,7 @@
         match self {
             RefusalReason::NoConfiguration => "no_configuration",
             RefusalReason::ConfigurationOutdated => "configuration_outdated",
+            RefusalReason::ConfigurationUnconfirmed => "configuration_unconfirmed",
             RefusalReason::KeysStale => "keys_stale",
             RefusalReason::NoRoute => "no_route",
             RefusalReason::UnknownKey => "unknown_key",
--- a/crates/ingress/src/ready.rs
+++ b/crates/ingress/src/ready.rs
@@ -3,7 +3,9 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use bluebell_adapter::READY_PATH;
-use bluebell_core::{clock::ClockTime, ids::OrganisationId, quota::QuotaStatus};
+use bluebell_core::{
+    clock::ClockTime, ids::OrganisationId, ingress::ConfigurationValidity, quota::QuotaStatus,
+};
 use bluebell_daemon::{
     logs::LogLine,
     ops::{self, OpsSource, ReadyState, RunningServer},
@@ -43,11 +45,14 @@
     if context.stopping.is_cancelled() {
         return ReadyState::NotReady("stopping".to_string());
     }
-    if context.configuration.lock().table().is_none() {
-        return ReadyState::NotReady("no configuration has been read".to_string());
-    }
-    if context.configuration_is_outdated(context.now()) {
-        return ReadyState::NotReady("a newer configuration has not arrived".to_string());
+    let not_ready = match context.configuration_validity(context.now()) {
+        ConfigurationValidity::Missing => Some("no configuration has been read"),
+        ConfigurationValidity::Outdated => Some("a newer configuration has not arrived"),
+        ConfigurationValidity::Unconfirmed => Some("the configuration is not confirmed"),
+        ConfigurationValidity::CutOff | ConfigurationValidity::Current => None,
+    };
+    if let Some(reason) = not_ready {
+        return ReadyState::NotReady(reason.to_string());
     }
     if !context.keys_are_fresh(context.now()) {
         return ReadyState::NotReady("nothing has been heard of withdrawn keys".to_string());
@@ -66,6 +71,7 @@
         "failure_domain": context.settings.domain,
         "start": context.writer.start,
         "configuration": configuration,
+        "configuration_validity": context.configuration_validity(now),
         "limits": limits,
         "retries": context.budget.lock().status(now),
         "quarantine": &*context.quarantine.lock(),
--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -66,16 +66,29 @@
         if mem::take(&mut is_relayed) {
             next = advertised_end(&context);
         }
+        let timeout = match next {
+            None => backoff.read_timeout(),
+            Some(_) => READ_WAIT + READ_SLACK,
+        };
+        context.store_reads.lock().note_sent(context.now());
         let step = match next {
-            None => read_newest(&context, backoff.read_timeout()).await,
-            Some(from) => read_from(&context, from).await,
+            None => read_newest(&context, timeout).await,
+            Some(from) => read_from(&context, from, timeout).await,
         };
         match step {
             Ok(from) => {
+                context.store_reads.lock().note_answer();
                 backoff.note_answer(&context);
                 next = from;
             }
-            Err(error) => backoff.wait_after_failure(&context, &error).await,
+            Err(error) => {
+                context
+                    .store_reads
+                    .lock()
+                    .note_failure(context.now(), timeout);
+                context.confirmed.notify_waiters();
+                backoff.wait_after_failure(&context, &error).await;
+            }
         }
     }
 }
@@ -125,9 +138,9 @@
 async fn read_from(
     context: &Arc<EntryContext>,
     from: LogOffset,
+    timeout: TimeSpan,
 ) -> Result<Option<LogOffset>, CallError> {
     let sent = context.now();
-    let timeout = READ_WAIT + READ_SLACK;
     match context.store.read(PART, from, READ_WAIT, timeout).await? {
         ReadAnswer::Trimmed { first } => {
             LogLine::new("configuration_history_lost")
@@ -181,6 +194,7 @@
     tracker.confirm(known_at);
     let confirmed_age = tracker.age(now);
     drop(tracker);
+    context.confirmed.notify_waiters();
     let limit = relay_age_limit(context.settings.bounds.configuration_rollout);
     if let Some(age) = age.filter(|age| *age >= limit && confirmed_age < Some(limit)) {
         LogLine::new("configuration_confirmed")
