Count a failed read of the store only while the instance goes on reading

An instance whose read had failed once and that followed its reader afterwards counted as cut off for good: its next read came seconds or minutes later. Until then it ran requests by an old configuration. A failure now counts until the next read, and during that for as long as it may take; longer means that the process did not run.

--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -70,7 +70,7 @@
             None => backoff.read_timeout(),
             Some(_) => READ_WAIT + READ_SLACK,
         };
-        context.store_reads.lock().note_sent(context.now());
+        context.store_reads.lock().note_sent(context.now(), timeout);
         let step = match next {
             None => read_newest(&context, timeout).await,
             Some(from) => read_from(&context, from, timeout).await,
@@ -82,10 +82,7 @@
                 next = from;
             }
             Err(error) => {
-                context
-                    .store_reads
-                    .lock()
-                    .note_failure(context.now(), timeout);
+                context.store_reads.lock().note_failure(context.now());
                 context.confirmed.notify_waiters();
                 backoff.wait_after_failure(&context, &error).await;
             }
