Read the store in time when the configuration can't be copied

Its parts had no common limit: a copy is tried at three instances in turn, 1.75 s each; instances of higher rank read the store up to 0.4 s later for each eight before them; a read that only has to confirm an old state was held by the store for 0.6 s; an advertised version was copied again and again, four times before the store was read.

Change: an instance that has a configuration waits 0.7 s at most for a copy, and never past the age at which it has to read; the delay by rank is 0.4 s at most for the configuration, whose read goes on from a known offset; a read is not held while the state is old; a version that was advertised 0.7 s ago is read. Registrations of endpoints are read in full, so their delays stay.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -71,6 +71,9 @@
     /// The empty time span.
     pub const ZERO: TimeSpan = TimeSpan(0);
 
+    /// The longest time span.
+    pub const MAX: TimeSpan = TimeSpan(u64::MAX);
+
     /// Creates a span of `millis` milliseconds.
     pub const fn from_millis(millis: u64) -> TimeSpan {
         TimeSpan(millis)
--- a/crates/core/src/ingress/tracker.rs
+++ b/crates/core/src/ingress/tracker.rs
@@ -121,8 +121,13 @@
     /// in force here. The version in force may then still accept a key or use a service
     /// after the bound within which the operator's change has to take effect.
     pub fn is_outdated(&self, now: ClockTime, limit: TimeSpan) -> bool {
+        !self.newer_versions.is_empty() && self.superseded_for(now) >= limit
+    }
+
+    /// The time since a newer version was first advertised; zero if none was.
+    pub fn superseded_for(&self, now: ClockTime) -> TimeSpan {
         let first = self.newer_versions.first();
-        first.is_some_and(|first| now.since(first.advertised_at) >= limit)
+        first.map_or(TimeSpan::ZERO, |first| now.since(first.advertised_at))
     }
 
     /// Records that a read sent at `sent` returned completely and has been applied:
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -20,8 +20,8 @@
     VersionSource,
 };
 pub use self::source::{
-    DIRECT_READERS, KnownState, MAX_READER_AGE, StateSource, direct_read_delay, parent_rank,
-    state_source,
+    DIRECT_READERS, KnownState, MAX_CONFIGURATION_READ_DELAY, MAX_FAILED_COPIES, MAX_READER_AGE,
+    StateSource, copy_timeout, direct_read_delay, parent_rank, read_wait, state_source,
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
--- a/crates/core/src/relay/source.rs
+++ b/crates/core/src/relay/source.rs
@@ -23,7 +23,20 @@
 
 /// Failed copies in a row after which an instance reads the store. The instances that it
 /// tried may have failed, and the next ones are tried at random.
-const MAX_FAILED_COPIES: u32 = 4;
+pub const MAX_FAILED_COPIES: u32 = 4;
+
+/// The most by which [`direct_read_delay`] delays the read of the configuration. Reading on from
+/// a known offset takes one small answer, and what the read confirms is needed in time.
+pub const MAX_CONFIGURATION_READ_DELAY: TimeSpan = DIRECT_READ_STEP;
+
+/// How long the store may hold a read until there is a record, while the state is current.
+/// Its age counts from when a read was sent, and other instances read the store themselves when
+/// what is relayed to them is older than [`KnownState::age_limit`].
+const READ_WAIT: TimeSpan = TimeSpan::from_millis(600);
+
+/// How long an instance that has a state waits for copies of a newer one. Sources that are
+/// suspended still accept connections.
+const COPY_TIMEOUT: TimeSpan = TimeSpan::from_millis(700);
 
 /// From where an instance takes the state of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,8 +56,12 @@
     pub age: TimeSpan,
     /// The age beyond which it must not be used; see [`super::relay_age_limit`].
     pub age_limit: TimeSpan,
+    /// The most by which a read of the store is delayed after that.
+    pub max_read_delay: TimeSpan,
     /// Whether there is none yet, or it differs from the reader's.
     pub is_incomplete: bool,
+    /// The time since a newer one was first advertised; zero if none was.
+    pub superseded_for: TimeSpan,
     /// Whether the reader relays state that it has not read for [`MAX_READER_AGE`]: the store
     /// turns it away.
     pub is_reader_behind: bool,
@@ -70,13 +87,35 @@
     }
     let may_read = rank < DIRECT_READERS
         || state.failed_copies >= MAX_FAILED_COPIES
-        || state.age >= state.age_limit + direct_read_delay(rank);
+        || state.superseded_for >= COPY_TIMEOUT
+        || state.age >= read_age(rank, state);
     match may_read {
         true => StateSource::Store,
         false => StateSource::Copy,
     }
 }
 
+/// The age of the state at which the instance at `rank` reads the store, if it has no copy.
+fn read_age(rank: usize, state: KnownState) -> TimeSpan {
+    let delay = direct_read_delay(rank).min(state.max_read_delay);
+    state.age_limit + delay
+}
+
+/// How long the instance at `rank`, which has a state, may wait for a copy of a newer one: it has
+/// to read the store in time. If nothing arrives, it reads the store next.
+pub fn copy_timeout(rank: usize, state: KnownState) -> TimeSpan {
+    let remaining = read_age(rank, state).saturating_sub(state.age);
+    remaining.min(COPY_TIMEOUT.saturating_sub(state.superseded_for))
+}
+
+/// How long the store may hold a read. A state that is old is confirmed at once.
+pub fn read_wait(age: TimeSpan, age_limit: TimeSpan) -> TimeSpan {
+    match age < age_limit {
+        true => READ_WAIT,
+        false => TimeSpan::ZERO,
+    }
+}
+
 /// The rank of the instance from which the one at `rank` copies the state first; `None` for
 /// those that read the store.
 pub fn parent_rank(rank: usize) -> Option<usize> {
--- a/crates/core/tests/relay_source.rs
+++ b/crates/core/tests/relay_source.rs
@@ -13,7 +13,9 @@
     KnownState {
         age: TimeSpan::from_millis(age_ms),
         age_limit: AGE_LIMIT,
+        max_read_delay: TimeSpan::MAX,
         is_incomplete,
+        superseded_for: TimeSpan::ZERO,
         is_reader_behind: false,
         failed_copies: 0,
     }
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -4,8 +4,8 @@
     clock::{ClockTime, TimeSpan},
     ids::{EndpointId, InstanceId, LogOffset},
     relay::{
-        self, KnownState, MAX_READER_AGE, StateSource, VersionAdvertisement, VersionSource,
-        relay_age_limit,
+        self, KnownState, MAX_CONFIGURATION_READ_DELAY, MAX_READER_AGE, StateSource,
+        VersionAdvertisement, VersionSource, relay_age_limit,
     },
 };
 use bluebell_daemon::logs::LogLine;
@@ -45,6 +45,24 @@
 
     /// From where the configuration and keys are taken.
     pub fn configuration_source(&self) -> StateSource {
+        self.state_source(self.known_configuration())
+    }
+
+    /// How long a copy of a newer configuration is waited for; `None` without any configuration,
+    /// whose copy may take as long as it needs.
+    pub fn configuration_copy_timeout(&self) -> Option<TimeSpan> {
+        self.configuration.lock().version()?;
+        let rank = self.rank()?;
+        Some(relay::copy_timeout(rank, self.known_configuration()))
+    }
+
+    /// How long the store may hold a read of the configuration until there is a newer one.
+    pub fn configuration_read_wait(&self) -> TimeSpan {
+        let known = self.known_configuration();
+        relay::read_wait(known.age, known.age_limit)
+    }
+
+    fn known_configuration(&self) -> KnownState {
         let now = self.now();
         let (advertised, is_reader_behind, failed_copies) = {
             let relayed = self.relayed.lock();
@@ -55,19 +73,25 @@
                 failed_copies,
             )
         };
-        let (version, age) = {
+        let (version, age, superseded_for) = {
             let tracker = self.configuration.lock();
-            (tracker.version(), tracker.age(now))
+            (
+                tracker.version(),
+                tracker.age(now),
+                tracker.superseded_for(now),
+            )
         };
         let is_behind = version < Some(advertised.version());
         let is_available = advertised.source(now) != VersionSource::Pending;
-        self.state_source(KnownState {
+        KnownState {
             age: age.unwrap_or(now.since(self.started_at)),
             age_limit: relay_age_limit(self.settings.bounds.configuration_rollout),
+            max_read_delay: MAX_CONFIGURATION_READ_DELAY,
             is_incomplete: age.is_none() || (is_behind && is_available),
+            superseded_for,
             is_reader_behind,
             failed_copies,
-        })
+        }
     }
 
     /// From where the endpoints are taken.
@@ -79,7 +103,10 @@
             KnownState {
                 age: now.since(synced_at.unwrap_or(self.started_at)),
                 age_limit: relay_age_limit(self.settings.bounds.endpoint_drain),
+                // All registrations are read, which is too much for all instances at once.
+                max_read_delay: TimeSpan::MAX,
                 is_incomplete: synced_at.is_none() || relayed.must_resync,
+                superseded_for: TimeSpan::ZERO,
                 is_reader_behind: relayed.is_reader_behind,
                 failed_copies: relayed.failed_endpoint_copies,
             }
@@ -87,11 +114,13 @@
         self.state_source(state)
     }
 
-    fn state_source(&self, state: KnownState) -> StateSource {
-        let now = self.now();
+    fn rank(&self) -> Option<usize> {
         let (local, domain) = (&self.writer.instance, &self.settings.domain);
-        let rank = self.peers.lock().rank(now, local, domain);
-        match rank {
+        self.peers.lock().rank(self.now(), local, domain)
+    }
+
+    fn state_source(&self, state: KnownState) -> StateSource {
+        match self.rank() {
             Some(0) => StateSource::Store,
             Some(rank) => relay::state_source(rank, state),
             // No source of copies is known yet. The instance reads the registrations of the
--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -11,7 +11,7 @@
     clock::{ClockTime, TimeSpan},
     ids::LogOffset,
     ingress::OfferOutcome,
-    relay::{StateSource, relay_age_limit},
+    relay::{MAX_FAILED_COPIES, StateSource, relay_age_limit},
     units::ByteSize,
 };
 use bluebell_daemon::logs::LogLine;
@@ -29,12 +29,7 @@
 /// The source of a confirmation in the log: a read of the store by this instance.
 const STORE: &str = "store";
 
-/// How long the store may hold a read until there is a record. The age of the state
-/// counts from when a read was sent, and instances that follow a relay read the store
-/// themselves once it is about 1.3 s old, so it has to be renewed well within that time.
-const READ_WAIT: TimeSpan = TimeSpan::from_millis(600);
-
-/// How much longer than [`READ_WAIT`] the answer may take to begin.
+/// How much longer than it may be held the answer to a read may take to begin.
 const READ_SLACK: TimeSpan = TimeSpan::from_millis(700);
 
 /// Keeps the configuration in force up to date; never returns.
@@ -66,14 +61,15 @@
         if mem::take(&mut is_relayed) {
             next = advertised_end(&context);
         }
+        let wait = context.configuration_read_wait();
         let timeout = match next {
             None => backoff.read_timeout(),
-            Some(_) => READ_WAIT + READ_SLACK,
+            Some(_) => wait + READ_SLACK,
         };
         context.store_reads.lock().note_sent(context.now(), timeout);
         let step = match next {
             None => read_newest(&context, timeout).await,
-            Some(from) => read_from(&context, from, timeout).await,
+            Some(from) => read_from(&context, from, wait, timeout).await,
         };
         match step {
             Ok(from) => {
@@ -93,7 +89,18 @@
 /// Copies the newest configuration from another instance; returns whether that succeeded.
 async fn copy(context: &Arc<EntryContext>) -> bool {
     let advertised = context.relayed.lock().configuration.version();
-    let copied = state_transfer::fetch(context, StateKind::Configuration, advertised).await;
+    let copying = state_transfer::fetch(context, StateKind::Configuration, advertised);
+    let copied = match context.configuration_copy_timeout() {
+        None => copying.await,
+        Some(limit) => match tokio::time::timeout(limit.as_duration(), copying).await {
+            Ok(copied) => copied,
+            Err(_) => {
+                // Other instances that don't answer would take as long: the store is next.
+                context.relayed.lock().failed_configuration_copies = MAX_FAILED_COPIES;
+                Err(CopyError::TimedOut)
+            }
+        },
+    };
     match copied {
         Ok(copied) => {
             apply(context, &copied.content, Some(copied.packed));
@@ -135,10 +142,11 @@
 async fn read_from(
     context: &Arc<EntryContext>,
     from: LogOffset,
+    wait: TimeSpan,
     timeout: TimeSpan,
 ) -> Result<Option<LogOffset>, CallError> {
     let sent = context.now();
-    match context.store.read(PART, from, READ_WAIT, timeout).await? {
+    match context.store.read(PART, from, wait, timeout).await? {
         ReadAnswer::Trimmed { first } => {
             LogLine::new("configuration_history_lost")
                 .with("from", from)
