Learn of a newer version also from a reader whose state is old

A relay message was dropped whole while the sender's view of endpoints or keys was old, with the number of the version that it had in force. That number is true whatever the age, since versions only rise. An instance that knew nothing else went on with the older version until its own state was old. It now notes the version, and reads the store once that has been known for 0.7 s, also if the reader relays nothing that is current. Tests in `core/relay_source`; the model `core/configuration_fleet` plays it.

--- a/crates/core/src/relay/source.rs
+++ b/crates/core/src/relay/source.rs
@@ -79,7 +79,8 @@
 /// is the number of instances there with lower names.
 pub fn state_source(rank: usize, state: KnownState) -> StateSource {
     let is_stale = state.age >= state.age_limit;
-    if state.is_reader_behind && rank < DIRECT_READERS {
+    let is_overdue = state.superseded_for >= COPY_TIMEOUT;
+    if is_overdue || (state.is_reader_behind && rank < DIRECT_READERS) {
         return StateSource::Store;
     }
     if !is_stale && !state.is_incomplete {
@@ -87,7 +88,6 @@
     }
     let may_read = rank < DIRECT_READERS
         || state.failed_copies >= MAX_FAILED_COPIES
-        || state.superseded_for >= COPY_TIMEOUT
         || state.age >= read_age(rank, state);
     match may_read {
         true => StateSource::Store,
--- a/crates/core/tests/configuration_fleet.rs
+++ b/crates/core/tests/configuration_fleet.rs
@@ -307,10 +307,10 @@
             instance.is_reader_behind = span(datagram.age_ms) >= MAX_READER_AGE;
             let source = InstanceId::new(format!("entry-{}", datagram.from)).unwrap();
             let tracker = &mut instance.tracker;
+            tracker.note_advertised(at(now), datagram.version, &source);
             if span(datagram.age_ms) >= limit {
                 continue;
             }
-            tracker.note_advertised(at(now), datagram.version, &source);
             instance.advertised = instance.advertised.max(datagram.version);
             if tracker.version() == Some(datagram.version) {
                 tracker.confirm(at(datagram.known_at));
--- a/crates/core/tests/relay_source.rs
+++ b/crates/core/tests/relay_source.rs
@@ -4,7 +4,10 @@
 
 use bluebell_core::{
     clock::TimeSpan,
-    relay::{DIRECT_READERS, KnownState, StateSource, parent_rank, state_source},
+    relay::{
+        DIRECT_READERS, KnownState, MAX_CONFIGURATION_READ_DELAY, MAX_FAILED_COPIES, StateSource,
+        copy_timeout, parent_rank, read_wait, state_source,
+    },
 };
 
 const AGE_LIMIT: TimeSpan = TimeSpan::from_millis(1_300);
@@ -132,3 +135,48 @@
     }
     assert!(children.values().all(|count| *count <= DIRECT_READERS));
 }
+
+/// Guards against an instance that waits for its reader, which is behind, although it knows of a
+/// newer version, and against one that tries copies for as long as the version may take.
+#[test]
+fn an_instance_that_knows_of_a_newer_version_reads_it_in_time() {
+    let superseded_for = |ms| KnownState {
+        superseded_for: TimeSpan::from_millis(ms),
+        ..state(100, false)
+    };
+    for rank in [1, 20, 190] {
+        assert_eq!(state_source(rank, superseded_for(600)), StateSource::Relay);
+        assert_eq!(state_source(rank, superseded_for(700)), StateSource::Store);
+        let timeout = copy_timeout(rank, superseded_for(600));
+        assert!(timeout <= TimeSpan::from_millis(100), "{timeout}");
+    }
+}
+
+/// Guards against copies from instances that don't answer, past the age at which the store has
+/// to be read.
+#[test]
+fn no_copy_is_waited_for_past_the_age_at_which_the_store_is_read() {
+    for rank in [8, 30, 190] {
+        for age_ms in (0..1_700).step_by(100) {
+            let known = KnownState {
+                max_read_delay: MAX_CONFIGURATION_READ_DELAY,
+                ..state(age_ms, true)
+            };
+            let end = known.age + copy_timeout(rank, known);
+            assert!(end <= AGE_LIMIT + MAX_CONFIGURATION_READ_DELAY, "{end}");
+            let timed_out = KnownState {
+                age: end,
+                failed_copies: MAX_FAILED_COPIES,
+                ..known
+            };
+            assert_eq!(state_source(rank, timed_out), StateSource::Store);
+        }
+    }
+}
+
+/// Guards against a read that the store holds although its answer is waited for.
+#[test]
+fn a_read_that_confirms_an_old_state_is_not_held() {
+    assert!(read_wait(TimeSpan::ZERO, AGE_LIMIT) > TimeSpan::ZERO);
+    assert_eq!(read_wait(AGE_LIMIT, AGE_LIMIT), TimeSpan::ZERO);
+}
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -188,10 +188,15 @@
     let reader_age_ms = relay.keys_age_ms.max(relay.endpoints_age_ms);
     let is_behind = TimeSpan::from_millis(reader_age_ms) >= MAX_READER_AGE;
     context.relayed.lock().is_reader_behind = is_behind;
+    let now = context.now();
+    // Versions only rise, so a sender whose state is old still proves that this one is replaced.
+    context
+        .configuration
+        .lock()
+        .note_advertised(now, relay.version, peer);
     if !is_current(context, relay) {
         return;
     }
-    let now = context.now();
     context.peers.lock().note_relay(now, peer);
     let Some(echo) = PeerTable::echoed_stamp(message.echo) else {
         return;
@@ -209,10 +214,6 @@
         }
         Err(error) => LogLine::new("relay_rejected").with("error", error).warn(),
     }
-    context
-        .configuration
-        .lock()
-        .note_advertised(now, relay.version, peer);
     sync::configuration::confirm_version(context, relay.version, keys_known_at, peer.as_str());
     let digest = {
         let mut directory = context.directory.lock();
