Prove no version from records that were not all read

The span that a look back covers is now zero unless it was completed; the versions that it saw are still noted. The new test fails without that.

--- a/crates/core/src/streams/look_back.rs
+++ b/crates/core/src/streams/look_back.rs
@@ -24,6 +24,7 @@
     /// The most heartbeats of one start between two records.
     most_heartbeats: u64,
     seen: BTreeSet<(ServiceName, OriginHash)>,
+    is_complete: bool,
 }
 
 impl LookBack {
@@ -42,13 +43,23 @@
         self.seen.insert((service, registration.origin()));
     }
 
+    /// Records that all records up to the newest were added. Some can be trimmed while they are
+    /// read, and a version that only these show would be missed.
+    pub fn complete(&mut self) {
+        self.is_complete = true;
+    }
+
     /// The services and versions that were registered.
     pub fn seen(&self) -> &BTreeSet<(ServiceName, OriginHash)> {
         &self.seen
     }
 
-    /// The time that the records cover at least, with heartbeats at `interval`.
+    /// The time that the records cover at least, with heartbeats at `interval`; zero unless all
+    /// were added.
     pub fn span(&self, interval: TimeSpan) -> TimeSpan {
+        if !self.is_complete {
+            return TimeSpan::ZERO;
+        }
         let span_ms = interval.as_millis() * self.most_heartbeats;
         TimeSpan::from_millis(span_ms * (100 - EARLY_HEARTBEATS_PERCENT) / 100)
     }
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -121,6 +121,7 @@
                 look_back.add(&heartbeat("two", "v1", 7 + beat));
             }
         }
+        look_back.complete();
         let span = look_back.span(interval);
         assert!(span <= TimeSpan::from_millis(19 * 1_200) && span >= TimeSpan::from_secs(20));
         let mut versions = VersionHistory::new();
@@ -134,3 +135,23 @@
         assert_eq!(sole.is_some(), !gone_in_between);
     }
 }
+
+/// Guards against a version taken as the only one because the log was trimmed before the records
+/// of another one were read.
+#[test]
+fn a_look_back_that_was_not_completed_proves_nothing() {
+    let now = ClockTime::from_millis(1_000_000);
+    let mut look_back = LookBack::new();
+    for beat in 0..20 {
+        look_back.add(&heartbeat("one", "v2", 100 + beat));
+    }
+    let mut versions = VersionHistory::new();
+    versions.set_timeout(TimeSpan::from_secs(10));
+    let current = heartbeat("one", "v2", 120);
+    versions.note_registered(&current.service, current.origin());
+    versions.note_current(now);
+    let span = look_back.span(TimeSpan::from_millis(1_200));
+    versions.note_looked_back(now, span, look_back.seen());
+    assert!(versions.needs_proof(now));
+    assert_eq!(versions.sole_origin(now, &current.service), None);
+}
--- a/crates/ingress/src/sync/look_back.rs
+++ b/crates/ingress/src/sync/look_back.rs
@@ -102,6 +102,7 @@
         };
         from = last.offset.next();
     }
+    look_back.complete();
     Ok(look_back)
 }
 
