--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -20,6 +20,10 @@
 /// up change their version.
 const VERSION_SEEDS: [u64; 1] = [1];
 
+/// Seed 5001 with changes, 90 instances and 8 callers: instances refused added keys for too long,
+/// as they waited for copies from their suspended reader.
+const CHANGING_SEEDS: [u64; 1] = [5001];
+
 /// How long faults come.
 const SECONDS: &str = "6";
 
@@ -42,6 +46,13 @@
     soak("versions", &VERSION_SEEDS, &["--versions"]);
 }
 
+/// Guards against routes and keys that are denied, or run, as only an older configuration allows
+/// while the operator adds, changes and drops them.
+#[test]
+fn promises_hold_while_routes_and_keys_change_under_callers() {
+    soak("changes", &CHANGING_SEEDS, &["--changing"]);
+}
+
 fn soak(name: &str, seeds: &[u64], options: &[&str]) {
     let folder = std::env::temp_dir().join(format!("soak-{name}-{}", std::process::id()));
     for seed in seeds {
