Name the copy that is waited for by a function, test the evidence of a lost store

No change of decisions: the wait for a copy is a function of its own and counts in `bluebell_state_copies_total` when it ends without one; one of two constants of the same name is renamed.

--- a/crates/core/src/ingress/tracker.rs
+++ b/crates/core/src/ingress/tracker.rs
@@ -58,9 +58,7 @@
         let newer = self.newer.as_ref().zip(self.newer_known_for);
         match newer {
             Some((newer, known_for)) => {
-                let AdvertisedVersion {
-                    version, source, ..
-                } = newer;
+                let (version, source) = (newer.version, &newer.source);
                 write!(f, ", {version} advertised by {source} {known_for} ago")
             }
             None => write!(f, ", no newer one advertised"),
--- a/crates/core/src/relay/source.rs
+++ b/crates/core/src/relay/source.rs
@@ -36,7 +36,7 @@
 
 /// How long an instance that has a state waits for copies of a newer one. Sources that are
 /// suspended still accept connections.
-const COPY_TIMEOUT: TimeSpan = TimeSpan::from_millis(700);
+const STATE_COPY_TIMEOUT: TimeSpan = TimeSpan::from_millis(700);
 
 /// From where an instance takes the state of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,7 +79,7 @@
 /// is the number of instances there with lower names.
 pub fn state_source(rank: usize, state: KnownState) -> StateSource {
     let is_stale = state.age >= state.age_limit;
-    let is_overdue = state.superseded_for >= COPY_TIMEOUT;
+    let is_overdue = state.superseded_for >= STATE_COPY_TIMEOUT;
     if is_overdue || (state.is_reader_behind && rank < DIRECT_READERS) {
         return StateSource::Store;
     }
@@ -105,7 +105,7 @@
 /// to read the store in time. If nothing arrives, it reads the store next.
 pub fn copy_timeout(rank: usize, state: KnownState) -> TimeSpan {
     let remaining = read_age(rank, state).saturating_sub(state.age);
-    remaining.min(COPY_TIMEOUT.saturating_sub(state.superseded_for))
+    remaining.min(STATE_COPY_TIMEOUT.saturating_sub(state.superseded_for))
 }
 
 /// How long the store may hold a read. A state that is old is confirmed at once.
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -8,7 +8,7 @@
     ids::{InstanceId, KeyDigest, OrganisationId, ServiceName},
     ingress::{
         CallerLimits, ConfigurationTracker, IngressConfiguration, OfferOutcome, OrganisationRule,
-        RouteKind, RouteRule, RouteTable, WeightedService,
+        RouteKind, RouteRule, RouteTable, StoreReads, WeightedService,
     },
     units::ByteSize,
 };
@@ -195,3 +195,37 @@
     tracker.offer(configuration(20, Vec::new(), &[]));
     assert_eq!(tracker.status(at(3_600)).newer, None);
 }
+
+const READ_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
+
+/// Guards against an instance that counts as cut off, and serves what may have been replaced, long
+/// after its last read of the store failed.
+#[test]
+fn a_failed_read_counts_until_the_next_one_should_have_been_answered() {
+    let mut reads = StoreReads::new();
+    assert!(!reads.is_lost(at(0)));
+    reads.note_sent(at(1_000), READ_TIMEOUT);
+    assert!(!reads.is_lost(at(1_800)));
+    reads.note_failure(at(1_900));
+    assert!(reads.is_lost(at(2_200)));
+    reads.note_sent(at(2_300), READ_TIMEOUT);
+    assert!(reads.is_lost(at(3_200)));
+    assert!(!reads.is_lost(at(8_000)));
+    reads.note_answer();
+    assert!(!reads.is_lost(at(3_200)));
+    // No further read is sent, as the instance follows a reader.
+    reads.note_sent(at(4_000), READ_TIMEOUT);
+    reads.note_failure(at(4_010));
+    assert!(reads.is_lost(at(4_100)));
+    assert!(!reads.is_lost(at(5_000)));
+}
+
+/// Guards against a process that was suspended during a read and takes its end for an outage of
+/// the store.
+#[test]
+fn a_read_that_took_longer_than_it_could_is_no_failure_of_the_store() {
+    let mut reads = StoreReads::new();
+    reads.note_sent(at(1_000), READ_TIMEOUT);
+    reads.note_failure(at(6_000));
+    assert!(!reads.is_lost(at(6_000)));
+}
--- a/crates/ingress/src/state_transfer/mod.rs
+++ b/crates/ingress/src/state_transfer/mod.rs
@@ -11,7 +11,7 @@
 mod server;
 
 pub use self::{
-    client::{CopyError, fetch},
+    client::{CopyError, StateCopy, fetch},
     messages::{ListedPeer, PeerList, StateKind},
     server::{PackedState, StateCache, start},
 };
--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -20,7 +20,7 @@
 use crate::{
     compression::compress,
     context::EntryContext,
-    state_transfer::{self, CopyError, PackedState, StateKind},
+    state_transfer::{self, CopyError, PackedState, StateCopy, StateKind},
     sync::{StoreBackoff, copies, wait_for_wake},
 };
 
@@ -89,18 +89,7 @@
 /// Copies the newest configuration from another instance; returns whether that succeeded.
 async fn copy(context: &Arc<EntryContext>) -> bool {
     let advertised = context.relayed.lock().configuration.version();
-    let copying = state_transfer::fetch(context, StateKind::Configuration, advertised);
-    let copied = match context.configuration_copy_timeout() {
-        None => copying.await,
-        Some(limit) => match tokio::time::timeout(limit.as_duration(), copying).await {
-            Ok(copied) => copied,
-            Err(_) => {
-                // Other instances that don't answer would take as long: the store is next.
-                context.relayed.lock().failed_configuration_copies = MAX_FAILED_COPIES;
-                Err(CopyError::TimedOut)
-            }
-        },
-    };
+    let copied = fetch_in_time(context, advertised).await;
     match copied {
         Ok(copied) => {
             apply(context, &copied.content, Some(copied.packed));
@@ -123,6 +112,26 @@
     }
 }
 
+/// Fetches a copy of a configuration that has at least version `min_version`. After one that has
+/// not arrived in time, the store is read: further sources would take as long.
+async fn fetch_in_time(context: &EntryContext, min_version: u64) -> Result<StateCopy, CopyError> {
+    let copying = state_transfer::fetch(context, StateKind::Configuration, min_version);
+    let Some(limit) = context.configuration_copy_timeout() else {
+        return copying.await;
+    };
+    let copied = tokio::time::timeout(limit.as_duration(), copying).await;
+    copied.unwrap_or_else(|_| {
+        context.relayed.lock().failed_configuration_copies = MAX_FAILED_COPIES;
+        let labels = [StateKind::Configuration.as_str(), "failed"];
+        context
+            .metrics
+            .state_copies
+            .with_label_values(&labels)
+            .inc();
+        Err(CopyError::TimedOut)
+    })
+}
+
 /// Reads the newest configuration; returns the offset to read next.
 async fn read_newest(
     context: &Arc<EntryContext>,
