--- a/crates/core/src/relay/source.rs
+++ b/crates/core/src/relay/source.rs
@@ -5,7 +5,8 @@
 //! store would grow with the number of instances, and no instance would get ready while
 //! the store is at its limit. Only the first [`DIRECT_READERS`] of the failure domain, by
 //! name, read the store at once; the others copy the state from one of them, along a tree.
-//! Where no copy can be had, further instances read the store, group by group.
+//! Where no copy can be had, further instances read the store, group by group. The configuration
+//! has to be confirmed in time, so its read is delayed by one step at most.
 
 use crate::clock::TimeSpan;
 
