Start no process of the soak before the killed one is gone

Cause, from its log and the schedule: it was asked to stop at 2,561 ms and killed at 3,565 ms while the stop still waited. The kill took the process out of its slot and reaped it without the lock; the waiting stop saw an empty slot 9 ms later and started the next process. The lock is now held until the killed process is reaped. The program of an entry instance has no part in it.

--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -27,10 +27,11 @@
     for number in instances {
         let slot = &fleet.instances[*number];
         fleet.checker.disturb(slot.name.as_str(), false);
-        let killed = slot.process.lock().await.take();
-        if let Some(mut process) = killed {
-            process.signal(Signal::KILL);
-            reap(fleet, slot, &mut process).await;
+        // Held until the process is gone: another one can't bind its addresses before.
+        let mut process = slot.process.lock().await;
+        if let Some(mut killed) = process.take() {
+            killed.signal(Signal::KILL);
+            reap(fleet, slot, &mut killed).await;
         }
     }
     tokio::time::sleep(Duration::from_millis(down_ms)).await;
