--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Everything that a soak runs: instances, their paths, endpoints, the platform.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::BTreeMap,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     sync::{
@@ -26,11 +26,11 @@
     },
     store::StandinStore,
 };
-use rand::{Rng, seq::IteratorRandom};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     caller::TallyBook,
+    operator::OperatorChanges,
     process::EntryProcess,
     promises::{PromiseBounds, PromiseChecker},
     proxy::LoopbackPath,
@@ -44,7 +44,7 @@
 /// The failure domains.
 const DOMAINS: [&str; 3] = ["se-a", "se-b", "se-c"];
 /// The services that routes without prompts are led to in turn.
-const TILLS: [&str; 2] = ["till", "till-next"];
+pub const TILLS: [&str; 2] = ["till", "till-next"];
 /// The service of the engines.
 const POOL: &str = "pool";
 /// The ports of all instances; each has an address of its own.
@@ -115,8 +115,6 @@
     }
 }
 
-/// How long callers of routes that nobody uses would be kept waiting, in ms.
-const UNUSED_TIMEOUT_MS: u64 = 1_500;
 /// How many of the routes may be led to another service.
 pub const MOVABLE_ROUTES: usize = 2;
 
@@ -168,17 +166,6 @@
     }
 }
 
-/// What the operator has added.
-#[derive(Debug, Default)]
-struct OperatorChanges {
-    /// The services of the routes that are there.
-    routes: BTreeMap<&'static str, &'static str>,
-    /// The organisations that have a key, the oldest first.
-    organisations: VecDeque<usize>,
-    /// How many organisations were added.
-    granted: usize,
-}
-
 /// All that a soak runs.
 pub struct SoakFleet {
     /// The seed.
@@ -200,7 +187,7 @@
     /// The configuration in force.
     pub configuration: Mutex<OperatorConfiguration>,
     /// What was added to it; held while a change is published, before the configuration.
-    changes: Mutex<OperatorChanges>,
+    pub(crate) changes: Mutex<OperatorChanges>,
     handles: PrefilledHandles,
     watch: EventHandler,
     ip: IpAddr,
@@ -396,127 +383,6 @@
         };
         self.endpoints.iter().filter(serves).count()
     }
-
-    /// Changes the configuration and puts it in force.
-    pub fn publish<Change>(&self, change: Change)
-    where
-        Change: FnOnce(&mut OperatorConfiguration),
-    {
-        let mut configuration = self.configuration.lock().expect("held briefly");
-        change(&mut configuration);
-        configuration.version += 3;
-        configuration.publish(&self.store);
-        for route in configuration.routes.iter().take(ROUTES.len()) {
-            self.checker.route_led(&route.prefix, &route.service);
-        }
-    }
-
-    /// Leads a route to the other of its services.
-    pub fn move_route(&self, number: usize) {
-        self.publish(|configuration| {
-            let service = &mut configuration.routes[number].service;
-            let other = TILLS.iter().find(|till| *till != service);
-            *service = other.unwrap_or(&TILLS[0]).to_string();
-        });
-    }
-
-    /// Adds a route, or leads it to the other of its services.
-    pub fn add_route(&self, number: usize) {
-        let sample = &ADDED_ROUTES[number];
-        let mut changes = self.changes.lock().expect("held briefly");
-        let service = match changes.routes.get(sample.prefix) {
-            Some(service) if *service == TILLS[0] => TILLS[1],
-            _ => TILLS[0],
-        };
-        self.publish(|configuration| {
-            configuration.routes.retain(|r| r.prefix != sample.prefix);
-            configuration.routes.push(OperatorRoute {
-                prefix: sample.prefix.to_string(),
-                kind: sample.kind,
-                service: service.to_string(),
-                timeout_ms: sample.timeout_ms,
-            });
-        });
-        self.checker.route_added(sample.prefix, service);
-        changes.routes.insert(sample.prefix, service);
-    }
-
-    /// Drops a route that was added.
-    pub fn drop_route(&self, number: usize) {
-        let prefix = ADDED_ROUTES[number].prefix;
-        let mut changes = self.changes.lock().expect("held briefly");
-        if changes.routes.remove(prefix).is_some() {
-            self.publish(|configuration| configuration.routes.retain(|r| r.prefix != prefix));
-            self.checker.route_dropped(prefix);
-        }
-    }
-
-    /// Gives a key to a further organisation.
-    pub fn add_organisation(&self) {
-        let mut changes = self.changes.lock().expect("held briefly");
-        let number = ORGANISATIONS + changes.granted;
-        changes.granted += 1;
-        let name = organisation_name(number);
-        self.publish(|configuration| {
-            configuration.organisations.push(OperatorOrganisation {
-                name: name.clone(),
-                keys: vec![organisation_key(number)],
-            });
-        });
-        self.checker.granted(&name);
-        changes.organisations.push_back(number);
-    }
-
-    /// Withdraws the key of the organisation that was added first.
-    pub fn withdraw_added(&self) {
-        let mut changes = self.changes.lock().expect("held briefly");
-        if let Some(number) = changes.organisations.pop_front() {
-            self.withdraw(number);
-        }
-    }
-
-    /// A route that was added and is there; `None` if there is none.
-    pub fn draw_added_route<Random>(&self, random: &mut Random) -> Option<&'static RouteSample>
-    where
-        Random: Rng,
-    {
-        let changes = self.changes.lock().expect("held briefly");
-        let routes = ADDED_ROUTES.iter();
-        let routes = routes.filter(|route| changes.routes.contains_key(route.prefix));
-        routes.choose(random)
-    }
-
-    /// An organisation that was added and has a key; `None` if there is none.
-    pub fn draw_added_organisation<Random>(&self, random: &mut Random) -> Option<usize>
-    where
-        Random: Rng,
-    {
-        let changes = self.changes.lock().expect("held briefly");
-        changes.organisations.iter().copied().choose(random)
-    }
-
-    /// Adds routes that nobody uses.
-    pub fn grow(&self, routes: usize) {
-        self.publish(|configuration| {
-            let first = configuration.routes.len();
-            let added = (first..first + routes).map(|number| OperatorRoute {
-                prefix: format!("/unused/{number}/"),
-                kind: OperatorKind::Safe,
-                service: TILLS[0].to_string(),
-                timeout_ms: UNUSED_TIMEOUT_MS,
-            });
-            configuration.routes.extend(added);
-        });
-    }
-
-    /// Withdraws an organisation's keys.
-    pub fn withdraw(&self, number: usize) {
-        let name = organisation_name(number);
-        self.publish(|configuration| {
-            configuration.organisations.retain(|one| one.name != name);
-        });
-        self.checker.withdrawn(&name);
-    }
 }
 
 fn first_configuration() -> OperatorConfiguration {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod commands;
 pub mod fleet;
 pub mod inject;
+pub mod operator;
 pub mod process;
 pub mod processes;
 pub mod promises;
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -289,56 +289,6 @@
         self.check_service(book, now, run, &request, sent, &who);
     }
 
-    fn check_service(
-        &self,
-        book: &mut PromiseBook,
-        now: ClockTime,
-        run: &RunStart,
-        request: &SentRequest,
-        sent: ClockTime,
-        who: &str,
-    ) {
-        let places = book
-            .routes
-            .get(&request.prefix)
-            .cloned()
-            .unwrap_or_default();
-        let matching = |(_, (_, name)): &(usize, &(ClockTime, String))| *name == run.service;
-        let matching = places.iter().enumerate().filter(matching);
-        let matching: Vec<usize> = matching.map(|(place, _)| place).collect();
-        let Some(place) = matching.last().copied() else {
-            let detail = format!("{who} service={}", run.service);
-            return book.broke(now, Promise::RightService, detail);
-        };
-        let instance = request.process.instance.as_str();
-        let is_in_touch = book.is_in_touch(instance, sent, now);
-        let is_late = |place: usize| {
-            let newer = places.get(place + 1).map(|(at, _)| *at);
-            is_in_touch && newer.is_some_and(|at| sent > at + self.bounds.configuration)
-        };
-        let key = (request.process.clone(), request.prefix.clone());
-        let followed = book.followed.get(&key).copied();
-        if followed.is_some_and(|(seen, at)| place < seen && sent > at + REGRESS_SLACK) {
-            let detail = format!("{who} service={} went back", run.service);
-            book.broke(now, Promise::NoOlderConfiguration, detail);
-        }
-        // A route may lead back to a service. The run shows no more than the earliest
-        // configuration that may still be in force.
-        let seen = followed.map_or(0, |(seen, _)| seen);
-        let mut possible = matching.into_iter().filter(|place| *place >= seen);
-        let shown = possible.find(|place| !is_late(*place)).unwrap_or(place);
-        if followed.is_none_or(|(seen, _)| shown > seen) {
-            book.followed.insert(key, (shown, now));
-        }
-        if is_late(place) {
-            let detail = format!("{who} service={} is not in force any more", run.service);
-            book.broke(now, Promise::NoOlderConfiguration, detail);
-        }
-        if let Some((since, _)) = places.get(place + 1) {
-            book.changes.count_old_run(sent.since(*since));
-        }
-    }
-
     /// A caller got something.
     pub fn got(&self, attempt: &str, outcome: &CallerOutcome) {
         let now = self.now();
--- a/crates/soak/src/promises/changes.rs
+++ b/crates/soak/src/promises/changes.rs
@@ -1,12 +1,14 @@
-//! Routes and keys that the operator adds, drops and changes while callers use them.
+//! Checks of runs and denials against the versions of the configuration that may be in force.
 
 use std::fmt;
 
 use bluebell_core::clock::{ClockTime, TimeSpan};
 
-use super::{DROPPED, Promise, PromiseBook, PromiseChecker, SentRequest};
+use bluebell_platform_standin::events::RunStart;
 
-/// The length of the spans by which late denials and runs are counted.
+use super::{DROPPED, Promise, PromiseBook, PromiseChecker, REGRESS_SLACK, SentRequest};
+
+/// The length of the spans by which denials and runs by an older version are counted.
 const SPAN: TimeSpan = TimeSpan::from_millis(1_000);
 
 /// The number of these spans; the last one has all that came later.
@@ -66,6 +68,57 @@
 }
 
 impl PromiseChecker {
+    /// Checks the service of a run against the configurations that may have been in force.
+    pub(super) fn check_service(
+        &self,
+        book: &mut PromiseBook,
+        now: ClockTime,
+        run: &RunStart,
+        request: &SentRequest,
+        sent: ClockTime,
+        who: &str,
+    ) {
+        let places = book
+            .routes
+            .get(&request.prefix)
+            .cloned()
+            .unwrap_or_default();
+        let matching = |(_, (_, name)): &(usize, &(ClockTime, String))| *name == run.service;
+        let matching = places.iter().enumerate().filter(matching);
+        let matching: Vec<usize> = matching.map(|(place, _)| place).collect();
+        let Some(place) = matching.last().copied() else {
+            let detail = format!("{who} service={}", run.service);
+            return book.broke(now, Promise::RightService, detail);
+        };
+        let instance = request.process.instance.as_str();
+        let is_in_touch = book.is_in_touch(instance, sent, now);
+        let is_late = |place: usize| {
+            let newer = places.get(place + 1).map(|(at, _)| *at);
+            is_in_touch && newer.is_some_and(|at| sent > at + self.bounds.configuration)
+        };
+        let key = (request.process.clone(), request.prefix.clone());
+        let followed = book.followed.get(&key).copied();
+        if followed.is_some_and(|(seen, at)| place < seen && sent > at + REGRESS_SLACK) {
+            let detail = format!("{who} service={} went back", run.service);
+            book.broke(now, Promise::NoOlderConfiguration, detail);
+        }
+        // A route may lead back to a service. The run shows no more than the earliest
+        // configuration that may still be in force.
+        let seen = followed.map_or(0, |(seen, _)| seen);
+        let mut possible = matching.into_iter().filter(|place| *place >= seen);
+        let shown = possible.find(|place| !is_late(*place)).unwrap_or(place);
+        if followed.is_none_or(|(seen, _)| shown > seen) {
+            book.followed.insert(key, (shown, now));
+        }
+        if is_late(place) {
+            let detail = format!("{who} service={} is not in force any more", run.service);
+            book.broke(now, Promise::NoOlderConfiguration, detail);
+        }
+        if let Some((since, _)) = places.get(place + 1) {
+            book.changes.count_old_run(sent.since(*since));
+        }
+    }
+
     /// Checks a denial against the configurations that may have been in force.
     pub(super) fn check_denial(
         &self,
@@ -105,7 +158,7 @@
 enum AllowedSince {
     /// From the start.
     Always,
-    /// The newest one does not, or one that is not acknowledged yet.
+    /// The newest one does not allow it.
     Never,
     /// Since the acknowledgement of a change.
     Time(ClockTime),
