--- a/crates/core/src/relay/source.rs
+++ b/crates/core/src/relay/source.rs
@@ -26,17 +26,17 @@
 /// tried may have failed, and the next ones are tried at random.
 pub const MAX_FAILED_COPIES: u32 = 4;
 
-/// The most by which [`direct_read_delay`] delays the read of the configuration. Reading on from
-/// a known offset takes one small answer, and what the read confirms is needed in time.
+/// The maximum delay of a direct read of the configuration. The read continues from a known
+/// offset, so its answer is small, and requests are refused until it has confirmed the state.
 pub const MAX_CONFIGURATION_READ_DELAY: TimeSpan = DIRECT_READ_STEP;
 
 /// How long the store may hold a read until there is a record, while the state is current.
-/// Its age counts from when a read was sent, and other instances read the store themselves when
-/// what is relayed to them is older than [`KnownState::age_limit`].
+/// The age of the state counts from when the read was sent, so a longer wait would exceed
+/// [`KnownState::age_limit`] at the instances that it is relayed to.
 const READ_WAIT: TimeSpan = TimeSpan::from_millis(600);
 
-/// How long an instance that has a state waits for copies of a newer one. Sources that are
-/// suspended still accept connections.
+/// How long an instance that has a state waits for copies of a newer one. A suspended source
+/// accepts connections and never answers.
 const STATE_COPY_TIMEOUT: TimeSpan = TimeSpan::from_millis(700);
 
 /// From where an instance takes the state of the store.
@@ -57,11 +57,11 @@
     pub age: TimeSpan,
     /// The age beyond which it must not be used; see [`super::relay_age_limit`].
     pub age_limit: TimeSpan,
-    /// The most by which a read of the store is delayed after that.
+    /// The maximum delay of a direct read after that.
     pub max_read_delay: TimeSpan,
     /// Whether there is none yet, or it differs from the reader's.
     pub is_incomplete: bool,
-    /// The time since a newer one was first advertised; zero if none was.
+    /// The time since a newer version was first advertised; zero if none was.
     pub superseded_for: TimeSpan,
     /// Whether the reader relays state that it has not read for [`MAX_READER_AGE`]: the store
     /// turns it away.
@@ -102,14 +102,14 @@
     state.age_limit + delay
 }
 
-/// How long the instance at `rank`, which has a state, may wait for a copy of a newer one: it has
-/// to read the store in time. If nothing arrives, it reads the store next.
+/// How long the instance at `rank`, which has a state, may wait for a copy of a newer one before
+/// it has to read the store.
 pub fn copy_timeout(rank: usize, state: KnownState) -> TimeSpan {
     let remaining = read_age(rank, state).saturating_sub(state.age);
     remaining.min(STATE_COPY_TIMEOUT.saturating_sub(state.superseded_for))
 }
 
-/// How long the store may hold a read. A state that is old is confirmed at once.
+/// How long the store may hold a read. One that has to confirm an old state is not held.
 pub fn read_wait(age: TimeSpan, age_limit: TimeSpan) -> TimeSpan {
     match age < age_limit {
         true => READ_WAIT,
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -176,7 +176,7 @@
     assert!(!tracker.is_outdated(at(99_000), span(2_000)));
 }
 
-/// Guards against a refusal whose log line does not tell what the instance knew.
+/// Guards against log lines of refusals that don't explain them.
 #[test]
 fn the_status_names_the_newest_advertised_version_and_its_source() {
     let mut tracker = ConfigurationTracker::new();
@@ -198,8 +198,7 @@
 
 const READ_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
 
-/// Guards against an instance that counts as cut off, and serves what may have been replaced, long
-/// after its last read of the store failed.
+/// Guards against a single failed read that makes an instance count as cut off from then on.
 #[test]
 fn a_failed_read_counts_until_the_next_one_should_have_been_answered() {
     let mut reads = StoreReads::new();
@@ -220,8 +219,8 @@
     assert!(!reads.is_lost(at(5_000)));
 }
 
-/// Guards against a process that was suspended during a read and takes its end for an outage of
-/// the store.
+/// Guards against taking the timeout of a read during which the process was suspended for an
+/// outage of the store.
 #[test]
 fn a_read_that_took_longer_than_it_could_is_no_failure_of_the_store() {
     let mut reads = StoreReads::new();
--- a/crates/core/tests/relay_source.rs
+++ b/crates/core/tests/relay_source.rs
@@ -136,8 +136,8 @@
     assert!(children.values().all(|count| *count <= DIRECT_READERS));
 }
 
-/// Guards against an instance that waits for its reader, which is behind, although it knows of a
-/// newer version, and against one that tries copies for as long as the version may take.
+/// Guards against following a reader or trying copies past the rollout bound of a version that
+/// has been advertised.
 #[test]
 fn an_instance_that_knows_of_a_newer_version_reads_it_in_time() {
     let superseded_for = |ms| KnownState {
@@ -152,8 +152,7 @@
     }
 }
 
-/// Guards against copies from instances that don't answer, past the age at which the store has
-/// to be read.
+/// Guards against copy attempts that delay the read of the store.
 #[test]
 fn no_copy_is_waited_for_past_the_age_at_which_the_store_is_read() {
     for rank in [8, 30, 190] {
@@ -174,7 +173,7 @@
     }
 }
 
-/// Guards against a read that the store holds although its answer is waited for.
+/// Guards against a long poll where the state has to be confirmed at once.
 #[test]
 fn a_read_that_confirms_an_old_state_is_not_held() {
     assert!(read_wait(TimeSpan::ZERO, AGE_LIMIT) > TimeSpan::ZERO);
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -136,8 +136,7 @@
     }
 }
 
-/// Guards against a version taken as the only one because the log was trimmed before the records
-/// of another one were read.
+/// Guards against proving a single version from a log that was trimmed while it was read.
 #[test]
 fn a_look_back_that_was_not_completed_proves_nothing() {
     let now = ClockTime::from_millis(1_000_000);
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -48,8 +48,8 @@
         self.state_source(self.known_configuration())
     }
 
-    /// How long a copy of a newer configuration is waited for; `None` without any configuration,
-    /// whose copy may take as long as it needs.
+    /// How long to wait for a copy of the configuration; `None` if there is no configuration yet,
+    /// as the copy of the first one has no time limit.
     pub fn configuration_copy_timeout(&self) -> Option<TimeSpan> {
         self.configuration.lock().version()?;
         let rank = self.rank()?;
@@ -103,7 +103,7 @@
             KnownState {
                 age: now.since(synced_at.unwrap_or(self.started_at)),
                 age_limit: relay_age_limit(self.settings.bounds.endpoint_drain),
-                // All registrations are read, which is too much for all instances at once.
+                // A direct read transfers all registrations, so the instances have to take turns.
                 max_read_delay: TimeSpan::MAX,
                 is_incomplete: synced_at.is_none() || relayed.must_resync,
                 superseded_for: TimeSpan::ZERO,
@@ -189,7 +189,7 @@
     let is_behind = TimeSpan::from_millis(reader_age_ms) >= MAX_READER_AGE;
     context.relayed.lock().is_reader_behind = is_behind;
     let now = context.now();
-    // Versions only rise, so a sender whose state is old still proves that this one is replaced.
+    // Versions only rise, so even outdated state proves that an older version is superseded.
     context
         .configuration
         .lock()
--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -29,7 +29,7 @@
 /// The source of a confirmation in the log: a read of the store by this instance.
 const STORE: &str = "store";
 
-/// How much longer than it may be held the answer to a read may take to begin.
+/// The time for the answer to a read to begin, after the store no longer holds it.
 const READ_SLACK: TimeSpan = TimeSpan::from_millis(700);
 
 /// Keeps the configuration in force up to date; never returns.
@@ -112,8 +112,8 @@
     }
 }
 
-/// Fetches a copy of a configuration that has at least version `min_version`. After one that has
-/// not arrived in time, the store is read: further sources would take as long.
+/// Fetches a copy of a configuration that has at least version `min_version`. After a timeout, no
+/// further source is tried, and the store is read next.
 async fn fetch_in_time(context: &EntryContext, min_version: u64) -> Result<StateCopy, CopyError> {
     let copying = state_transfer::fetch(context, StateKind::Configuration, min_version);
     let Some(limit) = context.configuration_copy_timeout() else {
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -27,7 +27,7 @@
     for number in instances {
         let slot = &fleet.instances[*number];
         fleet.checker.disturb(slot.name.as_str(), false);
-        // Held until the process is gone: another one can't bind its addresses before.
+        // The lock is held until the process has released its addresses.
         let mut process = slot.process.lock().await;
         if let Some(mut killed) = process.take() {
             killed.signal(Signal::KILL);
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -33,7 +33,7 @@
 /// answer counts as a loss.
 const LOSS_SLACK: TimeSpan = TimeSpan::from_millis(200);
 
-/// The service of a route that was dropped: none has an empty name.
+/// The service of a dropped route. No service has an empty name.
 const DROPPED: &str = "";
 
 #[derive(Debug)]
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -20,8 +20,8 @@
 /// up change their version.
 const VERSION_SEEDS: [u64; 1] = [1];
 
-/// Seed 5001 with changes, 90 instances and 8 callers: instances refused added keys for too long,
-/// as they waited for copies from their suspended reader.
+/// Seed 5001 with 90 instances and 8 callers: keys were denied after they had to be in force, at
+/// instances that waited for copies from their suspended reader.
 const CHANGING_SEEDS: [u64; 1] = [5001];
 
 /// How long faults come.
