Give the configuration by which a request is decided a module of its own

`request::read` mixed the wait for a confirmation, the reasons to refuse and the reading of a request: `frontend/basis.rs` has the first two. The limits from the rollout bound and the answer to which validity serves were written twice (context, model; readiness, requests) and are in `core/ingress/validity` once. No decision changes.

--- a/crates/core/src/ingress/validity.rs
+++ b/crates/core/src/ingress/validity.rs
@@ -1,10 +1,12 @@
 //! What requests may be decided by the configuration in force.
 //!
-//! A request must not be handled as only a superseded configuration allows, from some time after
-//! the newer one was acknowledged. An instance that has confirmed its configuration within that
-//! time knows that there is no such version. Without the confirmation, to deny a request is as
-//! wrong as to run it. An instance that is cut off from the store can't get a confirmation, and
-//! goes on serving the routes that it knows.
+//! From the rollout bound after the acknowledgement of a version on, no request may be handled as
+//! only an older version allows. An instance that has confirmed its configuration within the bound
+//! knows that no newer version has to be in force yet. Without such a confirmation, denying a
+//! request can be as wrong as running it. An instance that can't read the store gets no
+//! confirmation, and goes on serving the routes that it knows.
+
+use std::fmt;
 
 use serde::Serialize;
 
@@ -30,6 +32,28 @@
     Current,
 }
 
+impl ConfigurationValidity {
+    /// Whether requests of known routes are served.
+    pub fn serves_known_routes(self) -> bool {
+        matches!(
+            self,
+            ConfigurationValidity::CutOff | ConfigurationValidity::Current
+        )
+    }
+}
+
+impl fmt::Display for ConfigurationValidity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ConfigurationValidity::Missing => "no configuration has been read",
+            ConfigurationValidity::Outdated => "a newer configuration has not arrived",
+            ConfigurationValidity::Unconfirmed => "the configuration is not confirmed",
+            ConfigurationValidity::CutOff => "the store can't be read",
+            ConfigurationValidity::Current => "the configuration is current",
+        })
+    }
+}
+
 /// How long a configuration is valid.
 #[derive(Clone, Copy, Debug)]
 pub struct ValidityLimits {
@@ -39,6 +63,23 @@
     pub max_superseded: TimeSpan,
 }
 
+/// Subtracted from the rollout bound to limit the age of the last confirmation: clocks drift.
+const CLOCK_MARGIN: TimeSpan = TimeSpan::from_millis(50);
+
+/// Subtracted from the rollout bound to limit the use of a superseded version: its first
+/// advertisement may arrive that late.
+const ADVERTISEMENT_DELAY: TimeSpan = TimeSpan::from_millis(1_000);
+
+impl ValidityLimits {
+    /// The limits for changes that must be in force everywhere within `bound`.
+    pub fn with_bound(bound: TimeSpan) -> ValidityLimits {
+        ValidityLimits {
+            max_age: bound.saturating_sub(CLOCK_MARGIN),
+            max_superseded: bound.saturating_sub(ADVERTISEMENT_DELAY),
+        }
+    }
+}
+
 /// Whether this instance can read the store, judged by its last attempts.
 ///
 /// A failed read counts only while the instance goes on trying: one that follows its reader does
--- a/crates/core/tests/configuration_fleet.rs
+++ b/crates/core/tests/configuration_fleet.rs
@@ -157,13 +157,6 @@
     }
 }
 
-fn is_serving(validity: ConfigurationValidity) -> bool {
-    matches!(
-        validity,
-        ConfigurationValidity::Current | ConfigurationValidity::CutOff
-    )
-}
-
 struct World {
     random: ChaCha8Rng,
     now: u64,
@@ -456,10 +449,7 @@
     }
 
     fn limits(&self) -> ValidityLimits {
-        ValidityLimits {
-            max_age: span(self.bound - 50),
-            max_superseded: span(self.bound - 1_000),
-        }
+        ValidityLimits::with_bound(span(self.bound))
     }
 
     /// What an instance decides now, held against what has to be in force.
@@ -484,7 +474,7 @@
         }
         let is_in_touch = now >= instance.undisturbed_since + STABLE_MS && !is_cut_off;
         let instance = &mut self.instances[number];
-        instance.undecided_since = match (is_in_touch, is_serving(validity)) {
+        instance.undecided_since = match (is_in_touch, validity.serves_known_routes()) {
             (true, false) => instance.undecided_since.or(Some(now)),
             _ => None,
         };
@@ -572,7 +562,7 @@
         let validity = instance
             .tracker
             .validity(at(self.now), self.limits(), instance.reads);
-        is_serving(validity)
+        validity.serves_known_routes()
     }
 
     /// Plays faults and new versions.
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -40,15 +40,6 @@
 /// request takes a few ms to arrive.
 const WITHDRAWAL_MARGIN: TimeSpan = TimeSpan::from_millis(250);
 
-/// Subtracted from the time within which a newer configuration has to be in force
-/// everywhere: its first advertisement may arrive that late. When the rest has elapsed, an
-/// instance stops using the older configuration even if it has not read the newer one.
-const ADVERTISEMENT_DELAY: TimeSpan = TimeSpan::from_millis(1_000);
-
-/// Subtracted from the same time to limit the age of the last confirmation by which requests are
-/// decided: clocks drift.
-const CLOCK_MARGIN: TimeSpan = TimeSpan::from_millis(50);
-
 /// The fraction of the extra retries allowed to all entries together that the entries
 /// divide among them. The rest is a reserve, because an instance that has just started
 /// takes its share before the others count it when they compute theirs.
@@ -314,11 +305,7 @@
 
     /// What requests may be decided by the configuration in force.
     pub fn configuration_validity(&self, now: ClockTime) -> ConfigurationValidity {
-        let bound = self.settings.bounds.configuration_rollout;
-        let limits = ValidityLimits {
-            max_age: bound.saturating_sub(CLOCK_MARGIN),
-            max_superseded: bound.saturating_sub(ADVERTISEMENT_DELAY),
-        };
+        let limits = ValidityLimits::with_bound(self.settings.bounds.configuration_rollout);
         let reads = *self.store_reads.lock();
         self.configuration.lock().validity(now, limits, reads)
     }
--- a/crates/ingress/src/frontend/mod.rs
+++ b/crates/ingress/src/frontend/mod.rs
@@ -5,6 +5,7 @@
 //! and answers are forwarded byte for byte, so the frontend uses hyper, the HTTP library
 //! below Rocket. Rocket serves the operational pages of the process.
 
+mod basis;
 mod body;
 mod listener;
 mod refusal;
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -1,15 +1,12 @@
 //! Reads the requests of callers: route, API key, deadline and body.
 
-use std::{
-    sync::{Arc, OnceLock},
-    time::Duration,
-};
+use std::sync::{Arc, OnceLock};
 
 use bluebell_adapter::headers;
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{KeyDigest, OrganisationId, RequestFingerprint, RequestId, ServiceName},
-    ingress::{ConfigurationValidity, RouteKind, RouteRule, RouteTable},
+    ingress::{RouteKind, RouteRule, RouteTable},
     placement::PromptWork,
     streams::{OriginHash, StreamHash},
     units::TokenCount,
@@ -25,6 +22,7 @@
 use crate::{
     context::EntryContext,
     frontend::{
+        basis::{self, DecisionBasis},
         body,
         refusal::{DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
     },
@@ -32,14 +30,6 @@
     memory::AnsweredCaller,
 };
 
-/// Delay after which a caller may retry if this entry has no configuration yet, or if its
-/// configuration or API keys are out of date.
-const SYNC_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(600);
-
-/// How long a request waits for a confirmation of the configuration. A read of the store that is
-/// under way, or the next message of the reader, takes less.
-const CONFIRMATION_WAIT: Duration = Duration::from_millis(300);
-
 /// The header in which an instance names the version of its configuration when it hands a
 /// request to another one. Its caller may have seen the effect of that version already.
 pub const CONFIGURATION_VERSION: HeaderName = HeaderName::from_static("bluebell-configuration");
@@ -162,25 +152,16 @@
         .unwrap_or_default()
         .to_string();
     let with_id = |refusal: Refusal| refusal.with_request(&id);
-    let not_synced = |reason| with_id(Refusal::before_sending(reason, SYNC_RETRY_AFTER));
-    let validity = confirmed_validity(context).await;
-    if let Some(reason) = invalidity(validity) {
-        return Err(match source {
-            RequestSource::Caller => not_synced(reason),
-            RequestSource::Instance => with_id(Refusal::not_taken()),
-        });
-    }
-    let table = context.configuration.lock().table().cloned();
-    let table = table.ok_or_else(|| not_synced(RefusalReason::NoConfiguration))?;
+    let basis = DecisionBasis::read(context).await;
+    let basis = basis.map_err(|reason| match source {
+        RequestSource::Caller => with_id(basis::not_synced(reason)),
+        RequestSource::Instance => with_id(Refusal::not_taken()),
+    })?;
+    let table = Arc::clone(&basis.table);
     if source == RequestSource::Instance && is_older(&table, &head.headers) {
         return Err(with_id(Refusal::not_taken()));
     }
     let invalid_request = |reason| with_id(Refusal::invalid_request(reason));
-    // What is missing here may have been added in the meantime.
-    let denied = |reason| match validity {
-        ConfigurationValidity::Current => invalid_request(reason),
-        _ => not_synced(RefusalReason::ConfigurationUnconfirmed),
-    };
     let host = header_text(&head.headers, HOST.as_str()).unwrap_or_default();
     let host = host
         .split(':')
@@ -188,12 +169,9 @@
         .unwrap_or_default()
         .to_ascii_lowercase();
     let route = table.find(&host, head.uri.path());
-    let route = Arc::clone(route.ok_or_else(|| denied(RefusalReason::NoRoute))?);
-    let organisation = match authorise(context, &table, &route, &head.headers) {
-        Ok(organisation) => organisation,
-        Err(RefusalReason::UnknownKey) => return Err(denied(RefusalReason::UnknownKey)),
-        Err(reason) => return Err(not_synced(reason)),
-    };
+    let no_route = || with_id(basis.denial(RefusalReason::NoRoute));
+    let route = Arc::clone(route.ok_or_else(no_route)?);
+    let organisation = authorise(context, &basis, &route, &head.headers).map_err(with_id)?;
     let request_id =
         RequestId::new(id.as_str()).map_err(|_| invalid_request(RefusalReason::Malformed))?;
     let resumes = resumed_stream(&head.headers);
@@ -250,33 +228,6 @@
     })
 }
 
-/// What may be decided by the configuration, after a wait for a confirmation that is due.
-async fn confirmed_validity(context: &EntryContext) -> ConfigurationValidity {
-    let wait = tokio::time::sleep(CONFIRMATION_WAIT);
-    let mut wait = std::pin::pin!(wait);
-    loop {
-        let confirmed = context.confirmed.notified();
-        let validity = context.configuration_validity(context.now());
-        if validity != ConfigurationValidity::Unconfirmed {
-            return validity;
-        }
-        tokio::select! {
-            () = confirmed => {}
-            () = wait.as_mut() => return context.configuration_validity(context.now()),
-        }
-    }
-}
-
-/// Why no request may be decided; `None` if known routes are served.
-fn invalidity(validity: ConfigurationValidity) -> Option<RefusalReason> {
-    match validity {
-        ConfigurationValidity::Missing => Some(RefusalReason::NoConfiguration),
-        ConfigurationValidity::Outdated => Some(RefusalReason::ConfigurationOutdated),
-        ConfigurationValidity::Unconfirmed => Some(RefusalReason::ConfigurationUnconfirmed),
-        ConfigurationValidity::CutOff | ConfigurationValidity::Current => None,
-    }
-}
-
 fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
@@ -285,10 +236,11 @@
 /// or no keys are configured.
 fn authorise(
     context: &EntryContext,
-    table: &RouteTable,
+    basis: &DecisionBasis,
     route: &RouteRule,
     headers: &HeaderMap,
-) -> Result<Option<OrganisationId>, RefusalReason> {
+) -> Result<Option<OrganisationId>, Refusal> {
+    let table = &basis.table;
     if route.is_public || !table.has_keys() {
         return Ok(None);
     }
@@ -296,7 +248,7 @@
     // instance for the whole outage, so all keys are rejected when their last confirmation
     // is too old.
     if !context.keys_are_fresh(context.now()) {
-        return Err(RefusalReason::KeysStale);
+        return Err(basis::not_synced(RefusalReason::KeysStale));
     }
     let key = header_text(headers, AUTHORIZATION.as_str())
         .and_then(|value| value.strip_prefix(headers::KEY_SCHEME))
@@ -304,7 +256,7 @@
     let organisation = key.and_then(|key| table.organisation(&key));
     match organisation {
         Some(organisation) => Ok(Some(organisation.name.clone())),
-        None => Err(RefusalReason::UnknownKey),
+        None => Err(basis.denial(RefusalReason::UnknownKey)),
     }
 }
 
--- a/crates/ingress/src/ready.rs
+++ b/crates/ingress/src/ready.rs
@@ -3,9 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use bluebell_adapter::READY_PATH;
-use bluebell_core::{
-    clock::ClockTime, ids::OrganisationId, ingress::ConfigurationValidity, quota::QuotaStatus,
-};
+use bluebell_core::{clock::ClockTime, ids::OrganisationId, quota::QuotaStatus};
 use bluebell_daemon::{
     logs::LogLine,
     ops::{self, OpsSource, ReadyState, RunningServer},
@@ -45,14 +43,9 @@
     if context.stopping.is_cancelled() {
         return ReadyState::NotReady("stopping".to_string());
     }
-    let not_ready = match context.configuration_validity(context.now()) {
-        ConfigurationValidity::Missing => Some("no configuration has been read"),
-        ConfigurationValidity::Outdated => Some("a newer configuration has not arrived"),
-        ConfigurationValidity::Unconfirmed => Some("the configuration is not confirmed"),
-        ConfigurationValidity::CutOff | ConfigurationValidity::Current => None,
-    };
-    if let Some(reason) = not_ready {
-        return ReadyState::NotReady(reason.to_string());
+    let validity = context.configuration_validity(context.now());
+    if !validity.serves_known_routes() {
+        return ReadyState::NotReady(validity.to_string());
     }
     if !context.keys_are_fresh(context.now()) {
         return ReadyState::NotReady("nothing has been heard of withdrawn keys".to_string());
