Count only runs that a change preceded as runs by an older version

`old_runs_by_s` of the soak counted a request that was sent before the change with those of its first second. The extended test fails without this (one run more there).

--- a/crates/soak/src/promises/changes.rs
+++ b/crates/soak/src/promises/changes.rs
@@ -114,7 +114,9 @@
             let detail = format!("{who} service={} is not in force any more", run.service);
             book.broke(now, Promise::NoOlderConfiguration, detail);
         }
-        if let Some((since, _)) = places.get(place + 1) {
+        if let Some((since, _)) = places.get(place + 1)
+            && sent >= *since
+        {
             book.changes.count_old_run(sent.since(*since));
         }
     }
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -361,7 +361,10 @@
 fn a_dropped_route_may_run_and_be_denied_for_as_long_as_a_change_takes() {
     let world = World::new();
     world.checker.route_added("/charge/", "till");
+    world.send("before", OperatorKind::Safe);
+    world.pass(10);
     world.checker.route_dropped("/charge/");
+    world.run("before");
     world.pass(1_900);
     world.send("a", OperatorKind::Safe);
     world.run("a");
