Type the sources of confirmations, split the loop that follows the configuration

The source of a confirmation was a text; it is an enumeration with its log labels. `confirm_version` and it are a module, and one read of the store with its evidence is a function. No decision changes.

--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -16,7 +16,7 @@
         messages::{ChangeMessage, CopyMessage, PeerMessage, RelayMessage, pack_changes},
         table::PeerTable,
     },
-    sync,
+    sync::{self, ConfirmationSource},
 };
 
 impl EntryContext {
@@ -214,7 +214,8 @@
         }
         Err(error) => LogLine::new("relay_rejected").with("error", error).warn(),
     }
-    sync::configuration::confirm_version(context, relay.version, keys_known_at, peer.as_str());
+    let source = ConfirmationSource::Instance(peer);
+    sync::confirm_version(context, relay.version, keys_known_at, source);
     let digest = {
         let mut directory = context.directory.lock();
         let digest = directory.digest();
--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -11,7 +11,7 @@
     clock::{ClockTime, TimeSpan},
     ids::LogOffset,
     ingress::OfferOutcome,
-    relay::{MAX_FAILED_COPIES, StateSource, relay_age_limit},
+    relay::{MAX_FAILED_COPIES, StateSource},
     units::ByteSize,
 };
 use bluebell_daemon::logs::LogLine;
@@ -21,14 +21,11 @@
     compression::compress,
     context::EntryContext,
     state_transfer::{self, CopyError, PackedState, StateCopy, StateKind},
-    sync::{StoreBackoff, copies, wait_for_wake},
+    sync::{ConfirmationSource, StoreBackoff, confirm_version, copies, wait_for_wake},
 };
 
 const PART: TopicPart = TopicPart::first(TOPIC);
 
-/// The source of a confirmation in the log: a read of the store by this instance.
-const STORE: &str = "store";
-
 /// The time for the answer to a read to begin, after the store no longer holds it.
 const READ_SLACK: TimeSpan = TimeSpan::from_millis(700);
 
@@ -61,31 +58,42 @@
         if mem::take(&mut is_relayed) {
             next = advertised_end(&context);
         }
-        let wait = context.configuration_read_wait();
-        let timeout = match next {
-            None => backoff.read_timeout(),
-            Some(_) => wait + READ_SLACK,
-        };
-        context.store_reads.lock().note_sent(context.now(), timeout);
-        let step = match next {
-            None => read_newest(&context, timeout).await,
-            Some(from) => read_from(&context, from, wait, timeout).await,
-        };
-        match step {
+        match read(&context, next, backoff.read_timeout()).await {
             Ok(from) => {
-                context.store_reads.lock().note_answer();
                 backoff.note_answer(&context);
                 next = from;
             }
-            Err(error) => {
-                context.store_reads.lock().note_failure(context.now());
-                context.confirmed.notify_waiters();
-                backoff.wait_after_failure(&context, &error).await;
-            }
+            Err(error) => backoff.wait_after_failure(&context, &error).await,
         }
     }
 }
 
+/// Reads the records from `next` on, or the newest configuration within `full_timeout` if there
+/// is no such offset. Returns the offset to read next, and records whether the store answered.
+async fn read(
+    context: &Arc<EntryContext>,
+    next: Option<LogOffset>,
+    full_timeout: TimeSpan,
+) -> Result<Option<LogOffset>, CallError> {
+    let wait = context.configuration_read_wait();
+    let timeout = next.map_or(full_timeout, |_| wait + READ_SLACK);
+    let sent = context.now();
+    context.store_reads.lock().note_sent(sent, timeout);
+    let read = match next {
+        None => read_newest(context, timeout).await,
+        Some(from) => read_from(context, from, wait, timeout).await,
+    };
+    if read.is_ok() {
+        context.store_reads.lock().note_answer();
+    } else {
+        let now = context.now();
+        context.store_reads.lock().note_failure(now);
+        // Requests that wait for a confirmation are decided without it now.
+        context.confirmed.notify_waiters();
+    }
+    read
+}
+
 /// Copies the newest configuration from another instance; returns whether that succeeded.
 async fn copy(context: &Arc<EntryContext>) -> bool {
     let advertised = context.relayed.lock().configuration.version();
@@ -94,7 +102,12 @@
         Ok(copied) => {
             apply(context, &copied.content, Some(copied.packed));
             if context.configuration.lock().version() == Some(copied.version) {
-                confirm(context, copied.known_at, copied.next, "copy");
+                confirm(
+                    context,
+                    copied.known_at,
+                    copied.next,
+                    ConfirmationSource::Copy,
+                );
             }
             context.relayed.lock().failed_configuration_copies = 0;
             true
@@ -142,7 +155,7 @@
     for item in page.items.iter().filter(|item| item.key == KEY) {
         apply(context, &item.value, None);
     }
-    confirm(context, sent, page.end, STORE);
+    confirm(context, sent, page.end, ConfirmationSource::Store);
     Ok(Some(page.end))
 }
 
@@ -178,14 +191,19 @@
                 return Ok(Some(next));
             }
             let next = next.max(end);
-            confirm(context, sent, next, STORE);
+            confirm(context, sent, next, ConfirmationSource::Store);
             Ok(Some(next))
         }
     }
 }
 
 /// Records that `source` knew at `known_at` everything before `end`.
-fn confirm(context: &EntryContext, known_at: ClockTime, end: LogOffset, source: &str) {
+fn confirm(
+    context: &EntryContext,
+    known_at: ClockTime,
+    end: LogOffset,
+    source: ConfirmationSource<'_>,
+) {
     let mut relayed = context.relayed.lock();
     relayed.configuration_next = relayed.configuration_next.max(end);
     relayed.failed_configuration_copies = 0;
@@ -196,29 +214,6 @@
     }
 }
 
-/// Confirms the version in force if it is `version`, which `source` knew to be the newest one
-/// at `known_at`. Logs the confirmation of a configuration that was too old to be relayed.
-pub fn confirm_version(context: &EntryContext, version: u64, known_at: ClockTime, source: &str) {
-    let now = context.now();
-    let mut tracker = context.configuration.lock();
-    if tracker.version() != Some(version) {
-        return;
-    }
-    let age = tracker.age(now);
-    tracker.confirm(known_at);
-    let confirmed_age = tracker.age(now);
-    drop(tracker);
-    context.confirmed.notify_waiters();
-    let limit = relay_age_limit(context.settings.bounds.configuration_rollout);
-    if let Some(age) = age.filter(|age| *age >= limit && confirmed_age < Some(limit)) {
-        LogLine::new("configuration_confirmed")
-            .with("version", version)
-            .with("source", source)
-            .with("after", age)
-            .info();
-    }
-}
-
 /// The offset to read from once the reader's advertisements have ended. A large
 /// configuration that is in force here need not be fetched again.
 fn advertised_end(context: &EntryContext) -> Option<LogOffset> {
@@ -231,8 +226,8 @@
 /// the same.
 pub fn confirm_advertised(context: &EntryContext) {
     let advertised = context.relayed.lock().configuration;
-    let known_at = advertised.known_at();
-    confirm_version(context, advertised.version(), known_at, "reader");
+    let (version, known_at) = (advertised.version(), advertised.known_at());
+    confirm_version(context, version, known_at, ConfirmationSource::Reader);
 }
 
 /// Decodes a configuration as stored and puts it in force unless it is older than the
--- a/crates/ingress/src/sync/mod.rs
+++ b/crates/ingress/src/sync/mod.rs
@@ -1,6 +1,7 @@
 //! Synchronising with the store: the configuration in force and the registered endpoints.
 
 pub mod configuration;
+mod confirmation;
 pub mod copies;
 mod endpoints;
 mod look_back;
@@ -12,7 +13,10 @@
 use bluebell_daemon::logs::LogLine;
 use tokio_util::sync::CancellationToken;
 
-pub use self::endpoints::{lapse, register, unregister};
+pub use self::{
+    confirmation::{ConfirmationSource, confirm_version},
+    endpoints::{lapse, register, unregister},
+};
 use crate::context::EntryContext;
 
 /// The delay after the first failed call to the store; it doubles with each further
