Keep what is known of the directory's age in one type, and show it

What was missing: for a request that was sent too late, no log tells how old the directory of endpoints was that decided, and from whom it came; nor why an instance had to copy it.

Change, without a change of logic: the age, its source, the difference from the reader's digest and the failed copies move from the entry's state into `core/directory/sync`; the evidence of reads of the store moves next to the relay, where both the configuration and the endpoints need it. Lines of requests carry `endpoints` (age, source, difference); `endpoints_differ` and `endpoints_confirmed` are new, as are `endpoints_status` in the dump and `bluebell_endpoints_age_ms`. Reads of endpoints are recorded as evidence; nothing uses it yet.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -14,12 +14,16 @@
 //! throughout drops it, even if a partitioned instance reports it as lapsed.
 
 mod registration;
+mod sync;
 
 use std::collections::BTreeMap;
 
 use xxhash_rust::xxh3::Xxh3;
 
-pub use self::registration::{EndpointRegistration, EngineStage, SoftwareVersion};
+pub use self::{
+    registration::{EndpointRegistration, EngineStage, SoftwareVersion},
+    sync::{DirectorySource, DirectoryStatus, DirectorySync, RelayedDirectory},
+};
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::{EndpointId, ServiceName},
--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -18,5 +18,5 @@
     },
     routes::RouteTable,
     tracker::{AdvertisedVersion, ConfigurationStatus, ConfigurationTracker, OfferOutcome},
-    validity::{ConfigurationValidity, StoreReads, ValidityLimits},
+    validity::{ConfigurationValidity, ValidityLimits},
 };
--- a/crates/core/src/ingress/validity.rs
+++ b/crates/core/src/ingress/validity.rs
@@ -13,6 +13,7 @@
 use crate::{
     clock::{ClockTime, TimeSpan},
     ingress::ConfigurationTracker,
+    relay::{StateValidity, StoreReads},
 };
 
 /// What requests may be decided by the configuration in force.
@@ -80,65 +81,6 @@
     }
 }
 
-/// Whether this instance can read the store, judged by its last attempts.
-///
-/// A failed read counts only while the instance goes on trying: one that follows its reader does
-/// not read the store for a long time.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct StoreReads {
-    /// The read that is under way: when it was sent, and the time within which it is answered.
-    pending: Option<(ClockTime, TimeSpan)>,
-    /// When the last read ended, if it failed.
-    failed_at: Option<ClockTime>,
-}
-
-/// How much longer than its time limit a read may take to count as failed. After a longer time
-/// this process has not run meanwhile, and nothing is known of the store.
-const MAX_OVERRUN: TimeSpan = TimeSpan::from_millis(150);
-
-/// The longest time until the next read after a failed one.
-const MAX_READ_PAUSE: TimeSpan = TimeSpan::from_millis(500);
-
-impl StoreReads {
-    /// No read was attempted.
-    pub fn new() -> StoreReads {
-        StoreReads::default()
-    }
-
-    /// Records that a read is sent, which is to be answered within `timeout`.
-    pub fn note_sent(&mut self, now: ClockTime, timeout: TimeSpan) {
-        if !self.is_lost(now) {
-            self.failed_at = None;
-        }
-        self.pending = Some((now, timeout));
-    }
-
-    /// Records that the read was answered.
-    pub fn note_answer(&mut self) {
-        *self = StoreReads::default();
-    }
-
-    /// Records that the read failed.
-    pub fn note_failure(&mut self, now: ClockTime) {
-        let pending = self.pending.take();
-        let is_conclusive = pending.is_some_and(|pending| is_in_time(now, pending));
-        self.failed_at = is_conclusive.then_some(now);
-    }
-
-    /// Whether the last read has failed, and the next one is under way or about to be sent.
-    pub fn is_lost(&self, now: ClockTime) -> bool {
-        match (self.failed_at, self.pending) {
-            (None, _) => false,
-            (Some(_), Some(pending)) => is_in_time(now, pending),
-            (Some(failed_at), None) => now.since(failed_at) <= MAX_READ_PAUSE,
-        }
-    }
-}
-
-fn is_in_time(now: ClockTime, (sent_at, timeout): (ClockTime, TimeSpan)) -> bool {
-    now.since(sent_at) <= timeout + MAX_OVERRUN
-}
-
 impl ConfigurationTracker {
     /// What requests may be decided at `now`.
     pub fn validity(
@@ -153,10 +95,10 @@
         if self.is_outdated(now, limits.max_superseded) {
             return ConfigurationValidity::Outdated;
         }
-        match (self.is_fresh(now, limits.max_age), reads.is_lost(now)) {
-            (true, _) => ConfigurationValidity::Current,
-            (false, true) => ConfigurationValidity::CutOff,
-            (false, false) => ConfigurationValidity::Unconfirmed,
+        match StateValidity::at(now, self.age(now), limits.max_age, reads) {
+            StateValidity::Current => ConfigurationValidity::Current,
+            StateValidity::CutOff => ConfigurationValidity::CutOff,
+            StateValidity::Unconfirmed => ConfigurationValidity::Unconfirmed,
         }
     }
 }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -12,9 +12,11 @@
 //! that the reader had received when it sent the message. A datagram that waited in
 //! a buffer while its receiver was suspended therefore can't make old data look fresh.
 
+mod confirmation;
 mod copies;
 mod source;
 
+pub use self::confirmation::{StateValidity, StoreReads};
 pub use self::copies::{
     AdvertisedConfiguration, COPY_THRESHOLD, CopyLocation, CopyState, VersionAdvertisement,
     VersionSource,
@@ -96,6 +98,11 @@
         now.since(since) >= DIGEST_MISMATCH_TIMEOUT
     }
 
+    /// For how long the digests have differed at `now`.
+    pub fn differs_for(&self, now: ClockTime) -> Option<TimeSpan> {
+        self.mismatch_since.map(|since| now.since(since))
+    }
+
     /// Restarts the measurement after all registrations were read.
     pub fn reset(&mut self) {
         self.mismatch_since = None;
--- a/crates/core/tests/configuration_support/instance.rs
+++ b/crates/core/tests/configuration_support/instance.rs
@@ -4,7 +4,8 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    ingress::{CallerLimits, ConfigurationTracker, IngressConfiguration, StoreReads},
+    ingress::{CallerLimits, ConfigurationTracker, IngressConfiguration},
+    relay::StoreReads,
     units::ByteSize,
 };
 
--- a/crates/core/tests/ingress.rs
+++ b/crates/core/tests/ingress.rs
@@ -8,8 +8,9 @@
     ids::{InstanceId, KeyDigest, OrganisationId, ServiceName},
     ingress::{
         CallerLimits, ConfigurationTracker, IngressConfiguration, OfferOutcome, OrganisationRule,
-        RouteKind, RouteRule, RouteTable, StoreReads, WeightedService,
+        RouteKind, RouteRule, RouteTable, WeightedService,
     },
+    relay::StoreReads,
     units::ByteSize,
 };
 
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -5,16 +5,16 @@
 use bluebell_adapter::{engines::EngineClient, settings::InstanceSettings, store::StoreClient};
 use bluebell_core::{
     clock::{ClockSource, ClockTime, TimeSpan},
-    directory::EndpointDirectory,
+    directory::{DirectoryStatus, DirectorySync, EndpointDirectory},
     endpoint_limits::EndpointLimits,
     ids::{InstanceId, LogOffset},
-    ingress::{ConfigurationTracker, ConfigurationValidity, StoreReads, ValidityLimits},
+    ingress::{ConfigurationTracker, ConfigurationValidity, ValidityLimits},
     placement::{EngineTable, ReplicaTable},
     provision::DemandTable,
     quarantine::SharedQuarantine,
     quota::RateLimiter,
     reachability::ReachTable,
-    relay::{AdvertisedConfiguration, DigestMismatchTimer},
+    relay::{AdvertisedConfiguration, StoreReads},
     retries::{RetryAllowance, SharedRetryBudget},
     routing::RoutingSettings,
     streams::RecordPeer,
@@ -62,18 +62,12 @@
     pub configuration: AdvertisedConfiguration,
     /// The offset of the next configuration record to read; older ones have been read.
     pub configuration_next: LogOffset,
-    /// When the list of endpoints was last known to be complete.
-    pub endpoints_synced_at: Option<ClockTime>,
-    /// Tracks whether the local list of endpoints differs from the reader's.
-    pub difference: DigestMismatchTimer,
+    /// How far the directory of endpoints agrees with the store.
+    pub endpoints: DirectorySync,
     /// Whether the reader relays state that it has not read for some time.
     pub is_reader_behind: bool,
-    /// Whether all endpoints must be read again.
-    pub must_resync: bool,
     /// The number of attempts in a row to copy the configuration that have failed.
     pub failed_configuration_copies: u32,
-    /// The number of attempts in a row to copy the endpoints that have failed.
-    pub failed_endpoint_copies: u32,
 }
 
 /// State shared by requests, background tasks and duties.
@@ -95,6 +89,8 @@
     pub configuration: Shared<ConfigurationTracker>,
     /// Whether the configuration can be read from the store.
     pub store_reads: Shared<StoreReads>,
+    /// Whether the registrations of endpoints can be read from the store.
+    pub endpoint_reads: Shared<StoreReads>,
     /// The registered endpoints.
     pub directory: Shared<EndpointDirectory>,
     /// The queues and the memory use of the engines.
@@ -129,7 +125,7 @@
     pub peer_usage: Shared<PeerUsage>,
     /// Wakes the tasks that follow the store and that send messages to peers.
     pub wake: Notify,
-    /// Wakes requests that wait for a confirmation of the configuration.
+    /// Wakes requests that wait for a confirmation of the configuration or the endpoints.
     pub confirmed: Notify,
     /// Wakes the task that reports usage of limits and crashes to the other instances.
     pub report_due: Notify,
@@ -188,6 +184,7 @@
             engine_client,
             configuration: Shared::new(ConfigurationTracker::new()),
             store_reads: Shared::new(StoreReads::new()),
+            endpoint_reads: Shared::new(StoreReads::new()),
             directory: Shared::new(directory),
             engines: Shared::new(EngineTable::new(routing.clone()).with_seed(seed)),
             demands: Shared::new(DemandTable::new()),
@@ -221,11 +218,14 @@
         self.clock.now()
     }
 
-    /// Updates the metric of the age of the configuration.
-    pub fn update_configuration_age(&self, now: ClockTime) {
+    /// Updates the metrics of the ages of the configuration and of the directory of endpoints.
+    pub fn update_state_ages(&self, now: ClockTime) {
         if let Some(age) = self.configuration.lock().age(now) {
             self.metrics.configuration_age.set(age.as_millis() as i64);
         }
+        if let Some(age) = self.relayed.lock().endpoints.age(now) {
+            self.metrics.endpoints_age.set(age.as_millis() as i64);
+        }
     }
 
     /// Updates this entry's share of the extra retries allowed to all entries together.
@@ -310,6 +310,11 @@
         self.configuration.lock().validity(now, limits, reads)
     }
 
+    /// What is known of the directory of endpoints.
+    pub fn directory_status(&self, now: ClockTime) -> DirectoryStatus {
+        self.relayed.lock().endpoints.status(now)
+    }
+
     /// Whether requests with API keys may be served.
     pub fn keys_are_fresh(&self, now: ClockTime) -> bool {
         let limit = self.max_key_age();
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -90,6 +90,7 @@
 fn request_log_line(context: &EntryContext, event: &str, request: &CallerRequest) -> LogLine {
     let now = context.now();
     let organisation = request.organisation.as_ref();
+    let endpoints = context.directory_status(now);
     LogLine::new(event)
         .with("request", &request.id)
         .with("route", &request.route.name)
@@ -99,6 +100,7 @@
             organisation.map_or("-", |name| name.as_str()),
         )
         .with("version", request.table.configuration().version)
+        .with("endpoints", endpoints)
         .with("elapsed", now.since(request.arrived))
 }
 
--- a/crates/ingress/src/frontend/basis.rs
+++ b/crates/ingress/src/frontend/basis.rs
@@ -1,6 +1,6 @@
 //! The configuration by which a request is decided.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bluebell_core::{
     clock::TimeSpan,
@@ -10,15 +10,12 @@
 use crate::{
     context::EntryContext,
     frontend::refusal::{Refusal, RefusalReason},
+    sync,
 };
 
 /// Delay after which a caller may retry if this entry has no configuration yet, or if its
-/// configuration or API keys are out of date.
-const SYNC_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(600);
-
-/// How long a request waits for a confirmation of the configuration. A read of the store that is
-/// under way, or the next message of the reader, takes less.
-const CONFIRMATION_WAIT: Duration = Duration::from_millis(300);
+/// configuration, API keys or endpoints are out of date.
+pub const SYNC_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(600);
 
 /// The configuration in force and what may be decided by it.
 #[derive(Clone, Debug)]
@@ -57,19 +54,9 @@
 }
 
 async fn confirmed_validity(context: &EntryContext) -> ConfigurationValidity {
-    let wait = tokio::time::sleep(CONFIRMATION_WAIT);
-    let mut wait = std::pin::pin!(wait);
-    loop {
-        let confirmed = context.confirmed.notified();
-        let validity = context.configuration_validity(context.now());
-        if validity != ConfigurationValidity::Unconfirmed {
-            return validity;
-        }
-        tokio::select! {
-            () = confirmed => {}
-            () = wait.as_mut() => return context.configuration_validity(context.now()),
-        }
-    }
+    let validity = || context.configuration_validity(context.now());
+    sync::wait_for_confirmation(context, || validity() != ConfigurationValidity::Unconfirmed).await;
+    validity()
 }
 
 /// Why no request may be decided; `None` if known routes are served.
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -35,6 +35,8 @@
     pub advertised_version: IntGauge,
     /// The time in ms since the configuration in force was last known to be the newest.
     pub configuration_age: IntGauge,
+    /// The time in ms since the directory of endpoints was last known to be complete.
+    pub endpoints_age: IntGauge,
     /// Registrations that disappeared from the store, by how they were handled.
     pub registrations_removed: IntCounterVec,
     /// Requests that were handed to other instances, by outcome.
@@ -115,6 +117,10 @@
                 "bluebell_configuration_age_ms",
                 "time since the configuration in force was last known to be the newest",
             )?,
+            endpoints_age: gauge(
+                "bluebell_endpoints_age_ms",
+                "time since the directory of endpoints was last known to be complete",
+            )?,
             registrations_removed: counter(
                 "bluebell_registrations_gone_total",
                 "registrations that went, by what was made of it",
--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -149,7 +149,7 @@
     async fn broadcast(&mut self) {
         let now = self.context.now();
         self.update_unreachable_domains(now);
-        self.context.update_configuration_age(now);
+        self.context.update_state_ages(now);
         self.context.update_budget_share();
         self.context.update_endpoint_limits();
         let interval = TimeSpan::from_millis(self.interval().as_millis() as u64);
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -2,6 +2,7 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
+    directory::RelayedDirectory,
     ids::{EndpointId, InstanceId, LogOffset},
     relay::{
         self, KnownState, MAX_CONFIGURATION_READ_DELAY, MAX_READER_AGE, StateSource,
@@ -99,16 +100,16 @@
         let now = self.now();
         let state = {
             let relayed = self.relayed.lock();
-            let synced_at = relayed.endpoints_synced_at;
+            let endpoints = &relayed.endpoints;
             KnownState {
-                age: now.since(synced_at.unwrap_or(self.started_at)),
+                age: now.since(endpoints.confirmed_at().unwrap_or(self.started_at)),
                 age_limit: relay_age_limit(self.settings.bounds.endpoint_drain),
                 // A direct read transfers all registrations, so the instances have to take turns.
                 max_read_delay: TimeSpan::MAX,
-                is_incomplete: synced_at.is_none() || relayed.must_resync,
+                is_incomplete: endpoints.is_incomplete(),
                 superseded_for: TimeSpan::ZERO,
                 is_reader_behind: relayed.is_reader_behind,
-                failed_copies: relayed.failed_endpoint_copies,
+                failed_copies: endpoints.failed_copies(),
             }
         };
         self.state_source(state)
@@ -142,7 +143,10 @@
     };
     let (endpoints_known_at, configuration_next) = {
         let relayed = context.relayed.lock();
-        (relayed.endpoints_synced_at?, relayed.configuration_next)
+        (
+            relayed.endpoints.confirmed_at()?,
+            relayed.configuration_next,
+        )
     };
     let digest = context.directory.lock().digest();
     let changes = context.peers.lock().take_due_changes(now);
@@ -237,14 +241,31 @@
     if relayed.configuration.note_advertisement(now, advertisement) {
         context.wake.notify_waiters();
     }
-    // What another reader knew earlier may differ from what is known here.
-    let is_newer = relayed.endpoints_synced_at <= Some(endpoints_known_at);
-    if is_newer && relayed.difference.compare(now, digest, relay.digest) {
-        relayed.must_resync = true;
+    let directory = RelayedDirectory {
+        reader: peer.clone(),
+        digest: relay.digest,
+        known_at: endpoints_known_at,
+    };
+    let before = relayed.endpoints.status(now);
+    let had_to_resync = relayed.endpoints.must_resync();
+    let must_resync = relayed.endpoints.note_relayed(now, digest, directory);
+    drop(relayed);
+    if must_resync && !had_to_resync {
+        log_difference(peer, before.differs_for);
+    }
+    if must_resync {
         context.wake.notify_waiters();
-    } else if digest == relay.digest {
-        relayed.endpoints_synced_at = relayed.endpoints_synced_at.max(Some(endpoints_known_at));
     }
+    sync::log_directory_confirmed(context, before.age);
+    context.confirmed.notify_waiters();
+}
+
+/// Logs why the registrations have to be copied.
+fn log_difference(reader: &InstanceId, differs_for: Option<TimeSpan>) {
+    LogLine::new("endpoints_differ")
+        .with("reader", reader)
+        .with("differs", differs_for.unwrap_or_default())
+        .info();
 }
 
 fn log_advertised_version(context: &EntryContext, peer: &InstanceId, version: u64) {
--- a/crates/ingress/src/ready.rs
+++ b/crates/ingress/src/ready.rs
@@ -71,6 +71,7 @@
         "endpoint_limits": &*context.endpoint_limits.lock(),
         "memory": context.memory.status(),
         "endpoints": endpoints,
+        "endpoints_status": context.directory_status(now),
         "ready": match ready_state(context) {
             ReadyState::Ready => "ready".to_string(),
             ReadyState::NotReady(reason) => reason,
--- a/crates/ingress/src/state_transfer/server.rs
+++ b/crates/ingress/src/state_transfer/server.rs
@@ -162,8 +162,7 @@
 
 fn endpoints(context: &EntryContext) -> io::Result<Option<StateReply>> {
     let limit = relay_age_limit(context.settings.bounds.endpoint_drain);
-    let synced_at = context.relayed.lock().endpoints_synced_at;
-    let age = synced_at.map(|at| context.now().since(at));
+    let age = context.relayed.lock().endpoints.age(context.now());
     let Some(age) = age.filter(|age| *age < limit) else {
         return Ok(None);
     };
--- a/crates/ingress/src/sync/confirmation.rs
+++ b/crates/ingress/src/sync/confirmation.rs
@@ -1,12 +1,52 @@
-//! Confirmations that the configuration in force is the newest version.
+//! Confirmations of the configuration in force and of the directory of endpoints.
 
-use std::fmt;
+use std::{fmt, time::Duration};
 
-use bluebell_core::{clock::ClockTime, ids::InstanceId, relay::relay_age_limit};
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::InstanceId,
+    relay::relay_age_limit,
+};
 use bluebell_daemon::logs::LogLine;
 
 use crate::context::EntryContext;
 
+/// How long a request waits for a confirmation. A read of the store that is under way, or the next
+/// message of the reader, takes less.
+const CONFIRMATION_WAIT: Duration = Duration::from_millis(300);
+
+/// Waits until `is_confirmed`, for [`CONFIRMATION_WAIT`] at most; returns whether it is.
+pub async fn wait_for_confirmation<Check>(context: &EntryContext, is_confirmed: Check) -> bool
+where
+    Check: Fn() -> bool,
+{
+    let wait = tokio::time::sleep(CONFIRMATION_WAIT);
+    let mut wait = std::pin::pin!(wait);
+    loop {
+        let confirmed = context.confirmed.notified();
+        if is_confirmed() {
+            return true;
+        }
+        tokio::select! {
+            () = confirmed => {}
+            () = wait.as_mut() => return is_confirmed(),
+        }
+    }
+}
+
+/// Logs that the directory of endpoints, which had the age `before`, is confirmed again if it was
+/// too old to be relayed.
+pub fn log_directory_confirmed(context: &EntryContext, before: Option<TimeSpan>) {
+    let limit = relay_age_limit(context.settings.bounds.endpoint_drain);
+    let status = context.directory_status(context.now());
+    if let Some(before) = before.filter(|age| *age >= limit && status.age < Some(limit)) {
+        LogLine::new("endpoints_confirmed")
+            .with("endpoints", status)
+            .with("after", before)
+            .info();
+    }
+}
+
 /// Where a confirmation comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConfirmationSource<'a> {
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -9,7 +9,7 @@
 };
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    directory::{DirectoryChange, EndpointRegistration},
+    directory::{DirectoryChange, DirectorySource, EndpointRegistration},
     ids::{EndpointId, InstanceId, LogOffset},
     relay::StateSource,
 };
@@ -19,7 +19,7 @@
     context::EntryContext,
     peers::ChangeMessage,
     state_transfer::{self, CopyError, StateKind},
-    sync::{READ_TIMEOUT, StoreBackoff, wait_for_wake},
+    sync::{READ_TIMEOUT, StoreBackoff, log_directory_confirmed, wait_for_wake},
 };
 
 const PART: TopicPart = TopicPart::first(TOPIC);
@@ -73,7 +73,7 @@
                 backoff.note_answer(&context);
                 next = from;
                 if next.is_some() {
-                    mark_synced(&context, sent);
+                    confirm(&context, sent, DirectorySource::Store);
                 }
                 drop_lapsed(&context);
                 if next.is_some() {
@@ -82,6 +82,7 @@
             }
             Err(error) => {
                 let now = context.now();
+                context.endpoint_reads.lock().note_failure(now);
                 context.directory.lock().note_outage(now);
                 backoff.wait_after_failure(&context, &error).await;
             }
@@ -107,7 +108,7 @@
         Err(error) => Err(error.to_string()),
     };
     // An older list would bring back endpoints that have left since.
-    let known_at_here = context.relayed.lock().endpoints_synced_at;
+    let known_at_here = context.relayed.lock().endpoints.confirmed_at();
     let registered =
         registered.and_then(
             |(known_at, registered)| match Some(known_at) > known_at_here {
@@ -118,11 +119,11 @@
     match registered {
         Ok((known_at, registered)) => {
             enter_all(context, &registered);
-            mark_synced(context, known_at);
+            confirm(context, known_at, DirectorySource::Copy);
             true
         }
         Err(error) => {
-            context.relayed.lock().failed_endpoint_copies += 1;
+            context.relayed.lock().endpoints.note_failed_copy();
             LogLine::new("endpoints_not_copied")
                 .with("error", error)
                 .info();
@@ -155,14 +156,15 @@
     }
 }
 
-/// Records that the directory covers everything that was in the store at `sent`.
-fn mark_synced(context: &EntryContext, sent: ClockTime) {
-    context.directory.lock().versions_mut().note_current(sent);
-    let mut relayed = context.relayed.lock();
-    relayed.endpoints_synced_at = relayed.endpoints_synced_at.max(Some(sent));
-    relayed.must_resync = false;
-    relayed.failed_endpoint_copies = 0;
-    relayed.difference.reset();
+/// Records that the directory contains everything that was in the store at `known_at`.
+fn confirm(context: &EntryContext, known_at: ClockTime, source: DirectorySource) {
+    let mut directory = context.directory.lock();
+    directory.versions_mut().note_current(known_at);
+    drop(directory);
+    let before = context.directory_status(context.now()).age;
+    context.relayed.lock().endpoints.confirm(known_at, source);
+    log_directory_confirmed(context, before);
+    context.confirmed.notify_waiters();
 }
 
 async fn read_all(
@@ -173,6 +175,7 @@
     let mut after: Option<String> = None;
     let mut from = None;
     loop {
+        note_store_call(context, timeout);
         let page = context
             .store
             .newest(PART, after.as_deref(), timeout)
@@ -200,6 +203,7 @@
     context: &EntryContext,
     from: LogOffset,
 ) -> Result<Option<LogOffset>, CallError> {
+    note_store_call(context, READ_TIMEOUT);
     let answer = context
         .store
         .read(PART, from, TimeSpan::ZERO, READ_TIMEOUT)
@@ -227,8 +231,14 @@
     }
 }
 
+fn note_store_call(context: &EntryContext, timeout: TimeSpan) {
+    let now = context.now();
+    context.endpoint_reads.lock().note_sent(now, timeout);
+}
+
 fn note_store_answer(context: &EntryContext) {
     let now = context.now();
+    context.endpoint_reads.lock().note_answer();
     context.directory.lock().note_answer(now);
 }
 
--- a/crates/ingress/src/sync/mod.rs
+++ b/crates/ingress/src/sync/mod.rs
@@ -14,7 +14,9 @@
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
-    confirmation::{ConfirmationSource, confirm_version},
+    confirmation::{
+        ConfirmationSource, confirm_version, log_directory_confirmed, wait_for_confirmation,
+    },
     endpoints::{lapse, register, unregister},
 };
 use crate::context::EntryContext;
