--- a/crates/core/tests/provision_size.rs
+++ b/crates/core/tests/provision_size.rs
@@ -219,3 +219,26 @@
     });
     assert!(most.max().unwrap_or_default() < 100, "{steps:?}");
 }
+
+/// Guards against a reduction that removes engines in all failure domains at the same moment: more
+/// registrations change than the instances can tell each other in time.
+#[test]
+fn engines_are_removed_in_one_failure_domain_at_a_time() {
+    let fleet = fleet(600);
+    let mut planner = ProvisionPlanner::new();
+    let mut reduced_at = Vec::new();
+    for now in (0..60_000).step_by(50) {
+        for step in steps(&mut planner, now, &fleet, demand()) {
+            if let ProvisionStep::Count { count, present, .. } = step
+                && count < present
+            {
+                reduced_at.push(now);
+            }
+            planner.note_ordered(at(now), &step);
+        }
+    }
+    assert!(reduced_at.len() >= DOMAINS.len(), "{reduced_at:?}");
+    let pauses = reduced_at.windows(2).map(|times| times[1] - times[0]);
+    let shortest = pauses.min().unwrap();
+    assert!(shortest >= 1_500, "{reduced_at:?}");
+}
