Send requests only by a directory that was confirmed within the drain bound

What was seen: on the whole fleet, requests reached endpoints 5.1 s after the store had acknowledged that they leave (bound 5 s): `edge-se-a-49` was confirmed last at some 4.8 s, its reads of the store failed at 7.9 and 9.5, and it sent at 9.88 s by what it knew.

Cause (class: a decision by knowledge without an age): the age of the directory decided when to read it again, and never whether to send by it.

Ruled out: that the reader had ended; the readers ran all the time.

A directory that was not confirmed within the bound less 0.15 s is used only by an instance that is cut off: its reads fail, and no instance of its failure domain relays current state. The check is made when the request is written.

--- a/crates/core/src/directory/sync.rs
+++ b/crates/core/src/directory/sync.rs
@@ -11,9 +11,19 @@
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::InstanceId,
-    relay::DigestMismatchTimer,
+    relay::{DigestMismatchTimer, StateValidity, StoreReads},
 };
 
+/// Subtracted from the drain bound to limit the age of the directory by which requests are sent:
+/// clocks drift, and a request takes some ms to reach its endpoint.
+const SEND_MARGIN: TimeSpan = TimeSpan::from_millis(150);
+
+/// The maximum age of the directory by which requests are sent, if an endpoint must not get any
+/// from `bound` after it announced that it leaves.
+pub fn max_directory_age(bound: TimeSpan) -> TimeSpan {
+    bound.saturating_sub(SEND_MARGIN)
+}
+
 /// From where a directory was confirmed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -146,6 +156,17 @@
         false
     }
 
+    /// Whether requests may be sent by the directory.
+    pub fn validity(
+        &self,
+        now: ClockTime,
+        drain_bound: TimeSpan,
+        reads: StoreReads,
+    ) -> StateValidity {
+        let max_age = max_directory_age(drain_bound);
+        StateValidity::at(now, self.age(now), max_age, reads)
+    }
+
     /// What is known at `now`.
     pub fn status(&self, now: ClockTime) -> DirectoryStatus {
         DirectoryStatus {
--- a/crates/core/src/relay/source.rs
+++ b/crates/core/src/relay/source.rs
@@ -22,6 +22,10 @@
 /// that reaches the store reads it twice a second.
 pub const MAX_READER_AGE: TimeSpan = TimeSpan::from_millis(1_500);
 
+/// How long after the last relay of current state the reader is considered to have failed.
+/// Readers relay four times a second.
+pub const RELAY_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
+
 /// Failed copies in a row after which an instance reads the store. The instances that it
 /// tried may have failed, and the next ones are tried at random.
 pub const MAX_FAILED_COPIES: u32 = 4;
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -14,7 +14,7 @@
     quarantine::SharedQuarantine,
     quota::RateLimiter,
     reachability::ReachTable,
-    relay::{AdvertisedConfiguration, StoreReads},
+    relay::{AdvertisedConfiguration, RELAY_TIMEOUT, StateValidity, StoreReads},
     retries::{RetryAllowance, SharedRetryBudget},
     routing::RoutingSettings,
     streams::RecordPeer,
@@ -310,6 +310,27 @@
         self.configuration.lock().validity(now, limits, reads)
     }
 
+    /// Whether requests may be sent by the directory of endpoints.
+    pub fn directory_validity(&self, now: ClockTime) -> StateValidity {
+        let bound = self.settings.bounds.endpoint_drain;
+        let reads = self.directory_reads(now);
+        self.relayed.lock().endpoints.validity(now, bound, reads)
+    }
+
+    /// The reads that tell whether the store can be read: those of the endpoints, or of the
+    /// configuration while this instance does not read the endpoints itself. None do while
+    /// others read the store, from whom the endpoints can be copied.
+    fn directory_reads(&self, now: ClockTime) -> StoreReads {
+        if self.relay_silence(now) < RELAY_TIMEOUT {
+            return StoreReads::new();
+        }
+        let endpoint_reads = *self.endpoint_reads.lock();
+        match endpoint_reads.is_lost(now) {
+            true => endpoint_reads,
+            false => *self.store_reads.lock(),
+        }
+    }
+
     /// What is known of the directory of endpoints.
     pub fn directory_status(&self, now: ClockTime) -> DirectoryStatus {
         self.relayed.lock().endpoints.status(now)
--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -8,6 +8,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     placement::EndpointTarget,
+    relay::StateValidity,
 };
 use http_body_util::Full;
 use hyper::{
@@ -18,7 +19,7 @@
 
 use crate::{
     context::EntryContext,
-    forward::{connection::EndpointConnection, limits, reach},
+    forward::{connection::EndpointConnection, limits, reach, request_log_line},
     frontend::CallerRequest,
 };
 
@@ -31,6 +32,22 @@
     pub connection: EndpointConnection,
 }
 
+/// Why a request was not sent to the endpoint that had been chosen for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withheld {
+    /// The directory of endpoints has not been confirmed in time.
+    DirectoryUnconfirmed,
+}
+
+impl Withheld {
+    /// The reason for the log.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Withheld::DirectoryUnconfirmed => "directory_unconfirmed",
+        }
+    }
+}
+
 /// Result of an attempt, up to the head of the answer.
 #[derive(Debug)]
 pub enum SendOutcome {
@@ -43,6 +60,8 @@
         /// Whether a different endpoint now answers at the address.
         is_replaced: bool,
     },
+    /// No byte of the request was written, as it must not be sent to the endpoint any more.
+    Withheld(Withheld),
     /// No byte of the request was written; holds the error.
     NotSent(String),
     /// The request may have run; holds the error.
@@ -57,6 +76,7 @@
         match self {
             SendOutcome::Answered(_) => "answered",
             SendOutcome::NotExecuted { .. } => "not_executed",
+            SendOutcome::Withheld(_) => "withheld",
             SendOutcome::NotSent(_) => "not_sent",
             SendOutcome::MaybeRun(_) => "maybe_run",
             SendOutcome::TimedOut => "timed_out",
@@ -124,6 +144,10 @@
     extra_headers: &ExtraHeaders,
     mut connection: EndpointConnection,
 ) -> SendOutcome {
+    if let Some(reason) = withheld(context) {
+        log_withheld(context, request, target, reason);
+        return SendOutcome::Withheld(reason);
+    }
     let outgoing = match build_request(context, request, target, extra_headers) {
         Ok(outgoing) => outgoing,
         Err(error) => return SendOutcome::NotSent(error.to_string()),
@@ -181,6 +205,26 @@
     })
 }
 
+/// Whether the request must not be sent to `target` although it was chosen. The choice may have
+/// been made long before: the request has waited for a connection, a prefill or other endpoints.
+fn withheld(context: &EntryContext) -> Option<Withheld> {
+    let now = context.now();
+    let validity = context.directory_validity(now);
+    (validity == StateValidity::Unconfirmed).then_some(Withheld::DirectoryUnconfirmed)
+}
+
+fn log_withheld(
+    context: &EntryContext,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+    reason: Withheld,
+) {
+    request_log_line(context, "withheld", request)
+        .with("endpoint", &target.id)
+        .with("reason", reason.as_str())
+        .info();
+}
+
 /// Counts a call that stays unanswered for long against the path to its endpoint.
 async fn notice_silence(
     context: &EntryContext,
--- a/crates/ingress/src/forward/engine_calls.rs
+++ b/crates/ingress/src/forward/engine_calls.rs
@@ -43,7 +43,7 @@
             EngineArrival::Counted => "run",
         };
         let arrival = match outcome {
-            SendOutcome::NotSent(_) => {
+            SendOutcome::NotSent(_) | SendOutcome::Withheld(_) => {
                 self.arrivals.note_unsent();
                 return;
             }
--- a/crates/ingress/src/forward/engine_failures.rs
+++ b/crates/ingress/src/forward/engine_failures.rs
@@ -2,7 +2,9 @@
 
 use bluebell_core::{ids::EndpointId, placement::EndpointTarget};
 
-use crate::forward::{crashes, generate::GenerationRun};
+use crate::forward::{
+    attempt::Withheld, crashes, failed_attempt::FailedAttempt, generate::GenerationRun,
+};
 
 impl GenerationRun {
     /// Records that the connection to `target` broke while the request ran there.
@@ -43,6 +45,16 @@
         }
     }
 
+    /// Records that the request was not sent to `target`, which has not failed.
+    pub(super) fn note_withheld(
+        &mut self,
+        target: &EndpointTarget,
+        reason: Withheld,
+    ) -> FailedAttempt {
+        self.attempted.push(target.id.clone());
+        FailedAttempt::withheld(reason)
+    }
+
     /// Records that no connection to the engine could be opened. The engine is excluded
     /// from selection for a while, also by the other entries: this entry reports it as
     /// one that refuses requests.
--- a/crates/ingress/src/forward/failed_attempt.rs
+++ b/crates/ingress/src/forward/failed_attempt.rs
@@ -4,8 +4,8 @@
 use rand::Rng;
 
 use crate::{
-    forward::crashes::Quarantined,
-    frontend::{DEFAULT_RETRY_AFTER, RefusalReason},
+    forward::{attempt::Withheld, crashes::Quarantined},
+    frontend::{DEFAULT_RETRY_AFTER, RefusalReason, SYNC_RETRY_AFTER},
 };
 
 /// Why an attempt did not start a run.
@@ -42,6 +42,16 @@
         }
     }
 
+    /// Creates the failure of a request that was not sent to the endpoint chosen for it.
+    pub(super) fn withheld(withheld: Withheld) -> FailedAttempt {
+        let (reason, retry_after) = refusal_of_withheld(withheld);
+        FailedAttempt {
+            is_final: true,
+            retry_after,
+            ..FailedAttempt::new(reason, withheld.as_str())
+        }
+    }
+
     /// Marks the failure as final: no other attempt follows.
     pub(super) fn without_retry(mut self) -> FailedAttempt {
         self.is_final = true;
@@ -49,6 +59,16 @@
     }
 }
 
+/// The reason to refuse a request that was not sent, and when its caller may retry it if that is
+/// not the default.
+pub(super) fn refusal_of_withheld(withheld: Withheld) -> (RefusalReason, Option<TimeSpan>) {
+    match withheld {
+        Withheld::DirectoryUnconfirmed => {
+            (RefusalReason::EndpointsUnconfirmed, Some(SYNC_RETRY_AFTER))
+        }
+    }
+}
+
 /// Returns the failure for a request that no engine can take. If the answer would be too
 /// late, the caller may retry after the time that engines need to work off the excess;
 /// jitter keeps the callers from retrying all at once.
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -282,6 +282,10 @@
                 self.read_answer(plan, target, answer, guard, prefill, last_id)
                     .await
             }
+            SendOutcome::Withheld(reason) => {
+                self.attempts.not_sent(permit);
+                Err(self.note_withheld(target, reason))
+            }
             SendOutcome::NotSent(detail) => {
                 self.attempts.not_sent(permit);
                 self.note_unreachable(target);
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -33,6 +33,7 @@
 use crate::{
     context::EntryContext,
     frontend::{AnswerBody, CallerRequest, Refusal},
+    sync,
     time::wall_time,
 };
 
@@ -48,9 +49,8 @@
     context: &Arc<EntryContext>,
     mut request: CallerRequest,
 ) -> Response<AnswerBody> {
-    if context.reach.lock().is_unreachable(&request.service) {
+    if let Some(detail) = obstacle(context, &request).await {
         if request.is_proxied {
-            let detail = "the endpoints of the service are not reached from here";
             return refuse(context, &request, Refusal::not_taken(), detail);
         }
         if let Some(response) = proxy::serve(context, &request).await {
@@ -76,6 +76,15 @@
     }
 }
 
+/// Why another instance should serve the request, if it takes it.
+async fn obstacle(context: &EntryContext, request: &CallerRequest) -> Option<&'static str> {
+    if context.reach.lock().is_unreachable(&request.service) {
+        return Some("the endpoints of the service are not reached from here");
+    }
+    let is_confirmed = sync::is_directory_confirmed(context).await;
+    (!is_confirmed).then_some("the endpoints are not confirmed here")
+}
+
 /// Counts a request that has started to run towards the usage of its organisation.
 fn meter(context: &EntryContext, request: &CallerRequest) {
     let Some(organisation) = &request.organisation else {
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -15,8 +15,9 @@
     context::EntryContext,
     forward::{
         answer::CompleteAnswer,
-        attempt::{self, SendOutcome},
+        attempt::{self, SendOutcome, Withheld},
         crashes,
+        failed_attempt::refusal_of_withheld,
         guards::ReplicaGuard,
         limits, meter, proxy,
         quota::QuotaCharge,
@@ -168,6 +169,11 @@
         let timeout = self.attempt_timeout(remaining);
         let outcome = attempt::send(self.context, self.request, target, &Vec::new(), timeout).await;
         match outcome {
+            SendOutcome::Withheld(withheld) => {
+                self.attempts.not_sent(permit);
+                drop(guard);
+                self.next_after_withheld(withheld)
+            }
             SendOutcome::NotSent(detail) => {
                 self.attempts.not_sent(permit);
                 guard.failed();
@@ -220,6 +226,14 @@
         }
     }
 
+    /// The step after a replica was chosen that the request must not be sent to.
+    fn next_after_withheld(&mut self, withheld: Withheld) -> NextStep {
+        let (reason, retry_after) = refusal_of_withheld(withheld);
+        let detail = withheld.as_str().to_string();
+        self.retry_after = retry_after;
+        NextStep::Refuse(reason, detail)
+    }
+
     /// Returns the timeout of the next attempt. A request that may be retried does not
     /// spend all of its `remaining` time on an unresponsive replica.
     fn attempt_timeout(&self, remaining: TimeSpan) -> TimeSpan {
--- a/crates/ingress/src/forward/prefill.rs
+++ b/crates/ingress/src/forward/prefill.rs
@@ -95,6 +95,7 @@
     ) -> FailedAttempt {
         let detail = format!("prefill at {}: {}", target.id, outcome.as_str());
         match outcome {
+            SendOutcome::Withheld(reason) => self.note_withheld(target, *reason),
             SendOutcome::NotSent(_) => {
                 self.note_unreachable(target);
                 FailedAttempt::new(RefusalReason::NoEndpoint, detail)
--- a/crates/ingress/src/frontend/mod.rs
+++ b/crates/ingress/src/frontend/mod.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
+    basis::SYNC_RETRY_AFTER,
     body::{AnswerBody, StreamAborted, empty_body, pieces_body, stream_body},
     listener::FrontendServer,
     refusal::{DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
--- a/crates/ingress/src/frontend/refusal.rs
+++ b/crates/ingress/src/frontend/refusal.rs
@@ -47,6 +47,8 @@
     RateLimited,
     /// No endpoint is available.
     NoEndpoint,
+    /// The directory of endpoints has not been confirmed for too long to send the request by it.
+    EndpointsUnconfirmed,
     /// No endpoint could start the request in time.
     Overloaded,
     /// Every attempted endpoint refused the request.
@@ -79,6 +81,7 @@
             RefusalReason::OutOfMemory => "out_of_memory",
             RefusalReason::RateLimited => "rate_limited",
             RefusalReason::NoEndpoint => "no_endpoint",
+            RefusalReason::EndpointsUnconfirmed => "endpoints_unconfirmed",
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::EndpointsFull => "endpoints_full",
             RefusalReason::VersionUnknown => "version_unknown",
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -95,6 +95,12 @@
         }
     }
 
+    /// The time since an instance of the failure domain has relayed current state.
+    pub fn relay_silence(&self, now: ClockTime) -> TimeSpan {
+        let last = self.peers.lock().last_relay_at();
+        now.since(last.unwrap_or(self.started_at))
+    }
+
     /// From where the endpoints are taken.
     pub fn endpoints_source(&self) -> StateSource {
         let now = self.now();
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -8,7 +8,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{FailureDomain, InstanceId, ServiceName},
-    relay::{self, EchoedTimestamp},
+    relay::{self, EchoedTimestamp, RELAY_TIMEOUT},
 };
 use rand::seq::IndexedRandom;
 use serde::Serialize;
@@ -45,10 +45,6 @@
 /// seconds only.
 const REPRESENTATIVES_PER_DOMAIN: usize = 3;
 
-/// How long after its last relay of current state an instance counts as one that reads the
-/// store. Readers relay four times a second.
-const RELAY_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
-
 /// How long it is assumed that an instance does not reach the endpoints of a service. It
 /// repeats that at least once a second to the instances that it sends to.
 const UNREACHABLE_TIMEOUT: TimeSpan = TimeSpan::from_millis(2_000);
@@ -395,6 +391,11 @@
         self.relayed_at.insert(instance.clone(), now);
     }
 
+    /// When an instance of the own failure domain last relayed current state.
+    pub fn last_relay_at(&self) -> Option<ClockTime> {
+        self.relayed_at.values().max().copied()
+    }
+
     /// The instance that reads the store for `domain`, as seen by `local` there: the first
     /// by name that relays current state, or the first that is alive if none does.
     pub fn reader(&self, now: ClockTime, local: &InstanceId, domain: &FailureDomain) -> InstanceId {
--- a/crates/ingress/src/ready.rs
+++ b/crates/ingress/src/ready.rs
@@ -3,7 +3,9 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use bluebell_adapter::READY_PATH;
-use bluebell_core::{clock::ClockTime, ids::OrganisationId, quota::QuotaStatus};
+use bluebell_core::{
+    clock::ClockTime, ids::OrganisationId, quota::QuotaStatus, relay::StateValidity,
+};
 use bluebell_daemon::{
     logs::LogLine,
     ops::{self, OpsSource, ReadyState, RunningServer},
@@ -47,6 +49,9 @@
     if !validity.serves_known_routes() {
         return ReadyState::NotReady(validity.to_string());
     }
+    if context.directory_validity(context.now()) == StateValidity::Unconfirmed {
+        return ReadyState::NotReady("the endpoints are not confirmed".to_string());
+    }
     if !context.keys_are_fresh(context.now()) {
         return ReadyState::NotReady("nothing has been heard of withdrawn keys".to_string());
     }
@@ -72,6 +77,7 @@
         "memory": context.memory.status(),
         "endpoints": endpoints,
         "endpoints_status": context.directory_status(now),
+        "endpoints_validity": context.directory_validity(now),
         "ready": match ready_state(context) {
             ReadyState::Ready => "ready".to_string(),
             ReadyState::NotReady(reason) => reason,
--- a/crates/ingress/src/sync/confirmation.rs
+++ b/crates/ingress/src/sync/confirmation.rs
@@ -5,7 +5,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::InstanceId,
-    relay::relay_age_limit,
+    relay::{StateValidity, relay_age_limit},
 };
 use bluebell_daemon::logs::LogLine;
 
@@ -34,6 +34,13 @@
     }
 }
 
+/// Whether requests may be sent by the directory of endpoints, after a wait for a confirmation
+/// that is due.
+pub async fn is_directory_confirmed(context: &EntryContext) -> bool {
+    let validity = || context.directory_validity(context.now());
+    wait_for_confirmation(context, || validity() != StateValidity::Unconfirmed).await
+}
+
 /// Logs that the directory of endpoints, which had the age `before`, is confirmed again if it was
 /// too old to be relayed.
 pub fn log_directory_confirmed(context: &EntryContext, before: Option<TimeSpan>) {
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -84,6 +84,8 @@
                 let now = context.now();
                 context.endpoint_reads.lock().note_failure(now);
                 context.directory.lock().note_outage(now);
+                // Requests that wait for a confirmation are decided without it now.
+                context.confirmed.notify_waiters();
                 backoff.wait_after_failure(&context, &error).await;
             }
         }
--- a/crates/ingress/src/sync/mod.rs
+++ b/crates/ingress/src/sync/mod.rs
@@ -15,7 +15,8 @@
 
 pub use self::{
     confirmation::{
-        ConfirmationSource, confirm_version, log_directory_confirmed, wait_for_confirmation,
+        ConfirmationSource, confirm_version, is_directory_confirmed, log_directory_confirmed,
+        wait_for_confirmation,
     },
     endpoints::{lapse, register, unregister},
 };
