Send no request to an endpoint that left after it was chosen

What was seen: requests lay 0.2 to 2.4 s in an instance between the choice of their endpoint and its first byte: four to seven endpoints that are gone are tried before, 0.3 s each, and a prompt is prefilled before its run.

Cause: the directory is asked when an endpoint is chosen, and not again.

Change: when a request is written, the endpoint has to be registered still, with the same start, and must not be leaving; otherwise another one gets it, and nothing is held against the endpoint.

--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -35,6 +35,8 @@
 /// Why a request was not sent to the endpoint that had been chosen for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Withheld {
+    /// The endpoint is leaving, has left or has restarted.
+    EndpointLeft,
     /// The directory of endpoints has not been confirmed in time.
     DirectoryUnconfirmed,
 }
@@ -43,6 +45,7 @@
     /// The reason for the log.
     pub const fn as_str(self) -> &'static str {
         match self {
+            Withheld::EndpointLeft => "endpoint_left",
             Withheld::DirectoryUnconfirmed => "directory_unconfirmed",
         }
     }
@@ -144,7 +147,7 @@
     extra_headers: &ExtraHeaders,
     mut connection: EndpointConnection,
 ) -> SendOutcome {
-    if let Some(reason) = withheld(context) {
+    if let Some(reason) = withheld(context, request, target) {
         log_withheld(context, request, target, reason);
         return SendOutcome::Withheld(reason);
     }
@@ -207,10 +210,20 @@
 
 /// Whether the request must not be sent to `target` although it was chosen. The choice may have
 /// been made long before: the request has waited for a connection, a prefill or other endpoints.
-fn withheld(context: &EntryContext) -> Option<Withheld> {
+fn withheld(
+    context: &EntryContext,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+) -> Option<Withheld> {
     let now = context.now();
-    let validity = context.directory_validity(now);
-    (validity == StateValidity::Unconfirmed).then_some(Withheld::DirectoryUnconfirmed)
+    if context.directory_validity(now) == StateValidity::Unconfirmed {
+        return Some(Withheld::DirectoryUnconfirmed);
+    }
+    let directory = context.directory.lock();
+    let is_available = directory
+        .get(&target.id)
+        .is_some_and(|known| known.start == target.start && !known.is_leaving);
+    (!is_available).then_some(Withheld::EndpointLeft)
 }
 
 fn log_withheld(
--- a/crates/ingress/src/forward/failed_attempt.rs
+++ b/crates/ingress/src/forward/failed_attempt.rs
@@ -42,11 +42,13 @@
         }
     }
 
-    /// Creates the failure of a request that was not sent to the endpoint chosen for it.
+    /// Creates the failure of a request that was not sent to the endpoint chosen for it. Another
+    /// endpoint may get it only if the endpoint is the reason.
     pub(super) fn withheld(withheld: Withheld) -> FailedAttempt {
         let (reason, retry_after) = refusal_of_withheld(withheld);
+        let is_final = withheld != Withheld::EndpointLeft;
         FailedAttempt {
-            is_final: true,
+            is_final,
             retry_after,
             ..FailedAttempt::new(reason, withheld.as_str())
         }
@@ -63,6 +65,7 @@
 /// not the default.
 pub(super) fn refusal_of_withheld(withheld: Withheld) -> (RefusalReason, Option<TimeSpan>) {
     match withheld {
+        Withheld::EndpointLeft => (RefusalReason::NoEndpoint, None),
         Withheld::DirectoryUnconfirmed => {
             (RefusalReason::EndpointsUnconfirmed, Some(SYNC_RETRY_AFTER))
         }
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -230,6 +230,9 @@
     fn next_after_withheld(&mut self, withheld: Withheld) -> NextStep {
         let (reason, retry_after) = refusal_of_withheld(withheld);
         let detail = withheld.as_str().to_string();
+        if withheld == Withheld::EndpointLeft {
+            return NextStep::Retry(reason, detail);
+        }
         self.retry_after = retry_after;
         NextStep::Refuse(reason, detail)
     }
