Send no request after its deadline

Cause: the time left is looked at before an attempt, and an attempt opens a connection first; a time limit of zero still lets a pooled connection be written to.

Change: the deadline is checked when the request is written. It has not run then, and the caller is told so.

--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -39,6 +39,8 @@
     EndpointLeft,
     /// The directory of endpoints has not been confirmed in time.
     DirectoryUnconfirmed,
+    /// The deadline of the request has passed.
+    DeadlinePassed,
 }
 
 impl Withheld {
@@ -47,6 +49,7 @@
         match self {
             Withheld::EndpointLeft => "endpoint_left",
             Withheld::DirectoryUnconfirmed => "directory_unconfirmed",
+            Withheld::DeadlinePassed => "deadline_passed",
         }
     }
 }
@@ -216,6 +219,9 @@
     target: &EndpointTarget,
 ) -> Option<Withheld> {
     let now = context.now();
+    if request.time_left(now) == TimeSpan::ZERO {
+        return Some(Withheld::DeadlinePassed);
+    }
     if context.directory_validity(now) == StateValidity::Unconfirmed {
         return Some(Withheld::DirectoryUnconfirmed);
     }
--- a/crates/ingress/src/forward/failed_attempt.rs
+++ b/crates/ingress/src/forward/failed_attempt.rs
@@ -69,6 +69,7 @@
         Withheld::DirectoryUnconfirmed => {
             (RefusalReason::EndpointsUnconfirmed, Some(SYNC_RETRY_AFTER))
         }
+        Withheld::DeadlinePassed => (RefusalReason::TimedOut, None),
     }
 }
 
