Remove engines in one failure domain at a time

Cause: the planner keeps 1.5 s between reductions from when an order is sent. The orders of one round are planned together, before any of them is sent. Its text always said one failure domain at a time.

Change: a round contains one reduction.

--- a/crates/core/src/provision/mod.rs
+++ b/crates/core/src/provision/mod.rs
@@ -118,6 +118,11 @@
             ProvisionStep::Count { service, .. } | ProvisionStep::Stage { service, .. } => service,
         }
     }
+
+    /// Whether endpoints are to be removed.
+    fn is_reduction(&self) -> bool {
+        matches!(self, ProvisionStep::Count { count, present, .. } if count < present)
+    }
 }
 
 /// Maximum number of preemptible engines that are ordered in a failure domain as long as
@@ -143,6 +148,8 @@
     preemptible: u32,
     /// Whether the demand needs fewer endpoints than there were at first.
     is_reduced: bool,
+    /// Whether endpoints may be removed now.
+    may_reduce: bool,
 }
 
 impl DomainTarget {
@@ -166,9 +173,15 @@
             reserved,
             preemptible: preemptible.min(headroom),
             is_reduced: reserved < most_reserved,
+            may_reduce: true,
         }
     }
 
+    fn with_reduction(mut self, may_reduce: bool) -> DomainTarget {
+        self.may_reduce = may_reduce;
+        self
+    }
+
     /// Whether so many reserved endpoints are more than needed.
     fn is_exceeded_by(self, reserved: u32) -> bool {
         let margin = if self.is_reduced { REDUCE_MARGIN } else { 0.0 };
@@ -331,7 +344,10 @@
             let count = counts.get(&domain).copied().unwrap_or_default();
             let share = f64::from(baseline) / f64::from(total.max(1));
             let needed = needed.map(|needed| (needed * share).ceil() as u32);
-            let target = DomainTarget::new(scaling, baseline, needed);
+            // Orders of this round are not recorded yet.
+            let may_reduce = !steps.iter().any(ProvisionStep::is_reduction)
+                && self.may_reduce(now, service, &domain, endpoints);
+            let target = DomainTarget::new(scaling, baseline, needed).with_reduction(may_reduce);
             let step = self.domain_step(now, service, &domain, scaling, target, count);
             steps.extend(step);
             desired.insert(domain, target.reserved + target.preemptible);
@@ -375,20 +391,31 @@
             return order(self, false, reserved, count.reserved);
         }
         let is_replaced = target.is_reduced || count.in_service * 2 >= preemptible;
-        if target.is_exceeded_by(count.reserved) && is_replaced && self.may_reduce(now) {
+        if target.is_exceeded_by(count.reserved) && is_replaced && target.may_reduce {
             return order(self, false, reserved, count.reserved);
         }
         None
     }
 
-    /// Whether endpoints may be removed now. They are removed in one failure domain at
-    /// a time, and not while engines change their stage: the platform selects the
-    /// endpoints that stop, and the remaining ones may have to change their stage.
-    fn may_reduce(&self, now: ClockTime) -> bool {
+    /// Whether endpoints may be removed in `domain` now. They are removed in one failure
+    /// domain at a time, and not while engines there change their stage: the platform
+    /// selects the endpoints that stop, and the remaining ones may have to change their
+    /// stage.
+    fn may_reduce(
+        &self,
+        now: ClockTime,
+        service: &ServiceName,
+        domain: &FailureDomain,
+        endpoints: &[&EndpointRegistration],
+    ) -> bool {
         let is_interval_over = self
             .reduced_at
             .is_none_or(|at| now.since(at) >= REDUCE_INTERVAL);
-        is_interval_over && self.stages.values().all(StagePlan::is_settled)
+        let plan = self.stages.get(service);
+        let is_switching =
+            |entry: &&&EndpointRegistration| plan.is_some_and(|plan| plan.is_switching(&entry.id));
+        let in_domain = endpoints.iter().filter(|entry| entry.domain == *domain);
+        is_interval_over && in_domain.filter(is_switching).count() == 0
     }
 
     #[allow(clippy::too_many_arguments)]
--- a/crates/core/src/provision/stages.rs
+++ b/crates/core/src/provision/stages.rs
@@ -109,9 +109,9 @@
         &self.decode_engines
     }
 
-    /// Whether no change of a stage is pending.
-    pub fn is_settled(&self) -> bool {
-        self.switching.is_empty()
+    /// Whether a change of the stage of `engine` is pending.
+    pub fn is_switching(&self, engine: &EndpointId) -> bool {
+        self.switching.contains_key(engine)
     }
 
     /// Records that an engine was ordered to change its stage.
