Confirm no directory by an answer that leaves out records

Found by looking for ages that are wrong. A read of the log of registrations whose answer reaches its size limit (1 MB, some 3,000 records) counted as complete, so the directory, and that of all instances that follow it, appeared up to date while records were left for the next read, half a second later.

Change: only an answer up to the end of the log confirms; otherwise the next read follows at once, as it does for the configuration.

Test: `platform/standin/endpoint_reads`; before, the directory counts as confirmed when 2 of 13 registrations are known.

--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -29,6 +29,27 @@
 /// endpoint 2 s after it announced that it leaves, and a withdrawn one is removed after 2 s.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How far a read has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadProgress {
+    /// Everything that was in the store when the read was sent is known.
+    Complete { next: LogOffset },
+    /// The answer reached its size limit and left the rest for the next read.
+    Partial { next: LogOffset },
+    /// The store no longer has the records; all registrations must be read.
+    HistoryLost,
+}
+
+impl ReadProgress {
+    /// The offset to read next; `None` if all registrations must be read.
+    fn next(self) -> Option<LogOffset> {
+        match self {
+            ReadProgress::Complete { next } | ReadProgress::Partial { next } => Some(next),
+            ReadProgress::HistoryLost => None,
+        }
+    }
+}
+
 /// Keeps the endpoint directory up to date; never returns.
 pub async fn follow(context: Arc<EntryContext>) {
     let mut backoff = StoreBackoff::new("endpoints");
@@ -69,14 +90,12 @@
             Some(from) => read_from(&context, from).await,
         };
         match step {
-            Ok(from) => {
+            Ok(progress) => {
                 backoff.note_answer(&context);
-                next = from;
-                if next.is_some() {
-                    confirm(&context, sent, DirectorySource::Store);
-                }
+                next = progress.next();
                 drop_lapsed(&context);
-                if next.is_some() {
+                if let ReadProgress::Complete { .. } = progress {
+                    confirm(&context, sent, DirectorySource::Store);
                     tokio::time::sleep(READ_INTERVAL).await;
                 }
             }
@@ -169,14 +188,11 @@
     context.confirmed.notify_waiters();
 }
 
-async fn read_all(
-    context: &EntryContext,
-    timeout: TimeSpan,
-) -> Result<Option<LogOffset>, CallError> {
+async fn read_all(context: &EntryContext, timeout: TimeSpan) -> Result<ReadProgress, CallError> {
     let mut listed: BTreeSet<EndpointId> = BTreeSet::new();
     let mut after: Option<String> = None;
-    let mut from = None;
-    loop {
+    let mut first_end = None;
+    let end = loop {
         note_store_call(context, timeout);
         let page = context
             .store
@@ -185,7 +201,7 @@
         note_store_answer(context);
         // Changes that are written while the pages are read follow the end of the first
         // page.
-        from.get_or_insert(page.end);
+        let end = *first_end.get_or_insert(page.end);
         for item in &page.items {
             if let Some(id) = parse_endpoint_id(item.key.as_bytes()) {
                 register(context, &id, &item.value);
@@ -194,17 +210,14 @@
         }
         after = page.items.last().map(|item| item.key.clone());
         if !page.has_more || after.is_none() {
-            break;
+            break end;
         }
-    }
+    };
     retain_listed(context, &listed);
-    Ok(from)
+    Ok(ReadProgress::Complete { next: end })
 }
 
-async fn read_from(
-    context: &EntryContext,
-    from: LogOffset,
-) -> Result<Option<LogOffset>, CallError> {
+async fn read_from(context: &EntryContext, from: LogOffset) -> Result<ReadProgress, CallError> {
     note_store_call(context, READ_TIMEOUT);
     let answer = context
         .store
@@ -212,7 +225,7 @@
         .await?;
     note_store_answer(context);
     match answer {
-        ReadAnswer::Trimmed { .. } => Ok(None),
+        ReadAnswer::Trimmed { .. } => Ok(ReadProgress::HistoryLost),
         ReadAnswer::Records { records, end } => {
             let next = records.last().map_or(from, |record| record.offset.next());
             for record in &records {
@@ -227,8 +240,10 @@
                     None => unregister(context, &id),
                 }
             }
-            // An answer that reached its size limit leaves the rest for the next read.
-            Ok(Some(if records.is_empty() { end } else { next }))
+            Ok(match next < end && !records.is_empty() {
+                true => ReadProgress::Partial { next },
+                false => ReadProgress::Complete { next: end },
+            })
         }
     }
 }
