Judge a copy of the endpoints by what it contains

What was seen: 493 of 493 logged attempts to copy the endpoints failed with `the copy is older than the state here` while both sides lacked different parts of a mass change. After four of them an instance read the store; hundreds did, and their calls got no answer for 4 s.

Cause: a copy was judged by when its source was confirmed. Nobody was confirmed since the change, and a copy that has what is missing is as old as any.

Change: a copy is taken if its digest is one that the reader has told, and dates from then; or if its source was confirmed later. Failed copies lead to the store only once the directory is too old; a difference that ends by itself needs no copy.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -22,7 +22,10 @@
 
 pub use self::{
     registration::{EndpointRegistration, EngineStage, SoftwareVersion},
-    sync::{DirectorySource, DirectoryStatus, DirectorySync, RelayedDirectory, max_directory_age},
+    sync::{
+        DirectorySource, DirectoryStatus, DirectorySync, RelayedDirectory, WantedCopy,
+        max_directory_age,
+    },
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
--- a/crates/core/src/directory/sync.rs
+++ b/crates/core/src/directory/sync.rs
@@ -4,14 +4,14 @@
 //! reads it and has the same directory, and by copies. A confirmation counts from when the
 //! information was current, not from when it arrived.
 
-use std::fmt;
+use std::{collections::VecDeque, fmt};
 
 use serde::Serialize;
 
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::InstanceId,
-    relay::{DigestMismatchTimer, StateValidity, StoreReads},
+    relay::{DigestMismatchTimer, KnownState, StateValidity, StoreReads, relay_age_limit},
 };
 
 /// Subtracted from the drain bound to limit the age of the directory by which requests are sent:
@@ -57,6 +57,19 @@
     pub known_at: ClockTime,
 }
 
+/// The copy that an instance needs from another one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WantedCopy {
+    /// The digest of the reader's directory; `None` if none was relayed.
+    pub digest: Option<u64>,
+    /// The age below which a copy with another digest will do; `None` if any will.
+    pub max_age: Option<TimeSpan>,
+}
+
+/// The number of descriptions of the reader's directory that are remembered. Copies are some
+/// changes behind the reader.
+const MAX_REMEMBERED: usize = 16;
+
 /// What is known at some time of the agreement with the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct DirectoryStatus {
@@ -85,6 +98,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct DirectorySync {
     confirmed: Option<(ClockTime, DirectorySource)>,
+    /// The newest descriptions that were relayed, in rising order of their times.
+    relayed: VecDeque<RelayedDirectory>,
     difference: DigestMismatchTimer,
     must_resync: bool,
     failed_copies: u32,
@@ -106,14 +121,29 @@
         self.confirmed_at().map(|at| now.since(at))
     }
 
-    /// Whether all registrations have to be read or copied.
-    pub fn is_incomplete(&self) -> bool {
-        self.confirmed.is_none() || self.must_resync
-    }
-
-    /// The number of copies in a row that have failed.
-    pub fn failed_copies(&self) -> u32 {
-        self.failed_copies
+    /// What decides from where the directory is taken, as far as it is known here. The process
+    /// started at `started_at`, and changes have to take effect within `drain_bound`.
+    pub fn known_state(
+        &self,
+        now: ClockTime,
+        started_at: ClockTime,
+        drain_bound: TimeSpan,
+    ) -> KnownState {
+        let age = now.since(self.confirmed_at().unwrap_or(started_at));
+        let age_limit = relay_age_limit(drain_bound);
+        // Reads by all instances whose copies fail at the same time would take the store longer
+        // than the copies; until the directory is too old, only copies are tried.
+        let is_usable = self.confirmed.is_some() && age < age_limit;
+        KnownState {
+            age,
+            age_limit,
+            // A direct read transfers all registrations, so the instances have to take turns.
+            max_read_delay: TimeSpan::MAX,
+            is_incomplete: self.confirmed.is_none() || self.must_resync,
+            superseded_for: TimeSpan::ZERO,
+            is_reader_behind: false,
+            failed_copies: if is_usable { 0 } else { self.failed_copies },
+        }
     }
 
     /// Whether the directory differs from the reader's, so that it has to be read or copied.
@@ -145,15 +175,46 @@
     pub fn note_relayed(&mut self, now: ClockTime, local: u64, relayed: RelayedDirectory) -> bool {
         // What another reader knew earlier may differ from what is known here.
         let is_newer = self.confirmed_at() <= Some(relayed.known_at);
-        if is_newer && self.difference.compare(now, local, relayed.digest) {
-            self.must_resync = true;
-            return true;
+        if is_newer {
+            self.must_resync = self.difference.compare(now, local, relayed.digest);
         }
         if local == relayed.digest {
-            let source = DirectorySource::Relay(relayed.reader);
+            let source = DirectorySource::Relay(relayed.reader.clone());
             self.advance(relayed.known_at, source);
         }
-        false
+        self.remember(relayed);
+        self.must_resync
+    }
+
+    fn remember(&mut self, relayed: RelayedDirectory) {
+        let newest_at = self.relayed.back().map(|newest| newest.known_at);
+        if newest_at > Some(relayed.known_at) {
+            return;
+        }
+        // Of one digest, the newest time is of interest.
+        self.relayed.retain(|known| known.digest != relayed.digest);
+        self.relayed.push_back(relayed);
+        if self.relayed.len() > MAX_REMEMBERED {
+            self.relayed.pop_front();
+        }
+    }
+
+    /// The copy that would bring the directory up to date.
+    pub fn wanted_copy(&self, now: ClockTime) -> WantedCopy {
+        WantedCopy {
+            digest: self.relayed.back().map(|newest| newest.digest),
+            max_age: self.age(now),
+        }
+    }
+
+    /// The time at which a copy with this digest, which its source had confirmed at `known_at`,
+    /// was complete. `None` if it may be older than the directory here: it would bring back
+    /// endpoints that have left since.
+    pub fn copy_known_at(&self, known_at: ClockTime, digest: u64) -> Option<ClockTime> {
+        let relayed = self.relayed.iter().find(|known| known.digest == digest);
+        let relayed_at = relayed.map(|relayed| relayed.known_at);
+        let known_at = Some(known_at).max(relayed_at)?;
+        (Some(known_at) > self.confirmed_at()).then_some(known_at)
     }
 
     /// Whether requests may be sent by the directory.
--- a/crates/ingress/src/peers/registry.rs
+++ b/crates/ingress/src/peers/registry.rs
@@ -18,7 +18,7 @@
 use crate::{
     context::EntryContext,
     peers::{messages::PeerRecord, table::KnownPeer},
-    state_transfer::{self, ListedPeer, PeerList, StateKind},
+    state_transfer::{self, ListedPeer, PeerList, StateKind, StateRequest},
     sync::{READ_TIMEOUT, StoreBackoff},
 };
 
@@ -94,7 +94,7 @@
         return false;
     }
     while context.now().since(started) < COPY_PERIOD {
-        match state_transfer::fetch(context, StateKind::Peers, 0).await {
+        match state_transfer::fetch(context, StateRequest::new(StateKind::Peers)).await {
             Ok(copy) => match PeerList::decode(&copy.content[..]) {
                 Ok(list) => {
                     list.peers.iter().for_each(|peer| add_copied(context, peer));
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -103,22 +103,17 @@
 
     /// From where the endpoints are taken.
     pub fn endpoints_source(&self) -> StateSource {
+        self.state_source(self.known_endpoints())
+    }
+
+    fn known_endpoints(&self) -> KnownState {
         let now = self.now();
-        let state = {
-            let relayed = self.relayed.lock();
-            let endpoints = &relayed.endpoints;
-            KnownState {
-                age: now.since(endpoints.confirmed_at().unwrap_or(self.started_at)),
-                age_limit: relay_age_limit(self.settings.bounds.endpoint_drain),
-                // A direct read transfers all registrations, so the instances have to take turns.
-                max_read_delay: TimeSpan::MAX,
-                is_incomplete: endpoints.is_incomplete(),
-                superseded_for: TimeSpan::ZERO,
-                is_reader_behind: relayed.is_reader_behind,
-                failed_copies: endpoints.failed_copies(),
-            }
-        };
-        self.state_source(state)
+        let bound = self.settings.bounds.endpoint_drain;
+        let relayed = self.relayed.lock();
+        KnownState {
+            is_reader_behind: relayed.is_reader_behind,
+            ..relayed.endpoints.known_state(now, self.started_at, bound)
+        }
     }
 
     fn rank(&self) -> Option<usize> {
--- a/crates/ingress/src/state_transfer/client.rs
+++ b/crates/ingress/src/state_transfer/client.rs
@@ -17,7 +17,6 @@
     compression::decompress,
     context::EntryContext,
     state_transfer::{
-        StateKind,
         messages::{StateReply, StateRequest},
         server::{MAX_REPLY_BYTES, MAX_WAIT, frames},
     },
@@ -27,6 +26,10 @@
 /// domain are less than a millisecond apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The time until the answer begins, beyond what the other instance may wait for the state. A
+/// suspended instance accepts connections and never answers.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// The time for the transfer beyond what the other instance may wait for the state: some
 /// hundred kB over a link that carries several copies at once.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -43,6 +46,8 @@
     pub version: u64,
     /// The offset in the configuration topic that follows the version.
     pub next: LogOffset,
+    /// The digest of the endpoints.
+    pub digest: u64,
     /// The content, compressed as it arrived.
     pub packed: Bytes,
     /// The content.
@@ -69,13 +74,8 @@
     TimedOut,
 }
 
-/// Fetches a copy of `kind` from another instance of the failure domain; a configuration
-/// must have at least version `min_version`.
-pub async fn fetch(
-    context: &EntryContext,
-    kind: StateKind,
-    min_version: u64,
-) -> Result<StateCopy, CopyError> {
+/// Fetches the copy that `request` describes from another instance of the failure domain.
+pub async fn fetch(context: &EntryContext, request: StateRequest) -> Result<StateCopy, CopyError> {
     let candidates = {
         let peers = context.peers.lock();
         let (local, domain) = (&context.writer.instance, &context.settings.domain);
@@ -83,7 +83,7 @@
     };
     let mut result = Err(CopyError::NoPeer);
     for address in candidates {
-        let transfer = fetch_from(context, address, kind, min_version);
+        let transfer = fetch_from(context, address, request);
         let transfer = tokio::time::timeout(MAX_WAIT + TRANSFER_TIMEOUT, transfer).await;
         result = transfer.unwrap_or(Err(CopyError::TimedOut));
         if result.is_ok() {
@@ -92,35 +92,35 @@
     }
     let outcome = if result.is_ok() { "copied" } else { "failed" };
     let counters = &context.metrics.state_copies;
-    counters.with_label_values(&[kind.as_str(), outcome]).inc();
+    let kind = request.kind().as_str();
+    counters.with_label_values(&[kind, outcome]).inc();
     result
 }
 
 async fn fetch_from(
     context: &EntryContext,
     address: SocketAddr,
-    kind: StateKind,
-    min_version: u64,
+    request: StateRequest,
 ) -> Result<StateCopy, CopyError> {
     let sent = context.now();
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connected.map_err(|_| CopyError::TimedOut)??;
     let mut framed = Framed::new(stream, frames(MAX_REPLY_BYTES));
-    let request = StateRequest {
-        kind: kind.into(),
-        min_version,
-    };
-    let request = Bytes::from(request.encode_to_vec());
-    framed.send(request).await?;
+    let encoded = Bytes::from(request.encode_to_vec());
+    framed.send(encoded).await?;
+    let answered = framed.get_ref().readable();
+    let answered = tokio::time::timeout(MAX_WAIT + ANSWER_TIMEOUT, answered).await;
+    answered.map_err(|_| CopyError::TimedOut)??;
     let reply = framed.next().await.ok_or(CopyError::Unavailable)??;
     let reply = StateReply::decode(reply)?;
-    if !reply.is_available || reply.version < min_version {
+    if !reply.is_available || reply.version < request.min_version {
         return Err(CopyError::Unavailable);
     }
     Ok(StateCopy {
         known_at: sent - TimeSpan::from_millis(reply.age_ms),
         version: reply.version,
         next: LogOffset::new(reply.next),
+        digest: reply.digest,
         content: decompress(&reply.packed, MAX_UNPACKED)?,
         packed: reply.packed,
     })
--- a/crates/ingress/src/state_transfer/messages.rs
+++ b/crates/ingress/src/state_transfer/messages.rs
@@ -1,5 +1,6 @@
 //! The request for a copy, the answer to it, and what a copy contains.
 
+use bluebell_core::{clock::TimeSpan, directory::WantedCopy};
 use prost::{Enumeration, Message};
 
 use crate::peers::PeerRecord;
@@ -36,6 +37,39 @@
     /// The version of the configuration that the copy must at least have.
     #[prost(uint64, tag = "2")]
     pub min_version: u64,
+    /// The digest of the endpoints that the copy should have; 0 for any.
+    #[prost(fixed64, tag = "3")]
+    pub digest: u64,
+    /// The age in ms below which endpoints with another digest will do; 0 for any age.
+    #[prost(uint64, tag = "4")]
+    pub max_age_ms: u64,
+}
+
+impl StateRequest {
+    /// Asks for any state of `kind`.
+    pub fn new(kind: StateKind) -> StateRequest {
+        StateRequest {
+            kind: kind.into(),
+            ..StateRequest::default()
+        }
+    }
+
+    /// Asks for a configuration that has at least version `min_version`.
+    pub fn configuration(min_version: u64) -> StateRequest {
+        StateRequest {
+            min_version,
+            ..StateRequest::new(StateKind::Configuration)
+        }
+    }
+
+    /// Asks for the endpoints that `wanted` describes.
+    pub fn endpoints(wanted: WantedCopy) -> StateRequest {
+        StateRequest {
+            digest: wanted.digest.unwrap_or_default(),
+            max_age_ms: wanted.max_age.map_or(0, TimeSpan::as_millis),
+            ..StateRequest::new(StateKind::Endpoints)
+        }
+    }
 }
 
 /// The answer to a [`StateRequest`].
@@ -56,6 +90,9 @@
     /// The content, compressed.
     #[prost(bytes = "bytes", tag = "5")]
     pub packed: bytes::Bytes,
+    /// The digest of the endpoints.
+    #[prost(fixed64, tag = "6")]
+    pub digest: u64,
 }
 
 /// The registrations of instances.
--- a/crates/ingress/src/state_transfer/mod.rs
+++ b/crates/ingress/src/state_transfer/mod.rs
@@ -12,6 +12,6 @@
 
 pub use self::{
     client::{CopyError, StateCopy, fetch},
-    messages::{ListedPeer, PeerList, StateKind},
+    messages::{ListedPeer, PeerList, StateKind, StateRequest},
     server::{PackedState, StateCache, start},
 };
--- a/crates/ingress/src/state_transfer/server.rs
+++ b/crates/ingress/src/state_transfer/server.rs
@@ -138,7 +138,7 @@
 fn current_reply(context: &EntryContext, request: StateRequest) -> io::Result<Option<StateReply>> {
     match request.kind() {
         StateKind::Configuration => Ok(configuration(context, request.min_version)),
-        StateKind::Endpoints => endpoints(context),
+        StateKind::Endpoints => endpoints(context, request),
         StateKind::Peers => peers(context),
     }
 }
@@ -157,25 +157,34 @@
         version,
         next: context.relayed.lock().configuration_next.number(),
         packed: cached.packed,
+        ..StateReply::default()
     })
 }
 
-fn endpoints(context: &EntryContext) -> io::Result<Option<StateReply>> {
+/// The endpoints, if they are current and not older than those of the other instance.
+fn endpoints(context: &EntryContext, request: StateRequest) -> io::Result<Option<StateReply>> {
     let limit = relay_age_limit(context.settings.bounds.endpoint_drain);
     let age = context.relayed.lock().endpoints.age(context.now());
     let Some(age) = age.filter(|age| *age < limit) else {
         return Ok(None);
     };
-    let packed = packed_endpoints(context)?;
+    let digest = context.directory.lock().digest();
+    let is_younger = request.max_age_ms == 0 || age.as_millis() < request.max_age_ms;
+    if !is_younger && digest != request.digest {
+        return Ok(None);
+    }
+    let (digest, packed) = packed_endpoints(context)?;
     Ok(Some(StateReply {
         is_available: true,
         age_ms: age.as_millis(),
+        digest,
         packed,
         ..StateReply::default()
     }))
 }
 
-fn packed_endpoints(context: &EntryContext) -> io::Result<Bytes> {
+/// The compressed endpoints, with their digest.
+fn packed_endpoints(context: &EntryContext) -> io::Result<(u64, Bytes)> {
     let mut directory = context.directory.lock();
     let digest = directory.digest();
     let mut cache = context.state_cache.lock();
@@ -187,7 +196,7 @@
             packed: compress(&content)?.into(),
         };
     }
-    Ok(cache.endpoints.packed.clone())
+    Ok((digest, cache.endpoints.packed.clone()))
 }
 
 fn peers(context: &EntryContext) -> io::Result<Option<StateReply>> {
--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -20,7 +20,7 @@
 use crate::{
     compression::compress,
     context::EntryContext,
-    state_transfer::{self, CopyError, PackedState, StateCopy, StateKind},
+    state_transfer::{self, CopyError, PackedState, StateCopy, StateKind, StateRequest},
     sync::{ConfirmationSource, StoreBackoff, confirm_version, copies, wait_for_wake},
 };
 
@@ -128,7 +128,7 @@
 /// Fetches a copy of a configuration that has at least version `min_version`. After a timeout, no
 /// further source is tried, and the store is read next.
 async fn fetch_in_time(context: &EntryContext, min_version: u64) -> Result<StateCopy, CopyError> {
-    let copying = state_transfer::fetch(context, StateKind::Configuration, min_version);
+    let copying = state_transfer::fetch(context, StateRequest::configuration(min_version));
     let Some(limit) = context.configuration_copy_timeout() else {
         return copying.await;
     };
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -18,7 +18,7 @@
 use crate::{
     context::EntryContext,
     peers::ChangeMessage,
-    state_transfer::{self, CopyError, StateKind},
+    state_transfer::{self, CopyError, StateCopy, StateRequest},
     sync::{READ_TIMEOUT, StoreBackoff, log_directory_confirmed, wait_for_wake},
 };
 
@@ -122,24 +122,19 @@
 
 /// Copies all registrations from another instance; returns whether that succeeded.
 async fn copy_all(context: &EntryContext) -> bool {
-    let registered = match state_transfer::fetch(context, StateKind::Endpoints, 0).await {
-        Ok(copy) => decode_copy(&copy.content).map(|registered| (copy.known_at, registered)),
+    let wanted = {
+        let now = context.now();
+        context.relayed.lock().endpoints.wanted_copy(now)
+    };
+    let copied = state_transfer::fetch(context, StateRequest::endpoints(wanted)).await;
+    let entered = match copied {
+        Ok(copy) => enter_copy(context, &copy),
         // The instance has not read the registrations of the others yet.
         Err(CopyError::NoPeer) => return false,
         Err(error) => Err(error.to_string()),
     };
-    // An older list would bring back endpoints that have left since.
-    let known_at_here = context.relayed.lock().endpoints.confirmed_at();
-    let registered =
-        registered.and_then(
-            |(known_at, registered)| match Some(known_at) > known_at_here {
-                true => Ok((known_at, registered)),
-                false => Err("the copy is older than the state here".to_string()),
-            },
-        );
-    match registered {
-        Ok((known_at, registered)) => {
-            enter_all(context, &registered);
+    match entered {
+        Ok(known_at) => {
             confirm(context, known_at, DirectorySource::Copy);
             true
         }
@@ -153,6 +148,18 @@
     }
 }
 
+/// Enters a copy into the directory; returns when it was known to be complete.
+fn enter_copy(context: &EntryContext, copy: &StateCopy) -> Result<ClockTime, String> {
+    let registered = decode_copy(&copy.content)?;
+    let known_at = {
+        let relayed = context.relayed.lock();
+        relayed.endpoints.copy_known_at(copy.known_at, copy.digest)
+    };
+    let known_at = known_at.ok_or("the copy is older than the state here")?;
+    enter_all(context, &registered);
+    Ok(known_at)
+}
+
 fn decode_copy(content: &[u8]) -> Result<Vec<EndpointRegistration>, String> {
     serde_json::from_slice(content).map_err(|error| error.to_string())
 }
