Copy registrations that are too many to relay

What was seen: of some 2,600 changes nearly all instances heard of the same 46. The readers send all changes to all instances at once, 48 a datagram, newest first, three times: 40 MB from each reader. What the link does not take is lost, and the same datagrams come first each time.

Change: a reader sends at most 24,000 changes times recipients at once. Beyond that it sends none and says so, and the others copy the registrations at once, over the links of all of them and with flow control, instead of after the digests have differed for 0.7 s.

Tests: `ingress/peer_table`, `core/directory_sync`.

--- a/crates/core/src/directory/sync.rs
+++ b/crates/core/src/directory/sync.rs
@@ -55,6 +55,8 @@
     pub digest: u64,
     /// When that was known to be complete, on the clock of the receiver.
     pub known_at: ClockTime,
+    /// How many times it had too many changes to relay them.
+    pub omissions: u64,
 }
 
 /// The copy that an instance needs from another one.
@@ -101,6 +103,10 @@
     /// The newest descriptions that were relayed, in rising order of their times.
     relayed: VecDeque<RelayedDirectory>,
     difference: DigestMismatchTimer,
+    /// The omissions of the reader that the directory has caught up with, and those that it will
+    /// have caught up with once it was read or copied.
+    caught_up: Option<(InstanceId, u64)>,
+    catching_up: Option<(InstanceId, u64)>,
     must_resync: bool,
     failed_copies: u32,
 }
@@ -161,6 +167,7 @@
         self.must_resync = false;
         self.failed_copies = 0;
         self.difference.reset();
+        self.caught_up = self.catching_up.take().or(self.caught_up.take());
         self.advance(known_at, source);
     }
 
@@ -176,7 +183,8 @@
         // What another reader knew earlier may differ from what is known here.
         let is_newer = self.confirmed_at() <= Some(relayed.known_at);
         if is_newer {
-            self.must_resync = self.difference.compare(now, local, relayed.digest);
+            let is_overdue = self.difference.compare(now, local, relayed.digest);
+            self.must_resync = self.note_omissions(local, &relayed) || is_overdue;
         }
         if local == relayed.digest {
             let source = DirectorySource::Relay(relayed.reader.clone());
@@ -186,6 +194,20 @@
         self.must_resync
     }
 
+    /// Whether the reader has left out changes that are missing here.
+    fn note_omissions(&mut self, local: u64, relayed: &RelayedDirectory) -> bool {
+        let omissions = (relayed.reader.clone(), relayed.omissions);
+        if relayed.omissions == 0 || self.caught_up.as_ref() == Some(&omissions) {
+            return false;
+        }
+        if local == relayed.digest {
+            self.caught_up = Some(omissions);
+            return false;
+        }
+        self.catching_up = Some(omissions);
+        true
+    }
+
     fn remember(&mut self, relayed: RelayedDirectory) {
         let newest_at = self.relayed.back().map(|newest| newest.known_at);
         if newest_at > Some(relayed.known_at) {
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -12,10 +12,12 @@
 //! that the reader had received when it sent the message. A datagram that waited in
 //! a buffer while its receiver was suspended therefore can't make old data look fresh.
 
+mod changes;
 mod confirmation;
 mod copies;
 mod source;
 
+pub use self::changes::ChangeQueue;
 pub use self::confirmation::{StateValidity, StoreReads};
 pub use self::copies::{
     AdvertisedConfiguration, COPY_THRESHOLD, CopyLocation, CopyState, VersionAdvertisement,
--- a/crates/core/tests/directory_sync.rs
+++ b/crates/core/tests/directory_sync.rs
@@ -18,6 +18,7 @@
         reader: InstanceId::new("entry-1").unwrap(),
         digest,
         known_at: at(known_at),
+        omissions: 0,
     }
 }
 
@@ -82,6 +83,25 @@
     assert_eq!(sync.confirmed_at(), Some(at(11_700)));
 }
 
+/// Guards against waiting for changes that the reader does not relay, because they are too many,
+/// and against a copy for each message after that.
+#[test]
+fn omitted_changes_are_copied_once() {
+    let mut sync = DirectorySync::new();
+    sync.note_relayed(at(10_200), 1, relayed(1, 10_000));
+    let omitted = |digest, known_at, omissions| RelayedDirectory {
+        omissions,
+        ..relayed(digest, known_at)
+    };
+    assert!(sync.note_relayed(at(11_000), 1, omitted(2, 10_800, 1)));
+    assert!(sync.note_relayed(at(11_250), 1, omitted(2, 11_050, 1)));
+    sync.confirm(at(11_050), DirectorySource::Copy);
+    assert!(!sync.note_relayed(at(11_500), 2, omitted(3, 11_300, 1)));
+    assert!(sync.note_relayed(at(11_750), 2, omitted(4, 11_550, 2)));
+    assert!(!sync.note_relayed(at(11_800), 4, omitted(4, 11_600, 2)));
+    assert!(!sync.note_relayed(at(12_000), 4, omitted(5, 11_800, 2)));
+}
+
 /// Guards against a confirmation that makes the directory appear older than it is.
 #[test]
 fn confirmations_only_advance() {
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -219,6 +219,10 @@
     /// The offset in the configuration topic that the reader reads next.
     #[prost(uint64, tag = "7")]
     pub configuration_next: u64,
+    /// How many times there were too many changes to relay them, so that the registrations had to
+    /// be copied.
+    #[prost(uint64, tag = "8")]
+    pub omissions: u64,
 }
 
 impl RelayMessage {
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -150,6 +150,7 @@
         )
     };
     let digest = context.directory.lock().digest();
+    let omissions = omit_excess_changes(context, now);
     let changes = context.peers.lock().take_due_changes(now);
     let copy = CopyMessage::new(context.published_copy.lock().state(version));
     let packed_changes = pack_changes(changes).unwrap_or_else(|error| {
@@ -166,9 +167,22 @@
         endpoints_age_ms: now.since(endpoints_known_at).as_millis(),
         digest,
         packed_changes,
+        omissions,
     })
 }
 
+/// Leaves out the due changes if there are too many; returns how many times that has happened.
+fn omit_excess_changes(context: &EntryContext, now: ClockTime) -> u64 {
+    let mut peers = context.peers.lock();
+    let omitted = peers.omit_excess_changes(now, &context.settings.domain);
+    if omitted > 0 {
+        LogLine::new("changes_omitted")
+            .with("changes", omitted)
+            .info();
+    }
+    peers.omissions()
+}
+
 /// Whether relayed state of these ages is current. A reader that the store turns away keeps
 /// relaying, and another one takes its place.
 fn is_current(context: &EntryContext, relay: &RelayMessage) -> bool {
@@ -246,13 +260,14 @@
         reader: peer.clone(),
         digest: relay.digest,
         known_at: endpoints_known_at,
+        omissions: relay.omissions,
     };
     let before = relayed.endpoints.status(now);
     let had_to_resync = relayed.endpoints.must_resync();
     let must_resync = relayed.endpoints.note_relayed(now, digest, directory);
     drop(relayed);
     if must_resync && !had_to_resync {
-        log_difference(peer, before.differs_for);
+        log_difference(peer, relay, before.differs_for);
     }
     if must_resync {
         context.wake.notify_waiters();
@@ -262,9 +277,10 @@
 }
 
 /// Logs why the registrations have to be copied.
-fn log_difference(reader: &InstanceId, differs_for: Option<TimeSpan>) {
+fn log_difference(reader: &InstanceId, relay: &RelayMessage, differs_for: Option<TimeSpan>) {
     LogLine::new("endpoints_differ")
         .with("reader", reader)
+        .with("omissions", relay.omissions)
         .with("differs", differs_for.unwrap_or_default())
         .info();
 }
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -8,7 +8,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{FailureDomain, InstanceId, ServiceName},
-    relay::{self, EchoedTimestamp, RELAY_TIMEOUT},
+    relay::{self, ChangeQueue, EchoedTimestamp, RELAY_TIMEOUT},
 };
 use rand::seq::IndexedRandom;
 use serde::Serialize;
@@ -56,15 +56,14 @@
 /// How long an order is repeated, since datagrams can be lost.
 const ORDER_SEND_PERIOD: TimeSpan = TimeSpan::from_millis(1_500);
 
-/// How long after it was observed a changed registration is still sent.
-const CHANGE_SEND_PERIOD: TimeSpan = TimeSpan::from_millis(1_200);
-
-/// The interval at which a change is sent again, in case the datagram was lost.
-const CHANGE_RESEND_INTERVAL: TimeSpan = TimeSpan::from_millis(400);
-
 /// The maximum number of changes in one datagram; the rest follows in further ones.
 pub const MAX_CHANGES_PER_DATAGRAM: usize = 48;
 
+/// The maximum number of changes that are sent at once, counted for each recipient: some 2 MB,
+/// which a narrow link of the sender transfers in less than a second. Datagrams beyond what the
+/// link takes are lost.
+const MAX_SENT_CHANGES: usize = 24_000;
+
 /// Another entry instance.
 #[derive(Clone, Debug, Serialize)]
 pub struct KnownPeer {
@@ -89,28 +88,6 @@
     }
 }
 
-/// A changed registration that this instance observed.
-#[derive(Clone, Debug)]
-struct ObservedChange {
-    /// Rises with each change, to send the newest first.
-    number: u64,
-    observed_at: ClockTime,
-    sent_at: Option<ClockTime>,
-    change: ChangeMessage,
-}
-
-impl ObservedChange {
-    fn is_recent(&self, now: ClockTime) -> bool {
-        now.since(self.observed_at) < CHANGE_SEND_PERIOD
-    }
-
-    fn is_due(&self, now: ClockTime) -> bool {
-        let last_sent = self.sent_at;
-        let is_send_due = last_sent.is_none_or(|at| now.since(at) >= CHANGE_RESEND_INTERVAL);
-        is_send_due && self.is_recent(now)
-    }
-}
-
 /// All other instances that have registered.
 #[derive(Clone, Debug, Default)]
 pub struct PeerTable {
@@ -123,9 +100,7 @@
     stage_orders: Vec<(ClockTime, StageMessage)>,
     /// Changed registrations that this instance observed, to be sent to the others, by
     /// endpoint.
-    changes: BTreeMap<String, ObservedChange>,
-    next_change: u64,
-    changes_swept_at: ClockTime,
+    changes: ChangeQueue<String, ChangeMessage>,
     /// When the registrations of all instances were first read.
     read_at: Option<ClockTime>,
     /// Whether instances of the own failure domain are known.
@@ -220,38 +195,31 @@
 
     /// Records a changed registration, in place of earlier changes of the same endpoint.
     pub fn note_change(&mut self, now: ClockTime, change: ChangeMessage) {
-        if now.since(self.changes_swept_at) >= CHANGE_SEND_PERIOD {
-            self.changes_swept_at = now;
-            self.changes.retain(|_, observed| observed.is_recent(now));
-        }
-        self.next_change += 1;
-        let observed = ObservedChange {
-            number: self.next_change,
-            observed_at: now,
-            sent_at: None,
-            change,
-        };
-        let endpoint = observed.change.endpoint.clone();
-        self.changes.insert(endpoint, observed);
+        self.changes.note(now, change.endpoint.clone(), change);
     }
 
     /// Whether a change is due to be sent.
     pub fn has_due_changes(&self, now: ClockTime) -> bool {
-        self.changes.values().any(|observed| observed.is_due(now))
+        self.changes.has_due(now)
+    }
+
+    /// Leaves out all due changes if there are more than can be sent to all instances in
+    /// `domain`, which then have to copy the registrations. Returns the number of changes that
+    /// were left out.
+    pub fn omit_excess_changes(&mut self, now: ClockTime, domain: &FailureDomain) -> usize {
+        let receivers = self.alive_in(now, domain).count().max(1);
+        let most = (MAX_SENT_CHANGES / receivers).max(MAX_CHANGES_PER_DATAGRAM);
+        self.changes.omit_excess(now, most)
+    }
+
+    /// How many times changes were left out.
+    pub fn omissions(&self) -> u64 {
+        self.changes.omissions()
     }
 
     /// Returns the changes for the next datagram, newest first, and records them as sent.
     pub fn take_due_changes(&mut self, now: ClockTime) -> Vec<ChangeMessage> {
-        let changes = self.changes.values_mut();
-        let mut due: Vec<&mut ObservedChange> =
-            changes.filter(|observed| observed.is_due(now)).collect();
-        due.sort_by_key(|observed| std::cmp::Reverse(observed.number));
-        let sent = due.into_iter().take(MAX_CHANGES_PER_DATAGRAM);
-        sent.map(|observed| {
-            observed.sent_at = Some(now);
-            observed.change.clone()
-        })
-        .collect()
+        self.changes.take_due(now, MAX_CHANGES_PER_DATAGRAM)
     }
 
     /// Records that the registrations of all instances were read.
--- a/crates/ingress/tests/peer_table.rs
+++ b/crates/ingress/tests/peer_table.rs
@@ -1,8 +1,11 @@
 //! The table of the other instances, and the changes that are sent to them.
 
-use bluebell_core::clock::ClockTime;
+use bluebell_core::{
+    clock::ClockTime,
+    ids::{FailureDomain, InstanceId},
+};
 use bluebell_ingress::peers::{
-    ChangeMessage, MAX_CHANGES_PER_DATAGRAM, PeerTable, RelayMessage, pack_changes,
+    ChangeMessage, KnownPeer, MAX_CHANGES_PER_DATAGRAM, PeerTable, RelayMessage, pack_changes,
 };
 
 fn at(millis: u64) -> ClockTime {
@@ -29,7 +32,7 @@
     ChangeMessage {
         endpoint: format!("engine-{number}"),
         value: Some(value.into_bytes()),
-        kept_for_ms: None,
+        ..ChangeMessage::default()
     }
 }
 
@@ -85,3 +88,32 @@
     };
     assert!(broken.changes().is_err());
 }
+
+/// Guards against a mass change that is sent to hundreds of instances by datagrams, of which most
+/// are lost on the way, while what few there are can still be told.
+#[test]
+fn changes_that_exceed_what_can_be_sent_are_left_out() {
+    let domain = FailureDomain::new("a").unwrap();
+    for (receivers, is_omitted) in [(10, false), (245, true)] {
+        let mut table = PeerTable::new();
+        for number in 0..receivers {
+            let name = InstanceId::new(format!("entry-{number}").as_str()).unwrap();
+            let peer = KnownPeer {
+                address: ([127, 0, 0, 1], 1_000 + number).into(),
+                start: 1,
+                domain: domain.clone(),
+                last_seen: None,
+                stamp: 0,
+            };
+            table.register(&name, peer);
+            table.note_message(at(1_000), &name, 1);
+        }
+        for number in 0..500 {
+            table.note_change(at(1_000), change(number));
+        }
+        let omitted = table.omit_excess_changes(at(1_010), &domain);
+        assert_eq!(omitted > 0, is_omitted, "{receivers} receivers");
+        assert_eq!(table.has_due_changes(at(1_010)), !is_omitted);
+        assert_eq!(table.omissions(), u64::from(is_omitted));
+    }
+}
