Replace a silent reader after a second

When a reader ends, the next one by name relays once the first no longer counts as alive, after 3 s, or once its own directory is too old. With a drain bound of 2 s that is the whole bound.

Change: an instance that has not heard current state for 1 s relays in place of the reader, the one after it 0.25 s later, and so on up to the eighth. An instance that reads the store only because its own directory is incomplete does not relay: each of them would repeat all changes to all others.

Tests: `core/relay_source`.

--- a/crates/core/src/directory/sync.rs
+++ b/crates/core/src/directory/sync.rs
@@ -148,6 +148,7 @@
             is_incomplete: self.confirmed.is_none() || self.must_resync,
             superseded_for: TimeSpan::ZERO,
             is_reader_behind: false,
+            silent_for: TimeSpan::ZERO,
             failed_copies: if is_usable { 0 } else { self.failed_copies },
         }
     }
--- a/crates/core/src/relay/source.rs
+++ b/crates/core/src/relay/source.rs
@@ -26,6 +26,10 @@
 /// Readers relay four times a second.
 pub const RELAY_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
 
+/// The time that the next instance has to relay in place of a reader that has failed, before the
+/// one after it does.
+const TAKEOVER_STEP: TimeSpan = TimeSpan::from_millis(250);
+
 /// Failed copies in a row after which an instance reads the store. The instances that it
 /// tried may have failed, and the next ones are tried at random.
 pub const MAX_FAILED_COPIES: u32 = 4;
@@ -70,6 +74,8 @@
     /// Whether the reader relays state that it has not read for [`MAX_READER_AGE`]: the store
     /// turns it away.
     pub is_reader_behind: bool,
+    /// The time since an instance has relayed current state.
+    pub silent_for: TimeSpan,
     /// The number of attempts in a row to copy it that have failed.
     pub failed_copies: u32,
 }
@@ -85,7 +91,8 @@
 pub fn state_source(rank: usize, state: KnownState) -> StateSource {
     let is_stale = state.age >= state.age_limit;
     let is_overdue = state.superseded_for >= STATE_COPY_TIMEOUT;
-    if is_overdue || (state.is_reader_behind && rank < DIRECT_READERS) {
+    let is_reader_lost = state.is_reader_behind || state.silent_for >= takeover_delay(rank);
+    if is_overdue || (is_reader_lost && rank < DIRECT_READERS) {
         return StateSource::Store;
     }
     if !is_stale && !state.is_incomplete {
@@ -100,6 +107,23 @@
     }
 }
 
+/// The time without relayed state after which the instance at `rank` reads the store in place of
+/// the reader. Followers would notice only by the age of their state that it has stopped.
+fn takeover_delay(rank: usize) -> TimeSpan {
+    RELAY_TIMEOUT + TAKEOVER_STEP.times(rank.saturating_sub(1) as u64)
+}
+
+/// Whether the instance at `rank` relays what it knows to the others of its failure domain. One
+/// that reads the store only because its own state is incomplete has nothing to tell them.
+pub fn is_relaying(rank: usize, state: KnownState) -> bool {
+    let complete = KnownState {
+        is_incomplete: false,
+        superseded_for: TimeSpan::ZERO,
+        ..state
+    };
+    rank == 0 || state_source(rank, complete) == StateSource::Store
+}
+
 /// The age of the state at which the instance at `rank` reads the store, if it has no copy.
 fn read_age(rank: usize, state: KnownState) -> TimeSpan {
     let delay = direct_read_delay(rank).min(state.max_read_delay);
--- a/crates/core/tests/configuration_support/instance.rs
+++ b/crates/core/tests/configuration_support/instance.rs
@@ -52,6 +52,7 @@
     pub activity: Activity,
     pub inbox: VecDeque<Datagram>,
     pub advertised: u64,
+    pub relay_heard_at: Option<u64>,
     pub failed_copies: u32,
     pub is_reader_behind: bool,
     pub started: u64,
@@ -79,6 +80,7 @@
             activity: Activity::Idle { until: now },
             inbox: VecDeque::new(),
             advertised: 0,
+            relay_heard_at: None,
             failed_copies: 0,
             is_reader_behind: false,
             started: now,
@@ -96,6 +98,11 @@
         now >= self.suspended_until
     }
 
+    /// The time since current state was relayed to it.
+    pub fn silent_for(&self, now: u64) -> TimeSpan {
+        span(now.saturating_sub(self.relay_heard_at.unwrap_or(self.started)))
+    }
+
     pub fn age(&self, now: u64) -> Option<TimeSpan> {
         self.tracker.age(at(now))
     }
--- a/crates/core/tests/configuration_support/sync.rs
+++ b/crates/core/tests/configuration_support/sync.rs
@@ -46,6 +46,7 @@
             is_incomplete: age.is_none() || is_behind,
             superseded_for: instance.tracker.superseded_for(at(self.now)),
             is_reader_behind: instance.is_reader_behind,
+            silent_for: instance.silent_for(self.now),
             failed_copies: instance.failed_copies,
         }
     }
@@ -117,6 +118,7 @@
             if span(datagram.age_ms) >= limit {
                 continue;
             }
+            instance.relay_heard_at = Some(now);
             instance.advertised = instance.advertised.max(datagram.version);
             if tracker.version() == Some(datagram.version) {
                 tracker.confirm(at(datagram.known_at));
--- a/crates/core/tests/relay_source.rs
+++ b/crates/core/tests/relay_source.rs
@@ -6,7 +6,7 @@
     clock::TimeSpan,
     relay::{
         DIRECT_READERS, KnownState, MAX_CONFIGURATION_READ_DELAY, MAX_FAILED_COPIES, StateSource,
-        copy_timeout, parent_rank, read_wait, state_source,
+        copy_timeout, is_relaying, parent_rank, read_wait, state_source,
     },
 };
 
@@ -20,6 +20,7 @@
         is_incomplete,
         superseded_for: TimeSpan::ZERO,
         is_reader_behind: false,
+        silent_for: TimeSpan::ZERO,
         failed_copies: 0,
     }
 }
@@ -179,3 +180,32 @@
     assert!(read_wait(TimeSpan::ZERO, AGE_LIMIT) > TimeSpan::ZERO);
     assert_eq!(read_wait(AGE_LIMIT, AGE_LIMIT), TimeSpan::ZERO);
 }
+
+/// Guards against a failure domain without relayed state until its reader no longer counts as alive,
+/// and against several instances that take its place at once.
+#[test]
+fn a_silent_reader_is_replaced_by_one_instance_after_the_other() {
+    let relaying = |silent_ms| {
+        let silent = KnownState {
+            silent_for: TimeSpan::from_millis(silent_ms),
+            ..state(500, false)
+        };
+        let ranks = 1..200;
+        ranks.filter(|rank| is_relaying(*rank, silent)).count()
+    };
+    assert_eq!(relaying(900), 0);
+    assert_eq!(relaying(1_000), 1);
+    assert_eq!(relaying(1_250), 2);
+    assert_eq!(relaying(60_000), DIRECT_READERS - 1);
+}
+
+/// Guards against relay messages of instances that read the store because they lack something:
+/// they would repeat to all others what these know.
+#[test]
+fn an_instance_that_only_completes_its_own_state_does_not_relay() {
+    for rank in 1..DIRECT_READERS {
+        assert_eq!(state_source(rank, state(500, true)), StateSource::Store);
+        assert!(!is_relaying(rank, state(500, true)));
+        assert!(is_relaying(rank, state(1_300, true)));
+    }
+}
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -28,7 +28,11 @@
         let peers = self.peers.lock();
         let is_first = peers.is_reader(self.now(), local, domain);
         drop(peers);
-        is_first || self.endpoints_source() == StateSource::Store
+        let state = self.known_endpoints();
+        is_first
+            || self
+                .rank()
+                .is_some_and(|rank| relay::is_relaying(rank, state))
     }
 
     /// The instance that reads the store for this failure domain.
@@ -91,6 +95,7 @@
             is_incomplete: age.is_none() || (is_behind && is_available),
             superseded_for,
             is_reader_behind,
+            silent_for: self.relay_silence(now),
             failed_copies,
         }
     }
@@ -108,10 +113,12 @@
 
     fn known_endpoints(&self) -> KnownState {
         let now = self.now();
+        let silent_for = self.relay_silence(now);
         let bound = self.settings.bounds.endpoint_drain;
         let relayed = self.relayed.lock();
         KnownState {
             is_reader_behind: relayed.is_reader_behind,
+            silent_for,
             ..relayed.endpoints.known_state(now, self.started_at, bound)
         }
     }
