Order the news of an endpoint; model of directories in a fleet

Found by the model: an endpoint that had left got requests again, without a limit, at an instance that reads the store. A datagram that was sent before the endpoint left arrived after it, from a reader that was suspended meanwhile or out of order, and its registration replaced what was known. Followers notice the difference; an instance that reads the store for others does not compare.

Change: of one endpoint the later start and heartbeat number wins, also against a lapse or a removal, which is remembered for 10 s and names the last registration. A message that is older than the directory adds no endpoint to it. Copies are entered by the same rule. Reads of the store count as before.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -21,7 +21,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 pub use self::{
-    registration::{EndpointRegistration, EngineStage, SoftwareVersion},
+    registration::{EndpointRegistration, EngineStage, RegistrationNumber, SoftwareVersion},
     sync::{
         DirectorySource, DirectoryStatus, DirectorySync, RelayedDirectory, WantedCopy,
         max_directory_age,
@@ -37,6 +37,10 @@
 /// register again within this time.
 pub const LAPSE_GRACE: TimeSpan = TimeSpan::from_millis(2_000);
 
+/// How long a removed endpoint is remembered: longer than news of it can be under way between
+/// instances.
+const REMOVAL_MEMORY: TimeSpan = TimeSpan::from_millis(10_000);
+
 /// The number of missed heartbeats after which a registration lapses.
 const MISSED_HEARTBEATS: u64 = 3;
 
@@ -69,10 +73,21 @@
     expires_at: Option<ClockTime>,
 }
 
+/// An endpoint that was removed.
+#[derive(Clone, Copy, Debug)]
+struct RemovedEndpoint {
+    /// Its last registration.
+    number: RegistrationNumber,
+    /// When the first removal after it was recorded.
+    removed_at: Option<ClockTime>,
+}
+
 /// All registered endpoints, including those whose registration has lapsed.
 #[derive(Clone, Debug)]
 pub struct EndpointDirectory {
     endpoints: BTreeMap<EndpointId, KnownEndpoint>,
+    /// Endpoints that were removed lately, so that older news of them is recognised.
+    removed: BTreeMap<EndpointId, RemovedEndpoint>,
     /// The software versions that were registered lately.
     versions: VersionHistory,
     /// The digest, unless the endpoints have changed since it was computed.
@@ -99,6 +114,7 @@
     pub fn new() -> EndpointDirectory {
         EndpointDirectory {
             endpoints: BTreeMap::new(),
+            removed: BTreeMap::new(),
             versions: VersionHistory::new(),
             digest: None,
             min_outage: TimeSpan::ZERO,
@@ -183,6 +199,7 @@
             known.registration.service.clone(),
             known.registration.origin(),
         );
+        self.removed.remove(&id);
         let earlier = self.endpoints.insert(id, known);
         self.versions.note_registered(&service, origin);
         if let Some(KnownEndpoint { registration, .. }) = &earlier {
@@ -196,6 +213,54 @@
         change
     }
 
+    /// Whether more is known here than `other`, which another instance knows: a later registration
+    /// of the endpoint, or that it lapsed or was removed after `other`.
+    pub fn has_newer(&self, other: &EndpointRegistration) -> bool {
+        let number = other.number();
+        let is_removed = self
+            .removed
+            .get(&other.id)
+            .is_some_and(|removed| removed.number >= number);
+        let known = self.endpoints.get(&other.id);
+        let is_known = known.is_some_and(|known| {
+            let known_number = known.registration.number();
+            known_number > number || (known_number == number && known.expires_at.is_some())
+        });
+        is_known || is_removed
+    }
+
+    /// Whether a registration that another instance relays brings something new. What is relayed
+    /// may be older than the directory here (`is_older`), which has then seen an endpoint go that
+    /// it does not know.
+    pub fn is_news(&self, registration: &EndpointRegistration, is_older: bool) -> bool {
+        let is_gone = is_older && self.get(&registration.id).is_none();
+        !is_gone && !self.has_newer(registration)
+    }
+
+    /// Records that another instance knows `number` as the last registration of `id`. Returns
+    /// whether it is the last one that is known here as well, so that the endpoint has to be
+    /// unregistered. One that is not known may still be told of by an older message.
+    pub fn note_last(&mut self, id: &EndpointId, number: RegistrationNumber) -> bool {
+        match self.get(id).map(EndpointRegistration::number) {
+            Some(known) => known <= number,
+            None => {
+                let removed = self.removed.entry(id.clone()).or_insert(RemovedEndpoint {
+                    number,
+                    removed_at: None,
+                });
+                removed.number = removed.number.max(number);
+                false
+            }
+        }
+    }
+
+    /// The last registration that was known of `id`, which may have been removed.
+    pub fn last_number(&self, id: &EndpointId) -> RegistrationNumber {
+        let known = self.get(id).map(EndpointRegistration::number);
+        let removed = || self.removed.get(id).map(|removed| removed.number);
+        known.or_else(removed).unwrap_or_default()
+    }
+
     /// Records that the store no longer has the registration of `id`.
     pub fn unregister(&mut self, now: ClockTime, id: &EndpointId) -> DirectoryChange {
         let end = self.grace_end(now);
@@ -288,12 +353,22 @@
         if let Some(KnownEndpoint { registration, .. }) = removed {
             let origin = registration.origin();
             self.versions.note_removed(&registration.service, origin);
+            let removed = RemovedEndpoint {
+                number: registration.number(),
+                removed_at: None,
+            };
+            self.removed.insert(id.clone(), removed);
         }
         self.digest = None;
     }
 
-    /// Removes lapsed endpoints that did not register again in time, and returns them.
+    /// Removes lapsed endpoints that did not register again in time, and returns them. Forgets
+    /// endpoints that were removed long ago.
     pub fn remove_expired(&mut self, now: ClockTime) -> Vec<EndpointId> {
+        self.removed.retain(|_, removed| {
+            let removed_at = *removed.removed_at.get_or_insert(now);
+            now.since(removed_at) < REMOVAL_MEMORY
+        });
         let lapsed = |known: &KnownEndpoint| known.expires_at.is_some_and(|at| now >= at);
         let ids = self.endpoints.iter().filter(|(_, known)| lapsed(known));
         let ids: Vec<EndpointId> = ids.map(|(id, _)| id.clone()).collect();
--- a/crates/core/src/directory/registration.rs
+++ b/crates/core/src/directory/registration.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// Orders the registrations of one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RegistrationNumber {
+    /// The start time of the endpoint.
+    pub start: u64,
+    /// The heartbeat number since then.
+    pub sequence: u64,
+}
+
 /// The registration of an endpoint as stored.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointRegistration {
@@ -91,6 +100,14 @@
         OriginHash::with_version(&self.service, &self.version)
     }
 
+    /// Its place in the order of the registrations of the endpoint.
+    pub fn number(&self) -> RegistrationNumber {
+        RegistrationNumber {
+            start: self.start,
+            sequence: self.sequence,
+        }
+    }
+
     /// Whether `other` is equal but for the heartbeat number and the warming time.
     pub fn same_except_heartbeat(&self, other: &EndpointRegistration) -> bool {
         let other = EndpointRegistration {
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -265,3 +265,91 @@
     directory.remove_endpoint(&id("two"));
     assert_eq!(directory.digest(), digests[1]);
 }
+
+/// Guards against a late message of another instance that undoes what was known here since: the
+/// endpoint would get requests again after it has left.
+#[test]
+fn older_news_does_not_undo_newer() {
+    let mut directory = EndpointDirectory::new();
+    let announced = registration("one");
+    let leaving = EndpointRegistration {
+        is_leaving: true,
+        sequence: 2,
+        ..announced.clone()
+    };
+    directory.register(leaving.clone());
+    assert!(!directory.is_news(&announced, false));
+    directory.unregister(at(1_000), &id("one"));
+    assert!(!directory.is_news(&announced, false));
+    assert!(!directory.is_news(&leaving, false));
+    let restarted = EndpointRegistration {
+        start: 2,
+        ..announced
+    };
+    assert!(directory.is_news(&restarted, false));
+}
+
+/// Guards against an endpoint that comes back by a message which was sent before its removal and
+/// arrives after it, where it was never known.
+#[test]
+fn the_removal_of_an_unknown_endpoint_is_remembered() {
+    let mut directory = EndpointDirectory::new();
+    let announced = registration("one");
+    assert!(!directory.note_last(&id("one"), announced.number()));
+    assert!(!directory.is_news(&announced, false));
+    directory.remove_expired(at(1_000));
+    directory.remove_expired(at(20_000));
+    assert!(directory.is_news(&announced, false));
+}
+
+/// Guards against an endpoint that comes back to an instance which has read the store since the
+/// message was sent, without ever having known the endpoint.
+#[test]
+fn a_message_that_is_older_than_the_directory_adds_nothing_to_it() {
+    let mut directory = EndpointDirectory::new();
+    let announced = registration("one");
+    assert!(!directory.is_news(&announced, true));
+    assert!(directory.is_news(&announced, false));
+    directory.register(announced.clone());
+    let leaving = EndpointRegistration {
+        is_leaving: true,
+        sequence: 2,
+        ..announced
+    };
+    assert!(directory.is_news(&leaving, true));
+}
+
+/// Guards against a removal that arrives after a later registration of the same endpoint.
+#[test]
+fn a_late_removal_does_not_remove_a_later_registration() {
+    let mut directory = EndpointDirectory::new();
+    let first = registration("one");
+    let restarted = EndpointRegistration {
+        start: 2,
+        ..first.clone()
+    };
+    directory.register(restarted.clone());
+    assert!(!directory.note_last(&id("one"), first.number()));
+    assert!(directory.note_last(&id("one"), restarted.number()));
+}
+
+/// Guards against an endpoint that lapsed and is taken for registered again by an older message.
+#[test]
+fn a_lapsed_endpoint_comes_back_by_a_later_registration_only() {
+    let mut directory = EndpointDirectory::new();
+    let announced = registration("one");
+    directory.register(announced.clone());
+    directory.note_answer(at(1_000));
+    directory.note_outage(at(1_100));
+    directory.note_answer(at(6_000));
+    assert_eq!(
+        directory.unregister(at(6_000), &id("one")),
+        DirectoryChange::Lapsed
+    );
+    assert!(!directory.is_news(&announced, false));
+    let later = EndpointRegistration {
+        sequence: 2,
+        ..announced
+    };
+    assert!(directory.is_news(&later, false));
+}
--- /dev/null
+++ b/crates/core/tests/directory_support/instance.rs
@@ -0,0 +1,203 @@
+//! The state of one instance.
+
+use std::collections::VecDeque;
+
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    directory::{
+        DirectoryChange, DirectorySource, DirectorySync, EndpointDirectory, EndpointRegistration,
+        RegistrationNumber, WantedCopy,
+    },
+    ids::EndpointId,
+    relay::{ChangeQueue, StoreReads},
+};
+
+/// A changed registration, or how long one that has lapsed is kept.
+#[derive(Clone, Debug)]
+pub struct ModelChange {
+    pub id: EndpointId,
+    pub registration: Option<EndpointRegistration>,
+    pub kept_for: Option<TimeSpan>,
+    /// The last registration, if it was removed.
+    pub number: RegistrationNumber,
+}
+
+/// What an instance does at present to bring its directory up to date.
+#[derive(Clone, Debug)]
+pub enum Activity {
+    Idle {
+        until: u64,
+    },
+    /// A read of everything, or of the records from an offset up to the end when it was sent.
+    Read {
+        sent: u64,
+        until: u64,
+        is_answered: bool,
+        answer: ReadAnswer,
+    },
+    /// A request for a copy, until the source has a suitable state or rejects it.
+    AskForCopy {
+        until: u64,
+        source: usize,
+        wanted: WantedCopy,
+    },
+    /// The transfer of a copy.
+    Copy {
+        until: u64,
+        copied: ModelCopy,
+    },
+}
+
+/// A copy of the directory of an instance.
+#[derive(Clone, Debug)]
+pub struct ModelCopy {
+    pub known_at: ClockTime,
+    pub digest: u64,
+    pub listed: Vec<EndpointRegistration>,
+}
+
+/// What a read returns if it is answered.
+#[derive(Clone, Debug)]
+pub enum ReadAnswer {
+    All {
+        registered: Vec<EndpointRegistration>,
+        end: usize,
+    },
+    Records {
+        from: usize,
+        end: usize,
+    },
+}
+
+/// A relay message of a reader.
+#[derive(Clone, Debug)]
+pub struct Datagram {
+    pub arrives: u64,
+    pub from: usize,
+    pub age_ms: u64,
+    pub known_at: u64,
+    pub digest: u64,
+    pub changes: Vec<ModelChange>,
+    pub omissions: u64,
+}
+
+/// An instance with the production state of its directory.
+pub struct ModelInstance {
+    pub domain: usize,
+    pub directory: EndpointDirectory,
+    pub sync: DirectorySync,
+    pub changes: ChangeQueue<EndpointId, ModelChange>,
+    pub reads: StoreReads,
+    pub activity: Activity,
+    /// The offset to read next; `None` if everything has to be read.
+    pub next: Option<usize>,
+    pub inbox: VecDeque<Datagram>,
+    pub relay_heard_at: Option<u64>,
+    pub is_reader_behind: bool,
+    pub started: u64,
+    /// The start of the last span in which the process does not run.
+    pub stopped_at: u64,
+    /// The end of that span.
+    pub suspended_until: u64,
+    /// The end of the span in which its reads and copies are delayed.
+    pub starved_until: u64,
+    /// The end of the span in which all datagrams to it are lost.
+    pub datagrams_lost_until: u64,
+    /// The end of the span in which the store rejects its calls.
+    pub rejected_until: u64,
+    pub undisturbed_since: u64,
+    /// Since when it refuses all requests although it is in touch.
+    pub refusing_since: Option<u64>,
+}
+
+impl ModelInstance {
+    pub fn new(domain: usize, now: u64) -> ModelInstance {
+        ModelInstance {
+            domain,
+            directory: EndpointDirectory::new(),
+            sync: DirectorySync::new(),
+            changes: ChangeQueue::new(),
+            reads: StoreReads::new(),
+            activity: Activity::Idle { until: now },
+            next: None,
+            inbox: VecDeque::new(),
+            relay_heard_at: None,
+            is_reader_behind: false,
+            started: now,
+            stopped_at: 0,
+            suspended_until: 0,
+            starved_until: 0,
+            datagrams_lost_until: 0,
+            rejected_until: 0,
+            undisturbed_since: now,
+            refusing_since: None,
+        }
+    }
+
+    pub fn runs(&self, now: u64) -> bool {
+        now >= self.suspended_until
+    }
+
+    /// The time since current state was relayed to it.
+    pub fn silent_for(&self, now: u64) -> TimeSpan {
+        span(now.saturating_sub(self.relay_heard_at.unwrap_or(self.started)))
+    }
+
+    /// Applies a read of everything that was complete at `known_at`.
+    pub fn take_all(&mut self, now: u64, known_at: u64, registered: &[EndpointRegistration]) {
+        self.directory.note_answer(at(now));
+        for registration in registered {
+            self.register(now, registration);
+        }
+        self.retain(now, registered);
+        self.sync.confirm(at(known_at), DirectorySource::Store);
+    }
+
+    /// Applies a copy that was complete at `known_at`.
+    pub fn take_copy(&mut self, now: u64, known_at: ClockTime, listed: &[EndpointRegistration]) {
+        for registration in listed {
+            if !self.directory.has_newer(registration) {
+                self.directory.register(registration.clone());
+            }
+        }
+        self.retain(now, listed);
+        self.sync.confirm(known_at, DirectorySource::Copy);
+    }
+
+    fn retain(&mut self, now: u64, listed: &[EndpointRegistration]) {
+        let is_listed = |id: &EndpointId| listed.iter().any(|entry| entry.id == *id);
+        self.directory.retain_listed(at(now), is_listed);
+    }
+
+    pub fn register(&mut self, now: u64, registration: &EndpointRegistration) {
+        let change = self.directory.register(registration.clone());
+        if change != DirectoryChange::Same {
+            self.queue(now, &registration.id, Some(registration.clone()));
+        }
+    }
+
+    pub fn unregister(&mut self, now: u64, id: &EndpointId) {
+        let change = self.directory.unregister(at(now), id);
+        if change != DirectoryChange::Same {
+            self.queue(now, id, None);
+        }
+    }
+
+    fn queue(&mut self, now: u64, id: &EndpointId, registration: Option<EndpointRegistration>) {
+        let change = ModelChange {
+            id: id.clone(),
+            registration,
+            kept_for: self.directory.remaining_grace(at(now), id),
+            number: self.directory.last_number(id),
+        };
+        self.changes.note(at(now), id.clone(), change);
+    }
+}
+
+pub fn at(ms: u64) -> ClockTime {
+    ClockTime::from_millis(ms)
+}
+
+pub fn span(ms: u64) -> TimeSpan {
+    TimeSpan::from_millis(ms)
+}
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use bluebell_core::{
-    directory::EngineStage,
+    directory::{EngineStage, RegistrationNumber},
     ids::{FailureDomain, LogOffset, ServiceName},
     placement::{EngineLoad, PRIORITY_RANKS, PeerLoad, PeerPart},
     provision::EngineDemand,
@@ -308,6 +308,22 @@
     /// For how many ms the endpoint is kept although its registration was removed.
     #[prost(uint64, optional, tag = "3")]
     pub kept_for_ms: Option<u64>,
+    /// The start of the endpoint whose registration was removed.
+    #[prost(uint64, tag = "4")]
+    pub start: u64,
+    /// The heartbeat number of the last registration that was removed.
+    #[prost(uint64, tag = "5")]
+    pub sequence: u64,
+}
+
+impl ChangeMessage {
+    /// The last registration that was removed.
+    pub fn removed_number(&self) -> RegistrationNumber {
+        RegistrationNumber {
+            start: self.start,
+            sequence: self.sequence,
+        }
+    }
 }
 
 /// An order to an engine to change to a stage.
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -235,7 +235,7 @@
     match relay.changes() {
         Ok(changes) => {
             for change in &changes {
-                apply_change(context, peer, change);
+                apply_change(context, peer, change, endpoints_known_at);
             }
         }
         Err(error) => LogLine::new("relay_rejected").with("error", error).warn(),
@@ -306,7 +306,12 @@
         .info();
 }
 
-fn apply_change(context: &EntryContext, reader: &InstanceId, change: &ChangeMessage) {
+fn apply_change(
+    context: &EntryContext,
+    reader: &InstanceId,
+    change: &ChangeMessage,
+    known_at: ClockTime,
+) {
     let id = match EndpointId::new(change.endpoint.as_str()) {
         Ok(id) => id,
         Err(error) => {
@@ -315,11 +320,11 @@
         }
     };
     match (&change.value, change.kept_for_ms) {
-        (Some(value), _) => sync::register(context, &id, value),
+        (Some(value), _) => sync::register_relayed(context, &id, value, known_at),
         (None, Some(kept_for_ms)) => {
             let kept_for = TimeSpan::from_millis(kept_for_ms);
             sync::lapse(context, &id, kept_for, reader);
         }
-        (None, None) => sync::unregister(context, &id),
+        (None, None) => sync::unregister_relayed(context, &id, change.removed_number()),
     }
 }
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -9,7 +9,7 @@
 };
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    directory::{DirectoryChange, DirectorySource, EndpointRegistration},
+    directory::{DirectoryChange, DirectorySource, EndpointRegistration, RegistrationNumber},
     ids::{EndpointId, InstanceId, LogOffset},
     relay::StateSource,
 };
@@ -169,7 +169,10 @@
     let listed = registered.iter().map(|entry| entry.id.clone());
     let listed: BTreeSet<EndpointId> = listed.collect();
     for registration in registered {
-        enter(context, registration);
+        let is_outdated = context.directory.lock().has_newer(registration);
+        if !is_outdated {
+            enter(context, registration);
+        }
     }
     retain_listed(context, &listed);
 }
@@ -279,23 +282,43 @@
     }
 }
 
-/// Decodes a registration as stored and enters it into the directory.
-pub fn register(context: &EntryContext, id: &EndpointId, value: &[u8]) {
-    let registration = match registrations::decode(id.clone(), value) {
-        Ok(registration) => registration,
-        Err(error) => {
-            LogLine::new("registration_rejected")
-                .with("endpoint", id)
-                .with("error", error)
-                .warn();
-            return;
-        }
+/// Decodes a registration as read from the store and enters it into the directory.
+fn register(context: &EntryContext, id: &EndpointId, value: &[u8]) {
+    if let Some(registration) = decode(id, value)
+        && enter(context, &registration)
+    {
+        queue_change(context, id, Some(value));
+    }
+}
+
+/// Enters a registration that another instance relays, which knew everything up to `known_at`.
+pub fn register_relayed(
+    context: &EntryContext,
+    id: &EndpointId,
+    value: &[u8],
+    known_at: ClockTime,
+) {
+    let Some(registration) = decode(id, value) else {
+        return;
     };
-    if enter(context, &registration) {
+    let is_older = Some(known_at) < context.relayed.lock().endpoints.confirmed_at();
+    let is_news = context.directory.lock().is_news(&registration, is_older);
+    if is_news && enter(context, &registration) {
         queue_change(context, id, Some(value));
     }
 }
 
+fn decode(id: &EndpointId, value: &[u8]) -> Option<EndpointRegistration> {
+    let decoded = registrations::decode(id.clone(), value);
+    let decoded = decoded.inspect_err(|error| {
+        LogLine::new("registration_rejected")
+            .with("endpoint", id)
+            .with("error", error)
+            .warn();
+    });
+    decoded.ok()
+}
+
 /// Enters a registration into the directory; returns whether it changed anything.
 fn enter(context: &EntryContext, registration: &EndpointRegistration) -> bool {
     let change = context.directory.lock().register(registration.clone());
@@ -328,12 +351,23 @@
 /// sent only if this instance is their reader.
 fn queue_change(context: &EntryContext, id: &EndpointId, value: Option<&[u8]>) {
     let now = context.now();
-    let kept_for = context.directory.lock().remaining_grace(now, id);
-    let change = ChangeMessage {
+    let (kept_for, number) = {
+        let directory = context.directory.lock();
+        (
+            directory.remaining_grace(now, id),
+            directory.last_number(id),
+        )
+    };
+    let mut change = ChangeMessage {
         endpoint: id.to_string(),
         value: value.map(<[u8]>::to_vec),
         kept_for_ms: kept_for.map(|kept_for| kept_for.as_millis()),
+        ..ChangeMessage::default()
     };
+    if value.is_none() {
+        change.start = number.start;
+        change.sequence = number.sequence;
+    }
     context.peers.lock().note_change(now, change);
     context.wake.notify_waiters();
 }
@@ -346,8 +380,17 @@
     service.is_some_and(|service| service.engine.is_some())
 }
 
+/// Handles the message of another instance that the registration `number` was the last one of an
+/// endpoint, unless a later one is known.
+pub fn unregister_relayed(context: &EntryContext, id: &EndpointId, number: RegistrationNumber) {
+    let is_last = context.directory.lock().note_last(id, number);
+    if is_last {
+        unregister(context, id);
+    }
+}
+
 /// Handles a registration that is no longer in the store.
-pub fn unregister(context: &EntryContext, id: &EndpointId) {
+fn unregister(context: &EntryContext, id: &EndpointId) {
     let now = context.now();
     let change = context.directory.lock().unregister(now, id);
     if change == DirectoryChange::Same {
--- a/crates/ingress/src/sync/mod.rs
+++ b/crates/ingress/src/sync/mod.rs
@@ -18,7 +18,7 @@
         ConfirmationSource, confirm_version, is_directory_confirmed, log_directory_confirmed,
         wait_for_confirmation,
     },
-    endpoints::{lapse, register, unregister},
+    endpoints::{lapse, register_relayed, unregister_relayed},
 };
 use crate::context::EntryContext;
 
