Soak with endpoints that leave in series while readers fail

`--leaving`: series of up to half of the endpoints leave or are withdrawn, 0 to 0.12 s apart, and mostly an instance of the first by name is killed, stopped or suspended within 0.4 s. The bound of `DrainRespected` is unchanged.

--- a/crates/soak/src/commands.rs
+++ b/crates/soak/src/commands.rs
@@ -26,6 +26,7 @@
     is_growing: bool,
     has_versions: bool,
     is_changing: bool,
+    is_leaving: bool,
     folder: Option<PathBuf>,
     program: Option<PathBuf>,
     is_untimed: bool,
@@ -51,6 +52,9 @@
     let is_changing = long("changing")
         .help("routes and keys are added, changed and dropped while callers use them")
         .switch();
+    let is_leaving = long("leaving")
+        .help("endpoints leave and are withdrawn in series while readers of the store fail")
+        .switch();
     let folder = long("folder")
         .help("where settings, logs and reports are kept; a temporary folder otherwise")
         .argument("DIR")
@@ -71,6 +75,7 @@
         is_growing,
         has_versions,
         is_changing,
+        is_leaving,
         folder,
         program,
         is_untimed
@@ -118,6 +123,7 @@
             is_growing: options.is_growing,
             has_versions: options.has_versions,
             is_changing: options.is_changing,
+            is_leaving: options.is_leaving,
             program: program.clone(),
             size: FleetSize {
                 instances: options.instances,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -48,6 +48,8 @@
     pub has_versions: bool,
     /// Whether routes and keys are added, changed and dropped while callers use them.
     pub is_changing: bool,
+    /// Whether endpoints leave in series while readers of the store fail.
+    pub is_leaving: bool,
     /// The entry program.
     pub program: PathBuf,
     /// How large.
@@ -99,6 +101,9 @@
     if plan.has_versions {
         faults = schedule::merge(faults, schedule::draw_versions(plan.seed, size));
     }
+    if plan.is_leaving {
+        faults = schedule::merge(faults, schedule::draw_leavings(plan.seed, size));
+    }
     if plan.is_changing {
         faults = schedule::merge(faults, schedule::draw_changes(plan.seed, size));
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -42,6 +42,17 @@
 /// The shortest and the longest time between two changes of a series, in ms.
 const CHANGE_PAUSE_MS: (u64, u64) = (5, 700);
 
+/// Keeps the draws of endpoints that leave in series apart from those of faults.
+const LEAVING_STREAM: u64 = 4;
+/// The shortest and the longest time between two series of endpoints that leave, in ms.
+const LEAVING_PAUSE_MS: (u64, u64) = (400, 2_500);
+/// The longest time between two endpoints of a series, in ms.
+const LEFT_PAUSE_MS: u64 = 120;
+/// The longest time between the start of a series and the fault of an instance beside it, in ms.
+const READER_FAULT_MS: u64 = 400;
+/// The number of instances that include those which read the store for the others.
+const FIRST_INSTANCES: usize = 18;
+
 /// What a schedule is drawn for.
 #[derive(Clone, Copy, Debug)]
 pub struct ScheduleSize {
@@ -340,6 +351,50 @@
     }
 }
 
+/// Draws endpoints that leave or are withdrawn in series, while instances that read the store for
+/// others are killed, stopped or suspended: the same for the same seed and size.
+pub fn draw_leavings(seed: u64, size: ScheduleSize) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(LEAVING_STREAM);
+    let mut schedule = Vec::new();
+    let mut series_at_ms = 0;
+    loop {
+        series_at_ms += random.random_range(LEAVING_PAUSE_MS.0..=LEAVING_PAUSE_MS.1);
+        if series_at_ms >= size.span_ms {
+            schedule.sort_by_key(|scheduled: &ScheduledFault| scheduled.at_ms);
+            return schedule;
+        }
+        if random.random_bool(0.6) {
+            let at_ms = series_at_ms + random.random_range(0..=READER_FAULT_MS);
+            let fault = draw_reader_fault(&mut random, size);
+            schedule.push(ScheduledFault { at_ms, fault });
+        }
+        let pause_ms = random.random_range(0..=LEFT_PAUSE_MS);
+        for number in 0..random.random_range(1..=size.endpoints as u64 / 2) {
+            let endpoint = random.random_range(0..size.endpoints);
+            let fault = match random.random_bool(0.4) {
+                true => SoakFault::EndpointWithdrawn { endpoint },
+                false => SoakFault::EndpointLeaves { endpoint },
+            };
+            let at_ms = series_at_ms + number * pause_ms;
+            schedule.push(ScheduledFault { at_ms, fault });
+        }
+    }
+}
+
+fn draw_reader_fault(random: &mut ChaCha8Rng, size: ScheduleSize) -> SoakFault {
+    let instance = random.random_range(0..size.instances.min(FIRST_INSTANCES));
+    let span_ms = random.random_range(SPAN_MS.0..=SPAN_MS.1);
+    match random.random_range(0..3) {
+        0 => SoakFault::Kill {
+            instances: vec![instance],
+            down_ms: span_ms / 2,
+        },
+        1 => SoakFault::Stop { instance },
+        _ => SoakFault::Pause { instance, span_ms },
+    }
+}
+
 /// The faults of both schedules, in the order of their times.
 pub fn merge(one: Vec<ScheduledFault>, other: Vec<ScheduledFault>) -> Vec<ScheduledFault> {
     let mut merged = one;
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -24,6 +24,9 @@
 /// instances that waited for copies from their suspended reader.
 const CHANGING_SEEDS: [u64; 1] = [5001];
 
+/// Seed 1 with endpoints that leave in series.
+const LEAVING_SEEDS: [u64; 1] = [1];
+
 /// How long faults come.
 const SECONDS: &str = "6";
 
@@ -53,6 +56,13 @@
     soak("changes", &CHANGING_SEEDS, &["--changing"]);
 }
 
+/// Guards against requests to endpoints that have left, while those instances fail that tell the
+/// others of it.
+#[test]
+fn promises_hold_while_endpoints_leave_in_series() {
+    soak("leaving", &LEAVING_SEEDS, &["--leaving"]);
+}
+
 fn soak(name: &str, seeds: &[u64], options: &[&str]) {
     let folder = std::env::temp_dir().join(format!("soak-{name}-{}", std::process::id()));
     for seed in seeds {
