--- a/crates/ingress/src/forward/proxy.rs
+++ b/crates/ingress/src/forward/proxy.rs
@@ -1,7 +1,7 @@
 //! Requests that other instances forward for this one.
 //!
-//! An instance that reaches no endpoint of a service hands the requests for it to instances
-//! that do. They treat them like those of their own callers: they check keys and limits,
+//! An instance that reaches no endpoint of a service, or whose directory of endpoints is not
+//! confirmed, hands requests to instances that can serve them. They treat them like those of their own callers: they check keys and limits,
 //! choose endpoints and account for retries and usage. A proxied request is not proxied again.
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
@@ -45,8 +45,8 @@
 /// What became of a request that was sent to another instance.
 enum ProxyOutcome {
     Answered(Response<Incoming>, EndpointConnection),
-    /// The request was not sent, or the other instance does not reach the endpoints either or
-    /// has an older configuration.
+    /// The request was not sent, or the other instance can't serve it either: it does not reach
+    /// the endpoints, its directory is not confirmed, or it has an older configuration.
     NotTaken(String),
     MaybeRun(String),
     TimedOut,
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -49,7 +49,7 @@
 pub enum RequestSource {
     /// From a caller.
     Caller,
-    /// From another instance, which does not reach the endpoints.
+    /// From another instance, which can't serve it.
     Instance,
 }
 
