--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -23,7 +23,7 @@
 pub use self::{
     registration::{EndpointRegistration, EngineStage, RegistrationNumber, SoftwareVersion},
     sync::{
-        DirectorySource, DirectoryStatus, DirectorySync, RelayedDirectory, WantedCopy,
+        DirectoryStatus, DirectorySync, ReaderState, RelayedDirectory, WantedCopy,
         max_directory_age,
     },
 };
@@ -37,9 +37,9 @@
 /// register again within this time.
 pub const LAPSE_GRACE: TimeSpan = TimeSpan::from_millis(2_000);
 
-/// How long a removed endpoint is remembered: longer than news of it can be under way between
-/// instances.
-const REMOVAL_MEMORY: TimeSpan = TimeSpan::from_millis(10_000);
+/// How long the last registration of a removed endpoint is kept, to reject older ones. Relayed
+/// registrations arrive within seconds, or their messages are too old to be applied.
+const REMOVAL_RETENTION: TimeSpan = TimeSpan::from_millis(10_000);
 
 /// The number of missed heartbeats after which a registration lapses.
 const MISSED_HEARTBEATS: u64 = 3;
@@ -73,12 +73,11 @@
     expires_at: Option<ClockTime>,
 }
 
-/// An endpoint that was removed.
+/// The last registration of a removed endpoint.
 #[derive(Clone, Copy, Debug)]
 struct RemovedEndpoint {
-    /// Its last registration.
     number: RegistrationNumber,
-    /// When the first removal after it was recorded.
+    /// When [`EndpointDirectory::remove_expired`] was first called after the removal.
     removed_at: Option<ClockTime>,
 }
 
@@ -86,7 +85,7 @@
 #[derive(Clone, Debug)]
 pub struct EndpointDirectory {
     endpoints: BTreeMap<EndpointId, KnownEndpoint>,
-    /// Endpoints that were removed lately, so that older news of them is recognised.
+    /// The last registrations of recently removed endpoints, to reject older ones.
     removed: BTreeMap<EndpointId, RemovedEndpoint>,
     /// The software versions that were registered lately.
     versions: VersionHistory,
@@ -213,8 +212,8 @@
         change
     }
 
-    /// Whether more is known here than `other`, which another instance knows: a later registration
-    /// of the endpoint, or that it lapsed or was removed after `other`.
+    /// Whether `other`, which another instance sent, is outdated: a later registration of the
+    /// endpoint is known here, or that it lapsed or was removed after `other`.
     pub fn has_newer(&self, other: &EndpointRegistration) -> bool {
         let number = other.number();
         let is_removed = self
@@ -229,18 +228,19 @@
         is_known || is_removed
     }
 
-    /// Whether a registration that another instance relays brings something new. What is relayed
-    /// may be older than the directory here (`is_older`), which has then seen an endpoint go that
-    /// it does not know.
-    pub fn is_news(&self, registration: &EndpointRegistration, is_older: bool) -> bool {
-        let is_gone = is_older && self.get(&registration.id).is_none();
-        !is_gone && !self.has_newer(registration)
+    /// Whether a relayed registration is to be entered. If the message is older than the last
+    /// confirmation of the directory (`is_older`), an endpoint that is not known here has left
+    /// since.
+    pub fn accepts_relayed(&self, registration: &EndpointRegistration, is_older: bool) -> bool {
+        let has_left = is_older && self.get(&registration.id).is_none();
+        !has_left && !self.has_newer(registration)
     }
 
-    /// Records that another instance knows `number` as the last registration of `id`. Returns
-    /// whether it is the last one that is known here as well, so that the endpoint has to be
-    /// unregistered. One that is not known may still be told of by an older message.
-    pub fn note_last(&mut self, id: &EndpointId, number: RegistrationNumber) -> bool {
+    /// Records that another instance has removed `id`, whose last registration was `number`.
+    /// Returns whether the endpoint has to be unregistered here: it is known, and not by a later
+    /// registration. The removal of an unknown endpoint is recorded, since a message with an older
+    /// registration may arrive after it.
+    pub fn note_relayed_removal(&mut self, id: &EndpointId, number: RegistrationNumber) -> bool {
         match self.get(id).map(EndpointRegistration::number) {
             Some(known) => known <= number,
             None => {
@@ -254,7 +254,7 @@
         }
     }
 
-    /// The last registration that was known of `id`, which may have been removed.
+    /// The number of the last registration of `id`, which may have been removed.
     pub fn last_number(&self, id: &EndpointId) -> RegistrationNumber {
         let known = self.get(id).map(EndpointRegistration::number);
         let removed = || self.removed.get(id).map(|removed| removed.number);
@@ -367,7 +367,7 @@
     pub fn remove_expired(&mut self, now: ClockTime) -> Vec<EndpointId> {
         self.removed.retain(|_, removed| {
             let removed_at = *removed.removed_at.get_or_insert(now);
-            now.since(removed_at) < REMOVAL_MEMORY
+            now.since(removed_at) < REMOVAL_RETENTION
         });
         let lapsed = |known: &KnownEndpoint| known.expires_at.is_some_and(|at| now >= at);
         let ids = self.endpoints.iter().filter(|(_, known)| lapsed(known));
--- a/crates/core/src/directory/sync.rs
+++ b/crates/core/src/directory/sync.rs
@@ -11,7 +11,10 @@
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::InstanceId,
-    relay::{DigestMismatchTimer, KnownState, StateValidity, StoreReads, relay_age_limit},
+    relay::{
+        ConfirmationSource, DigestMismatchTimer, KnownState, StateValidity, StoreReads,
+        relay_age_limit,
+    },
 };
 
 /// Subtracted from the drain bound to limit the age of the directory by which requests are sent:
@@ -24,28 +27,6 @@
     bound.saturating_sub(SEND_MARGIN)
 }
 
-/// From where a directory was confirmed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum DirectorySource {
-    /// A read of the store by this instance.
-    Store,
-    /// A copy from another instance.
-    Copy,
-    /// The relay message of an instance that reads the store.
-    Relay(InstanceId),
-}
-
-impl fmt::Display for DirectorySource {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            DirectorySource::Store => f.write_str("store"),
-            DirectorySource::Copy => f.write_str("copy"),
-            DirectorySource::Relay(instance) => instance.fmt(f),
-        }
-    }
-}
-
 /// The directory of an instance that reads the store, as its relay message describes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayedDirectory {
@@ -55,10 +36,22 @@
     pub digest: u64,
     /// When that was known to be complete, on the clock of the receiver.
     pub known_at: ClockTime,
-    /// How many times it had too many changes to relay them.
+    /// How many times it left out changes, because they were too many to relay.
     pub omissions: u64,
 }
 
+/// The changes that a reader left out: the reader and how many times it has done so.
+type ReaderOmissions = (InstanceId, u64);
+
+/// What an instance knows of the reader of its failure domain.
+#[derive(Clone, Copy, Debug)]
+pub struct ReaderState {
+    /// Whether it relays state that it has not read for some time.
+    pub is_behind: bool,
+    /// The time since current state was relayed.
+    pub silent_for: TimeSpan,
+}
+
 /// The copy that an instance needs from another one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WantedCopy {
@@ -68,17 +61,17 @@
     pub max_age: Option<TimeSpan>,
 }
 
-/// The number of descriptions of the reader's directory that are remembered. Copies are some
-/// changes behind the reader.
-const MAX_REMEMBERED: usize = 16;
+/// The number of relayed digests that are kept to recognise copies by. A copy lacks the changes
+/// that the reader has relayed during its transfer.
+const MAX_RELAYED_DIGESTS: usize = 16;
 
-/// What is known at some time of the agreement with the store.
+/// The age of a directory and how it was confirmed, for logs and the state dump.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct DirectoryStatus {
     /// The age of the newest confirmation; `None` before the first one.
     pub age: Option<TimeSpan>,
     /// From where it came.
-    pub source: Option<DirectorySource>,
+    pub source: Option<ConfirmationSource>,
     /// For how long the directory has differed from that of the reader.
     pub differs_for: Option<TimeSpan>,
 }
@@ -96,23 +89,23 @@
     }
 }
 
-/// The newest confirmation of a directory, and what is known of the reader's.
+/// The newest confirmation of a directory, and its difference from the reader's.
 #[derive(Clone, Debug, Default)]
 pub struct DirectorySync {
-    confirmed: Option<(ClockTime, DirectorySource)>,
-    /// The newest descriptions that were relayed, in rising order of their times.
+    confirmed: Option<(ClockTime, ConfirmationSource)>,
+    /// The newest relayed directories, in rising order of their times.
     relayed: VecDeque<RelayedDirectory>,
     difference: DigestMismatchTimer,
-    /// The omissions of the reader that the directory has caught up with, and those that it will
-    /// have caught up with once it was read or copied.
-    caught_up: Option<(InstanceId, u64)>,
-    catching_up: Option<(InstanceId, u64)>,
+    /// The left out changes that the directory contains.
+    included_omissions: Option<ReaderOmissions>,
+    /// Those that it will contain after the next copy or complete read.
+    pending_omissions: Option<ReaderOmissions>,
     must_resync: bool,
     failed_copies: u32,
 }
 
 impl DirectorySync {
-    /// Nothing was read yet.
+    /// The state before the first read.
     pub fn new() -> DirectorySync {
         DirectorySync::default()
     }
@@ -127,13 +120,14 @@
         self.confirmed_at().map(|at| now.since(at))
     }
 
-    /// What decides from where the directory is taken, as far as it is known here. The process
-    /// started at `started_at`, and changes have to take effect within `drain_bound`.
+    /// What decides from where the directory is taken, in a process that started at `started_at`.
+    /// Changes have to take effect within `drain_bound`; `reader` is what is known of the reader.
     pub fn known_state(
         &self,
         now: ClockTime,
         started_at: ClockTime,
         drain_bound: TimeSpan,
+        reader: ReaderState,
     ) -> KnownState {
         let age = now.since(self.confirmed_at().unwrap_or(started_at));
         let age_limit = relay_age_limit(drain_bound);
@@ -147,8 +141,8 @@
             max_read_delay: TimeSpan::MAX,
             is_incomplete: self.confirmed.is_none() || self.must_resync,
             superseded_for: TimeSpan::ZERO,
-            is_reader_behind: false,
-            silent_for: TimeSpan::ZERO,
+            is_reader_behind: reader.is_behind,
+            silent_for: reader.silent_for,
             failed_copies: if is_usable { 0 } else { self.failed_copies },
         }
     }
@@ -164,15 +158,17 @@
     }
 
     /// Records that the directory contains everything that was in the store at `known_at`.
-    pub fn confirm(&mut self, known_at: ClockTime, source: DirectorySource) {
+    pub fn confirm(&mut self, known_at: ClockTime, source: ConfirmationSource) {
         self.must_resync = false;
         self.failed_copies = 0;
         self.difference.reset();
-        self.caught_up = self.catching_up.take().or(self.caught_up.take());
+        if let Some(omissions) = self.pending_omissions.take() {
+            self.included_omissions = Some(omissions);
+        }
         self.advance(known_at, source);
     }
 
-    fn advance(&mut self, known_at: ClockTime, source: DirectorySource) {
+    fn advance(&mut self, known_at: ClockTime, source: ConfirmationSource) {
         if self.confirmed_at() < Some(known_at) {
             self.confirmed = Some((known_at, source));
         }
@@ -188,7 +184,7 @@
             self.must_resync = self.note_omissions(local, &relayed) || is_overdue;
         }
         if local == relayed.digest {
-            let source = DirectorySource::Relay(relayed.reader.clone());
+            let source = ConfirmationSource::Instance(relayed.reader.clone());
             self.advance(relayed.known_at, source);
         }
         self.remember(relayed);
@@ -198,14 +194,14 @@
     /// Whether the reader has left out changes that are missing here.
     fn note_omissions(&mut self, local: u64, relayed: &RelayedDirectory) -> bool {
         let omissions = (relayed.reader.clone(), relayed.omissions);
-        if relayed.omissions == 0 || self.caught_up.as_ref() == Some(&omissions) {
+        if relayed.omissions == 0 || self.included_omissions.as_ref() == Some(&omissions) {
             return false;
         }
         if local == relayed.digest {
-            self.caught_up = Some(omissions);
+            self.included_omissions = Some(omissions);
             return false;
         }
-        self.catching_up = Some(omissions);
+        self.pending_omissions = Some(omissions);
         true
     }
 
@@ -214,10 +210,9 @@
         if newest_at > Some(relayed.known_at) {
             return;
         }
-        // Of one digest, the newest time is of interest.
         self.relayed.retain(|known| known.digest != relayed.digest);
         self.relayed.push_back(relayed);
-        if self.relayed.len() > MAX_REMEMBERED {
+        if self.relayed.len() > MAX_RELAYED_DIGESTS {
             self.relayed.pop_front();
         }
     }
@@ -251,7 +246,7 @@
         StateValidity::at(now, self.age(now), max_age, reads)
     }
 
-    /// What is known at `now`.
+    /// The status at `now`.
     pub fn status(&self, now: ClockTime) -> DirectoryStatus {
         DirectoryStatus {
             age: self.age(now),
--- a/crates/core/src/quarantine/shared.rs
+++ b/crates/core/src/quarantine/shared.rs
@@ -181,9 +181,9 @@
         site: SiteHash,
     ) -> CrashStatus {
         let history = self.history(now, fingerprint);
-        let is_news = history.sites.len() < MAX_SITES && history.sites.insert(site);
+        let accepts_relayed = history.sites.len() < MAX_SITES && history.sites.insert(site);
         history.received_at = Some(now);
-        if is_news {
+        if accepts_relayed {
             history.observed.insert(site, now);
             history.changed_at = now;
             history.direct_sends = SENDS_PER_CHANGE;
@@ -241,12 +241,12 @@
     ) -> bool {
         let history = self.history(now, &report.fingerprint);
         let earlier = history.status();
-        let mut is_news = report.is_cleared && !history.is_cleared;
+        let mut accepts_relayed = report.is_cleared && !history.is_cleared;
         history.is_cleared |= report.is_cleared;
         for site in &report.sites {
-            is_news |= history.sites.len() < MAX_SITES && history.sites.insert(*site);
+            accepts_relayed |= history.sites.len() < MAX_SITES && history.sites.insert(*site);
         }
-        if is_news {
+        if accepts_relayed {
             history.changed_at = now;
             if is_same_domain {
                 history.domain_sends = SENDS_PER_CHANGE;
--- a/crates/core/src/relay/confirmation.rs
+++ b/crates/core/src/relay/confirmation.rs
@@ -5,9 +5,39 @@
 //! only an instance that can't read the store goes on with what it knows: its failure domain
 //! serves what it can.
 
+use std::fmt;
+
 use serde::Serialize;
 
-use crate::clock::{ClockTime, TimeSpan};
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    ids::InstanceId,
+};
+
+/// From where state of the store was confirmed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfirmationSource {
+    /// A read of the store by this instance.
+    Store,
+    /// A copy from another instance.
+    Copy,
+    /// The advertisement of the reader.
+    Reader,
+    /// The relay message of an instance.
+    Instance(InstanceId),
+}
+
+impl fmt::Display for ConfirmationSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfirmationSource::Store => f.write_str("store"),
+            ConfirmationSource::Copy => f.write_str("copy"),
+            ConfirmationSource::Reader => f.write_str("reader"),
+            ConfirmationSource::Instance(instance) => instance.fmt(f),
+        }
+    }
+}
 
 /// Whether state of the store may be relied upon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -18,7 +18,7 @@
 mod source;
 
 pub use self::changes::ChangeQueue;
-pub use self::confirmation::{StateValidity, StoreReads};
+pub use self::confirmation::{ConfirmationSource, StateValidity, StoreReads};
 pub use self::copies::{
     AdvertisedConfiguration, COPY_THRESHOLD, CopyLocation, CopyState, VersionAdvertisement,
     VersionSource,
--- a/crates/core/tests/configuration_fleet.rs
+++ b/crates/core/tests/configuration_fleet.rs
@@ -2,8 +2,10 @@
 //! suspended, starved and restarted, and the store is unavailable to some or all.
 
 mod configuration_support;
+mod fleet_support;
 
-use configuration_support::{FleetModel, READ_TIMEOUT_MS, STEP_MS};
+use configuration_support::{FleetModel, READ_TIMEOUT_MS};
+use fleet_support::{FleetSize, STEP_MS};
 
 /// The delay after which refused callers retry.
 const RETRY_AFTER_MS: u64 = 600;
@@ -12,28 +14,19 @@
 /// rollout bound and two reads.
 const CUT_OFF_AFTER_MS: u64 = 2_000 + 2 * READ_TIMEOUT_MS;
 
-/// The simulated fleets: number of instances, number of failure domains, and by what the number
-/// of seeds is divided.
-const FLEETS: [(usize, usize, u64); 5] =
-    [(1, 1, 5), (9, 3, 1), (30, 3, 2), (90, 3, 3), (985, 5, 20)];
+/// The simulated fleets.
+const FLEETS: [FleetSize; 5] = [(1, 1, 5), (9, 3, 1), (30, 3, 2), (90, 3, 3), (985, 5, 20)];
 
-/// The number of seeds, which `BLUEBELL_SEEDS` overrides.
-fn seeds() -> u64 {
-    std::env::var("BLUEBELL_SEEDS").map_or(20, |n| n.parse().unwrap())
-}
-
-/// Runs each fleet with each of its seeds.
+/// Calls `check` with the name and the result of each run.
 fn for_each_run<Check>(check: Check)
 where
     Check: Fn(&str, &FleetModel),
 {
-    for (instances, domains, divisor) in FLEETS {
-        for seed in 0..seeds().div_ceil(divisor) {
-            let bound = if seed % 2 == 0 { 2_000 } else { 3_000 };
-            let mut fleet = FleetModel::new(seed, instances, domains, bound);
-            fleet.run(30_000);
-            check(&format!("{instances} instances, seed {seed}"), &fleet);
-        }
+    for (instances, domains, seed) in fleet_support::runs(&FLEETS) {
+        let bound = if seed % 2 == 0 { 2_000 } else { 3_000 };
+        let mut fleet = FleetModel::new(seed, instances, domains, bound);
+        fleet.run(30_000);
+        check(&format!("{instances} instances, seed {seed}"), &fleet);
     }
 }
 
@@ -66,7 +59,7 @@
         fleet.run_quietly(5_000);
         let end = fleet.now + 20_000;
         for instance in fleet.instances.iter_mut().step_by(domains) {
-            instance.rejected_until = end;
+            instance.process.rejected_until = end;
         }
         fleet.run_quietly(CUT_OFF_AFTER_MS);
         while fleet.now < end {
--- a/crates/core/tests/configuration_support/mod.rs
+++ b/crates/core/tests/configuration_support/mod.rs
@@ -9,16 +9,10 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use instance::{ModelInstance, at, configuration, span};
-
-/// The length of a step.
-pub const STEP_MS: u64 = 50;
-/// How long an instance has to be undisturbed to count as in touch.
-const STABLE_MS: u64 = 3_000;
-/// The interval of relay messages.
-const RELAY_MS: u64 = 250;
-/// How long an instance without messages is still considered alive.
-const ALIVE_MS: u64 = 3_000;
+use instance::{ModelInstance, configuration};
+
+use crate::fleet_support::{self, ProcessState, RELAY_MS, STABLE_MS, STEP_MS, at, span};
+
 /// The time limit of a read of the store, without the wait for a record.
 pub const READ_TIMEOUT_MS: u64 = 900;
 
@@ -46,7 +40,9 @@
             now: 10_000,
             bound,
             instances: (0..instances)
-                .map(|number| ModelInstance::new(number % domains, 10_000))
+                .map(|number| {
+                    ModelInstance::with_process(ProcessState::new(number % domains, 10_000))
+                })
                 .collect(),
             domains,
             versions: vec![(1, 0)],
@@ -78,16 +74,11 @@
         self.versions.push((next, self.now));
     }
 
-    /// Whether the others consider `number` alive.
-    pub fn seems_alive(&self, number: usize) -> bool {
-        let instance = &self.instances[number];
-        instance.runs(self.now) || self.now - instance.stopped_at < ALIVE_MS
-    }
-
     /// The instances of a failure domain that are considered alive, by rank.
     pub fn live_members(&self, domain: usize) -> Vec<usize> {
-        let numbers = (domain..self.instances.len()).step_by(self.domains);
-        numbers.filter(|number| self.seems_alive(*number)).collect()
+        let process = |number: usize| &self.instances[number].process;
+        let count = self.instances.len();
+        fleet_support::live_members(self.now, count, self.domains, domain, process)
     }
 
     pub fn limits(&self) -> ValidityLimits {
@@ -100,7 +91,7 @@
         let instance = &self.instances[number];
         let validity = instance.tracker.validity(at(now), limits, instance.reads);
         let version = instance.tracker.version().unwrap_or(0);
-        let is_cut_off = now < self.outage_end.max(instance.rejected_until) + STABLE_MS;
+        let is_cut_off = now < self.outage_end.max(instance.process.rejected_until) + STABLE_MS;
         let is_old = version < due;
         let is_wrong = match validity {
             ConfigurationValidity::Current => is_old,
@@ -113,15 +104,11 @@
                 "at {now}: {number} decides by {version} instead of {due} as {validity:?}"
             ));
         }
-        let is_in_touch = now >= instance.undisturbed_since + STABLE_MS && !is_cut_off;
-        let instance = &mut self.instances[number];
-        instance.refusing_since = match (is_in_touch, validity.serves_known_routes()) {
-            (true, false) => instance.refusing_since.or(Some(now)),
-            _ => None,
-        };
-        if let Some(since) = instance.refusing_since {
-            self.longest_refusal = self.longest_refusal.max(now - since);
-        }
+        let is_in_touch = now >= instance.process.undisturbed_since + STABLE_MS && !is_cut_off;
+        let is_refusing = is_in_touch && !validity.serves_known_routes();
+        let process = &mut self.instances[number].process;
+        let refused_for = process.note_refusal(now, is_refusing);
+        self.longest_refusal = self.longest_refusal.max(refused_for);
     }
 
     pub fn step(&mut self) {
@@ -132,7 +119,7 @@
         for domain in 0..self.domains {
             let members = self.live_members(domain);
             for (rank, number) in members.into_iter().enumerate() {
-                if !self.instances[number].runs(self.now) {
+                if !self.instances[number].process.runs(self.now) {
                     continue;
                 }
                 // Requests can be decided before the datagrams that have arrived are read.
--- a/crates/core/tests/configuration_support/sync.rs
+++ b/crates/core/tests/configuration_support/sync.rs
@@ -11,14 +11,11 @@
 use rand::Rng;
 
 use super::{
-    FleetModel, READ_TIMEOUT_MS, RELAY_MS,
-    instance::{Activity, Datagram, ReadOutcome, at, configuration, span},
+    FleetModel, READ_TIMEOUT_MS,
+    instance::{Activity, Datagram, ReadOutcome, configuration},
 };
+use crate::fleet_support::{LOST_DATAGRAMS, MAX_DELAY_MS, RELAY_MS, REPEATED_DATAGRAMS, at, span};
 
-/// The maximum delay of a datagram.
-const MAX_DELAY_MS: u64 = 120;
-const LOST_DATAGRAMS: f64 = 0.05;
-const REPEATED_DATAGRAMS: f64 = 0.05;
 /// The time until an instance without a current state rejects a request for a copy.
 const UNAVAILABLE_MS: u64 = 250;
 /// The interval at which an instance that follows a reader checks its state.
@@ -40,13 +37,13 @@
         let age = instance.age(self.now);
         let is_behind = instance.tracker.version() < Some(instance.advertised);
         KnownState {
-            age: age.unwrap_or(span(self.now.saturating_sub(instance.started))),
+            age: age.unwrap_or(span(self.now.saturating_sub(instance.process.started))),
             age_limit: relay_age_limit(span(self.bound)),
             max_read_delay: MAX_CONFIGURATION_READ_DELAY,
             is_incomplete: age.is_none() || is_behind,
             superseded_for: instance.tracker.superseded_for(at(self.now)),
             is_reader_behind: instance.is_reader_behind,
-            silent_for: instance.silent_for(self.now),
+            silent_for: instance.process.silent_for(self.now),
             failed_copies: instance.failed_copies,
         }
     }
@@ -68,7 +65,7 @@
                 let Some(age) = sender.age(self.now) else {
                     continue;
                 };
-                if !is_relaying || !sender.runs(self.now) {
+                if !is_relaying || !sender.process.runs(self.now) {
                     continue;
                 }
                 let version = sender.tracker.version().unwrap();
@@ -81,7 +78,7 @@
 
     fn send(&mut self, from: usize, to: usize, version: u64, age_ms: u64) {
         if self.random.random_bool(LOST_DATAGRAMS)
-            || self.now < self.instances[to].datagrams_lost_until
+            || self.now < self.instances[to].process.datagrams_lost_until
         {
             return;
         }
@@ -118,7 +115,7 @@
             if span(datagram.age_ms) >= limit {
                 continue;
             }
-            instance.relay_heard_at = Some(now);
+            instance.process.relay_heard_at = Some(now);
             instance.advertised = instance.advertised.max(datagram.version);
             if tracker.version() == Some(datagram.version) {
                 tracker.confirm(at(datagram.known_at));
@@ -157,7 +154,7 @@
     }
 
     fn starvation_delay(&mut self, number: usize) -> u64 {
-        match self.now < self.instances[number].starved_until {
+        match self.now < self.instances[number].process.starved_until {
             true => self.random.random_range(0..MAX_STARVATION_MS),
             false => 0,
         }
@@ -168,7 +165,7 @@
         let state = self.known_state(number);
         let wait = read_wait(state.age, state.age_limit).as_millis();
         let instance = &mut self.instances[number];
-        let is_refused = self.now < instance.rejected_until;
+        let is_refused = self.now < instance.process.rejected_until;
         let is_silent = self.now < self.outage_end;
         let timeout_ms = wait + READ_TIMEOUT_MS;
         instance.reads.note_sent(at(self.now), span(timeout_ms));
@@ -209,7 +206,7 @@
     }
 
     fn begin_copy(&mut self, number: usize, rank: usize) -> Activity {
-        let members = self.live_members(self.instances[number].domain);
+        let members = self.live_members(self.instances[number].process.domain);
         let source = parent_rank(rank).and_then(|parent| members.get(parent).copied());
         let late = self.starvation_delay(number);
         let state = self.known_state(number);
@@ -221,10 +218,10 @@
             let is_current = source
                 .age(self.now)
                 .is_some_and(|age| age < state.age_limit);
-            source.runs(self.now) && is_current && source.tracker.version() >= Some(wanted)
+            source.process.runs(self.now) && is_current && source.tracker.version() >= Some(wanted)
         });
         let takes = match source {
-            Some(source) if !self.instances[source].runs(self.now) => limit,
+            Some(source) if !self.instances[source].process.runs(self.now) => limit,
             _ if available.is_none() => UNAVAILABLE_MS.min(limit),
             _ => COPY_MS.min(limit),
         };
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -278,15 +278,15 @@
         ..announced.clone()
     };
     directory.register(leaving.clone());
-    assert!(!directory.is_news(&announced, false));
+    assert!(!directory.accepts_relayed(&announced, false));
     directory.unregister(at(1_000), &id("one"));
-    assert!(!directory.is_news(&announced, false));
-    assert!(!directory.is_news(&leaving, false));
+    assert!(!directory.accepts_relayed(&announced, false));
+    assert!(!directory.accepts_relayed(&leaving, false));
     let restarted = EndpointRegistration {
         start: 2,
         ..announced
     };
-    assert!(directory.is_news(&restarted, false));
+    assert!(directory.accepts_relayed(&restarted, false));
 }
 
 /// Guards against an endpoint that comes back by a message which was sent before its removal and
@@ -295,11 +295,11 @@
 fn the_removal_of_an_unknown_endpoint_is_remembered() {
     let mut directory = EndpointDirectory::new();
     let announced = registration("one");
-    assert!(!directory.note_last(&id("one"), announced.number()));
-    assert!(!directory.is_news(&announced, false));
+    assert!(!directory.note_relayed_removal(&id("one"), announced.number()));
+    assert!(!directory.accepts_relayed(&announced, false));
     directory.remove_expired(at(1_000));
     directory.remove_expired(at(20_000));
-    assert!(directory.is_news(&announced, false));
+    assert!(directory.accepts_relayed(&announced, false));
 }
 
 /// Guards against an endpoint that comes back to an instance which has read the store since the
@@ -308,15 +308,15 @@
 fn a_message_that_is_older_than_the_directory_adds_nothing_to_it() {
     let mut directory = EndpointDirectory::new();
     let announced = registration("one");
-    assert!(!directory.is_news(&announced, true));
-    assert!(directory.is_news(&announced, false));
+    assert!(!directory.accepts_relayed(&announced, true));
+    assert!(directory.accepts_relayed(&announced, false));
     directory.register(announced.clone());
     let leaving = EndpointRegistration {
         is_leaving: true,
         sequence: 2,
         ..announced
     };
-    assert!(directory.is_news(&leaving, true));
+    assert!(directory.accepts_relayed(&leaving, true));
 }
 
 /// Guards against a removal that arrives after a later registration of the same endpoint.
@@ -329,8 +329,8 @@
         ..first.clone()
     };
     directory.register(restarted.clone());
-    assert!(!directory.note_last(&id("one"), first.number()));
-    assert!(directory.note_last(&id("one"), restarted.number()));
+    assert!(!directory.note_relayed_removal(&id("one"), first.number()));
+    assert!(directory.note_relayed_removal(&id("one"), restarted.number()));
 }
 
 /// Guards against an endpoint that lapsed and is taken for registered again by an older message.
@@ -346,10 +346,10 @@
         directory.unregister(at(6_000), &id("one")),
         DirectoryChange::Lapsed
     );
-    assert!(!directory.is_news(&announced, false));
+    assert!(!directory.accepts_relayed(&announced, false));
     let later = EndpointRegistration {
         sequence: 2,
         ..announced
     };
-    assert!(directory.is_news(&later, false));
+    assert!(directory.accepts_relayed(&later, false));
 }
--- a/crates/core/tests/directory_fleet.rs
+++ b/crates/core/tests/directory_fleet.rs
@@ -3,14 +3,14 @@
 //! its history, and reads are answered in pieces.
 
 mod directory_support;
+mod fleet_support;
 
 use bluebell_core::relay::DIRECT_READERS;
-use directory_support::{FleetModel, STEP_MS};
+use directory_support::FleetModel;
+use fleet_support::{FleetSize, STEP_MS};
 
-/// The simulated fleets: number of instances, number of failure domains, and by what the number
-/// of seeds is divided.
-const FLEETS: [(usize, usize, u64); 5] =
-    [(1, 1, 5), (9, 3, 1), (30, 3, 2), (90, 3, 4), (985, 5, 20)];
+/// The simulated fleets.
+const FLEETS: [FleetSize; 5] = [(1, 1, 5), (9, 3, 1), (30, 3, 2), (90, 3, 4), (985, 5, 20)];
 
 /// The drain bounds of the simulated fleets, in ms.
 const BOUNDS_MS: [u64; 3] = [2_000, 3_000, 5_000];
@@ -23,23 +23,16 @@
 /// them although nothing disturbs it.
 const MAX_REFUSAL_MS: u64 = 600;
 
-/// The number of seeds, which `BLUEBELL_SEEDS` overrides.
-fn seeds() -> u64 {
-    std::env::var("BLUEBELL_SEEDS").map_or(20, |n| n.parse().unwrap())
-}
-
-/// Runs each fleet with each of its seeds.
+/// Calls `check` with the name and the result of each run.
 fn for_each_run<Check>(mut check: Check)
 where
     Check: FnMut(&str, &FleetModel),
 {
-    for (instances, domains, divisor) in FLEETS {
-        for seed in 0..seeds().div_ceil(divisor) {
-            let bound = BOUNDS_MS[seed as usize % BOUNDS_MS.len()];
-            let mut fleet = FleetModel::new(seed, instances, domains, bound);
-            fleet.run(30_000);
-            check(&format!("{instances} instances, seed {seed}"), &fleet);
-        }
+    for (instances, domains, seed) in fleet_support::runs(&FLEETS) {
+        let bound = BOUNDS_MS[seed as usize % BOUNDS_MS.len()];
+        let mut fleet = FleetModel::new(seed, instances, domains, bound);
+        fleet.run(30_000);
+        check(&format!("{instances} instances, seed {seed}"), &fleet);
     }
 }
 
@@ -111,7 +104,8 @@
             fleet.run_quietly(3_000);
             // The first three of a failure domain, which read one after the other.
             for rank in 0..3_usize.min(instances / domains - 1) {
-                fleet.kill(rank * domains, 60_000);
+                let end = fleet.now + 60_000;
+                fleet.kill(rank * domains, end);
                 fleet.run_quietly(3_000);
             }
             let name = format!("{instances} instances, bound {bound} ms");
--- a/crates/core/tests/directory_support/instance.rs
+++ b/crates/core/tests/directory_support/instance.rs
@@ -5,13 +5,15 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     directory::{
-        DirectoryChange, DirectorySource, DirectorySync, EndpointDirectory, EndpointRegistration,
+        DirectoryChange, DirectorySync, EndpointDirectory, EndpointRegistration,
         RegistrationNumber, WantedCopy,
     },
     ids::EndpointId,
-    relay::{ChangeQueue, StoreReads},
+    relay::{ChangeQueue, ConfirmationSource, StoreReads},
 };
 
+use crate::fleet_support::{ProcessState, at};
+
 /// A changed registration, or how long one that has lapsed is kept.
 #[derive(Clone, Debug)]
 pub struct ModelChange {
@@ -83,7 +85,7 @@
 
 /// An instance with the production state of its directory.
 pub struct ModelInstance {
-    pub domain: usize,
+    pub process: ProcessState,
     pub directory: EndpointDirectory,
     pub sync: DirectorySync,
     pub changes: ChangeQueue<EndpointId, ModelChange>,
@@ -92,57 +94,27 @@
     /// The offset to read next; `None` if everything has to be read.
     pub next: Option<usize>,
     pub inbox: VecDeque<Datagram>,
-    pub relay_heard_at: Option<u64>,
     pub is_reader_behind: bool,
-    pub started: u64,
-    /// The start of the last span in which the process does not run.
-    pub stopped_at: u64,
-    /// The end of that span.
-    pub suspended_until: u64,
-    /// The end of the span in which its reads and copies are delayed.
-    pub starved_until: u64,
-    /// The end of the span in which all datagrams to it are lost.
-    pub datagrams_lost_until: u64,
-    /// The end of the span in which the store rejects its calls.
-    pub rejected_until: u64,
-    pub undisturbed_since: u64,
-    /// Since when it refuses all requests although it is in touch.
-    pub refusing_since: Option<u64>,
 }
 
 impl ModelInstance {
-    pub fn new(domain: usize, now: u64) -> ModelInstance {
+    /// An instance whose process has just started.
+    pub fn with_process(process: ProcessState) -> ModelInstance {
         ModelInstance {
-            domain,
+            activity: Activity::Idle {
+                until: process.started,
+            },
+            process,
             directory: EndpointDirectory::new(),
             sync: DirectorySync::new(),
             changes: ChangeQueue::new(),
             reads: StoreReads::new(),
-            activity: Activity::Idle { until: now },
             next: None,
             inbox: VecDeque::new(),
-            relay_heard_at: None,
             is_reader_behind: false,
-            started: now,
-            stopped_at: 0,
-            suspended_until: 0,
-            starved_until: 0,
-            datagrams_lost_until: 0,
-            rejected_until: 0,
-            undisturbed_since: now,
-            refusing_since: None,
         }
     }
 
-    pub fn runs(&self, now: u64) -> bool {
-        now >= self.suspended_until
-    }
-
-    /// The time since current state was relayed to it.
-    pub fn silent_for(&self, now: u64) -> TimeSpan {
-        span(now.saturating_sub(self.relay_heard_at.unwrap_or(self.started)))
-    }
-
     /// Applies a read of everything that was complete at `known_at`.
     pub fn take_all(&mut self, now: u64, known_at: u64, registered: &[EndpointRegistration]) {
         self.directory.note_answer(at(now));
@@ -150,7 +122,7 @@
             self.register(now, registration);
         }
         self.retain(now, registered);
-        self.sync.confirm(at(known_at), DirectorySource::Store);
+        self.sync.confirm(at(known_at), ConfirmationSource::Store);
     }
 
     /// Applies a copy that was complete at `known_at`.
@@ -161,7 +133,7 @@
             }
         }
         self.retain(now, listed);
-        self.sync.confirm(known_at, DirectorySource::Copy);
+        self.sync.confirm(known_at, ConfirmationSource::Copy);
     }
 
     fn retain(&mut self, now: u64, listed: &[EndpointRegistration]) {
@@ -193,11 +165,3 @@
         self.changes.note(at(now), id.clone(), change);
     }
 }
-
-pub fn at(ms: u64) -> ClockTime {
-    ClockTime::from_millis(ms)
-}
-
-pub fn span(ms: u64) -> TimeSpan {
-    TimeSpan::from_millis(ms)
-}
--- a/crates/core/tests/directory_support/mod.rs
+++ b/crates/core/tests/directory_support/mod.rs
@@ -16,17 +16,11 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use instance::{ModelInstance, at, span};
+use instance::ModelInstance;
 use store::ModelStore;
 
-/// The length of a step.
-pub const STEP_MS: u64 = 50;
-/// How long an instance has to be undisturbed to count as in touch.
-const STABLE_MS: u64 = 3_000;
-/// The interval of relay messages.
-const RELAY_MS: u64 = 250;
-/// How long an instance without messages is still considered alive.
-const ALIVE_MS: u64 = 3_000;
+use crate::fleet_support::{self, ProcessState, RELAY_MS, STABLE_MS, STEP_MS, at, span};
+
 /// The time within which a read that the store left unanswered is given up and sent again.
 const RECOVERY_MS: u64 = 1_300;
 /// The number of endpoints at the start.
@@ -63,7 +57,8 @@
     pub fn new(seed: u64, instances: usize, domains: usize, bound: u64) -> FleetModel {
         let now = 10_000;
         let store = ModelStore::new(ENDPOINTS, now);
-        let instance = |number: usize| ModelInstance::new(number % domains, now);
+        let process = |number: usize| ProcessState::new(number % domains, now);
+        let instance = |number| ModelInstance::with_process(process(number));
         let mut fleet = FleetModel {
             random: ChaCha8Rng::seed_from_u64(seed),
             now,
@@ -87,21 +82,16 @@
         fleet
     }
 
-    /// Whether the others consider `number` alive.
-    fn seems_alive(&self, number: usize) -> bool {
-        let instance = &self.instances[number];
-        instance.runs(self.now) || self.now - instance.stopped_at < ALIVE_MS
-    }
-
     /// The instances of a failure domain that are considered alive, by rank.
     pub fn live_members(&self, domain: usize) -> Vec<usize> {
-        let numbers = (domain..self.instances.len()).step_by(self.domains);
-        numbers.filter(|number| self.seems_alive(*number)).collect()
+        let process = |number: usize| &self.instances[number].process;
+        let count = self.instances.len();
+        fleet_support::live_members(self.now, count, self.domains, domain, process)
     }
 
     fn validity(&self, number: usize) -> StateValidity {
         let instance = &self.instances[number];
-        let is_silent = instance.silent_for(self.now) >= RELAY_TIMEOUT;
+        let is_silent = instance.process.silent_for(self.now) >= RELAY_TIMEOUT;
         let reads = match is_silent {
             true => instance.reads,
             false => StoreReads::new(),
@@ -116,21 +106,21 @@
     }
 
     fn is_cut_off(&self, number: usize) -> bool {
-        let rejected_until = self.instances[number].rejected_until;
+        let rejected_until = self.instances[number].process.rejected_until;
         self.now < self.outage_end.max(rejected_until) + STABLE_MS
     }
 
     /// Whether an instance may be in the grace period after the first read that the store has
     /// answered again, in which it keeps endpoints whose registrations have lapsed.
     fn is_in_grace_period(&self, number: usize) -> bool {
-        let rejected_until = self.instances[number].rejected_until;
+        let rejected_until = self.instances[number].process.rejected_until;
         let recovered_by = self.outage_end.max(rejected_until) + RECOVERY_MS;
         self.now < recovered_by + LAPSE_GRACE.as_millis()
     }
 
     fn is_in_touch(&self, number: usize) -> bool {
         let instance = &self.instances[number];
-        let is_stable = self.now >= instance.undisturbed_since + STABLE_MS;
+        let is_stable = self.now >= instance.process.undisturbed_since + STABLE_MS;
         is_stable && !self.is_cut_off(number)
     }
 
@@ -143,14 +133,10 @@
             self.refused += u64::from(validity == StateValidity::Unconfirmed);
         }
         let now = self.now;
-        let instance = &mut self.instances[number];
-        instance.refusing_since = match (is_in_touch, validity) {
-            (true, StateValidity::Unconfirmed) => instance.refusing_since.or(Some(now)),
-            _ => None,
-        };
-        if let Some(since) = instance.refusing_since {
-            self.longest_refusal = self.longest_refusal.max(now - since);
-        }
+        let is_refusing = is_in_touch && validity == StateValidity::Unconfirmed;
+        let process = &mut self.instances[number].process;
+        let refused_for = process.note_refusal(now, is_refusing);
+        self.longest_refusal = self.longest_refusal.max(refused_for);
         if validity == StateValidity::Unconfirmed {
             return;
         }
@@ -195,7 +181,7 @@
         for domain in 0..self.domains {
             let members = self.live_members(domain);
             for (rank, number) in members.into_iter().enumerate() {
-                if !self.instances[number].runs(self.now) {
+                if !self.instances[number].process.runs(self.now) {
                     continue;
                 }
                 // Requests can be sent before the datagrams that have arrived are read.
--- a/crates/core/tests/directory_support/sync.rs
+++ b/crates/core/tests/directory_support/sync.rs
@@ -2,28 +2,25 @@
 //! copies.
 
 use bluebell_core::{
-    directory::{DirectorySource, RelayedDirectory, WantedCopy},
+    directory::{ReaderState, RelayedDirectory, WantedCopy},
     ids::InstanceId,
     relay::{
-        KnownState, MAX_READER_AGE, StateSource, is_relaying, parent_rank, relay_age_limit,
-        state_source,
+        ConfirmationSource, KnownState, MAX_READER_AGE, StateSource, is_relaying, parent_rank,
+        relay_age_limit, state_source,
     },
 };
 use rand::Rng;
 
 use super::{
-    FleetModel, RELAY_MS,
-    instance::{Activity, Datagram, ModelChange, ModelCopy, ModelInstance, ReadAnswer, at, span},
+    FleetModel,
+    instance::{Activity, Datagram, ModelChange, ModelCopy, ModelInstance, ReadAnswer},
 };
+use crate::fleet_support::{LOST_DATAGRAMS, MAX_DELAY_MS, RELAY_MS, REPEATED_DATAGRAMS, at, span};
 
 /// The number of changes in one datagram.
 const MAX_CHANGES: usize = 4;
 /// The number of changes that are sent at once.
 const MAX_SENT_CHANGES: usize = 12;
-/// The maximum delay of a datagram.
-const MAX_DELAY_MS: u64 = 120;
-const LOST_DATAGRAMS: f64 = 0.05;
-const REPEATED_DATAGRAMS: f64 = 0.05;
 /// The time until an instance without a suitable state rejects a request for a copy.
 const UNAVAILABLE_MS: u64 = 250;
 /// The time until a request for a copy from an instance that does not answer is given up.
@@ -48,12 +45,13 @@
 impl FleetModel {
     fn known_state(&self, number: usize) -> KnownState {
         let instance = &self.instances[number];
-        let (now, started) = (at(self.now), at(instance.started));
-        KnownState {
-            is_reader_behind: instance.is_reader_behind,
-            silent_for: instance.silent_for(self.now),
-            ..instance.sync.known_state(now, started, span(self.bound))
-        }
+        let (now, started) = (at(self.now), at(instance.process.started));
+        let reader = ReaderState {
+            is_behind: instance.is_reader_behind,
+            silent_for: instance.process.silent_for(self.now),
+        };
+        let bound = span(self.bound);
+        instance.sync.known_state(now, started, bound, reader)
     }
 
     fn source(&self, number: usize, rank: usize) -> StateSource {
@@ -69,7 +67,7 @@
             let members = self.live_members(domain);
             for (rank, number) in members.iter().enumerate() {
                 let is_relaying = is_relaying(rank, self.known_state(*number));
-                if is_relaying && self.instances[*number].runs(self.now) {
+                if is_relaying && self.instances[*number].process.runs(self.now) {
                     self.relay_from(*number, &members);
                 }
             }
@@ -106,7 +104,7 @@
 
     fn send(&mut self, to: usize, datagram: &Datagram) {
         let is_lost = self.random.random_bool(LOST_DATAGRAMS);
-        if is_lost || self.now < self.instances[to].datagrams_lost_until {
+        if is_lost || self.now < self.instances[to].process.datagrams_lost_until {
             return;
         }
         // The echoed stamp is as old as the last message of the receiver.
@@ -189,6 +187,7 @@
     /// The delay of what an instance begins now; it ends with the starvation.
     fn starvation_delay(&mut self, number: usize) -> u64 {
         let remaining = self.instances[number]
+            .process
             .starved_until
             .saturating_sub(self.now);
         match remaining {
@@ -214,11 +213,12 @@
         };
         let instance = &mut self.instances[number];
         instance.reads.note_sent(at(now), span(READ_TIMEOUT_MS));
-        let (is_answered, takes) = match (now < instance.rejected_until, now < self.outage_end) {
-            (true, _) => (false, REJECTION_MS),
-            (_, true) => (false, READ_TIMEOUT_MS),
-            (false, false) => (true, takes),
-        };
+        let (is_answered, takes) =
+            match (now < instance.process.rejected_until, now < self.outage_end) {
+                (true, _) => (false, REJECTION_MS),
+                (_, true) => (false, READ_TIMEOUT_MS),
+                (false, false) => (true, takes),
+            };
         Activity::Read {
             sent: now,
             until: now + takes + late,
@@ -255,7 +255,7 @@
 
     /// Relays changes without waiting for the next interval.
     fn relay_changes(&mut self, number: usize) {
-        let members = self.live_members(self.instances[number].domain);
+        let members = self.live_members(self.instances[number].process.domain);
         let rank = members.iter().position(|member| *member == number);
         if rank.is_some_and(|rank| is_relaying(rank, self.known_state(number))) {
             self.relay_from(number, &members);
@@ -282,19 +282,19 @@
         if next < end {
             return 0;
         }
-        instance.sync.confirm(at(sent), DirectorySource::Store);
+        instance.sync.confirm(at(sent), ConfirmationSource::Store);
         READ_PAUSE_MS
     }
 
     fn begin_copy(&mut self, number: usize, rank: usize) -> Activity {
-        let members = self.live_members(self.instances[number].domain);
+        let members = self.live_members(self.instances[number].process.domain);
         let parent = parent_rank(rank).and_then(|parent| members.get(parent).copied());
         let spare = members[self.random.random_range(0..members.len())];
         // The parent first, then others.
         let is_parent = self.random.random_bool(0.6);
         let source = parent.filter(|_| is_parent).unwrap_or(spare);
         let late = self.starvation_delay(number);
-        let limit = match self.instances[source].runs(self.now) {
+        let limit = match self.instances[source].process.runs(self.now) {
             true => UNAVAILABLE_MS,
             false => UNANSWERED_MS,
         };
@@ -329,7 +329,7 @@
         let digest = source.directory.digest();
         let is_younger = wanted.max_age.is_none_or(|max_age| age < max_age);
         let is_suitable = is_younger || wanted.digest == Some(digest);
-        (source.runs(self.now) && is_suitable).then(|| ModelCopy {
+        (source.process.runs(self.now) && is_suitable).then(|| ModelCopy {
             known_at: now - age,
             digest,
             listed: source.directory.registered().cloned().collect(),
@@ -355,7 +355,7 @@
 }
 
 fn apply(instance: &mut ModelInstance, now: u64, datagram: &Datagram) {
-    instance.relay_heard_at = Some(now);
+    instance.process.relay_heard_at = Some(now);
     instance.directory.note_answer(at(datagram.known_at));
     let is_older = Some(at(datagram.known_at)) < instance.sync.confirmed_at();
     for change in &datagram.changes {
@@ -374,7 +374,7 @@
 fn apply_change(instance: &mut ModelInstance, now: u64, change: &ModelChange, is_older: bool) {
     match (&change.registration, change.kept_for) {
         (Some(registration), _) => {
-            if instance.directory.is_news(registration, is_older) {
+            if instance.directory.accepts_relayed(registration, is_older) {
                 instance.register(now, registration);
             }
         }
@@ -382,7 +382,10 @@
             instance.directory.lapse(at(now), &change.id, kept_for);
         }
         (None, None) => {
-            if instance.directory.note_last(&change.id, change.number) {
+            if instance
+                .directory
+                .note_relayed_removal(&change.id, change.number)
+            {
                 instance.unregister(now, &change.id);
             }
         }
--- a/crates/core/tests/directory_sync.rs
+++ b/crates/core/tests/directory_sync.rs
@@ -2,9 +2,9 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    directory::{DirectorySource, DirectorySync, RelayedDirectory},
+    directory::{DirectorySync, ReaderState, RelayedDirectory},
     ids::InstanceId,
-    relay::{MAX_FAILED_COPIES, StateSource, state_source},
+    relay::{ConfirmationSource, MAX_FAILED_COPIES, StateSource, state_source},
 };
 
 const BOUND: TimeSpan = TimeSpan::from_millis(5_000);
@@ -68,7 +68,14 @@
     for _ in 0..2 * MAX_FAILED_COPIES {
         sync.note_failed_copy();
     }
-    let source = |now| state_source(100, sync.known_state(at(now), at(0), BOUND));
+    let reader = ReaderState {
+        is_behind: false,
+        silent_for: TimeSpan::ZERO,
+    };
+    let source = |now| {
+        let state = sync.known_state(at(now), at(0), BOUND, reader);
+        state_source(100, state)
+    };
     assert_eq!(source(12_000), StateSource::Copy);
     assert_eq!(source(14_200), StateSource::Copy);
     assert_eq!(source(14_300), StateSource::Store);
@@ -95,7 +102,7 @@
     };
     assert!(sync.note_relayed(at(11_000), 1, omitted(2, 10_800, 1)));
     assert!(sync.note_relayed(at(11_250), 1, omitted(2, 11_050, 1)));
-    sync.confirm(at(11_050), DirectorySource::Copy);
+    sync.confirm(at(11_050), ConfirmationSource::Copy);
     assert!(!sync.note_relayed(at(11_500), 2, omitted(3, 11_300, 1)));
     assert!(sync.note_relayed(at(11_750), 2, omitted(4, 11_550, 2)));
     assert!(!sync.note_relayed(at(11_800), 4, omitted(4, 11_600, 2)));
@@ -106,8 +113,11 @@
 #[test]
 fn confirmations_only_advance() {
     let mut sync = DirectorySync::new();
-    sync.confirm(at(10_000), DirectorySource::Store);
-    sync.confirm(at(9_000), DirectorySource::Copy);
+    sync.confirm(at(10_000), ConfirmationSource::Store);
+    sync.confirm(at(9_000), ConfirmationSource::Copy);
     assert_eq!(sync.confirmed_at(), Some(at(10_000)));
-    assert_eq!(sync.status(at(10_100)).source, Some(DirectorySource::Store));
+    assert_eq!(
+        sync.status(at(10_100)).source,
+        Some(ConfirmationSource::Store)
+    );
 }
--- a/crates/ingress/src/forward/proxy.rs
+++ b/crates/ingress/src/forward/proxy.rs
@@ -1,8 +1,9 @@
 //! Requests that other instances forward for this one.
 //!
 //! An instance that reaches no endpoint of a service, or whose directory of endpoints is not
-//! confirmed, hands requests to instances that can serve them. They treat them like those of their own callers: they check keys and limits,
-//! choose endpoints and account for retries and usage. A proxied request is not proxied again.
+//! confirmed, hands requests to instances that can serve them. They treat them like those of their
+//! own callers: they check keys and limits, choose endpoints and account for retries and usage. A
+//! proxied request is not proxied again.
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -2,11 +2,11 @@
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    directory::RelayedDirectory,
+    directory::{ReaderState, RelayedDirectory},
     ids::{EndpointId, InstanceId, LogOffset},
     relay::{
-        self, KnownState, MAX_CONFIGURATION_READ_DELAY, MAX_READER_AGE, StateSource,
-        VersionAdvertisement, VersionSource, relay_age_limit,
+        self, ConfirmationSource, KnownState, MAX_CONFIGURATION_READ_DELAY, MAX_READER_AGE,
+        StateSource, VersionAdvertisement, VersionSource, relay_age_limit,
     },
 };
 use bluebell_daemon::logs::LogLine;
@@ -17,7 +17,7 @@
         messages::{ChangeMessage, CopyMessage, PeerMessage, RelayMessage, pack_changes},
         table::PeerTable,
     },
-    sync::{self, ConfirmationSource},
+    sync,
 };
 
 impl EntryContext {
@@ -25,14 +25,13 @@
     /// or it reads the store as no current state is relayed.
     pub fn is_reader(&self) -> bool {
         let (local, domain) = (&self.writer.instance, &self.settings.domain);
-        let peers = self.peers.lock();
-        let is_first = peers.is_reader(self.now(), local, domain);
-        drop(peers);
+        let is_first = self.peers.lock().is_reader(self.now(), local, domain);
+        if is_first {
+            return true;
+        }
         let state = self.known_endpoints();
-        is_first
-            || self
-                .rank()
-                .is_some_and(|rank| relay::is_relaying(rank, state))
+        let rank = self.rank();
+        rank.is_some_and(|rank| relay::is_relaying(rank, state))
     }
 
     /// The instance that reads the store for this failure domain.
@@ -116,11 +115,13 @@
         let silent_for = self.relay_silence(now);
         let bound = self.settings.bounds.endpoint_drain;
         let relayed = self.relayed.lock();
-        KnownState {
-            is_reader_behind: relayed.is_reader_behind,
+        let reader = ReaderState {
+            is_behind: relayed.is_reader_behind,
             silent_for,
-            ..relayed.endpoints.known_state(now, self.started_at, bound)
-        }
+        };
+        relayed
+            .endpoints
+            .known_state(now, self.started_at, bound, reader)
     }
 
     fn rank(&self) -> Option<usize> {
@@ -240,7 +241,7 @@
         }
         Err(error) => LogLine::new("relay_rejected").with("error", error).warn(),
     }
-    let source = ConfirmationSource::Instance(peer);
+    let source = ConfirmationSource::Instance(peer.clone());
     sync::confirm_version(context, relay.version, keys_known_at, source);
     let digest = {
         let mut directory = context.directory.lock();
--- a/crates/ingress/src/sync/configuration.rs
+++ b/crates/ingress/src/sync/configuration.rs
@@ -11,7 +11,7 @@
     clock::{ClockTime, TimeSpan},
     ids::LogOffset,
     ingress::OfferOutcome,
-    relay::{MAX_FAILED_COPIES, StateSource},
+    relay::{ConfirmationSource, MAX_FAILED_COPIES, StateSource},
     units::ByteSize,
 };
 use bluebell_daemon::logs::LogLine;
@@ -21,7 +21,7 @@
     compression::compress,
     context::EntryContext,
     state_transfer::{self, CopyError, PackedState, StateCopy, StateKind, StateRequest},
-    sync::{ConfirmationSource, StoreBackoff, confirm_version, copies, wait_for_wake},
+    sync::{StoreBackoff, confirm_version, copies, wait_for_wake},
 };
 
 const PART: TopicPart = TopicPart::first(TOPIC);
@@ -202,7 +202,7 @@
     context: &EntryContext,
     known_at: ClockTime,
     end: LogOffset,
-    source: ConfirmationSource<'_>,
+    source: ConfirmationSource,
 ) {
     let mut relayed = context.relayed.lock();
     relayed.configuration_next = relayed.configuration_next.max(end);
--- a/crates/ingress/src/sync/confirmation.rs
+++ b/crates/ingress/src/sync/confirmation.rs
@@ -1,11 +1,10 @@
 //! Confirmations of the configuration in force and of the directory of endpoints.
 
-use std::{fmt, time::Duration};
+use std::time::Duration;
 
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    ids::InstanceId,
-    relay::{StateValidity, relay_age_limit},
+    relay::{ConfirmationSource, StateValidity, relay_age_limit},
 };
 use bluebell_daemon::logs::LogLine;
 
@@ -54,37 +53,13 @@
     }
 }
 
-/// Where a confirmation comes from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConfirmationSource<'a> {
-    /// A read of the store by this instance.
-    Store,
-    /// A copy from another instance.
-    Copy,
-    /// The advertisement of the reader.
-    Reader,
-    /// The relay message of an instance.
-    Instance(&'a InstanceId),
-}
-
-impl fmt::Display for ConfirmationSource<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            ConfirmationSource::Store => f.write_str("store"),
-            ConfirmationSource::Copy => f.write_str("copy"),
-            ConfirmationSource::Reader => f.write_str("reader"),
-            ConfirmationSource::Instance(instance) => instance.fmt(f),
-        }
-    }
-}
-
 /// Confirms the version in force if it is `version`, which was known to be the newest one at
 /// `known_at`. Logs the confirmation of a configuration that was too old to be relayed.
 pub fn confirm_version(
     context: &EntryContext,
     version: u64,
     known_at: ClockTime,
-    source: ConfirmationSource<'_>,
+    source: ConfirmationSource,
 ) {
     let now = context.now();
     let mut tracker = context.configuration.lock();
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -9,9 +9,9 @@
 };
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
-    directory::{DirectoryChange, DirectorySource, EndpointRegistration, RegistrationNumber},
+    directory::{DirectoryChange, EndpointRegistration, RegistrationNumber},
     ids::{EndpointId, InstanceId, LogOffset},
-    relay::StateSource,
+    relay::{ConfirmationSource, StateSource},
 };
 use bluebell_daemon::logs::LogLine;
 
@@ -95,7 +95,7 @@
                 next = progress.next();
                 drop_lapsed(&context);
                 if let ReadProgress::Complete { .. } = progress {
-                    confirm(&context, sent, DirectorySource::Store);
+                    confirm(&context, sent, ConfirmationSource::Store);
                     tokio::time::sleep(READ_INTERVAL).await;
                 }
             }
@@ -135,7 +135,7 @@
     };
     match entered {
         Ok(known_at) => {
-            confirm(context, known_at, DirectorySource::Copy);
+            confirm(context, known_at, ConfirmationSource::Copy);
             true
         }
         Err(error) => {
@@ -188,7 +188,7 @@
 }
 
 /// Records that the directory contains everything that was in the store at `known_at`.
-fn confirm(context: &EntryContext, known_at: ClockTime, source: DirectorySource) {
+fn confirm(context: &EntryContext, known_at: ClockTime, source: ConfirmationSource) {
     let mut directory = context.directory.lock();
     directory.versions_mut().note_current(known_at);
     drop(directory);
@@ -302,8 +302,11 @@
         return;
     };
     let is_older = Some(known_at) < context.relayed.lock().endpoints.confirmed_at();
-    let is_news = context.directory.lock().is_news(&registration, is_older);
-    if is_news && enter(context, &registration) {
+    let accepts_relayed = context
+        .directory
+        .lock()
+        .accepts_relayed(&registration, is_older);
+    if accepts_relayed && enter(context, &registration) {
         queue_change(context, id, Some(value));
     }
 }
@@ -383,7 +386,7 @@
 /// Handles the message of another instance that the registration `number` was the last one of an
 /// endpoint, unless a later one is known.
 pub fn unregister_relayed(context: &EntryContext, id: &EndpointId, number: RegistrationNumber) {
-    let is_last = context.directory.lock().note_last(id, number);
+    let is_last = context.directory.lock().note_relayed_removal(id, number);
     if is_last {
         unregister(context, id);
     }
--- a/crates/ingress/src/sync/mod.rs
+++ b/crates/ingress/src/sync/mod.rs
@@ -15,8 +15,7 @@
 
 pub use self::{
     confirmation::{
-        ConfirmationSource, confirm_version, is_directory_confirmed, log_directory_confirmed,
-        wait_for_confirmation,
+        confirm_version, is_directory_confirmed, log_directory_confirmed, wait_for_confirmation,
     },
     endpoints::{lapse, register_relayed, unregister_relayed},
 };
