--- a/crates/core/src/relay/changes.rs
+++ b/crates/core/src/relay/changes.rs
@@ -10,8 +10,8 @@
 /// The interval at which a change is sent again.
 const RESEND_INTERVAL: TimeSpan = TimeSpan::from_millis(400);
 
-/// How long a change that was not sent is kept. An instance relays only while it is the reader;
-/// when it becomes that, the reader before it may have stopped before it relayed the change.
+/// How long an unsent change is kept. Only the reader sends; an instance that takes over from a
+/// failed reader sends what that one may not have sent.
 const UNSENT_PERIOD: TimeSpan = TimeSpan::from_millis(3_000);
 
 #[derive(Clone, Debug)]
@@ -39,7 +39,7 @@
     }
 }
 
-/// The changes of things with a `Key`, of which only the newest of each is relayed.
+/// Changes to be relayed, at most one for each `Key`: the newest.
 #[derive(Clone, Debug)]
 pub struct ChangeQueue<Key, Change> {
     changes: BTreeMap<Key, ObservedChange<Change>>,
--- a/crates/core/src/relay/source.rs
+++ b/crates/core/src/relay/source.rs
@@ -113,8 +113,8 @@
     RELAY_TIMEOUT + TAKEOVER_STEP.times(rank.saturating_sub(1) as u64)
 }
 
-/// Whether the instance at `rank` relays what it knows to the others of its failure domain. One
-/// that reads the store only because its own state is incomplete has nothing to tell them.
+/// Whether the instance at `rank` relays its state to the others of its failure domain. One that
+/// reads the store only to complete its own state does not: the others have those changes.
 pub fn is_relaying(rank: usize, state: KnownState) -> bool {
     let complete = KnownState {
         is_incomplete: false,
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -269,7 +269,7 @@
 /// Guards against a late message of another instance that undoes what was known here since: the
 /// endpoint would get requests again after it has left.
 #[test]
-fn older_news_does_not_undo_newer() {
+fn an_older_registration_does_not_replace_a_newer_one() {
     let mut directory = EndpointDirectory::new();
     let announced = registration("one");
     let leaving = EndpointRegistration {
--- a/crates/core/tests/directory_fleet.rs
+++ b/crates/core/tests/directory_fleet.rs
@@ -36,8 +36,8 @@
     }
 }
 
-/// Guards against requests to endpoints that announced long ago that they leave, whatever delayed
-/// the news, and against safety that is bought with callers who are refused.
+/// Guards against requests to endpoints that announced their leaving longer ago than the bound,
+/// whatever delayed the announcement, and against refusing many callers to avoid that.
 #[test]
 fn no_request_is_sent_by_knowledge_that_is_older_than_the_drain_bound() {
     let (mut decisions, mut refused) = (0, 0);
