Log the parts of lost runs and how far their answers had come

run_lost could not tell a part of prompts that crashes engines from a fault of the engines: it has the fingerprint of the request only. It now also lists the parts that other requests may share, and whether nothing, the head or events of the answer had arrived.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -19,6 +19,7 @@
 //! attempts at the same request that are running at that moment can each cost another
 //! endpoint.
 
+mod parts;
 mod shared;
 mod trials;
 
@@ -27,6 +28,7 @@
 use serde::Serialize;
 
 pub use self::{
+    parts::{ParsePartError, PartHash, shared_parts},
     shared::{CrashReport, MAX_REPORTS_PER_DATAGRAM, ReportScope, SharedQuarantine, SiteHash},
     trials::{CrashTrials, TrialChoice},
 };
--- a/crates/ingress/src/forward/crashes.rs
+++ b/crates/ingress/src/forward/crashes.rs
@@ -4,7 +4,7 @@
 use bluebell_core::{
     clock::TimeSpan,
     placement::EndpointTarget,
-    quarantine::{CrashStatus, SiteHash},
+    quarantine::{CrashStatus, PartHash, SiteHash},
 };
 
 use crate::{
@@ -40,9 +40,36 @@
     })
 }
 
+/// How far the answer to a run had come when the connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerProgress {
+    /// Nothing had arrived.
+    None,
+    /// The head had arrived.
+    Head,
+    /// Events had arrived.
+    Events,
+}
+
+impl AnswerProgress {
+    /// The label in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            AnswerProgress::None => "none",
+            AnswerProgress::Head => "head",
+            AnswerProgress::Events => "events",
+        }
+    }
+}
+
 /// Records that the connection to `target` broke while the request ran there, and has it
 /// reported to the other entries.
-pub fn note_crash(context: &EntryContext, request: &CallerRequest, target: &EndpointTarget) {
+pub fn note_crash(
+    context: &EntryContext,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+    progress: AnswerProgress,
+) {
     reach::note_broken(context, &request.service, &target.id);
     let site = SiteHash::with_endpoint(&target.id, target.start);
     let fingerprint = request.fingerprint();
@@ -54,6 +81,8 @@
     let line = request_log_line(context, "run_lost", request)
         .with("endpoint", &target.id)
         .with("start", target.start)
+        .with("answer", progress.as_str())
+        .with("parts", part_list(&request.shared_parts()))
         .with("fingerprint", fingerprint);
     match status {
         CrashStatus::Quarantined => line.with("outcome", "quarantined").warn(),
@@ -61,6 +90,14 @@
     }
 }
 
+/// The parts of a prompt for the log.
+fn part_list(parts: &[PartHash]) -> String {
+    /// Maximum number of parts in a log line.
+    const MAX_LISTED: usize = 16;
+    let listed = parts.iter().take(MAX_LISTED).map(ToString::to_string);
+    listed.collect::<Vec<_>>().join(",")
+}
+
 /// Records that an endpoint completed the request.
 pub fn note_completed(context: &EntryContext, request: &CallerRequest) {
     if context.quarantine.lock().is_empty() {
--- a/crates/ingress/src/forward/engine_failures.rs
+++ b/crates/ingress/src/forward/engine_failures.rs
@@ -3,13 +3,16 @@
 use bluebell_core::{ids::EndpointId, placement::EndpointTarget};
 
 use crate::forward::{
-    attempt::Withheld, crashes, failed_attempt::FailedAttempt, generate::GenerationRun,
+    attempt::Withheld,
+    crashes::{self, AnswerProgress},
+    failed_attempt::FailedAttempt,
+    generate::GenerationRun,
 };
 
 impl GenerationRun {
     /// Records that the connection to `target` broke while the request ran there.
-    pub(super) fn note_lost_run(&mut self, target: &EndpointTarget) {
-        crashes::note_crash(&self.context, &self.request, target);
+    pub(super) fn note_lost_run(&mut self, target: &EndpointTarget, progress: AnswerProgress) {
+        crashes::note_crash(&self.context, &self.request, target, progress);
         self.note_possible_run(&target.id);
     }
 
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -16,7 +16,7 @@
     forward::{
         answer::{CompleteAnswer, MAX_ANSWER_BYTES},
         attempt::{self, SendOutcome, Withheld},
-        crashes,
+        crashes::{self, AnswerProgress},
         failed_attempt::refusal_of_withheld,
         guards::ReplicaGuard,
         limits, meter, proxy,
@@ -192,7 +192,8 @@
             }
             SendOutcome::MaybeRun(detail) => {
                 guard.failed();
-                crashes::note_crash(self.context, self.request, target);
+                let progress = AnswerProgress::None;
+                crashes::note_crash(self.context, self.request, target, progress);
                 let detail = format!("{}: {detail}", target.id);
                 self.note_possible_run(RefusalReason::EndpointFailed, detail)
             }
@@ -223,7 +224,8 @@
                     Some(answer) => self.handle_answer(guard, answer),
                     None => {
                         guard.failed();
-                        crashes::note_crash(self.context, self.request, target);
+                        let progress = AnswerProgress::Head;
+                        crashes::note_crash(self.context, self.request, target, progress);
                         let detail = "the answer is incomplete".to_string();
                         self.note_possible_run(RefusalReason::EndpointFailed, detail)
                     }
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -8,6 +8,7 @@
     ids::{KeyDigest, OrganisationId, RequestFingerprint, RequestId, ServiceName},
     ingress::{RouteKind, RouteRule, RouteTable},
     placement::PromptWork,
+    quarantine::{self, PartHash},
     streams::{OriginHash, StreamHash},
     units::TokenCount,
 };
@@ -129,6 +130,12 @@
             .get_or_init(|| RequestFingerprint::with_request(caller, &self.target, &self.body))
     }
 
+    /// The parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> Vec<PartHash> {
+        let prefix = header_text(&self.headers, headers::PROMPT_PREFIX);
+        prefix.map(quarantine::shared_parts).unwrap_or_default()
+    }
+
     /// The caller, to account for the answer to it.
     pub fn answered_caller(&self) -> AnsweredCaller {
         AnsweredCaller {
