Count a broken connection as a crash only once its endpoint has ended

What callers saw: a request whose connections two sound endpoints reset was refused for ten minutes. With parts of prompts counted, one series of resets would blame what most requests of a route share.

Cause: each broken connection counted as the crash of its endpoint. Class: a suspicion that is kept as a fact.

Change: broken runs are kept apart (core quarantine/broken_runs) until the endpoint refuses a new connection, its registration goes, or it registers with a later start, within 6 s. One probe per endpoint and 250 ms; a repeatable request waits for it for 100 ms at most before it is sent again. An endpoint that leaves is not in question.

--- /dev/null
+++ b/crates/core/src/quarantine/broken_runs.rs
@@ -0,0 +1,172 @@
+//! Runs whose connections broke, until it is known whether their endpoints ended.
+//!
+//! A connection breaks when its endpoint crashes, but also when the endpoint or something on the
+//! path resets it. Only the end of the endpoint counts against what ran there: it refuses new
+//! connections, its registration lapses, or it registers again with a later start.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::{
+    clock::{ClockTime, TimeSpan},
+    ids::{EndpointId, RequestFingerprint},
+    quarantine::PartHash,
+};
+
+/// How long after a break the end of the endpoint counts as its cause: a registration lapses after
+/// three heartbeat intervals, and the store is read some time later.
+const CONFIRMATION_PERIOD: TimeSpan = TimeSpan::from_millis(6_000);
+
+/// The shortest time between two probes of an endpoint.
+const PROBE_INTERVAL: TimeSpan = TimeSpan::from_millis(250);
+
+/// Maximum number of endpoints with broken runs; further breaks are not recorded.
+const MAX_STARTS: usize = 256;
+
+/// Maximum number of broken runs kept of one endpoint.
+const MAX_RUNS: usize = 256;
+
+/// A run whose connection broke before its answer was complete.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct BrokenRun {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// The parts of its prompt that other requests may share.
+    pub parts: Vec<PartHash>,
+}
+
+/// What follows from a broken connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BreakStep {
+    /// The endpoint is known to have ended.
+    Ended,
+    /// A connection attempt is to show whether it has.
+    Probe,
+    /// Another break has caused a probe already, or too many endpoints are in question.
+    Wait,
+}
+
+/// The broken runs of one start of an endpoint.
+#[derive(Clone, Debug, Default, Serialize)]
+struct BrokenStart {
+    broke_at: ClockTime,
+    probed_at: Option<ClockTime>,
+    is_probing: bool,
+    ended_at: Option<ClockTime>,
+    runs: Vec<BrokenRun>,
+}
+
+/// The endpoints whose connections broke lately, as one entry observed.
+#[derive(Clone, Debug, Default, Serialize)]
+#[serde(transparent)]
+pub struct BrokenRuns {
+    endpoints: BTreeMap<EndpointId, BTreeMap<u64, BrokenStart>>,
+}
+
+impl BrokenRuns {
+    /// Creates a table without broken runs.
+    pub fn new() -> BrokenRuns {
+        BrokenRuns::default()
+    }
+
+    /// Records that the connection broke on which `run` ran at the endpoint that was started at
+    /// `start`.
+    pub fn note_break(
+        &mut self,
+        now: ClockTime,
+        endpoint: &EndpointId,
+        start: u64,
+        run: BrokenRun,
+    ) -> BreakStep {
+        let is_known = self.endpoints.contains_key(endpoint);
+        if !is_known && self.endpoints.len() >= MAX_STARTS {
+            return BreakStep::Wait;
+        }
+        let starts = self.endpoints.entry(endpoint.clone()).or_default();
+        let broken = starts.entry(start).or_default();
+        broken.broke_at = now;
+        if broken.runs.len() < MAX_RUNS {
+            broken.runs.push(run);
+        }
+        let probed_at = broken.probed_at;
+        if broken.ended_at.is_some() {
+            return BreakStep::Ended;
+        }
+        if probed_at.is_some_and(|at| now.since(at) < PROBE_INTERVAL) {
+            return BreakStep::Wait;
+        }
+        broken.probed_at = Some(now);
+        broken.is_probing = true;
+        BreakStep::Probe
+    }
+
+    /// Records that a probe of the endpoint has ended.
+    pub fn note_probed(&mut self, endpoint: &EndpointId, start: u64) {
+        let starts = self.endpoints.get_mut(endpoint);
+        if let Some(broken) = starts.and_then(|starts| starts.get_mut(&start)) {
+            broken.is_probing = false;
+        }
+    }
+
+    /// Whether a probe of the endpoint is in progress.
+    pub fn is_probing(&self, endpoint: &EndpointId, start: u64) -> bool {
+        let starts = self.endpoints.get(endpoint);
+        let broken = starts.and_then(|starts| starts.get(&start));
+        broken.is_some_and(|broken| broken.is_probing)
+    }
+
+    /// Records that the endpoint that was started at `start` has ended. Returns the runs that broke
+    /// there lately and were not returned before.
+    pub fn note_ended(
+        &mut self,
+        now: ClockTime,
+        endpoint: &EndpointId,
+        start: u64,
+    ) -> Vec<BrokenRun> {
+        let starts = self.endpoints.get_mut(endpoint);
+        let Some(broken) = starts.and_then(|starts| starts.get_mut(&start)) else {
+            return Vec::new();
+        };
+        broken.ended_at.get_or_insert(now);
+        let runs = std::mem::take(&mut broken.runs);
+        match now.since(broken.broke_at) < CONFIRMATION_PERIOD {
+            true => runs,
+            false => Vec::new(),
+        }
+    }
+
+    /// The starts of the endpoint with broken runs before `start`; all of them if it is `None`.
+    pub fn starts_before(&self, endpoint: &EndpointId, start: Option<u64>) -> Vec<u64> {
+        let starts = self.endpoints.get(endpoint).into_iter().flatten();
+        let starts = starts.map(|(number, _)| *number);
+        starts
+            .filter(|number| start.is_none_or(|start| *number < start))
+            .collect()
+    }
+
+    /// Forgets the broken runs of an endpoint that is leaving: its end is planned.
+    pub fn remove_endpoint(&mut self, endpoint: &EndpointId) {
+        self.endpoints.remove(endpoint);
+    }
+
+    /// Forgets the breaks since `since`: what broke were the paths to the endpoints.
+    pub fn retract_since(&mut self, since: ClockTime) {
+        self.retain(|broken| broken.broke_at < since);
+    }
+
+    /// Forgets breaks that nothing has confirmed in time.
+    pub fn sweep(&mut self, now: ClockTime) {
+        self.retain(|broken| now.since(broken.broke_at) < CONFIRMATION_PERIOD);
+    }
+
+    fn retain<Kept>(&mut self, kept: Kept)
+    where
+        Kept: Fn(&BrokenStart) -> bool,
+    {
+        self.endpoints.retain(|_, starts| {
+            starts.retain(|_, broken| kept(broken));
+            !starts.is_empty()
+        });
+    }
+}
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -13,12 +13,14 @@
 //! quarantined only if it loses two endpoints for other reasons before it ends.
 //!
 //! On the users' platform entries keep no log of such records. There they exchange them as
-//! reports ([`SharedQuarantine`]); a suspect is run again on any endpoint.
+//! reports ([`SharedQuarantine`]); a suspect is run again on any endpoint. A broken connection
+//! counts there only once its endpoint is known to have ended ([`BrokenRuns`]).
 //!
 //! The bound requires that the crash record is read before the next attempt: other
 //! attempts at the same request that are running at that moment can each cost another
 //! endpoint.
 
+mod broken_runs;
 mod parts;
 mod shared;
 mod trials;
@@ -28,6 +30,7 @@
 use serde::Serialize;
 
 pub use self::{
+    broken_runs::{BreakStep, BrokenRun, BrokenRuns},
     parts::{ParsePartError, PartHash, shared_parts},
     shared::{CrashReport, MAX_REPORTS_PER_DATAGRAM, ReportScope, SharedQuarantine, SiteHash},
     trials::{CrashTrials, TrialChoice},
--- a/crates/core/tests/fleet_support/mod.rs
+++ b/crates/core/tests/fleet_support/mod.rs
@@ -8,6 +8,7 @@
 
 use bluebell_core::clock::{ClockTime, TimeSpan};
 
+#[allow(unused_imports)]
 pub use self::{
     faults::{FaultKind, draw_fault, draw_instance},
     process::ProcessState,
--- a/crates/core/tests/prompt_parts_support/engines.rs
+++ b/crates/core/tests/prompt_parts_support/engines.rs
@@ -1,9 +1,11 @@
 //! Engines that crash, end for other reasons and come back.
 
-use bluebell_core::{ids::EndpointId, quarantine::SiteHash};
+use bluebell_core::ids::EndpointId;
 use rand::{Rng, seq::IteratorRandom};
 use rand_chacha::ChaCha8Rng;
 
+use super::instance::EngineStart;
+
 /// How long an engine is away after a crash, in ms.
 const DOWN_MS: std::ops::Range<u64> = 2_000..4_000;
 /// How long the registration of an engine that ended remains, in ms.
@@ -12,7 +14,7 @@
 /// One start of an engine.
 #[derive(Clone, Debug)]
 pub struct ModelEngine {
-    pub site: SiteHash,
+    pub start: EngineStart,
     pub up_at: u64,
     pub ended_at: Option<u64>,
     /// When its registration lapses, once it has ended.
@@ -27,7 +29,7 @@
 fn engine(number: usize, up_at: u64) -> ModelEngine {
     let id = EndpointId::new(format!("i-{number}")).unwrap();
     ModelEngine {
-        site: SiteHash::with_endpoint(&id, up_at),
+        start: EngineStart { id, start: up_at },
         up_at,
         ended_at: None,
         lapses_at: None,
@@ -62,13 +64,13 @@
     }
 
     /// The engines whose registrations lapse in this step.
-    pub fn lapsing(&self, now: u64, step_ms: u64) -> Vec<SiteHash> {
+    pub fn lapsing(&self, now: u64, step_ms: u64) -> Vec<EngineStart> {
         let lapses = |engine: &&ModelEngine| {
             engine
                 .lapses_at
                 .is_some_and(|at| at <= now && now < at + step_ms)
         };
         let lapsing = self.engines.iter().filter(lapses);
-        lapsing.map(|engine| engine.site).collect()
+        lapsing.map(|engine| engine.start.clone()).collect()
     }
 }
--- a/crates/core/tests/prompt_parts_support/instance.rs
+++ b/crates/core/tests/prompt_parts_support/instance.rs
@@ -4,8 +4,11 @@
 
 use bluebell_core::{
     clock::ClockTime,
-    ids::RequestFingerprint,
-    quarantine::{CrashReport, CrashStatus, PartHash, ReportScope, SharedQuarantine, SiteHash},
+    ids::{EndpointId, RequestFingerprint},
+    quarantine::{
+        BreakStep, BrokenRun, BrokenRuns, CrashReport, CrashStatus, PartHash, ReportScope,
+        SharedQuarantine, SiteHash,
+    },
 };
 
 /// A request as far as crashes concern it.
@@ -26,6 +29,14 @@
 #[derive(Default)]
 pub struct CrashKnowledge {
     requests: SharedQuarantine,
+    broken: BrokenRuns,
+}
+
+/// A start of an engine.
+#[derive(Clone, Debug)]
+pub struct EngineStart {
+    pub id: EndpointId,
+    pub start: u64,
 }
 
 impl CrashKnowledge {
@@ -38,13 +49,25 @@
         !is_quarantined
     }
 
-    /// Records that the connection broke on which the request ran at the engine `site`.
-    pub fn note_break(&mut self, now: ClockTime, request: &ModelRequest, site: SiteHash) {
-        self.requests.note_crash(now, &request.fingerprint, site);
+    /// Records that the connection broke on which the request ran.
+    pub fn note_break(&mut self, now: ClockTime, request: &ModelRequest, engine: &EngineStart) {
+        let run = BrokenRun {
+            fingerprint: request.fingerprint.clone(),
+            parts: request.shared.clone(),
+        };
+        let step = self.broken.note_break(now, &engine.id, engine.start, run);
+        if step == BreakStep::Ended {
+            self.note_ended(now, engine);
+        }
     }
 
-    /// Records that the engine `site` has ended, as a refused connection or its registration shows.
-    pub fn note_ended(&mut self, _now: ClockTime, _site: SiteHash) {}
+    /// Records that the engine has ended, as a refused connection or its registration shows.
+    pub fn note_ended(&mut self, now: ClockTime, engine: &EngineStart) {
+        let site = SiteHash::with_endpoint(&engine.id, engine.start);
+        for run in self.broken.note_ended(now, &engine.id, engine.start) {
+            self.requests.note_crash(now, &run.fingerprint, site);
+        }
+    }
 
     /// Records that an engine completed the request.
     pub fn note_completed(&mut self, now: ClockTime, request: &ModelRequest) {
--- a/crates/core/tests/prompt_parts_support/mod.rs
+++ b/crates/core/tests/prompt_parts_support/mod.rs
@@ -5,7 +5,10 @@
 mod engines;
 mod instance;
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
 
 use bluebell_core::{
     ids::RequestFingerprint,
@@ -61,7 +64,7 @@
     due: u64,
     to: usize,
     is_same_domain: bool,
-    reports: std::rc::Rc<ModelReports>,
+    reports: Rc<ModelReports>,
 }
 
 /// What was observed of a part that crashes engines.
@@ -223,15 +226,15 @@
     }
 
     fn note_break(&mut self, run: &ModelRun) {
-        let site = self.engines.engines[run.engine].site;
+        let engine = &self.engines.engines[run.engine].start;
         let knowledge = &mut self.instances[run.instance].knowledge;
-        knowledge.note_break(at(self.now), &run.request, site);
+        knowledge.note_break(at(self.now), &run.request, engine);
     }
 
     /// Ends an engine and breaks its runs; most instances see that it refuses connections.
     fn end_engine(&mut self, engine: usize) {
         self.engines.end(self.now, engine, &mut self.random);
-        let site = self.engines.engines[engine].site;
+        let ended = self.engines.engines[engine].start.clone();
         let runs = std::mem::take(&mut self.runs);
         let (broken, running): (Vec<_>, Vec<_>) =
             runs.into_iter().partition(|r| r.engine == engine);
@@ -244,7 +247,7 @@
         for number in 0..self.instances.len() {
             if observers.contains(&number) || self.random.random_bool(0.05) {
                 let knowledge = &mut self.instances[number].knowledge;
-                knowledge.note_ended(at(self.now), site);
+                knowledge.note_ended(at(self.now), &ended);
             }
         }
         for run in broken {
@@ -322,7 +325,7 @@
             if direct.is_empty() && remote.is_empty() {
                 continue;
             }
-            let (direct, remote) = (std::rc::Rc::new(direct), std::rc::Rc::new(remote));
+            let (direct, remote) = (Rc::new(direct), Rc::new(remote));
             for to in 0..count {
                 let is_same_domain = self.instances[to].domain == domain;
                 let reports = match is_same_domain || count <= MAX_FULL_MESH {
@@ -330,7 +333,7 @@
                     false => &remote,
                 };
                 if to != from && !reports.is_empty() {
-                    self.post(from, to, is_same_domain, std::rc::Rc::clone(reports));
+                    self.post(from, to, is_same_domain, reports);
                 }
             }
         }
@@ -343,13 +346,7 @@
             && lower.filter(|other| other.domain == domain).count() < REPRESENTATIVES
     }
 
-    fn post(
-        &mut self,
-        from: usize,
-        to: usize,
-        is_same_domain: bool,
-        reports: std::rc::Rc<ModelReports>,
-    ) {
+    fn post(&mut self, from: usize, to: usize, is_same_domain: bool, reports: &Rc<ModelReports>) {
         let cut_until = |number: usize| self.instances[number].cut_until;
         if self.now < cut_until(from).max(cut_until(to)) || self.random.random_bool(LOST_DATAGRAMS)
         {
@@ -361,7 +358,7 @@
                 due: self.now + self.random.random_range(1..=MAX_DELAY_MS),
                 to,
                 is_same_domain,
-                reports: std::rc::Rc::clone(&reports),
+                reports: Rc::clone(reports),
             });
         }
     }
@@ -384,9 +381,9 @@
         while self.now < end {
             self.now += STEP_MS;
             self.receive();
-            for site in self.engines.lapsing(self.now, STEP_MS) {
+            for ended in self.engines.lapsing(self.now, STEP_MS) {
                 for instance in &mut self.instances {
-                    instance.knowledge.note_ended(at(self.now), site);
+                    instance.knowledge.note_ended(at(self.now), &ended);
                 }
             }
             self.advance_runs();
@@ -411,6 +408,6 @@
             .iter()
             .flat_map(|instance| instance.knowledge.quarantined_parts());
         let wrong = quarantined.filter(|part| !self.parts.contains_key(part));
-        wrong.collect::<std::collections::BTreeSet<_>>().len()
+        wrong.collect::<BTreeSet<_>>().len()
     }
 }
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -11,7 +11,7 @@
     ingress::{ConfigurationTracker, ConfigurationValidity, ValidityLimits},
     placement::{EngineTable, ReplicaTable},
     provision::DemandTable,
-    quarantine::SharedQuarantine,
+    quarantine::{BrokenRuns, SharedQuarantine},
     quota::RateLimiter,
     reachability::ReachTable,
     relay::{AdvertisedConfiguration, RELAY_TIMEOUT, StateValidity, StoreReads},
@@ -103,6 +103,8 @@
     pub budget: Shared<SharedRetryBudget>,
     /// The requests that ran on endpoints that crashed.
     pub quarantine: Shared<SharedQuarantine>,
+    /// Runs whose connections broke, until it is known whether their endpoints ended.
+    pub broken_runs: Shared<BrokenRuns>,
     /// The versions at which streams began.
     pub streams: StreamOrigins,
     /// Whether this instance reaches the endpoints of each service.
@@ -133,6 +135,8 @@
     pub probe_due: Notify,
     /// Wakes requests that wait for the result of a probe.
     pub probed: Notify,
+    /// Wakes requests that wait until it is known whether an endpoint has ended.
+    pub break_probed: Notify,
     /// Idle connections to endpoints.
     pub pools: ConnectionPools,
     /// The bytes held for callers and endpoints.
@@ -191,6 +195,7 @@
             replicas: Shared::new(ReplicaTable::new(routing).with_seed(seed)),
             budget: Shared::new(SharedRetryBudget::new(allowance).with_start(started_at)),
             quarantine: Shared::new(SharedQuarantine::new()),
+            broken_runs: Shared::new(BrokenRuns::new()),
             streams: StreamOrigins::new(),
             reach: Shared::new(ReachTable::new()),
             limiter: Shared::new(limiter),
@@ -206,6 +211,7 @@
             report_due: Notify::new(),
             probe_due: Notify::new(),
             probed: Notify::new(),
+            break_probed: Notify::new(),
             pools: ConnectionPools::new(),
             memory,
             metrics,
--- /dev/null
+++ b/crates/ingress/src/forward/broken_runs.rs
@@ -0,0 +1,192 @@
+//! Broken connections, and whether the endpoints at their other ends have ended.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bluebell_core::{
+    clock::TimeSpan,
+    directory::EndpointRegistration,
+    ids::EndpointId,
+    placement::EndpointTarget,
+    quarantine::{BreakStep, BrokenRun, PartHash},
+};
+use bluebell_daemon::logs::LogLine;
+use tokio::net::TcpStream;
+
+use crate::{
+    context::EntryContext,
+    forward::{crashes, reach, request_log_line},
+    frontend::CallerRequest,
+};
+
+/// Timeout for opening a connection to an endpoint whose connection broke.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long a request whose connection broke waits for the probe before it is sent again. An
+/// endpoint that has ended refuses the connection within a round trip.
+const MAX_WAIT: TimeSpan = TimeSpan::from_millis(100);
+
+/// How far the answer to a run had come when the connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerProgress {
+    /// Nothing had arrived.
+    None,
+    /// The head had arrived.
+    Head,
+    /// Events had arrived.
+    Events,
+}
+
+impl AnswerProgress {
+    /// The label in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            AnswerProgress::None => "none",
+            AnswerProgress::Head => "head",
+            AnswerProgress::Events => "events",
+        }
+    }
+}
+
+/// Records that the connection to `target` broke while the request ran there, and finds out whether
+/// the endpoint has ended.
+pub fn note_lost_run(
+    context: &Arc<EntryContext>,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+    progress: AnswerProgress,
+) {
+    reach::note_broken(context, &request.service, &target.id);
+    let parts = request.shared_parts();
+    let line = request_log_line(context, "run_lost", request)
+        .with("endpoint", &target.id)
+        .with("start", target.start)
+        .with("answer", progress.as_str())
+        .with("parts", part_list(&parts))
+        .with("fingerprint", request.fingerprint());
+    if !is_expected_to_stay(context, target) {
+        line.with("outcome", "endpoint_leaves").info();
+        return;
+    }
+    line.with("outcome", "suspected").info();
+    let run = BrokenRun {
+        fingerprint: request.fingerprint().clone(),
+        parts,
+    };
+    let now = context.now();
+    let step = {
+        let mut broken_runs = context.broken_runs.lock();
+        broken_runs.note_break(now, &target.id, target.start, run)
+    };
+    match step {
+        BreakStep::Ended => note_ended(context, &target.id, target.start, "known"),
+        BreakStep::Probe => {
+            tokio::spawn(probe(Arc::clone(context), target.clone()));
+        }
+        BreakStep::Wait => {}
+    }
+}
+
+/// Waits for the result of a probe of `target`, so that the request is not sent again before it is
+/// known whether it may have crashed the endpoint.
+pub async fn wait_for_probe(context: &EntryContext, target: &EndpointTarget) {
+    let probed = async {
+        loop {
+            let notified = context.break_probed.notified();
+            let is_probing = {
+                let broken_runs = context.broken_runs.lock();
+                broken_runs.is_probing(&target.id, target.start)
+            };
+            if !is_probing {
+                return;
+            }
+            notified.await;
+        }
+    };
+    let _ = tokio::time::timeout(MAX_WAIT.as_duration(), probed).await;
+}
+
+/// Handles a registration that was entered into the directory: an earlier start of the endpoint has
+/// ended.
+pub fn note_registered(context: &EntryContext, registration: &EndpointRegistration) {
+    let id = &registration.id;
+    if registration.is_leaving {
+        context.broken_runs.lock().remove_endpoint(id);
+        return;
+    }
+    note_starts_ended(context, id, Some(registration.start), "later_start");
+}
+
+/// Handles the removal of an endpoint from the directory.
+pub fn note_removed(context: &EntryContext, endpoint: &EndpointId) {
+    note_starts_ended(context, endpoint, None, "registration");
+}
+
+fn note_starts_ended(
+    context: &EntryContext,
+    endpoint: &EndpointId,
+    before: Option<u64>,
+    evidence: &str,
+) {
+    let starts = context.broken_runs.lock().starts_before(endpoint, before);
+    for start in starts {
+        note_ended(context, endpoint, start, evidence);
+    }
+}
+
+/// Records that an endpoint has ended, by `evidence`.
+fn note_ended(context: &EntryContext, endpoint: &EndpointId, start: u64, evidence: &str) {
+    let now = context.now();
+    let runs = {
+        let mut broken_runs = context.broken_runs.lock();
+        broken_runs.note_ended(now, endpoint, start)
+    };
+    if runs.is_empty() {
+        return;
+    }
+    LogLine::new("endpoint_ended")
+        .with("endpoint", endpoint)
+        .with("start", start)
+        .with("evidence", evidence)
+        .with("runs", runs.len())
+        .info();
+    crashes::note_crash(context, endpoint, start, &runs);
+}
+
+/// Whether the endpoint is registered and does not leave. The end of another one is planned, and
+/// breaks what has not ended by then.
+fn is_expected_to_stay(context: &EntryContext, target: &EndpointTarget) -> bool {
+    let directory = context.directory.lock();
+    let known = directory.get(&target.id);
+    known.is_some_and(|known| !known.is_leaving)
+}
+
+/// Opens a connection to an endpoint whose connection broke. An endpoint that has ended refuses it.
+async fn probe(context: Arc<EntryContext>, target: EndpointTarget) {
+    let connecting = TcpStream::connect(target.address);
+    let connected = tokio::time::timeout(PROBE_TIMEOUT, connecting).await;
+    let outcome = match connected {
+        Ok(Ok(_)) => "connected",
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => "refused",
+        _ => "no_answer",
+    };
+    LogLine::new("endpoint_probed")
+        .with("endpoint", &target.id)
+        .with("start", target.start)
+        .with("outcome", outcome)
+        .info();
+    if outcome == "refused" {
+        note_ended(&context, &target.id, target.start, outcome);
+    }
+    let mut broken_runs = context.broken_runs.lock();
+    broken_runs.note_probed(&target.id, target.start);
+    drop(broken_runs);
+    context.break_probed.notify_waiters();
+}
+
+/// The parts of a prompt for the log.
+fn part_list(parts: &[PartHash]) -> String {
+    /// Maximum number of parts in a log line.
+    const MAX_LISTED: usize = 16;
+    let listed = parts.iter().take(MAX_LISTED).map(ToString::to_string);
+    listed.collect::<Vec<_>>().join(",")
+}
--- a/crates/ingress/src/forward/crashes.rs
+++ b/crates/ingress/src/forward/crashes.rs
@@ -3,15 +3,12 @@
 
 use bluebell_core::{
     clock::TimeSpan,
-    placement::EndpointTarget,
-    quarantine::{CrashStatus, PartHash, SiteHash},
+    ids::EndpointId,
+    quarantine::{BrokenRun, CrashStatus, SiteHash},
 };
+use bluebell_daemon::logs::LogLine;
 
-use crate::{
-    context::EntryContext,
-    forward::{reach, request_log_line},
-    frontend::CallerRequest,
-};
+use crate::{context::EntryContext, frontend::CallerRequest};
 
 /// Why and for how long a request is refused.
 #[derive(Clone, Debug)]
@@ -40,62 +37,23 @@
     })
 }
 
-/// How far the answer to a run had come when the connection broke.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AnswerProgress {
-    /// Nothing had arrived.
-    None,
-    /// The head had arrived.
-    Head,
-    /// Events had arrived.
-    Events,
-}
-
-impl AnswerProgress {
-    /// The label in logs.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            AnswerProgress::None => "none",
-            AnswerProgress::Head => "head",
-            AnswerProgress::Events => "events",
+/// Records that the endpoint that was started at `start` ended while these runs were there, and has
+/// it reported to the other entries.
+pub fn note_crash(context: &EntryContext, endpoint: &EndpointId, start: u64, runs: &[BrokenRun]) {
+    let site = SiteHash::with_endpoint(endpoint, start);
+    let now = context.now();
+    for run in runs {
+        let mut quarantine = context.quarantine.lock();
+        let status = quarantine.note_crash(now, &run.fingerprint, site);
+        drop(quarantine);
+        if status == CrashStatus::Quarantined {
+            LogLine::new("request_quarantined")
+                .with("fingerprint", &run.fingerprint)
+                .with("source", &context.writer.instance)
+                .warn();
         }
     }
-}
-
-/// Records that the connection to `target` broke while the request ran there, and has it
-/// reported to the other entries.
-pub fn note_crash(
-    context: &EntryContext,
-    request: &CallerRequest,
-    target: &EndpointTarget,
-    progress: AnswerProgress,
-) {
-    reach::note_broken(context, &request.service, &target.id);
-    let site = SiteHash::with_endpoint(&target.id, target.start);
-    let fingerprint = request.fingerprint();
-    let status = {
-        let mut quarantine = context.quarantine.lock();
-        quarantine.note_crash(context.now(), fingerprint, site)
-    };
     context.report_due.notify_one();
-    let line = request_log_line(context, "run_lost", request)
-        .with("endpoint", &target.id)
-        .with("start", target.start)
-        .with("answer", progress.as_str())
-        .with("parts", part_list(&request.shared_parts()))
-        .with("fingerprint", fingerprint);
-    match status {
-        CrashStatus::Quarantined => line.with("outcome", "quarantined").warn(),
-        _ => line.with("outcome", "suspect").info(),
-    }
-}
-
-/// The parts of a prompt for the log.
-fn part_list(parts: &[PartHash]) -> String {
-    /// Maximum number of parts in a log line.
-    const MAX_LISTED: usize = 16;
-    let listed = parts.iter().take(MAX_LISTED).map(ToString::to_string);
-    listed.collect::<Vec<_>>().join(",")
 }
 
 /// Records that an endpoint completed the request.
--- a/crates/ingress/src/forward/engine_failures.rs
+++ b/crates/ingress/src/forward/engine_failures.rs
@@ -1,19 +1,26 @@
 //! What a failed call of a request says about the engine.
 
-use bluebell_core::{ids::EndpointId, placement::EndpointTarget};
+use bluebell_core::{attempts::WorkKind, ids::EndpointId, placement::EndpointTarget};
 
 use crate::forward::{
     attempt::Withheld,
-    crashes::{self, AnswerProgress},
+    broken_runs::{self, AnswerProgress},
     failed_attempt::FailedAttempt,
     generate::GenerationRun,
 };
 
 impl GenerationRun {
     /// Records that the connection to `target` broke while the request ran there.
-    pub(super) fn note_lost_run(&mut self, target: &EndpointTarget, progress: AnswerProgress) {
-        crashes::note_crash(&self.context, &self.request, target, progress);
+    pub(super) async fn note_lost_run(
+        &mut self,
+        target: &EndpointTarget,
+        progress: AnswerProgress,
+    ) {
+        broken_runs::note_lost_run(&self.context, &self.request, target, progress);
         self.note_possible_run(&target.id);
+        if self.request.route.work_kind() == WorkKind::Repeatable {
+            broken_runs::wait_for_probe(&self.context, target).await;
+        }
     }
 
     /// Records that the request may have run on `engine` and that its answer is lost.
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -17,7 +17,8 @@
     forward::{
         answer::{CompleteAnswer, MAX_ANSWER_BYTES},
         attempt::{self, EndpointAnswer, ExtraHeaders, SendOutcome},
-        crashes::{self, AnswerProgress},
+        broken_runs::AnswerProgress,
+        crashes,
         events::{EventReader, NextEvents},
         failed_attempt::FailedAttempt,
         guards::{PrefillGuard, RunGuard},
@@ -143,7 +144,7 @@
         last_id: Option<u64>,
     ) -> Option<RunningStream> {
         match is_engine_fault {
-            true => self.note_lost_run(failed, AnswerProgress::Events),
+            true => self.note_lost_run(failed, AnswerProgress::Events).await,
             false => self.note_unread_run(&failed.id),
         }
         let is_repeatable = self.request.route.work_kind() == WorkKind::Repeatable;
@@ -301,7 +302,7 @@
                 Err(FailedAttempt::new(RefusalReason::EndpointsFull, detail))
             }
             SendOutcome::MaybeRun(detail) => {
-                self.note_lost_run(target, AnswerProgress::None);
+                self.note_lost_run(target, AnswerProgress::None).await;
                 let detail = format!("run at {}: {detail}", target.id);
                 Err(FailedAttempt::new(RefusalReason::EndpointFailed, detail))
             }
@@ -342,7 +343,7 @@
             );
             let complete = complete.await;
             let Some(complete) = complete else {
-                self.note_lost_run(target, AnswerProgress::Head);
+                self.note_lost_run(target, AnswerProgress::Head).await;
                 let detail = "the answer is incomplete";
                 return Err(FailedAttempt::new(RefusalReason::EndpointFailed, detail));
             };
@@ -365,7 +366,7 @@
                 ));
             }
             NextEvents::Broken => {
-                self.note_lost_run(target, AnswerProgress::Head);
+                self.note_lost_run(target, AnswerProgress::Head).await;
                 let detail = "the stream broke before its first event";
                 return Err(FailedAttempt::new(RefusalReason::EndpointFailed, detail));
             }
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod attempt;
+mod broken_runs;
 mod connection;
 mod crashes;
 mod engine_calls;
@@ -29,7 +30,10 @@
 use hyper::Response;
 use tokio_util::sync::CancellationToken;
 
-pub use self::pool::ConnectionPools;
+pub use self::{
+    broken_runs::{note_registered, note_removed},
+    pool::ConnectionPools,
+};
 use crate::{
     context::EntryContext,
     frontend::{AnswerBody, CallerRequest, Refusal},
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -16,7 +16,8 @@
     forward::{
         answer::{CompleteAnswer, MAX_ANSWER_BYTES},
         attempt::{self, SendOutcome, Withheld},
-        crashes::{self, AnswerProgress},
+        broken_runs::{self, AnswerProgress},
+        crashes,
         failed_attempt::refusal_of_withheld,
         guards::ReplicaGuard,
         limits, meter, proxy,
@@ -192,8 +193,7 @@
             }
             SendOutcome::MaybeRun(detail) => {
                 guard.failed();
-                let progress = AnswerProgress::None;
-                crashes::note_crash(self.context, self.request, target, progress);
+                self.note_lost_run(target, AnswerProgress::None).await;
                 let detail = format!("{}: {detail}", target.id);
                 self.note_possible_run(RefusalReason::EndpointFailed, detail)
             }
@@ -224,8 +224,7 @@
                     Some(answer) => self.handle_answer(guard, answer),
                     None => {
                         guard.failed();
-                        let progress = AnswerProgress::Head;
-                        crashes::note_crash(self.context, self.request, target, progress);
+                        self.note_lost_run(target, AnswerProgress::Head).await;
                         let detail = "the answer is incomplete".to_string();
                         self.note_possible_run(RefusalReason::EndpointFailed, detail)
                     }
@@ -234,6 +233,14 @@
         }
     }
 
+    /// Records that the connection to `target` broke while the request ran there.
+    async fn note_lost_run(&self, target: &EndpointTarget, progress: AnswerProgress) {
+        broken_runs::note_lost_run(self.context, self.request, target, progress);
+        if self.request.route.work_kind() == WorkKind::Repeatable {
+            broken_runs::wait_for_probe(self.context, target).await;
+        }
+    }
+
     /// The step after a replica was chosen that the request must not be sent to.
     fn next_after_withheld(&mut self, withheld: Withheld) -> NextStep {
         let (reason, retry_after) = refusal_of_withheld(withheld);
--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -158,6 +158,7 @@
             self.swept_at = now;
             self.context.limiter.lock().sweep(now);
             self.context.quarantine.lock().sweep(now);
+            self.context.broken_runs.lock().sweep(now);
             self.context.endpoint_limits.lock().sweep(now);
             self.context.streams.sweep(now);
             self.context.directory.lock().versions_mut().sweep(now);
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     context::EntryContext,
+    forward,
     peers::ChangeMessage,
     state_transfer::{self, CopyError, StateCopy, StateRequest},
     sync::{READ_TIMEOUT, StoreBackoff, log_directory_confirmed, wait_for_wake},
@@ -335,6 +336,7 @@
         let now = context.now();
         context.engines.lock().set_engine(now, registration);
     }
+    forward::note_registered(context, registration);
     LogLine::new("endpoint")
         .with("endpoint", id)
         .with("change", format!("{change:?}"))
@@ -437,6 +439,7 @@
     if context.directory.lock().get(id).is_some() {
         return;
     }
+    forward::note_removed(context, id);
     context.engines.lock().remove_engine(id);
     context.replicas.lock().remove(id);
     context.pools.remove_endpoint(id);
