Convict the second of two parts, and repeat what others know only in part

A part with six crashes that were not all simultaneous is convicted whatever else explains them: a sound one that is sent to so many engines has been answered. A report postpones the repetition only if it is as long as this instance's own.

--- a/crates/core/src/quarantine/part_history.rs
+++ b/crates/core/src/quarantine/part_history.rs
@@ -38,6 +38,10 @@
 /// Number of crashes that convict a part unless all were simultaneous.
 const MIN_ENDPOINTS: usize = 5;
 
+/// Number of crashes that convict a part although another part explains them: a sound part that is
+/// sent to so many engines has been answered by one of them.
+const MIN_EXPLAINED_ENDPOINTS: usize = 6;
+
 /// How much counts against a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CrashWeight {
@@ -52,6 +56,11 @@
     pub fn is_conclusive(self) -> bool {
         self.moments >= MIN_MOMENTS || (self.moments > 1 && self.endpoints >= MIN_ENDPOINTS)
     }
+
+    /// Whether it is enough to refuse requests although another part explains the crashes.
+    pub fn is_conclusive_if_explained(self) -> bool {
+        self.moments > 1 && self.endpoints >= MIN_EXPLAINED_ENDPOINTS
+    }
 }
 
 /// The end of an endpoint, as evidence against a part.
@@ -227,6 +236,11 @@
         }
     }
 
+    /// The number of crashes in a report.
+    pub fn reported_crashes(&self) -> usize {
+        self.crashes.len().min(MAX_REPORTED_CRASHES)
+    }
+
     /// The newest crashes, for a report.
     pub fn report(&self, now: ClockTime) -> Vec<PartCrash> {
         let crashes = self.crashes.iter().map(|(site, crash)| PartCrash {
--- a/crates/core/src/quarantine/prompt_parts.rs
+++ b/crates/core/src/quarantine/prompt_parts.rs
@@ -187,11 +187,11 @@
         for crash in &report.crashes {
             is_changed |= history.note_reported(now, crash);
         }
-        if is_same_domain {
+        if is_same_domain && is_changed {
+            history.forward();
+        }
+        if is_same_domain && report.crashes.len() >= history.reported_crashes() {
             history.note_repeated(now, delay);
-            if is_changed {
-                history.forward();
-            }
         }
         if is_answered {
             is_changed |= history.refute(now);
@@ -274,8 +274,11 @@
     /// The parts that explain the crashes: those with the most crashes first, then those that have
     /// enough beside the ones that are explained.
     fn guilty_parts(&self) -> BTreeSet<PartHash> {
-        let mut guilty = BTreeSet::new();
-        let mut explained = BTreeSet::new();
+        let mut guilty = self.often_crashing_parts();
+        let pending = guilty
+            .iter()
+            .flat_map(|part| self.histories[part].pending());
+        let mut explained: BTreeSet<SiteHash> = pending.collect();
         loop {
             let histories = self.histories.iter();
             let weights = histories.map(|(part, history)| (*part, history.weight(&explained)));
@@ -292,6 +295,17 @@
         }
     }
 
+    /// The parts with so many crashes that it does not matter what else explains these.
+    fn often_crashing_parts(&self) -> BTreeSet<PartHash> {
+        let nothing = BTreeSet::new();
+        let histories = self.histories.iter();
+        let often = histories.filter(|(_, history)| {
+            let weight = history.weight(&nothing);
+            weight.is_conclusive_if_explained()
+        });
+        often.map(|(part, _)| *part).collect()
+    }
+
     fn quarantined_histories(&self) -> impl Iterator<Item = &PartHistory> {
         let quarantined = self.quarantined.iter();
         quarantined.filter_map(|part| self.histories.get(part))
--- a/crates/core/tests/quarantine_parts.rs
+++ b/crates/core/tests/quarantine_parts.rs
@@ -251,3 +251,17 @@
         refused(&forward) == refused(&backward)
     }
 }
+
+/// Guards against missing one of two parts that always crash engines together.
+#[test]
+fn a_part_with_many_crashes_is_convicted_beside_another_one() {
+    let mut quarantine = PartQuarantine::new();
+    for number in 1..=5 {
+        crash(&mut quarantine, number * 1_000, number, &[0xa, 0xb]);
+    }
+    crash(&mut quarantine, 6_000, 6, &[0xa]);
+    crash(&mut quarantine, 7_000, 7, &[0xa]);
+    assert_eq!(refused(&quarantine), [part(0xa)]);
+    crash(&mut quarantine, 7_500, 8, &[0xb]);
+    assert_eq!(refused(&quarantine), [part(0xa), part(0xb)]);
+}
