Let the model's instances find that an engine has ended under their own run

In the model, the instance whose request crashed an engine learned of the end only when the registration lapsed, 3.1 to 3.7 s later; a real one probes the endpoint as all others do. Now nine in ten of all instances with a broken connection find it at once, the rest by the registration; before, those that observed the break always did. Bounds unchanged.

--- a/crates/core/tests/prompt_parts_support/mod.rs
+++ b/crates/core/tests/prompt_parts_support/mod.rs
@@ -44,6 +44,10 @@
 const ROUTES: usize = 3;
 /// The number of sessions, each with a prompt part of its own.
 const SESSIONS: u64 = 300;
+/// The share of the instances whose connections break that find at once that the engine has ended.
+const PROBED_SHARE: f64 = 0.9;
+/// The share of the requests that are sent again after their connection broke.
+const RETRIED_SHARE: f64 = 0.3;
 /// One of how many requests may have a part that crashes engines.
 const CRASHING_SHARES: [u32; 5] = [2, 5, 20, 60, 200];
 
@@ -237,8 +241,8 @@
             match run.request.crashing {
                 Some(part) if is_up => {
                     self.parts.get_mut(&part).unwrap().crashes.push(now);
-                    self.note_break(&run);
-                    self.end_engine(run.engine);
+                    let engine = run.engine;
+                    self.end_engine(engine, Some(run));
                 }
                 None if is_up => {
                     let knowledge = &mut self.instances[run.instance].knowledge;
@@ -255,28 +259,29 @@
         knowledge.note_break(at(self.now), &run.request, engine);
     }
 
-    /// Ends an engine and breaks its runs; most instances see that it refuses connections.
-    fn end_engine(&mut self, engine: usize) {
+    /// Ends an engine and breaks its runs, among them the one that crashed it. Most instances whose
+    /// connections break find that it refuses others; the rest learn of it by its registration.
+    fn end_engine(&mut self, engine: usize, crashing: Option<ModelRun>) {
         self.engines.end(self.now, engine, &mut self.random);
         let ended = self.engines.engines[engine].start.clone();
         let runs = std::mem::take(&mut self.runs);
-        let (broken, running): (Vec<_>, Vec<_>) =
+        let (mut broken, running): (Vec<_>, Vec<_>) =
             runs.into_iter().partition(|r| r.engine == engine);
         self.runs = running;
-        let mut observers: Vec<usize> = broken.iter().map(|run| run.instance).collect();
+        broken.extend(crashing);
         for run in &broken {
             self.note_break(run);
         }
-        observers.dedup();
-        for number in 0..self.instances.len() {
-            if observers.contains(&number) || self.random.random_bool(0.05) {
+        let observers: BTreeSet<usize> = broken.iter().map(|run| run.instance).collect();
+        for number in observers {
+            if self.random.random_bool(PROBED_SHARE) {
                 let knowledge = &mut self.instances[number].knowledge;
                 knowledge.note_ended(at(self.now), &ended);
                 self.instances[number].hasten();
             }
         }
         for run in broken {
-            if self.random.random_bool(0.3) {
+            if self.random.random_bool(RETRIED_SHARE) {
                 self.arrive(run.request);
             }
         }
@@ -300,13 +305,13 @@
             0 => self.reset_connections(),
             1 => {
                 if let Some(engine) = self.engines.choose(self.now, &mut self.random) {
-                    self.end_engine(engine);
+                    self.end_engine(engine, None);
                 }
             }
             2 => {
                 for number in 0..self.engines.engines.len() {
                     if self.engines.is_up(self.now, number) && self.random.random_bool(0.25) {
-                        self.end_engine(number);
+                        self.end_engine(number, None);
                     }
                 }
             }
