Leave endpoints their rest, and send nothing more to those that say that they leave

An engine asked an instance for 3 s of rest and got three requests from it in that time. An endpoint that says in its answers that it leaves got requests for as long as its registration said nothing.

Cause: the header was read nowhere; an engine that refused was left out for 150 ms to 1.2 s, and a way to the engines that was lost and regained ended even that. Class: what an endpoint asks for is not kept, but guessed from its failures.

Change: core endpoint_notices keeps rest (until, by start of the endpoint) and leaving; only a later start ends them. forward/notices, before forward/limits, reads limit, rest and leaving at the one place that all answers to requests pass, and each call asks call_obstacle right before it is written: requests to plain services, prefills, runs, streams that are taken up, requests that others proxy, the release of a prefilled prompt, and orders to engines. If no other endpoint is left, the request is refused at once with the shortest rest as its Retry-After. The break of a connection to an endpoint that said that it leaves is no crash.

Not covered: answers to orders and to the release of a prompt are not read for rest.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod directory;
 pub mod draining;
 pub mod endpoint_limits;
+pub mod endpoint_notices;
 pub mod fleet;
 pub mod ids;
 pub mod ingress;
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -7,6 +7,7 @@
     clock::{ClockSource, ClockTime, TimeSpan},
     directory::{DirectoryStatus, DirectorySync, EndpointDirectory},
     endpoint_limits::EndpointLimits,
+    endpoint_notices::EndpointNotices,
     ids::{InstanceId, LogOffset},
     ingress::{ConfigurationTracker, ConfigurationValidity, ValidityLimits},
     placement::{EngineTable, ReplicaTable},
@@ -115,6 +116,8 @@
     pub limiter: Shared<RateLimiter>,
     /// The limits that endpoints named for the requests of all entries together.
     pub endpoint_limits: Shared<EndpointLimits>,
+    /// The endpoints that asked this instance for rest or said that they leave.
+    pub endpoint_notices: Shared<EndpointNotices>,
     /// The usage of organisations per usage window.
     pub meter: Shared<UsageMeter>,
     /// The other entry instances.
@@ -203,6 +206,7 @@
             reach: Shared::new(ReachTable::new()),
             limiter: Shared::new(limiter),
             endpoint_limits: Shared::new(EndpointLimits::new()),
+            endpoint_notices: Shared::new(EndpointNotices::new()),
             meter: Shared::new(UsageMeter::new()),
             peers: Shared::new(PeerTable::new()),
             relayed: Shared::new(RelayedState::default()),
--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -7,6 +7,7 @@
 use bluebell_adapter::headers;
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
+    endpoint_notices::CallObstacle,
     placement::EndpointTarget,
     relay::StateValidity,
 };
@@ -19,7 +20,7 @@
 
 use crate::{
     context::EntryContext,
-    forward::{connection::EndpointConnection, limits, reach, request_log_line},
+    forward::{connection::EndpointConnection, notices, reach, request_log_line},
     frontend::CallerRequest,
 };
 
@@ -37,6 +38,8 @@
 pub enum Withheld {
     /// The endpoint is leaving, has left or has restarted.
     EndpointLeft,
+    /// The endpoint has asked for rest.
+    EndpointResting,
     /// The directory of endpoints has not been confirmed in time.
     DirectoryUnconfirmed,
     /// The deadline of the request has passed.
@@ -44,10 +47,16 @@
 }
 
 impl Withheld {
+    /// Whether another endpoint may get the request.
+    pub const fn concerns_endpoint(self) -> bool {
+        matches!(self, Withheld::EndpointLeft | Withheld::EndpointResting)
+    }
+
     /// The reason for the log.
     pub const fn as_str(self) -> &'static str {
         match self {
             Withheld::EndpointLeft => "endpoint_left",
+            Withheld::EndpointResting => "endpoint_resting",
             Withheld::DirectoryUnconfirmed => "directory_unconfirmed",
             Withheld::DeadlinePassed => "deadline_passed",
         }
@@ -101,7 +110,7 @@
     extra_headers: &ExtraHeaders,
     timeout: TimeSpan,
 ) -> SendOutcome {
-    limits::note_sent(context, target);
+    notices::note_sent(context, target);
     let outcome = tokio::time::timeout(
         timeout.as_duration(),
         exchange(context, request, target, extra_headers),
@@ -188,7 +197,7 @@
     let keep_alive = response.headers().get("keep-alive");
     connection.note_keep_alive(keep_alive.and_then(|value| value.to_str().ok()));
     let status = response.status();
-    limits::note_answer(context, target, status, response.headers());
+    notices::note_answer(context, target, status, response.headers());
     if status == StatusCode::MISDIRECTED_REQUEST
         || response.headers().contains_key(headers::NOT_EXECUTED)
     {
@@ -225,6 +234,11 @@
     if context.directory_validity(now) == StateValidity::Unconfirmed {
         return Some(Withheld::DirectoryUnconfirmed);
     }
+    match notices::call_obstacle(context, &target.id, target.start) {
+        Some(CallObstacle::Resting(_)) => return Some(Withheld::EndpointResting),
+        Some(CallObstacle::Leaving) => return Some(Withheld::EndpointLeft),
+        None => {}
+    }
     let directory = context.directory.lock();
     let is_available = directory
         .get(&target.id)
--- a/crates/ingress/src/forward/broken_runs.rs
+++ b/crates/ingress/src/forward/broken_runs.rs
@@ -5,6 +5,7 @@
 use bluebell_core::{
     clock::TimeSpan,
     directory::EndpointRegistration,
+    endpoint_notices::CallObstacle,
     ids::EndpointId,
     placement::EndpointTarget,
     quarantine::{BreakStep, BrokenRun, PartHash},
@@ -14,7 +15,7 @@
 
 use crate::{
     context::EntryContext,
-    forward::{crashes, reach, request_log_line},
+    forward::{crashes, notices, reach, request_log_line},
     frontend::CallerRequest,
 };
 
@@ -109,6 +110,9 @@
 /// ended.
 pub fn note_registered(context: &EntryContext, registration: &EndpointRegistration) {
     let id = &registration.id;
+    let mut notices = context.endpoint_notices.lock();
+    notices.note_started(id, registration.start);
+    drop(notices);
     if registration.is_leaving {
         context.broken_runs.lock().remove_endpoint(id);
         return;
@@ -155,6 +159,10 @@
 /// Whether the endpoint is registered and does not leave. The end of another one is planned, and
 /// breaks what has not ended by then.
 fn is_expected_to_stay(context: &EntryContext, target: &EndpointTarget) -> bool {
+    let obstacle = notices::call_obstacle(context, &target.id, target.start);
+    if obstacle == Some(CallObstacle::Leaving) {
+        return false;
+    }
     let directory = context.directory.lock();
     let known = directory.get(&target.id);
     known.is_some_and(|known| !known.is_leaving)
--- a/crates/ingress/src/forward/engine_choice.rs
+++ b/crates/ingress/src/forward/engine_choice.rs
@@ -12,7 +12,7 @@
         attempt::ExtraHeaders,
         failed_attempt::{FailedAttempt, no_engine_failure},
         generate::GenerationRun,
-        limits,
+        notices,
     },
     frontend::RefusalReason,
 };
@@ -59,7 +59,7 @@
     /// Selects the engine that prefills the prompt.
     pub(super) fn plan(&self) -> Result<PrefillPlan, FailedAttempt> {
         let now = self.context.now();
-        let excluded = limits::excluded(&self.context, &self.attempted);
+        let excluded = notices::excluded(&self.context, &self.attempted);
         let request = self.plan_request(&excluded)?;
         let plan = self.context.engines.lock().plan(now, request);
         // An immediate retry would find no engine either, and would block all other
@@ -74,7 +74,7 @@
         plan: &PrefillPlan,
     ) -> Result<EndpointTarget, FailedAttempt> {
         let now = self.context.now();
-        let excluded = limits::excluded(&self.context, &self.attempted);
+        let excluded = notices::excluded(&self.context, &self.attempted);
         let request = PlanRequest {
             origin: Some(plan.engine.origin),
             ..self.plan_request(&excluded)?
@@ -91,7 +91,7 @@
         let retry_after = failed.retry_after;
         FailedAttempt {
             retry_after: retry_after
-                .or_else(|| limits::retry_after(&self.context, &self.request.service)),
+                .or_else(|| notices::retry_after(&self.context, &self.request.service)),
             ..failed
         }
     }
--- a/crates/ingress/src/forward/failed_attempt.rs
+++ b/crates/ingress/src/forward/failed_attempt.rs
@@ -46,7 +46,7 @@
     /// endpoint may get it only if the endpoint is the reason.
     pub(super) fn withheld(withheld: Withheld) -> FailedAttempt {
         let (reason, retry_after) = refusal_of_withheld(withheld);
-        let is_final = withheld != Withheld::EndpointLeft;
+        let is_final = !withheld.concerns_endpoint();
         FailedAttempt {
             is_final,
             retry_after,
@@ -65,7 +65,7 @@
 /// not the default.
 pub(super) fn refusal_of_withheld(withheld: Withheld) -> (RefusalReason, Option<TimeSpan>) {
     match withheld {
-        Withheld::EndpointLeft => (RefusalReason::NoEndpoint, None),
+        Withheld::EndpointLeft | Withheld::EndpointResting => (RefusalReason::NoEndpoint, None),
         Withheld::DirectoryUnconfirmed => {
             (RefusalReason::EndpointsUnconfirmed, Some(SYNC_RETRY_AFTER))
         }
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -12,7 +12,7 @@
 mod failed_attempt;
 mod generate;
 mod guards;
-mod limits;
+mod notices;
 mod plain;
 mod pool;
 mod prefill;
@@ -33,6 +33,7 @@
 pub use self::{
     broken_runs::{note_registered, note_removed},
     crashes::log_quarantined_parts,
+    notices::call_obstacle,
     pool::ConnectionPools,
 };
 use crate::{
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -20,7 +20,7 @@
         crashes,
         failed_attempt::refusal_of_withheld,
         guards::ReplicaGuard,
-        limits, meter, proxy,
+        meter, notices, proxy,
         quota::QuotaCharge,
         refuse, request_log_line, resume, retries, software,
     },
@@ -89,7 +89,7 @@
             {
                 return response;
             }
-            run.retry_after = limits::retry_after(context, &request.service);
+            run.retry_after = notices::retry_after(context, &request.service);
             return run
                 .respond_failed(RefusalReason::NoEndpoint, "no further replica is available");
         };
@@ -119,7 +119,7 @@
 impl PlainRun<'_> {
     fn choose_replica(&mut self) -> Option<EndpointTarget> {
         let now = self.context.now();
-        let excluded = limits::excluded(self.context, &self.attempted);
+        let excluded = notices::excluded(self.context, &self.attempted);
         let directory = self.context.directory.lock();
         let origin = self.request.origin;
         let candidates = directory
@@ -245,7 +245,7 @@
     fn next_after_withheld(&mut self, withheld: Withheld) -> NextStep {
         let (reason, retry_after) = refusal_of_withheld(withheld);
         let detail = withheld.as_str().to_string();
-        if withheld == Withheld::EndpointLeft {
+        if withheld.concerns_endpoint() {
             return NextStep::Retry(reason, detail);
         }
         self.retry_after = retry_after;
--- a/crates/ingress/src/forward/prefill.rs
+++ b/crates/ingress/src/forward/prefill.rs
@@ -17,7 +17,7 @@
         failed_attempt::FailedAttempt,
         generate::GenerationRun,
         guards::PrefillGuard,
-        request_log_line,
+        notices, request_log_line,
     },
     frontend::RefusalReason,
 };
@@ -128,8 +128,12 @@
     }
 
     /// Frees a prefilled prompt that no engine takes over, without waiting for the
-    /// answer. If the call is lost, the prompt expires on its engine.
+    /// answer. If the call is lost, or the engine must not be called, the prompt expires there.
     pub(super) fn free_prefilled(&self, prefilled: &PrefilledSource) {
+        let engine = &prefilled.plan.engine;
+        if notices::call_obstacle(&self.context, &engine.id, engine.start).is_some() {
+            return;
+        }
         let client = self.context.engine_client.clone();
         let address = prefilled.plan.engine.address;
         let handle = prefilled
--- a/crates/ingress/src/leader/orders.rs
+++ b/crates/ingress/src/leader/orders.rs
@@ -13,6 +13,7 @@
 use bluebell_daemon::logs::LogLine;
 
 use crate::{
+    forward,
     leader::task::{CALL_TIMEOUT, LeaderTask},
     peers::StageMessage,
 };
@@ -155,15 +156,17 @@
         else {
             return Ok(String::new());
         };
-        let address = self
-            .context
-            .directory
-            .lock()
-            .get(endpoint)
-            .map(|entry| entry.address);
-        let Some(address) = address else {
+        let known = {
+            let directory = self.context.directory.lock();
+            let entry = directory.get(endpoint);
+            entry.map(|entry| (entry.address, entry.start))
+        };
+        let Some((address, start)) = known else {
             return Ok("gone".to_string());
         };
+        if let Some(obstacle) = forward::call_obstacle(&self.context, endpoint, start) {
+            return Ok(format!("withheld, {obstacle:?}"));
+        }
         // The other instances are informed first: an engine refuses requests while it
         // changes its stage.
         self.broadcast_stage(endpoint, *stage);
--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -161,6 +161,7 @@
             self.context.prompt_parts.lock().sweep(now);
             self.context.broken_runs.lock().sweep(now);
             self.context.endpoint_limits.lock().sweep(now);
+            self.context.endpoint_notices.lock().sweep(now);
             self.context.streams.sweep(now);
             self.context.directory.lock().versions_mut().sweep(now);
         }
