Soak with a part that crashes endpoints and endpoints that ask for rest

A rest that was asked for within 2.5 s before a later start becomes known now holds for that start, with a test.

--- a/crates/core/src/endpoint_notices.rs
+++ b/crates/core/src/endpoint_notices.rs
@@ -2,7 +2,7 @@
 //! more as they leave.
 //!
 //! Rest is asked of one entry; others may go on sending. It is no failure of the endpoint, so nothing
-//! ends it early but a new start of the endpoint, which knows nothing of it.
+//! ends it early but a later start of the endpoint, which knows nothing of it.
 
 use std::collections::BTreeMap;
 
@@ -16,6 +16,10 @@
 /// The longest rest that is observed. A longer one is cut to it.
 pub const MAX_REST: TimeSpan = TimeSpan::from_secs(86_400);
 
+/// How long after its start the registration of an endpoint may arrive here. Until then its answers
+/// count as those of its last known start.
+const REGISTRATION_DELAY: TimeSpan = TimeSpan::from_millis(2_500);
+
 /// How long it is remembered that an endpoint leaves: its registration may be outdated for as long as
 /// the store does not answer.
 const LEAVING_RETENTION: TimeSpan = TimeSpan::from_secs(3_600);
@@ -42,6 +46,7 @@
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 struct NoticedStart {
     start: u64,
+    rest_asked_at: ClockTime,
     rest_until: Option<ClockTime>,
     left_at: Option<ClockTime>,
 }
@@ -97,6 +102,7 @@
         match notice {
             EndpointNotice::Rest(span) => {
                 let until = now + span.min(MAX_REST);
+                noticed.rest_asked_at = now;
                 noticed.rest_until = noticed.rest_until.max(Some(until));
             }
             EndpointNotice::Leaving => {
@@ -106,12 +112,22 @@
         was_callable && noticed.obstacle(now).is_some()
     }
 
-    /// Records that the endpoint is registered with this start: what earlier ones asked for is void.
-    pub fn note_started(&mut self, endpoint: &EndpointId, start: u64) {
-        let noticed = self.endpoints.get(endpoint);
-        if noticed.is_some_and(|noticed| noticed.start < start) {
-            self.endpoints.remove(endpoint);
+    /// Records that the endpoint is registered with this start. What earlier ones asked for is void,
+    /// but for a rest that was asked for so lately that it may have been by this start.
+    pub fn note_started(&mut self, now: ClockTime, endpoint: &EndpointId, start: u64) {
+        let Some(noticed) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        if noticed.start >= start {
+            return;
         }
+        let is_recent = now.since(noticed.rest_asked_at) < REGISTRATION_DELAY;
+        *noticed = NoticedStart {
+            start,
+            left_at: None,
+            rest_until: noticed.rest_until.filter(|_| is_recent),
+            ..*noticed
+        };
     }
 
     /// Why the endpoint that was started at `start` must not be called now, if so.
--- a/crates/core/tests/endpoint_notices.rs
+++ b/crates/core/tests/endpoint_notices.rs
@@ -56,13 +56,25 @@
     notices.note(at(0), &endpoint(2), 5, EndpointNotice::Leaving);
     assert_eq!(notices.obstacle(at(10), &endpoint(1), 6), None);
     for number in [1, 2] {
-        notices.note_started(&endpoint(number), 6);
+        notices.note_started(at(4_000), &endpoint(number), 6);
     }
-    assert!(notices.is_empty());
+    assert!(notices.not_callable(at(4_000)).is_empty());
     // A late answer of the earlier start says nothing of the new one.
-    notices.note(at(20), &endpoint(1), 6, rest(100));
-    assert!(!notices.note(at(30), &endpoint(1), 5, rest(60_000)));
-    assert_eq!(notices.obstacle(at(200), &endpoint(1), 6), None);
+    notices.note(at(4_020), &endpoint(1), 6, rest(100));
+    assert!(!notices.note(at(4_030), &endpoint(1), 5, rest(60_000)));
+    assert_eq!(notices.obstacle(at(4_200), &endpoint(1), 6), None);
+}
+
+/// Guards against requests to an endpoint that asked for rest before its new start was known.
+#[test]
+fn a_rest_of_a_start_that_is_not_known_yet_holds_for_it() {
+    let mut notices = EndpointNotices::new();
+    notices.note(at(1_000), &endpoint(1), 5, rest(3_000));
+    notices.note_started(at(2_500), &endpoint(1), 6);
+    let left = TimeSpan::from_millis(1_500);
+    let obstacle = notices.obstacle(at(2_500), &endpoint(1), 6);
+    assert_eq!(obstacle, Some(CallObstacle::Resting(left)));
+    assert_eq!(notices.obstacle(at(4_000), &endpoint(1), 6), None);
 }
 
 #[test]
@@ -173,7 +185,7 @@
                 target.start += 1;
                 target.rests.clear();
                 target.left_at = None;
-                notices.note_started(&target.id, target.start);
+                notices.note_started(at(now), &target.id, target.start);
             }
             if now % 5_000 == 0 {
                 notices.sweep(at(now));
--- a/crates/ingress/src/forward/broken_runs.rs
+++ b/crates/ingress/src/forward/broken_runs.rs
@@ -110,8 +110,9 @@
 /// ended.
 pub fn note_registered(context: &EntryContext, registration: &EndpointRegistration) {
     let id = &registration.id;
+    let now = context.now();
     let mut notices = context.endpoint_notices.lock();
-    notices.note_started(id, registration.start);
+    notices.note_started(now, id, registration.start);
     drop(notices);
     if registration.is_leaving {
         context.broken_runs.lock().remove_endpoint(id);
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -9,7 +9,7 @@
 
 use bluebell_adapter::headers;
 use bluebell_core::{clock::TimeSpan, ids::FailureDomain};
-use bluebell_platform_standin::operator::OperatorKind;
+use bluebell_platform_standin::{endpoint::CRASHING_PART, operator::OperatorKind};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, Response, body::Incoming, client::conn::http1, header::HeaderValue};
@@ -58,6 +58,8 @@
 const BREAKING_OFF: f64 = 0.3;
 /// How many pieces of these they read before.
 const KEPT_PIECES: usize = 3;
+/// The share of requests whose prompts have a part that crashes endpoints.
+const CRASHING: f64 = 0.02;
 /// How many engines of a version have to serve for its streams to go on.
 const SERVING_ENGINES: usize = 2;
 /// The longest pause that a refusal can make a caller take.
@@ -86,6 +88,7 @@
     asked: u64,
     takes_up: bool,
     uses_added: bool,
+    sends_crashing: bool,
 }
 
 type RequestSender = http1::SendRequest<Full<Bytes>>;
@@ -108,6 +111,7 @@
             asked: 0,
             takes_up: false,
             uses_added: false,
+            sends_crashing: false,
         }
     }
 
@@ -117,6 +121,12 @@
         self
     }
 
+    /// Sets whether some of the prompts have a part that crashes endpoints.
+    pub fn with_crashing(mut self, sends_crashing: bool) -> SoakCaller {
+        self.sends_crashing = sends_crashing;
+        self
+    }
+
     /// Sets whether the caller takes up streams that broke, and breaks some off to do so.
     pub fn with_taking_up(mut self, takes_up: bool) -> SoakCaller {
         self.takes_up = takes_up;
@@ -185,7 +195,8 @@
             is_first,
             takes_up: None,
         });
-        let request = build_request(route, &attempt, organisation, patience_ms);
+        let is_crashing = self.sends_crashing && self.random.random_bool(CRASHING);
+        let request = build_request(route, &attempt, organisation, patience_ms, is_crashing);
         if self.random.random_bool(LEAVING) {
             let leaves_ms = self.random.random_range(1..LEAVES_MS);
             return self.leave(sender, request, attempt, leaves_ms).await;
@@ -284,7 +295,7 @@
                 is_owed: fleet.serving(version) >= SERVING_ENGINES,
             }),
         });
-        let mut request = build_request(route, &attempt, organisation, PATIENCE_MS.0);
+        let mut request = build_request(route, &attempt, organisation, PATIENCE_MS.0, false);
         let request_headers = request.headers_mut();
         request_headers.insert(headers::LAST_EVENT_ID, HeaderValue::from(events.last));
         if let Ok(stream) = HeaderValue::from_str(stream) {
@@ -342,7 +353,12 @@
     attempt: &str,
     organisation: usize,
     patience_ms: u64,
+    is_crashing: bool,
 ) -> Request<Full<Bytes>> {
+    let prompt = match is_crashing {
+        true => format!("5c1e:490,{CRASHING_PART}:10,91bd:400"),
+        false => "5c1e:500,91bd:400".to_string(),
+    };
     let body = match route.kind {
         OperatorKind::Safe => Bytes::new(),
         _ => Bytes::from_static(b"{\"text\":\"hello\"}"),
@@ -360,7 +376,7 @@
         .header(headers::DEADLINE_MS, patience_ms)
         .header(headers::MODEL, "m")
         .header(headers::TOKEN_USAGE, "900,20")
-        .header(headers::PROMPT_PREFIX, "5c1e:500,91bd:400")
+        .header(headers::PROMPT_PREFIX, prompt)
         .header("authorization", key);
     request
         .body(Full::new(body))
--- a/crates/soak/src/commands.rs
+++ b/crates/soak/src/commands.rs
@@ -27,6 +27,7 @@
     has_versions: bool,
     is_changing: bool,
     is_leaving: bool,
+    is_crashing: bool,
     folder: Option<PathBuf>,
     program: Option<PathBuf>,
     is_untimed: bool,
@@ -55,6 +56,9 @@
     let is_leaving = long("leaving")
         .help("endpoints leave and are withdrawn in series while readers of the store fail")
         .switch();
+    let is_crashing = long("crashing")
+        .help("a part of prompts crashes endpoints, and endpoints ask for rest in series")
+        .switch();
     let folder = long("folder")
         .help("where settings, logs and reports are kept; a temporary folder otherwise")
         .argument("DIR")
@@ -76,6 +80,7 @@
         has_versions,
         is_changing,
         is_leaving,
+        is_crashing,
         folder,
         program,
         is_untimed
@@ -124,6 +129,7 @@
             has_versions: options.has_versions,
             is_changing: options.is_changing,
             is_leaving: options.is_leaving,
+            is_crashing: options.is_crashing,
             program: program.clone(),
             size: FleetSize {
                 instances: options.instances,
@@ -153,6 +159,7 @@
     );
     println!("event=streams seed={} {}", report.seed, report.streams);
     println!("event=changes seed={} {}", report.seed, report.changes);
+    println!("event=notices seed={} {}", report.seed, report.notices);
     for broken in &report.broken {
         println!("event=promise seed={} {broken}", report.seed);
     }
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -12,6 +12,7 @@
 };
 use rustix::process::Signal;
 use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     fleet::{EndpointSlot, SoakFleet},
@@ -34,6 +35,9 @@
 const LOST_WRITES: f64 = 0.4;
 /// How much longer a slow endpoint takes, in ms.
 const SLOW_MS: u64 = 300;
+/// How often endpoints that crashed by themselves are started again.
+const REVIVAL: Duration = Duration::from_millis(1_000);
+
 /// Injects all faults at their times and waits until the last has passed.
 pub async fn inject(fleet: &Arc<SoakFleet>, faults: &[ScheduledFault]) {
     let start = tokio::time::Instant::now();
@@ -192,6 +196,21 @@
     fleet.checker.settle(what, false);
 }
 
+/// Starts endpoints again that crashed by themselves, under the ids that they had.
+pub async fn revive_endpoints(fleet: &SoakFleet, stop: &CancellationToken) {
+    while !stop.is_cancelled() {
+        for slot in &fleet.endpoints {
+            let (id, running) = slot.current();
+            if running.has_crashed() && slot.current().0 == id {
+                fleet.checker.disturb(&id, false);
+                fleet.restart_endpoint(slot, false).await;
+                fleet.checker.settle(&id, false);
+            }
+        }
+        stop.run_until_cancelled(tokio::time::sleep(REVIVAL)).await;
+    }
+}
+
 async fn crash_endpoint(fleet: &SoakFleet, slot: &EndpointSlot, down_ms: u64) {
     let (id, running) = slot.current();
     fleet.checker.disturb(&id, false);
@@ -230,6 +249,7 @@
         EndpointTrouble::Refuses => faults.refused = TROUBLED,
         EndpointTrouble::Slow => faults.slow_ms = SLOW_MS,
         EndpointTrouble::Silent => faults.unanswered = TROUBLED,
+        EndpointTrouble::Rests => faults.resting = TROUBLED,
     }
     faults
 }
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod messages;
+mod notices;
 mod streams;
 
 use std::{
@@ -18,6 +19,7 @@
 pub use self::{
     changes::ChangeTally,
     messages::{BrokenPromise, CallerOutcome, ProcessName, Promise, SentRequest},
+    notices::NoticeTally,
     streams::{ReceivedEvents, StreamTally, TakenUpStream},
 };
 
@@ -64,6 +66,7 @@
     /// The routes that were added after the start.
     added: BTreeSet<String>,
     changes: ChangeTally,
+    notices: NoticeTally,
     /// The newest place in `routes` that a process was seen to follow.
     followed: BTreeMap<(ProcessName, String), (usize, ClockTime)>,
     /// Since when endpoints are known to the store to have left.
@@ -173,9 +176,11 @@
         book.left.entry(endpoint.to_string()).or_insert(now);
     }
 
-    /// An endpoint that left is back under the id that it had.
+    /// An endpoint starts again under the id that it had. It has neither left nor asked for rest.
     pub fn endpoint_returned(&self, endpoint: &str) {
-        self.hold().left.remove(endpoint);
+        let mut book = self.hold();
+        book.left.remove(endpoint);
+        book.notices.note_restart(endpoint);
     }
 
     /// `what` is disturbed from now on: an instance, an endpoint, or the store.
@@ -228,6 +233,20 @@
                     attempt.open_runs.retain(|open| open != endpoint);
                 }
             }
+            PlatformEvent::Arrived { attempt, endpoint } => {
+                book.check_rest(now, attempt, endpoint);
+            }
+            PlatformEvent::AskedForRest {
+                attempt,
+                endpoint,
+                rest_ms,
+            } => {
+                if let Some(instance) = book.instance_of(attempt) {
+                    let span = TimeSpan::from_millis(*rest_ms);
+                    book.notices.note_rest(now, endpoint, &instance, span);
+                }
+            }
+            PlatformEvent::Crashed { .. } => book.notices.note_crash(now),
             PlatformEvent::Usage {
                 authority,
                 window,
@@ -286,6 +305,9 @@
         {
             book.broke(now, Promise::DrainRespected, who.clone());
         }
+        if run.is_crashing {
+            book.check_crashing(now, request.process.instance.as_str(), sent, &who);
+        }
         self.check_service(book, now, run, &request, sent, &who);
     }
 
@@ -398,6 +420,11 @@
         book.streams.to_string()
     }
 
+    /// How the rests that endpoints asked for and the crashes under a part went.
+    pub fn notices(&self) -> String {
+        self.hold().notices.to_string()
+    }
+
     /// Whether an endpoint serves undisturbed.
     pub fn serves(&self, endpoint: &str) -> bool {
         let now = self.now();
--- a/crates/soak/src/promises/messages.rs
+++ b/crates/soak/src/promises/messages.rs
@@ -35,6 +35,10 @@
     NoOlderConfiguration,
     /// An endpoint that left gets no new work.
     DrainRespected,
+    /// An endpoint that asks an instance for rest gets it.
+    RestGranted,
+    /// Requests with a part in their prompts that crashes endpoints stop running.
+    CrashingPartStopped,
     /// What is allowed is not denied.
     NotDenied,
     /// A route or key that was added is not denied once that has to be in force.
@@ -67,6 +71,8 @@
                 | Promise::NoOlderConfiguration
                 | Promise::AddedServed
                 | Promise::DrainRespected
+                | Promise::RestGranted
+                | Promise::CrashingPartStopped
         )
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,6 +18,7 @@
     inject,
     processes::{start_process, stop_process},
     promises::{BrokenPromise, Promise},
+    rests,
     schedule::{self, ScheduleSize, ScheduledFault},
 };
 
@@ -50,6 +51,8 @@
     pub is_changing: bool,
     /// Whether endpoints leave in series while readers of the store fail.
     pub is_leaving: bool,
+    /// Whether a part of prompts crashes endpoints, and endpoints ask for rest.
+    pub is_crashing: bool,
     /// The entry program.
     pub program: PathBuf,
     /// How large.
@@ -65,6 +68,8 @@
     pub streams: String,
     /// How requests for added routes and with added keys fared.
     pub changes: String,
+    /// How rests and crashes under a part went.
+    pub notices: String,
     /// What was injected.
     pub faults: Vec<ScheduledFault>,
     /// How callers fared.
@@ -104,6 +109,9 @@
     if plan.is_leaving {
         faults = schedule::merge(faults, schedule::draw_leavings(plan.seed, size));
     }
+    if plan.is_crashing {
+        faults = schedule::merge(faults, rests::draw(plan.seed, size));
+    }
     if plan.is_changing {
         faults = schedule::merge(faults, schedule::draw_changes(plan.seed, size));
     }
@@ -119,6 +127,7 @@
         seed: plan.seed,
         streams,
         changes: fleet.checker.changes().to_string(),
+        notices: fleet.checker.notices(),
         faults,
         tally: sum(&fleet),
         broken: fleet.checker.broken(),
@@ -154,9 +163,14 @@
         let domain = domains[number % domains.len()].clone();
         let caller = SoakCaller::new(Arc::clone(fleet), domain, number)
             .with_taking_up(plan.has_versions)
-            .with_added(plan.is_changing);
+            .with_added(plan.is_changing)
+            .with_crashing(plan.is_crashing);
         tasks.spawn(caller.call(stop.clone()));
     }
+    if plan.is_crashing {
+        let (fleet, stop) = (Arc::clone(fleet), stop.clone());
+        tasks.spawn(async move { inject::revive_endpoints(&fleet, &stop).await });
+    }
     let (fleet, stop) = (Arc::clone(fleet), stop.clone());
     tasks.spawn(async move { watch_processes(&fleet, &stop).await });
 }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -232,6 +232,8 @@
     Slow,
     /// It runs them and says nothing.
     Silent,
+    /// It refuses them and asks the instance for rest.
+    Rests,
 }
 
 /// A fault with its time.
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -65,6 +65,7 @@
             path: "/charge/1".to_string(),
             organisation: Some("one".to_string()),
             has_key: false,
+            is_crashing: false,
         }));
     }
 
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -27,6 +27,9 @@
 /// Seed 1 with endpoints that leave in series.
 const LEAVING_SEEDS: [u64; 1] = [1];
 
+/// Seed 8002 with prompts that crash endpoints and endpoints that ask for rest.
+const CRASHING_SEEDS: [u64; 1] = [8002];
+
 /// How long faults come.
 const SECONDS: &str = "6";
 
@@ -63,6 +66,13 @@
     soak("leaving", &LEAVING_SEEDS, &["--leaving"]);
 }
 
+/// Guards against callers who are cut or denied while a part of prompts crashes endpoints one after
+/// the other, and against instances that end or hang when endpoints ask for rest.
+#[test]
+fn promises_hold_while_a_part_of_prompts_crashes_endpoints() {
+    soak("crashing", &CRASHING_SEEDS, &["--crashing"]);
+}
+
 fn soak(name: &str, seeds: &[u64], options: &[&str]) {
     let folder = std::env::temp_dir().join(format!("soak-{name}-{}", std::process::id()));
     for seed in seeds {
