--- a/crates/core/src/endpoint_notices.rs
+++ b/crates/core/src/endpoint_notices.rs
@@ -38,7 +38,7 @@
 pub enum CallObstacle {
     /// It has asked for rest, of which this much is left.
     Resting(TimeSpan),
-    /// It has said that it leaves.
+    /// It has announced that it leaves.
     Leaving,
 }
 
--- a/crates/core/src/quarantine/part_history.rs
+++ b/crates/core/src/quarantine/part_history.rs
@@ -32,21 +32,21 @@
 /// How long after its last crash or refusal a part counts as one that callers still send.
 const ACTIVE_PERIOD: TimeSpan = TimeSpan::from_secs(120);
 
-/// Number of moments with crashes that convict a part.
-const MIN_MOMENTS: usize = 3;
+/// Number of times with crashes from which on a part is quarantined.
+const MIN_TIMES: usize = 3;
 
-/// Number of crashes that convict a part unless all were simultaneous.
+/// Number of crashes from which on a part is quarantined, unless all were simultaneous.
 const MIN_ENDPOINTS: usize = 5;
 
-/// Number of crashes that convict a part although another part explains them: a sound part that is
-/// sent to so many engines has been answered by one of them.
+/// Number of crashes from which on a part is quarantined although another part explains them: a
+/// sound part that is sent to so many engines has been answered by one of them.
 const MIN_EXPLAINED_ENDPOINTS: usize = 6;
 
-/// How much counts against a part.
+/// The evidence against a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CrashWeight {
-    /// The number of moments at which endpoints ended.
-    moments: usize,
+    /// The number of times at which endpoints ended; simultaneous ends count once.
+    times: usize,
     /// The number of endpoints that ended.
     endpoints: usize,
 }
@@ -54,12 +54,12 @@
 impl CrashWeight {
     /// Whether it is enough to refuse requests.
     pub fn is_conclusive(self) -> bool {
-        self.moments >= MIN_MOMENTS || (self.moments > 1 && self.endpoints >= MIN_ENDPOINTS)
+        self.times >= MIN_TIMES || (self.times > 1 && self.endpoints >= MIN_ENDPOINTS)
     }
 
     /// Whether it is enough to refuse requests although another part explains the crashes.
     pub fn is_conclusive_if_explained(self) -> bool {
-        self.moments > 1 && self.endpoints >= MIN_EXPLAINED_ENDPOINTS
+        self.times > 1 && self.endpoints >= MIN_EXPLAINED_ENDPOINTS
     }
 }
 
@@ -113,19 +113,19 @@
         let crashes = self.crashes.iter();
         let counted =
             crashes.filter(|(site, crash)| !crash.is_refuted && !explained.contains(site));
-        let mut times: Vec<ClockTime> = counted.map(|(_, crash)| crash.at).collect();
-        times.sort_unstable();
-        let mut moments = 0;
+        let mut ends: Vec<ClockTime> = counted.map(|(_, crash)| crash.at).collect();
+        ends.sort_unstable();
+        let mut times = 0;
         let mut last: Option<ClockTime> = None;
-        for at in &times {
+        for at in &ends {
             if last.is_none_or(|last| at.since(last) >= SIMULTANEOUS) {
-                moments += 1;
+                times += 1;
                 last = Some(*at);
             }
         }
         CrashWeight {
-            moments,
-            endpoints: times.len(),
+            times,
+            endpoints: ends.len(),
         }
     }
 
@@ -154,7 +154,7 @@
         is_new
     }
 
-    /// Records a crash that another entry reports; returns whether it is news.
+    /// Records a crash that another entry reports; returns whether that changes anything.
     pub fn note_reported(&mut self, now: ClockTime, crash: &PartCrash) -> bool {
         let at = now - crash.age;
         if self.insert(at, crash.site, false, crash.is_refuted) {
--- a/crates/core/src/quarantine/prompt_parts.rs
+++ b/crates/core/src/quarantine/prompt_parts.rs
@@ -4,8 +4,8 @@
 //! other parts with sound requests. Two observations are joined:
 //!
 //! - *For a part*: an endpoint answered a prompt with it, or has been writing the answer for
-//!   [`SURVIVAL_TIME`]. A part that was answered lately is not
-//!   suspected when an endpoint ends, and an answer refutes all crashes that are known of a suspect.
+//!   [`SURVIVAL_TIME`]. A part that was answered lately is not suspected when an endpoint ends, and an
+//!   answer refutes all crashes that are known of a suspect.
 //! - *Against it*: an endpoint ended while a prompt with it ran there, and it has not been answered
 //!   since. Several such crashes at different times quarantine it.
 //!
@@ -209,12 +209,6 @@
         self.update_if(true);
     }
 
-    /// Whether a report is due to be sent directly.
-    pub fn has_due_reports(&mut self) -> bool {
-        let mut histories = self.histories.values_mut();
-        histories.any(|history| *history.sends_left(ReportScope::Direct) > 0)
-    }
-
     /// Returns the reports for the next datagram to the recipients in `scope`, and records them as
     /// sent. Parts with more crashes go first, then those sent less often and the newest.
     pub fn take_reports(&mut self, now: ClockTime, scope: ReportScope) -> Vec<PartReport> {
@@ -266,16 +260,16 @@
         if !is_changed {
             return Vec::new();
         }
-        let quarantined = self.guilty_parts();
+        let quarantined = self.parts_to_quarantine();
         let earlier = std::mem::replace(&mut self.quarantined, quarantined);
         self.quarantined.difference(&earlier).copied().collect()
     }
 
     /// The parts that explain the crashes: those with the most crashes first, then those that have
     /// enough beside the ones that are explained.
-    fn guilty_parts(&self) -> BTreeSet<PartHash> {
-        let mut guilty = self.often_crashing_parts();
-        let pending = guilty
+    fn parts_to_quarantine(&self) -> BTreeSet<PartHash> {
+        let mut selected = self.often_crashing_parts();
+        let pending = selected
             .iter()
             .flat_map(|part| self.histories[part].pending());
         let mut explained: BTreeSet<SiteHash> = pending.collect();
@@ -285,11 +279,11 @@
             let conclusive = weights.filter(|(_, weight)| weight.is_conclusive());
             let conclusive: Vec<(PartHash, CrashWeight)> = conclusive.collect();
             let Some(most) = conclusive.iter().map(|(_, weight)| *weight).max() else {
-                return guilty;
+                return selected;
             };
-            // Parts with the same weight can't be told apart.
+            // Nothing distinguishes parts with the same weight.
             for (part, _) in conclusive.iter().filter(|(_, weight)| *weight == most) {
-                guilty.insert(*part);
+                selected.insert(*part);
                 explained.extend(self.histories[part].pending());
             }
         }
--- a/crates/core/tests/quarantine_parts.rs
+++ b/crates/core/tests/quarantine_parts.rs
@@ -59,7 +59,7 @@
 
 /// Guards against a part that crashes engines in requests of which no two are alike.
 #[test]
-fn three_crashes_at_different_times_convict_a_part() {
+fn three_crashes_at_different_times_quarantine_a_part() {
     let mut quarantine = PartQuarantine::new();
     crash(&mut quarantine, 1_000, 1, &[0xdead, 1]);
     crash(&mut quarantine, 1_500, 2, &[0xdead, 2]);
@@ -75,7 +75,7 @@
 
 /// Guards against blaming what ran on several engines when they lost their power together.
 #[test]
-fn simultaneous_ends_convict_nothing() {
+fn simultaneous_ends_quarantine_nothing() {
     let mut quarantine = PartQuarantine::new();
     for number in 0..8 {
         crash(&mut quarantine, 1_000 + number * 10, number, &[1]);
@@ -134,7 +134,7 @@
 
 /// Guards against finding only one of two parts that crash engines at the same time.
 #[test]
-fn two_parts_are_convicted_at_once() {
+fn two_parts_are_quarantined_at_once() {
     let mut quarantine = PartQuarantine::new();
     for number in 1..=4 {
         crash(&mut quarantine, number * 1_000, number, &[0xa]);
@@ -156,7 +156,7 @@
     for number in 1..=3 {
         crash(&mut instances[0], number * 1_000, number, &[0xdead]);
     }
-    while instances[0].has_due_reports() {
+    for _ in 0..3 {
         let reports = instances[0].take_reports(at(3_100), ReportScope::Direct);
         instances[1].note_reports(at(3_110), &reports, true);
     }
@@ -254,7 +254,7 @@
 
 /// Guards against missing one of two parts that always crash engines together.
 #[test]
-fn a_part_with_many_crashes_is_convicted_beside_another_one() {
+fn a_part_with_many_crashes_is_quarantined_beside_another_one() {
     let mut quarantine = PartQuarantine::new();
     for number in 1..=5 {
         crash(&mut quarantine, number * 1_000, number, &[0xa, 0xb]);
