Split the handling of directory changes from broken runs, type the evidence of an endpoint's end

After a second reading: what a changed directory says has its own module, the evidence that an endpoint ended is an enum, and the wait for a probe before a request is sent again stands once instead of twice. The file of part identities is named after its type; two comments reworded. No decision and no log line changes.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -23,8 +23,8 @@
 //! endpoint.
 
 mod broken_runs;
+mod part_hash;
 mod part_history;
-mod parts;
 mod prompt_parts;
 mod recent_parts;
 mod shared;
@@ -36,7 +36,7 @@
 
 pub use self::{
     broken_runs::{BreakStep, BrokenRun, BrokenRuns},
-    parts::{ParsePartError, PartHash, shared_parts},
+    part_hash::{ParsePartError, PartHash, shared_parts},
     prompt_parts::{
         MAX_PARTS_PER_DATAGRAM, PartCrash, PartQuarantine, PartReport, QuarantinedPart,
         SURVIVAL_TIME,
--- a/crates/core/src/quarantine/prompt_parts.rs
+++ b/crates/core/src/quarantine/prompt_parts.rs
@@ -13,7 +13,7 @@
 //! quarantined part explains does not count against others: the part with most crashes is
 //! quarantined first, and only what the others have beyond these is considered then.
 //!
-//! Entries send each other the crashes of suspects and what refutes them. Both only ever add up, so
+//! Entries send each other the crashes of suspects and what refutes them. Both only accumulate, so
 //! reports can be lost, repeated and overtaken.
 
 use std::{
--- a/crates/core/tests/endpoint_notices.rs
+++ b/crates/core/tests/endpoint_notices.rs
@@ -90,7 +90,7 @@
     assert_eq!(obstacle, Some(CallObstacle::Resting(MAX_REST)));
 }
 
-/// Guards against callers who are not told when an endpoint is available again.
+/// Guards against refusals without the time at which an endpoint is available again.
 #[test]
 fn the_shortest_rest_of_the_candidates_is_known() {
     let mut notices = EndpointNotices::new();
--- a/crates/ingress/src/forward/broken_runs.rs
+++ b/crates/ingress/src/forward/broken_runs.rs
@@ -3,8 +3,8 @@
 use std::{io, sync::Arc, time::Duration};
 
 use bluebell_core::{
+    attempts::WorkKind,
     clock::TimeSpan,
-    directory::EndpointRegistration,
     endpoint_notices::CallObstacle,
     ids::EndpointId,
     placement::EndpointTarget,
@@ -48,9 +48,46 @@
     }
 }
 
+/// What shows that an endpoint has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndEvidence {
+    /// It was known before.
+    Known,
+    /// It refuses connections.
+    Refused,
+    /// It is registered with a later start.
+    LaterStart,
+    /// It is no longer registered.
+    Unregistered,
+}
+
+impl EndEvidence {
+    /// The label in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            EndEvidence::Known => "known",
+            EndEvidence::Refused => "refused",
+            EndEvidence::LaterStart => "later_start",
+            EndEvidence::Unregistered => "registration",
+        }
+    }
+}
+
 /// Records that the connection to `target` broke while the request ran there, and finds out whether
-/// the endpoint has ended.
-pub fn note_lost_run(
+/// the endpoint has ended. Before a request that may be sent again, waits for that.
+pub async fn note_lost_run(
+    context: &Arc<EntryContext>,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+    progress: AnswerProgress,
+) {
+    record_break(context, request, target, progress);
+    if request.route.work_kind() == WorkKind::Repeatable {
+        wait_for_probe(context, target).await;
+    }
+}
+
+fn record_break(
     context: &Arc<EntryContext>,
     request: &CallerRequest,
     target: &EndpointTarget,
@@ -79,7 +116,9 @@
         broken_runs.note_break(now, &target.id, target.start, run)
     };
     match step {
-        BreakStep::Ended => note_ended(context, &target.id, target.start, "known"),
+        BreakStep::Ended => {
+            note_ended(context, &target.id, target.start, EndEvidence::Known);
+        }
         BreakStep::Probe => {
             tokio::spawn(probe(Arc::clone(context), target.clone()));
         }
@@ -89,7 +128,7 @@
 
 /// Waits for the result of a probe of `target`, so that the request is not sent again before it is
 /// known whether it may have crashed the endpoint.
-pub async fn wait_for_probe(context: &EntryContext, target: &EndpointTarget) {
+async fn wait_for_probe(context: &EntryContext, target: &EndpointTarget) {
     let probed = async {
         loop {
             let notified = context.break_probed.notified();
@@ -106,40 +145,13 @@
     let _ = tokio::time::timeout(MAX_WAIT.as_duration(), probed).await;
 }
 
-/// Handles a registration that was entered into the directory: an earlier start of the endpoint has
-/// ended.
-pub fn note_registered(context: &EntryContext, registration: &EndpointRegistration) {
-    let id = &registration.id;
-    let now = context.now();
-    let mut notices = context.endpoint_notices.lock();
-    notices.note_started(now, id, registration.start);
-    drop(notices);
-    if registration.is_leaving {
-        context.broken_runs.lock().remove_endpoint(id);
-        return;
-    }
-    note_starts_ended(context, id, Some(registration.start), "later_start");
-}
-
-/// Handles the removal of an endpoint from the directory.
-pub fn note_removed(context: &EntryContext, endpoint: &EndpointId) {
-    note_starts_ended(context, endpoint, None, "registration");
-}
-
-fn note_starts_ended(
+/// Records that an endpoint has ended, by `evidence`.
+pub fn note_ended(
     context: &EntryContext,
     endpoint: &EndpointId,
-    before: Option<u64>,
-    evidence: &str,
+    start: u64,
+    evidence: EndEvidence,
 ) {
-    let starts = context.broken_runs.lock().starts_before(endpoint, before);
-    for start in starts {
-        note_ended(context, endpoint, start, evidence);
-    }
-}
-
-/// Records that an endpoint has ended, by `evidence`.
-fn note_ended(context: &EntryContext, endpoint: &EndpointId, start: u64, evidence: &str) {
     let now = context.now();
     let runs = {
         let mut broken_runs = context.broken_runs.lock();
@@ -151,7 +163,7 @@
     LogLine::new("endpoint_ended")
         .with("endpoint", endpoint)
         .with("start", start)
-        .with("evidence", evidence)
+        .with("evidence", evidence.as_str())
         .with("runs", runs.len())
         .info();
     crashes::note_crash(context, endpoint, start, &runs);
@@ -173,9 +185,13 @@
 async fn probe(context: Arc<EntryContext>, target: EndpointTarget) {
     let connecting = TcpStream::connect(target.address);
     let connected = tokio::time::timeout(PROBE_TIMEOUT, connecting).await;
+    let is_refused = matches!(
+        &connected,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused
+    );
     let outcome = match connected {
         Ok(Ok(_)) => "connected",
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => "refused",
+        _ if is_refused => "refused",
         _ => "no_answer",
     };
     LogLine::new("endpoint_probed")
@@ -183,8 +199,8 @@
         .with("start", target.start)
         .with("outcome", outcome)
         .info();
-    if outcome == "refused" {
-        note_ended(&context, &target.id, target.start, outcome);
+    if is_refused {
+        note_ended(&context, &target.id, target.start, EndEvidence::Refused);
     }
     let mut broken_runs = context.broken_runs.lock();
     broken_runs.note_probed(&target.id, target.start);
--- /dev/null
+++ b/crates/ingress/src/forward/endpoint_changes.rs
@@ -0,0 +1,45 @@
+//! What changes of the directory say about endpoints whose connections broke or that asked for rest.
+
+use bluebell_core::{directory::EndpointRegistration, ids::EndpointId};
+
+use crate::{
+    context::EntryContext,
+    forward::broken_runs::{self, EndEvidence},
+};
+
+/// Handles a registration that was entered into the directory: an earlier start of the endpoint has
+/// ended.
+pub fn note_registered(context: &EntryContext, registration: &EndpointRegistration) {
+    let id = &registration.id;
+    let now = context.now();
+    let mut notices = context.endpoint_notices.lock();
+    notices.note_started(now, id, registration.start);
+    drop(notices);
+    if registration.is_leaving {
+        context.broken_runs.lock().remove_endpoint(id);
+        return;
+    }
+    note_starts_ended(
+        context,
+        id,
+        Some(registration.start),
+        EndEvidence::LaterStart,
+    );
+}
+
+/// Handles the removal of an endpoint from the directory.
+pub fn note_removed(context: &EntryContext, endpoint: &EndpointId) {
+    note_starts_ended(context, endpoint, None, EndEvidence::Unregistered);
+}
+
+fn note_starts_ended(
+    context: &EntryContext,
+    endpoint: &EndpointId,
+    before: Option<u64>,
+    evidence: EndEvidence,
+) {
+    let starts = context.broken_runs.lock().starts_before(endpoint, before);
+    for start in starts {
+        broken_runs::note_ended(context, endpoint, start, evidence);
+    }
+}
--- a/crates/ingress/src/forward/engine_failures.rs
+++ b/crates/ingress/src/forward/engine_failures.rs
@@ -1,6 +1,6 @@
 //! What a failed call of a request says about the engine.
 
-use bluebell_core::{attempts::WorkKind, ids::EndpointId, placement::EndpointTarget};
+use bluebell_core::{ids::EndpointId, placement::EndpointTarget};
 
 use crate::forward::{
     attempt::Withheld,
@@ -16,11 +16,8 @@
         target: &EndpointTarget,
         progress: AnswerProgress,
     ) {
-        broken_runs::note_lost_run(&self.context, &self.request, target, progress);
         self.note_possible_run(&target.id);
-        if self.request.route.work_kind() == WorkKind::Repeatable {
-            broken_runs::wait_for_probe(&self.context, target).await;
-        }
+        broken_runs::note_lost_run(&self.context, &self.request, target, progress).await;
     }
 
     /// Records that the request may have run on `engine` and that its answer is lost.
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod broken_runs;
 mod connection;
 mod crashes;
+mod endpoint_changes;
 mod engine_calls;
 mod engine_choice;
 mod engine_failures;
@@ -31,8 +32,8 @@
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
-    broken_runs::{note_registered, note_removed},
     crashes::log_quarantined_parts,
+    endpoint_changes::{note_registered, note_removed},
     notices::call_obstacle,
     pool::ConnectionPools,
 };
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -193,7 +193,8 @@
             }
             SendOutcome::MaybeRun(detail) => {
                 guard.failed();
-                self.note_lost_run(target, AnswerProgress::None).await;
+                let progress = AnswerProgress::None;
+                broken_runs::note_lost_run(self.context, self.request, target, progress).await;
                 let detail = format!("{}: {detail}", target.id);
                 self.note_possible_run(RefusalReason::EndpointFailed, detail)
             }
@@ -224,7 +225,9 @@
                     Some(answer) => self.handle_answer(guard, answer),
                     None => {
                         guard.failed();
-                        self.note_lost_run(target, AnswerProgress::Head).await;
+                        let progress = AnswerProgress::Head;
+                        broken_runs::note_lost_run(self.context, self.request, target, progress)
+                            .await;
                         let detail = "the answer is incomplete".to_string();
                         self.note_possible_run(RefusalReason::EndpointFailed, detail)
                     }
@@ -233,14 +236,6 @@
         }
     }
 
-    /// Records that the connection to `target` broke while the request ran there.
-    async fn note_lost_run(&self, target: &EndpointTarget, progress: AnswerProgress) {
-        broken_runs::note_lost_run(self.context, self.request, target, progress);
-        if self.request.route.work_kind() == WorkKind::Repeatable {
-            broken_runs::wait_for_probe(self.context, target).await;
-        }
-    }
-
     /// The step after a replica was chosen that the request must not be sent to.
     fn next_after_withheld(&mut self, withheld: Withheld) -> NextStep {
         let (reason, retry_after) = refusal_of_withheld(withheld);
