--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -10,6 +10,7 @@
 
 mod engine;
 mod engine_outcomes;
+mod knowledge;
 mod parts;
 mod plan;
 mod prompt;
@@ -18,6 +19,7 @@
 
 pub use self::{
     engine::EngineTable,
+    knowledge::{EngineKey, PrefillSample, TrackedLoad},
     parts::PartLocations,
     plan::{
         EndpointTarget, PeerLoad, PeerPart, PlacementError, PlanRequest, PrefillPlan, PrefillTicket,
