Close connections unread that the processor would not get to in time

Cause: the listener took every connection up to 70% of the sockets of the process, and the runtime let it take 128 per turn, between which all connections taken before had the processor. What is beyond the processor waited in the kernel and in the run queue, and was read after its caller had given up (a third of the time left, 333 ms at least).

Learned with the queue in a test: at five times what the processor reads, with 2 ms a read, each connection is taken and waits up to 6.5 s. With a limit on those that wait, but 128 a turn, the rest wait in the kernel for up to 5.4 s: the listener has to empty the accept queue in each turn.

Change: core::connections estimates the time per read from the waits of the connections before and takes as many as are read in 150 ms; others are closed unread, so that their callers try another instance. The listener takes up to the length of the accept queue per turn. Connections of other instances are always taken. Metric bluebell_connections_total by outcome, log line connections_closed_unread once a second (it replaces connection_refused).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod claims;
 pub mod clock;
 pub mod config;
+pub mod connections;
 pub mod directory;
 pub mod draining;
 pub mod endpoint_limits;
--- a/crates/ingress/src/frontend/listener.rs
+++ b/crates/ingress/src/frontend/listener.rs
@@ -11,7 +11,10 @@
     time::Duration,
 };
 
-use bluebell_core::clock::TimeSpan;
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    connections::{ConnectionQueue, WaitingConnection},
+};
 use bluebell_daemon::logs::LogLine;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -23,12 +26,20 @@
     context::EntryContext,
     frontend::{self, RequestSource},
     peers,
+    shared::Shared,
 };
 
 /// Length of the accept queue. A SYN packet that meets a full queue is retransmitted
 /// only after a second, which is as long as callers wait.
 const ACCEPT_BACKLOG: i32 = 1_024;
 
+/// How many connections are accepted before other tasks get the processor. What is left in
+/// the accept queue waits until all of them have had it, so this is all that it holds.
+const ACCEPT_TURN: usize = ACCEPT_BACKLOG as usize;
+
+/// The least interval between two log lines of connections that were closed unread.
+const CLOSED_LOG_INTERVAL: TimeSpan = TimeSpan::from_secs(1);
+
 /// Maximum share of the sockets of the process that callers may use, in percent. The rest
 /// is for endpoints, the store and peers.
 const CALLER_SOCKETS_PERCENT: usize = 70;
@@ -61,9 +72,18 @@
     connections: TaskTracker,
     open_connections: Arc<AtomicUsize>,
     max_connections: usize,
+    queue: Arc<Shared<ConnectionQueue>>,
+    closed_unread: Arc<Shared<ClosedUnread>>,
     closing: CancellationToken,
 }
 
+/// The connections that were closed unread since this was last logged.
+#[derive(Debug, Default)]
+struct ClosedUnread {
+    count: u64,
+    logged_at: Option<ClockTime>,
+}
+
 impl FrontendServer {
     /// Binds the address for callers and serves connections until
     /// [`FrontendServer::close`]. Fails if the address can't be bound.
@@ -76,6 +96,8 @@
             connections: TaskTracker::new(),
             open_connections: Arc::new(AtomicUsize::new(0)),
             max_connections,
+            queue: Arc::new(Shared::new(ConnectionQueue::new())),
+            closed_unread: Arc::new(Shared::new(ClosedUnread::default())),
             closing: CancellationToken::new(),
         };
         frontend.spawn_accept(listener, RequestSource::Caller);
@@ -92,8 +114,9 @@
     }
 
     fn spawn_accept(&self, listener: TcpListener, source: RequestSource) {
-        self.connections
-            .spawn(accept(self.clone(), listener, source));
+        // The runtime would have the task pause after fewer connections than are queued.
+        let accepting = tokio::task::unconstrained(accept(self.clone(), listener, source));
+        self.connections.spawn(accepting);
     }
 
     /// Stops accepting connections, closes those without a request, and closes each other
@@ -104,13 +127,56 @@
 
     fn accept_connection(&self, stream: TcpStream, source: RequestSource) {
         if self.open_connections.load(Ordering::Relaxed) >= self.max_connections {
-            LogLine::new("connection_refused")
-                .with("open", self.max_connections)
-                .warn();
+            self.close_unread("too_many");
             return;
         }
+        let Some(waiting) = self.enqueue(source) else {
+            self.close_unread("processor");
+            return;
+        };
+        self.count_connection("taken");
         self.open_connections.fetch_add(1, Ordering::Relaxed);
-        self.connections.spawn(serve(self.clone(), stream, source));
+        let connection = serve(self.clone(), stream, source, waiting);
+        self.connections.spawn(connection);
+    }
+
+    /// Takes a connection if the processor gets to it in time. Requests of other instances
+    /// have been read there, so their connections are always taken.
+    fn enqueue(&self, source: RequestSource) -> Option<WaitingConnection> {
+        let now = self.context.now();
+        let mut queue = self.queue.lock();
+        match source {
+            RequestSource::Caller => queue.take(now),
+            RequestSource::Instance => Some(queue.take_always(now)),
+        }
+    }
+
+    /// Counts and logs a connection that is closed without being read; its caller tries
+    /// again at another instance.
+    fn close_unread(&self, reason: &'static str) {
+        self.count_connection(reason);
+        let now = self.context.now();
+        let mut closed = self.closed_unread.lock();
+        closed.count += 1;
+        let logged_at = closed.logged_at;
+        if logged_at.is_some_and(|at| now.since(at) < CLOSED_LOG_INTERVAL) {
+            return;
+        }
+        LogLine::new("connections_closed_unread")
+            .with("reason", reason)
+            .with("count", closed.count)
+            .with("open", self.open_connections.load(Ordering::Relaxed))
+            .with("waiting", self.queue.lock().waiting())
+            .warn();
+        *closed = ClosedUnread {
+            count: 0,
+            logged_at: Some(now),
+        };
+    }
+
+    fn count_connection(&self, outcome: &'static str) {
+        let counter = &self.context.metrics.connections;
+        counter.with_label_values(&[outcome]).inc();
     }
 
     /// Waits until all connections are closed.
@@ -142,7 +208,12 @@
 /// accepted before the listener is closed; later ones are refused immediately and go to
 /// another instance.
 async fn accept(frontend: FrontendServer, listener: TcpListener, source: RequestSource) {
+    let mut accepted_count = 0_usize;
     loop {
+        accepted_count += 1;
+        if accepted_count.is_multiple_of(ACCEPT_TURN) {
+            tokio::task::yield_now().await;
+        }
         let accepted = tokio::select! {
             () = frontend.closing.cancelled() => break,
             accepted = listener.accept() => accepted,
@@ -181,7 +252,14 @@
     }
 }
 
-async fn serve(frontend: FrontendServer, stream: TcpStream, source: RequestSource) {
+async fn serve(
+    frontend: FrontendServer,
+    stream: TcpStream,
+    source: RequestSource,
+    waiting: WaitingConnection,
+) {
+    let now = frontend.context.now();
+    frontend.queue.lock().note_read(now, &waiting);
     if let Err(error) = configure_socket(&stream) {
         LogLine::new("connection_not_prepared")
             .with("error", error)
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -47,6 +47,8 @@
     pub quarantined_parts: IntGauge,
     /// Services whose endpoints are not reached.
     pub unreachable_services: IntGauge,
+    /// New connections by whether they were taken, or why they were closed unread.
+    pub connections: IntCounterVec,
     /// Requests in progress.
     pub requests_open: IntGauge,
 }
@@ -146,6 +148,11 @@
                 "bluebell_unreachable_services",
                 "services whose endpoints are not reached",
             )?,
+            connections: counter(
+                "bluebell_connections_total",
+                "new connections, taken or closed unread",
+                &["outcome"],
+            )?,
             requests_open: gauge("bluebell_requests_open", "requests under way")?,
             latency,
             estimate_error,
