Close usage windows sooner, and wait for no instance that is gone

Cause (docs/design/duty-calls.md): the leader waited until 3 s before a report was due for an instance that had been removed for good 13 s before, as it had published in the window before; windows are reported oldest first, and the outage of the store began in the same moment. A restarted instance without callers published nothing and was waited for too. Even without them a window was closed 1.6 s after its end at the earliest.

Ruled out: the holder was alive and reached the store all the while; no report was turned away, no answer was lost.

Change: the times of windows are core::usage::UsageSchedule.

The signature of UsageLedger::pending has one more argument; its test passes the window after, which leaves what it asks unchanged.

--- a/crates/core/src/usage/metered.rs
+++ b/crates/core/src/usage/metered.rs
@@ -16,6 +16,10 @@
 /// several windows.
 const MAX_WINDOWS: usize = 8;
 
+/// For how many whole windows an instance that publishes nothing may be cut off from the store
+/// and come back. Instances publish several times in each window.
+const MAX_SILENT_WINDOWS: u64 = 2;
+
 /// The number of requests of each organisation that started to run in a window.
 pub type MeteredCounts = BTreeMap<OrganisationId, u64>;
 
@@ -125,9 +129,17 @@
     }
 
     /// The instances that published during `window` or the one before it, and not yet
-    /// after it.
-    pub fn pending(&self, window: UsageWindow) -> impl Iterator<Item = &InstanceId> {
-        let is_pending = move |reached: UsageWindow| reached == window || reached.next() == window;
+    /// after it. One that has not published in [`MAX_SILENT_WINDOWS`] before the window
+    /// `current` is gone and has nothing to publish.
+    pub fn pending(
+        &self,
+        window: UsageWindow,
+        current: UsageWindow,
+    ) -> impl Iterator<Item = &InstanceId> {
+        let is_pending = move |reached: UsageWindow| {
+            let is_recent = reached == window || reached.next() == window;
+            is_recent && reached.number() + MAX_SILENT_WINDOWS >= current.number()
+        };
         let pending = self
             .reached
             .iter()
--- a/crates/core/src/usage/mod.rs
+++ b/crates/core/src/usage/mod.rs
@@ -6,10 +6,12 @@
 //! one. A later delta is not lost: it is added to the first window that is still open.
 
 mod metered;
+mod schedule;
 
 use std::collections::BTreeMap;
 
 pub use self::metered::{MeterWriter, MeteredCounts, UsageLedger, UsageMeter};
+pub use self::schedule::{SETTLE_TIME, UsageSchedule};
 use crate::{
     authority::LeaseState,
     clock::{ClockTime, TimeSpan},
--- a/crates/core/tests/usage_metered.rs
+++ b/crates/core/tests/usage_metered.rs
@@ -87,7 +87,9 @@
 fn an_instance_that_published_recently_but_not_after_the_window_is_pending() {
     let one = InstanceId::new("one").unwrap();
     let mut ledger = UsageLedger::new();
-    let is_pending = |ledger: &UsageLedger| ledger.pending(WINDOW.next()).any(|id| *id == one);
+    let window = WINDOW.next();
+    let is_pending =
+        |ledger: &UsageLedger| ledger.pending(window, window.next()).any(|id| *id == one);
     assert!(!is_pending(&ledger));
     ledger.note_reached(one.clone(), WINDOW);
     assert!(is_pending(&ledger));
--- a/crates/ingress/src/leader/mod.rs
+++ b/crates/ingress/src/leader/mod.rs
@@ -5,6 +5,7 @@
 mod publish;
 mod records;
 mod task;
+mod windows;
 
 use std::sync::Arc;
 
@@ -12,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
-    publish::{PeerUsage, note_peer_usage, recent_usage},
+    publish::{PeerUsage, note_peer_usage, recent_usage, unsettled_window},
     records::UsageRecord,
 };
 use crate::context::EntryContext;
--- a/crates/ingress/src/leader/publish.rs
+++ b/crates/ingress/src/leader/publish.rs
@@ -1,9 +1,13 @@
 //! Publishing the usage counts of this entry and, as a reader, those of its failure domain.
 
-use std::{collections::BTreeMap, mem, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, mem, sync::Arc};
 
 use bluebell_adapter::store::AppendAnswer;
-use bluebell_core::{clock::TimeSpan, records::UsageWindow, usage::MeteredCounts};
+use bluebell_core::{
+    clock::TimeSpan,
+    records::UsageWindow,
+    usage::{MeteredCounts, UsageSchedule},
+};
 use bytes::Bytes;
 
 use crate::{
@@ -13,14 +17,6 @@
     time::wall_time,
 };
 
-/// How often counts are published in a window. An entry that is killed loses the counts
-/// since its last publication: those of a quarter of its window at most.
-const PUBLICATIONS_PER_WINDOW: u64 = 4;
-
-/// How long after the end of a window its last counts are published: answers that are in
-/// flight at its end still belong to it.
-const WINDOW_END_DELAY: TimeSpan = TimeSpan::from_millis(60);
-
 /// The number of windows whose counts are sent to the reader: the current one, and two that
 /// may not have been published when they ended.
 const WINDOWS_SENT_TO_READER: usize = 3;
@@ -33,12 +29,10 @@
 /// it. Never returns.
 pub async fn publish(context: Arc<EntryContext>) {
     let mut backoff = StoreBackoff::new("usage");
-    let interval = context.settings.bounds.usage_window.as_millis() / PUBLICATIONS_PER_WINDOW;
     let mut last_published = UsageWindow::new(0);
     loop {
-        let now = wall_time().as_millis();
-        let phase = (now + interval - WINDOW_END_DELAY.as_millis()) % interval;
-        tokio::time::sleep(Duration::from_millis(interval - phase)).await;
+        let wait = schedule(&context).until_publication(wall_time());
+        tokio::time::sleep(wait.as_duration()).await;
         if !context.is_reader() && has_reader_to_publish(&context) {
             continue;
         }
@@ -55,7 +49,7 @@
             Ok(AppendAnswer::Appended { .. }) => {
                 backoff.note_answer(&context);
                 context.meter.lock().mark_published(&unpublished);
-                let current = current_window(&context).number();
+                let current = unsettled_window(&context).number();
                 last_published = last_published.max(UsageWindow::new(current.saturating_sub(1)));
             }
             Ok(AppendAnswer::EndMismatch { .. }) => {}
@@ -76,32 +70,38 @@
     has_reader && !context.must_read_keys_by_age()
 }
 
-fn current_window(context: &EntryContext) -> UsageWindow {
-    UsageWindow::at(wall_time(), context.settings.bounds.usage_window)
+/// The times of the usage windows of this deployment.
+pub(super) fn schedule(context: &EntryContext) -> UsageSchedule {
+    let bounds = &context.settings.bounds;
+    UsageSchedule::new(bounds.usage_window, bounds.usage_lateness)
+}
+
+/// The first window whose counts may still change.
+pub fn unsettled_window(context: &EntryContext) -> UsageWindow {
+    schedule(context).first_unsettled(wall_time())
 }
 
-/// The record that this entry has to publish, and the counts in it. The end of a window is
-/// published once even if all its counts have been published before: the leader waits for it.
+/// The record that this entry has to publish, and the counts in it. Each window is published once
+/// after its end even if nothing was counted in it or all of it was published before: the leader
+/// waits for it.
 fn local_record(
     context: &EntryContext,
     last_published: UsageWindow,
 ) -> (Option<UsageRecord>, Vec<(UsageWindow, MeteredCounts)>) {
-    let current = current_window(context);
+    let current = unsettled_window(context);
     let last = UsageWindow::new(current.number().saturating_sub(1));
-    let meter = context.meter.lock();
-    let unpublished = meter.unpublished();
-    let has_ended = last_published < last && meter.has_counted(last);
-    let is_due = !unpublished.is_empty() || has_ended;
+    let unpublished = context.meter.lock().unpublished();
+    let is_due = !unpublished.is_empty() || last_published < last;
     let record = is_due.then(|| UsageRecord::new(&context.writer, &unpublished, current));
     (record, unpublished)
 }
 
-/// The counts of this entry in the last windows, for the reader to publish.
-pub fn recent_usage(context: &EntryContext) -> Option<UsageRecord> {
-    let current = current_window(context);
+/// The counts of this entry in the last windows, for the reader to publish. An entry without any
+/// says so: the leader may wait for it because of an earlier start.
+pub fn recent_usage(context: &EntryContext) -> UsageRecord {
+    let current = unsettled_window(context);
     let windows = context.meter.lock().last_windows(WINDOWS_SENT_TO_READER);
-    let is_due = !windows.is_empty();
-    is_due.then(|| UsageRecord::new(&context.writer, &windows, current))
+    UsageRecord::new(&context.writer, &windows, current)
 }
 
 /// Records the counts that another entry sent.
--- a/crates/ingress/src/leader/task.rs
+++ b/crates/ingress/src/leader/task.rs
@@ -20,22 +20,16 @@
 
 use crate::{
     context::EntryContext,
-    leader::records::{
-        BaseMessage, LEADER_PART, LeaderRecord, NeedMessage, USAGE_PART, UsageRecord, WindowCounts,
-        encode, parse_writer,
+    leader::{
+        publish,
+        records::{
+            BaseMessage, LEADER_PART, LeaderRecord, NeedMessage, WindowCounts, encode, parse_writer,
+        },
     },
     sync::StoreBackoff,
     time::wall_time,
 };
 
-/// How long after its end a window may be frozen: entries publish their last counts some ms
-/// after the end, and the store may be slow.
-const FREEZE_DELAY: TimeSpan = TimeSpan::from_millis(1_600);
-
-/// How long before it is due a report is sent even if some instances have not published. In
-/// this time a failed report can be retried once, and another leader can take over.
-const REPORT_MARGIN: TimeSpan = TimeSpan::from_millis(3_000);
-
 /// How long the store may hold a read of the leaders' topic until there is a record.
 const READ_WAIT: TimeSpan = TimeSpan::from_millis(4_500);
 
@@ -43,13 +37,7 @@
 pub(super) const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(900);
 
 /// The pause between two checks for work.
-const POLL_INTERVAL: Duration = Duration::from_millis(250);
-
-/// How often the usage counts are read while a window lacks some.
-const USAGE_READ_INTERVAL: TimeSpan = TimeSpan::from_millis(700);
-
-/// The number of past windows that are still reported after an outage.
-const MAX_WINDOWS_BACK: u64 = 3;
+pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The leadership task of one process: carries out the duties while the process is the
 /// leader, and otherwise waits until the leader stops appending records.
@@ -59,17 +47,19 @@
     pub(super) client: DutyClient,
     leadership: LeadershipState,
     /// The counts of windows that this leader or an earlier one has frozen.
-    frozen: BTreeMap<UsageWindow, MeteredCounts>,
+    pub(super) frozen: BTreeMap<UsageWindow, MeteredCounts>,
     /// The last window whose report was accepted.
-    reported: Option<UsageWindow>,
+    pub(super) reported: Option<UsageWindow>,
     pub(super) planner: ProvisionPlanner,
-    ledger: UsageLedger,
-    usage_next: LogOffset,
-    usage_read_at: Option<ClockTime>,
+    pub(super) ledger: UsageLedger,
+    pub(super) usage_next: LogOffset,
+    pub(super) usage_read_at: Option<ClockTime>,
     /// When this process last appended a record.
     appended_at: Option<ClockTime>,
     /// The window in which this process started.
-    first_window: UsageWindow,
+    pub(super) first_window: UsageWindow,
+    /// The last window that waited for counts.
+    pub(super) waiting_window: Option<UsageWindow>,
 }
 
 impl LeaderTask {
@@ -77,7 +67,7 @@
     pub fn new(context: Arc<EntryContext>, client: DutyClient) -> LeaderTask {
         let lease = context.settings.bounds.lease;
         let leadership = LeadershipState::new(context.now(), context.writer.clone(), lease);
-        let first_window = UsageWindow::at(wall_time(), context.settings.bounds.usage_window);
+        let first_window = publish::schedule(&context).current(wall_time());
         LeaderTask {
             context,
             client,
@@ -90,6 +80,7 @@
             usage_read_at: None,
             appended_at: None,
             first_window,
+            waiting_window: None,
         }
     }
 
@@ -220,98 +211,6 @@
             .note_record(self.context.now(), offset, writer);
     }
 
-    fn note_reported(&mut self, window: UsageWindow) {
-        self.reported = self.reported.max(Some(window));
-        let reported = self.reported;
-        self.frozen.retain(|window, _| Some(*window) > reported);
-    }
-
-    /// The oldest window that has ended and has not been reported.
-    fn window_to_report(&self) -> Option<UsageWindow> {
-        let length = self.context.settings.bounds.usage_window;
-        let current = UsageWindow::at(wall_time() - FREEZE_DELAY, length);
-        let oldest = UsageWindow::new(current.number().saturating_sub(MAX_WINDOWS_BACK));
-        let next = self.reported.map_or(self.first_window, UsageWindow::next);
-        let window = next.max(oldest);
-        (window < current).then_some(window)
-    }
-
-    /// Freezes and reports a window; returns false if it can't be frozen yet.
-    async fn report_window(&mut self, window: UsageWindow) -> Result<bool, CallError> {
-        let counts = match self.frozen.get(&window) {
-            Some(counts) => counts.clone(),
-            None => {
-                self.read_usage_if_due().await?;
-                if !self.may_freeze(window) {
-                    return Ok(false);
-                }
-                self.ledger.sum(window)
-            }
-        };
-        let frozen = WindowCounts::new(window, &counts);
-        let Some(grant) = self.append(Some(frozen)).await? else {
-            return Ok(true);
-        };
-        // If the window was frozen twice, the counts that were frozen first are valid.
-        let counts = self.frozen.entry(window).or_insert(counts).clone();
-        if counts.is_empty() {
-            self.note_reported(window);
-            return Ok(true);
-        }
-        let authority = self.authority(&grant);
-        if !grant.allows(self.context.now()) {
-            return Ok(true);
-        }
-        let number = window.number();
-        let reported = self
-            .client
-            .report_usage(&authority, number, &counts, CALL_TIMEOUT);
-        let reported = reported.await;
-        let line = LogLine::new("usage_report")
-            .with("window", window)
-            .with("fence", grant.fence)
-            .with("requests", counts.values().sum::<u64>());
-        match reported {
-            Ok(()) => {
-                line.with("outcome", "accepted").info();
-                self.note_reported(window);
-            }
-            Err(error) => {
-                line.with("outcome", "failed").with("error", error).warn();
-                tokio::time::sleep(POLL_INTERVAL).await;
-            }
-        }
-        Ok(true)
-    }
-
-    /// Whether the counts of a window are complete, because each instance that is alive has
-    /// published after its end, or must be frozen to be reported in time.
-    ///
-    /// An instance that is partitioned from the store continues to serve requests for some
-    /// seconds, and publishes its counts when it is back. A report without them would lack
-    /// all of its requests.
-    fn may_freeze(&self, window: UsageWindow) -> bool {
-        let bounds = &self.context.settings.bounds;
-        let end_ms = window.next().number() * bounds.usage_window.as_millis();
-        let due_ms = end_ms
-            + bounds
-                .usage_lateness
-                .saturating_sub(REPORT_MARGIN)
-                .as_millis();
-        if wall_time().as_millis() >= due_ms {
-            return true;
-        }
-        let now = self.context.now();
-        let peers = self.context.peers.lock();
-        let mut alive = peers.alive(now).map(|(instance, _)| instance);
-        let local = &self.context.writer.instance;
-        let domain = &self.context.settings.domain;
-        let mut pending = self.ledger.pending(window);
-        alive.all(|peer| self.ledger.is_complete(peer, window))
-            && self.ledger.is_complete(local, window)
-            && !pending.any(|peer| peers.is_represented(now, domain, peer))
-    }
-
     pub(super) fn authority(&self, grant: &LeaderGrant) -> DutyAuthority {
         DutyAuthority {
             holder: self.context.writer.instance.clone(),
@@ -369,62 +268,4 @@
             }
         }
     }
-
-    async fn read_usage_if_due(&mut self) -> Result<(), CallError> {
-        let now = self.context.now();
-        if self
-            .usage_read_at
-            .is_some_and(|at| now.since(at) < USAGE_READ_INTERVAL)
-        {
-            return Ok(());
-        }
-        self.usage_read_at = Some(now);
-        self.read_usage().await
-    }
-
-    async fn read_usage(&mut self) -> Result<(), CallError> {
-        loop {
-            let from = self.usage_next;
-            let read = self
-                .context
-                .store
-                .read(USAGE_PART, from, TimeSpan::ZERO, CALL_TIMEOUT);
-            match read.await {
-                Ok(ReadAnswer::Records { records, end }) => {
-                    for record in &records {
-                        self.note_usage(&record.bytes);
-                    }
-                    let next = records.last().map_or(end, |record| record.offset.next());
-                    self.usage_next = next;
-                    if records.is_empty() || next >= end {
-                        return Ok(());
-                    }
-                }
-                Ok(ReadAnswer::Trimmed { first }) => self.usage_next = first,
-                Err(CallError::Status { status: 404, .. }) => return Ok(()),
-                Err(error) => return Err(error),
-            }
-        }
-    }
-
-    fn note_usage(&mut self, bytes: &[u8]) {
-        let record = match UsageRecord::decode(bytes) {
-            Ok(record) => record,
-            Err(error) => {
-                LogLine::new("usage_record_rejected")
-                    .with("error", error)
-                    .warn();
-                return;
-            }
-        };
-        let Some(writer) = parse_writer(&record.instance, record.start) else {
-            return;
-        };
-        let current = UsageWindow::new(record.current);
-        self.ledger.note_reached(writer.instance.clone(), current);
-        for window in &record.windows {
-            let number = UsageWindow::new(window.window);
-            self.ledger.record(number, writer.clone(), window.counts());
-        }
-    }
 }
--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -6,6 +6,7 @@
     clock::{ClockTime, TimeSpan},
     ids::FailureDomain,
     quarantine::{CrashReport, PartReport, ReportScope},
+    records::UsageWindow,
 };
 use bluebell_daemon::logs::LogLine;
 use bytes::BytesMut;
@@ -74,6 +75,8 @@
     broadcast_sent_at: ClockTime,
     selector: TargetSelector,
     usage_sent_at: ClockTime,
+    /// The first window whose counts could still change then.
+    usage_window_sent: UsageWindow,
     swept_at: ClockTime,
     proofs_asked_at: ClockTime,
     /// Whether the last broadcast reported any load.
@@ -95,6 +98,7 @@
             broadcast_sent_at: ClockTime::default(),
             selector,
             usage_sent_at: ClockTime::default(),
+            usage_window_sent: UsageWindow::new(0),
             swept_at: ClockTime::default(),
             proofs_asked_at: ClockTime::default(),
             has_sent_load: false,
@@ -366,11 +370,14 @@
 
     /// The usage counts of this entry if they are due to be sent to the reader.
     fn usage_due(&mut self, now: ClockTime) -> Option<UsageRecord> {
-        if now.since(self.usage_sent_at) < USAGE_REPORT_INTERVAL {
+        let window = leader::unsettled_window(&self.context);
+        let is_recent = now.since(self.usage_sent_at) < USAGE_REPORT_INTERVAL;
+        if is_recent && window == self.usage_window_sent {
             return None;
         }
         self.usage_sent_at = now;
-        leader::recent_usage(&self.context)
+        self.usage_window_sent = window;
+        Some(leader::recent_usage(&self.context))
     }
 
     fn take_crash_reports(&self, now: ClockTime, scope: ReportScope) -> Vec<CrashReport> {
