Have one instance of a failure domain call for it in an outage

The platform saw, in one outage of 8 s (85 instances, trial on a scratch copy): 1,309 failed reads of the leaders' topic by 79 instances, 423 failed publications by 81, 1,265 failed reads of endpoints by 80.

Cause: an instance whose state is old counts as a reader of its failure domain, and readers publish and are candidates; in an outage the state of all is old.

Change: relay::is_domain_caller; only the first instance, or one that reads the store in its place and reaches it, publishes and follows the leaders' topic. Delays after failures vary by a fifth. How fresh the state may be is unchanged.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -25,8 +25,8 @@
 };
 pub use self::source::{
     DIRECT_READERS, KnownState, MAX_CONFIGURATION_READ_DELAY, MAX_FAILED_COPIES, MAX_READER_AGE,
-    RELAY_TIMEOUT, StateSource, copy_timeout, direct_read_delay, is_relaying, parent_rank,
-    read_wait, state_source,
+    RELAY_TIMEOUT, StateSource, copy_timeout, direct_read_delay, is_domain_caller,
+    is_read_deferred, is_relaying, parent_rank, read_wait, state_source,
 };
 use crate::{
     clock::{ClockTime, TimeSpan},
--- a/crates/core/src/relay/source.rs
+++ b/crates/core/src/relay/source.rs
@@ -8,7 +8,8 @@
 //! Where no copy can be had, further instances read the store, group by group. The configuration
 //! has to be confirmed in time, so its read is delayed by one step at most.
 
-use crate::clock::TimeSpan;
+use super::StoreReads;
+use crate::clock::{ClockTime, TimeSpan};
 
 /// The number of instances of a failure domain that may read the store without delay, and
 /// of copies that one instance hands on.
@@ -124,6 +125,21 @@
     rank == 0 || state_source(rank, complete) == StateSource::Store
 }
 
+/// Whether the instance at `rank` makes the calls that one instance makes for its failure domain,
+/// such as publishing usage and following the leader. The first one does, and those that read the
+/// store in its place as long as they reach it: in an outage the state of all of them is old, and
+/// the first one alone finds out that it is over.
+pub fn is_domain_caller(rank: usize, state: KnownState, reaches_store: bool) -> bool {
+    rank == 0 || (reaches_store && is_relaying(rank, state))
+}
+
+/// Whether the instance at `rank` leaves out a read of the endpoints, because its last read of
+/// the configuration (`configuration_reads`) found that the store can't be read and the next one
+/// is due. The first one reads both, for the others of its failure domain.
+pub fn is_read_deferred(rank: usize, configuration_reads: StoreReads, now: ClockTime) -> bool {
+    rank > 0 && configuration_reads.is_lost(now)
+}
+
 /// The age of the state at which the instance at `rank` reads the store, if it has no copy.
 fn read_age(rank: usize, state: KnownState) -> TimeSpan {
     let delay = direct_read_delay(rank).min(state.max_read_delay);
--- a/crates/core/tests/relay_source.rs
+++ b/crates/core/tests/relay_source.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 
 use bluebell_core::{
-    clock::TimeSpan,
+    clock::{ClockTime, TimeSpan},
     relay::{
         DIRECT_READERS, KnownState, MAX_CONFIGURATION_READ_DELAY, MAX_FAILED_COPIES, StateSource,
-        copy_timeout, is_relaying, parent_rank, read_wait, state_source,
+        StoreReads, copy_timeout, is_domain_caller, is_read_deferred, is_relaying, parent_rank,
+        read_wait, state_source,
     },
 };
 
@@ -209,3 +210,46 @@
         assert!(is_relaying(rank, state(1_300, true)));
     }
 }
+
+/// Guards against calls of all instances of a failure domain, each for all of it, in an outage of
+/// the store, when the state of all is old.
+#[test]
+fn one_instance_calls_for_its_failure_domain_in_an_outage() {
+    for age_ms in [0, 1_500, 5_000, 20_000] {
+        let outage = KnownState {
+            is_reader_behind: age_ms > 1_500,
+            ..state(age_ms, false)
+        };
+        let callers = (0..30).filter(|rank| is_domain_caller(*rank, outage, false));
+        assert_eq!(callers.collect::<Vec<_>>(), [0], "state of {age_ms} ms");
+    }
+}
+
+/// Guards against a failure domain without a caller, as the store turns only the first away.
+#[test]
+fn others_call_if_the_store_turns_only_the_first_away() {
+    let behind = KnownState {
+        is_reader_behind: true,
+        ..state(2_000, false)
+    };
+    let callers = (1..30).filter(|rank| is_domain_caller(*rank, behind, true));
+    assert!(callers.count() >= 1);
+}
+
+/// Guards against reads of the endpoints that wait although the store may be back, or that all
+/// instances of a failure domain go on to attempt in an outage.
+#[test]
+fn reads_of_the_endpoints_are_deferred_while_the_configuration_can_not_be_read() {
+    let at = ClockTime::from_millis;
+    let mut reads = StoreReads::new();
+    assert!(!is_read_deferred(5, reads, at(0)));
+    reads.note_sent(at(0), TimeSpan::from_millis(700));
+    reads.note_failure(at(10));
+    assert!(is_read_deferred(5, reads, at(300)));
+    assert!(!is_read_deferred(0, reads, at(300)));
+    // The next read of the configuration is overdue: nobody looks whether the store is back.
+    assert!(!is_read_deferred(5, reads, at(1_000)));
+    reads.note_sent(at(400), TimeSpan::from_millis(700));
+    reads.note_answer();
+    assert!(!is_read_deferred(5, reads, at(410)));
+}
--- a/crates/ingress/src/leader/publish.rs
+++ b/crates/ingress/src/leader/publish.rs
@@ -33,7 +33,7 @@
     loop {
         let wait = schedule(&context).until_publication(wall_time());
         tokio::time::sleep(wait.as_duration()).await;
-        if !context.is_reader() && has_reader_to_publish(&context) {
+        if !context.calls_for_domain() && has_peer_to_publish(&context) {
             continue;
         }
         let peer_records = context.peer_usage.lock().take();
@@ -61,13 +61,11 @@
     }
 }
 
-/// Whether another instance is the reader of this failure domain and can publish the counts
-/// of this one.
-fn has_reader_to_publish(context: &EntryContext) -> bool {
+/// Whether another instance of this failure domain is alive, which publishes the counts of this
+/// one, or does so when it reaches the store again.
+fn has_peer_to_publish(context: &EntryContext) -> bool {
     let (now, domain) = (context.now(), &context.settings.domain);
-    let peers = context.peers.lock();
-    let has_reader = peers.has_alive_peer_in(now, domain);
-    has_reader && !context.must_read_keys_by_age()
+    context.peers.lock().has_alive_peer_in(now, domain)
 }
 
 /// The times of the usage windows of this deployment.
--- a/crates/ingress/src/leader/task.rs
+++ b/crates/ingress/src/leader/task.rs
@@ -105,8 +105,8 @@
             return Ok(());
         }
         if !self.leadership.is_leader() {
-            // Only readers are candidates, since each candidate has to follow the topic.
-            if !self.context.is_reader() {
+            // One instance of a failure domain is a candidate, since each has to follow the topic.
+            if !self.context.calls_for_domain() {
                 tokio::time::sleep(POLL_INTERVAL).await;
                 return Ok(());
             }
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -34,6 +34,29 @@
         rank.is_some_and(|rank| relay::is_relaying(rank, state))
     }
 
+    /// Whether this instance makes the calls that one instance makes for its failure domain.
+    pub fn calls_for_domain(&self) -> bool {
+        let (local, domain) = (&self.writer.instance, &self.settings.domain);
+        let now = self.now();
+        if self.peers.lock().is_reader(now, local, domain) {
+            return true;
+        }
+        let state = self.known_endpoints();
+        let is_lost =
+            self.endpoint_reads.lock().is_lost(now) || self.store_reads.lock().is_lost(now);
+        let rank = self.rank();
+        rank.is_some_and(|rank| relay::is_domain_caller(rank, state, !is_lost))
+    }
+
+    /// Whether a read of the endpoints is left out, as the store can't be read. Fleets in which
+    /// every instance hears all others are small enough to read at once when it is back.
+    pub fn defers_endpoint_read(&self) -> bool {
+        let is_full_mesh = self.peers.lock().is_full_mesh();
+        let reads = *self.store_reads.lock();
+        let rank = self.rank().filter(|_| !is_full_mesh);
+        rank.is_some_and(|rank| relay::is_read_deferred(rank, reads, self.now()))
+    }
+
     /// The instance that reads the store for this failure domain.
     pub fn reader(&self) -> InstanceId {
         let (local, domain) = (&self.writer.instance, &self.settings.domain);
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -85,6 +85,13 @@
             // all records that were written while the reader relayed.
             next = None;
         }
+        if context.defers_endpoint_read() {
+            let now = context.now();
+            context.directory.lock().note_outage(now);
+            context.confirmed.notify_waiters();
+            wait_for_wake(&context).await;
+            continue;
+        }
         let sent = context.now();
         let step = match next {
             None => read_all(&context, backoff.read_timeout()).await,
--- a/crates/ingress/src/sync/mod.rs
+++ b/crates/ingress/src/sync/mod.rs
@@ -11,6 +11,7 @@
 use bluebell_adapter::CallError;
 use bluebell_core::clock::TimeSpan;
 use bluebell_daemon::logs::LogLine;
+use rand::Rng;
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
@@ -28,6 +29,10 @@
 /// was too old must be accepted again soon after the store is back.
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
 
+/// The share of the delay that is waited for, at random: instances that lost the store in the
+/// same moment would all call again in the same moment.
+const BACKOFF_JITTER: std::ops::Range<f64> = 0.8..1.2;
+
 /// The time within which a read that does not wait for records must be answered, and
 /// the longest pause within its answer. The store answers in 4 ms, and in 0.2 s while it
 /// is slow.
@@ -121,6 +126,7 @@
                 .with("error", error)
                 .warn();
         }
-        tokio::time::sleep(delay.min(MAX_BACKOFF)).await;
+        let jitter = rand::rng().random_range(BACKOFF_JITTER);
+        tokio::time::sleep(delay.min(MAX_BACKOFF).mul_f64(jitter)).await;
     }
 }
