Ask the tracker of an engine for its load before choosing it

From 60 instances on, load reports stay in the failure domain: an instance knows a fifth of the streams at the engine that it chooses, as they were some tenths of a second ago.

Each engine has a tracker, an instance of its failure domain by rendezvous hashing. All instances report absolute loads to it on each change and repeat them each second; one that chooses asks the trackers of a few candidates right before. Without an answer within 15 ms it decides by what it knows, as before. Below 60 instances nothing is reported or asked.

Not measured yet.

--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -21,8 +21,8 @@
     directory::{EndpointRegistration, EngineStage},
     ids::{EndpointId, FailureDomain, InstanceId, ServiceName},
     placement::{
-        EndpointTarget, PartLocations, PeerPart, PlacementError, PlanRequest, PrefillPlan,
-        PromptWork, queue::EngineQueue,
+        EndpointTarget, EngineKey, PartLocations, PeerPart, PlacementError, PlanRequest,
+        PrefillPlan, PromptWork, queue::EngineQueue,
     },
     routing::{EndpointHealth, RoutingSettings},
     streams::OriginHash,
@@ -94,7 +94,7 @@
         }
     }
 
-    fn runs_requests(&self) -> bool {
+    pub(super) fn runs_requests(&self) -> bool {
         self.stage != Some(EngineStage::Prefill)
     }
 
@@ -232,7 +232,7 @@
         request: PlanRequest<'_>,
     ) -> Result<PrefillPlan, PlacementError> {
         for healthy_only in [true, false] {
-            if let Some(plan) = self.best_plan(now, request, healthy_only) {
+            if let Some(plan) = self.best_plan(now, request, healthy_only, None) {
                 self.check_deadline(now, request, healthy_only, &plan)?;
                 return Ok(plan);
             }
@@ -246,7 +246,7 @@
     /// callers wait in vain, and prompts that are prefilled for callers that have
     /// disconnected delay the next ones. One engine may be idle while others have long
     /// queues, so all engines are checked before a request is refused.
-    fn check_deadline(
+    pub(super) fn check_deadline(
         &self,
         now: ClockTime,
         request: PlanRequest<'_>,
@@ -272,11 +272,14 @@
         }
     }
 
-    fn best_plan(
+    /// Returns the plan of the lowest cost: among the engines in `asked`, or among a random
+    /// sample of all.
+    pub(super) fn best_plan(
         &mut self,
         now: ClockTime,
         request: PlanRequest<'_>,
         healthy_only: bool,
+        asked: Option<&[EngineKey]>,
     ) -> Option<PrefillPlan> {
         let engines: Vec<&EngineState> = self.usable_engines(now, request, healthy_only).collect();
         let handovers = handover_costs_ms(now, &engines, request);
@@ -285,9 +288,12 @@
         let share = self.candidate_share;
         let mut random = self.random.clone();
         for (index, state) in engines.iter().enumerate() {
+            if asked.is_some_and(|asked| !asked.contains(&state.key())) {
+                continue;
+            }
             // The last two engines are both candidates if there are no others.
             let is_required = costs.len() + (engines.len() - index) <= 2;
-            let is_sampled = is_required || random.random_bool(share);
+            let is_sampled = asked.is_some() || is_required || random.random_bool(share);
             let holds_prefix = preferred == Some(state.number)
                 || self
                     .part_locations
@@ -315,7 +321,7 @@
         self.cheapest(costs)
     }
 
-    fn usable_engines<'a>(
+    pub(super) fn usable_engines<'a>(
         &'a self,
         now: ClockTime,
         request: PlanRequest<'a>,
@@ -387,43 +393,11 @@
         }
     }
 
-    /// Selects the engine that runs a request whose prompt was prefilled at `source`.
-    ///
-    /// Returns an error if no engine is left.
-    pub fn choose_runner(
-        &mut self,
-        now: ClockTime,
-        request: PlanRequest<'_>,
-        source: &EndpointId,
-    ) -> Result<EndpointTarget, PlacementError> {
-        let domain = self.engines.get(source).map(|state| state.domain.clone());
-        for healthy_only in [true, false] {
-            let runners = self.usable_engines(now, request, healthy_only);
-            let runners = runners.filter(|state| state.runs_requests());
-            let costs = runners.map(|state| {
-                let cost = run_cost_ms(now, state, domain.as_ref(), request);
-                (cost, state.target.clone())
-            });
-            let mut costs: Vec<(f64, EndpointTarget)> = costs.collect();
-            let count = (costs.len() as f64 * self.candidate_share).ceil() as usize;
-            self.sample(&mut costs, count.max(2));
-            if let Some(target) = self.cheapest(costs) {
-                return Ok(target);
-            }
-        }
-        Err(PlacementError::NoEngineLeft)
-    }
-
-    /// Keeps a random sample of `count` candidates.
-    fn sample<Candidate>(&mut self, candidates: &mut Vec<Candidate>, count: usize) {
-        while candidates.len() > count {
-            let index = self.random.random_range(0..candidates.len());
-            candidates.swap_remove(index);
-        }
-    }
-
     /// Returns the candidate with the lowest cost after random noise.
-    fn cheapest<Candidate>(&mut self, costs: Vec<(f64, Candidate)>) -> Option<Candidate> {
+    pub(super) fn cheapest<Candidate>(
+        &mut self,
+        costs: Vec<(f64, Candidate)>,
+    ) -> Option<Candidate> {
         let noisy = costs.into_iter().map(|(cost, candidate)| {
             let noise = self.random.random_range(1.0..1.0 + COST_NOISE);
             (cost * noise, candidate)
@@ -436,7 +410,7 @@
 /// Returns the cost in ms of running a request on an engine until its next token: the
 /// handover from `source`, the prefills queued at the engine, and the requests that run
 /// there.
-fn run_cost_ms(
+pub(super) fn run_cost_ms(
     now: ClockTime,
     state: &EngineState,
     source: Option<&FailureDomain>,
@@ -473,7 +447,7 @@
 
 /// Returns the number of the engine to which all entries assign the last shared part:
 /// of the engines that prefill at full speed, the one with the highest hash.
-fn rendezvous_engine(engines: &[&EngineState], work: &PromptWork) -> Option<u32> {
+pub(super) fn rendezvous_engine(engines: &[&EngineState], work: &PromptWork) -> Option<u32> {
     let part = work.shared().last()?;
     let has_fast = engines.iter().any(|state| state.prefill_slowdown() == 1.0);
     let candidates = engines
--- a/crates/core/src/placement/knowledge.rs
+++ b/crates/core/src/placement/knowledge.rs
@@ -18,7 +18,8 @@
 pub struct TrackedLoad {
     /// The engine.
     pub engine: EngineKey,
-    /// The sum of the instances' loads.
+    /// The sum of the instances' loads, less the prefill work that the engine has probably done
+    /// since they were reported.
     pub load: EngineLoad,
     /// Age of the oldest report in the sum; zero if there is none.
     pub oldest: TimeSpan,
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -8,18 +8,25 @@
 //! and hand it over. Replicas of plain services ([`ReplicaTable`]) differ in speed and
 //! may fail for some requests only; the least loaded healthy replica is selected.
 
+mod candidates;
 mod engine;
 mod engine_outcomes;
 mod knowledge;
+mod load_ledger;
+mod load_reporter;
 mod parts;
 mod plan;
 mod prompt;
 mod queue;
 mod replicas;
+mod runner;
+mod tracker;
 
 pub use self::{
     engine::EngineTable,
     knowledge::{EngineKey, PrefillSample, TrackedLoad},
+    load_ledger::{LoadLedger, LoadSource},
+    load_reporter::{DueLoads, EngineCandidate, LoadReporter},
     parts::PartLocations,
     plan::{
         EndpointTarget, PeerLoad, PeerPart, PlacementError, PlanRequest, PrefillPlan, PrefillTicket,
@@ -27,4 +34,5 @@
     prompt::{ParsePromptError, PromptPart, PromptWork},
     queue::{EngineLoad, EngineQueue, PRIORITY_RANKS},
     replicas::{ReplicaChoice, ReplicaTable},
+    tracker::{TrackerCandidate, TrackerHealth, tracker_of},
 };
--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -12,7 +12,11 @@
 
 /// How long a load report of another entry is valid. Entries send reports several times
 /// a second, so one that sends none for longer has ended or is unreachable.
-const PEER_REPORT_TTL: TimeSpan = TimeSpan::from_millis(2_500);
+pub(super) const PEER_REPORT_TTL: TimeSpan = TimeSpan::from_millis(2_500);
+
+/// How long the answer of an engine's tracker counts in place of the load reports of other
+/// entries: about as long as a report is old on average when the next one arrives.
+const TRACKED_TTL: TimeSpan = TimeSpan::from_millis(300);
 
 /// The maximum share of a prefill that elapsed time may take off before the prefill is
 /// done: once the estimated time has passed, the estimate gives no indication of how
@@ -34,6 +38,28 @@
         self.running == 0 && self.prefill_ms.iter().all(|work| *work == 0.0)
     }
 
+    /// Adds the load of another instance.
+    pub(super) fn add(&mut self, other: &EngineLoad) {
+        self.running += other.running;
+        for (sum, work) in self.prefill_ms.iter_mut().zip(other.prefill_ms) {
+            *sum += work;
+        }
+    }
+
+    /// The load that is probably left after `age`: the engine has worked on the prefills
+    /// since, the most urgent first. The share of its time that they received is unknown, so
+    /// half is assumed.
+    pub(super) fn after(&self, age: TimeSpan) -> EngineLoad {
+        let mut done_ms = age.as_millis() as f64 / 2.0;
+        let mut left = self.clone();
+        for work in &mut left.prefill_ms {
+            let done = done_ms.min(*work);
+            *work -= done;
+            done_ms -= done;
+        }
+        left
+    }
+
     fn prefill_ms_up_to(&self, rank: usize) -> f64 {
         self.prefill_ms[..=rank].iter().sum()
     }
@@ -61,6 +87,8 @@
     running: u32,
     last_removal: ClockTime,
     peers: BTreeMap<InstanceId, PeerReport>,
+    /// The load of all other entries, as the engine's tracker answered.
+    tracked: Option<PeerReport>,
 }
 
 impl EngineQueue {
@@ -108,6 +136,19 @@
         self.peers.insert(peer.clone(), report);
     }
 
+    /// Stores the load of all other entries, as the engine's tracker answered.
+    pub fn note_tracked(&mut self, now: ClockTime, load: EngineLoad) {
+        self.tracked = Some(PeerReport {
+            received_at: now,
+            load,
+        });
+    }
+
+    /// Whether the last answer of the engine's tracker is in use.
+    pub fn has_tracked(&self, now: ClockTime) -> bool {
+        self.live_tracked(now).is_some()
+    }
+
     /// Returns the load that this entry has placed on the engine.
     pub fn local_load(&self) -> EngineLoad {
         let mut load = EngineLoad {
@@ -154,8 +195,19 @@
         self.wait_ms(now, PRIORITY_RANKS - 1) == 0.0
     }
 
+    fn live_tracked(&self, now: ClockTime) -> Option<&PeerReport> {
+        let tracked = self.tracked.as_ref();
+        tracked.filter(|report| now.since(report.received_at) <= TRACKED_TTL)
+    }
+
+    /// The answer of the tracker, or else the reports of other entries.
     fn live_reports(&self, now: ClockTime) -> impl Iterator<Item = &PeerReport> {
-        let reports = self.peers.values();
-        reports.filter(move |report| now.since(report.received_at) <= PEER_REPORT_TTL)
+        let tracked = self.live_tracked(now);
+        let has_tracked = tracked.is_some();
+        let reports = self
+            .peers
+            .values()
+            .filter(move |report| !has_tracked && now.since(report.received_at) <= PEER_REPORT_TTL);
+        tracked.into_iter().chain(reports)
     }
 }
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -25,6 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    engine_loads::EngineLoads,
     forward::ConnectionPools,
     leader::PeerUsage,
     memory::MemoryAccount,
@@ -96,6 +97,8 @@
     pub directory: Shared<EndpointDirectory>,
     /// The queues and the memory use of the engines.
     pub engines: Shared<EngineTable>,
+    /// The loads of the engines that this instance tracks for all, and the exchange of loads.
+    pub engine_loads: EngineLoads,
     /// The demand of requests on engines, here and at the other entries.
     pub demands: Shared<DemandTable>,
     /// The state of the replicas of plain services.
@@ -184,6 +187,12 @@
         let seed = rand::random();
         let limiter = RateLimiter::new(started_at, bounds.quota).with_seed(seed);
         let memory = MemoryAccount::new(settings.memory_mb, clock.clone());
+        let engine_loads = EngineLoads::new(
+            writer.clone(),
+            settings.domain.clone(),
+            clock.clone(),
+            metrics.engine_loads.clone(),
+        );
         EntryContext {
             settings,
             started_at,
@@ -196,6 +205,7 @@
             endpoint_reads: Shared::new(StoreReads::new()),
             directory: Shared::new(directory),
             engines: Shared::new(EngineTable::new(routing.clone()).with_seed(seed)),
+            engine_loads,
             demands: Shared::new(DemandTable::new()),
             replicas: Shared::new(ReplicaTable::new(routing).with_seed(seed)),
             budget: Shared::new(SharedRetryBudget::new(allowance).with_start(started_at)),
--- a/crates/ingress/src/forward/engine_choice.rs
+++ b/crates/ingress/src/forward/engine_choice.rs
@@ -4,7 +4,9 @@
 use bluebell_core::{
     ids::EndpointId,
     ingress::EngineRule,
-    placement::{EndpointTarget, PlacementError, PlanRequest, PrefillPlan},
+    placement::{
+        EndpointTarget, EngineCandidate, EngineKey, PlacementError, PlanRequest, PrefillPlan,
+    },
 };
 
 use crate::{
@@ -56,12 +58,40 @@
         })
     }
 
-    /// Selects the engine that prefills the prompt.
-    pub(super) fn plan(&self) -> Result<PrefillPlan, FailedAttempt> {
+    /// Asks for the loads of engines right before a choice among them. Returns those whose
+    /// loads are known now; none while all instances exchange their loads directly.
+    async fn ask_loads(&self, candidates: &[EngineCandidate]) -> Vec<EngineKey> {
+        let answers = self.context.engine_loads.query(candidates).await;
         let now = self.context.now();
+        let mut engines = self.context.engines.lock();
+        for tracked in &answers {
+            engines.note_tracked(now, tracked);
+        }
+        answers.iter().map(|tracked| tracked.engine).collect()
+    }
+
+    /// Selects the engine that prefills the prompt.
+    pub(super) async fn plan(&self) -> Result<PrefillPlan, FailedAttempt> {
         let excluded = notices::excluded(&self.context, &self.attempted);
+        let mut candidates = Vec::new();
+        if self.context.engine_loads.is_active() {
+            let request = self.plan_request(&excluded)?;
+            let now = self.context.now();
+            candidates = self.context.engines.lock().prefill_candidates(now, request);
+        }
+        let known = self.ask_loads(&candidates).await;
         let request = self.plan_request(&excluded)?;
-        let plan = self.context.engines.lock().plan(now, request);
+        let now = self.context.now();
+        let mut engines = self.context.engines.lock();
+        let plan = match known.is_empty() {
+            true => engines.plan(now, request),
+            false => {
+                // One that holds most of the prompt is a candidate also without an answer.
+                let asked: Vec<EngineKey> = candidates.iter().map(|one| one.engine).collect();
+                engines.plan_among(now, request, &asked)
+            }
+        };
+        drop(engines);
         // An immediate retry would find no engine either, and would block all other
         // tasks of this process meanwhile.
         plan.map_err(|error| self.no_engine(error).without_retry())
@@ -69,18 +99,28 @@
 
     /// Selects the engine that runs the request once its prompt has been prefilled by `plan`, one
     /// of the version that prefilled it.
-    pub(super) fn choose_runner(
+    pub(super) async fn choose_runner(
         &self,
         plan: &PrefillPlan,
     ) -> Result<EndpointTarget, FailedAttempt> {
-        let now = self.context.now();
         let excluded = notices::excluded(&self.context, &self.attempted);
         let request = PlanRequest {
             origin: Some(plan.engine.origin),
             ..self.plan_request(&excluded)?
         };
+        let mut candidates = Vec::new();
+        if self.context.engine_loads.is_active() {
+            let now = self.context.now();
+            candidates = self.context.engines.lock().runner_candidates(now, request);
+        }
+        let known = self.ask_loads(&candidates).await;
+        let now = self.context.now();
+        let source = &plan.engine.id;
         let mut engines = self.context.engines.lock();
-        let target = engines.choose_runner(now, request, &plan.engine.id);
+        let target = match known.is_empty() {
+            true => engines.choose_runner(now, request, source),
+            false => engines.choose_runner_among(now, request, source, &known),
+        };
         drop(engines);
         target.map_err(|error| self.no_engine(error))
     }
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -195,7 +195,7 @@
         let prefilled = match self.source.take() {
             Some(prefilled) => prefilled,
             None => {
-                let plan = self.plan()?;
+                let plan = self.plan().await?;
                 if plan.runs_request {
                     return self.run_with_prefill(&plan, last_id).await;
                 }
@@ -207,7 +207,7 @@
                 }
             }
         };
-        let target = match self.choose_runner(&prefilled.plan) {
+        let target = match self.choose_runner(&prefilled.plan).await {
             Ok(target) => target,
             Err(failed) => {
                 // Engines of another version may be left; they need the prompt prefilled anew.
--- a/crates/ingress/src/forward/guards.rs
+++ b/crates/ingress/src/forward/guards.rs
@@ -33,6 +33,7 @@
     ) -> PrefillGuard {
         let sent = context.now();
         let ticket = context.engines.lock().prefill_sent(sent, plan, work);
+        context.engine_loads.note_change();
         let mut demands = context.demands.lock();
         demands.prefill_sent(sent, service, plan.work_ms);
         drop(demands);
@@ -54,7 +55,14 @@
             let metrics = &self.context.metrics;
             metrics.estimate_error.observe(error_ms / 1_000.0);
             let mut engines = self.context.engines.lock();
+            let sample = engines.prefill_sample(&self.plan, now.since(self.sent));
             engines.prefill_done(now, &self.plan, ticket, self.sent);
+            drop(engines);
+            let loads = &self.context.engine_loads;
+            if let Some((engine, sample)) = sample {
+                loads.note_sample(engine, sample);
+            }
+            loads.note_change();
         }
     }
 }
@@ -65,6 +73,8 @@
             let now = self.context.now();
             let mut engines = self.context.engines.lock();
             engines.prefill_dropped(now, &self.plan, ticket);
+            drop(engines);
+            self.context.engine_loads.note_change();
         }
     }
 }
@@ -89,6 +99,7 @@
     ) -> RunGuard {
         let now = context.now();
         context.engines.lock().run_started(engine);
+        context.engine_loads.note_change();
         context.demands.lock().run_started(now, service, share);
         RunGuard {
             context: Arc::clone(context),
@@ -103,6 +114,7 @@
     fn drop(&mut self) {
         let now = self.context.now();
         self.context.engines.lock().run_ended(&self.engine);
+        self.context.engine_loads.note_change();
         let mut demands = self.context.demands.lock();
         demands.run_ended(now, &self.service, self.share);
     }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod compression;
 pub mod context;
+pub mod engine_loads;
 pub mod forward;
 pub mod frontend;
 mod hop_headers;
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -8,6 +8,20 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0,
 ];
 
+/// Upper bounds of the age buckets in seconds: reports of loads are repeated each second.
+const AGE_BUCKETS: &[f64] = &[0.005, 0.02, 0.1, 0.3, 0.6, 1.0, 1.5, 2.5];
+
+/// The metrics of the exchange with the trackers of engines.
+#[derive(Clone, Debug)]
+pub struct EngineLoadMetrics {
+    /// Queries by outcome, one for each tracker that was asked.
+    pub queries: IntCounterVec,
+    /// Reports by direction.
+    pub reports: IntCounterVec,
+    /// Age in seconds of the oldest report in an answer.
+    pub age: Histogram,
+}
+
 /// The metrics of an entry.
 #[derive(Clone, Debug)]
 pub struct EntryMetrics {
@@ -47,6 +61,8 @@
     pub quarantined_parts: IntGauge,
     /// Services whose endpoints are not reached.
     pub unreachable_services: IntGauge,
+    /// The exchange of loads of engines.
+    pub engine_loads: EngineLoadMetrics,
     /// Requests in progress.
     pub requests_open: IntGauge,
 }
@@ -80,7 +96,27 @@
         );
         let estimate_error = Histogram::with_opts(estimate_error_opts)?;
         registry.register(Box::new(estimate_error.clone()))?;
+        let age_opts = HistogramOpts::new(
+            "bluebell_engine_load_age_seconds",
+            "age of the oldest report in the load that a tracker answered",
+        );
+        let age = Histogram::with_opts(age_opts.buckets(AGE_BUCKETS.to_vec()))?;
+        registry.register(Box::new(age.clone()))?;
+        let engine_loads = EngineLoadMetrics {
+            queries: counter(
+                "bluebell_engine_load_queries_total",
+                "queries to the trackers of engines",
+                &["outcome"],
+            )?,
+            reports: counter(
+                "bluebell_engine_load_reports_total",
+                "reports of loads to the trackers of engines",
+                &["direction"],
+            )?,
+            age,
+        };
         Ok(EntryMetrics {
+            engine_loads,
             answers: counter(
                 "bluebell_answers_total",
                 "final answers",
--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -87,6 +87,7 @@
     pub async fn bind(context: Arc<EntryContext>) -> io::Result<PeerBroadcaster> {
         let socket = Arc::new(UdpSocket::bind(local_address(&context)).await?);
         context.streams.set_socket(Arc::clone(&socket));
+        context.engine_loads.set_socket(Arc::clone(&socket));
         let instance = context.writer.instance.clone();
         let selector = TargetSelector::new(instance, context.settings.domain.clone());
         Ok(PeerBroadcaster {
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     compression::{compress, decompress},
+    engine_loads::EngineLoadMessage,
     leader::UsageRecord,
     peers::{crashes::CrashMessage, demands::DemandMessage, prompt_parts::PartMessage},
     stream_origins::OriginMessage,
@@ -133,6 +134,9 @@
     /// Where streams began; a datagram with it has no other field.
     #[prost(message, optional, tag = "20")]
     pub origins: Option<OriginMessage>,
+    /// Loads of engines; a datagram with it has no other field.
+    #[prost(message, optional, tag = "24")]
+    pub engine_loads: Option<EngineLoadMessage>,
 }
 
 /// The usage of the limit of one organisation, in tokens or requests.
--- a/crates/ingress/src/peers/receive.rs
+++ b/crates/ingress/src/peers/receive.rs
@@ -44,6 +44,10 @@
             self.context.streams.receive(now, origins, from, prove);
             return;
         }
+        if let Some(loads) = message.engine_loads {
+            self.context.engine_loads.receive(now, loads, from);
+            return;
+        }
         let peer = InstanceId::new(message.instance.as_str());
         let domain = FailureDomain::new(message.domain.as_str());
         let (Ok(peer), Ok(domain)) = (peer, domain) else {
--- a/crates/ingress/src/program.rs
+++ b/crates/ingress/src/program.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     context::EntryContext,
-    forward,
+    engine_loads, forward,
     frontend::FrontendServer,
     leader,
     logs::{self, LogBuffer},
@@ -101,6 +101,7 @@
     peers::start(&context, &background)
         .await
         .context("failed to listen on the address for peer instances")?;
+    engine_loads::start(&context, &background);
     state_transfer::start(&context, &background)
         .await
         .context("failed to listen on the address for copies of the state")?;
--- a/crates/ingress/src/ready.rs
+++ b/crates/ingress/src/ready.rs
@@ -76,6 +76,7 @@
         "prompt_parts": &*context.prompt_parts.lock(),
         "broken_runs": &*context.broken_runs.lock(),
         "endpoint_limits": &*context.endpoint_limits.lock(),
+        "engine_loads": context.engine_loads.status(),
         "endpoint_notices": &*context.endpoint_notices.lock(),
         "memory": context.memory.status(),
         "endpoints": endpoints,
