--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -165,6 +165,13 @@
             .collect()
     }
 
+    /// The number of requests that run on an engine as far as is known here; 0 for an unknown
+    /// engine.
+    pub fn known_running(&self, now: ClockTime, id: &EndpointId) -> u32 {
+        let state = self.engines.get(id);
+        state.map_or(0, |state| state.queue.running(now))
+    }
+
     /// The number of engines for which the answer of a tracker is in use.
     pub fn count_tracked(&self, now: ClockTime) -> usize {
         let engines = self.engines.values();
