--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -8,6 +8,20 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0,
 ];
 
+/// Upper bounds of the age buckets in seconds: reports of loads are repeated each second.
+const AGE_BUCKETS: &[f64] = &[0.005, 0.02, 0.1, 0.3, 0.6, 1.0, 1.5, 2.5];
+
+/// The metrics of the exchange with the trackers of engines.
+#[derive(Clone, Debug)]
+pub struct EngineLoadMetrics {
+    /// Queries by outcome, one for each tracker that was asked.
+    pub queries: IntCounterVec,
+    /// Reports by direction.
+    pub reports: IntCounterVec,
+    /// Age in seconds of the oldest report in an answer.
+    pub age: Histogram,
+}
+
 /// The metrics of an entry.
 #[derive(Clone, Debug)]
 pub struct EntryMetrics {
@@ -47,8 +61,13 @@
     pub quarantined_parts: IntGauge,
     /// Services whose endpoints are not reached.
     pub unreachable_services: IntGauge,
+<<<<<<< HEAD
     /// New connections by whether they were taken, or why they were closed unread.
     pub connections: IntCounterVec,
+=======
+    /// The exchange of loads of engines.
+    pub engine_loads: EngineLoadMetrics,
+>>>>>>> d1f6f3cf03e86db4f5529b9fa78532d601aebf14
     /// Requests in progress.
     pub requests_open: IntGauge,
 }
@@ -82,7 +101,27 @@
         );
         let estimate_error = Histogram::with_opts(estimate_error_opts)?;
         registry.register(Box::new(estimate_error.clone()))?;
+        let age_opts = HistogramOpts::new(
+            "bluebell_engine_load_age_seconds",
+            "age of the oldest report in the load that a tracker answered",
+        );
+        let age = Histogram::with_opts(age_opts.buckets(AGE_BUCKETS.to_vec()))?;
+        registry.register(Box::new(age.clone()))?;
+        let engine_loads = EngineLoadMetrics {
+            queries: counter(
+                "bluebell_engine_load_queries_total",
+                "queries to the trackers of engines",
+                &["outcome"],
+            )?,
+            reports: counter(
+                "bluebell_engine_load_reports_total",
+                "reports of loads to the trackers of engines",
+                &["direction"],
+            )?,
+            age,
+        };
         Ok(EntryMetrics {
+            engine_loads,
             answers: counter(
                 "bluebell_answers_total",
                 "final answers",
