Count the slots of an engine in the cost of one more request

Callers saw pauses at engines that ran as many requests as they have slots, or more: measured 31 to 36 ms after the prefill at an engine with fewer than 12 streams, 212 ms with 15 to 17 and 541 ms with 18 to 20, at 16 slots. The cost of one more request was 1 ms for each that ran, below and above the slots.

The cost now rises above three quarters of the slots, and an engine without a free slot is chosen only if all candidates are full. Below three quarters, and where a registration tells no slots, it is what it was.

--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -22,7 +22,7 @@
     ids::{EndpointId, FailureDomain, InstanceId, ServiceName},
     placement::{
         EndpointTarget, PartLocations, PeerPart, PlacementError, PlanRequest, PrefillPlan,
-        PromptWork, queue::EngineQueue,
+        PromptWork, queue::EngineQueue, slots::slot_cost_ms,
     },
     routing::{EndpointHealth, RoutingSettings},
     streams::OriginHash,
@@ -46,8 +46,6 @@
 /// The share of a shared part that its rendezvous engine is assumed to hold when no
 /// entry is known to have sent the part there.
 const RENDEZVOUS_HELD_SHARE: f64 = 0.5;
-/// Cost in ms that each running request adds to an engine that decodes.
-const RUNNING_REQUEST_COST_MS: f64 = 1.0;
 /// Cost in ms of a prefill on an engine of the decode stage for the requests that run
 /// there: each of their tokens waits for a chunk of the prompt, which stretches the
 /// gaps between tokens beyond the objective.
@@ -72,6 +70,8 @@
     pub(super) service: ServiceName,
     pub(super) domain: FailureDomain,
     pub(super) stage: Option<EngineStage>,
+    /// The number of requests that the engine runs at once.
+    pub(super) slots: u32,
     /// The stage that the engine was ordered to take, and when the order was received.
     pub(super) ordered_stage: Option<(EngineStage, ClockTime)>,
     /// The engine is excluded from selection until then, as it refused a request of
@@ -172,6 +172,7 @@
                 state.ordered_stage = None;
             }
             state.is_leaving = registration.is_leaving;
+            state.slots = registration.slots;
             state.target.address = registration.address;
             return;
         }
@@ -195,6 +196,7 @@
             service: registration.service.clone(),
             domain: registration.domain.clone(),
             stage: registration.stage,
+            slots: registration.slots,
             ordered_stage: awaits_order.then_some((EngineStage::Prefill, now)),
             excluded_until: ClockTime::default(),
             local_refusal_until: ClockTime::default(),
@@ -305,7 +307,7 @@
                     // No engine of its version runs requests.
                     None => continue,
                 },
-                None => f64::from(state.queue.running(now)) * RUNNING_REQUEST_COST_MS,
+                None => slot_cost_ms(state.queue.running(now), state.slots),
             };
             let first_token_ms = wait_ms + plan.work_ms + FIXED_LATENCY_MS + overhead_ms;
             plan.first_token = TimeSpan::from_millis(first_token_ms as u64);
@@ -451,7 +453,7 @@
         1.0
     };
     let wait_ms = state.queue.wait_ms(now, request.rank());
-    let running_ms = f64::from(state.queue.running(now)) * RUNNING_REQUEST_COST_MS;
+    let running_ms = slot_cost_ms(state.queue.running(now), state.slots);
     HANDOVER_MS + transfer_ms * handover_factor + wait_ms + running_ms
 }
 
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -16,6 +16,7 @@
 mod prompt;
 mod queue;
 mod replicas;
+mod slots;
 
 pub use self::{
     engine::EngineTable,
@@ -27,4 +28,5 @@
     prompt::{ParsePromptError, PromptPart, PromptWork},
     queue::{EngineLoad, EngineQueue, PRIORITY_RANKS},
     replicas::{ReplicaChoice, ReplicaTable},
+    slots::slot_cost_ms,
 };
