Learn the speed of each engine and assign shared parts by it

Callers of a deployment with uneven engines waited at the slow ones: the excess of a prefill over its estimate went by engine from -41 to +410 ms, as there was one prefill rate per service, and each engine owned as many shared parts as any other. A rate that each instance learned alone had been tried: owners then differed between instances, and shared parts were read again three times as often.

- A speed class per engine and start, in eighths of a doubling of tokens per ms: absolute, so that instances needn't agree on a usual rate first.
Relative to the median class of the service it scales the estimate of a prefill and the weight of the engine in rendezvous hashing.
With equal classes the hashing is the one of before.
- The class follows the faster samples and changes by a whole class at least.
- Reports carry class, samples and age; the one with more samples counts, older ones less.
At most 32 a datagram, changes first; within the failure domain from the instance that learned, to others from the representatives.
- From 60 instances on only.
Below, nothing is learned or applied.
- Gauge of engines by speed, counter of changes, a log line for each.

Not measured yet. Until the trackers hand on the prefills of all instances, each instance learns from its own.

--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -21,8 +21,11 @@
     directory::{EndpointRegistration, EngineStage},
     ids::{EndpointId, FailureDomain, InstanceId, ServiceName},
     placement::{
-        EndpointTarget, PartLocations, PeerPart, PlacementError, PlanRequest, PrefillPlan,
-        PromptWork, queue::EngineQueue, slots::slot_cost_ms,
+        EndpointTarget, EngineKey, PartLocations, PeerPart, PlacementError, PlanRequest,
+        PrefillPlan, PromptWork,
+        engine_speeds::{AppliedSpeeds, speed_key, weighted_rendezvous},
+        queue::EngineQueue,
+        slots::slot_cost_ms,
     },
     routing::{EndpointHealth, RoutingSettings},
     streams::OriginHash,
@@ -34,7 +37,7 @@
 /// Fixed part of the time to the first token of a request, in ms.
 pub(super) const FIXED_LATENCY_MS: f64 = 20.0;
 /// Factor by which an engine of the decode stage prefills more slowly.
-const DECODE_STAGE_SLOWDOWN: f64 = 2.0;
+pub(super) const DECODE_STAGE_SLOWDOWN: f64 = 2.0;
 /// Fixed time of a handover between engines, in ms.
 const HANDOVER_MS: f64 = 8.0;
 /// Factor by which the transfer of a handover takes longer between failure domains.
@@ -72,6 +75,8 @@
     pub(super) stage: Option<EngineStage>,
     /// The number of requests that the engine runs at once.
     pub(super) slots: u32,
+    /// Its prefill speed relative to the typical one of its service.
+    pub(super) speed_factor: f64,
     /// The stage that the engine was ordered to take, and when the order was received.
     pub(super) ordered_stage: Option<(EngineStage, ClockTime)>,
     /// The engine is excluded from selection until then, as it refused a request of
@@ -135,6 +140,7 @@
     pub(super) unreachable_domains: BTreeSet<FailureDomain>,
     /// The share of the engines that are candidates for a request.
     pub(super) candidate_share: f64,
+    pub(super) speeds: AppliedSpeeds,
 }
 
 impl EngineTable {
@@ -153,6 +159,7 @@
             unsent_parts: Vec::new(),
             unreachable_domains: BTreeSet::new(),
             candidate_share: 1.0,
+            speeds: AppliedSpeeds::default(),
         }
     }
 
@@ -178,6 +185,9 @@
         }
         self.remove_engine(&registration.id);
         let hash = xxh3_64_with_seed(registration.id.as_str().as_bytes(), 0);
+        let start = registration.start;
+        let key = EngineKey { hash, start };
+        let speed_factor = self.speeds.factor(key, &registration.service);
         // Preemptible engines prefill, but start in the decode stage. The order to
         // change the stage arrives within a second; requests that run there until then
         // would delay it.
@@ -192,11 +202,12 @@
                 start: registration.start,
                 origin: registration.origin(),
             },
-            start: registration.start,
+            start,
             service: registration.service.clone(),
             domain: registration.domain.clone(),
             stage: registration.stage,
             slots: registration.slots,
+            speed_factor,
             ordered_stage: awaits_order.then_some((EngineStage::Prefill, now)),
             excluded_until: ClockTime::default(),
             local_refusal_until: ClockTime::default(),
@@ -215,6 +226,7 @@
         if let Some(state) = self.engines.remove(id) {
             self.part_locations.remove_engine(state.number);
             self.by_hash.remove(&state.hash);
+            self.speeds.remove_engine(speed_key(&state));
         }
     }
 
@@ -376,7 +388,8 @@
         };
         let prompt = request.work.prompt.count();
         let tokens = prompt.saturating_sub(assumed).max(1);
-        let rate = self.prefill_rate(request.service) / state.prefill_slowdown();
+        let rate =
+            self.prefill_rate(request.service) * state.speed_factor / state.prefill_slowdown();
         PrefillPlan {
             engine: state.target.clone(),
             runs_request: state.runs_requests(),
@@ -473,14 +486,13 @@
     costs
 }
 
-/// Returns the number of the engine to which all entries assign the last shared part:
-/// of the engines that prefill at full speed, the one with the highest hash.
+/// Returns the number of the engine to which all entries assign the last shared part: of the
+/// engines that prefill at full speed, one by rendezvous hashing, weighted by their speeds.
 fn rendezvous_engine(engines: &[&EngineState], work: &PromptWork) -> Option<u32> {
     let part = work.shared().last()?;
     let has_fast = engines.iter().any(|state| state.prefill_slowdown() == 1.0);
     let candidates = engines
         .iter()
         .filter(|state| !has_fast || state.prefill_slowdown() == 1.0);
-    let score = |state: &&&EngineState| xxh3_64_with_seed(&state.hash.to_le_bytes(), part.id);
-    candidates.max_by_key(score).map(|state| state.number)
+    weighted_rendezvous(candidates.copied(), part.id).map(|state| state.number)
 }
--- a/crates/core/src/placement/engine_outcomes.rs
+++ b/crates/core/src/placement/engine_outcomes.rs
@@ -74,7 +74,7 @@
         state.queue.remove(now, ticket.0);
         state.health.note_success(now, &self.settings);
         state.consecutive_refusals = 0;
-        let slowdown = state.prefill_slowdown();
+        let slowdown = state.prefill_slowdown() / state.speed_factor;
         let service = state.service.clone();
         let tokens = plan.tokens as f64;
         let prefill_ms = now.since(sent).as_millis() as f64 - FIXED_LATENCY_MS;
--- a/crates/core/src/placement/knowledge.rs
+++ b/crates/core/src/placement/knowledge.rs
@@ -1,6 +1,9 @@
 //! What instances tell each other of the engines.
 
-use crate::{clock::TimeSpan, placement::EngineLoad};
+use crate::{
+    clock::TimeSpan,
+    placement::{EngineLoad, engine::DECODE_STAGE_SLOWDOWN},
+};
 
 /// Names an engine in messages between instances. What is known of one start of an engine
 /// says nothing about the next.
@@ -37,3 +40,13 @@
     /// Whether the engine was in the decode stage, in which it prefills more slowly.
     pub is_decode_stage: bool,
 }
+
+impl PrefillSample {
+    /// Factor by which the engine's stage made the prefill slower.
+    pub fn stage_slowdown(&self) -> f64 {
+        match self.is_decode_stage {
+            true => DECODE_STAGE_SLOWDOWN,
+            false => 1.0,
+        }
+    }
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -10,6 +10,7 @@
 
 mod engine;
 mod engine_outcomes;
+mod engine_speeds;
 mod knowledge;
 mod parts;
 mod plan;
@@ -17,6 +18,7 @@
 mod queue;
 mod replicas;
 mod slots;
+mod speeds;
 
 pub use self::{
     engine::EngineTable,
@@ -29,4 +31,5 @@
     queue::{EngineLoad, EngineQueue, PRIORITY_RANKS},
     replicas::{ReplicaChoice, ReplicaTable},
     slots::slot_cost_ms,
+    speeds::{EngineSpeeds, SpeedChange, SpeedClass, SpeedReport, SpeedSource},
 };
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -10,7 +10,7 @@
     endpoint_notices::EndpointNotices,
     ids::{InstanceId, LogOffset},
     ingress::{ConfigurationTracker, ConfigurationValidity, ValidityLimits},
-    placement::{EngineTable, ReplicaTable},
+    placement::{EngineTable, PrefillSample, ReplicaTable},
     provision::DemandTable,
     quarantine::{BrokenRuns, PartQuarantine, SharedQuarantine},
     quota::RateLimiter,
@@ -96,6 +96,8 @@
     pub directory: Shared<EndpointDirectory>,
     /// The queues and the memory use of the engines.
     pub engines: Shared<EngineTable>,
+    /// Prefills that the speeds of engines are to be learned from.
+    pub prefill_samples: Shared<Vec<PrefillSample>>,
     /// The demand of requests on engines, here and at the other entries.
     pub demands: Shared<DemandTable>,
     /// The state of the replicas of plain services.
@@ -196,6 +198,7 @@
             endpoint_reads: Shared::new(StoreReads::new()),
             directory: Shared::new(directory),
             engines: Shared::new(EngineTable::new(routing.clone()).with_seed(seed)),
+            prefill_samples: Shared::new(Vec::new()),
             demands: Shared::new(DemandTable::new()),
             replicas: Shared::new(ReplicaTable::new(routing).with_seed(seed)),
             budget: Shared::new(SharedRetryBudget::new(allowance).with_start(started_at)),
--- a/crates/ingress/src/forward/guards.rs
+++ b/crates/ingress/src/forward/guards.rs
@@ -12,7 +12,7 @@
     placement::{PrefillPlan, PrefillTicket, PromptWork},
 };
 
-use crate::context::EntryContext;
+use crate::{context::EntryContext, peers};
 
 /// Counts a prefill in the queue of an engine.
 #[derive(Debug)]
@@ -54,7 +54,12 @@
             let metrics = &self.context.metrics;
             metrics.estimate_error.observe(error_ms / 1_000.0);
             let mut engines = self.context.engines.lock();
+            let sample = engines.speed_sample(&self.plan, now.since(self.sent));
             engines.prefill_done(now, &self.plan, ticket, self.sent);
+            drop(engines);
+            if let Some(sample) = sample {
+                peers::queue_prefill_sample(&self.context, sample);
+            }
         }
     }
 }
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Prometheus metrics of an entry.
 
-use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
 
 /// Upper bounds of the latency buckets in seconds: the users' latency objectives are
 /// between 0.1 and 0.8 s, their deadlines between 1.5 and 10 s.
@@ -45,6 +47,10 @@
     pub resumed: IntCounterVec,
     /// Parts of prompts for which requests are refused.
     pub quarantined_parts: IntGauge,
+    /// Engines by their prefill speed in percent of the typical one of their service.
+    pub engines_by_speed: IntGaugeVec,
+    /// Changes of the speeds of engines, by whether prefills or a report showed them.
+    pub speed_changes: IntCounterVec,
     /// Services whose endpoints are not reached.
     pub unreachable_services: IntGauge,
     /// Requests in progress.
@@ -65,6 +71,14 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let engines_by_speed = IntGaugeVec::new(
+            Opts::new(
+                "bluebell_engines_by_speed",
+                "engines by speed in percent of the typical one",
+            ),
+            &["percent"],
+        )?;
+        registry.register(Box::new(engines_by_speed.clone()))?;
         let histogram_opts = |name: &str, help: &str| {
             HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec())
         };
@@ -142,6 +156,12 @@
                 "bluebell_quarantined_parts",
                 "parts of prompts for which requests are refused",
             )?,
+            speed_changes: counter(
+                "bluebell_engine_speed_changes_total",
+                "changes of the speeds of engines",
+                &["source"],
+            )?,
+            engines_by_speed,
             unreachable_services: gauge(
                 "bluebell_unreachable_services",
                 "services whose endpoints are not reached",
--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -5,6 +5,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::FailureDomain,
+    placement::SpeedSource,
     quarantine::{CrashReport, PartReport, ReportScope},
 };
 use bluebell_daemon::logs::LogLine;
@@ -20,7 +21,7 @@
     peers::{
         messages::{PeerMessage, PerTargetMessage, RelayMessage, StageMessage},
         registry::local_address,
-        relay,
+        relay, speeds,
         targets::{BroadcastTarget, TargetSelector},
     },
 };
@@ -164,11 +165,19 @@
             self.context.endpoint_notices.lock().sweep(now);
             self.context.streams.sweep(now);
             self.context.directory.lock().versions_mut().sweep(now);
+            self.context.engines.lock().sweep_speeds(now);
+            speeds::update_speed_metrics(&self.context);
         }
         self.update_streams(now);
         let entries = self.context.peers.lock().len() + 1;
         let share = (MAX_ENTRIES_FOR_ALL_ENGINES / entries as f64).powi(2);
-        self.context.engines.lock().set_candidate_share(share);
+        let are_many = !self.context.peers.lock().is_full_mesh();
+        {
+            let mut engines = self.context.engines.lock();
+            engines.set_candidate_share(share);
+            engines.set_speeds_applied(are_many);
+        }
+        speeds::note_pending_samples(&self.context);
         let is_in_doubt = self.context.reach.lock().is_any_in_doubt(now);
         let (loads, parts, refusing) = {
             let mut engines = self.context.engines.lock();
@@ -193,6 +202,7 @@
             false => self.take_part_reports(now, ReportScope::Direct),
         };
         let has_crashes = !crashes.is_empty() || !prompt_parts.is_empty();
+        let speeds = speeds::speed_messages(&self.context, now, SpeedSource::Samples);
         let has_news = !parts.is_empty() || !usages.is_empty() || has_crashes;
         let has_update = has_load || has_news || is_cross_domain || self.has_sent_load;
         let heartbeat_interval = match self.context.limiter.lock().has_limits() {
@@ -210,7 +220,8 @@
             .with_usages(&usages)
             .with_refusing(refusing.clone())
             .with_crashes(&crashes)
-            .with_prompt_parts(&prompt_parts);
+            .with_prompt_parts(&prompt_parts)
+            .with_speeds(speeds);
         let targets = self
             .selector
             .broadcast_targets(now, &self.context.peers.lock());
@@ -270,6 +281,11 @@
             .with_domain_usages(entries, &usages)
             .with_crashes(&self.take_crash_reports(now, ReportScope::OtherDomains))
             .with_prompt_parts(&self.take_part_reports(now, ReportScope::OtherDomains))
+            .with_speeds(speeds::speed_messages(
+                &self.context,
+                now,
+                SpeedSource::SameDomain,
+            ))
             .with_domain_demands(&self.context.demands.lock().directly_reported(now));
         self.send(now, message, None, &targets).await;
     }
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -18,7 +18,10 @@
 use crate::{
     compression::{compress, decompress},
     leader::UsageRecord,
-    peers::{crashes::CrashMessage, demands::DemandMessage, prompt_parts::PartMessage},
+    peers::{
+        crashes::CrashMessage, demands::DemandMessage, prompt_parts::PartMessage,
+        speeds::SpeedMessage,
+    },
     stream_origins::OriginMessage,
 };
 
@@ -130,6 +133,9 @@
     /// Crashes of endpoints at which prompts with the same part ran.
     #[prost(message, repeated, tag = "21")]
     pub prompt_parts: Vec<PartMessage>,
+    /// The speeds of engines that the sender knows of.
+    #[prost(message, repeated, tag = "22")]
+    pub speeds: Vec<SpeedMessage>,
     /// Where streams began; a datagram with it has no other field.
     #[prost(message, optional, tag = "20")]
     pub origins: Option<OriginMessage>,
--- a/crates/ingress/src/peers/mod.rs
+++ b/crates/ingress/src/peers/mod.rs
@@ -17,6 +17,7 @@
 mod recorders;
 mod registry;
 mod relay;
+mod speeds;
 mod table;
 mod targets;
 
@@ -29,6 +30,7 @@
     messages::{ChangeMessage, PeerRecord, RelayMessage, StageMessage, pack_changes},
     recorders::record_peers,
     registry::{local_address, local_record, proxy_address},
+    speeds::{note_prefill_sample, queue_prefill_sample},
     table::{KnownPeer, MAX_CHANGES_PER_DATAGRAM, PeerTable},
     targets::{BroadcastTarget, TargetSelector},
 };
--- a/crates/ingress/src/peers/receive.rs
+++ b/crates/ingress/src/peers/receive.rs
@@ -20,7 +20,7 @@
         demands::DemandMessage,
         messages::{PeerMessage, UsageMessage},
         prompt_parts::PartMessage,
-        relay,
+        relay, speeds,
         table::KnownPeer,
     },
 };
@@ -73,6 +73,8 @@
         self.note_usages(now, &peer, &domain, &message);
         self.note_crashes(now, &domain, &message);
         self.note_prompt_parts(now, &domain, &message);
+        let is_same_domain = domain == self.context.settings.domain;
+        speeds::note_speeds(&self.context, now, &message.speeds, is_same_domain);
         let (loads, parts) = (message.peer_loads(), message.peer_parts());
         let mut engines = self.context.engines.lock();
         if message.includes_loads {
