Merge the learned speeds of engines, from the samples that trackers collect

Samples go with the reports of load to the tracker of the engine, which learns from the prefills of all instances.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -11,6 +11,7 @@
 mod candidates;
 mod engine;
 mod engine_outcomes;
+mod engine_speeds;
 mod knowledge;
 mod load_ledger;
 mod load_reporter;
@@ -20,6 +21,8 @@
 mod queue;
 mod replicas;
 mod runner;
+mod slots;
+mod speeds;
 mod tracker;
 
 pub use self::{
@@ -34,5 +37,7 @@
     prompt::{ParsePromptError, PromptPart, PromptWork},
     queue::{EngineLoad, EngineQueue, PRIORITY_RANKS},
     replicas::{ReplicaChoice, ReplicaTable},
+    slots::slot_cost_ms,
+    speeds::{EngineSpeeds, SpeedChange, SpeedClass, SpeedReport, SpeedSource},
     tracker::{TrackerCandidate, TrackerHealth, tracker_of},
 };
--- a/crates/core/tests/engine_loads.rs
+++ b/crates/core/tests/engine_loads.rs
@@ -64,7 +64,11 @@
 fn fleet(names: &[&str]) -> Vec<TrackerCandidate<()>> {
     let candidates = names.iter().map(|name| TrackerCandidate {
         instance: instance(name),
-        domain: domain(if name.starts_with('n') { "north" } else { "south" }),
+        domain: domain(if name.starts_with('n') {
+            "north"
+        } else {
+            "south"
+        }),
         address: (),
     });
     candidates.collect()
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -19,7 +19,10 @@
     compression::{compress, decompress},
     engine_loads::EngineLoadMessage,
     leader::UsageRecord,
-    peers::{crashes::CrashMessage, demands::DemandMessage, prompt_parts::PartMessage},
+    peers::{
+        crashes::CrashMessage, demands::DemandMessage, prompt_parts::PartMessage,
+        speeds::SpeedMessage,
+    },
     stream_origins::OriginMessage,
 };
 
@@ -131,6 +134,9 @@
     /// Crashes of endpoints at which prompts with the same part ran.
     #[prost(message, repeated, tag = "21")]
     pub prompt_parts: Vec<PartMessage>,
+    /// The speeds of engines that the sender knows of.
+    #[prost(message, repeated, tag = "22")]
+    pub speeds: Vec<SpeedMessage>,
     /// Where streams began; a datagram with it has no other field.
     #[prost(message, optional, tag = "20")]
     pub origins: Option<OriginMessage>,
--- a/crates/ingress/src/peers/mod.rs
+++ b/crates/ingress/src/peers/mod.rs
@@ -17,6 +17,7 @@
 mod recorders;
 mod registry;
 mod relay;
+mod speeds;
 mod table;
 mod targets;
 
