--- a/crates/core/src/placement/load_ledger.rs
+++ b/crates/core/src/placement/load_ledger.rs
@@ -8,8 +8,8 @@
     placement::{EngineKey, EngineLoad, TrackedLoad, queue::PEER_REPORT_TTL},
 };
 
-/// Maximum number of reports kept, some MB. Further ones are dropped until others have
-/// expired.
+/// Maximum number of reports kept, some MB. Further ones are dropped until a sweep has
+/// removed expired ones.
 const MAX_REPORTS: usize = 16_384;
 
 /// The instance that sent a report, and the report's place among those of its process.
@@ -74,10 +74,10 @@
         engine: EngineKey,
         load: EngineLoad,
     ) {
-        if self.reports >= MAX_REPORTS {
-            self.sweep(now);
-        }
         let is_full = self.reports >= MAX_REPORTS;
+        if is_full && !self.engines.contains_key(&engine.hash) {
+            return;
+        }
         let known = self.engines.entry(engine.hash).or_insert(TrackedEngine {
             start: engine.start,
             reports: BTreeMap::new(),
