--- a/crates/core/tests/placement_engines.rs
+++ b/crates/core/tests/placement_engines.rs
@@ -8,8 +8,8 @@
     ids::{EndpointId, FailureDomain, InstanceId, ServiceName},
     ingress::EngineRule,
     placement::{
-        EngineLoad, EngineTable, PRIORITY_RANKS, PeerLoad, PeerPart, PlacementError, PlanRequest,
-        PrefillPlan, PromptWork,
+        EngineKey, EngineLoad, EngineTable, PRIORITY_RANKS, PeerLoad, PeerPart, PlacementError,
+        PlanRequest, PrefillPlan, PromptWork, TrackedLoad,
     },
     routing::RoutingSettings,
     units::{ByteSize, TokenCount},
@@ -193,6 +193,63 @@
     assert_eq!(plan(&mut table, 4_001, &request).engine, chosen.engine);
 }
 
+/// Guards against prefills behind those of other instances that only the tracker knows of, and
+/// against answers that count for longer than they are right, or for another start.
+#[test]
+fn the_answer_of_a_tracker_counts_for_a_moment() {
+    let mut table = table(&[("p1", "a", P), ("p2", "a", P), ("d1", "a", D)]);
+    let request = TestRequest::new("900,26", "aa:119,bb:79,c1:702");
+    let chosen = plan(&mut table, 0, &request);
+    let candidates = table.prefill_candidates(at(0), request.plan_request());
+    let asked: Vec<EngineKey> = candidates.iter().map(|one| one.engine).collect();
+    assert_eq!(asked.len(), 2, "no engine of the decode stage");
+    let mut load = EngineLoad::default();
+    load.prefill_ms[0] = 500.0;
+    let mut tracked = TrackedLoad {
+        engine: EngineKey {
+            hash: table.hash(&chosen.engine.id).unwrap(),
+            start: 2,
+        },
+        load,
+        oldest: TimeSpan::ZERO,
+    };
+    let mut engine_at = |now: u64, tracked: &TrackedLoad| {
+        table.note_tracked(at(0), tracked);
+        let plan = table.plan_among(at(now), request.plan_request(), &asked);
+        plan.unwrap().engine
+    };
+    assert_eq!(engine_at(1, &tracked), chosen.engine);
+    tracked.engine.start = 1;
+    assert_ne!(engine_at(1, &tracked), chosen.engine);
+    assert_eq!(engine_at(301, &tracked), chosen.engine);
+}
+
+/// Guards against requests that are refused as the engines that were asked for have gone.
+#[test]
+fn other_engines_serve_if_none_is_left_of_those_asked_for() {
+    let mut table = table(&[
+        ("p1", "a", P),
+        ("p2", "a", P),
+        ("d1", "a", D),
+        ("d2", "a", D),
+    ]);
+    let request = TestRequest::new("900,26", "aa:119,bb:79,c1:702");
+    let asked = ["p1", "d1"].map(|name| EngineKey {
+        hash: table.hash(&id(name)).unwrap(),
+        start: 1,
+    });
+    let choose = |table: &mut EngineTable| {
+        let plan = table.plan_among(at(0), request.plan_request(), &asked);
+        let prefill = plan.unwrap().engine.id;
+        let run = table.choose_runner_among(at(0), request.plan_request(), &prefill, &asked);
+        (prefill, run.unwrap().id)
+    };
+    assert_eq!(choose(&mut table), (id("p1"), id("d1")));
+    table.remove_engine(&id("p1"));
+    table.remove_engine(&id("d1"));
+    assert_eq!(choose(&mut table), (id("p2"), id("d2")));
+}
+
 #[test]
 fn a_part_sent_by_another_entry_is_reused() {
     let mut table = table(&[("p1", "a", P), ("p2", "a", P), ("d1", "a", D)]);
