Count calls to the platform by what they are for

An operator could not see which instance calls the platform for what: bluebell_store_calls_total counts steps of tasks, also those without a call, and neither the leader's reads of usage nor calls of duties.

Change: the client tells an observer of each call: the topic, duty or engine, what was asked, how it ended. Metric bluebell_platform_calls_total{subject, action, outcome}; a section for operators.

Test: each_call_is_told_with_its_purpose (stand-in of the store).

--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -27,6 +27,9 @@
     pub estimate_error: Histogram,
     /// Calls to the store by call and outcome.
     pub store_calls: IntCounterVec,
+    /// Calls to the platform's store, its interface for duties and engines: what was called,
+    /// what for, and how it ended.
+    pub platform_calls: IntCounterVec,
     /// Copies of the state from other instances, by part and outcome.
     pub state_copies: IntCounterVec,
     /// The version of the configuration in force.
@@ -104,6 +107,11 @@
                 "calls to the store",
                 &["call", "outcome"],
             )?,
+            platform_calls: counter(
+                "bluebell_platform_calls_total",
+                "calls to the platform by what they were for",
+                &["subject", "action", "outcome"],
+            )?,
             state_copies: counter(
                 "bluebell_state_copies_total",
                 "copies of the state of the store from other instances",
--- a/crates/ingress/src/program.rs
+++ b/crates/ingress/src/program.rs
@@ -73,10 +73,14 @@
 
 async fn serve(settings: settings::InstanceSettings, buffer: LogBuffer) -> anyhow::Result<()> {
     tokio::spawn(buffer.write_periodically());
-    let client = PlatformClient::new()?;
+    let metrics = EntryMetrics::new()?;
+    let calls = metrics.platform_calls.clone();
+    let client = PlatformClient::new()?.with_observer(move |purpose, end| {
+        let labels = [purpose.subject, purpose.action, end.as_str()];
+        calls.with_label_values(&labels).inc();
+    });
     let store = StoreClient::new(client.clone(), settings.store.address);
     let engine_client = EngineClient::new(client.clone());
-    let metrics = EntryMetrics::new()?;
     let context = Arc::new(EntryContext::new(
         settings,
         time::boot_clock(),
