Say at an orderly stop that no more usage follows

Cause: an instance that stops published nothing at its end, and its next start some seconds later.

Change: after its last request, an instance publishes its remaining counts with has_ended (one call, 400 ms at most, within the grace time); UsageLedger doesn't expect more until it has started again. What others still publish for the ended start changes nothing in that.

Test: an_instance_that_ended_in_order_is_not_pending_until_it_starts_again (new interface; without note_ended the instance stays pending).

--- a/crates/core/src/usage/metered.rs
+++ b/crates/core/src/usage/metered.rs
@@ -96,6 +96,8 @@
     windows: BTreeMap<UsageWindow, BTreeMap<MeterWriter, MeteredCounts>>,
     /// The latest window in which each instance has published.
     reached: BTreeMap<InstanceId, UsageWindow>,
+    /// The last start of each instance that has ended in order.
+    ended: BTreeMap<InstanceId, u64>,
 }
 
 impl UsageLedger {
@@ -121,6 +123,23 @@
         *reached = window.max(*reached);
     }
 
+    /// Records what `writer` published during `window`, as [`UsageLedger::note_reached`], unless
+    /// it has ended: others may publish for it later than its end.
+    pub fn note_published(&mut self, writer: &MeterWriter, window: UsageWindow) {
+        let ended = self.ended.get(&writer.instance);
+        if ended.is_none_or(|start| *start < writer.start) {
+            self.note_reached(writer.instance.clone(), window);
+        }
+    }
+
+    /// Records that `writer` has ended in order and published all of its counts. Nothing more
+    /// is expected of its instance until it has started again.
+    pub fn note_ended(&mut self, writer: &MeterWriter) {
+        self.reached.remove(&writer.instance);
+        let ended = self.ended.entry(writer.instance.clone()).or_default();
+        *ended = writer.start.max(*ended);
+    }
+
     /// Whether the published counts of `instance` in `window` are complete.
     pub fn is_complete(&self, instance: &InstanceId, window: UsageWindow) -> bool {
         self.reached
--- a/crates/core/tests/usage_metered.rs
+++ b/crates/core/tests/usage_metered.rs
@@ -108,3 +108,24 @@
     assert!(meter.unpublished().len() <= 8);
     assert_eq!(meter.last_windows(3)[0].0, UsageWindow::new(49));
 }
+
+/// Guards against windows that wait for an instance while it is restarted in order: it has
+/// published everything, and its reader may still publish an older message of it.
+#[test]
+fn an_instance_that_ended_in_order_is_not_pending_until_it_starts_again() {
+    let next = WINDOW.next();
+    let mut ledger = UsageLedger::new();
+    let pending = |ledger: &UsageLedger| ledger.pending(next, next.next()).count();
+    ledger.note_published(&writer("one", 1), WINDOW);
+    assert_eq!(pending(&ledger), 1);
+    ledger.note_ended(&writer("one", 1));
+    assert_eq!(pending(&ledger), 0);
+    ledger.note_published(&writer("one", 1), next);
+    assert_eq!(pending(&ledger), 0);
+    ledger.note_published(&writer("one", 2), next);
+    assert_eq!(pending(&ledger), 1);
+    // The end of the first start is read again.
+    ledger.note_ended(&writer("one", 1));
+    ledger.note_published(&writer("one", 2), next);
+    assert_eq!(pending(&ledger), 1);
+}
--- a/crates/ingress/src/leader/mod.rs
+++ b/crates/ingress/src/leader/mod.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
-    publish::{PeerUsage, note_peer_usage, recent_usage, unsettled_window},
+    publish::{PeerUsage, note_peer_usage, publish_end, recent_usage, unsettled_window},
     records::UsageRecord,
 };
 use crate::context::EntryContext;
--- a/crates/ingress/src/leader/publish.rs
+++ b/crates/ingress/src/leader/publish.rs
@@ -8,6 +8,7 @@
     records::UsageWindow,
     usage::{MeteredCounts, UsageSchedule},
 };
+use bluebell_daemon::logs::LogLine;
 use bytes::Bytes;
 
 use crate::{
@@ -24,6 +25,9 @@
 /// The timeout of an append to the store.
 const APPEND_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_200);
 
+/// The timeout of the last append of an instance that ends.
+const END_TIMEOUT: TimeSpan = TimeSpan::from_millis(400);
+
 /// Publishes counts at fixed times within each window: the unpublished counts of this entry
 /// and, if it is the reader of its failure domain, the counts that the others there sent to
 /// it. Never returns.
@@ -102,6 +106,24 @@
     UsageRecord::new(&context.writer, &windows, current)
 }
 
+/// Publishes the last counts of this entry, which serves nothing more. Without it, the leader
+/// would wait for them until this instance has started again.
+pub async fn publish_end(context: &EntryContext) {
+    let unpublished = context.meter.lock().unpublished();
+    let record = UsageRecord {
+        has_ended: true,
+        ..UsageRecord::new(&context.writer, &unpublished, unsettled_window(context))
+    };
+    let records = [encode(&record)];
+    let store = &context.store;
+    let appended = store.append(USAGE_PART, None, &records, END_TIMEOUT).await;
+    if let Err(error) = appended {
+        LogLine::new("usage_end_not_published")
+            .with("error", error)
+            .info();
+    }
+}
+
 /// Records the counts that another entry sent.
 pub fn note_peer_usage(context: &EntryContext, usage: &UsageRecord) {
     context.peer_usage.lock().note_report(usage);
--- a/crates/ingress/src/leader/records.rs
+++ b/crates/ingress/src/leader/records.rs
@@ -44,6 +44,9 @@
     /// The number of the entry's current window; its counts of earlier ones no longer change.
     #[prost(uint64, tag = "4")]
     pub current: u64,
+    /// Whether the entry has ended in order and publishes nothing more.
+    #[prost(bool, tag = "5")]
+    pub has_ended: bool,
 }
 
 /// A leader's record, appended before each action and as a heartbeat.
@@ -145,6 +148,7 @@
                 .map(|(window, counts)| WindowCounts::new(*window, counts))
                 .collect(),
             current: current.number(),
+            has_ended: false,
         }
     }
 }
--- a/crates/ingress/src/leader/windows.rs
+++ b/crates/ingress/src/leader/windows.rs
@@ -181,7 +181,10 @@
             return;
         };
         let current = UsageWindow::new(record.current);
-        self.ledger.note_reached(writer.instance.clone(), current);
+        match record.has_ended {
+            true => self.ledger.note_ended(&writer),
+            false => self.ledger.note_published(&writer, current),
+        }
         for window in &record.windows {
             let number = UsageWindow::new(window.window);
             self.ledger.record(number, writer.clone(), window.counts());
--- a/crates/ingress/src/program.rs
+++ b/crates/ingress/src/program.rs
@@ -156,5 +156,8 @@
         LogLine::new("stopped_early")
             .with("open", context.metrics.requests_open.get())
             .warn();
+        return;
     }
+    let published = leader::publish_end(context);
+    let _ = tokio::time::timeout_at(end, published).await;
 }
