--- a/crates/core/src/placement/engine_speeds.rs
+++ b/crates/core/src/placement/engine_speeds.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    clock::ClockTime,
+    clock::{ClockTime, TimeSpan},
     ids::{EndpointId, ServiceName},
     placement::{
         EngineKey, EngineSpeeds, EngineTable, PrefillSample, SpeedChange, SpeedClass, SpeedReport,
@@ -114,6 +115,22 @@
         (state.start == key.start).then_some(id)
     }
 
+    /// Returns what is known of the speeds of engines, for operators.
+    pub fn speed_status(&self, now: ClockTime) -> Vec<SpeedStatus> {
+        let states = self.engines.iter();
+        let known = states.filter_map(|(id, state)| {
+            let report = self.speeds.known.report(now, speed_key(state))?;
+            Some(SpeedStatus {
+                engine: id.clone(),
+                class: report.class.number(),
+                relative_speed: state.speed_factor,
+                samples: report.samples,
+                age: report.age,
+            })
+        });
+        known.collect()
+    }
+
     /// Returns the number of engines for each speed relative to the typical one, in percent;
     /// `None` stands for an unknown speed.
     pub fn engines_by_speed(&self) -> BTreeMap<Option<u32>, usize> {
@@ -157,6 +174,21 @@
     }
 }
 
+/// What is known of the speed of one engine.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct SpeedStatus {
+    /// The engine.
+    pub engine: EndpointId,
+    /// The number of its class.
+    pub class: i32,
+    /// Its speed relative to the typical one of its service.
+    pub relative_speed: f64,
+    /// Number of prefills that the class follows from.
+    pub samples: u32,
+    /// Time since the last of them.
+    pub age: TimeSpan,
+}
+
 /// How an engine is named in reports of its speed.
 pub(super) fn speed_key(state: &EngineState) -> EngineKey {
     EngineKey {
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -27,6 +27,7 @@
 
 pub use self::{
     engine::EngineTable,
+    engine_speeds::SpeedStatus,
     knowledge::{EngineKey, PrefillSample, TrackedLoad},
     load_ledger::{LoadLedger, LoadSource},
     load_reporter::{DueLoads, EngineCandidate, LoadReporter},
--- a/crates/core/src/placement/speeds.rs
+++ b/crates/core/src/placement/speeds.rs
@@ -148,6 +148,17 @@
         self.known.get(&engine).map(|known| known.class)
     }
 
+    /// The class in force for an engine with its evidence; `None` if its speed is unknown.
+    pub fn report(&self, now: ClockTime, engine: EngineKey) -> Option<SpeedReport> {
+        let known = self.known.get(&engine)?;
+        Some(SpeedReport {
+            engine,
+            class: known.class,
+            samples: known.samples,
+            age: now.since(known.evidence_at),
+        })
+    }
+
     /// Records a prefill. Returns the class that comes into force by it.
     pub fn note_sample(&mut self, now: ClockTime, sample: PrefillSample) -> Option<SpeedChange> {
         let speed = measured_speed(&sample)?;
@@ -267,12 +278,7 @@
         let reports = changed.into_iter().filter_map(|engine| {
             let known = self.known.get_mut(&engine)?;
             known.repeats = known.repeats.saturating_sub(1);
-            Some(SpeedReport {
-                engine,
-                class: known.class,
-                samples: known.samples,
-                age: now.since(known.evidence_at),
-            })
+            self.report(now, engine)
         });
         reports.collect()
     }
--- a/crates/ingress/src/ready.rs
+++ b/crates/ingress/src/ready.rs
@@ -77,6 +77,7 @@
         "broken_runs": &*context.broken_runs.lock(),
         "endpoint_limits": &*context.endpoint_limits.lock(),
         "engine_loads": context.engine_loads.status(),
+        "engine_speeds": context.engines.lock().speed_status(now),
         "endpoint_notices": &*context.endpoint_notices.lock(),
         "memory": context.memory.status(),
         "endpoints": endpoints,
