Have a plain replica that answers with failures get fewer requests

A complete answer with status 500 counted as a success of the replica, and its short response time as good, so that the choice preferred it. Ejection was ruled out: some requests fail at every replica, and they would take all replicas out.

Tests: a_replica_that_answers_with_failures_gets_few_requests and a_replica_is_used_again_after_a_failure_that_did_not_recur; not seen to fail without the change, as they need the new function.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -26,5 +26,5 @@
     },
     prompt::{ParsePromptError, PromptPart, PromptWork},
     queue::{EngineLoad, EngineQueue, PRIORITY_RANKS},
-    replicas::{ReplicaChoice, ReplicaTable},
+    replicas::{ReplicaChoice, ReplicaRoom, ReplicaTable},
 };
--- a/crates/core/tests/placement_replicas.rs
+++ b/crates/core/tests/placement_replicas.rs
@@ -141,3 +141,41 @@
     let choice = table.choose(at(0), replicas().iter(), &[id("two"), id("three")]);
     assert_eq!(choice.unwrap().outstanding, 0);
 }
+
+/// Guards against a replica that answers all its requests with failures, faster than the others
+/// answer theirs: it would draw most of the requests.
+#[test]
+fn a_replica_that_answers_with_failures_gets_few_requests() {
+    let mut table = table();
+    let mut failures = 0;
+    for turn in 0..300 {
+        let now = turn * 20;
+        let chosen = choose(&mut table, now, &[]).unwrap();
+        table.sent(&chosen);
+        if chosen == id("one") {
+            failures += 1;
+            table.answered_failure(at(now + 2), &chosen);
+        } else {
+            table.answered(at(now + 20), &chosen, TimeSpan::from_millis(20));
+        }
+    }
+    assert!(failures <= 3, "{failures} of 300 requests failed");
+}
+
+/// Guards against a healthy replica that is left out for good after a failure that its request
+/// was the reason for, and against a service whose replicas all fail such requests.
+#[test]
+fn a_replica_is_used_again_after_a_failure_that_did_not_recur() {
+    let mut table = table();
+    for replica in ["one", "two"] {
+        table.sent(&id(replica));
+        table.answered_failure(at(0), &id(replica));
+    }
+    assert_eq!(choose(&mut table, 10, &[]), Some(id("three")));
+    assert!(choose(&mut table, 10, &[id("three")]).is_some());
+    let mut used = BTreeSet::new();
+    for turn in 0..50 {
+        used.extend(choose(&mut table, 20_000 + turn, &[]));
+    }
+    assert_eq!(used.len(), 3);
+}
--- a/crates/ingress/src/forward/guards.rs
+++ b/crates/ingress/src/forward/guards.rs
@@ -139,6 +139,14 @@
         }
     }
 
+    /// Records that the replica answered that it failed.
+    pub fn answered_failure(mut self) {
+        if let Some(replica) = self.replica.take() {
+            let now = self.context.now();
+            self.context.replicas.lock().answered_failure(now, &replica);
+        }
+    }
+
     /// Records that the replica failed, and logs its ejection if that follows.
     pub fn failed(mut self) {
         if let Some(replica) = self.replica.take() {
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -265,7 +265,10 @@
 
     /// Handles a complete and signed answer.
     fn handle_answer(&mut self, guard: ReplicaGuard, answer: CompleteAnswer) -> NextStep {
-        guard.answered();
+        match answer.is_failure() {
+            true => guard.answered_failure(),
+            false => guard.answered(),
+        }
         crashes::note_completed(self.context, self.request);
         if answer.status.is_success() {
             crashes::note_answered(self.context, self.request);
