Queue of requests that wait for room: rank, return, fair share, deadline

AdmissionQueue takes ranks within a priority and requests that return after a refusal, can close a pool until room is expected, takes back a request that found none, and counts (where set) the turns of other organisations in the estimated wait: with one request each of many organisations the estimate was zero. The room module puts it to use for services whose endpoints are all full: shares of the slots, a Retry-After with turns at the rate at which room comes, refusal at once when the last endpoint is lost.

--- a/crates/core/src/admission/messages.rs
+++ b/crates/core/src/admission/messages.rs
@@ -42,6 +42,10 @@
     /// Maximum `Retry-After`.
     #[serde(rename = "most_retry_after")]
     pub max_retry_after: TimeSpan,
+    /// Whether the estimated wait of a request includes the requests of other organisations
+    /// that have their turn before its own organisation. That matters where many organisations
+    /// have one request each.
+    pub counts_turns: bool,
     /// The limits of organisations without limits of their own.
     pub default_limits: OrganisationLimits,
 }
@@ -55,6 +59,7 @@
             start_target: TimeSpan::from_millis(300),
             min_retry_after: TimeSpan::from_secs(1),
             max_retry_after: TimeSpan::from_secs(60),
+            counts_turns: false,
             default_limits: OrganisationLimits::default(),
         }
     }
@@ -79,6 +84,16 @@
     }
 }
 
+/// The default limits with the organisation's weight.
+impl From<ShareWeight> for OrganisationLimits {
+    fn from(weight: ShareWeight) -> OrganisationLimits {
+        OrganisationLimits {
+            weight,
+            ..OrganisationLimits::default()
+        }
+    }
+}
+
 /// This entry's share of a pool of endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -121,6 +136,13 @@
     /// Whether a caller is waiting for the answer (interactive) or the request is
     /// deferrable.
     pub priority: WorkPriority,
+    /// The rank within the priority; 0 is the most urgent.
+    #[serde(default)]
+    pub rank: u8,
+    /// Whether the request was refused once and comes again; it starts before new ones of
+    /// its rank.
+    #[serde(default)]
+    pub has_returned: bool,
     /// Deadline of the first token or, for plain services, of the answer.
     pub deadline: ClockTime,
     /// Size of the prompt; 1 for a call of a plain service.
--- a/crates/core/src/admission/pool.rs
+++ b/crates/core/src/admission/pool.rs
@@ -1,5 +1,8 @@
 //! The queue of one pool, which determines the organisation whose request starts next.
 
+mod class;
+mod contention;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
@@ -12,6 +15,8 @@
     units::{ShareWeight, TokenCount},
 };
 
+pub(super) use self::class::WorkClass;
+
 /// Position in an organisation's queue: the earliest deadline first, then the order of
 /// arrival.
 pub(super) type QueuePosition = (ClockTime, u64);
@@ -27,31 +32,10 @@
 #[derive(Clone, Debug, Default)]
 struct OrganisationQueue {
     weight: ShareWeight,
-    interactive: BTreeMap<QueuePosition, QueuedWork>,
-    deferrable: BTreeMap<QueuePosition, QueuedWork>,
+    classes: BTreeMap<WorkClass, BTreeMap<QueuePosition, QueuedWork>>,
     queued_cost: u64,
 }
 
-impl OrganisationQueue {
-    fn class(&self, priority: WorkPriority) -> &BTreeMap<QueuePosition, QueuedWork> {
-        match priority {
-            WorkPriority::Interactive => &self.interactive,
-            WorkPriority::Deferrable => &self.deferrable,
-        }
-    }
-
-    fn class_mut(&mut self, priority: WorkPriority) -> &mut BTreeMap<QueuePosition, QueuedWork> {
-        match priority {
-            WorkPriority::Interactive => &mut self.interactive,
-            WorkPriority::Deferrable => &mut self.deferrable,
-        }
-    }
-
-    fn is_empty(&self) -> bool {
-        self.interactive.is_empty() && self.deferrable.is_empty()
-    }
-}
-
 /// A request that was taken from the queue to be started.
 #[derive(Clone, Debug)]
 pub(super) struct StartedWork {
@@ -71,11 +55,12 @@
     pub running: u32,
     pub window: StartWindow,
     queues: BTreeMap<OrganisationId, OrganisationQueue>,
-    interactive_order: BTreeSet<(u64, OrganisationId)>,
-    deferrable_order: BTreeSet<(u64, OrganisationId)>,
+    /// The organisations with queued requests of each class, the least served first.
+    orders: BTreeMap<WorkClass, BTreeSet<(u64, OrganisationId)>>,
+    class_costs: BTreeMap<WorkClass, u64>,
     queued: usize,
-    interactive_cost: u64,
-    deferrable_cost: u64,
+    closed_until: Option<ClockTime>,
+    counts_turns: bool,
     waiting_weight: u64,
     meter: RateMeter,
 }
@@ -88,11 +73,11 @@
             running: 0,
             window: StartWindow::new(capacity.slots, capacity.first_token),
             queues: BTreeMap::new(),
-            interactive_order: BTreeSet::new(),
-            deferrable_order: BTreeSet::new(),
+            orders: BTreeMap::new(),
+            class_costs: BTreeMap::new(),
             queued: 0,
-            interactive_cost: 0,
-            deferrable_cost: 0,
+            closed_until: None,
+            counts_turns: false,
             waiting_weight: 0,
             meter: RateMeter::new(now, capacity.token_rate.count()),
         }
@@ -124,15 +109,16 @@
     /// Returns the estimated wait of a request of `organisation` that is queued behind
     /// requests of the same organisation with the total cost `ahead`. The organisation's
     /// share of the rate processes that cost and the organisation's debt; the wait is
-    /// never longer than the time that the whole queue takes.
+    /// never longer than the time that the whole queue takes. The time for which the pool is
+    /// closed comes on top.
     pub fn wait(
         &self,
         organisation: &OrganisationId,
         weight: ShareWeight,
-        priority: WorkPriority,
+        class: WorkClass,
         ahead: u64,
     ) -> TimeSpan {
-        let can_start = self.running < self.capacity.slots && self.window.admits(priority);
+        let can_start = self.running < self.capacity.slots && self.window.admits(class.priority);
         if can_start && self.queued == 0 {
             return TimeSpan::ZERO;
         }
@@ -156,14 +142,10 @@
                     / rate
             }
         };
-        let queue_cost = match priority {
-            WorkPriority::Interactive => self.interactive_cost,
-            WorkPriority::Deferrable => self.interactive_cost + self.deferrable_cost,
-        };
-        let cost_before = match priority {
-            WorkPriority::Interactive => share_cost.min(queue_cost),
-            WorkPriority::Deferrable => (share_cost + self.interactive_cost).min(queue_cost),
-        };
+        let urgent_cost: u64 = self.class_costs.range(..class).map(|(_, cost)| cost).sum();
+        let queue_cost = urgent_cost + self.class_costs.get(&class).copied().unwrap_or(0);
+        let turns_cost = self.turns_before(organisation, class);
+        let cost_before = (share_cost + urgent_cost + turns_cost).min(queue_cost);
         let full_queue_ms = queue_cost.saturating_mul(1_000) / self.rate();
         let wait_ms = cost_before.saturating_mul(1_000) / self.rate() + debt_ms;
         TimeSpan::from_millis(wait_ms.min(full_queue_ms))
@@ -173,15 +155,15 @@
     pub fn cost_ahead(
         &self,
         organisation: &OrganisationId,
-        priority: WorkPriority,
+        class: WorkClass,
         position: QueuePosition,
     ) -> u64 {
         let Some(queue) = self.queues.get(organisation) else {
             return 0;
         };
-        let class = queue.class(priority);
-        class
-            .range(..position)
+        let queued = queue.classes.get(&class).into_iter();
+        queued
+            .flat_map(|queued| queued.range(..position))
             .map(|(_, work)| work.cost.count())
             .sum()
     }
@@ -190,7 +172,7 @@
         &mut self,
         organisation: &OrganisationId,
         weight: ShareWeight,
-        priority: WorkPriority,
+        class: WorkClass,
         position: QueuePosition,
         work: QueuedWork,
     ) {
@@ -210,89 +192,116 @@
             .get_mut(organisation)
             .expect("the organisation's queue was inserted above");
         queue.queued_cost += cost;
-        queue.class_mut(priority).insert(position, work);
+        let queued = queue.classes.entry(class).or_default();
+        queued.insert(position, work);
         self.queued += 1;
-        *self.class_cost(priority) += cost;
-        self.order(priority).insert((counter, organisation.clone()));
+        *self.class_costs.entry(class).or_default() += cost;
+        let order = self.orders.entry(class).or_default();
+        order.insert((counter, organisation.clone()));
     }
 
     /// Removes a request from the queue, to start, refuse or cancel it.
     pub fn remove(
         &mut self,
         organisation: &OrganisationId,
-        priority: WorkPriority,
+        class: WorkClass,
         position: QueuePosition,
     ) -> Option<QueuedWork> {
         let counter = self.counters.counter(organisation);
         let queue = self.queues.get_mut(organisation)?;
-        let work = queue.class_mut(priority).remove(&position)?;
+        let queued = queue.classes.get_mut(&class)?;
+        let work = queued.remove(&position)?;
         let cost = work.cost.count();
         queue.queued_cost -= cost;
-        let class_is_empty = queue.class(priority).is_empty();
-        let weight = queue.weight.count().max(1);
-        let is_empty = queue.is_empty();
         self.queued -= 1;
-        *self.class_cost(priority) -= cost;
-        if class_is_empty {
-            self.order(priority)
-                .remove(&(counter, organisation.clone()));
+        if let Some(class_cost) = self.class_costs.get_mut(&class) {
+            *class_cost -= cost;
+        }
+        if queued.is_empty() {
+            queue.classes.remove(&class);
+            self.remove_from_order(class, &(counter, organisation.clone()));
         }
-        if is_empty {
+        if let Some(queue) = self.queues.get(organisation)
+            && queue.classes.is_empty()
+        {
+            self.waiting_weight -= queue.weight.count().max(1);
             self.queues.remove(organisation);
-            self.waiting_weight -= weight;
         }
         Some(work)
     }
 
-    /// Takes the next request that may start: one of the organisation that was served
-    /// least, interactive before deferrable. Deferrable work starts first only if its
-    /// organisation is behind by the handicap, as a flood of interactive work of
-    /// another organisation would otherwise keep it waiting indefinitely.
-    pub fn pop(&mut self, settings: &AdmissionSettings) -> Option<StartedWork> {
+    fn remove_from_order(&mut self, class: WorkClass, entry: &(u64, OrganisationId)) {
+        let Some(order) = self.orders.get_mut(&class) else {
+            return;
+        };
+        order.remove(entry);
+        if order.is_empty() {
+            self.orders.remove(&class);
+            self.class_costs.remove(&class);
+        }
+    }
+
+    /// Takes the next request that may start: one of the most urgent rank, of the
+    /// organisation that was served least, interactive before deferrable. Deferrable work
+    /// starts first only if its organisation is behind by the handicap, as a flood of
+    /// interactive work of another organisation would otherwise keep it waiting
+    /// indefinitely.
+    pub fn pop(&mut self, now: ClockTime, settings: &AdmissionSettings) -> Option<StartedWork> {
         let slots = u64::from(self.capacity.slots);
         let running = u64::from(self.running);
-        if running >= slots {
+        if running >= slots || self.closed_for(now) > TimeSpan::ZERO {
             return None;
         }
         let limit = settings.debt_limit;
         let reserved = slots * u64::from(settings.interactive_reserve) / 100;
+        let interactive = self.first_class(WorkPriority::Interactive);
         if running >= (slots - reserved).max(1) {
-            return self.pop_class(WorkPriority::Interactive, limit);
+            return self.pop_class(interactive?, limit);
         }
-        let priorities = match self.deferrable_is_behind(settings.deferrable_handicap) {
-            true => [WorkPriority::Deferrable, WorkPriority::Interactive],
-            false => [WorkPriority::Interactive, WorkPriority::Deferrable],
+        let deferrable = self.first_class(WorkPriority::Deferrable);
+        let classes = match self.deferrable_is_behind(settings.deferrable_handicap) {
+            true => [deferrable, interactive],
+            false => [interactive, deferrable],
         };
-        priorities
-            .into_iter()
-            .find_map(|priority| self.pop_class(priority, limit))
+        let mut classes = classes.into_iter().flatten();
+        classes.find_map(|class| self.pop_class(class, limit))
+    }
+
+    fn first_class(&self, priority: WorkPriority) -> Option<WorkClass> {
+        let mut classes = self.orders.keys().copied();
+        classes.find(|class| class.priority == priority)
     }
 
     /// Whether the first organisation with deferrable work is behind the first one with
     /// interactive work by `handicap`.
     fn deferrable_is_behind(&self, handicap: TokenCount) -> bool {
         let (Some(interactive), Some(deferrable)) = (
-            self.interactive_order.first(),
-            self.deferrable_order.first(),
+            self.least_counter(WorkPriority::Interactive),
+            self.least_counter(WorkPriority::Deferrable),
         ) else {
             return false;
         };
-        deferrable.0 + FairCounters::units(handicap) < interactive.0
+        deferrable + FairCounters::units(handicap) < interactive
     }
 
-    fn pop_class(&mut self, priority: WorkPriority, limit: TokenCount) -> Option<StartedWork> {
-        if !self.window.admits(priority) {
+    fn least_counter(&self, priority: WorkPriority) -> Option<u64> {
+        let order = self.orders.get(&self.first_class(priority)?)?;
+        order.first().map(|(counter, _)| *counter)
+    }
+
+    fn pop_class(&mut self, class: WorkClass, limit: TokenCount) -> Option<StartedWork> {
+        if !self.window.admits(class.priority) {
             return None;
         }
-        let (counter, organisation) = self.order(priority).first()?.clone();
+        let (counter, organisation) = self.orders.get(&class)?.first()?.clone();
         let queue = self.queues.get(&organisation)?;
         let weight = queue.weight;
-        let position = *queue.class(priority).first_key_value()?.0;
+        let position = *queue.classes.get(&class)?.first_key_value()?.0;
         let debt = self.counters.debt(&organisation, weight);
-        let work = self.remove(&organisation, priority, position)?;
+        let work = self.remove(&organisation, class, position)?;
         self.counters.raise_floor(counter);
         self.running += 1;
-        self.window.record_start(priority);
+        self.window.record_start(class.priority);
         let charged = self.update_counter(&organisation, |counters| {
             counters.charge(&organisation, work.cost, weight, limit.max(work.cost))
         });
@@ -316,7 +325,7 @@
         let before = (self.counters.counter(organisation), organisation.clone());
         let result = change(&mut self.counters);
         let after = (self.counters.counter(organisation), organisation.clone());
-        for order in [&mut self.interactive_order, &mut self.deferrable_order] {
+        for order in self.orders.values_mut() {
             if order.remove(&before) {
                 order.insert(after.clone());
             }
@@ -361,12 +370,13 @@
     where
         LatestStart: Fn(&RequestId) -> Option<ClockTime>,
     {
+        let closed = self.closed_for(now);
         let mut late = Vec::new();
         for (organisation, queue) in &self.queues {
-            for priority in [WorkPriority::Interactive, WorkPriority::Deferrable] {
+            for (class, queued) in &queue.classes {
                 let mut ahead = 0;
-                for work in queue.class(priority).values() {
-                    let wait = self.wait(organisation, queue.weight, priority, ahead);
+                for work in queued.values() {
+                    let wait = self.wait(organisation, queue.weight, *class, ahead) + closed;
                     match latest_start(&work.request) {
                         Some(latest_start) if now + wait > latest_start => {
                             late.push((work.request.clone(), wait));
@@ -378,18 +388,4 @@
         }
         late
     }
-
-    fn order(&mut self, priority: WorkPriority) -> &mut BTreeSet<(u64, OrganisationId)> {
-        match priority {
-            WorkPriority::Interactive => &mut self.interactive_order,
-            WorkPriority::Deferrable => &mut self.deferrable_order,
-        }
-    }
-
-    fn class_cost(&mut self, priority: WorkPriority) -> &mut u64 {
-        match priority {
-            WorkPriority::Interactive => &mut self.interactive_cost,
-            WorkPriority::Deferrable => &mut self.deferrable_cost,
-        }
-    }
 }
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -1,6 +1,7 @@
 //! The admission queue of one entry: its pools, the limits of organisations, and the
 //! cost served for each of them.
 
+mod contention;
 mod refusals;
 mod shares;
 
@@ -13,14 +14,14 @@
     admission::{
         AdmissionAction, AdmissionRequest, AdmissionSettings, OrganisationLimits, PoolCapacity,
         PoolStatus,
-        pool::{PoolQueue, QueuePosition, QueuedWork},
+        pool::{PoolQueue, QueuePosition, QueuedWork, WorkClass},
         token_cost,
     },
     clock::{ClockTime, TimeSpan},
     config::WorkPriority,
     ids::{InstanceId, OrganisationId, RequestId},
     routing::RoutePool,
-    units::{ShareWeight, TokenCount, TokenRate},
+    units::{TokenCount, TokenRate},
 };
 
 /// How often queued requests are checked against their deadlines.
@@ -115,7 +116,8 @@
             Some(queue) if queue.capacity == capacity => return Vec::new(),
             Some(queue) => queue.set_capacity(capacity),
             None => {
-                let queue = PoolQueue::new(now, capacity);
+                let counts_turns = self.settings.counts_turns;
+                let queue = PoolQueue::new(now, capacity).with_turns(counts_turns);
                 self.pools.insert(pool.clone(), queue);
             }
         }
@@ -209,6 +211,12 @@
 
     /// When [`AdmissionQueue::advance`] must be called next if nothing else happens.
     pub fn next_wake(&self) -> Option<ClockTime> {
+        let opening = self.pools.values().filter_map(PoolQueue::opens_at).min();
+        let check = self.next_check()?;
+        Some(opening.map_or(check, |opening| opening.min(check)))
+    }
+
+    fn next_check(&self) -> Option<ClockTime> {
         let (deadline, _) = self.deadlines.first()?;
         let expiry = *deadline + TimeSpan::from_millis(1);
         let next_check = self
@@ -221,6 +229,11 @@
     pub fn status(&self) -> Vec<PoolStatus> {
         let unknown = OrganisationId::new("-").expect("a dash is an identifier");
         let weight = self.settings.default_limits.weight;
+        let class = WorkClass {
+            priority: WorkPriority::Interactive,
+            rank: 0,
+            is_new: true,
+        };
         let status = |(pool, queue): (&RoutePool, &PoolQueue)| PoolStatus {
             pool: pool.clone(),
             slots: queue.capacity.slots,
@@ -229,7 +242,7 @@
             queued: queue.queued(),
             waiting_organisations: queue.waiting_organisations(),
             token_rate: TokenRate::new(queue.rate()),
-            wait: queue.wait(&unknown, weight, WorkPriority::Interactive, 0),
+            wait: queue.wait(&unknown, weight, class, 0),
         };
         self.pools.iter().map(status).collect()
     }
@@ -270,7 +283,7 @@
         pool.push(
             &admission.organisation,
             weight,
-            admission.priority,
+            WorkClass::from(admission),
             position,
             work,
         );
@@ -301,7 +314,7 @@
         let pool = self.pools.get_mut(&tracked.admission.pool)?;
         pool.remove(
             &tracked.admission.organisation,
-            tracked.admission.priority,
+            WorkClass::from(&tracked.admission),
             position,
         );
         self.decrement_in_flight(&tracked.admission.organisation);
@@ -360,7 +373,7 @@
 
     fn start_ready(&mut self, now: ClockTime, actions: &mut Vec<AdmissionAction>) {
         for (name, pool) in &mut self.pools {
-            while let Some(started) = pool.pop(&self.settings) {
+            while let Some(started) = pool.pop(now, &self.settings) {
                 let request = started.work.request;
                 let Some(tracked) = self.requests.get_mut(&request) else {
                     continue;
@@ -380,13 +393,3 @@
         }
     }
 }
-
-/// The default limits with the organisation's weight.
-impl From<ShareWeight> for OrganisationLimits {
-    fn from(weight: ShareWeight) -> OrganisationLimits {
-        OrganisationLimits {
-            weight,
-            ..OrganisationLimits::default()
-        }
-    }
-}
--- a/crates/core/src/admission/queue/refusals.rs
+++ b/crates/core/src/admission/queue/refusals.rs
@@ -5,7 +5,7 @@
 
 use super::{AdmissionQueue, TrackedRequest};
 use crate::{
-    admission::{AdmissionAction, AdmissionRequest, RefuseReason},
+    admission::{AdmissionAction, AdmissionRequest, RefuseReason, pool::WorkClass},
     clock::{ClockTime, TimeSpan},
     ids::RequestId,
 };
@@ -34,13 +34,10 @@
             return Err((RefuseReason::NoCapacity, self.settings.min_retry_after));
         };
         let position = (admission.deadline, self.next_sequence);
-        let cost_ahead = pool.cost_ahead(&admission.organisation, admission.priority, position);
-        let wait = pool.wait(
-            &admission.organisation,
-            limits.weight,
-            admission.priority,
-            cost_ahead,
-        );
+        let class = WorkClass::from(admission);
+        let cost_ahead = pool.cost_ahead(&admission.organisation, class, position);
+        let wait = pool.wait(&admission.organisation, limits.weight, class, cost_ahead)
+            + pool.closed_for(now);
         let latest_start = admission.deadline - pool.window.first_token();
         let allowed = latest_start.since(now);
         if now > latest_start || wait > allowed {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod relay;
 pub mod retries;
 pub mod roles;
+pub mod room;
 pub mod routing;
 pub mod streams;
 pub mod units;
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -30,6 +30,8 @@
         organisation: organisation(organisation_name),
         pool: pool(),
         priority: WorkPriority::Interactive,
+        rank: 0,
+        has_returned: false,
         deadline: at(deadline),
         prompt_tokens: TokenCount::new(100),
         max_output: TokenCount::ZERO,
--- a/crates/entry/src/model_run/mod.rs
+++ b/crates/entry/src/model_run/mod.rs
@@ -242,6 +242,8 @@
             organisation: self.work.organisation.clone(),
             pool: self.work.pool(),
             priority: self.work.priority,
+            rank: 0,
+            has_returned: false,
             deadline: self.work.deadline,
             prompt_tokens: self.work.prompt_tokens(),
             max_output: self.work.max_tokens,
--- a/crates/entry/src/plain_run/mod.rs
+++ b/crates/entry/src/plain_run/mod.rs
@@ -221,6 +221,8 @@
             organisation: self.work.organisation.clone(),
             pool: RoutePool::Plain(self.work.service.clone()),
             priority: self.work.priority,
+            rank: 0,
+            has_returned: false,
             deadline: self.work.deadline,
             prompt_tokens: TokenCount::new(1),
             max_output: TokenCount::ZERO,
--- a/crates/lab/src/slopes/admission.rs
+++ b/crates/lab/src/slopes/admission.rs
@@ -53,6 +53,8 @@
             organisation: organisation(number * 7_919 % organisations),
             pool: pool(),
             priority: WorkPriority::Interactive,
+            rank: 0,
+            has_returned: false,
             deadline: now + TimeSpan::from_secs(100),
             prompt_tokens: TokenCount::new(900),
             max_output: TokenCount::new(300),
--- a/crates/lab/src/world/run/attempts.rs
+++ b/crates/lab/src/world/run/attempts.rs
@@ -49,6 +49,8 @@
                 .clone(),
             pool: model_pool(),
             priority: request.priority,
+            rank: 0,
+            has_returned: false,
             deadline,
             prompt_tokens: prompt,
             max_output,
