Requests to plain services wait while all replicas are full

They were refused with a Retry-After of 400 ms, whatever the load, after every replica had turned them away. Now they wait at their instance in the order of core/room, or are refused at once if they would start too late. A request that finds room goes the way that it went. What comes out of the queue and was sent before draws on the retry budget.

--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -25,7 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    forward::ConnectionPools,
+    forward::{ConnectionPools, WaitingRequests},
     leader::PeerUsage,
     memory::MemoryAccount,
     metrics::EntryMetrics,
@@ -100,6 +100,8 @@
     pub demands: Shared<DemandTable>,
     /// The state of the replicas of plain services.
     pub replicas: Shared<ReplicaTable>,
+    /// The requests that wait for room at their service.
+    pub room: Shared<WaitingRequests>,
     /// The retry budget.
     pub budget: Shared<SharedRetryBudget>,
     /// The requests that ran on endpoints that crashed.
@@ -142,6 +144,8 @@
     pub probed: Notify,
     /// Wakes requests that wait until it is known whether an endpoint has ended.
     pub break_probed: Notify,
+    /// Wakes the task that lets waiting requests through.
+    pub room_changed: Notify,
     /// Idle connections to endpoints.
     pub pools: ConnectionPools,
     /// The bytes held for callers and endpoints.
@@ -198,6 +202,7 @@
             engines: Shared::new(EngineTable::new(routing.clone()).with_seed(seed)),
             demands: Shared::new(DemandTable::new()),
             replicas: Shared::new(ReplicaTable::new(routing).with_seed(seed)),
+            room: Shared::new(WaitingRequests::with_seed(seed)),
             budget: Shared::new(SharedRetryBudget::new(allowance).with_start(started_at)),
             quarantine: Shared::new(SharedQuarantine::new()),
             prompt_parts: Shared::new(PartQuarantine::new().with_seed(seed)),
@@ -219,6 +224,7 @@
             probe_due: Notify::new(),
             probed: Notify::new(),
             break_probed: Notify::new(),
+            room_changed: Notify::new(),
             pools: ConnectionPools::new(),
             memory,
             metrics,
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -22,6 +22,7 @@
 mod reach;
 mod resume;
 mod retries;
+mod room;
 mod stream;
 
 use std::sync::Arc;
@@ -36,6 +37,7 @@
     endpoint_changes::{note_registered, note_removed},
     notices::call_obstacle,
     pool::ConnectionPools,
+    room::WaitingRequests,
 };
 use crate::{
     context::EntryContext,
@@ -44,11 +46,15 @@
     time::wall_time,
 };
 
-/// Spawns the task that probes endpoints in doubt; it ends with `stop`.
+/// Spawns the tasks that probe endpoints in doubt and that let waiting requests through; they end
+/// with `stop`.
 pub fn start(context: &Arc<EntryContext>, stop: &CancellationToken) {
     let probing = reach::run(Arc::clone(context));
+    let probing_stop = stop.clone();
+    tokio::spawn(async move { probing_stop.run_until_cancelled(probing).await });
+    let letting_through = room::run(Arc::clone(context));
     let stop = stop.clone();
-    tokio::spawn(async move { stop.run_until_cancelled(probing).await });
+    tokio::spawn(async move { stop.run_until_cancelled(letting_through).await });
 }
 
 /// Forwards a request to an endpoint of its service and returns the answer or a refusal.
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -1,5 +1,7 @@
 //! Requests to plain services, whose replicas are not model engines.
 
+mod waiting;
+
 use std::sync::Arc;
 
 use bluebell_core::{
@@ -9,7 +11,7 @@
     ingress::RouteKind,
     placement::EndpointTarget,
 };
-use hyper::Response;
+use hyper::{Response, StatusCode};
 
 use crate::{
     context::EntryContext,
@@ -22,7 +24,9 @@
         guards::ReplicaGuard,
         meter, notices, proxy,
         quota::QuotaCharge,
-        refuse, request_log_line, resume, retries, software,
+        refuse, request_log_line, resume, retries,
+        room::{self, RoomTicket},
+        software,
     },
     frontend::{AnswerBody, CallerRequest, Refusal, RefusalReason},
 };
@@ -60,6 +64,9 @@
     failed_answer: Option<CompleteAnswer>,
     /// When the caller may retry, if a better value than the default is known.
     retry_after: Option<TimeSpan>,
+    /// The place of the request once it has waited for room.
+    ticket: Option<RoomTicket>,
+    waits: u32,
     is_metered: bool,
     charge: Option<QuotaCharge>,
 }
@@ -79,9 +86,16 @@
         possible_runs: 0,
         failed_answer: None,
         retry_after: None,
+        ticket: None,
+        waits: 0,
         is_metered: false,
         charge,
     };
+    if room::is_contended(context, request)
+        && let Err(detail) = run.wait_for_room().await
+    {
+        return run.respond_failed(RefusalReason::Overloaded, detail);
+    }
     loop {
         let Some(target) = run.choose_replica() else {
             if run.may_be_proxied().await
@@ -103,6 +117,11 @@
                 {
                     return response;
                 }
+                if run.has_no_room(reason)
+                    && let Err(detail) = run.wait_for_room().await
+                {
+                    return run.respond_failed(RefusalReason::Overloaded, detail);
+                }
                 if !run.may_retry(reason) {
                     return run.respond_failed(reason, &detail);
                 }
@@ -189,6 +208,10 @@
                     self.context.directory.lock().remove_endpoint(&target.id);
                 }
                 guard.failed();
+                if status == StatusCode::SERVICE_UNAVAILABLE {
+                    let now = self.context.now();
+                    self.context.replicas.lock().full(now, &target.id);
+                }
                 NextStep::Retry(RefusalReason::EndpointsFull, format!("status {status}"))
             }
             SendOutcome::MaybeRun(detail) => {
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Prometheus metrics of an entry.
 
-use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
 
 /// Upper bounds of the latency buckets in seconds: the users' latency objectives are
 /// between 0.1 and 0.8 s, their deadlines between 1.5 and 10 s.
@@ -47,6 +49,10 @@
     pub quarantined_parts: IntGauge,
     /// Services whose endpoints are not reached.
     pub unreachable_services: IntGauge,
+    /// Requests that wait for room, by service and rank.
+    pub requests_waiting: IntGaugeVec,
+    /// Time that requests waited for room in seconds, by why they left the queue.
+    pub queue_time: HistogramVec,
     /// Requests in progress.
     pub requests_open: IntGauge,
 }
@@ -74,6 +80,15 @@
         );
         let latency = HistogramVec::new(latency_opts, &["kind"])?;
         registry.register(Box::new(latency.clone()))?;
+        let queue_time_opts = histogram_opts(
+            "bluebell_queue_seconds",
+            "time that requests waited for room",
+        );
+        let queue_time = HistogramVec::new(queue_time_opts, &["reason"])?;
+        registry.register(Box::new(queue_time.clone()))?;
+        let waiting_opts = Opts::new("bluebell_requests_waiting", "requests that wait for room");
+        let requests_waiting = IntGaugeVec::new(waiting_opts, &["service", "rank"])?;
+        registry.register(Box::new(requests_waiting.clone()))?;
         let estimate_error_opts = histogram_opts(
             "bluebell_estimate_error_seconds",
             "first token against estimate",
@@ -147,6 +162,8 @@
                 "services whose endpoints are not reached",
             )?,
             requests_open: gauge("bluebell_requests_open", "requests under way")?,
+            requests_waiting,
+            queue_time,
             latency,
             estimate_error,
             registry,
