Have nothing due in a queue whose slots are taken

A pool that had opened kept its opening time, so the task that lets requests through was due at once for as long as the slots were taken. Found by reading; test nothing_is_due_while_the_slots_are_taken.

--- a/crates/core/src/admission/pool.rs
+++ b/crates/core/src/admission/pool.rs
@@ -249,7 +249,8 @@
     pub fn pop(&mut self, now: ClockTime, settings: &AdmissionSettings) -> Option<StartedWork> {
         let slots = u64::from(self.capacity.slots);
         let running = u64::from(self.running);
-        if running >= slots || self.closed_for(now) > TimeSpan::ZERO {
+        self.closed_until = self.closed_until.filter(|until| now < *until);
+        if running >= slots || self.closed_until.is_some() {
             return None;
         }
         let limit = settings.debt_limit;
--- a/crates/core/tests/room.rs
+++ b/crates/core/tests/room.rs
@@ -86,6 +86,16 @@
     assert!(!queue.is_contended(at(150), &service()));
 }
 
+/// Guards against a task that is woken time and again while all slots are taken.
+#[test]
+fn nothing_is_due_while_the_slots_are_taken() {
+    let mut queue = full_queue();
+    queue.offer(at(0), request("one", "a", 0, 5_000));
+    queue.offer(at(0), request("two", "a", 0, 6_000));
+    assert_eq!(starts(&queue.advance(at(100))), ["one"]);
+    assert!(queue.next_wake() > Some(at(100)), "{:?}", queue.next_wake());
+}
+
 /// Guards against a flood of less urgent requests that came first, and against an organisation
 /// that has many requests: rank first, then the organisation served least, then the deadline.
 #[test]
