Keep the limit of four sends for requests that wait for room

A request that waited was sent up to nine times to full replicas (seen in a_charge_that_an_endpoint_refused_is_sent_to_another). Sends before and after waiting now count together.

--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -66,7 +66,8 @@
     retry_after: Option<TimeSpan>,
     /// The place of the request once it has waited for room.
     ticket: Option<RoomTicket>,
-    waits: u32,
+    /// Number of attempts, also those before the request waited.
+    sends: usize,
     is_metered: bool,
     charge: Option<QuotaCharge>,
 }
@@ -87,7 +88,7 @@
         failed_answer: None,
         retry_after: None,
         ticket: None,
-        waits: 0,
+        sends: 0,
         is_metered: false,
         charge,
     };
@@ -185,6 +186,7 @@
             );
         };
         self.attempted.push(target.id.clone());
+        self.sends += 1;
         let guard = ReplicaGuard::new(self.context, &target.id);
         let timeout = self.attempt_timeout(remaining);
         let outcome = attempt::send(self.context, self.request, target, &Vec::new(), timeout).await;
@@ -319,7 +321,7 @@
 
     fn may_retry(&mut self, reason: RefusalReason) -> bool {
         let now = self.context.now();
-        if self.attempted.len() >= MAX_ATTEMPTS || self.request.time_left(now) == TimeSpan::ZERO {
+        if self.sends >= MAX_ATTEMPTS || self.request.time_left(now) == TimeSpan::ZERO {
             return false;
         }
         if self.possible_runs >= self.request.route.attempts_limit {
@@ -359,7 +361,7 @@
             .with("endpoint", &target.id)
             .with("software", software(self.context, &target.id))
             .with("status", answer.status.as_u16())
-            .with("asked", self.attempted.len())
+            .with("asked", self.sends)
             .info();
         answer.into_response()
     }
@@ -368,7 +370,7 @@
         if let Some(failed_answer) = self.failed_answer.take() {
             request_log_line(self.context, "answered", self.request)
                 .with("status", failed_answer.status.as_u16())
-                .with("asked", self.attempted.len())
+                .with("asked", self.sends)
                 .with("detail", detail)
                 .info();
             return failed_answer.into_response();
