--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -37,7 +37,7 @@
     },
     prompt::{ParsePromptError, PromptPart, PromptWork},
     queue::{EngineLoad, EngineQueue, PRIORITY_RANKS},
-    replicas::{ReplicaChoice, ReplicaTable},
+    replicas::{ReplicaChoice, ReplicaRoom, ReplicaTable},
     slots::slot_cost_ms,
     speeds::{EngineSpeeds, SpeedChange, SpeedClass, SpeedReport, SpeedSource},
     tracker::{TrackerCandidate, TrackerHealth, tracker_of},
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -1,5 +1,7 @@
 //! Requests to plain services, whose replicas are not model engines.
 
+mod waiting;
+
 use std::sync::Arc;
 
 use bluebell_core::{
@@ -9,7 +11,7 @@
     ingress::RouteKind,
     placement::EndpointTarget,
 };
-use hyper::Response;
+use hyper::{Response, StatusCode};
 
 use crate::{
     context::EntryContext,
@@ -22,7 +24,9 @@
         guards::ReplicaGuard,
         meter, notices, proxy,
         quota::QuotaCharge,
-        refuse, request_log_line, resume, retries, software,
+        refuse, request_log_line, resume, retries,
+        room::{self, RoomTicket},
+        software,
     },
     frontend::{AnswerBody, CallerRequest, Refusal, RefusalReason},
 };
@@ -60,6 +64,10 @@
     failed_answer: Option<CompleteAnswer>,
     /// When the caller may retry, if a better value than the default is known.
     retry_after: Option<TimeSpan>,
+    /// The place of the request once it has waited for room.
+    ticket: Option<RoomTicket>,
+    /// Number of attempts, also those before the request waited.
+    sends: usize,
     is_metered: bool,
     charge: Option<QuotaCharge>,
 }
@@ -79,9 +87,16 @@
         possible_runs: 0,
         failed_answer: None,
         retry_after: None,
+        ticket: None,
+        sends: 0,
         is_metered: false,
         charge,
     };
+    if room::is_contended(context, request)
+        && let Err(detail) = run.wait_for_room().await
+    {
+        return run.respond_failed(RefusalReason::Overloaded, detail);
+    }
     loop {
         let Some(target) = run.choose_replica() else {
             if run.may_be_proxied().await
@@ -103,6 +118,11 @@
                 {
                     return response;
                 }
+                if run.has_no_room(reason)
+                    && let Err(detail) = run.wait_for_room().await
+                {
+                    return run.respond_failed(RefusalReason::Overloaded, detail);
+                }
                 if !run.may_retry(reason) {
                     return run.respond_failed(reason, &detail);
                 }
@@ -166,6 +186,7 @@
             );
         };
         self.attempted.push(target.id.clone());
+        self.sends += 1;
         let guard = ReplicaGuard::new(self.context, &target.id);
         let timeout = self.attempt_timeout(remaining);
         let outcome = attempt::send(self.context, self.request, target, &Vec::new(), timeout).await;
@@ -189,6 +210,10 @@
                     self.context.directory.lock().remove_endpoint(&target.id);
                 }
                 guard.failed();
+                if status == StatusCode::SERVICE_UNAVAILABLE {
+                    let now = self.context.now();
+                    self.context.replicas.lock().full(now, &target.id);
+                }
                 NextStep::Retry(RefusalReason::EndpointsFull, format!("status {status}"))
             }
             SendOutcome::MaybeRun(detail) => {
@@ -265,7 +290,10 @@
 
     /// Handles a complete and signed answer.
     fn handle_answer(&mut self, guard: ReplicaGuard, answer: CompleteAnswer) -> NextStep {
-        guard.answered();
+        match answer.is_failure() {
+            true => guard.answered_failure(),
+            false => guard.answered(),
+        }
         crashes::note_completed(self.context, self.request);
         if answer.status.is_success() {
             crashes::note_answered(self.context, self.request);
@@ -293,7 +321,7 @@
 
     fn may_retry(&mut self, reason: RefusalReason) -> bool {
         let now = self.context.now();
-        if self.attempted.len() >= MAX_ATTEMPTS || self.request.time_left(now) == TimeSpan::ZERO {
+        if self.sends >= MAX_ATTEMPTS || self.request.time_left(now) == TimeSpan::ZERO {
             return false;
         }
         if self.possible_runs >= self.request.route.attempts_limit {
@@ -333,7 +361,7 @@
             .with("endpoint", &target.id)
             .with("software", software(self.context, &target.id))
             .with("status", answer.status.as_u16())
-            .with("asked", self.attempted.len())
+            .with("asked", self.sends)
             .info();
         answer.into_response()
     }
@@ -342,7 +370,7 @@
         if let Some(failed_answer) = self.failed_answer.take() {
             request_log_line(self.context, "answered", self.request)
                 .with("status", failed_answer.status.as_u16())
-                .with("asked", self.attempted.len())
+                .with("asked", self.sends)
                 .with("detail", detail)
                 .info();
             return failed_answer.into_response();
