Decide which runs are copied to a second engine and where they go on

Callers of streams that may be neither resumed nor repeated lost them when their engine crashed. The engines can copy a run to a second one while it runs. The core decides which runs are worth it and which engine keeps the copy, and makes a second run impossible: a place to go on comes only from an engine that has ended, is used up by the permit, and serves its own request.

--- a/crates/core/src/attempts/mod.rs
+++ b/crates/core/src/attempts/mod.rs
@@ -15,7 +15,10 @@
 
 use serde::Serialize;
 
-use crate::ids::{EndpointId, RequestId};
+use crate::{
+    backups::BackupPlace,
+    ids::{EndpointId, RequestId},
+};
 
 /// Proof that a request has not run anywhere.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,6 +71,8 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
+    /// The run was interrupted. It may go on at its copy, and nowhere else.
+    Interrupted,
     /// The request has ended; no further attempt is allowed.
     Done,
 }
@@ -155,22 +160,48 @@
     pub fn permit_send(&mut self, endpoint: &EndpointId) -> Result<SendPermit, SendRefusal> {
         match self.phase {
             AttemptPhase::Queued => {}
-            AttemptPhase::Done => return Err(SendRefusal::Ended),
+            AttemptPhase::Done | AttemptPhase::Interrupted => return Err(SendRefusal::Ended),
             AttemptPhase::Sent { .. } | AttemptPhase::Answering { .. } => {
                 return Err(SendRefusal::InProgress);
             }
         }
+        Ok(self.issue_permit(endpoint))
+    }
+
+    /// Records that the connection to the endpoint that runs a copied request broke.
+    pub fn run_interrupted(&mut self) {
+        if self.is_in_progress() {
+            self.may_have_run = true;
+            self.phase = AttemptPhase::Interrupted;
+        }
+    }
+
+    /// Whether the run was interrupted and may go on at its copy.
+    pub fn is_interrupted(&self) -> bool {
+        self.phase == AttemptPhase::Interrupted
+    }
+
+    /// Issues a permit to send an interrupted run to the engine with its copy.
+    pub fn permit_resume(&mut self, place: BackupPlace) -> Result<SendPermit, SendRefusal> {
+        let (request, engine) = place.into_parts();
+        if self.phase != AttemptPhase::Interrupted || request != self.request {
+            return Err(SendRefusal::Ended);
+        }
+        Ok(self.issue_permit(&engine.id))
+    }
+
+    fn issue_permit(&mut self, endpoint: &EndpointId) -> SendPermit {
         self.attempt += 1;
         let endpoint = endpoint.clone();
         self.phase = AttemptPhase::Sent {
             endpoint: endpoint.clone(),
         };
-        Ok(SendPermit {
+        SendPermit {
             request: self.request.clone(),
             attempt: self.attempt,
             endpoint,
             kind: self.kind,
-        })
+        }
     }
 
     /// Takes back a permit that was not used: no connection was established, so no byte
@@ -188,7 +219,10 @@
     fn revoke(&mut self, permit: SendPermit) {
         let current = permit.attempt == self.attempt && permit.request == self.request;
         if current && matches!(self.phase, AttemptPhase::Sent { .. }) {
-            self.phase = AttemptPhase::Queued;
+            self.phase = match self.may_have_run && self.kind == WorkKind::AtMostOnce {
+                true => AttemptPhase::Done,
+                false => AttemptPhase::Queued,
+            };
         }
         drop(permit);
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod authority;
+pub mod backups;
 pub mod checkpoint;
 pub mod claims;
 pub mod clock;
