Have streams that must not run twice go on at a copy when their engine crashes

Callers saw such streams broken off, and 502 before the first event. While a crash is known, an entry names a second engine for each such run. When the connection breaks and the first engine refuses connections, the run goes on at the copy after the last event.

--- a/crates/ingress/src/forward/broken_runs.rs
+++ b/crates/ingress/src/forward/broken_runs.rs
@@ -128,7 +128,7 @@
 
 /// Waits for the result of a probe of `target`, so that the request is not sent again before it is
 /// known whether it may have crashed the endpoint.
-async fn wait_for_probe(context: &EntryContext, target: &EndpointTarget) {
+pub(super) async fn wait_for_probe(context: &EntryContext, target: &EndpointTarget) {
     let probed = async {
         loop {
             let notified = context.break_probed.notified();
--- a/crates/ingress/src/forward/engine_choice.rs
+++ b/crates/ingress/src/forward/engine_choice.rs
@@ -23,7 +23,7 @@
 const LOWEST_ENGINE_PRIORITY: u8 = 9;
 
 impl GenerationRun {
-    fn engine_rule(&self) -> Option<&EngineRule> {
+    pub(super) fn engine_rule(&self) -> Option<&EngineRule> {
         let service = self.request.table.service(&self.request.service)?;
         service.engine.as_ref()
     }
@@ -35,7 +35,7 @@
             .map_or(0.0, |rule| rule.capacity_share(tokens))
     }
 
-    fn plan_request<'a>(
+    pub(super) fn plan_request<'a>(
         &'a self,
         excluded: &'a [EndpointId],
     ) -> Result<PlanRequest<'a>, FailedAttempt> {
--- a/crates/ingress/src/forward/engine_failures.rs
+++ b/crates/ingress/src/forward/engine_failures.rs
@@ -23,7 +23,10 @@
     /// Records that the request may have run on `engine` and that its answer is lost.
     pub(super) fn note_possible_run(&mut self, engine: &EndpointId) {
         self.possible_runs += 1;
-        self.attempts.connection_lost();
+        match self.backup {
+            Some(_) => self.attempts.run_interrupted(),
+            None => self.attempts.connection_lost(),
+        }
         self.attempted.push(engine.clone());
         let now = self.context.now();
         self.context.engines.lock().failed(now, engine);
--- a/crates/ingress/src/forward/failed_attempt.rs
+++ b/crates/ingress/src/forward/failed_attempt.rs
@@ -54,6 +54,14 @@
         }
     }
 
+    /// Creates the failure of an attempt after which the request must not be sent.
+    pub(super) fn already_ended() -> FailedAttempt {
+        FailedAttempt::new(
+            RefusalReason::EndpointFailed,
+            "the request has already ended",
+        )
+    }
+
     /// Marks the failure as final: no other attempt follows.
     pub(super) fn without_retry(mut self) -> FailedAttempt {
         self.is_final = true;
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -4,7 +4,8 @@
 
 use bluebell_adapter::headers;
 use bluebell_core::{
-    attempts::{RequestAttempts, WorkKind},
+    attempts::{RequestAttempts, SendPermit, WorkKind},
+    backups::BackupPlace,
     clock::TimeSpan,
     ids::EndpointId,
     placement::{EndpointTarget, PrefillPlan, PromptWork},
@@ -17,6 +18,7 @@
     forward::{
         answer::{CompleteAnswer, MAX_ANSWER_BYTES},
         attempt::{self, EndpointAnswer, ExtraHeaders, SendOutcome},
+        backups::BackedRun,
         broken_runs::AnswerProgress,
         crashes,
         events::{EventReader, NextEvents},
@@ -48,13 +50,22 @@
 const MAX_HANDOVER_REFUSALS: u32 = 2;
 
 /// Result of an attempt that an engine answered.
-enum AttemptOutcome {
+pub(super) enum AttemptOutcome {
     /// The first events of a stream have arrived.
     Streaming(Box<RunningStream>),
     /// The engine sent a complete answer instead of a stream.
     Complete(CompleteAnswer),
 }
 
+impl AttemptOutcome {
+    fn into_stream(self) -> Option<RunningStream> {
+        match self {
+            AttemptOutcome::Streaming(running) => Some(*running),
+            AttemptOutcome::Complete(_) => None,
+        }
+    }
+}
+
 /// The attempts of one request at engines.
 #[derive(Debug)]
 pub struct GenerationRun {
@@ -69,6 +80,8 @@
     pub(super) possible_runs: u32,
     pub(super) arrivals: RequestArrivals,
     source: Option<PrefilledSource>,
+    /// The copy of the run, while there is one.
+    pub(super) backup: Option<BackedRun>,
     /// Where the stream began, once it has.
     pub(super) begun: BegunStream,
     is_metered: bool,
@@ -123,6 +136,7 @@
             possible_runs: 0,
             arrivals: RequestArrivals::new(),
             source: None,
+            backup: None,
             begun: BegunStream::with_origin(request.origin),
             is_metered: false,
             charge,
@@ -135,8 +149,8 @@
     }
 
     /// Continues a stream that broke at `failed` on another engine, from the event after
-    /// `last_id`. Returns `None` if the request may not be retried or no engine streams an
-    /// answer.
+    /// `last_id`. Returns `None` if the request may not be retried and has no copy, or no engine
+    /// streams an answer.
     pub async fn resume(
         &mut self,
         failed: &EndpointTarget,
@@ -147,13 +161,19 @@
             true => self.note_lost_run(failed, AnswerProgress::Events).await,
             false => self.note_unread_run(&failed.id),
         }
+        // Without an id the events that the caller has can't be told from those that follow.
+        if last_id.is_some()
+            && let Some(outcome) = self.go_on_at_backup(last_id).await
+        {
+            return outcome.into_stream();
+        }
         let is_repeatable = self.request.route.work_kind() == WorkKind::Repeatable;
         if !is_repeatable || self.begun == BegunStream::Unknown || !self.may_retry() {
             return None;
         }
         match self.start_run(last_id).await {
-            Ok(AttemptOutcome::Streaming(running)) => Some(*running),
-            _ => None,
+            Ok(outcome) => outcome.into_stream(),
+            Err(_) => None,
         }
     }
 
@@ -169,6 +189,9 @@
                 failed.reason,
                 RefusalReason::EndpointsFull | RefusalReason::NoEndpoint
             );
+            if let Some(outcome) = self.go_on_at_backup(last_id).await {
+                return Ok(outcome);
+            }
             if failed.is_final || !(is_repeatable || has_not_run) || !self.may_retry() {
                 return Err(failed);
             }
@@ -254,17 +277,43 @@
         &mut self,
         plan: &PrefillPlan,
         target: &EndpointTarget,
-        extra_headers: ExtraHeaders,
+        mut extra_headers: ExtraHeaders,
         prefill: Option<PrefillGuard>,
         last_id: Option<u64>,
     ) -> Result<AttemptOutcome, FailedAttempt> {
         self.start_call(EngineCall::Run)?;
-        let Ok(permit) = self.attempts.permit_send(&target.id) else {
-            return Err(FailedAttempt::new(
-                RefusalReason::EndpointFailed,
-                "the request has already ended",
-            ));
-        };
+        let permit = self.attempts.permit_send(&target.id);
+        let permit = permit.map_err(|_| FailedAttempt::already_ended())?;
+        self.add_backup(plan, target, &mut extra_headers);
+        self.send_run(permit, plan, target, extra_headers, prefill, last_id)
+            .await
+    }
+
+    /// Sends an interrupted run to the engine with its copy.
+    pub(super) async fn resume_run(
+        &mut self,
+        place: BackupPlace,
+        plan: &PrefillPlan,
+        target: &EndpointTarget,
+        extra_headers: ExtraHeaders,
+        last_id: Option<u64>,
+    ) -> Result<AttemptOutcome, FailedAttempt> {
+        self.start_call(EngineCall::Run)?;
+        let permit = self.attempts.permit_resume(place);
+        let permit = permit.map_err(|_| FailedAttempt::already_ended())?;
+        self.send_run(permit, plan, target, extra_headers, None, last_id)
+            .await
+    }
+
+    async fn send_run(
+        &mut self,
+        permit: SendPermit,
+        plan: &PrefillPlan,
+        target: &EndpointTarget,
+        extra_headers: ExtraHeaders,
+        prefill: Option<PrefillGuard>,
+        last_id: Option<u64>,
+    ) -> Result<AttemptOutcome, FailedAttempt> {
         let share = self.run_share();
         let guard = RunGuard::new(&self.context, &target.id, &self.request.service, share);
         let remaining = self.request.time_left(self.context.now());
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod attempt;
+mod backups;
 mod broken_runs;
 mod connection;
 mod crashes;
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -43,6 +43,8 @@
     pub proxied: IntCounterVec,
     /// Streams that callers took up, by how their version was known.
     pub resumed: IntCounterVec,
+    /// Runs that are copied to a second engine, and what became of interrupted ones.
+    pub backups: IntCounterVec,
     /// Parts of prompts for which requests are refused.
     pub quarantined_parts: IntGauge,
     /// Services whose endpoints are not reached.
@@ -138,6 +140,11 @@
                 "streams that callers took up",
                 &["known_by"],
             )?,
+            backups: counter(
+                "bluebell_run_backups_total",
+                "runs copied to a second engine, and what became of interrupted ones",
+                &["outcome"],
+            )?,
             quarantined_parts: gauge(
                 "bluebell_quarantined_parts",
                 "parts of prompts for which requests are refused",
