--- a/crates/core/tests/engine_loads_fleet.rs
+++ b/crates/core/tests/engine_loads_fleet.rs
@@ -171,6 +171,7 @@
             link_bytes_per_ms: 68_750_000,
             handle_lifetime: TimeSpan::from_secs(5),
             stage_switch: TimeSpan::from_secs(3),
+            has_backups: false,
         };
         let work = PromptWork::new("500,20", "aa:500").unwrap();
         let request = PlanRequest {
--- a/crates/core/tests/engine_slots.rs
+++ b/crates/core/tests/engine_slots.rs
@@ -66,6 +66,7 @@
                 link_bytes_per_ms: 68_750_000,
                 handle_lifetime: TimeSpan::from_secs(5),
                 stage_switch: TimeSpan::from_secs(3),
+                has_backups: false,
             },
             work: PromptWork::new(&format!("{prompt},100"), "").unwrap(),
         }
--- a/crates/core/tests/engine_speeds.rs
+++ b/crates/core/tests/engine_speeds.rs
@@ -276,6 +276,7 @@
         link_bytes_per_ms: 68_750_000,
         handle_lifetime: TimeSpan::from_secs(5),
         stage_switch: TimeSpan::from_secs(3),
+        has_backups: false,
     };
     let engines = (1..=600).map(|part: u32| {
         let parts = format!("{part:x}:20000,ffff{part:x}:10");
