--- a/crates/core/tests/placement_engines.rs
+++ b/crates/core/tests/placement_engines.rs
@@ -222,6 +222,16 @@
     tracked.engine.start = 1;
     assert_ne!(engine_at(1, &tracked), chosen.engine);
     assert_eq!(engine_at(301, &tracked), chosen.engine);
+    // It counts in place of what other instances reported, not in addition.
+    let report = PeerLoad {
+        engine: tracked.engine.hash,
+        load: std::mem::take(&mut tracked.load),
+    };
+    let peer = InstanceId::new("peer").unwrap();
+    table.note_peer(at(400), &peer, &[report], &[]);
+    assert_ne!(plan(&mut table, 400, &request).engine, chosen.engine);
+    table.note_tracked(at(400), &tracked);
+    assert_eq!(plan(&mut table, 400, &request).engine, chosen.engine);
 }
 
 /// Guards against requests that are refused as the engines that were asked for have gone.
--- a/crates/ingress/src/engine_loads/mod.rs
+++ b/crates/ingress/src/engine_loads/mod.rs
@@ -180,7 +180,9 @@
 
     /// Reports the load of this instance soon, as it has changed.
     pub fn note_change(&self) {
-        self.changed.notify_one();
+        if self.is_active() {
+            self.changed.notify_one();
+        }
     }
 
     /// Has a measurement of a prefill sent to the engine's tracker.
