--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -172,12 +172,6 @@
         state.map_or(0, |state| state.queue.running(now))
     }
 
-    /// The number of engines for which the answer of a tracker is in use.
-    pub fn count_tracked(&self, now: ClockTime) -> usize {
-        let engines = self.engines.values();
-        engines.filter(|state| state.queue.has_tracked(now)).count()
-    }
-
     /// Returns the measurement of a prefill that took `elapsed`, if the engine had nothing
     /// else queued as far as was known.
     pub fn prefill_sample(
--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -23,7 +23,7 @@
     placement::{
         EndpointTarget, EngineKey, PartLocations, PeerPart, PlacementError, PlanRequest,
         PrefillPlan, PromptWork,
-        engine_speeds::{AppliedSpeeds, speed_key, weighted_rendezvous},
+        engine_speeds::{AppliedSpeeds, weighted_rendezvous},
         queue::EngineQueue,
         slots::slot_cost_ms,
     },
@@ -226,7 +226,7 @@
         if let Some(state) = self.engines.remove(id) {
             self.part_locations.remove_engine(state.number);
             self.by_hash.remove(&state.hash);
-            self.speeds.remove_engine(speed_key(&state));
+            self.speeds.remove_engine(state.key());
         }
     }
 
--- a/crates/core/src/placement/engine_speeds.rs
+++ b/crates/core/src/placement/engine_speeds.rs
@@ -119,7 +119,7 @@
     pub fn speed_status(&self, now: ClockTime) -> Vec<SpeedStatus> {
         let states = self.engines.iter();
         let known = states.filter_map(|(id, state)| {
-            let report = self.speeds.known.report(now, speed_key(state))?;
+            let report = self.speeds.known.report(now, state.key())?;
             Some(SpeedStatus {
                 engine: id.clone(),
                 class: report.class.number(),
@@ -136,7 +136,7 @@
     pub fn engines_by_speed(&self) -> BTreeMap<Option<u32>, usize> {
         let mut counts = BTreeMap::new();
         for state in self.engines.values() {
-            let class = self.speeds.known.class(speed_key(state));
+            let class = self.speeds.known.class(state.key());
             let percent = class.map(|_| (state.speed_factor * 100.0).round() as u32);
             *counts.entry(percent).or_default() += 1;
         }
@@ -152,7 +152,7 @@
         let factors: Vec<f64> = self
             .engines
             .values()
-            .map(|state| self.speeds.factor(speed_key(state), &state.service))
+            .map(|state| self.speeds.factor(state.key(), &state.service))
             .collect();
         for (state, factor) in self.engines.values_mut().zip(factors) {
             state.speed_factor = factor;
@@ -162,7 +162,7 @@
     fn median_classes(&self) -> BTreeMap<ServiceName, SpeedClass> {
         let mut classes: BTreeMap<&ServiceName, Vec<SpeedClass>> = BTreeMap::new();
         for state in self.engines.values() {
-            if let Some(class) = self.speeds.known.class(speed_key(state)) {
+            if let Some(class) = self.speeds.known.class(state.key()) {
                 classes.entry(&state.service).or_default().push(class);
             }
         }
@@ -189,14 +189,6 @@
     pub age: TimeSpan,
 }
 
-/// How an engine is named in reports of its speed.
-pub(super) fn speed_key(state: &EngineState) -> EngineKey {
-    EngineKey {
-        hash: state.hash,
-        start: state.start,
-    }
-}
-
 /// Returns the engine that weighted rendezvous hashing assigns a part to. With equal speeds it
 /// is the one with the highest hash; if one speed changes, only parts that are assigned to
 /// that engine, before or after, move.
--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -144,11 +144,6 @@
         });
     }
 
-    /// Whether the last answer of the engine's tracker is in use.
-    pub fn has_tracked(&self, now: ClockTime) -> bool {
-        self.live_tracked(now).is_some()
-    }
-
     /// Returns the load that this entry has placed on the engine.
     pub fn local_load(&self) -> EngineLoad {
         let mut load = EngineLoad {
