Leave the wait for a slot out of the cost of a handover

Cause: the cost of a runner with taken slots also entered the cost of prefilling apart.

A request waits for a slot wherever its prompt is prefilled, so the wait is left out there. The new test fails without the change.

--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -25,7 +25,7 @@
         PrefillPlan, PromptWork,
         engine_speeds::{AppliedSpeeds, weighted_rendezvous},
         queue::EngineQueue,
-        slots::slot_cost_ms,
+        slots::{running_cost_ms, slot_cost_ms},
     },
     routing::{EndpointHealth, RoutingSettings},
     streams::OriginHash,
@@ -423,13 +423,23 @@
 }
 
 /// Returns the cost in ms of running a request on an engine until its next token: the
-/// handover from `source`, the prefills queued at the engine, and the requests that run
-/// there.
+/// handover from `source`, the prefills queued at the engine, the requests that run there and
+/// the wait for a slot.
 pub(super) fn run_cost_ms(
     now: ClockTime,
     state: &EngineState,
     source: Option<&FailureDomain>,
     request: PlanRequest<'_>,
+) -> f64 {
+    let running_ms = slot_cost_ms(state.queue.running(now), state.slots);
+    handover_cost_ms(now, state, source, request) + running_ms
+}
+
+fn handover_cost_ms(
+    now: ClockTime,
+    state: &EngineState,
+    source: Option<&FailureDomain>,
+    request: PlanRequest<'_>,
 ) -> f64 {
     let bytes = request.work.prompt.count() * request.rule.token_bytes.count();
     let transfer_ms = bytes as f64 / request.rule.link_bytes_per_ms.max(1) as f64;
@@ -440,12 +450,14 @@
         1.0
     };
     let wait_ms = state.queue.wait_ms(now, request.rank());
-    let running_ms = slot_cost_ms(state.queue.running(now), state.slots);
-    HANDOVER_MS + transfer_ms * handover_factor + wait_ms + running_ms
+    HANDOVER_MS + transfer_ms * handover_factor + wait_ms
 }
 
-/// Returns the lowest cost in ms of running a request for each version of the engines. A prompt
-/// is handed over within one version only.
+/// Returns the lowest cost in ms of a handover for each version of the engines. A prompt is
+/// handed over within one version only.
+///
+/// The wait for a slot is left out: a request waits for one wherever its prompt is prefilled, and
+/// a prefill at the engine that runs it would delay the requests that hold the slots.
 fn handover_costs_ms(
     now: ClockTime,
     engines: &[&EngineState],
@@ -453,7 +465,8 @@
 ) -> BTreeMap<OriginHash, f64> {
     let mut costs: BTreeMap<OriginHash, f64> = BTreeMap::new();
     for state in engines.iter().filter(|state| state.runs_requests()) {
-        let cost = run_cost_ms(now, state, None, request);
+        let running_ms = running_cost_ms(state.queue.running(now));
+        let cost = handover_cost_ms(now, state, None, request) + running_ms;
         let lowest = costs.entry(state.target.origin).or_insert(cost);
         *lowest = lowest.min(cost);
     }
--- a/crates/core/src/placement/slots.rs
+++ b/crates/core/src/placement/slots.rs
@@ -14,13 +14,19 @@
 /// for that long, so an engine with a free slot is better however long its queue is.
 const FULL_ENGINE_COST_MS: f64 = 2_000.0;
 
+/// Returns the cost in ms of one more request at an engine that runs `running` requests, without
+/// the wait for a slot.
+pub(super) fn running_cost_ms(running: u32) -> f64 {
+    f64::from(running) * RUNNING_REQUEST_COST_MS
+}
+
 /// Returns the cost in ms of one more request at an engine that runs `running` requests and
 /// runs `slots` at once; 0 slots if the number is unknown.
 ///
 /// Below three quarters of the slots the cost grows by little with each request. It rises up
 /// to the last slot, and with each request that waits for one.
 pub fn slot_cost_ms(running: u32, slots: u32) -> f64 {
-    let running_ms = f64::from(running) * RUNNING_REQUEST_COST_MS;
+    let running_ms = running_cost_ms(running);
     if slots == 0 {
         return running_ms;
     }
--- a/crates/core/tests/engine_slots.rs
+++ b/crates/core/tests/engine_slots.rs
@@ -101,7 +101,7 @@
 
 const DECODE: Option<EngineStage> = Some(EngineStage::Decode);
 
-// Guards against: streams wait for a slot at one engine while another has a free one.
+/// Guards against streams that wait for a slot at one engine while another has a free one.
 #[test]
 fn a_full_engine_is_chosen_only_if_all_are_full() {
     let mut engines = table(DECODE, &[("full", SLOTS), ("last", SLOTS - 1)]);
@@ -112,8 +112,8 @@
     assert_eq!(runner(&mut engines), "full");
 }
 
-// Guards against: a nearly full engine takes the requests of several instances at once while
-// an empty one has a short queue.
+/// Guards against a nearly full engine that takes the requests of several instances at once while
+/// an empty one has a short queue.
 #[test]
 fn a_short_queue_is_better_than_the_last_slots() {
     let mut engines = table(DECODE, &[("busy", SLOTS - 2), ("empty", 0)]);
@@ -124,8 +124,8 @@
     assert_eq!(runner(&mut engines), "half");
 }
 
-// Guards against: an engine that prefills and runs is chosen by its queue alone though it is
-// full.
+/// Guards against an engine that prefills and runs and is chosen by its queue alone though it is
+/// full.
 #[test]
 fn engines_without_stages_are_planned_by_their_slots() {
     let mut engines = table(None, &[("full", SLOTS), ("free", 3)]);
@@ -136,8 +136,21 @@
     assert_eq!(plan.engine.id, id("free"));
 }
 
-// Guards against: deployments whose engines are mostly empty, or tell no slots, are served
-// differently than before.
+/// Guards against prompts that are prefilled by the engines that run requests, which delays all of
+/// these, in a burst that takes the slots of all of them.
+#[test]
+fn prompts_are_prefilled_apart_while_all_slots_are_taken() {
+    let mut engines = table(DECODE, &[("full", SLOTS + 4), ("busy", SLOTS - 1)]);
+    let request = ChatRequest::new(4_000);
+    let plan = engines.plan(NOW, request.plan_request()).unwrap();
+    assert_eq!(plan.engine.id, id("prefill"));
+    let mut engines = table(DECODE, &[("full", SLOTS + 4), ("fuller", SLOTS + 8)]);
+    let plan = engines.plan(NOW, request.plan_request()).unwrap();
+    assert_eq!(plan.engine.id, id("prefill"));
+}
+
+/// Guards against deployments whose engines are mostly empty, or tell no slots, and that are served
+/// differently than before.
 #[test]
 fn below_three_quarters_of_the_slots_each_request_costs_as_much() {
     for running in 0..48 {
