Don't apply the speeds of engines yet

The learning, the reports and the weighted assignment stay in core with their tests; nothing turns them on.

--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -176,12 +176,7 @@
         self.update_streams(now);
         let entries = self.context.peers.lock().len() + 1;
         let share = (MAX_ENTRIES_FOR_ALL_ENGINES / entries as f64).powi(2);
-        let are_many = !self.context.peers.lock().is_full_mesh();
-        {
-            let mut engines = self.context.engines.lock();
-            engines.set_candidate_share(share);
-            engines.set_speeds_applied(are_many);
-        }
+        self.context.engines.lock().set_candidate_share(share);
         speeds::note_samples(&self.context);
         let is_in_doubt = self.context.reach.lock().is_any_in_doubt(now);
         let (loads, parts, refusing) = {
