--- a/crates/core/src/ingress/configuration.rs
+++ b/crates/core/src/ingress/configuration.rs
@@ -112,7 +112,7 @@
     pub handle_lifetime: TimeSpan,
     /// How long an engine is unavailable while it changes its stage.
     pub stage_switch: TimeSpan,
-    /// Whether an engine copies the runs that it is told to copy to a second one.
+    /// Whether engines copy runs to a second one on request.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub has_backups: bool,
 }
--- a/crates/core/src/placement/speeds.rs
+++ b/crates/core/src/placement/speeds.rs
@@ -1,4 +1,4 @@
-//! How fast each engine prefills, as learned from its prefills and told between instances.
+//! How fast each engine prefills, as learned from its prefills and exchanged between instances.
 //!
 //! The engines of one service may differ in speed by a factor of two. An instance that learns
 //! an engine's speed reports it, so that all instances assign the parts of prompts to engines
@@ -121,7 +121,7 @@
     f64::from(samples) * (-(age.as_millis() as f64) / EVIDENCE_HALF_LIFE_MS).exp2()
 }
 
-/// A measured speed, in classes.
+/// The speed that one prefill shows, in classes.
 #[derive(Clone, Copy, Debug)]
 struct SpeedSample {
     at: ClockTime,
--- a/crates/core/src/room/queue.rs
+++ b/crates/core/src/room/queue.rs
@@ -14,7 +14,7 @@
     units::TokenCount,
 };
 
-/// Minimum delay that a refused caller is told.
+/// Minimum `Retry-After` of a refusal.
 const MIN_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(50);
 
 /// Number of waiting requests by service and rank.
