--- a/crates/core/src/room/returns.rs
+++ b/crates/core/src/room/returns.rs
@@ -10,7 +10,7 @@
     ids::{RequestFingerprint, ServiceName},
 };
 
-/// Maximum delay that a caller is told. Later the load is a different one.
+/// Maximum `Retry-After` of a refusal. The load beyond it cannot be estimated.
 const MAX_RETRY_AFTER: TimeSpan = TimeSpan::from_secs(10);
 /// How long after its time a request still counts as returning.
 const RETURN_PERIOD: TimeSpan = TimeSpan::from_secs(10);
--- a/crates/core/tests/backups.rs
+++ b/crates/core/tests/backups.rs
@@ -40,7 +40,7 @@
     attempts
 }
 
-/// Guards against copies that take the link or the memory from other requests, or that nobody needs.
+/// Guards against copies that take the link or the memory from other requests, or that serve no purpose.
 #[test]
 fn only_small_runs_that_must_not_be_repeated_are_copied() {
     let rule = EngineRule {
--- a/crates/core/tests/engine_loads.rs
+++ b/crates/core/tests/engine_loads.rs
@@ -48,7 +48,7 @@
     }
 }
 
-/// The running requests that `asker` is told of.
+/// The number of running requests in the answer to `asker`.
 fn known(ledger: &LoadLedger, now: u64, asker: &str) -> u32 {
     let tracked = ledger.load_without(at(now), ENGINE, &instance(asker));
     tracked.load.running
