--- a/review/kit/fleet.rs
+++ b/review/kit/fleet.rs
@@ -211,11 +211,12 @@
 /// The key that clients use.
 pub const KEY: &str = "3fexd9dnn2ctnfzs989a";
 
-/// A configuration with one plain service, an unsafe and a safe route.
+/// A configuration with one plain service, two unsafe routes and a safe one.
 pub fn plain_configuration() -> String {
     format!(
         r#"{{"version":7,"routes":[
 {{"name":"r-charge","host":"kiosk.example","pathPrefix":"/charge/","kind":"unsafe","timeoutMs":4000,"targetLatencyMs":300,"priority":2,"service":"kiosk-api","maxAttempts":1,"public":false,"sticky":false,"resumable":false}},
+{{"name":"r-other","host":"kiosk.example","pathPrefix":"/other/","kind":"unsafe","timeoutMs":4000,"targetLatencyMs":300,"priority":2,"service":"kiosk-api","maxAttempts":1,"public":false,"sticky":false,"resumable":false}},
 {{"name":"r-stock","host":"kiosk.example","pathPrefix":"/stock/","kind":"safe","timeoutMs":4000,"targetLatencyMs":300,"priority":2,"service":"kiosk-api","maxAttempts":2,"public":false,"sticky":false,"resumable":false}}],
 "services":[{{"name":"kiosk-api","healthPath":"/healthz","maxConnections":110,"protocol":"h1","tls":false}}],
 "limits":{{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},
--- a/review/kit/late_refusal.rs
+++ b/review/kit/late_refusal.rs
@@ -19,15 +19,15 @@
 /// Lookups that come at the same time, at one instance.
 const CLUMP: usize = 40;
 /// The pause from one clump to the next.
-const PERIOD: Duration = Duration::from_millis(300);
+const PERIOD: Duration = Duration::from_millis(200);
 /// `garble`, `extra late`: three in a hundred answers, at two of three replicas, for 5 s.
 const EXTRA_THOUSANDTHS: u64 = 30;
 const GARBLED_REPLICAS: usize = 2;
-const GARBLE_CLUMPS: usize = 16;
+const GARBLE_CLUMPS: usize = 24;
 /// Clumps without it, before each time.
-const CALM_CLUMPS: usize = 7;
+const CALM_CLUMPS: usize = 10;
 /// How often it comes.
-const GARBLES: usize = 6;
+const GARBLES: usize = 8;
 
 pub fn play(has_trouble: bool) -> Verdict {
     match run(has_trouble) {
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -7,7 +7,9 @@
 mod client;
 mod fleet;
 mod http;
+mod late_beat;
 mod late_refusal;
+mod poison_pair;
 mod poison_restarts;
 mod record;
 mod replica;
@@ -41,7 +43,9 @@
     });
     let case = arguments[1].clone();
     let played = thread::spawn(move || match case.as_str() {
+        "late-beat" => late_beat::play(has_trouble),
         "late-refusal" => late_refusal::play(has_trouble),
+        "poison-pair" => poison_pair::play(has_trouble),
         "poison-restarts" => poison_restarts::play(has_trouble),
         other => Verdict::NotRun(format!("unknown case {other}")),
     });
--- a/review/kit/replica.rs
+++ b/review/kit/replica.rs
@@ -56,6 +56,8 @@
     load: Mutex<Load>,
     freed: Condvar,
     is_dead: AtomicBool,
+    has_left: AtomicBool,
+    sequence: AtomicU64,
     server: Mutex<Option<Server>>,
     habits: Mutex<Habits>,
     answers: AtomicU64,
@@ -85,6 +87,8 @@
             load: Mutex::default(),
             freed: Condvar::new(),
             is_dead: AtomicBool::new(false),
+            has_left: AtomicBool::new(false),
+            sequence: AtomicU64::new(0),
             server: Mutex::new(None),
             habits: Mutex::default(),
             answers: AtomicU64::new(0),
@@ -118,26 +122,50 @@
         self.freed.notify_all();
     }
 
-    /// Registers every 1.2 s; the entry is removed three intervals after the last one.
+    /// Reports that it leaves; it goes on serving.
+    pub fn drain(&self, store: &Store) {
+        self.has_left.store(true, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(120));
+        store.put("keyed.servers", &self.id, &self.next_beat().replace("ready", "draining"));
+    }
+
+    /// Leaves without reporting `draining`: its entry is removed, and it goes on serving.
+    pub fn leave_silently(&self, store: &Store) {
+        self.has_left.store(true, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(120));
+        store.put("keyed.servers", &self.id, "");
+    }
+
+    /// The next heartbeat; its number is used up.
+    pub fn next_beat(&self) -> String {
+        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        format!(
+            "{{\"service\":\"kiosk-api\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
+             \"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{sequence},\"born\":{}}}",
+            self.address, ZONES[self.zone], self.slots, self.born,
+        )
+    }
+
+    fn is_registered(&self) -> bool {
+        !self.is_dead() && !self.has_left.load(Ordering::SeqCst)
+    }
+
+    /// Registers every 1.2 s; the entry of a crashed replica is removed three intervals after the
+    /// last one.
     fn beat(&self, store: &Store) {
-        let mut sequence = 0;
-        while !self.is_dead() {
-            sequence += 1;
-            let document = format!(
-                "{{\"service\":\"kiosk-api\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
-                 \"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{sequence},\"born\":{}}}",
-                self.address, ZONES[self.zone], self.slots, self.born,
-            );
-            store.put("keyed.servers", &self.id, &document);
+        while self.is_registered() {
+            store.put("keyed.servers", &self.id, &self.next_beat());
             for _ in 0..12 {
                 thread::sleep(Duration::from_millis(100));
-                if self.is_dead() {
+                if !self.is_registered() {
                     break;
                 }
             }
         }
-        thread::sleep(Duration::from_millis(3_600));
-        store.put("keyed.servers", &self.id, "");
+        if !self.has_left.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(3_600));
+            store.put("keyed.servers", &self.id, "");
+        }
     }
 
     fn serve(&self, mut reader: Reader) {
@@ -203,7 +231,10 @@
         if is_charge || is_deadly {
             record::line(&format!("{} RUNS {attempt}", self.id));
         }
-        thread::sleep(self.work);
+        // A deadly request crashes the replica as it begins to run.
+        if !is_deadly {
+            thread::sleep(self.work);
+        }
         if is_deadly && !self.is_dead() {
             record::line(&format!("{} crashes under {attempt}", self.id));
             self.crash();
