Review case 5: a replica that has left is kept for longer than until the machine is in touch

Cause: a missing entry is kept for 2 s from the first answer after an outage, which comes up to 1.4 s after its end. Callers saw: charges at a replica up to 5.26 s after its leaving was acknowledged, from a machine in touch.

--- a/review/kit/fleet.rs
+++ b/review/kit/fleet.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{client, http, record, store::{self, Store}};
+use crate::{client, http, proxy::Proxy, record, store::{self, Store}};
 
 pub const ZONES: [&str; 3] = ["se-a", "se-b", "se-c"];
 /// The `run` of `deploy/system.toml`.
@@ -38,6 +38,8 @@
 
 pub struct Fleet {
     pub store: Arc<Store>,
+    /// Between the first instance and the store.
+    pub proxy: Arc<Proxy>,
     pub instances: Vec<Instance>,
     pub folder: PathBuf,
     net: u8,
@@ -60,18 +62,21 @@
         let folder = std::env::temp_dir().join(format!("bluebell-review-{pid}"));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let listen = |host| TcpListener::bind(SocketAddr::new(ip(net, 200, host), 0)).map_err(|error| error.to_string());
-        let (store_listener, duties) = (listen(1)?, listen(2)?);
+        let (store_listener, duties, proxy_listener) = (listen(1)?, listen(2)?, listen(3)?);
         let address = |listener: &TcpListener| listener.local_addr().map_err(|error| error.to_string());
         let (store_address, duties_address) = (address(&store_listener)?, address(&duties)?);
+        let proxy_address = address(&proxy_listener)?;
         let store = Store::start(store_listener);
+        let proxy = Proxy::start(proxy_listener, store_address);
         std::mem::forget(http::serve_simple(duties, |_| store::json(200, "{}")));
         store.put("keyed.op", "config", document);
         let mut instances = Vec::new();
         for number in 0..3 * each {
             let (zone, host) = (number / each, number % each);
-            instances.push(instance(&folder, net, zone, host, store_address, duties_address)?);
+            let path = if number == 0 { proxy_address } else { store_address };
+            instances.push(instance(&folder, net, zone, host, path, duties_address)?);
         }
-        let fleet = Fleet { store, instances, folder, net };
+        let fleet = Fleet { store, proxy, instances, folder, net };
         for instance in &fleet.instances {
             instance.spawn()?;
         }
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -7,10 +7,12 @@
 mod client;
 mod fleet;
 mod http;
+mod kept_too_long;
 mod late_beat;
 mod late_refusal;
 mod poison_pair;
 mod poison_restarts;
+mod proxy;
 mod record;
 mod replica;
 mod store;
@@ -43,6 +45,7 @@
     });
     let case = arguments[1].clone();
     let played = thread::spawn(move || match case.as_str() {
+        "kept-too-long" => kept_too_long::play(has_trouble),
         "late-beat" => late_beat::play(has_trouble),
         "late-refusal" => late_refusal::play(has_trouble),
         "poison-pair" => poison_pair::play(has_trouble),
