--- a/review/kit/client.rs
+++ b/review/kit/client.rs
@@ -11,7 +11,11 @@
 
 /// How one attempt of a client ended.
 pub enum Outcome {
-    Answered { status: u16, headers: HashMap<String, String>, body: Vec<u8> },
+    Answered {
+        status: u16,
+        headers: HashMap<String, String>,
+        body: Vec<u8>,
+    },
     Closed(String),
 }
 
@@ -25,8 +29,16 @@
 
     pub fn text(&self) -> String {
         match self {
-            Outcome::Answered { status, headers, body } => {
-                let signed = if headers.contains_key("server-signature") { " signed" } else { "" };
+            Outcome::Answered {
+                status,
+                headers,
+                body,
+            } => {
+                let signed = if headers.contains_key("server-signature") {
+                    " signed"
+                } else {
+                    ""
+                };
                 let short = String::from_utf8_lossy(body);
                 let short: String = short.trim().chars().take(60).collect();
                 format!("{status}{signed} `{short}`")
@@ -37,7 +49,15 @@
 }
 
 /// Sends one request and waits for its answer, for `deadline_ms` and a second at most.
-pub fn send(address: SocketAddr, method: &str, path: &str, id: &str, key: &str, deadline_ms: u64, body: &str) -> Outcome {
+pub fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    key: &str,
+    deadline_ms: u64,
+    body: &str,
+) -> Outcome {
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: kiosk.example\r\nAttempt-Id: {id}\r\n\
          Deadline-Ms: {deadline_ms}\r\nAuthorization: Token {key}\r\nContent-Length: {}\r\n\r\n{body}",
@@ -49,7 +69,11 @@
         stream.set_read_timeout(Some(Duration::from_millis(deadline_ms + 1_000)))?;
         stream.write_all(text.as_bytes())?;
         let (status, headers, body) = Reader::new(stream).answer()?;
-        Ok(Outcome::Answered { status, headers, body })
+        Ok(Outcome::Answered {
+            status,
+            headers,
+            body,
+        })
     };
     exchange().unwrap_or_else(|error| Outcome::Closed(error.to_string()))
 }
--- a/review/kit/fleet.rs
+++ b/review/kit/fleet.rs
@@ -11,7 +11,12 @@
     time::{Duration, Instant},
 };
 
-use crate::{client, http, proxy::Proxy, record, store::{self, Store}};
+use crate::{
+    client, http,
+    proxy::Proxy,
+    record,
+    store::{self, Store},
+};
 
 pub const ZONES: [&str; 3] = ["se-a", "se-b", "se-c"];
 /// The `run` of `deploy/system.toml`.
@@ -20,13 +25,26 @@
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
 /// Ends all processes that were started here.
-pub fn kill_all() {
+fn kill_all() {
     for child in CHILDREN.lock().unwrap().iter_mut() {
         let _ = child.kill();
         let _ = child.wait();
     }
 }
 
+/// The folder for settings and logs of this run.
+fn temporary_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("bluebell-review-{}", std::process::id()))
+}
+
+/// Ends all processes that were started here, and removes the folder unless `KEEP` is set.
+pub fn clean_up() {
+    kill_all();
+    if std::env::var("KEEP").is_err() {
+        let _ = fs::remove_dir_all(temporary_folder());
+    }
+}
+
 pub struct Instance {
     pub name: String,
     pub frontend: SocketAddr,
@@ -41,7 +59,6 @@
     /// Between the first instance and the store.
     pub proxy: Arc<Proxy>,
     pub instances: Vec<Instance>,
-    pub folder: PathBuf,
     net: u8,
 }
 
@@ -59,11 +76,15 @@
         }
         let pid = std::process::id();
         let net = 20 + (pid % 200) as u8;
-        let folder = std::env::temp_dir().join(format!("bluebell-review-{pid}"));
+        let folder = temporary_folder();
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-        let listen = |host| TcpListener::bind(SocketAddr::new(ip(net, 200, host), 0)).map_err(|error| error.to_string());
+        let listen = |host| {
+            TcpListener::bind(SocketAddr::new(ip(net, 200, host), 0))
+                .map_err(|error| error.to_string())
+        };
         let (store_listener, duties, proxy_listener) = (listen(1)?, listen(2)?, listen(3)?);
-        let address = |listener: &TcpListener| listener.local_addr().map_err(|error| error.to_string());
+        let address =
+            |listener: &TcpListener| listener.local_addr().map_err(|error| error.to_string());
         let (store_address, duties_address) = (address(&store_listener)?, address(&duties)?);
         let proxy_address = address(&proxy_listener)?;
         let store = Store::start(store_listener);
@@ -73,10 +94,19 @@
         let mut instances = Vec::new();
         for number in 0..3 * each {
             let (zone, host) = (number / each, number % each);
-            let path = if number == 0 { proxy_address } else { store_address };
+            let path = if number == 0 {
+                proxy_address
+            } else {
+                store_address
+            };
             instances.push(instance(&folder, net, zone, host, path, duties_address)?);
         }
-        let fleet = Fleet { store, proxy, instances, folder, net };
+        let fleet = Fleet {
+            store,
+            proxy,
+            instances,
+            net,
+        };
         for instance in &fleet.instances {
             instance.spawn()?;
         }
@@ -124,16 +154,17 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        kill_all();
-        if std::env::var("KEEP").is_err() {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
+        clean_up();
     }
 }
 
 impl Instance {
     fn spawn(&self) -> Result<(), String> {
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log).map_err(|error| error.to_string())?;
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .map_err(|error| error.to_string())?;
         let errors = log.try_clone().map_err(|error| error.to_string())?;
         let child = Command::new(PROGRAM)
             .env_clear()
@@ -167,10 +198,20 @@
     }
 }
 
-fn instance(folder: &std::path::Path, net: u8, zone: usize, host: usize, store: SocketAddr, duties: SocketAddr) -> Result<Instance, String> {
+fn instance(
+    folder: &std::path::Path,
+    net: u8,
+    zone: usize,
+    host: usize,
+    store: SocketAddr,
+    duties: SocketAddr,
+) -> Result<Instance, String> {
     let address = ip(net, zone as u8 + 1, host as u8 + 1);
     let name = format!("edge-{}-{}", ZONES[zone], host + 1);
-    let (frontend, ready) = (SocketAddr::new(address, 18_368), SocketAddr::new(address, 18_369));
+    let (frontend, ready) = (
+        SocketAddr::new(address, 18_368),
+        SocketAddr::new(address, 18_369),
+    );
     let text = format!(
         r#"nodeName: "{name}"
 role: "entry"
--- a/review/kit/http.rs
+++ b/review/kit/http.rs
@@ -5,8 +5,8 @@
     io::{self, Read, Write},
     net::{TcpListener, TcpStream},
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::Duration,
@@ -45,7 +45,10 @@
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Reader {
-        Reader { stream, buffer: Vec::new() }
+        Reader {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     fn fill(&mut self) -> io::Result<()> {
@@ -104,10 +107,17 @@
     }
 
     /// Reads a head and its body; the first line is returned in three words.
-    fn message(&mut self, is_answer: bool) -> io::Result<([String; 3], HashMap<String, String>, Vec<u8>)> {
+    fn message(
+        &mut self,
+        is_answer: bool,
+    ) -> io::Result<([String; 3], HashMap<String, String>, Vec<u8>)> {
         let head = self.head()?;
         let mut lines = head.split("\r\n");
-        let mut words = lines.next().unwrap_or_default().splitn(3, ' ').map(str::to_string);
+        let mut words = lines
+            .next()
+            .unwrap_or_default()
+            .splitn(3, ' ')
+            .map(str::to_string);
         let mut word = || words.next().unwrap_or_default();
         let first = [word(), word(), word()];
         let mut headers = HashMap::new();
@@ -116,8 +126,12 @@
                 headers.insert(name.trim().to_ascii_lowercase(), value.trim().to_string());
             }
         }
-        let is_chunked = headers.get("transfer-encoding").is_some_and(|value| value.contains("chunked"));
-        let length = headers.get("content-length").and_then(|value| value.parse().ok());
+        let is_chunked = headers
+            .get("transfer-encoding")
+            .is_some_and(|value| value.contains("chunked"));
+        let length = headers
+            .get("content-length")
+            .and_then(|value| value.parse().ok());
         let body = match (is_chunked, length) {
             (true, _) => self.chunked()?,
             (false, Some(length)) => self.take(length)?,
@@ -132,13 +146,20 @@
 
     pub fn request(&mut self) -> io::Result<Request> {
         let ([method, target, _], headers, body) = self.message(false)?;
-        Ok(Request { method, target, headers, body })
+        Ok(Request {
+            method,
+            target,
+            headers,
+            body,
+        })
     }
 
     /// The status, headers and body of an answer.
     pub fn answer(&mut self) -> io::Result<(u16, HashMap<String, String>, Vec<u8>)> {
         let ([_, status, _], headers, body) = self.message(true)?;
-        let status = status.parse().map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+        let status = status
+            .parse()
+            .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
         Ok((status, headers, body))
     }
 }
@@ -175,7 +196,9 @@
         };
         let (stop, streams) = (Arc::clone(&server.stop), Arc::clone(&server.streams));
         let serve = Arc::new(serve);
-        listener.set_nonblocking(true).expect("a listener can be nonblocking");
+        listener
+            .set_nonblocking(true)
+            .expect("a listener can be nonblocking");
         let accepting = thread::spawn(move || {
             while !stop.load(Ordering::SeqCst) {
                 let Ok((stream, _)) = listener.accept() else {
--- a/review/kit/late_refusal.rs
+++ b/review/kit/late_refusal.rs
@@ -8,14 +8,19 @@
 };
 
 use crate::{
-    Verdict, client,
-    fleet::{Fleet, KEY, plain_configuration},
+    client,
+    fleet::{plain_configuration, Fleet, KEY},
     record,
     replica::{Habits, Replica, Seen, Size},
+    Verdict,
 };
 
 /// One replica runs 6 requests at once and queues 4 more; each takes 15 ms.
-const SIZE: Size = Size { slots: 6, queue: 4, work_ms: 15 };
+const SIZE: Size = Size {
+    slots: 6,
+    queue: 4,
+    work_ms: 15,
+};
 /// Lookups that come at the same time, at one instance.
 const CLUMP: usize = 40;
 /// The pause from one clump to the next.
@@ -43,7 +48,14 @@
     for zone in 0..3 {
         let listener = fleet.replica_listener(zone, 1)?;
         let id = format!("i-7f3a91c{zone}");
-        replicas.push(Replica::start(&fleet.store, listener, &id, zone, SIZE, &seen));
+        replicas.push(Replica::start(
+            &fleet.store,
+            listener,
+            &id,
+            zone,
+            SIZE,
+            &seen,
+        ));
     }
     fleet.wait_ready(Duration::from_secs(30))?;
     thread::sleep(Duration::from_millis(3_000));
@@ -54,7 +66,11 @@
         let phase = clump % (CALM_CLUMPS + GARBLE_CLUMPS);
         let is_garbled = has_trouble && phase >= CALM_CLUMPS;
         if has_trouble && (phase == 0 || phase == CALM_CLUMPS) {
-            record::line(if is_garbled { "garble (extra late) begins at two replicas" } else { "no garble" });
+            record::line(if is_garbled {
+                "garble (extra late) begins at two replicas"
+            } else {
+                "no garble"
+            });
             let extra_late = if is_garbled { EXTRA_THOUSANDTHS } else { 0 };
             for replica in replicas.iter().take(GARBLED_REPLICAS) {
                 replica.set_habits(Habits { extra_late });
@@ -72,9 +88,13 @@
         thread::spawn(move || {
             let id = format!("charge-{clump:03}");
             record::line(&format!("client sends {id} (unsafe)"));
-            let outcome = client::send(quiet, "POST", "/charge/", &id, KEY, 4_000, "{\"amount\":1}");
+            let outcome =
+                client::send(quiet, "POST", "/charge/", &id, KEY, 4_000, "{\"amount\":1}");
             record::line(&format!("client gets for {id}: {}", outcome.text()));
-            charges.lock().unwrap().push((id, outcome.status(), outcome.text()));
+            charges
+                .lock()
+                .unwrap()
+                .push((id, outcome.status(), outcome.text()));
         });
         thread::sleep(PERIOD - delay);
     }
@@ -112,8 +132,20 @@
         return Ok(Verdict::NotRun("the charges were not served".to_string()));
     }
     if refused.is_empty() && twice.is_empty() {
-        return Ok(Verdict::Held(format!("{} charges, {served} served", charges.len())));
+        return Ok(Verdict::Held(format!(
+            "{} charges, {served} served",
+            charges.len()
+        )));
     }
-    Ok(Verdict::Broken(format!("REFUSED {} time(s), TWICE {} time(s); {}", refused.len(), twice.len(),
-        refused.iter().chain(&twice).next().cloned().unwrap_or_default())))
+    Ok(Verdict::Broken(format!(
+        "REFUSED {} time(s), TWICE {} time(s); {}",
+        refused.len(),
+        twice.len(),
+        refused
+            .iter()
+            .chain(&twice)
+            .next()
+            .cloned()
+            .unwrap_or_default()
+    )))
 }
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -39,7 +39,7 @@
     record::open(&arguments[2], has_trouble);
     thread::spawn(|| {
         thread::sleep(LIMIT);
-        fleet::kill_all();
+        fleet::clean_up();
         println!("NOT RUN: the time is over");
         exit(2);
     });
@@ -52,8 +52,10 @@
         "poison-restarts" => poison_restarts::play(has_trouble),
         other => Verdict::NotRun(format!("unknown case {other}")),
     });
-    let verdict = played.join().unwrap_or_else(|_| Verdict::NotRun("the script failed".to_string()));
-    fleet::kill_all();
+    let verdict = played
+        .join()
+        .unwrap_or_else(|_| Verdict::NotRun("the script failed".to_string()));
+    fleet::clean_up();
     let (code, text) = match verdict {
         Verdict::Held(text) => (0, format!("HELD: {text}")),
         Verdict::Broken(text) => (1, format!("BROKEN: {text}")),
--- a/review/kit/poison_pair.rs
+++ b/review/kit/poison_pair.rs
@@ -2,21 +2,26 @@
 
 use std::{
     sync::{
-        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex,
     },
     thread,
     time::Duration,
 };
 
 use crate::{
-    Verdict, client,
-    fleet::{Fleet, KEY, plain_configuration},
+    client,
+    fleet::{plain_configuration, Fleet, KEY},
     record,
     replica::{Replica, Seen, Size},
+    Verdict,
 };
 
-const SIZE: Size = Size { slots: 6, queue: 24, work_ms: 15 };
+const SIZE: Size = Size {
+    slots: 6,
+    queue: 24,
+    work_ms: 15,
+};
 /// A crashed replica is back after this time, as a new incarnation.
 const BACK_AFTER: Duration = Duration::from_millis(2_000);
 /// The pause between two attempts of the client, longer than `stableWindowMs`.
@@ -41,10 +46,22 @@
     }
 }
 
-fn start(fleet: &Fleet, seen: &Arc<Seen>, zone: usize, number: u32) -> Result<Arc<Replica>, String> {
+fn start(
+    fleet: &Fleet,
+    seen: &Arc<Seen>,
+    zone: usize,
+    number: u32,
+) -> Result<Arc<Replica>, String> {
     let listener = fleet.replica_listener(zone, 1)?;
     let id = format!("i-7f3a{zone}{number:03x}");
-    Ok(Replica::start(&fleet.store, listener, &id, zone, SIZE, seen))
+    Ok(Replica::start(
+        &fleet.store,
+        listener,
+        &id,
+        zone,
+        SIZE,
+        seen,
+    ))
 }
 
 /// Starts crashed replicas again, under new ids.
@@ -66,7 +83,10 @@
                 }
                 crashed_at[zone] = None;
                 if let Ok(next) = start(&fleet, &seen, zone, number % 4_000) {
-                    record::line(&format!("{} is the new incarnation of {}", next.id, replica.id));
+                    record::line(&format!(
+                        "{} is the new incarnation of {}",
+                        next.id, replica.id
+                    ));
                     replicas.lock().unwrap()[zone] = next;
                 }
             }
@@ -97,26 +117,40 @@
     thread::sleep(2 * PAUSE);
     let is_over = Arc::new(AtomicBool::new(false));
     let counts: Arc<[AtomicU64; 3]> = Arc::default();
-    let clients: Vec<_> = (0..fleet.instances.len()).map(|client| {
-        let (is_over, counts, frontend) = (Arc::clone(&is_over), Arc::clone(&counts), fleet.instances[client].frontend);
-        thread::spawn(move || {
-            thread::sleep(OTHERS_PAUSE / 9 * client as u32);
-            for number in 0.. {
-                if is_over.load(Ordering::SeqCst) {
-                    return;
+    let clients: Vec<_> = (0..fleet.instances.len())
+        .map(|client| {
+            let (is_over, counts, frontend) = (
+                Arc::clone(&is_over),
+                Arc::clone(&counts),
+                fleet.instances[client].frontend,
+            );
+            thread::spawn(move || {
+                thread::sleep(OTHERS_PAUSE / 9 * client as u32);
+                for number in 0.. {
+                    if is_over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let id = format!("other-{client}-{number:04}");
+                    let outcome = client::send(
+                        frontend,
+                        "POST",
+                        "/other/",
+                        &id,
+                        KEY,
+                        1_500,
+                        &format!("{{\"charge\":\"{id}\"}}"),
+                    );
+                    let kind = match outcome.status() {
+                        200 => 0,
+                        429 | 503 => 1,
+                        _ => 2,
+                    };
+                    counts[kind].fetch_add(1, Ordering::SeqCst);
+                    thread::sleep(OTHERS_PAUSE);
                 }
-                let id = format!("other-{client}-{number:04}");
-                let outcome = client::send(frontend, "POST", "/other/", &id, KEY, 1_500, &format!("{{\"charge\":\"{id}\"}}"));
-                let kind = match outcome.status() {
-                    200 => 0,
-                    429 | 503 => 1,
-                    _ => 2,
-                };
-                counts[kind].fetch_add(1, Ordering::SeqCst);
-                thread::sleep(OTHERS_PAUSE);
-            }
+            })
         })
-    }).collect();
+        .collect();
     thread::sleep(Duration::from_millis(1_000));
     for attempt in 0..ATTEMPTS {
         let instance = &fleet.instances[(attempt * 4) % fleet.instances.len()];
@@ -132,9 +166,19 @@
     }
     let arrivals = seen.deadly.lock().unwrap();
     let third = arrivals.get(2).map(|(at, ..)| *at);
-    let late = third.map_or(0, |third| arrivals.iter().filter(|(at, ..)| *at > third + STABLE_MS + 500).count());
+    let late = third.map_or(0, |third| {
+        arrivals
+            .iter()
+            .filter(|(at, ..)| *at > third + STABLE_MS + 500)
+            .count()
+    });
     let count = |kind: usize| counts[kind].load(Ordering::SeqCst);
-    record::line(&format!("other requests (unsafe): served {}, refused {}, failed {}", count(0), count(1), count(2)));
+    record::line(&format!(
+        "other requests (unsafe): served {}, refused {}, failed {}",
+        count(0),
+        count(1),
+        count(2)
+    ));
     if count(0) < 100 {
         return Ok(Verdict::NotRun("nothing was served".to_string()));
     }
--- a/review/kit/poison_restarts.rs
+++ b/review/kit/poison_restarts.rs
@@ -8,13 +8,18 @@
 };
 
 use crate::{
-    Verdict, client,
-    fleet::{Fleet, KEY, plain_configuration},
+    client,
+    fleet::{plain_configuration, Fleet, KEY},
     record,
     replica::{Replica, Seen, Size},
+    Verdict,
 };
 
-const SIZE: Size = Size { slots: 6, queue: 24, work_ms: 15 };
+const SIZE: Size = Size {
+    slots: 6,
+    queue: 24,
+    work_ms: 15,
+};
 /// A crashed replica is back after this time, as a new incarnation.
 const BACK_AFTER: Duration = Duration::from_millis(2_000);
 /// The pause between two attempts of the client, longer than `stableWindowMs`.
@@ -53,7 +58,10 @@
                 }
                 thread::sleep(BACK_AFTER);
                 if let Ok(replica) = start(&fleet, &seen, zone, number) {
-                    record::line(&format!("{} is the new incarnation of {}", replica.id, replicas[zone].id));
+                    record::line(&format!(
+                        "{} is the new incarnation of {}",
+                        replica.id, replicas[zone].id
+                    ));
                     replicas[zone] = replica;
                 }
             }
@@ -65,7 +73,14 @@
 fn start(fleet: &Fleet, seen: &Arc<Seen>, zone: usize, number: u8) -> Result<Arc<Replica>, String> {
     let listener = fleet.replica_listener(zone, 1)?;
     let id = format!("i-{:04x}{zone}{number:03x}", 0x7f3a);
-    Ok(Replica::start(&fleet.store, listener, &id, zone, SIZE, seen))
+    Ok(Replica::start(
+        &fleet.store,
+        listener,
+        &id,
+        zone,
+        SIZE,
+        seen,
+    ))
 }
 
 fn run(has_trouble: bool) -> Result<Verdict, String> {
@@ -90,8 +105,19 @@
             let outcome = client::send(instance.frontend, "GET", PATH, &id, KEY, 1_500, "");
             record::line(&format!("client gets for {id}: {}", outcome.text()));
             let id = format!("other-{attempt:02}");
-            let other = client::send(instance.frontend, "GET", "/stock/blanks", &id, KEY, 1_500, "");
-            record::line(&format!("client gets for {id} /stock/blanks: {}", other.text()));
+            let other = client::send(
+                instance.frontend,
+                "GET",
+                "/stock/blanks",
+                &id,
+                KEY,
+                1_500,
+                "",
+            );
+            record::line(&format!(
+                "client gets for {id} /stock/blanks: {}",
+                other.text()
+            ));
             others += usize::from(other.status() == 200);
             attempt += 1;
             thread::sleep(PAUSE);
@@ -99,7 +125,12 @@
     }
     let arrivals = seen.deadly.lock().unwrap();
     let third = arrivals.get(2).map(|(at, ..)| *at);
-    let late = third.map_or(0, |third| arrivals.iter().filter(|(at, ..)| *at > third + STABLE_MS + 500).count());
+    let late = third.map_or(0, |third| {
+        arrivals
+            .iter()
+            .filter(|(at, ..)| *at > third + STABLE_MS + 500)
+            .count()
+    });
     record::line(&format!("replicas got the request {} time(s), {late} of them later than {STABLE_MS} ms after the third crash", arrivals.len()));
     if others == 0 {
         return Ok(Verdict::NotRun("nothing was served".to_string()));
--- a/review/kit/proxy.rs
+++ b/review/kit/proxy.rs
@@ -5,8 +5,8 @@
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc,
     },
     thread,
 };
@@ -43,8 +43,12 @@
     fn carry(self: Arc<Self>, client: TcpStream, target: SocketAddr) {
         let cuts = self.cuts.load(Ordering::SeqCst);
         let is_silent = self.is_cut.load(Ordering::SeqCst);
-        let Ok(server) = TcpStream::connect(target) else { return };
-        let (Ok(from_client), Ok(from_server)) = (client.try_clone(), server.try_clone()) else { return };
+        let Ok(server) = TcpStream::connect(target) else {
+            return;
+        };
+        let (Ok(from_client), Ok(from_server)) = (client.try_clone(), server.try_clone()) else {
+            return;
+        };
         let _ = (client.set_nodelay(true), server.set_nodelay(true));
         let other = Arc::clone(&self);
         thread::spawn(move || other.copy(from_server, client, cuts, is_silent));
--- a/review/kit/record.rs
+++ b/review/kit/record.rs
@@ -21,11 +21,15 @@
 
 /// Milliseconds since the start.
 pub fn now() -> u64 {
-    RECORD.get().map_or(0, |(start, _)| start.elapsed().as_millis() as u64)
+    RECORD
+        .get()
+        .map_or(0, |(start, _)| start.elapsed().as_millis() as u64)
 }
 
 pub fn line(text: &str) {
-    let Some((start, file)) = RECORD.get() else { return };
+    let Some((start, file)) = RECORD.get() else {
+        return;
+    };
     let at = start.elapsed().as_secs_f64();
     let mut file = file.lock().unwrap();
     let _ = writeln!(file, "{at:9.3} {text}");
--- a/review/kit/replica.rs
+++ b/review/kit/replica.rs
@@ -6,8 +6,8 @@
     io::Write,
     net::{SocketAddr, TcpListener},
     sync::{
-        Arc, Condvar, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Condvar, Mutex,
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -15,7 +15,7 @@
 
 use crate::{
     fleet::ZONES,
-    http::{Reader, Request, Server, answer_bytes},
+    http::{answer_bytes, Reader, Request, Server},
     record,
     store::Store,
 };
@@ -74,8 +74,18 @@
 }
 
 impl Replica {
-    pub fn start(store: &Arc<Store>, listener: TcpListener, id: &str, zone: usize, size: Size, seen: &Arc<Seen>) -> Arc<Replica> {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    pub fn start(
+        store: &Arc<Store>,
+        listener: TcpListener,
+        id: &str,
+        zone: usize,
+        size: Size,
+        seen: &Arc<Seen>,
+    ) -> Arc<Replica> {
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            .as_millis() as u64;
         let replica = Arc::new(Replica {
             id: id.to_string(),
             address: listener.local_addr().expect("a listener has an address"),
@@ -126,7 +136,11 @@
     pub fn drain(&self, store: &Store) {
         self.has_left.store(true, Ordering::SeqCst);
         thread::sleep(Duration::from_millis(120));
-        store.put("keyed.servers", &self.id, &self.next_beat().replace("ready", "draining"));
+        store.put(
+            "keyed.servers",
+            &self.id,
+            &self.next_beat().replace("ready", "draining"),
+        );
     }
 
     /// Leaves without reporting `draining`: its entry is removed, and it goes on serving.
@@ -173,12 +187,17 @@
         while let Ok(request) = reader.request() {
             if let Some(extra) = owed.take() {
                 // The second copy of the answer before, where the next one is expected.
-                record::line(&format!("{} sends its previous answer on this connection a second time", self.id));
+                record::line(&format!(
+                    "{} sends its previous answer on this connection a second time",
+                    self.id
+                ));
                 if reader.stream.write_all(&extra).is_err() {
                     return;
                 }
             }
-            let Some((answer, is_charge_refusal)) = self.answer(&request) else { return };
+            let Some((answer, is_charge_refusal)) = self.answer(&request) else {
+                return;
+            };
             if reader.stream.write_all(&answer).is_err() {
                 return;
             }
@@ -206,12 +225,28 @@
             return Some((answer_bytes(200, &[("Instance-Id", &self.id)], b""), false));
         }
         let attempt = request.header("attempt-id").unwrap_or_default().to_string();
-        let refused = |status| answer_bytes(status, &[("Attempt-Id", &attempt), ("Not-Executed", "1"), ("Instance-Id", &self.id)], b"");
-        if request.header("expect-instance").is_some_and(|id| id != self.id) {
+        let refused = |status| {
+            answer_bytes(
+                status,
+                &[
+                    ("Attempt-Id", &attempt),
+                    ("Not-Executed", "1"),
+                    ("Instance-Id", &self.id),
+                ],
+                b"",
+            )
+        };
+        if request
+            .header("expect-instance")
+            .is_some_and(|id| id != self.id)
+        {
             return Some((refused(421), false));
         }
         let arrived = Instant::now();
-        let deadline = request.header("deadline-ms").and_then(|value| value.parse().ok()).unwrap_or(30_000);
+        let deadline = request
+            .header("deadline-ms")
+            .and_then(|value| value.parse().ok())
+            .unwrap_or(30_000);
         let deadline = arrived + Duration::from_millis(deadline);
         let is_charge = request.path().starts_with("/charge/");
         let is_deadly = request.path().contains("deadly");
@@ -222,12 +257,21 @@
         }
         if !self.take_slot(deadline) {
             if is_charge {
-                record::line(&format!("{} refuses {attempt} as full (503, Not-Executed)", self.id));
+                record::line(&format!(
+                    "{} refuses {attempt} as full (503, Not-Executed)",
+                    self.id
+                ));
             }
             return Some((refused(503), is_charge));
         }
         let run = (record::now(), self.id.clone());
-        self.seen.runs.lock().unwrap().entry(attempt.clone()).or_default().push(run);
+        self.seen
+            .runs
+            .lock()
+            .unwrap()
+            .entry(attempt.clone())
+            .or_default()
+            .push(run);
         if is_charge || is_deadly {
             record::line(&format!("{} RUNS {attempt}", self.id));
         }
@@ -245,7 +289,11 @@
         self.load.lock().unwrap().running -= 1;
         self.freed.notify_one();
         let body = format!("done {attempt}");
-        let headers = [("Attempt-Id", attempt.as_str()), ("Server-Signature", "3e1b.07"), ("Keep-Alive", "timeout=10")];
+        let headers = [
+            ("Attempt-Id", attempt.as_str()),
+            ("Server-Signature", "3e1b.07"),
+            ("Keep-Alive", "timeout=10"),
+        ];
         Some((answer_bytes(200, &headers, body.as_bytes()), false))
     }
 
--- a/review/kit/store.rs
+++ b/review/kit/store.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use crate::http::{self, Request, answer_bytes};
+use crate::http::{self, answer_bytes, Request};
 
 #[derive(Default)]
 struct Log {
@@ -45,9 +45,17 @@
         self.append(topic, "0", None, vec![record]).ok();
     }
 
-    fn append(&self, topic: &str, part: &str, at: Option<u64>, records: Vec<Vec<u8>>) -> Result<(u64, u64), u64> {
+    fn append(
+        &self,
+        topic: &str,
+        part: &str,
+        at: Option<u64>,
+        records: Vec<Vec<u8>>,
+    ) -> Result<(u64, u64), u64> {
         let mut logs = self.logs.lock().unwrap();
-        let log = logs.entry((topic.to_string(), part.to_string())).or_default();
+        let log = logs
+            .entry((topic.to_string(), part.to_string()))
+            .or_default();
         let offset = log.end();
         if at.is_some_and(|at| at != offset) {
             return Err(offset);
@@ -55,7 +63,8 @@
         for record in records {
             if topic.starts_with("keyed.") && !record.is_empty() {
                 let length = usize::from(record[0]) + 1;
-                let key = String::from_utf8_lossy(&record[1..length.min(record.len())]).into_owned();
+                let key =
+                    String::from_utf8_lossy(&record[1..length.min(record.len())]).into_owned();
                 let value = record[length.min(record.len())..].to_vec();
                 match value.is_empty() {
                     true => log.newest.remove(&key),
@@ -104,9 +113,16 @@
 
     fn answer_read(&self, request: &Request, topic: &str, part: &str) -> Vec<u8> {
         let number = |name: &str, default: u64| {
-            request.query(name).and_then(|value| value.parse().ok()).unwrap_or(default)
+            request
+                .query(name)
+                .and_then(|value| value.parse().ok())
+                .unwrap_or(default)
         };
-        let (from, wait, most) = (number("from", 0), number("waitMs", 0), number("maxReadKb", 1_024));
+        let (from, wait, most) = (
+            number("from", 0),
+            number("waitMs", 0),
+            number("maxReadKb", 1_024),
+        );
         let until = Instant::now() + Duration::from_millis(wait.min(30_000));
         let key = (topic.to_string(), part.to_string());
         let mut logs = self.logs.lock().unwrap();
@@ -137,21 +153,40 @@
         let after = request.query("after").unwrap_or_default();
         let logs = self.logs.lock().unwrap();
         let empty = Log::default();
-        let log = logs.get(&(topic.to_string(), part.to_string())).unwrap_or(&empty);
-        let later: Vec<_> = log.newest.iter().filter(|(key, _)| key.as_str() > after).collect();
-        let items: Vec<String> = later.iter().take(500).map(|(key, (offset, value))| {
-            format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
-        }).collect();
+        let log = logs
+            .get(&(topic.to_string(), part.to_string()))
+            .unwrap_or(&empty);
+        let later: Vec<_> = log
+            .newest
+            .iter()
+            .filter(|(key, _)| key.as_str() > after)
+            .collect();
+        let items: Vec<String> = later
+            .iter()
+            .take(500)
+            .map(|(key, (offset, value))| {
+                format!(
+                    "{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
+                    base64(value)
+                )
+            })
+            .collect();
         let text = format!(
             "{{\"items\":[{}],\"hasMore\":{},\"endOffset\":{}}}",
-            items.join(","), later.len() > 500, log.end(),
+            items.join(","),
+            later.len() > 500,
+            log.end(),
         );
         json(200, &text)
     }
 }
 
 pub fn json(status: u16, text: &str) -> Vec<u8> {
-    answer_bytes(status, &[("Content-Type", "application/json")], text.as_bytes())
+    answer_bytes(
+        status,
+        &[("Content-Type", "application/json")],
+        text.as_bytes(),
+    )
 }
 
 fn base64(bytes: &[u8]) -> String {
