Never send a request twice on one connection to an endpoint

Cause: a request that finds all replicas full waits and is sent again, to any replica, under the attempt id that its caller gave it. The pool hands out the connection on which it was refused. A late copy of that refusal arrives where the answer to the second sending is due and has the right id.

Change: a request remembers the numbers of the connections that it was sent on, and the pool passes those over. It is sent at most a handful of times.

--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -130,10 +130,7 @@
 ) -> SendOutcome {
     // The endpoint may have closed a pooled connection. Nothing was written then, and
     // the next pooled connection or a new one is used.
-    while let Some(connection) = context
-        .pools
-        .take(context.now(), &target.id, target.address)
-    {
+    while let Some(connection) = take_pooled(context, request, target) {
         match exchange_on(context, request, target, extra_headers, connection).await {
             SendOutcome::NotSent(_) => {}
             outcome => return outcome,
@@ -151,6 +148,20 @@
     }
 }
 
+/// Takes an idle connection on which the request has not been sent before. A second copy of the
+/// answer to its earlier sending could arrive there, and has the same attempt id as the answer to
+/// a later one.
+fn take_pooled(
+    context: &EntryContext,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+) -> Option<EndpointConnection> {
+    let used = request.used_connections.lock();
+    context
+        .pools
+        .take(context.now(), &target.id, target.address, &used)
+}
+
 /// Sends the request on `connection` and reads the head of the answer.
 async fn exchange_on(
     context: &EntryContext,
@@ -167,6 +178,7 @@
         Ok(outgoing) => outgoing,
         Err(error) => return SendOutcome::NotSent(error.to_string()),
     };
+    request.used_connections.lock().insert(connection.number());
     let sent = context.now();
     let sending = connection.sender.try_send_request(outgoing);
     let noticing = notice_silence(context, request, target, sent);
--- a/crates/ingress/src/forward/connection.rs
+++ b/crates/ingress/src/forward/connection.rs
@@ -1,6 +1,13 @@
 //! HTTP connections to endpoints.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    fmt, io,
+    net::SocketAddr,
+    num::ParseIntError,
+    str::FromStr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use bluebell_core::clock::{ClockTime, TimeSpan};
 use bytes::Bytes;
@@ -31,12 +38,39 @@
 /// than its caller reads is held back once the buffer is full.
 const MAX_BUFFER_BYTES: usize = 65_536;
 
+/// Distinguishes the connections that this process has opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnectionNumber(u64);
+
+impl ConnectionNumber {
+    /// The number of a new connection.
+    fn new() -> ConnectionNumber {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        ConnectionNumber(NEXT.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
+impl fmt::Display for ConnectionNumber {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for ConnectionNumber {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<ConnectionNumber, ParseIntError> {
+        text.parse().map(ConnectionNumber)
+    }
+}
+
 /// A connection that carries one request at a time. Dropping it closes it immediately,
 /// which stops the work at the endpoint.
 #[derive(Debug)]
 pub struct EndpointConnection {
     /// Sends requests on the connection.
     pub sender: SendRequest<Full<Bytes>>,
+    number: ConnectionNumber,
     driver: AbortHandle,
     max_idle_time: TimeSpan,
     idle_since: Option<ClockTime>,
@@ -74,12 +108,18 @@
         });
         Ok(EndpointConnection {
             sender,
+            number: ConnectionNumber::new(),
             driver: driver.abort_handle(),
             max_idle_time: MAX_IDLE_TIME,
             idle_since: None,
         })
     }
 
+    /// The number of the connection.
+    pub fn number(&self) -> ConnectionNumber {
+        self.number
+    }
+
     /// Applies a `Keep-Alive` header, in which the endpoint announces in whole seconds
     /// how long it keeps an idle connection. A request that is sent while the endpoint
     /// closes the connection may be lost, so the connection is used for half of that
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -34,6 +34,7 @@
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
+    connection::ConnectionNumber,
     crashes::log_quarantined_parts,
     endpoint_changes::{note_registered, note_removed},
     notices::call_obstacle,
--- a/crates/ingress/src/forward/pool.rs
+++ b/crates/ingress/src/forward/pool.rs
@@ -1,10 +1,16 @@
 //! Pools of idle connections to endpoints.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+};
 
 use bluebell_core::{clock::ClockTime, ids::EndpointId};
 
-use crate::{forward::connection::EndpointConnection, shared::Shared};
+use crate::{
+    forward::connection::{ConnectionNumber, EndpointConnection},
+    shared::Shared,
+};
 
 /// Maximum number of idle connections to one endpoint: all entries share the
 /// connections that an endpoint accepts.
@@ -29,17 +35,21 @@
         ConnectionPools::default()
     }
 
-    /// Removes and returns the most recently used idle connection that is usable.
+    /// Removes and returns the most recently used idle connection that is usable and has not
+    /// carried the request before, which was sent on the connections in `used`.
     pub fn take(
         &self,
         now: ClockTime,
         id: &EndpointId,
         address: SocketAddr,
+        used: &BTreeSet<ConnectionNumber>,
     ) -> Option<EndpointConnection> {
         let mut pools = self.pools.lock();
         let pool = pools.get_mut(id).filter(|pool| pool.address == address)?;
         pool.idle.retain(|connection| connection.is_usable(now));
-        pool.idle.pop()
+        let is_unused = |idle: &EndpointConnection| !used.contains(&idle.number());
+        let newest = pool.idle.iter().rposition(is_unused)?;
+        Some(pool.idle.remove(newest))
     }
 
     /// Adds a connection whose answer was read to its end, or closes it if the pool of
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -1,6 +1,9 @@
 //! Reads the requests of callers: route, API key, deadline and body.
 
-use std::sync::{Arc, OnceLock};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, OnceLock},
+};
 
 use bluebell_adapter::headers;
 use bluebell_core::{
@@ -22,6 +25,7 @@
 
 use crate::{
     context::EntryContext,
+    forward::ConnectionNumber,
     frontend::{
         basis::{self, DecisionBasis},
         body,
@@ -29,6 +33,7 @@
     },
     hop_headers,
     memory::AnsweredCaller,
+    shared::Shared,
 };
 
 /// The header in which an instance names the version of its configuration when it hands a
@@ -99,6 +104,8 @@
     pub deadline: ClockTime,
     /// Closes the connection of the caller when cancelled.
     pub connection: CancellationToken,
+    /// The connections to endpoints on which the request was sent.
+    pub used_connections: Arc<Shared<BTreeSet<ConnectionNumber>>>,
     fingerprint: OnceLock<RequestFingerprint>,
 }
 
@@ -231,6 +238,7 @@
         arrived,
         deadline,
         connection,
+        used_connections: Arc::default(),
         fingerprint: OnceLock::new(),
     })
 }
