Order the registrations of an endpoint by their numbers

Cause: what is read from the store was entered in the order of the log. The store may carry out a heartbeat that it has not answered seconds later, also after the removal of the registration.

Change: `EndpointDirectory::register` rejects a registration that is older than the last one known of its endpoint, removed or not (`registration_outdated` in the log). An instance that is told of changes only knows no recent number; the number in a relayed removal now counts there too, which was forgotten as the endpoint was removed.

Why the numbers are enough: a late heartbeat counts against the rule only if the store was calm for `stableWindowMs` when the removal was acknowledged, which is longer than two heartbeats, so a later one was read before.

The same cause elsewhere: - Usage counts that the store carries out late replaced higher ones of the same entry and window.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -61,6 +61,8 @@
     /// The registration is missing after an outage of the store; the endpoint is kept
     /// until [`LAPSE_GRACE`] after the recovery.
     Lapsed,
+    /// No change: a later registration of the endpoint is known, or was known before it was removed.
+    Outdated,
     /// No change.
     Same,
 }
@@ -68,6 +70,9 @@
 #[derive(Clone, Debug)]
 struct KnownEndpoint {
     registration: EndpointRegistration,
+    /// The number of its last registration, as far as it is known here: heartbeats that change
+    /// nothing are not relayed.
+    last_number: RegistrationNumber,
     /// When it is removed unless it registers again; `None` unless the registration
     /// lapsed.
     expires_at: Option<ClockTime>,
@@ -173,9 +178,13 @@
         (now < end).then_some(end)
     }
 
-    /// Inserts or replaces a registration that was read.
+    /// Inserts or replaces a registration that was read, unless a later one is or was known. The store
+    /// may carry out a heartbeat that it has not answered seconds later, after newer ones.
     pub fn register(&mut self, registration: EndpointRegistration) -> DirectoryChange {
         let id = registration.id.clone();
+        if registration.number() < self.last_number(&id) {
+            return DirectoryChange::Outdated;
+        }
         let known = self.endpoints.get(&id);
         let change = match known {
             None => DirectoryChange::Started,
@@ -191,6 +200,7 @@
             Some(_) => DirectoryChange::Updated,
         };
         let known = KnownEndpoint {
+            last_number: registration.number(),
             registration,
             expires_at: None,
         };
@@ -222,7 +232,7 @@
             .is_some_and(|removed| removed.number >= number);
         let known = self.endpoints.get(&other.id);
         let is_known = known.is_some_and(|known| {
-            let known_number = known.registration.number();
+            let known_number = known.last_number;
             known_number > number || (known_number == number && known.expires_at.is_some())
         });
         is_known || is_removed
@@ -241,8 +251,12 @@
     /// registration. The removal of an unknown endpoint is recorded, since a message with an older
     /// registration may arrive after it.
     pub fn note_relayed_removal(&mut self, id: &EndpointId, number: RegistrationNumber) -> bool {
-        match self.get(id).map(EndpointRegistration::number) {
-            Some(known) => known <= number,
+        match self.endpoints.get_mut(id) {
+            Some(known) if known.last_number <= number => {
+                known.last_number = number;
+                true
+            }
+            Some(_) => false,
             None => {
                 let removed = self.removed.entry(id.clone()).or_insert(RemovedEndpoint {
                     number,
@@ -256,7 +270,7 @@
 
     /// The number of the last registration of `id`, which may have been removed.
     pub fn last_number(&self, id: &EndpointId) -> RegistrationNumber {
-        let known = self.get(id).map(EndpointRegistration::number);
+        let known = self.endpoints.get(id).map(|known| known.last_number);
         let removed = || self.removed.get(id).map(|removed| removed.number);
         known.or_else(removed).unwrap_or_default()
     }
@@ -350,11 +364,12 @@
     /// Removes an endpoint at whose address another endpoint answered.
     pub fn remove_endpoint(&mut self, id: &EndpointId) {
         let removed = self.endpoints.remove(id);
-        if let Some(KnownEndpoint { registration, .. }) = removed {
-            let origin = registration.origin();
-            self.versions.note_removed(&registration.service, origin);
+        if let Some(known) = removed {
+            let origin = known.registration.origin();
+            let service = &known.registration.service;
+            self.versions.note_removed(service, origin);
             let removed = RemovedEndpoint {
-                number: registration.number(),
+                number: known.last_number,
                 removed_at: None,
             };
             self.removed.insert(id.clone(), removed);
--- a/crates/core/src/usage/metered.rs
+++ b/crates/core/src/usage/metered.rs
@@ -106,11 +106,15 @@
         UsageLedger::default()
     }
 
-    /// Records published counts, which replace earlier ones of the same writer and
-    /// window.
+    /// Records published counts, which replace lower ones of the same writer and window. Counts of a
+    /// writer only rise: lower ones are older, carried out late by the store.
     pub fn record(&mut self, window: UsageWindow, writer: MeterWriter, counts: MeteredCounts) {
         let writers = self.windows.entry(window).or_default();
-        writers.insert(writer, counts);
+        let recorded = writers.entry(writer).or_default();
+        for (organisation, count) in counts {
+            let highest = recorded.entry(organisation).or_default();
+            *highest = count.max(*highest);
+        }
         while self.windows.len() > 2 * MAX_WINDOWS {
             self.windows.pop_first();
         }
--- a/crates/core/tests/usage_metered.rs
+++ b/crates/core/tests/usage_metered.rs
@@ -129,3 +129,14 @@
     ledger.note_published(&writer("one", 2), next);
     assert_eq!(pending(&ledger), 1);
 }
+
+/// Guards against lower counts in a report: the store carries out an unanswered append after a
+/// later one of the same entry.
+#[test]
+fn counts_that_are_carried_out_late_do_not_replace_later_ones() {
+    let mut ledger = UsageLedger::new();
+    let counts = |count| [(organisation("magnolia"), count)].into_iter().collect();
+    ledger.record(WINDOW, writer("one", 1), counts(9));
+    ledger.record(WINDOW, writer("one", 1), counts(4));
+    assert_eq!(ledger.sum(WINDOW)[&organisation("magnolia")], 9);
+}
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -336,6 +336,10 @@
     let id = &registration.id;
     match change {
         DirectoryChange::Same => return false,
+        DirectoryChange::Outdated => {
+            log_outdated(context, registration);
+            return false;
+        }
         DirectoryChange::Started => context.pools.remove_endpoint(id),
         _ => {}
     }
@@ -359,6 +363,17 @@
     true
 }
 
+fn log_outdated(context: &EntryContext, registration: &EndpointRegistration) {
+    let known = context.directory.lock().last_number(&registration.id);
+    LogLine::new("registration_outdated")
+        .with("endpoint", &registration.id)
+        .with("start", registration.start)
+        .with("sequence", registration.sequence)
+        .with("known_start", known.start)
+        .with("known_sequence", known.sequence)
+        .info();
+}
+
 /// Queues a changed registration for the other instances of the failure domain; it is
 /// sent only if this instance is their reader.
 fn queue_change(context: &EntryContext, id: &EndpointId, value: Option<&[u8]>) {
