Leave crashes to the registrations where no endpoint is reached any more

Cause: an instance that reaches no endpoint of a service takes itself for partitioned and forgot the crashes that it had observed since, for good. All endpoints that are left may have crashed as well.

Ruled out: counting a refused connection as proof of a crash. A partition may refuse new connections too, and half a route shares a part of its prompts.

Change: the retracted runs stay in question until the registrations of their endpoints decide: one that lapses, or has a later start, within 6 s after the break has crashed, one that stays registered has not. A crash that the registrations have shown is not retracted any more. While no endpoint of a service is reached, a refused connection proves nothing.

Evidence withdrawn elsewhere: - The doubt about a service without any registered endpoint never ended, as nothing was left to probe, and held back all reports of crashes of that instance. It now ends. - A signed failure (500, 504) cleared a request for ten minutes. Its replica need not have begun to run it; only another answer clears it now. - Parts of prompts are retracted and confirmed in the same way.

--- a/crates/core/src/quarantine/broken_runs.rs
+++ b/crates/core/src/quarantine/broken_runs.rs
@@ -3,6 +3,10 @@
 //! A connection breaks when its endpoint crashes, but also when the endpoint or something on the
 //! path resets it. Only the end of the endpoint counts against what ran there: it refuses new
 //! connections, its registration lapses, or it registers again with a later start.
+//!
+//! A path may refuse connections as well. If no endpoint of a service is reached any more, a refusal
+//! proves nothing, but neither is it shown that the paths were lost: all endpoints may have crashed.
+//! What broke stays in question then until the registrations decide.
 
 use std::collections::BTreeMap;
 
@@ -54,7 +58,24 @@
     probed_at: Option<ClockTime>,
     is_probing: bool,
     ended_at: Option<ClockTime>,
+    /// Whether its registration shows that it has ended.
+    is_gone: bool,
+    /// Those that nothing counts against yet.
     runs: Vec<BrokenRun>,
+    /// Those that count because the endpoint refused connections.
+    refused_runs: Vec<BrokenRun>,
+    /// Those that only the registration can still count against.
+    doubted_runs: Vec<BrokenRun>,
+}
+
+impl BrokenStart {
+    /// Leaves all runs to what the registration of the endpoint shows.
+    fn doubt_path(&mut self) {
+        self.ended_at = None;
+        self.doubted_runs.append(&mut self.runs);
+        self.doubted_runs.append(&mut self.refused_runs);
+        self.doubted_runs.truncate(MAX_RUNS);
+    }
 }
 
 /// The endpoints whose connections broke lately, as one entry observed.
@@ -116,26 +137,57 @@
         broken.is_some_and(|broken| broken.is_probing)
     }
 
-    /// Records that the endpoint that was started at `start` has ended. Returns the runs that broke
-    /// there lately and were not returned before.
+    /// Records that the endpoint that was started at `start` refuses connections. Returns the runs
+    /// that broke there lately and were not returned before.
     pub fn note_ended(
         &mut self,
         now: ClockTime,
         endpoint: &EndpointId,
         start: u64,
     ) -> Vec<BrokenRun> {
-        let starts = self.endpoints.get_mut(endpoint);
-        let Some(broken) = starts.and_then(|starts| starts.get_mut(&start)) else {
+        let Some(broken) = self.broken_start(endpoint, start) else {
             return Vec::new();
         };
         broken.ended_at.get_or_insert(now);
         let runs = std::mem::take(&mut broken.runs);
+        if now.since(broken.broke_at) >= CONFIRMATION_PERIOD {
+            return Vec::new();
+        }
+        broken.refused_runs.extend_from_slice(&runs);
+        broken.refused_runs.truncate(MAX_RUNS);
+        runs
+    }
+
+    /// Records that the registration of the endpoint that was started at `start` has lapsed or has a
+    /// later start. Returns the runs that broke there lately, also those that were returned because
+    /// it refused connections.
+    pub fn note_gone(
+        &mut self,
+        now: ClockTime,
+        endpoint: &EndpointId,
+        start: u64,
+    ) -> Vec<BrokenRun> {
+        let Some(broken) = self.broken_start(endpoint, start) else {
+            return Vec::new();
+        };
+        broken.ended_at.get_or_insert(now);
+        broken.is_gone = true;
+        let mut runs = std::mem::take(&mut broken.runs);
+        runs.append(&mut broken.refused_runs);
+        runs.append(&mut broken.doubted_runs);
         match now.since(broken.broke_at) < CONFIRMATION_PERIOD {
             true => runs,
             false => Vec::new(),
         }
     }
 
+    /// Whether the registration of the endpoint shows that its start has ended.
+    pub fn is_gone(&self, endpoint: &EndpointId, start: u64) -> bool {
+        let starts = self.endpoints.get(endpoint);
+        let broken = starts.and_then(|starts| starts.get(&start));
+        broken.is_some_and(|broken| broken.is_gone)
+    }
+
     /// The starts of the endpoint with broken runs before `start`; all of them if it is `None`.
     pub fn starts_before(&self, endpoint: &EndpointId, start: Option<u64>) -> Vec<u64> {
         let starts = self.endpoints.get(endpoint).into_iter().flatten();
@@ -150,9 +202,12 @@
         self.endpoints.remove(endpoint);
     }
 
-    /// Forgets the breaks since `since`: what broke were the paths to the endpoints.
+    /// Leaves the breaks since `since` to what the registrations show: no endpoint of a service is
+    /// reached any more, so that a refused connection proves nothing.
     pub fn retract_since(&mut self, since: ClockTime) {
-        self.retain(|broken| broken.broke_at < since);
+        let starts = self.endpoints.values_mut().flat_map(BTreeMap::values_mut);
+        let in_question = starts.filter(|broken| broken.broke_at >= since && !broken.is_gone);
+        in_question.for_each(BrokenStart::doubt_path);
     }
 
     /// Forgets breaks that nothing has confirmed in time.
@@ -160,6 +215,10 @@
         self.retain(|broken| now.since(broken.broke_at) < CONFIRMATION_PERIOD);
     }
 
+    fn broken_start(&mut self, endpoint: &EndpointId, start: u64) -> Option<&mut BrokenStart> {
+        self.endpoints.get_mut(endpoint)?.get_mut(&start)
+    }
+
     fn retain<Kept>(&mut self, kept: Kept)
     where
         Kept: Fn(&BrokenStart) -> bool,
--- a/crates/core/src/quarantine/part_history.rs
+++ b/crates/core/src/quarantine/part_history.rs
@@ -67,7 +67,7 @@
 #[derive(Clone, Copy, Debug, Serialize)]
 struct CrashEvidence {
     at: ClockTime,
-    /// Whether this entry's own run broke there.
+    /// Whether this entry's own run broke there and the registration has not confirmed the end.
     is_observed: bool,
     /// Whether the part was answered afterwards.
     is_refuted: bool,
@@ -139,6 +139,13 @@
         is_new
     }
 
+    /// Records that the registration of an endpoint confirms a crash that this entry observed.
+    pub fn note_confirmed(&mut self, site: SiteHash) {
+        if let Some(crash) = self.crashes.get_mut(&site) {
+            crash.is_observed = false;
+        }
+    }
+
     /// Records that an endpoint has answered a prompt with the part; returns whether that refutes
     /// anything.
     pub fn refute(&mut self, now: ClockTime) -> bool {
@@ -254,7 +261,7 @@
         crashes
     }
 
-    /// Removes the crashes that this entry observed since `since`.
+    /// Removes the unconfirmed crashes that this entry observed since `since`.
     pub fn retract_observed(&mut self, since: ClockTime) {
         self.crashes
             .retain(|_, crash| !(crash.is_observed && crash.at >= since));
--- a/crates/core/src/quarantine/prompt_parts.rs
+++ b/crates/core/src/quarantine/prompt_parts.rs
@@ -152,6 +152,23 @@
         self.update_if(is_changed)
     }
 
+    /// Records a crash as [`PartQuarantine::note_crash`] does, which the registration of the endpoint
+    /// confirms: it is not retracted any more.
+    pub fn confirm_crash(
+        &mut self,
+        now: ClockTime,
+        site: SiteHash,
+        parts: &BTreeSet<PartHash>,
+    ) -> Vec<PartHash> {
+        let quarantined = self.note_crash(now, site, parts);
+        for part in parts {
+            if let Some(history) = self.histories.get_mut(part) {
+                history.note_confirmed(site);
+            }
+        }
+        quarantined
+    }
+
     /// Records that an endpoint answered a prompt with these parts, and went on running.
     pub fn note_answered(&mut self, now: ClockTime, parts: &[PartHash]) {
         self.answered.note(now, parts);
@@ -199,8 +216,8 @@
         is_changed
     }
 
-    /// Removes the crashes that this entry observed since `since`: what broke were its paths to the
-    /// endpoints.
+    /// Removes the unconfirmed crashes that this entry observed since `since`: it may be its paths to
+    /// the endpoints that broke.
     pub fn retract_observed(&mut self, since: ClockTime) {
         for history in self.histories.values_mut() {
             history.retract_observed(since);
--- a/crates/core/src/quarantine/shared.rs
+++ b/crates/core/src/quarantine/shared.rs
@@ -89,7 +89,7 @@
 #[derive(Clone, Debug, Default, Serialize)]
 struct SuspectHistory {
     sites: BTreeSet<SiteHash>,
-    /// The crashes that this entry observed itself.
+    /// The crashes that this entry observed itself and that the registrations have not confirmed.
     observed: BTreeMap<SiteHash, ClockTime>,
     is_cleared: bool,
     /// When the request was last sent to this entry, as far as it is known from a crash or a
@@ -199,8 +199,21 @@
         history.status()
     }
 
-    /// Removes the crashes that this entry observed since `since`: what broke were its paths
-    /// to the endpoints.
+    /// Records a crash as [`SharedQuarantine::note_crash`] does, which the registration of the
+    /// endpoint confirms: it is not retracted any more.
+    pub fn confirm_crash(
+        &mut self,
+        now: ClockTime,
+        fingerprint: &RequestFingerprint,
+        site: SiteHash,
+    ) -> CrashStatus {
+        let status = self.note_crash(now, fingerprint, site);
+        self.history(now, fingerprint).observed.remove(&site);
+        status
+    }
+
+    /// Removes the unconfirmed crashes that this entry observed since `since`: it may be its paths
+    /// to the endpoints that broke.
     pub fn retract_observed(&mut self, since: ClockTime) {
         for history in self.histories.values_mut() {
             let observed = &mut history.observed;
--- a/crates/core/src/reachability.rs
+++ b/crates/core/src/reachability.rs
@@ -184,6 +184,14 @@
         Some(ReachChange::Lost(reach.failing_since.unwrap_or_default()))
     }
 
+    /// Records that no endpoint of `service` is registered any more, so that none can be probed and
+    /// none is unreachable.
+    pub fn note_empty(&mut self, service: &ServiceName) -> Option<ReachChange> {
+        let reach = self.services.remove(service)?;
+        let was_unreachable = reach.state == ReachState::Unreachable;
+        was_unreachable.then_some(ReachChange::Regained)
+    }
+
     /// The services whose endpoints are to be probed.
     pub fn probe_due(&self, now: ClockTime) -> Vec<ServiceName> {
         let due = self.services.iter();
--- a/crates/core/tests/broken_runs.rs
+++ b/crates/core/tests/broken_runs.rs
@@ -77,3 +77,38 @@
     assert_eq!(broken.starts_before(&engine(), Some(7)), [5]);
     assert_eq!(broken.starts_before(&engine(), None), [5, 7]);
 }
+
+/// Guards against forgetting what crashed all endpoints of a service, because their refusals look
+/// like a lost path.
+#[test]
+fn breaks_that_looked_like_a_lost_path_count_once_the_registration_is_gone() {
+    let mut broken = BrokenRuns::new();
+    broken.note_break(at(1_000), &engine(), 1, run(1));
+    assert_eq!(broken.note_ended(at(1_010), &engine(), 1), [run(1)]);
+    broken.note_break(at(1_020), &engine(), 1, run(2));
+    broken.retract_since(at(900));
+    assert_eq!(broken.note_ended(at(1_300), &engine(), 1), []);
+    assert_eq!(broken.note_gone(at(4_500), &engine(), 1), [run(2), run(1)]);
+    assert!(broken.is_gone(&engine(), 1));
+    assert_eq!(broken.note_gone(at(4_600), &engine(), 1), []);
+}
+
+/// Guards against withdrawing what the registration has shown, because the paths are lost later.
+#[test]
+fn breaks_at_an_endpoint_that_is_gone_are_not_doubted() {
+    let mut broken = BrokenRuns::new();
+    broken.note_break(at(1_000), &engine(), 1, run(1));
+    assert_eq!(broken.note_gone(at(2_000), &engine(), 1), [run(1)]);
+    broken.note_break(at(2_100), &engine(), 1, run(2));
+    broken.retract_since(at(900));
+    assert_eq!(broken.note_ended(at(2_200), &engine(), 1), [run(2)]);
+}
+
+/// Guards against blaming what broke with a path long before its endpoint left the directory.
+#[test]
+fn breaks_of_lost_paths_do_not_count_for_long() {
+    let mut broken = BrokenRuns::new();
+    broken.note_break(at(1_000), &engine(), 1, run(1));
+    broken.retract_since(at(900));
+    assert_eq!(broken.note_gone(at(20_000), &engine(), 1), []);
+}
--- a/crates/core/tests/quarantine_parts.rs
+++ b/crates/core/tests/quarantine_parts.rs
@@ -212,6 +212,22 @@
     assert_eq!(refused(&quarantine), []);
 }
 
+/// Guards against withdrawing the crashes under a part that the registrations have confirmed.
+#[test]
+fn confirmed_crashes_under_a_part_are_not_retracted() {
+    let mut quarantine = PartQuarantine::new();
+    for number in 1..=3 {
+        crash(&mut quarantine, number * 1_000, number, &[1]);
+    }
+    quarantine.retract_observed(at(1_000));
+    for number in 1..=3 {
+        let parts = [part(1)].into();
+        quarantine.confirm_crash(at(4_000 + number * 1_000), SiteHash::new(number), &parts);
+    }
+    quarantine.retract_observed(at(1_000));
+    assert_eq!(refused(&quarantine), [part(1)]);
+}
+
 #[test]
 fn a_quarantine_of_a_part_ends() {
     let mut quarantine = PartQuarantine::new();
--- a/crates/core/tests/reachability.rs
+++ b/crates/core/tests/reachability.rs
@@ -115,6 +115,39 @@
     assert_eq!(reports.len(), 1);
 }
 
+/// Guards against a request that goes on crashing all endpoints that are left, because the instance
+/// takes their end for its own partition and forgets the crashes.
+#[test]
+fn crashes_that_the_registrations_confirm_are_not_retracted() {
+    let mut quarantine = SharedQuarantine::new();
+    let fingerprint = RequestFingerprint::with_request(None, "/review/1", b"claim");
+    for number in [2, 3] {
+        let site = SiteHash::new(number);
+        quarantine.note_crash(at(1_000 + number), &fingerprint, site);
+    }
+    quarantine.retract_observed(at(1_000));
+    assert_eq!(quarantine.status(&fingerprint), CrashStatus::Clean);
+    quarantine.confirm_crash(at(4_500), &fingerprint, SiteHash::new(2));
+    let status = quarantine.confirm_crash(at(4_500), &fingerprint, SiteHash::new(3));
+    assert_eq!(status, CrashStatus::Quarantined);
+    quarantine.retract_observed(at(1_000));
+    assert_eq!(quarantine.status(&fingerprint), CrashStatus::Quarantined);
+}
+
+/// Guards against reports that are held back for good, because the service that is in doubt has no
+/// endpoint left that a probe could reach.
+#[test]
+fn a_service_without_endpoints_is_not_in_doubt() {
+    let mut table = ReachTable::new();
+    fail_to_connect(&mut table, 1_000, 0);
+    fail_to_connect(&mut table, 1_100, 1);
+    table.note_probed(&service(), false);
+    assert!(table.is_any_in_doubt(at(60_000)));
+    assert_eq!(table.note_empty(&service()), Some(ReachChange::Regained));
+    assert!(!table.is_any_in_doubt(at(60_000)));
+    assert_eq!(table.note_empty(&service()), None);
+}
+
 quickcheck! {
     /// Guards against a service that counts as unreachable although the last probe reached
     /// it, for any order of failures, answers and probes.
--- a/crates/ingress/src/forward/broken_runs.rs
+++ b/crates/ingress/src/forward/broken_runs.rs
@@ -6,7 +6,7 @@
     attempts::WorkKind,
     clock::TimeSpan,
     endpoint_notices::CallObstacle,
-    ids::EndpointId,
+    ids::{EndpointId, ServiceName},
     placement::EndpointTarget,
     quarantine::{BreakStep, BrokenRun, PartHash},
 };
@@ -15,7 +15,10 @@
 
 use crate::{
     context::EntryContext,
-    forward::{crashes, notices, reach, request_log_line},
+    forward::{
+        crashes::{self, CrashProof},
+        notices, reach, request_log_line,
+    },
     frontend::CallerRequest,
 };
 
@@ -120,7 +123,8 @@
             note_ended(context, &target.id, target.start, EndEvidence::Known);
         }
         BreakStep::Probe => {
-            tokio::spawn(probe(Arc::clone(context), target.clone()));
+            let service = request.service.clone();
+            tokio::spawn(probe(Arc::clone(context), service, target.clone()));
         }
         BreakStep::Wait => {}
     }
@@ -153,9 +157,18 @@
     evidence: EndEvidence,
 ) {
     let now = context.now();
-    let runs = {
+    let (runs, proof) = {
         let mut broken_runs = context.broken_runs.lock();
-        broken_runs.note_ended(now, endpoint, start)
+        match is_certain(evidence) || broken_runs.is_gone(endpoint, start) {
+            true => {
+                let runs = broken_runs.note_gone(now, endpoint, start);
+                (runs, CrashProof::Registration)
+            }
+            false => {
+                let runs = broken_runs.note_ended(now, endpoint, start);
+                (runs, CrashProof::Refusal)
+            }
+        }
     };
     if runs.is_empty() {
         return;
@@ -166,7 +179,15 @@
         .with("evidence", evidence.as_str())
         .with("runs", runs.len())
         .info();
-    crashes::note_crash(context, endpoint, start, &runs);
+    crashes::note_crash(context, endpoint, start, &runs, proof);
+}
+
+/// Whether the registrations show the end. A path may refuse connections as well.
+fn is_certain(evidence: EndEvidence) -> bool {
+    matches!(
+        evidence,
+        EndEvidence::LaterStart | EndEvidence::Unregistered
+    )
 }
 
 /// Whether the endpoint is registered and does not leave. The end of another one is planned, and
@@ -181,8 +202,9 @@
     known.is_some_and(|known| !known.is_leaving)
 }
 
-/// Opens a connection to an endpoint whose connection broke. An endpoint that has ended refuses it.
-async fn probe(context: Arc<EntryContext>, target: EndpointTarget) {
+/// Opens a connection to an endpoint of `service` whose connection broke. An endpoint that has ended
+/// refuses it. While none of the service is reached, that proves nothing.
+async fn probe(context: Arc<EntryContext>, service: ServiceName, target: EndpointTarget) {
     let connecting = TcpStream::connect(target.address);
     let connected = tokio::time::timeout(PROBE_TIMEOUT, connecting).await;
     let is_refused = matches!(
@@ -199,7 +221,7 @@
         .with("start", target.start)
         .with("outcome", outcome)
         .info();
-    if is_refused {
+    if is_refused && !context.reach.lock().is_unreachable(&service) {
         note_ended(&context, &target.id, target.start, EndEvidence::Refused);
     }
     let mut broken_runs = context.broken_runs.lock();
--- a/crates/ingress/src/forward/crashes.rs
+++ b/crates/ingress/src/forward/crashes.rs
@@ -64,16 +64,35 @@
     })
 }
 
+/// How it is known that an endpoint ended under its runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashProof {
+    /// It refuses connections; so may the path to it.
+    Refusal,
+    /// Its registration has lapsed or has a later start.
+    Registration,
+}
+
 /// Records that the endpoint that was started at `start` ended while these runs were there, and has
 /// it reported to the other entries.
-pub fn note_crash(context: &EntryContext, endpoint: &EndpointId, start: u64, runs: &[BrokenRun]) {
+pub fn note_crash(
+    context: &EntryContext,
+    endpoint: &EndpointId,
+    start: u64,
+    runs: &[BrokenRun],
+    proof: CrashProof,
+) {
     let site = SiteHash::with_endpoint(endpoint, start);
     let now = context.now();
     for run in runs {
         let mut quarantine = context.quarantine.lock();
-        let status = quarantine.note_crash(now, &run.fingerprint, site);
+        let earlier = quarantine.status(&run.fingerprint);
+        let status = match proof {
+            CrashProof::Refusal => quarantine.note_crash(now, &run.fingerprint, site),
+            CrashProof::Registration => quarantine.confirm_crash(now, &run.fingerprint, site),
+        };
         drop(quarantine);
-        if status == CrashStatus::Quarantined {
+        if status == CrashStatus::Quarantined && status != earlier {
             LogLine::new("request_quarantined")
                 .with("fingerprint", &run.fingerprint)
                 .with("source", &context.writer.instance)
@@ -82,7 +101,12 @@
     }
     let parts = runs.iter().flat_map(|run| run.parts.iter().copied());
     let parts = parts.collect();
-    let quarantined = context.prompt_parts.lock().note_crash(now, site, &parts);
+    let mut prompt_parts = context.prompt_parts.lock();
+    let quarantined = match proof {
+        CrashProof::Refusal => prompt_parts.note_crash(now, site, &parts),
+        CrashProof::Registration => prompt_parts.confirm_crash(now, site, &parts),
+    };
+    drop(prompt_parts);
     log_quarantined_parts(context, &quarantined, context.writer.instance.as_str());
     context.report_due.notify_one();
 }
@@ -99,7 +123,8 @@
     context.metrics.quarantined_parts.set(quarantined as i64);
 }
 
-/// Records that an endpoint completed the request.
+/// Records that an endpoint completed the request without a failure of its own, which need not have
+/// begun to run it.
 pub fn note_completed(context: &EntryContext, request: &CallerRequest) {
     if context.quarantine.lock().is_empty() {
         return;
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -396,7 +396,9 @@
                 let detail = "the answer is incomplete";
                 return Err(FailedAttempt::new(RefusalReason::EndpointFailed, detail));
             };
-            crashes::note_completed(&self.context, &self.request);
+            if !complete.is_failure() {
+                crashes::note_completed(&self.context, &self.request);
+            }
             if complete.status.is_success() {
                 crashes::note_answered(&self.context, &self.request);
             }
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -292,9 +292,11 @@
     fn handle_answer(&mut self, guard: ReplicaGuard, answer: CompleteAnswer) -> NextStep {
         match answer.is_failure() {
             true => guard.answered_failure(),
-            false => guard.answered(),
+            false => {
+                guard.answered();
+                crashes::note_completed(self.context, self.request);
+            }
         }
-        crashes::note_completed(self.context, self.request);
         if answer.status.is_success() {
             crashes::note_answered(self.context, self.request);
         }
--- a/crates/ingress/src/forward/reach.rs
+++ b/crates/ingress/src/forward/reach.rs
@@ -124,11 +124,14 @@
 /// Probes the endpoints of `service`; returns whether it became unreachable.
 async fn probe(context: &EntryContext, service: &ServiceName) -> bool {
     let addresses = sample(context, service);
-    if addresses.is_empty() {
-        return false;
-    }
-    let is_reached = is_any_reached(addresses).await;
-    let change = context.reach.lock().note_probed(service, is_reached);
+    let change = match addresses.is_empty() {
+        // A doubt that no probe can decide would hold back all reports of this instance.
+        true => context.reach.lock().note_empty(service),
+        false => {
+            let is_reached = is_any_reached(addresses).await;
+            context.reach.lock().note_probed(service, is_reached)
+        }
+    };
     match change {
         Some(ReachChange::Lost(since)) => handle_lost(context, service, since),
         Some(ReachChange::Regained) => handle_regained(context, service),
