Limit the grace for lapsed endpoints by when the instance is in touch

Cause: a registration that is missing after an outage is kept for 2 s, counted from the first answer. A call that hangs is given up after 0.9 s and the next one follows up to 0.48 s later, so the first answer can come 1.4 s after the end of the outage. Besides, an endpoint whose grace had ended was removed with the next read only, up to 0.5 s later.

Ruled out: a shorter grace for all outages (live endpoints need two seconds to register again); a shorter timeout (the store answers late while it is slow).

Change: the grace ends when the instance can be in touch at the earliest, if that comes first: `stableWindowMs`, less 150 ms, after the last read was sent that failed. The delay before the next read counts from when the failed one was sent, so the first answer comes 0.9 s after that at most and the limit takes 0.1 s of the two seconds. Requests are withheld from an endpoint from the end of its grace on, and it is removed then.

The same cause elsewhere: an instance that leaves out its read because the configuration can't be read counted its outage from the time of that decision; it now counts from when the failed read was sent. An instance that follows a reader keeps what lapsed for as long as the reader says, which counts in the same way there.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -6,7 +6,9 @@
 //! the store recovers, it would have no endpoint for its callers' requests until all
 //! had registered again; if it kept them indefinitely, it would send work to failed
 //! endpoints. Registrations that lapse around an outage are therefore kept for a short
-//! time after the recovery, within which live endpoints register again.
+//! time after the recovery, within which live endpoints register again. The first answer can come
+//! long after the recovery, as a call that hangs is given up first, so the time is also limited
+//! from when the last failed read was sent: the store may have recovered right after it.
 //!
 //! A registration that disappears may also have been withdrawn: some endpoints leave
 //! without announcing it. It is therefore kept only where an outage is known that was
@@ -37,6 +39,13 @@
 /// register again within this time.
 pub const LAPSE_GRACE: TimeSpan = TimeSpan::from_millis(2_000);
 
+/// How long after an outage an instance counts as in touch again, if the settings don't say.
+const DEFAULT_CONTACT_DELAY: TimeSpan = TimeSpan::from_millis(3_000);
+
+/// How much earlier than the instance is in touch a lapsed registration is removed: a request takes
+/// some ms to reach its endpoint.
+const CONTACT_MARGIN: TimeSpan = TimeSpan::from_millis(150);
+
 /// How long the last registration of a removed endpoint is kept, to reject older ones. Relayed
 /// registrations arrive within seconds, or their messages are too old to be applied.
 const REMOVAL_RETENTION: TimeSpan = TimeSpan::from_millis(10_000);
@@ -102,9 +111,13 @@
     answered_at: Option<ClockTime>,
     /// The time of the last answer before the outage in progress.
     outage_since: Option<ClockTime>,
-    /// The time of the first answer after the last outage that was long enough for a
-    /// registration to lapse.
-    recovered_at: Option<ClockTime>,
+    /// When the last read was sent that failed.
+    unavailable_at: Option<ClockTime>,
+    /// How long after an outage this instance counts as in touch again.
+    contact_delay: TimeSpan,
+    /// Until when registrations are kept that lapsed around the last outage that was long enough
+    /// for it.
+    grace_end: Option<ClockTime>,
 }
 
 impl Default for EndpointDirectory {
@@ -124,7 +137,9 @@
             min_outage: TimeSpan::ZERO,
             answered_at: None,
             outage_since: None,
-            recovered_at: None,
+            unavailable_at: None,
+            contact_delay: DEFAULT_CONTACT_DELAY,
+            grace_end: None,
         }
         .with_heartbeat(DEFAULT_HEARTBEAT)
     }
@@ -137,6 +152,13 @@
         self
     }
 
+    /// Sets how long after an outage of the store this instance counts as in touch again, so that
+    /// endpoints that have left must not get work any more.
+    pub fn with_contact_delay(mut self, delay: TimeSpan) -> EndpointDirectory {
+        self.contact_delay = delay;
+        self
+    }
+
     /// Sets whether the whole system starts for the first time.
     pub fn with_first_start(mut self, is_first_start: bool) -> EndpointDirectory {
         self.versions = self.versions.with_first_start(is_first_start);
@@ -153,29 +175,43 @@
         &mut self.versions
     }
 
-    /// Records that a read of the registrations failed.
-    pub fn note_outage(&mut self, now: ClockTime) {
-        let last_answer = self.answered_at.unwrap_or(now);
+    /// Records that a read of the registrations failed that was sent at `sent`.
+    pub fn note_outage(&mut self, sent: ClockTime) {
+        let last_answer = self.answered_at.unwrap_or(sent);
         self.outage_since.get_or_insert(last_answer);
+        self.unavailable_at = self.unavailable_at.max(Some(sent));
     }
 
-    /// Records that the store answered a read of the registrations at `at`, sent by this
-    /// instance or by the reader of its failure domain.
+    /// Records that the store answered a read of the registrations at `at`, sent by the reader of
+    /// the failure domain, which also tells how long it keeps lapsed registrations.
     pub fn note_answer(&mut self, at: ClockTime) {
-        self.answered_at = self.answered_at.max(Some(at));
-        let Some(since) = self.outage_since.take_if(|since| at > *since) else {
-            return;
-        };
-        if at.since(since) >= self.min_outage {
-            self.recovered_at = Some(at);
+        if self.end_outage(at) {
+            self.grace_end = Some(at + LAPSE_GRACE);
         }
     }
 
+    /// Records that the store answered a read of the registrations at `at`, sent by this instance.
+    pub fn note_own_answer(&mut self, at: ClockTime) {
+        if self.end_outage(at) {
+            let end = at + LAPSE_GRACE;
+            let delay = self.contact_delay.saturating_sub(CONTACT_MARGIN);
+            let contact = self.unavailable_at.map(|sent| sent + delay);
+            self.grace_end = Some(contact.map_or(end, |contact| contact.min(end)));
+        }
+    }
+
+    /// Records that the store was available at `at`. Returns whether that ends an outage in which a
+    /// registration can lapse.
+    fn end_outage(&mut self, at: ClockTime) -> bool {
+        self.answered_at = self.answered_at.max(Some(at));
+        let ended = self.outage_since.take_if(|since| at > *since);
+        ended.is_some_and(|since| at.since(since) >= self.min_outage)
+    }
+
     /// The time until which a missing registration may have lapsed in an outage; `None`
     /// if no outage can be the reason at `now`.
     fn grace_end(&self, now: ClockTime) -> Option<ClockTime> {
-        let end = self.recovered_at? + LAPSE_GRACE;
-        (now < end).then_some(end)
+        self.grace_end.filter(|end| now < *end)
     }
 
     /// Inserts or replaces a registration that was read, unless a later one is or was known. The store
@@ -398,6 +434,20 @@
         self.endpoints.get(id).map(|known| &known.registration)
     }
 
+    /// The registration of `id` if it may receive new work at `now`.
+    pub fn open_at(&self, now: ClockTime, id: &EndpointId) -> Option<&EndpointRegistration> {
+        let known = self.endpoints.get(id)?;
+        let has_expired = known.expires_at.is_some_and(|at| now >= at);
+        let is_open = !known.registration.is_leaving && !has_expired;
+        is_open.then_some(&known.registration)
+    }
+
+    /// The time until the next lapsed endpoint is due to be removed.
+    pub fn time_to_removal(&self, now: ClockTime) -> Option<TimeSpan> {
+        let ends = self.endpoints.values().filter_map(|known| known.expires_at);
+        ends.min().map(|end| end.since(now))
+    }
+
     /// The endpoints of a service that may receive new work.
     pub fn available_for<'a>(
         &'a self,
--- a/crates/core/src/relay/confirmation.rs
+++ b/crates/core/src/relay/confirmation.rs
@@ -79,6 +79,8 @@
     pending: Option<(ClockTime, TimeSpan)>,
     /// When the last read ended, if it failed.
     failed_at: Option<ClockTime>,
+    /// When the last read was sent that failed.
+    unavailable_at: Option<ClockTime>,
 }
 
 /// How much longer than its time limit a read may take to count as failed. After a longer time
@@ -107,9 +109,16 @@
         *self = StoreReads::default();
     }
 
+    /// When the last read was sent that failed; `None` if one was answered since.
+    pub fn unavailable_at(&self) -> Option<ClockTime> {
+        self.unavailable_at
+    }
+
     /// Records that the read failed.
     pub fn note_failure(&mut self, now: ClockTime) {
         let pending = self.pending.take();
+        let sent_at = pending.map(|(sent_at, _)| sent_at);
+        self.unavailable_at = sent_at.max(self.unavailable_at);
         let is_conclusive = pending.is_some_and(|pending| is_in_time(now, pending));
         self.failed_at = is_conclusive.then_some(now);
     }
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -450,3 +450,51 @@
     directory.register(numbered(7, 4));
     assert_eq!(directory.remove_expired(at(8_000)), [id("one")]);
 }
+
+/// Guards against work for an endpoint that was withdrawn before an outage, kept for longer than until
+/// the instance is in touch because the first call after the outage hung.
+#[test]
+fn a_lapsed_endpoint_is_not_kept_until_the_instance_is_in_touch() {
+    let mut directory = EndpointDirectory::new().with_contact_delay(TimeSpan::from_secs(3));
+    directory.register(registration("withdrawn"));
+    directory.note_own_answer(at(1_000));
+    directory.note_outage(at(1_500));
+    // The outage may have ended right after this call was sent.
+    directory.note_outage(at(6_900));
+    directory.note_own_answer(at(8_300));
+    let withdrawn = id("withdrawn");
+    let change = directory.unregister(at(8_310), &withdrawn);
+    assert_eq!(change, DirectoryChange::Lapsed);
+    assert!(directory.open_at(at(9_700), &withdrawn).is_some());
+    assert!(directory.open_at(at(9_880), &withdrawn).is_none());
+    assert_eq!(directory.remove_expired(at(9_880)), [withdrawn]);
+}
+
+/// Guards against dropping live endpoints after an outage that ends between two calls that are
+/// rejected at once.
+#[test]
+fn a_lapsed_endpoint_is_kept_while_live_ones_register_again() {
+    let mut directory = EndpointDirectory::new().with_contact_delay(TimeSpan::from_secs(3));
+    directory.register(registration("lives"));
+    directory.note_own_answer(at(1_000));
+    for sent in (1_500..8_000).step_by(500) {
+        directory.note_outage(at(sent));
+    }
+    directory.note_own_answer(at(8_000));
+    directory.unregister(at(8_010), &id("lives"));
+    assert!(directory.open_at(at(9_990), &id("lives")).is_some());
+    assert!(directory.open_at(at(10_000), &id("lives")).is_none());
+}
+
+/// Guards against work in the time between the end of the grace period and the next read.
+#[test]
+fn the_next_removal_of_a_lapsed_endpoint_is_known() {
+    let mut directory = EndpointDirectory::new();
+    directory.register(registration("one"));
+    assert_eq!(directory.time_to_removal(at(0)), None);
+    directory.note_outage(at(1_000));
+    directory.note_answer(at(6_000));
+    directory.unregister(at(6_010), &id("one"));
+    let left = directory.time_to_removal(at(7_000));
+    assert_eq!(left, Some(TimeSpan::from_millis(1_000)));
+}
--- a/crates/core/tests/directory_support/instance.rs
+++ b/crates/core/tests/directory_support/instance.rs
@@ -117,7 +117,7 @@
 
     /// Applies a read of everything that was complete at `known_at`.
     pub fn take_all(&mut self, now: u64, known_at: u64, registered: &[EndpointRegistration]) {
-        self.directory.note_answer(at(now));
+        self.directory.note_own_answer(at(now));
         for registration in registered {
             self.register(now, registration);
         }
--- a/crates/core/tests/directory_support/mod.rs
+++ b/crates/core/tests/directory_support/mod.rs
@@ -141,10 +141,7 @@
             return;
         }
         let directory = &self.instances[number].directory;
-        let is_used = |id: &EndpointId| {
-            let known = directory.get(id);
-            known.is_some_and(|known| !known.is_leaving)
-        };
+        let is_used = |id: &EndpointId| directory.open_at(at(now), id).is_some();
         let used: Vec<(EndpointId, u64)> = self
             .store
             .left()
--- a/crates/core/tests/directory_support/sync.rs
+++ b/crates/core/tests/directory_support/sync.rs
@@ -232,7 +232,7 @@
         let instance = &mut self.instances[number];
         if !is_answered {
             instance.reads.note_failure(at(now));
-            instance.directory.note_outage(at(now));
+            instance.directory.note_outage(at(sent));
             instance.activity = Activity::Idle {
                 until: now + BACKOFF_MS,
             };
@@ -270,7 +270,7 @@
             instance.next = None;
             return 0;
         };
-        instance.directory.note_answer(at(now));
+        instance.directory.note_own_answer(at(now));
         for record in records {
             match &record.registration {
                 Some(registration) => instance.register(now, registration),
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -187,6 +187,7 @@
         let started_at = clock.now();
         let directory = EndpointDirectory::new()
             .with_heartbeat(settings.heartbeat)
+            .with_contact_delay(bounds.contact_delay)
             .with_first_start(settings.is_first_start);
         let seed = rand::random();
         let limiter = RateLimiter::new(started_at, bounds.quota).with_seed(seed);
--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -253,8 +253,8 @@
     }
     let directory = context.directory.lock();
     let is_available = directory
-        .get(&target.id)
-        .is_some_and(|known| known.start == target.start && !known.is_leaving);
+        .open_at(now, &target.id)
+        .is_some_and(|known| known.start == target.start);
     (!is_available).then_some(Withheld::EndpointLeft)
 }
 
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -86,8 +86,8 @@
             next = None;
         }
         if context.defers_endpoint_read() {
-            let now = context.now();
-            context.directory.lock().note_outage(now);
+            let unavailable_at = context.store_reads.lock().unavailable_at();
+            note_outage(&context, unavailable_at);
             context.confirmed.notify_waiters();
             wait_for_wake(&context).await;
             continue;
@@ -104,21 +104,43 @@
                 drop_lapsed(&context);
                 if let ReadProgress::Complete { .. } = progress {
                     confirm(&context, sent, ConfirmationSource::Store);
-                    tokio::time::sleep(READ_INTERVAL).await;
+                    wait_for_next_read(&context).await;
                 }
             }
             Err(error) => {
                 let now = context.now();
-                context.endpoint_reads.lock().note_failure(now);
-                context.directory.lock().note_outage(now);
+                let unavailable_at = {
+                    let mut reads = context.endpoint_reads.lock();
+                    reads.note_failure(now);
+                    reads.unavailable_at()
+                };
+                note_outage(&context, unavailable_at);
                 // Requests that wait for a confirmation are decided without it now.
                 context.confirmed.notify_waiters();
-                backoff.wait_after_failure(&context, &error).await;
+                // How late the first answer after an outage can be limits how long lapsed endpoints
+                // are kept then.
+                let took = now.since(sent);
+                backoff.wait_after_call(&context, &error, took).await;
             }
         }
     }
 }
 
+/// Records that the store could not be read by a call that was sent at `sent`.
+fn note_outage(context: &EntryContext, sent: Option<ClockTime>) {
+    let sent = sent.unwrap_or_else(|| context.now());
+    context.directory.lock().note_outage(sent);
+}
+
+/// Waits for [`READ_INTERVAL`], or until a lapsed endpoint is due to be removed.
+async fn wait_for_next_read(context: &EntryContext) {
+    let now = context.now();
+    let removal = context.directory.lock().time_to_removal(now);
+    let removal = removal.map_or(READ_INTERVAL, TimeSpan::as_duration);
+    tokio::time::sleep(READ_INTERVAL.min(removal)).await;
+    drop_lapsed(context);
+}
+
 /// Logs whether registrations are now taken from the store or from the reader.
 fn log_source(context: &EntryContext, source: &str) {
     let reader = context.reader();
@@ -274,7 +296,7 @@
 fn note_store_answer(context: &EntryContext) {
     let now = context.now();
     context.endpoint_reads.lock().note_answer();
-    context.directory.lock().note_answer(now);
+    context.directory.lock().note_own_answer(now);
 }
 
 fn parse_endpoint_id(key: &[u8]) -> Option<EndpointId> {
--- a/crates/ingress/src/sync/mod.rs
+++ b/crates/ingress/src/sync/mod.rs
@@ -113,6 +113,18 @@
 
     /// Records a failed call and sleeps until the next attempt is due.
     pub async fn wait_after_failure(&mut self, context: &EntryContext, error: &CallError) {
+        let took = TimeSpan::ZERO;
+        self.wait_after_call(context, error, took).await;
+    }
+
+    /// Records a call that took as long as `took` to fail, and sleeps until the next attempt is due:
+    /// the delay counts from when the call was sent, but for the least one.
+    pub async fn wait_after_call(
+        &mut self,
+        context: &EntryContext,
+        error: &CallError,
+        took: TimeSpan,
+    ) {
         let counters = &context.metrics.store_calls;
         counters.with_label_values(&[self.call, "failed"]).inc();
         let delay = INITIAL_BACKOFF * 2_u32.pow(self.failures.min(8));
@@ -127,6 +139,8 @@
                 .warn();
         }
         let jitter = rand::rng().random_range(BACKOFF_JITTER);
-        tokio::time::sleep(delay.min(MAX_BACKOFF).mul_f64(jitter)).await;
+        let delay = delay.min(MAX_BACKOFF).saturating_sub(took.as_duration());
+        let delay = delay.max(INITIAL_BACKOFF);
+        tokio::time::sleep(delay.mul_f64(jitter)).await;
     }
 }
