Keep the records of where streams began in a log of the store

Callers saw: streams that broke off as all instances were killed, taken up after their start while two versions serve, were refused time and again.

Cause: the records of where streams began are in memory only, with the instance and three others. After a kill of all nothing says at which version a stream began; the log of registrations proves only a version that was alone. Refusing is no answer while the version still serves.

Weighed: a logged division of ids among the versions (constant cost, but a release moves all ids within the time in which streams are taken up); an append for each stream (766 a second at 985 instances of 400 allowed).

Change: while several versions are possible, one instance of each failure domain (one of 64 in large ones) appends the records of 150 ms together. The first eight of each failure domain read them when they start; others ask one.

--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -9,11 +9,13 @@
 //! - It is recorded. An instance that can't rule out a second version records the versions of
 //!   the streams that begin there with a few other instances ([`StreamTable`]). Which ones
 //!   follows from the id of the stream ([`recording_peers`], [`queried_peers`]), so any instance
-//!   knows whom to ask.
+//!   knows whom to ask. A few instances of each failure domain also append the records to a log of
+//!   the store ([`appending_peer`], [`RecordQueue`]), for the case that all instances are killed.
 //!
 //! A stream whose version is not found this way is refused.
 
 mod history;
+mod log;
 mod look_back;
 mod origin;
 mod peers;
@@ -23,9 +25,10 @@
 
 pub use self::{
     history::{MAX_STREAM_AGE, MAX_VIEW_AGE, VersionHistory},
+    log::RecordQueue,
     look_back::LookBack,
     origin::{OriginHash, StreamHash},
-    peers::{RecordPeer, queried_peers, recording_peers},
+    peers::{RecordPeer, appending_peer, queried_peers, recording_peers},
     resolution::{UnknownOrigin, resolve_origin},
     routes::RouteHistory,
     table::{RecordScope, RecordedOrigin, StreamRecord, StreamTable},
--- a/crates/core/src/streams/peers.rs
+++ b/crates/core/src/streams/peers.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     ids::{FailureDomain, InstanceId},
+    relay::DIRECT_READERS,
     streams::StreamHash,
 };
 
@@ -28,6 +29,10 @@
 /// The minimum number of instances that are asked for a stream, if there are as many.
 const QUERIED_PEERS: usize = 6;
 
+/// How many instances of a failure domain share one that appends records to the log: the records
+/// of their streams have to fit into what an instance may receive for control.
+const INSTANCES_PER_APPENDER: usize = 64;
+
 /// An instance that can record streams.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordPeer<Address> {
@@ -94,7 +99,8 @@
     chosen.take(RECORDING_PEERS).collect()
 }
 
-/// The instances of `peers` that are asked for `stream`.
+/// The instances of `peers` that are asked for `stream`: those that may have recorded it, and those
+/// that have read the log.
 pub fn queried_peers<Address>(
     stream: StreamHash,
     peers: &[RecordPeer<Address>],
@@ -102,5 +108,27 @@
     let domains: BTreeSet<&FailureDomain> = peers.iter().map(|peer| &peer.domain).collect();
     let per_domain = QUERIED_PEERS.div_ceil(domains.len().max(1));
     let ranked = ranked(stream, peers, per_domain.max(QUERIED_PER_DOMAIN));
-    ranked.into_values().flatten().collect()
+    let mut queried: Vec<&RecordPeer<Address>> = ranked.into_values().flatten().collect();
+    for domain in domains {
+        let members = peers.iter().filter(|peer| peer.domain == *domain);
+        let appender = appending_peer(stream, members.collect());
+        let is_asked = |appender: &&RecordPeer<Address>| {
+            let mut asked = queried.iter();
+            asked.any(|peer| peer.instance == appender.instance)
+        };
+        queried.extend(appender.filter(|appender| !is_asked(appender)));
+    }
+    queried
+}
+
+/// The instance of the failure domain with these `members` that appends the record of `stream` to
+/// the log: one of the first by name, which read the store in any case.
+pub fn appending_peer<Address>(
+    stream: StreamHash,
+    mut members: Vec<&RecordPeer<Address>>,
+) -> Option<&RecordPeer<Address>> {
+    members.sort_by_key(|peer| &peer.instance);
+    let appenders = members.len().div_ceil(INSTANCES_PER_APPENDER);
+    let first = members.into_iter().take(appenders.min(DIRECT_READERS));
+    first.max_by_key(|peer| weight(peer.instance.as_str(), stream))
 }
--- a/crates/core/src/streams/table.rs
+++ b/crates/core/src/streams/table.rs
@@ -31,6 +31,15 @@
     Services(&'a [ServiceName]),
 }
 
+impl RecordScope<'_> {
+    fn contains(self, stream: StreamHash, service: &ServiceName) -> bool {
+        match self {
+            RecordScope::Stream(one) => stream == one,
+            RecordScope::Services(services) => services.contains(service),
+        }
+    }
+}
+
 /// What is recorded of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum RecordedOrigin {
@@ -56,6 +65,8 @@
     service: ServiceName,
     /// The instances that were sent the record, with their starts.
     recorded_at: Vec<(InstanceId, u64)>,
+    /// Whether the record was returned for the log.
+    is_logged: bool,
 }
 
 /// A map of streams in the order in which they were entered.
@@ -125,6 +136,7 @@
             origin: record.origin,
             service: service.clone(),
             recorded_at: Vec::new(),
+            is_logged: false,
         });
     }
 
@@ -171,11 +183,7 @@
     {
         let mut due: BTreeMap<Address, Vec<StreamRecord>> = BTreeMap::new();
         for (stream, begun) in &mut self.begun.entries {
-            let is_in_scope = match scope {
-                RecordScope::Stream(one) => *stream == one,
-                RecordScope::Services(services) => services.contains(&begun.service),
-            };
-            if !is_in_scope {
+            if !scope.contains(*stream, &begun.service) {
                 continue;
             }
             for peer in choose(*stream) {
@@ -193,6 +201,21 @@
         due.into_iter().collect()
     }
 
+    /// Returns the records of the streams in `scope` that were not returned before, for the log.
+    pub fn take_unlogged(&mut self, scope: RecordScope<'_>) -> Vec<StreamRecord> {
+        let begun = self.begun.entries.iter_mut();
+        let unlogged = begun
+            .filter(|(stream, begun)| !begun.is_logged && scope.contains(**stream, &begun.service));
+        let records = unlogged.map(|(stream, begun)| {
+            begun.is_logged = true;
+            StreamRecord {
+                stream: *stream,
+                origin: begun.origin,
+            }
+        });
+        records.collect()
+    }
+
     /// Removes the streams that are too old to be taken up.
     pub fn sweep(&mut self, now: ClockTime) {
         self.begun.remove_old(now);
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use bluebell_adapter::{engines::EngineClient, settings::InstanceSettings, store::StoreClient};
+use bluebell_adapter::{
+    engines::EngineClient,
+    settings::InstanceSettings,
+    store::{StoreClient, TopicPart},
+};
 use bluebell_core::{
     clock::{ClockSource, ClockTime, TimeSpan},
     directory::{DirectoryStatus, DirectorySync, EndpointDirectory},
@@ -292,6 +296,32 @@
         self.endpoint_limits.lock().set_entries(local, &others);
     }
 
+    /// This instance as one that can record streams.
+    pub fn local_recorder(&self) -> RecordPeer<SocketAddr> {
+        RecordPeer {
+            instance: self.writer.instance.clone(),
+            domain: self.settings.domain.clone(),
+            start: self.writer.start,
+            address: peers::local_address(self),
+        }
+    }
+
+    /// The partition of `topic` of the failure domain of this instance.
+    pub fn domain_part(&self, topic: &'static str) -> TopicPart {
+        let settings = &self.settings;
+        let mut domains = settings.domains.iter();
+        let index = domains.position(|domain| *domain == settings.domain);
+        let part = index.unwrap_or_default() as u32 % settings.store.parts;
+        TopicPart { topic, part }
+    }
+
+    /// The partitions of `topic` of all failure domains.
+    pub fn domain_parts(&self, topic: &'static str) -> impl Iterator<Item = TopicPart> + use<> {
+        let domains = self.settings.domains.len().max(1) as u32;
+        let parts = 0..domains.min(self.settings.store.parts);
+        parts.map(move |part| TopicPart { topic, part })
+    }
+
     /// The other instances as those that can record streams.
     pub fn record_peers(&self) -> Vec<RecordPeer<SocketAddr>> {
         let peers = self.peers.lock();
--- a/crates/ingress/src/forward/resume.rs
+++ b/crates/ingress/src/forward/resume.rs
@@ -123,7 +123,7 @@
             &context.directory,
             record,
             &request.service,
-            &context.settings.domain,
+            &context.local_recorder(),
             || context.record_peers(),
         );
     }
--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -236,11 +236,11 @@
     /// them prove which services had a single version before this process started.
     fn update_streams(&mut self, now: ClockTime) {
         let context = &self.context;
-        let domain = &context.settings.domain;
+        let local = context.local_recorder();
         let peers = || context.record_peers();
         context
             .streams
-            .record_due(now, &context.directory, domain, peers);
+            .record_due(now, &context.directory, &local, peers);
         let is_due = now.since(self.proofs_asked_at) >= PROOF_INTERVAL;
         if !is_due || !context.directory.lock().versions().needs_proof(now) {
             return;
--- a/crates/ingress/src/peers/registry.rs
+++ b/crates/ingress/src/peers/registry.rs
@@ -112,7 +112,7 @@
 async fn register(context: &EntryContext) -> Result<(), CallError> {
     let key = context.writer.instance.as_str();
     let records = [keyed_record(key, &local_record(context).encode_to_vec())];
-    let part = domain_part(context);
+    let part = context.domain_part(TOPIC);
     let appended = context.store.append(part, None, &records, READ_TIMEOUT);
     appended.await.map(drop)
 }
@@ -138,28 +138,18 @@
     SocketAddr::new(address.ip(), address.port() + PROXY_PORT_OFFSET)
 }
 
-/// The partition with the registrations of the failure domain of this instance.
-fn domain_part(context: &EntryContext) -> TopicPart {
-    let settings = &context.settings;
-    let mut domains = settings.domains.iter();
-    let index = domains.position(|domain| *domain == settings.domain);
-    TopicPart {
-        topic: TOPIC,
-        part: index.unwrap_or_default() as u32 % settings.store.parts,
-    }
-}
-
 /// Reads the first page of the partition with the instances of this failure domain.
 async fn read_own_domain(context: &EntryContext, timeout: TimeSpan) -> Result<(), CallError> {
-    let page = context.store.newest(domain_part(context), None, timeout);
+    let page = context
+        .store
+        .newest(context.domain_part(TOPIC), None, timeout);
     add_page(context, &page.await?);
     Ok(())
 }
 
 async fn read_all(context: &EntryContext, timeout: TimeSpan) -> Result<(), CallError> {
-    let domains = context.settings.domains.len().max(1) as u32;
-    for part in 0..domains.min(context.settings.store.parts) {
-        read_part(context, TopicPart { topic: TOPIC, part }, timeout).await?;
+    for part in context.domain_parts(TOPIC) {
+        read_part(context, part, timeout).await?;
     }
     Ok(())
 }
--- a/crates/ingress/src/program.rs
+++ b/crates/ingress/src/program.rs
@@ -17,7 +17,7 @@
     leader,
     logs::{self, LogBuffer},
     metrics::EntryMetrics,
-    peers, ready, state_transfer, sync, time,
+    peers, ready, state_transfer, stream_origins, sync, time,
 };
 
 /// How long after SIGTERM connections and requests are still accepted. The platform probes
@@ -105,6 +105,7 @@
     peers::start(&context, &background)
         .await
         .context("failed to listen on the address for peer instances")?;
+    stream_origins::start(&context, &background);
     engine_loads::start(&context, &background);
     state_transfer::start(&context, &background)
         .await
--- a/crates/ingress/src/stream_origins/messages.rs
+++ b/crates/ingress/src/stream_origins/messages.rs
@@ -42,6 +42,9 @@
     /// Where each of them began, in the same order.
     #[prost(fixed64, repeated, tag = "2")]
     pub origins: Vec<u64>,
+    /// Whether the recipient appends them to the log.
+    #[prost(bool, tag = "3")]
+    pub is_for_log: bool,
 }
 
 impl OriginRecords {
@@ -50,9 +53,16 @@
         OriginRecords {
             streams: records.iter().map(|one| one.stream.number()).collect(),
             origins: records.iter().map(|one| one.origin.number()).collect(),
+            is_for_log: false,
         }
     }
 
+    /// Has the recipient append them to the log.
+    pub fn with_log(mut self) -> OriginRecords {
+        self.is_for_log = true;
+        self
+    }
+
     /// Decodes the records.
     pub fn records(&self) -> impl Iterator<Item = StreamRecord> + '_ {
         let streams = self.streams.iter().zip(&self.origins);
--- a/crates/ingress/src/stream_origins/mod.rs
+++ b/crates/ingress/src/stream_origins/mod.rs
@@ -3,6 +3,7 @@
 //! The decisions are in [`bluebell_core::streams`]. Records and queries are datagrams on the socket
 //! for messages between instances. A record that is lost is one of several; a query is repeated.
 
+mod log_records;
 mod messages;
 mod resumption;
 
@@ -15,18 +16,23 @@
 
 use bluebell_core::{
     clock::ClockTime,
-    ids::FailureDomain,
     ingress::IngressConfiguration,
     streams::{
-        MAX_STREAM_AGE, OriginHash, RecordPeer, RecordScope, RecordedOrigin, RouteHistory,
-        StreamHash, StreamTable, queried_peers, recording_peers,
+        MAX_STREAM_AGE, OriginHash, RecordPeer, RecordQueue, RecordScope, RecordedOrigin,
+        RouteHistory, StreamHash, StreamRecord, StreamTable, appending_peer, queried_peers,
+        recording_peers,
     },
 };
 use prost::Message;
-use tokio::{net::UdpSocket, sync::mpsc};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, mpsc},
+};
+use tokio_util::sync::CancellationToken;
 
 use self::messages::{MAX_RECORDS, OriginAnswer, OriginContent, OriginQuery, OriginRecords};
 pub use self::{
+    log_records::start,
     messages::OriginMessage,
     resumption::{ResumedStream, StreamRequest, begun_origin},
 };
@@ -71,6 +77,12 @@
     socket: OnceLock<Arc<UdpSocket>>,
     /// For which services and instances the streams that began here were last recorded.
     recorded_for: Shared<Option<u64>>,
+    /// The records that this instance appends to the log.
+    log_queue: Shared<RecordQueue>,
+    /// Is told of records to append.
+    log_due: Notify,
+    /// Cancelled once this instance has read the records of the log, or does not read them.
+    log_read: CancellationToken,
 }
 
 /// Removes a query when its result is no longer awaited.
@@ -118,23 +130,60 @@
         self.routes.lock().sweep(now, MAX_STREAM_AGE);
     }
 
-    /// Records the streams in `scope` with those of `peers` that have not been sent them. This
-    /// instance is in `domain`.
+    /// Records the streams in `scope` with those of `peers` that have not been sent them, and has
+    /// them appended to the log. `local` is this instance.
     fn record(
         &self,
         scope: RecordScope<'_>,
-        domain: &FailureDomain,
+        local: &RecordPeer<SocketAddr>,
         peers: &[RecordPeer<SocketAddr>],
     ) {
-        let due = self.table.lock().take_due(scope, |stream| {
-            let chosen = recording_peers(stream, domain, peers);
+        let mut table = self.table.lock();
+        let due = table.take_due(scope, |stream| {
+            let chosen = recording_peers(stream, &local.domain, peers);
             chosen.into_iter().cloned().collect()
         });
+        let unlogged = table.take_unlogged(scope);
+        drop(table);
         for (address, records) in due {
             for records in records.chunks(MAX_RECORDS) {
                 self.send(address, OriginContent::Records(OriginRecords::new(records)));
             }
         }
+        self.record_in_log(unlogged, local, peers);
+    }
+
+    /// Sends records to the instances of the failure domain that append them to the log.
+    fn record_in_log(
+        &self,
+        records: Vec<StreamRecord>,
+        local: &RecordPeer<SocketAddr>,
+        peers: &[RecordPeer<SocketAddr>],
+    ) {
+        let neighbours = peers.iter().filter(|peer| peer.domain == local.domain);
+        let members: Vec<&RecordPeer<SocketAddr>> = neighbours.chain([local]).collect();
+        let mut due: BTreeMap<SocketAddr, Vec<StreamRecord>> = BTreeMap::new();
+        for record in records {
+            if let Some(appender) = appending_peer(record.stream, members.clone()) {
+                due.entry(appender.address).or_default().push(record);
+            }
+        }
+        for (address, records) in due {
+            if address == local.address {
+                self.queue_for_log(records);
+                continue;
+            }
+            for records in records.chunks(MAX_RECORDS) {
+                let records = OriginRecords::new(records).with_log();
+                self.send(address, OriginContent::Records(records));
+            }
+        }
+    }
+
+    fn queue_for_log(&self, records: Vec<StreamRecord>) {
+        if self.log_queue.lock().add(records) {
+            self.log_due.notify_one();
+        }
     }
 
     /// Asks those of `peers` that may have recorded `stream`. Ends as soon as one knows it.
@@ -195,9 +244,9 @@
     {
         match message.content {
             Some(OriginContent::Records(records)) => {
-                let mut table = self.table.lock();
-                for record in records.records() {
-                    table.note_record(now, record);
+                self.note_records(now, &records);
+                if records.is_for_log {
+                    self.queue_for_log(records.records().collect());
                 }
             }
             Some(OriginContent::Query(query)) => {
@@ -218,6 +267,13 @@
         }
     }
 
+    fn note_records(&self, now: ClockTime, records: &OriginRecords) {
+        let mut table = self.table.lock();
+        for record in records.records() {
+            table.note_record(now, record);
+        }
+    }
+
     fn send(&self, address: SocketAddr, content: OriginContent) {
         let Some(socket) = self.socket.get() else {
             return;
--- a/crates/ingress/src/stream_origins/resumption.rs
+++ b/crates/ingress/src/stream_origins/resumption.rs
@@ -3,12 +3,13 @@
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
+    time::Duration,
 };
 
 use bluebell_core::{
     clock::{ClockSource, ClockTime},
     directory::EndpointDirectory,
-    ids::{FailureDomain, ServiceName},
+    ids::ServiceName,
     placement::EndpointTarget,
     streams::{
         OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash, StreamRecord,
@@ -19,6 +20,10 @@
 
 use crate::{shared::Shared, stream_origins::StreamOrigins};
 
+/// How long a request that takes up a stream waits for the records in the log, if this process has
+/// just started.
+const LOG_READ_WAIT: Duration = Duration::from_millis(500);
+
 /// The number of instances that are asked for proofs.
 const PROVING_PEERS: usize = 3;
 
@@ -89,14 +94,14 @@
 
 impl StreamOrigins {
     /// Records that `record` began here, and records it with other instances unless only one
-    /// origin is possible. `peers` are the other instances; this one is in `domain`.
+    /// origin is possible. `peers` are the other instances; this one is `local`.
     pub fn begin<Peers>(
         &self,
         now: ClockTime,
         directory: &Shared<EndpointDirectory>,
         record: StreamRecord,
         service: &ServiceName,
-        domain: &FailureDomain,
+        local: &RecordPeer<SocketAddr>,
         peers: Peers,
     ) where
         Peers: FnOnce() -> Vec<RecordPeer<SocketAddr>>,
@@ -108,7 +113,7 @@
             (versions.sole_origin(now, service), versions.stream_age())
         };
         if sole.is_none() || self.routes.lock().has_moved(now, stream_age) {
-            self.record(RecordScope::Stream(record.stream), domain, &peers());
+            self.record(RecordScope::Stream(record.stream), local, &peers());
         }
     }
 
@@ -118,7 +123,7 @@
         &self,
         now: ClockTime,
         directory: &Shared<EndpointDirectory>,
-        domain: &FailureDomain,
+        local: &RecordPeer<SocketAddr>,
         peers: Peers,
     ) where
         Peers: FnOnce() -> Vec<RecordPeer<SocketAddr>>,
@@ -137,7 +142,7 @@
         let recorded_for = Some(fingerprint(&services, &peers));
         let earlier = std::mem::replace(&mut *self.recorded_for.lock(), recorded_for);
         if earlier != recorded_for {
-            self.record(RecordScope::Services(&services), domain, &peers);
+            self.record(RecordScope::Services(&services), local, &peers);
         }
     }
 
@@ -184,7 +189,7 @@
         stream: StreamHash,
         peers: &[RecordPeer<SocketAddr>],
     ) -> (Option<RecordedOrigin>, OriginSource) {
-        if let Some(known) = self.origin(stream) {
+        if let Some(known) = self.known_origin(stream).await {
             return (Some(known), OriginSource::Local);
         }
         let result = self.query(stream, peers).await;
@@ -198,6 +203,19 @@
         }
     }
 
+    /// Where `stream` began, as far as it is known here. A process that has just started waits for
+    /// the records in the log.
+    async fn known_origin(&self, stream: StreamHash) -> Option<RecordedOrigin> {
+        let known = self.origin(stream);
+        if known.is_some() || self.log_read.is_cancelled() {
+            return known;
+        }
+        let read = self.log_read.cancelled();
+        // After that, the other instances are asked.
+        let _ = tokio::time::timeout(LOG_READ_WAIT, read).await;
+        self.origin(stream)
+    }
+
     /// Has some of `peers` prove which services had a single version before this instance knew
     /// them, unless that is known.
     pub async fn prove(
