Take a stream without an event that ends with its connection for broken

Right after the head: yes, for a stream with neither a length nor chunks. Its end was taken for that of a whole stream without events, and the caller got a 200 with an empty body framed as whole. Such a stream of a run has an event; without one it now counts as broken off, so the request is sent elsewhere where it may be.

A plain answer without a length that ends right after its head may be whole and empty; it is passed on as before.

--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -411,7 +411,7 @@
         let remaining = self.request.time_left(self.context.now());
         let (first_events, is_complete) = match events.next(remaining.as_duration()).await {
             NextEvents::Events { bytes, .. } => (bytes, false),
-            NextEvents::End => (bytes::Bytes::new(), true),
+            NextEvents::End if stream::has_framed_end(&head.headers) => (bytes::Bytes::new(), true),
             NextEvents::TimedOut => {
                 self.note_possible_run(&target.id);
                 return Err(FailedAttempt::new(
@@ -419,7 +419,8 @@
                     "no event before the deadline",
                 ));
             }
-            NextEvents::Broken => {
+            // A stream without an event that ends with its connection was broken off.
+            NextEvents::End | NextEvents::Broken => {
                 self.note_lost_run(target, AnswerProgress::Head).await;
                 let detail = "the stream broke before its first event";
                 return Err(FailedAttempt::new(RefusalReason::EndpointFailed, detail));
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -7,7 +7,7 @@
 };
 use bytes::Bytes;
 use hyper::{
-    Response,
+    HeaderMap, Response,
     body::{Frame, Incoming},
     header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
     http::response::Parts,
@@ -83,14 +83,13 @@
     content_type.is_some_and(|value| value.starts_with("text/event-stream"))
 }
 
-impl RunningStream {
-    /// Whether the end of the stream is marked. Another one ends with its connection, as it does if
-    /// the engine crashes between two events.
-    fn has_framed_end(&self) -> bool {
-        let headers = &self.head.headers;
-        headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
-    }
+/// Whether the end of an answer with these headers is marked. Another one ends with its connection,
+/// as it does if the engine crashes between two events.
+pub fn has_framed_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
+}
 
+impl RunningStream {
     /// The mean interval between events in ms; `None` while there are too few events.
     fn mean_event_interval(&self) -> Option<f64> {
         let last_id = self.events.last_id().unwrap_or_default();
@@ -239,7 +238,7 @@
         self.run.end();
         let context = &self.run.context;
         crashes::note_completed(context, &self.run.request);
-        if self.running.has_events && self.running.has_framed_end() {
+        if self.running.has_events && has_framed_end(&self.running.head.headers) {
             crashes::note_answered(context, &self.run.request);
         }
         resume::note_ended(context, self.run.request.stream);
