Ignore the late record of an earlier end of an instance in the usage ledger

Change: the end of an earlier start than the last one that has published is ignored. Before: `an_end_that_is_carried_out_late_does_not_concern_the_next_start` fails; after: it passes.

--- a/crates/core/src/usage/metered.rs
+++ b/crates/core/src/usage/metered.rs
@@ -98,6 +98,8 @@
     reached: BTreeMap<InstanceId, UsageWindow>,
     /// The last start of each instance that has ended in order.
     ended: BTreeMap<InstanceId, u64>,
+    /// The last start of each instance that has published.
+    started: BTreeMap<InstanceId, u64>,
 }
 
 impl UsageLedger {
@@ -130,6 +132,8 @@
     /// Records what `writer` published during `window`, as [`UsageLedger::note_reached`], unless
     /// it has ended: others may publish for it later than its end.
     pub fn note_published(&mut self, writer: &MeterWriter, window: UsageWindow) {
+        let started = self.started.entry(writer.instance.clone()).or_default();
+        *started = writer.start.max(*started);
         let ended = self.ended.get(&writer.instance);
         if ended.is_none_or(|start| *start < writer.start) {
             self.note_reached(writer.instance.clone(), window);
@@ -137,8 +141,13 @@
     }
 
     /// Records that `writer` has ended in order and published all of its counts. Nothing more
-    /// is expected of its instance until it has started again.
+    /// is expected of its instance until it has started again. It may have done so already: the
+    /// store carries out some records late.
     pub fn note_ended(&mut self, writer: &MeterWriter) {
+        let started = self.started.get(&writer.instance);
+        if started.is_some_and(|start| *start > writer.start) {
+            return;
+        }
         self.reached.remove(&writer.instance);
         let ended = self.ended.entry(writer.instance.clone()).or_default();
         *ended = writer.start.max(*ended);
--- a/crates/core/tests/usage_metered.rs
+++ b/crates/core/tests/usage_metered.rs
@@ -140,3 +140,14 @@
     ledger.record(WINDOW, writer("one", 1), counts(4));
     assert_eq!(ledger.sum(WINDOW)[&organisation("magnolia")], 9);
 }
+
+/// Guards against a window that is reported without the counts of a running instance: the record of
+/// its earlier end is carried out after it has started again.
+#[test]
+fn an_end_that_is_carried_out_late_does_not_concern_the_next_start() {
+    let mut ledger = UsageLedger::new();
+    ledger.note_published(&writer("one", 2), WINDOW);
+    ledger.note_ended(&writer("one", 1));
+    let pending: Vec<&InstanceId> = ledger.pending(WINDOW, WINDOW.next()).collect();
+    assert_eq!(pending, [&writer("one", 2).instance]);
+}
