Count a crash if another endpoint answers at the address

The same cause as in the crashes of all replicas, evidence that is dropped: an endpoint at whose address another one answers (421) is removed from the directory at once, and the later lapse of its registration is no change any more. What broke there and waited for the registration was never counted.

Change: the removal counts as the end of the endpoint. Before: `a_crash_counts_if_another_endpoint_answers_at_the_address` fails; after: it passes.

--- a/crates/ingress/src/forward/endpoint_changes.rs
+++ b/crates/ingress/src/forward/endpoint_changes.rs
@@ -27,6 +27,12 @@
     );
 }
 
+/// Removes an endpoint at whose address another one answered: it has ended.
+pub fn note_replaced(context: &EntryContext, endpoint: &EndpointId) {
+    context.directory.lock().remove_endpoint(endpoint);
+    note_removed(context, endpoint);
+}
+
 /// Handles the removal of an endpoint from the directory.
 pub fn note_removed(context: &EntryContext, endpoint: &EndpointId) {
     note_starts_ended(context, endpoint, None, EndEvidence::Unregistered);
--- a/crates/ingress/src/forward/engine_failures.rs
+++ b/crates/ingress/src/forward/engine_failures.rs
@@ -5,6 +5,7 @@
 use crate::forward::{
     attempt::Withheld,
     broken_runs::{self, AnswerProgress},
+    endpoint_changes,
     failed_attempt::FailedAttempt,
     generate::GenerationRun,
 };
@@ -48,7 +49,7 @@
             421 if is_replaced => {
                 engines.remove_engine(&target.id);
                 drop(engines);
-                self.context.directory.lock().remove_endpoint(&target.id);
+                endpoint_changes::note_replaced(&self.context, &target.id);
             }
             421 => engines.note_wrong_stage(&target.id),
             _ => engines.refused(now, &target.id),
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -19,7 +19,7 @@
         answer::{CompleteAnswer, MAX_ANSWER_BYTES},
         attempt::{self, SendOutcome, Withheld},
         broken_runs::{self, AnswerProgress},
-        crashes,
+        crashes, endpoint_changes,
         failed_attempt::refusal_of_withheld,
         guards::ReplicaGuard,
         meter, notices, proxy,
@@ -207,7 +207,7 @@
             } => {
                 self.attempts.refused_before_running(permit);
                 if is_replaced {
-                    self.context.directory.lock().remove_endpoint(&target.id);
+                    endpoint_changes::note_replaced(self.context, &target.id);
                 }
                 guard.failed();
                 if status == StatusCode::SERVICE_UNAVAILABLE {
