Tell the time that is left when a lapse is sent again

The same cause as in the grace after an outage, counted from a late moment: a reader tells the others of its failure domain for how long it keeps a lapsed endpoint. That time was computed once, and the message is sent again for 1.2 s, or by an instance that takes over within 3 s. One that missed the first datagram kept the endpoint for longer than its reader, by up to that time.

Change: the time that is sent is reduced by the age of the change. The model of the directories does the same.

--- a/crates/core/src/relay/changes.rs
+++ b/crates/core/src/relay/changes.rs
@@ -107,8 +107,9 @@
         self.omissions
     }
 
-    /// Returns up to `most` due changes, the newest first, and records them as sent.
-    pub fn take_due(&mut self, now: ClockTime, most: usize) -> Vec<Change> {
+    /// Returns up to `most` due changes, the newest first, with the time since each was observed, and
+    /// records them as sent.
+    pub fn take_due(&mut self, now: ClockTime, most: usize) -> Vec<(Change, TimeSpan)> {
         let changes = self.changes.values_mut();
         let mut due: Vec<_> = changes.filter(|observed| observed.is_due(now)).collect();
         due.sort_by_key(|observed| std::cmp::Reverse(observed.number));
@@ -116,7 +117,7 @@
         sent.map(|observed| {
             let first = observed.sent_at.map_or(now, |(first, _)| first);
             observed.sent_at = Some((first, now));
-            observed.change.clone()
+            (observed.change.clone(), now.since(observed.observed_at))
         })
         .collect()
     }
--- a/crates/core/tests/directory_support/instance.rs
+++ b/crates/core/tests/directory_support/instance.rs
@@ -155,6 +155,16 @@
         }
     }
 
+    /// The changes for the next datagram.
+    pub fn due_changes(&mut self, now: u64, most: usize) -> Vec<ModelChange> {
+        let due = self.changes.take_due(at(now), most).into_iter();
+        let aged = due.map(|(change, age)| ModelChange {
+            kept_for: change.kept_for.map(|kept_for| kept_for.saturating_sub(age)),
+            ..change
+        });
+        aged.collect()
+    }
+
     fn queue(&mut self, now: u64, id: &EndpointId, registration: Option<EndpointRegistration>) {
         let change = ModelChange {
             id: id.clone(),
--- a/crates/core/tests/directory_support/sync.rs
+++ b/crates/core/tests/directory_support/sync.rs
@@ -89,7 +89,7 @@
                 age_ms: age.as_millis(),
                 known_at: 0,
                 digest: sender.directory.digest(),
-                changes: sender.changes.take_due(at(now), MAX_CHANGES),
+                changes: sender.due_changes(now, MAX_CHANGES),
                 omissions: sender.changes.omissions(),
             };
             let has_more = sender.changes.has_due(at(now));
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use bluebell_core::{
+    clock::TimeSpan,
     directory::{EngineStage, RegistrationNumber},
     ids::{FailureDomain, LogOffset, ServiceName},
     placement::{EngineLoad, PRIORITY_RANKS, PeerLoad, PeerPart},
@@ -318,7 +319,8 @@
     /// The registration as stored; `None` if it was removed.
     #[prost(bytes = "vec", optional, tag = "2")]
     pub value: Option<Vec<u8>>,
-    /// For how many ms the endpoint is kept although its registration was removed.
+    /// For how many ms the endpoint is kept although its registration was removed, from when the
+    /// message is sent.
     #[prost(uint64, optional, tag = "3")]
     pub kept_for_ms: Option<u64>,
     /// The start of the endpoint whose registration was removed.
@@ -330,6 +332,14 @@
 }
 
 impl ChangeMessage {
+    /// The message as it is to be sent `age` after the change: an endpoint that is kept for some time
+    /// is kept for less by then.
+    pub fn with_age(mut self, age: TimeSpan) -> ChangeMessage {
+        let kept_for_ms = self.kept_for_ms;
+        self.kept_for_ms = kept_for_ms.map(|kept_for| kept_for.saturating_sub(age.as_millis()));
+        self
+    }
+
     /// The last registration that was removed.
     pub fn removed_number(&self) -> RegistrationNumber {
         RegistrationNumber {
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -219,7 +219,9 @@
 
     /// Returns the changes for the next datagram, newest first, and records them as sent.
     pub fn take_due_changes(&mut self, now: ClockTime) -> Vec<ChangeMessage> {
-        self.changes.take_due(now, MAX_CHANGES_PER_DATAGRAM)
+        let due = self.changes.take_due(now, MAX_CHANGES_PER_DATAGRAM);
+        let changes = due.into_iter();
+        changes.map(|(change, age)| change.with_age(age)).collect()
     }
 
     /// Records that the registrations of all instances were read.
--- a/crates/ingress/tests/peer_table.rs
+++ b/crates/ingress/tests/peer_table.rs
@@ -68,6 +68,28 @@
     assert_eq!(times.first(), Some(&1_000));
 }
 
+/// Guards against an instance that keeps a lapsed endpoint for longer than its reader, because the
+/// first datagram was lost.
+#[test]
+fn a_lapse_that_is_sent_again_tells_the_time_that_is_left() {
+    let mut table = PeerTable::new();
+    let lapse = ChangeMessage {
+        endpoint: "engine-1".to_string(),
+        kept_for_ms: Some(900),
+        ..ChangeMessage::default()
+    };
+    table.note_change(at(1_000), lapse);
+    let mut left = Vec::new();
+    for now in 1_000..9_000 {
+        let sent = table.take_due_changes(at(now));
+        left.extend(sent.iter().map(|change| (now, change.kept_for_ms)));
+    }
+    assert!(left.len() > 1, "{left:?}");
+    for (now, kept_for_ms) in left {
+        assert_eq!(kept_for_ms, Some(900_u64.saturating_sub(now - 1_000)));
+    }
+}
+
 /// Guards against datagrams of changes that use up the low bandwidth of an instance's links.
 #[test]
 fn packed_changes_are_small_and_decode_completely() {
