Ignore the message of a lapse that a later registration has overtaken

A datagram that arrives after the next registration dropped a live endpoint.

Change: `EndpointDirectory::lapse` takes the number and leaves a later registration alone, as for relayed removals. The calls in the tests name the number; their assertions are the same.

Before: `an_overtaken_lapse_does_not_concern_a_later_registration` fails; after: it passes.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -337,15 +337,20 @@
         }
     }
 
-    /// Records that another instance reports the registration as lapsed around an outage
-    /// of the store and keeps it for `kept_for` longer. It is kept here for at most that
-    /// time, and not at all if no outage is known here.
+    /// Records that another instance reports the registration, whose last number was `number`, as
+    /// lapsed around an outage of the store and keeps it for `kept_for` longer. It is kept here for
+    /// at most that time, and not at all if no outage is known here. A later registration that is
+    /// known here stays: the report may have been overtaken by it.
     pub fn lapse(
         &mut self,
         now: ClockTime,
         id: &EndpointId,
+        number: RegistrationNumber,
         kept_for: TimeSpan,
     ) -> DirectoryChange {
+        if !self.note_relayed_removal(id, number) {
+            return DirectoryChange::Same;
+        }
         let end = self.grace_end(now).map(|end| end.min(now + kept_for));
         self.end_registration(id, end)
     }
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -4,11 +4,17 @@
     clock::{ClockTime, TimeSpan},
     directory::{
         DirectoryChange, EndpointDirectory, EndpointRegistration, EngineStage, LAPSE_GRACE,
-        SoftwareVersion,
+        RegistrationNumber, SoftwareVersion,
     },
     ids::{EndpointId, FailureDomain, ServiceName},
 };
 
+/// The number of the registrations of the tests, unless they say otherwise.
+const FIRST: RegistrationNumber = RegistrationNumber {
+    start: 1,
+    sequence: 1,
+};
+
 fn at(millis: u64) -> ClockTime {
     ClockTime::from_millis(millis)
 }
@@ -134,8 +140,8 @@
     directory.register(registration("one"));
     directory.note_outage(at(1_000));
     directory.note_answer(at(9_000));
-    directory.lapse(at(10_000), &id("one"), TimeSpan::from_millis(300));
-    directory.lapse(at(10_200), &id("one"), TimeSpan::from_millis(300));
+    directory.lapse(at(10_000), &id("one"), FIRST, TimeSpan::from_millis(300));
+    directory.lapse(at(10_200), &id("one"), FIRST, TimeSpan::from_millis(300));
     assert_eq!(
         directory.remaining_grace(at(10_200), &id("one")),
         Some(TimeSpan::from_millis(100))
@@ -185,7 +191,7 @@
     directory.register(registration("withdrawn"));
     directory.note_answer(at(11_400));
     let kept_for = TimeSpan::from_millis(2_000);
-    let change = directory.lapse(at(11_910), &id("withdrawn"), kept_for);
+    let change = directory.lapse(at(11_910), &id("withdrawn"), FIRST, kept_for);
     assert_eq!(change, DirectoryChange::Gone);
     assert!(open(&directory).is_empty());
 }
@@ -215,7 +221,7 @@
     directory.note_answer(at(900));
     directory.note_answer(at(6_000));
     let kept_for = TimeSpan::from_millis(5_000);
-    let change = directory.lapse(at(6_100), &id("lives"), kept_for);
+    let change = directory.lapse(at(6_100), &id("lives"), FIRST, kept_for);
     assert_eq!(change, DirectoryChange::Lapsed);
     assert_eq!(open(&directory), ["lives"]);
     assert_eq!(directory.remove_expired(at(8_000)), [id("lives")]);
@@ -498,3 +504,17 @@
     let left = directory.time_to_removal(at(7_000));
     assert_eq!(left, Some(TimeSpan::from_millis(1_000)));
 }
+
+/// Guards against dropping a live endpoint because the message of its lapse arrives after its next
+/// registration.
+#[test]
+fn an_overtaken_lapse_does_not_concern_a_later_registration() {
+    let mut directory = EndpointDirectory::new();
+    directory.register(numbered(7, 6));
+    let kept_for = TimeSpan::from_millis(2_000);
+    let change = directory.lapse(at(5_000), &id("one"), numbered(7, 5).number(), kept_for);
+    assert_eq!(change, DirectoryChange::Same);
+    assert_eq!(open(&directory), ["one"]);
+    let change = directory.lapse(at(5_000), &id("one"), numbered(7, 6).number(), kept_for);
+    assert_eq!(change, DirectoryChange::Gone);
+}
--- a/crates/core/tests/directory_support/sync.rs
+++ b/crates/core/tests/directory_support/sync.rs
@@ -379,7 +379,10 @@
             }
         }
         (None, Some(kept_for)) => {
-            instance.directory.lapse(at(now), &change.id, kept_for);
+            let number = change.number;
+            instance
+                .directory
+                .lapse(at(now), &change.id, number, kept_for);
         }
         (None, None) => {
             if instance
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -347,7 +347,7 @@
         (Some(value), _) => sync::register_relayed(context, &id, value, known_at),
         (None, Some(kept_for_ms)) => {
             let kept_for = TimeSpan::from_millis(kept_for_ms);
-            sync::lapse(context, &id, kept_for, reader);
+            sync::lapse(context, &id, change.removed_number(), kept_for, reader);
         }
         (None, None) => sync::unregister_relayed(context, &id, change.removed_number()),
     }
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -450,11 +450,17 @@
     forget_if_removed(context, id);
 }
 
-/// Handles the message of the failure domain's reader that a registration has lapsed and
-/// is kept for `kept_for` at most.
-pub fn lapse(context: &EntryContext, id: &EndpointId, kept_for: TimeSpan, reader: &InstanceId) {
+/// Handles the message of the failure domain's `reader` that the registration `number` of an endpoint
+/// has lapsed and is kept for `kept_for` at most.
+pub fn lapse(
+    context: &EntryContext,
+    id: &EndpointId,
+    number: RegistrationNumber,
+    kept_for: TimeSpan,
+    reader: &InstanceId,
+) {
     let now = context.now();
-    let change = context.directory.lock().lapse(now, id, kept_for);
+    let change = context.directory.lock().lapse(now, id, number, kept_for);
     if change == DirectoryChange::Same {
         return;
     }
