Wait for the lapse of a registration as long as heartbeats take

The same cause as in the crashes of all replicas, evidence that is dropped: broken runs were forgotten 6 s after the break, which is long enough for heartbeats of 1.2 s. With heartbeats from 2 s on a registration lapses later, and a crash that only the registrations can show was never counted.

Change: five heartbeat intervals of the settings, as before at 1.2 s. Before: `breaks_wait_until_registrations_can_lapse` fails; after: it passes.

--- a/crates/core/src/quarantine/broken_runs.rs
+++ b/crates/core/src/quarantine/broken_runs.rs
@@ -18,9 +18,12 @@
     quarantine::PartHash,
 };
 
-/// How long after a break the end of the endpoint counts as its cause: a registration lapses after
-/// three heartbeat intervals, and the store is read some time later.
-const CONFIRMATION_PERIOD: TimeSpan = TimeSpan::from_millis(6_000);
+/// How many heartbeat intervals after a break the end of the endpoint counts as its cause: a
+/// registration lapses after three of them, and the store is read some time later.
+const CONFIRMATION_HEARTBEATS: u64 = 5;
+
+/// The heartbeat interval of endpoints, if the settings name none.
+const DEFAULT_HEARTBEAT: TimeSpan = TimeSpan::from_millis(1_200);
 
 /// The shortest time between two probes of an endpoint.
 const PROBE_INTERVAL: TimeSpan = TimeSpan::from_millis(250);
@@ -79,16 +82,34 @@
 }
 
 /// The endpoints whose connections broke lately, as one entry observed.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Serialize)]
 #[serde(transparent)]
 pub struct BrokenRuns {
     endpoints: BTreeMap<EndpointId, BTreeMap<u64, BrokenStart>>,
+    /// How long after a break the end of the endpoint counts as its cause.
+    #[serde(skip)]
+    confirmation_period: TimeSpan,
+}
+
+impl Default for BrokenRuns {
+    fn default() -> BrokenRuns {
+        BrokenRuns::new()
+    }
 }
 
 impl BrokenRuns {
     /// Creates a table without broken runs.
     pub fn new() -> BrokenRuns {
-        BrokenRuns::default()
+        BrokenRuns {
+            endpoints: BTreeMap::new(),
+            confirmation_period: DEFAULT_HEARTBEAT.times(CONFIRMATION_HEARTBEATS),
+        }
+    }
+
+    /// Sets the heartbeat interval of endpoints.
+    pub fn with_heartbeat(mut self, interval: TimeSpan) -> BrokenRuns {
+        self.confirmation_period = interval.times(CONFIRMATION_HEARTBEATS);
+        self
     }
 
     /// Records that the connection broke on which `run` ran at the endpoint that was started at
@@ -145,12 +166,13 @@
         endpoint: &EndpointId,
         start: u64,
     ) -> Vec<BrokenRun> {
+        let period = self.confirmation_period;
         let Some(broken) = self.broken_start(endpoint, start) else {
             return Vec::new();
         };
         broken.ended_at.get_or_insert(now);
         let runs = std::mem::take(&mut broken.runs);
-        if now.since(broken.broke_at) >= CONFIRMATION_PERIOD {
+        if now.since(broken.broke_at) >= period {
             return Vec::new();
         }
         broken.refused_runs.extend_from_slice(&runs);
@@ -167,6 +189,7 @@
         endpoint: &EndpointId,
         start: u64,
     ) -> Vec<BrokenRun> {
+        let period = self.confirmation_period;
         let Some(broken) = self.broken_start(endpoint, start) else {
             return Vec::new();
         };
@@ -175,7 +198,7 @@
         let mut runs = std::mem::take(&mut broken.runs);
         runs.append(&mut broken.refused_runs);
         runs.append(&mut broken.doubted_runs);
-        match now.since(broken.broke_at) < CONFIRMATION_PERIOD {
+        match now.since(broken.broke_at) < period {
             true => runs,
             false => Vec::new(),
         }
@@ -212,7 +235,8 @@
 
     /// Forgets breaks that nothing has confirmed in time.
     pub fn sweep(&mut self, now: ClockTime) {
-        self.retain(|broken| now.since(broken.broke_at) < CONFIRMATION_PERIOD);
+        let period = self.confirmation_period;
+        self.retain(|broken| now.since(broken.broke_at) < period);
     }
 
     fn broken_start(&mut self, endpoint: &EndpointId, start: u64) -> Option<&mut BrokenStart> {
--- a/crates/core/tests/broken_runs.rs
+++ b/crates/core/tests/broken_runs.rs
@@ -1,7 +1,7 @@
 //! Broken connections, and what shows whether their endpoints ended.
 
 use bluebell_core::{
-    clock::ClockTime,
+    clock::{ClockTime, TimeSpan},
     ids::{EndpointId, RequestFingerprint},
     quarantine::{BreakStep, BrokenRun, BrokenRuns},
 };
@@ -112,3 +112,15 @@
     broken.retract_since(at(900));
     assert_eq!(broken.note_gone(at(20_000), &engine(), 1), []);
 }
+
+/// Guards against forgetting a crash before a registration can lapse, with heartbeats that are far
+/// apart.
+#[test]
+fn breaks_wait_until_registrations_can_lapse() {
+    let heartbeat = TimeSpan::from_millis(3_000);
+    let mut broken = BrokenRuns::new().with_heartbeat(heartbeat);
+    broken.note_break(at(1_000), &engine(), 1, run(1));
+    broken.retract_since(at(900));
+    broken.sweep(at(10_500));
+    assert_eq!(broken.note_gone(at(10_600), &engine(), 1), [run(1)]);
+}
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -189,8 +189,9 @@
             start: crate::time::wall_time().as_millis(),
         };
         let started_at = clock.now();
+        let heartbeat = settings.heartbeat;
         let directory = EndpointDirectory::new()
-            .with_heartbeat(settings.heartbeat)
+            .with_heartbeat(heartbeat)
             .with_contact_delay(bounds.contact_delay)
             .with_first_start(settings.is_first_start);
         let seed = rand::random();
@@ -221,7 +222,7 @@
             budget: Shared::new(SharedRetryBudget::new(allowance).with_start(started_at)),
             quarantine: Shared::new(SharedQuarantine::new()),
             prompt_parts: Shared::new(PartQuarantine::new().with_seed(seed)),
-            broken_runs: Shared::new(BrokenRuns::new()),
+            broken_runs: Shared::new(BrokenRuns::new().with_heartbeat(heartbeat)),
             streams: StreamOrigins::new(),
             reach: Shared::new(ReachTable::new()),
             limiter: Shared::new(limiter),
