Take event streams of plain services that are broken off for incomplete

The same cause as in the streams of engines that end right after their heads: a streaming route may lead to a plain service, whose answer is read to its end before it is passed on. Without a length or chunks, a stream that ended inside an event, or before the first one, was passed on as whole.

Change: such an answer counts as incomplete. What tells streams and their ends apart is now in one place, `forward/answer`.

--- a/crates/ingress/src/forward/answer.rs
+++ b/crates/ingress/src/forward/answer.rs
@@ -3,11 +3,18 @@
 use bluebell_core::{clock::TimeSpan, placement::EndpointTarget};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::{HeaderMap, Response, StatusCode, body::Incoming, header::CONTENT_LENGTH};
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+};
 
 use crate::{
     context::EntryContext,
-    forward::attempt::{self, EndpointAnswer},
+    forward::{
+        attempt::{self, EndpointAnswer},
+        events::EventSplitter,
+    },
     frontend::{AnswerBody, CallerRequest, pieces_body},
     hop_headers,
     memory::AnswerMemory,
@@ -31,8 +38,8 @@
 
 impl CompleteAnswer {
     /// Reads the rest of the answer to `request`. Returns `None` if the connection breaks,
-    /// the body exceeds `max_bytes` or `timeout` elapses. Only the connection of a
-    /// completely read answer returns to the pool.
+    /// the body exceeds `max_bytes`, `timeout` elapses, or the answer is an event stream that its
+    /// endpoint has broken off. Only the connection of a completely read answer returns to the pool.
     pub async fn read(
         context: &EntryContext,
         request: &CallerRequest,
@@ -46,6 +53,9 @@
         let pieces = read_pieces(body, &memory, max_bytes);
         let body = tokio::time::timeout(timeout.as_duration(), pieces).await;
         let body = body.ok()??;
+        if is_event_stream(&head.headers) && !has_framed_end(&head.headers) && !ends_event(&body) {
+            return None;
+        }
         attempt::return_to_pool(context, target, answer.connection);
         Some(CompleteAnswer {
             status: head.status,
@@ -92,6 +102,26 @@
     Some(pieces)
 }
 
+/// Whether the content type of an answer with these headers is that of an event stream.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    content_type.is_some_and(|value| value.starts_with("text/event-stream"))
+}
+
+/// Whether the end of an answer with these headers is marked. Another one ends with its connection,
+/// as it does if the endpoint crashes.
+pub fn has_framed_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
+}
+
+/// Whether the body of an event stream has an event and ends with a complete one.
+fn ends_event(body: &[Bytes]) -> bool {
+    let mut splitter = EventSplitter::new(None);
+    body.iter().for_each(|piece| splitter.push(piece));
+    splitter.take_events().is_some() && !splitter.has_partial_event()
+}
+
 /// Returns the headers of an answer that are forwarded to the caller: all except
 /// hop-by-hop headers and `Content-Length`.
 pub fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -16,7 +16,7 @@
 use crate::{
     context::EntryContext,
     forward::{
-        answer::{CompleteAnswer, MAX_ANSWER_BYTES},
+        answer::{CompleteAnswer, MAX_ANSWER_BYTES, has_framed_end, is_event_stream},
         attempt::{self, EndpointAnswer, ExtraHeaders, SendOutcome},
         backups::BackedRun,
         broken_runs::AnswerProgress,
@@ -380,7 +380,7 @@
             );
             return Err(FailedAttempt::new(RefusalReason::EndpointFailed, detail));
         }
-        if !stream::is_event_stream(&answer.response) {
+        if !is_event_stream(answer.response.headers()) {
             let remaining = self.request.time_left(self.context.now());
             let complete = CompleteAnswer::read(
                 &self.context,
@@ -411,7 +411,7 @@
         let remaining = self.request.time_left(self.context.now());
         let (first_events, is_complete) = match events.next(remaining.as_duration()).await {
             NextEvents::Events { bytes, .. } => (bytes, false),
-            NextEvents::End if stream::has_framed_end(&head.headers) => (bytes::Bytes::new(), true),
+            NextEvents::End if has_framed_end(&head.headers) => (bytes::Bytes::new(), true),
             NextEvents::TimedOut => {
                 self.note_possible_run(&target.id);
                 return Err(FailedAttempt::new(
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -6,16 +6,11 @@
     quarantine::SURVIVAL_TIME,
 };
 use bytes::Bytes;
-use hyper::{
-    HeaderMap, Response,
-    body::{Frame, Incoming},
-    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
-    http::response::Parts,
-};
+use hyper::{Response, body::Frame, http::response::Parts};
 
 use crate::{
     forward::{
-        answer::end_to_end_headers,
+        answer::{end_to_end_headers, has_framed_end},
         attempt,
         connection::EndpointConnection,
         crashes,
@@ -76,19 +71,6 @@
     pub _guard: RunGuard,
 }
 
-/// Whether the content type of the answer is that of an event stream.
-pub fn is_event_stream(response: &Response<Incoming>) -> bool {
-    let content_type = response.headers().get(CONTENT_TYPE);
-    let content_type = content_type.and_then(|value| value.to_str().ok());
-    content_type.is_some_and(|value| value.starts_with("text/event-stream"))
-}
-
-/// Whether the end of an answer with these headers is marked. Another one ends with its connection,
-/// as it does if the engine crashes between two events.
-pub fn has_framed_end(headers: &HeaderMap) -> bool {
-    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
-}
-
 impl RunningStream {
     /// The mean interval between events in ms; `None` while there are too few events.
     fn mean_event_interval(&self) -> Option<f64> {
