--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -20,9 +20,11 @@
     context::EntryContext,
     leader::{self, UsageRecord},
     peers::{
-        messages::{PeerMessage, PerTargetMessage, RelayMessage, StageMessage},
+        messages::{PeerMessage, PerTargetMessage, StageMessage},
         registry::local_address,
-        relay, speeds,
+        relay,
+        relay_messages::RelayMessage,
+        speeds,
         targets::{BroadcastTarget, TargetSelector},
     },
 };
--- a/crates/ingress/src/peers/mod.rs
+++ b/crates/ingress/src/peers/mod.rs
@@ -17,6 +17,7 @@
 mod recorders;
 mod registry;
 mod relay;
+mod relay_messages;
 mod speeds;
 mod table;
 mod targets;
@@ -27,9 +28,10 @@
 
 pub use self::{
     fleet_size::fleet_size,
-    messages::{ChangeMessage, PeerRecord, RelayMessage, StageMessage, pack_changes},
+    messages::{PeerRecord, StageMessage},
     recorders::record_peers,
     registry::{local_address, local_record, proxy_address},
+    relay_messages::{ChangeMessage, RelayMessage, pack_changes},
     table::{KnownPeer, MAX_CHANGES_PER_DATAGRAM, PeerTable},
     targets::{BroadcastTarget, TargetSelector},
 };
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -14,7 +14,8 @@
 use crate::{
     context::EntryContext,
     peers::{
-        messages::{ChangeMessage, CopyMessage, PeerMessage, RelayMessage, pack_changes},
+        messages::PeerMessage,
+        relay_messages::{ChangeMessage, CopyMessage, RelayMessage, pack_changes},
         table::PeerTable,
     },
     sync,
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -14,7 +14,10 @@
 use serde::Serialize;
 
 use crate::{
-    peers::messages::{ChangeMessage, PeerRecord, StageMessage},
+    peers::{
+        messages::{PeerRecord, StageMessage},
+        relay_messages::ChangeMessage,
+    },
     state_transfer::{ListedPeer, PeerList},
 };
 
--- a/crates/ingress/src/sync/mod.rs
+++ b/crates/ingress/src/sync/mod.rs
@@ -3,6 +3,7 @@
 pub mod configuration;
 mod confirmation;
 pub mod copies;
+mod directory;
 mod endpoints;
 mod look_back;
 
@@ -18,7 +19,7 @@
     confirmation::{
         confirm_version, is_directory_confirmed, log_directory_confirmed, wait_for_confirmation,
     },
-    endpoints::{lapse, register_relayed, unregister_relayed},
+    directory::{lapse, register_relayed, unregister_relayed},
 };
 use crate::context::EntryContext;
 
