--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -6,15 +6,14 @@
 //! the store recovers, it would have no endpoint for its callers' requests until all
 //! had registered again; if it kept them indefinitely, it would send work to failed
 //! endpoints. Registrations that lapse around an outage are therefore kept for a short
-//! time after the recovery, within which live endpoints register again. The first answer can come
-//! long after the recovery, as a call that hangs is given up first, so the time is also limited
-//! from when the last failed read was sent: the store may have recovered right after it.
+//! time after the recovery, within which live endpoints register again.
 //!
 //! A registration that disappears may also have been withdrawn: some endpoints leave
 //! without announcing it. It is therefore kept only where an outage is known that was
 //! long enough for a registration to lapse. An instance that could reach the store
 //! throughout drops it, even if a partitioned instance reports it as lapsed.
 
+mod outages;
 mod registration;
 mod sync;
 
@@ -22,7 +21,9 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
+use self::outages::StoreOutages;
 pub use self::{
+    outages::LAPSE_GRACE,
     registration::{EndpointRegistration, EngineStage, RegistrationNumber, SoftwareVersion},
     sync::{
         DirectoryStatus, DirectorySync, ReaderState, RelayedDirectory, WantedCopy,
@@ -35,27 +36,10 @@
     streams::VersionHistory,
 };
 
-/// How long a lapsed registration is kept after the store recovers: live endpoints
-/// register again within this time.
-pub const LAPSE_GRACE: TimeSpan = TimeSpan::from_millis(2_000);
-
-/// How long after an outage an instance counts as in touch again, if the settings don't say.
-const DEFAULT_CONTACT_DELAY: TimeSpan = TimeSpan::from_millis(3_000);
-
-/// How much earlier than the instance is in touch a lapsed registration is removed: a request takes
-/// some ms to reach its endpoint.
-const CONTACT_MARGIN: TimeSpan = TimeSpan::from_millis(150);
-
 /// How long the last registration of a removed endpoint is kept, to reject older ones. Relayed
 /// registrations arrive within seconds, or their messages are too old to be applied.
 const REMOVAL_RETENTION: TimeSpan = TimeSpan::from_millis(10_000);
 
-/// The number of missed heartbeats after which a registration lapses.
-const MISSED_HEARTBEATS: u64 = 3;
-
-/// The heartbeat interval of endpoints if the settings name none.
-const DEFAULT_HEARTBEAT: TimeSpan = TimeSpan::from_millis(1_200);
-
 /// The effect of a registration, or of its removal, on the directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DirectoryChange {
@@ -70,7 +54,7 @@
     /// The registration is missing after an outage of the store; the endpoint is kept
     /// until [`LAPSE_GRACE`] after the recovery.
     Lapsed,
-    /// No change: a later registration of the endpoint is known, or was known before it was removed.
+    /// The registration is older than the last one known of the endpoint and was not entered.
     Outdated,
     /// No change.
     Same,
@@ -105,19 +89,8 @@
     versions: VersionHistory,
     /// The digest, unless the endpoints have changed since it was computed.
     digest: Option<u64>,
-    /// The shortest outage in which a registration can lapse.
-    min_outage: TimeSpan,
-    /// The time of the store's last known answer.
-    answered_at: Option<ClockTime>,
-    /// The time of the last answer before the outage in progress.
-    outage_since: Option<ClockTime>,
-    /// When the last read was sent that failed.
-    unavailable_at: Option<ClockTime>,
-    /// How long after an outage this instance counts as in touch again.
-    contact_delay: TimeSpan,
-    /// Until when registrations are kept that lapsed around the last outage that was long enough
-    /// for it.
-    grace_end: Option<ClockTime>,
+    /// Outages of the store, in which registrations lapse.
+    outages: StoreOutages,
 }
 
 impl Default for EndpointDirectory {
@@ -134,28 +107,20 @@
             removed: BTreeMap::new(),
             versions: VersionHistory::new(),
             digest: None,
-            min_outage: TimeSpan::ZERO,
-            answered_at: None,
-            outage_since: None,
-            unavailable_at: None,
-            contact_delay: DEFAULT_CONTACT_DELAY,
-            grace_end: None,
+            outages: StoreOutages::new(),
         }
-        .with_heartbeat(DEFAULT_HEARTBEAT)
     }
 
-    /// Sets the heartbeat interval of endpoints. The last heartbeat before an outage may
-    /// be nearly one interval old when the outage begins.
+    /// Sets the heartbeat interval of endpoints.
     pub fn with_heartbeat(mut self, interval: TimeSpan) -> EndpointDirectory {
-        let missed = interval.as_millis() * (MISSED_HEARTBEATS - 1);
-        self.min_outage = TimeSpan::from_millis(missed);
+        self.outages = self.outages.with_heartbeat(interval);
         self
     }
 
     /// Sets how long after an outage of the store this instance counts as in touch again, so that
     /// endpoints that have left must not get work any more.
     pub fn with_contact_delay(mut self, delay: TimeSpan) -> EndpointDirectory {
-        self.contact_delay = delay;
+        self.outages = self.outages.with_contact_delay(delay);
         self
     }
 
@@ -177,41 +142,18 @@
 
     /// Records that a read of the registrations failed that was sent at `sent`.
     pub fn note_outage(&mut self, sent: ClockTime) {
-        let last_answer = self.answered_at.unwrap_or(sent);
-        self.outage_since.get_or_insert(last_answer);
-        self.unavailable_at = self.unavailable_at.max(Some(sent));
+        self.outages.note_failure(sent);
     }
 
     /// Records that the store answered a read of the registrations at `at`, sent by the reader of
-    /// the failure domain, which also tells how long it keeps lapsed registrations.
+    /// the failure domain, whose messages also state how long it keeps lapsed registrations.
     pub fn note_answer(&mut self, at: ClockTime) {
-        if self.end_outage(at) {
-            self.grace_end = Some(at + LAPSE_GRACE);
-        }
+        self.outages.note_relayed_answer(at);
     }
 
     /// Records that the store answered a read of the registrations at `at`, sent by this instance.
     pub fn note_own_answer(&mut self, at: ClockTime) {
-        if self.end_outage(at) {
-            let end = at + LAPSE_GRACE;
-            let delay = self.contact_delay.saturating_sub(CONTACT_MARGIN);
-            let contact = self.unavailable_at.map(|sent| sent + delay);
-            self.grace_end = Some(contact.map_or(end, |contact| contact.min(end)));
-        }
-    }
-
-    /// Records that the store was available at `at`. Returns whether that ends an outage in which a
-    /// registration can lapse.
-    fn end_outage(&mut self, at: ClockTime) -> bool {
-        self.answered_at = self.answered_at.max(Some(at));
-        let ended = self.outage_since.take_if(|since| at > *since);
-        ended.is_some_and(|since| at.since(since) >= self.min_outage)
-    }
-
-    /// The time until which a missing registration may have lapsed in an outage; `None`
-    /// if no outage can be the reason at `now`.
-    fn grace_end(&self, now: ClockTime) -> Option<ClockTime> {
-        self.grace_end.filter(|end| now < *end)
+        self.outages.note_own_answer(at);
     }
 
     /// Inserts or replaces a registration that was read, unless a later one is or was known. The store
@@ -313,7 +255,7 @@
 
     /// Records that the store no longer has the registration of `id`.
     pub fn unregister(&mut self, now: ClockTime, id: &EndpointId) -> DirectoryChange {
-        let end = self.grace_end(now);
+        let end = self.outages.grace_end(now);
         self.end_registration(id, end)
     }
 
@@ -351,7 +293,10 @@
         if !self.note_relayed_removal(id, number) {
             return DirectoryChange::Same;
         }
-        let end = self.grace_end(now).map(|end| end.min(now + kept_for));
+        let end = self
+            .outages
+            .grace_end(now)
+            .map(|end| end.min(now + kept_for));
         self.end_registration(id, end)
     }
 
