--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -117,10 +117,10 @@
         self
     }
 
-    /// Sets how long after an outage of the store this instance counts as in touch again, so that
-    /// endpoints that have left must not get work any more.
-    pub fn with_contact_delay(mut self, delay: TimeSpan) -> EndpointDirectory {
-        self.outages = self.outages.with_contact_delay(delay);
+    /// Sets how long after an outage of the store the drain bound applies again, so that endpoints
+    /// that have left must get no more work.
+    pub fn with_stable_period(mut self, delay: TimeSpan) -> EndpointDirectory {
+        self.outages = self.outages.with_stable_period(delay);
         self
     }
 
@@ -157,7 +157,7 @@
     }
 
     /// Inserts or replaces a registration that was read, unless a later one is or was known. The store
-    /// may carry out a heartbeat that it has not answered seconds later, after newer ones.
+    /// may execute a heartbeat that it has not answered seconds later, after newer ones.
     pub fn register(&mut self, registration: EndpointRegistration) -> DirectoryChange {
         let id = registration.id.clone();
         if registration.number() < self.last_number(&id) {
--- a/crates/core/src/directory/outages.rs
+++ b/crates/core/src/directory/outages.rs
@@ -7,12 +7,12 @@
 /// register again within this time.
 pub const LAPSE_GRACE: TimeSpan = TimeSpan::from_millis(2_000);
 
-/// How long after an outage an instance counts as in touch again, if the settings don't say.
-const DEFAULT_CONTACT_DELAY: TimeSpan = TimeSpan::from_millis(3_000);
+/// How long after an outage the drain bound applies again, if the settings don't say.
+const DEFAULT_STABLE_PERIOD: TimeSpan = TimeSpan::from_millis(3_000);
 
-/// How much earlier than the instance is in touch a lapsed registration is removed: a request takes
+/// How long before the drain bound applies again a lapsed registration is removed: a request takes
 /// some ms to reach its endpoint.
-const CONTACT_MARGIN: TimeSpan = TimeSpan::from_millis(150);
+const BOUND_MARGIN: TimeSpan = TimeSpan::from_millis(150);
 
 /// The number of missed heartbeats after which a registration lapses.
 const MISSED_HEARTBEATS: u64 = 3;
@@ -25,8 +25,8 @@
 pub(super) struct StoreOutages {
     /// The shortest outage in which a registration can lapse.
     min_outage: TimeSpan,
-    /// How long after an outage this instance counts as in touch again.
-    contact_delay: TimeSpan,
+    /// How long after an outage the drain bound applies again.
+    stable_period: TimeSpan,
     /// The time of the store's last known answer.
     answered_at: Option<ClockTime>,
     /// The time of the last answer before the outage in progress.
@@ -43,7 +43,7 @@
     pub fn new() -> StoreOutages {
         StoreOutages {
             min_outage: TimeSpan::ZERO,
-            contact_delay: DEFAULT_CONTACT_DELAY,
+            stable_period: DEFAULT_STABLE_PERIOD,
             answered_at: None,
             outage_since: None,
             unavailable_at: None,
@@ -59,9 +59,9 @@
         self
     }
 
-    /// Sets how long after an outage this instance counts as in touch again.
-    pub fn with_contact_delay(mut self, delay: TimeSpan) -> StoreOutages {
-        self.contact_delay = delay;
+    /// Sets how long after an outage the drain bound applies again.
+    pub fn with_stable_period(mut self, delay: TimeSpan) -> StoreOutages {
+        self.stable_period = delay;
         self
     }
 
@@ -85,9 +85,9 @@
     pub fn note_own_answer(&mut self, at: ClockTime) {
         if self.end_outage(at) {
             let end = at + LAPSE_GRACE;
-            let delay = self.contact_delay.saturating_sub(CONTACT_MARGIN);
-            let contact = self.unavailable_at.map(|sent| sent + delay);
-            self.grace_end = Some(contact.map_or(end, |contact| contact.min(end)));
+            let delay = self.stable_period.saturating_sub(BOUND_MARGIN);
+            let bound = self.unavailable_at.map(|sent| sent + delay);
+            self.grace_end = Some(bound.map_or(end, |bound| bound.min(end)));
         }
     }
 
--- a/crates/core/src/quarantine/broken_runs.rs
+++ b/crates/core/src/quarantine/broken_runs.rs
@@ -4,9 +4,9 @@
 //! path resets it. Only the end of the endpoint counts against what ran there: it refuses new
 //! connections, its registration lapses, or it registers again with a later start.
 //!
-//! A path may refuse connections as well. If no endpoint of a service is reached any more, a refusal
-//! proves nothing, but neither is it shown that the paths were lost: all endpoints may have crashed.
-//! What broke stays in question then until the registrations decide.
+//! A partition can refuse connections as well. While no endpoint of a service is reachable, a refused
+//! connection is therefore no evidence of a crash, and broken runs wait for the registrations of
+//! their endpoints: one that lapses or shows a later start has crashed, one that stays has not.
 
 use std::collections::BTreeMap;
 
@@ -63,21 +63,21 @@
     ended_at: Option<ClockTime>,
     /// Whether its registration shows that it has ended.
     is_gone: bool,
-    /// Those that nothing counts against yet.
+    /// Runs without evidence yet.
     runs: Vec<BrokenRun>,
-    /// Those that count because the endpoint refused connections.
+    /// Runs that count because the endpoint refused a connection.
     refused_runs: Vec<BrokenRun>,
-    /// Those that only the registration can still count against.
-    doubted_runs: Vec<BrokenRun>,
+    /// Runs that count only once the registration shows the end.
+    unproved_runs: Vec<BrokenRun>,
 }
 
 impl BrokenStart {
-    /// Leaves all runs to what the registration of the endpoint shows.
-    fn doubt_path(&mut self) {
+    /// Withdraws the evidence of refused connections; the runs wait for the registration.
+    fn retract_refusals(&mut self) {
         self.ended_at = None;
-        self.doubted_runs.append(&mut self.runs);
-        self.doubted_runs.append(&mut self.refused_runs);
-        self.doubted_runs.truncate(MAX_RUNS);
+        self.unproved_runs.append(&mut self.runs);
+        self.unproved_runs.append(&mut self.refused_runs);
+        self.unproved_runs.truncate(MAX_RUNS);
     }
 }
 
@@ -197,7 +197,7 @@
         broken.is_gone = true;
         let mut runs = std::mem::take(&mut broken.runs);
         runs.append(&mut broken.refused_runs);
-        runs.append(&mut broken.doubted_runs);
+        runs.append(&mut broken.unproved_runs);
         match now.since(broken.broke_at) < period {
             true => runs,
             false => Vec::new(),
@@ -225,12 +225,12 @@
         self.endpoints.remove(endpoint);
     }
 
-    /// Leaves the breaks since `since` to what the registrations show: no endpoint of a service is
-    /// reached any more, so that a refused connection proves nothing.
+    /// Withdraws the evidence of connections that were refused since `since`: no endpoint of a
+    /// service is reachable. The runs wait for the registrations of their endpoints.
     pub fn retract_since(&mut self, since: ClockTime) {
         let starts = self.endpoints.values_mut().flat_map(BTreeMap::values_mut);
         let in_question = starts.filter(|broken| broken.broke_at >= since && !broken.is_gone);
-        in_question.for_each(BrokenStart::doubt_path);
+        in_question.for_each(BrokenStart::retract_refusals);
     }
 
     /// Forgets breaks that nothing has confirmed in time.
--- a/crates/core/src/streams/log.rs
+++ b/crates/core/src/streams/log.rs
@@ -1,15 +1,15 @@
 //! The records of streams that are appended to a log of the store.
 //!
-//! Instances keep records in memory only, and all of them may be killed at the same time. The
-//! records that the first instances of each failure domain append together are read by those that
-//! start then. The number of appends grows with the failure domains and not with the streams.
+//! Instances keep records in memory, and all of them may be killed at the same time. A few instances
+//! of each failure domain therefore append the records in batches, and instances that start later
+//! read them. The number of appends grows with the failure domains and not with the streams.
 
 use std::collections::VecDeque;
 
 use crate::streams::StreamRecord;
 
-/// Maximum number of records that wait to be appended, while the store is away. The oldest are
-/// dropped: their streams are taken up first.
+/// Maximum number of records that wait to be appended during an outage of the store. The oldest are
+/// dropped: most of their streams have ended.
 const MAX_PENDING: usize = 8_192;
 
 /// Maximum number of records in one append.
--- a/crates/core/src/streams/peers.rs
+++ b/crates/core/src/streams/peers.rs
@@ -29,8 +29,8 @@
 /// The minimum number of instances that are asked for a stream, if there are as many.
 const QUERIED_PEERS: usize = 6;
 
-/// How many instances of a failure domain share one that appends records to the log: the records
-/// of their streams have to fit into what an instance may receive for control.
+/// The number of instances of a failure domain for each one that appends records to the log, which
+/// limits the bytes that it receives.
 const INSTANCES_PER_APPENDER: usize = 64;
 
 /// An instance that can record streams.
--- a/crates/core/src/usage/metered.rs
+++ b/crates/core/src/usage/metered.rs
@@ -109,7 +109,7 @@
     }
 
     /// Records published counts, which replace lower ones of the same writer and window. Counts of a
-    /// writer only rise: lower ones are older, carried out late by the store.
+    /// writer only rise: lower ones are older, executed late by the store.
     pub fn record(&mut self, window: UsageWindow, writer: MeterWriter, counts: MeteredCounts) {
         let writers = self.windows.entry(window).or_default();
         let recorded = writers.entry(writer).or_default();
@@ -142,7 +142,7 @@
 
     /// Records that `writer` has ended in order and published all of its counts. Nothing more
     /// is expected of its instance until it has started again. It may have done so already: the
-    /// store carries out some records late.
+    /// store executes some appends late.
     pub fn note_ended(&mut self, writer: &MeterWriter) {
         let started = self.started.get(&writer.instance);
         if started.is_some_and(|start| *start > writer.start) {
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -372,7 +372,7 @@
 }
 
 /// Guards against work for an endpoint that has left, brought back by a heartbeat that the store
-/// carries out after its removal.
+/// executes after its removal.
 #[test]
 fn a_late_heartbeat_does_not_bring_back_an_endpoint_that_has_left() {
     let mut directory = EndpointDirectory::new();
@@ -391,7 +391,7 @@
     assert_eq!(alive, DirectoryChange::Started);
 }
 
-/// Guards against work for a leaving endpoint, reopened by a heartbeat that the store carries out
+/// Guards against work for a leaving endpoint, reopened by a heartbeat that the store executes
 /// after the announcement.
 #[test]
 fn a_late_heartbeat_does_not_reopen_a_leaving_endpoint() {
@@ -423,7 +423,7 @@
     assert_eq!(known.start, 8);
 }
 
-/// Guards against a late heartbeat at an instance that was told of changes only, and so knows no
+/// Guards against a late heartbeat at an instance that receives relayed changes only, and has no
 /// recent number of the endpoint that has left.
 #[test]
 fn a_late_heartbeat_is_rejected_by_the_number_of_a_relayed_removal() {
@@ -445,7 +445,7 @@
 }
 
 /// Guards against keeping an endpoint that lapsed around an outage because an older heartbeat is
-/// carried out late.
+/// executed late.
 #[test]
 fn a_late_heartbeat_does_not_renew_a_lapsed_endpoint() {
     let mut directory = EndpointDirectory::new();
@@ -457,11 +457,11 @@
     assert_eq!(directory.remove_expired(at(8_000)), [id("one")]);
 }
 
-/// Guards against work for an endpoint that was withdrawn before an outage, kept for longer than until
-/// the instance is in touch because the first call after the outage hung.
+/// Guards against work for an endpoint that was withdrawn before an outage, kept beyond the
+/// drain bound because the first call after the outage hung.
 #[test]
-fn a_lapsed_endpoint_is_not_kept_until_the_instance_is_in_touch() {
-    let mut directory = EndpointDirectory::new().with_contact_delay(TimeSpan::from_secs(3));
+fn a_lapsed_endpoint_is_not_kept_beyond_the_drain_bound() {
+    let mut directory = EndpointDirectory::new().with_stable_period(TimeSpan::from_secs(3));
     directory.register(registration("withdrawn"));
     directory.note_own_answer(at(1_000));
     directory.note_outage(at(1_500));
@@ -480,7 +480,7 @@
 /// rejected at once.
 #[test]
 fn a_lapsed_endpoint_is_kept_while_live_ones_register_again() {
-    let mut directory = EndpointDirectory::new().with_contact_delay(TimeSpan::from_secs(3));
+    let mut directory = EndpointDirectory::new().with_stable_period(TimeSpan::from_secs(3));
     directory.register(registration("lives"));
     directory.note_own_answer(at(1_000));
     for sent in (1_500..8_000).step_by(500) {
--- a/crates/core/tests/usage_metered.rs
+++ b/crates/core/tests/usage_metered.rs
@@ -130,10 +130,10 @@
     assert_eq!(pending(&ledger), 1);
 }
 
-/// Guards against lower counts in a report: the store carries out an unanswered append after a
+/// Guards against lower counts in a report: the store executes an unanswered append after a
 /// later one of the same entry.
 #[test]
-fn counts_that_are_carried_out_late_do_not_replace_later_ones() {
+fn counts_that_are_executed_late_do_not_replace_later_ones() {
     let mut ledger = UsageLedger::new();
     let counts = |count| [(organisation("magnolia"), count)].into_iter().collect();
     ledger.record(WINDOW, writer("one", 1), counts(9));
@@ -142,9 +142,9 @@
 }
 
 /// Guards against a window that is reported without the counts of a running instance: the record of
-/// its earlier end is carried out after it has started again.
+/// its earlier end is executed after it has started again.
 #[test]
-fn an_end_that_is_carried_out_late_does_not_concern_the_next_start() {
+fn an_end_that_is_executed_late_does_not_concern_the_next_start() {
     let mut ledger = UsageLedger::new();
     ledger.note_published(&writer("one", 2), WINDOW);
     ledger.note_ended(&writer("one", 1));
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -192,7 +192,7 @@
         let heartbeat = settings.heartbeat;
         let directory = EndpointDirectory::new()
             .with_heartbeat(heartbeat)
-            .with_contact_delay(bounds.contact_delay)
+            .with_stable_period(bounds.stable_period)
             .with_first_start(settings.is_first_start);
         let seed = rand::random();
         let limiter = RateLimiter::new(started_at, bounds.quota).with_seed(seed);
--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -148,9 +148,8 @@
     }
 }
 
-/// Takes an idle connection on which the request has not been sent before. A second copy of the
-/// answer to its earlier sending could arrive there, and has the same attempt id as the answer to
-/// a later one.
+/// Takes an idle connection on which the request has not been sent before. A late second copy of the
+/// earlier answer there would carry the same attempt id as the answer that is due.
 fn take_pooled(
     context: &EntryContext,
     request: &CallerRequest,
--- a/crates/ingress/src/forward/broken_runs.rs
+++ b/crates/ingress/src/forward/broken_runs.rs
@@ -182,7 +182,7 @@
     crashes::note_crash(context, endpoint, start, &runs, proof);
 }
 
-/// Whether the registrations show the end. A path may refuse connections as well.
+/// Whether the evidence comes from the registrations. A partition may refuse connections as well.
 fn is_certain(evidence: EndEvidence) -> bool {
     matches!(
         evidence,
@@ -203,7 +203,7 @@
 }
 
 /// Opens a connection to an endpoint of `service` whose connection broke. An endpoint that has ended
-/// refuses it. While none of the service is reached, that proves nothing.
+/// refuses it; while none of the service is reachable, a refusal is no evidence.
 async fn probe(context: Arc<EntryContext>, service: ServiceName, target: EndpointTarget) {
     let connecting = TcpStream::connect(target.address);
     let connected = tokio::time::timeout(PROBE_TIMEOUT, connecting).await;
--- a/crates/ingress/src/forward/crashes.rs
+++ b/crates/ingress/src/forward/crashes.rs
@@ -64,10 +64,10 @@
     })
 }
 
-/// How it is known that an endpoint ended under its runs.
+/// The evidence that an endpoint ended while it ran requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashProof {
-    /// It refuses connections; so may the path to it.
+    /// It refuses connections, as a partition may do as well.
     Refusal,
     /// Its registration has lapsed or has a later start.
     Registration,
@@ -123,8 +123,8 @@
     context.metrics.quarantined_parts.set(quarantined as i64);
 }
 
-/// Records that an endpoint completed the request without a failure of its own, which need not have
-/// begun to run it.
+/// Records that an endpoint completed the request. An answer that states a failure does not count: its
+/// endpoint may not have begun to run the request.
 pub fn note_completed(context: &EntryContext, request: &CallerRequest) {
     if context.quarantine.lock().is_empty() {
         return;
--- a/crates/ingress/src/forward/reach.rs
+++ b/crates/ingress/src/forward/reach.rs
@@ -125,7 +125,7 @@
 async fn probe(context: &EntryContext, service: &ServiceName) -> bool {
     let addresses = sample(context, service);
     let change = match addresses.is_empty() {
-        // A doubt that no probe can decide would hold back all reports of this instance.
+        // No probe could end the doubt, which suppresses all crash reports of this instance.
         true => context.reach.lock().note_empty(service),
         false => {
             let is_reached = is_any_reached(addresses).await;
--- a/crates/ingress/src/peers/relay_messages.rs
+++ b/crates/ingress/src/peers/relay_messages.rs
@@ -139,8 +139,7 @@
 }
 
 impl ChangeMessage {
-    /// The message as it is to be sent `age` after the change: an endpoint that is kept for some time
-    /// is kept for less by then.
+    /// The message as sent `age` after the change: a lapsed endpoint is kept for less by then.
     pub fn with_age(mut self, age: TimeSpan) -> ChangeMessage {
         let kept_for_ms = self.kept_for_ms;
         self.kept_for_ms = kept_for_ms.map(|kept_for| kept_for.saturating_sub(age.as_millis()));
--- a/crates/ingress/src/stream_origins/log_records.rs
+++ b/crates/ingress/src/stream_origins/log_records.rs
@@ -1,8 +1,8 @@
 //! The log of the store with the records of where streams began.
 //!
-//! Some instances of each failure domain append the records of the streams that begin there, many at
-//! a time. The first instances of each failure domain read them all when they start: if all
-//! instances were killed, nothing else says at which version a stream goes on.
+//! Some instances of each failure domain append the records of the streams that begin there, in
+//! batches. The first instances of each failure domain read all of them when they start: after a kill
+//! of all instances, no other source names the version at which a stream goes on.
 
 use std::{sync::Arc, time::Duration};
 
@@ -31,8 +31,8 @@
 /// are killed are not in the log.
 const APPEND_INTERVAL: Duration = Duration::from_millis(150);
 
-/// The number of appends of one partition that are read, from the newest. More of them reach further
-/// back than streams are taken up, with a few instances that append.
+/// The number of appends of one partition that are read, from the newest: those of 60 s, for as long
+/// as streams are taken up, by four instances.
 const MAX_APPENDS_READ: u64 = 1_600;
 
 /// How often an instance that has just started checks whether it reads the log.
--- a/crates/ingress/src/stream_origins/mod.rs
+++ b/crates/ingress/src/stream_origins/mod.rs
@@ -79,7 +79,7 @@
     recorded_for: Shared<Option<u64>>,
     /// The records that this instance appends to the log.
     log_queue: Shared<RecordQueue>,
-    /// Is told of records to append.
+    /// Notified when records are queued for the log.
     log_due: Notify,
     /// Cancelled once this instance has read the records of the log, or does not read them.
     log_read: CancellationToken,
--- a/crates/ingress/src/stream_origins/resumption.rs
+++ b/crates/ingress/src/stream_origins/resumption.rs
@@ -211,7 +211,7 @@
             return known;
         }
         let read = self.log_read.cancelled();
-        // After that, the other instances are asked.
+        // After a timeout the other instances are asked.
         let _ = tokio::time::timeout(LOG_READ_WAIT, read).await;
         self.origin(stream)
     }
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -119,8 +119,8 @@
                 note_outage(&context, unavailable_at);
                 // Requests that wait for a confirmation are decided without it now.
                 context.confirmed.notify_waiters();
-                // How late the first answer after an outage can be limits how long lapsed endpoints
-                // are kept then.
+                // A short delay makes the first answer after an outage early, on which the grace
+                // period of lapsed endpoints depends.
                 let took = now.since(sent);
                 backoff.wait_after_call(&context, &error, took).await;
             }
--- a/crates/ingress/tests/peer_table.rs
+++ b/crates/ingress/tests/peer_table.rs
@@ -71,7 +71,7 @@
 /// Guards against an instance that keeps a lapsed endpoint for longer than its reader, because the
 /// first datagram was lost.
 #[test]
-fn a_lapse_that_is_sent_again_tells_the_time_that_is_left() {
+fn a_resent_lapse_carries_the_remaining_time() {
     let mut table = PeerTable::new();
     let lapse = ChangeMessage {
         endpoint: "engine-1".to_string(),
