--- a/crates/core/src/quarantine/broken_runs.rs
+++ b/crates/core/src/quarantine/broken_runs.rs
@@ -166,13 +166,11 @@
         endpoint: &EndpointId,
         start: u64,
     ) -> Vec<BrokenRun> {
-        let period = self.confirmation_period;
-        let Some(broken) = self.broken_start(endpoint, start) else {
+        let Some((broken, is_recent)) = self.note_end(now, endpoint, start) else {
             return Vec::new();
         };
-        broken.ended_at.get_or_insert(now);
         let runs = std::mem::take(&mut broken.runs);
-        if now.since(broken.broke_at) >= period {
+        if !is_recent {
             return Vec::new();
         }
         broken.refused_runs.extend_from_slice(&runs);
@@ -189,16 +187,14 @@
         endpoint: &EndpointId,
         start: u64,
     ) -> Vec<BrokenRun> {
-        let period = self.confirmation_period;
-        let Some(broken) = self.broken_start(endpoint, start) else {
+        let Some((broken, is_recent)) = self.note_end(now, endpoint, start) else {
             return Vec::new();
         };
-        broken.ended_at.get_or_insert(now);
         broken.is_gone = true;
         let mut runs = std::mem::take(&mut broken.runs);
         runs.append(&mut broken.refused_runs);
         runs.append(&mut broken.unproved_runs);
-        match now.since(broken.broke_at) < period {
+        match is_recent {
             true => runs,
             false => Vec::new(),
         }
@@ -239,8 +235,18 @@
         self.retain(|broken| now.since(broken.broke_at) < period);
     }
 
-    fn broken_start(&mut self, endpoint: &EndpointId, start: u64) -> Option<&mut BrokenStart> {
-        self.endpoints.get_mut(endpoint)?.get_mut(&start)
+    /// Records that a start of the endpoint has ended. Returns its broken runs and whether they broke
+    /// so lately that the end can be the cause.
+    fn note_end(
+        &mut self,
+        now: ClockTime,
+        endpoint: &EndpointId,
+        start: u64,
+    ) -> Option<(&mut BrokenStart, bool)> {
+        let broken = self.endpoints.get_mut(endpoint)?.get_mut(&start)?;
+        broken.ended_at.get_or_insert(now);
+        let is_recent = now.since(broken.broke_at) < self.confirmation_period;
+        Some((broken, is_recent))
     }
 
     fn retain<Kept>(&mut self, kept: Kept)
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -8,9 +8,11 @@
         Arc, Mutex,
         atomic::{AtomicU32, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use anyhow::Context as _;
+use bluebell_adapter::READY_PATH;
 use bluebell_core::{
     clock::{ClockSource, TimeSpan},
     ids::{FailureDomain, InstanceId},
@@ -145,6 +147,13 @@
         self.starts.fetch_add(1, Ordering::SeqCst);
         EntryProcess::start(program, &self.settings, &self.log)
     }
+
+    /// Whether it reports within `timeout` that it is ready.
+    pub async fn is_ready(&self, client: &reqwest::Client, timeout: Duration) -> bool {
+        let url = format!("http://{}{READY_PATH}", self.ready);
+        let answer = client.get(url).timeout(timeout).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
 }
 
 /// A place where an endpoint runs.
--- a/crates/soak/src/rotation.rs
+++ b/crates/soak/src/rotation.rs
@@ -2,7 +2,6 @@
 
 use std::{collections::BTreeMap, sync::Mutex, time::Duration};
 
-use bluebell_adapter::READY_PATH;
 use bluebell_core::ids::{FailureDomain, InstanceId};
 use rand::{Rng, seq::IndexedRandom};
 use tokio_util::sync::CancellationToken;
@@ -62,10 +61,8 @@
     /// Asks an instance for good, until `stop`.
     pub async fn ask(&self, slot: &InstanceSlot, stop: &CancellationToken) {
         let client = reqwest::Client::new();
-        let url = format!("http://{}{READY_PATH}", slot.ready);
         while !stop.is_cancelled() {
-            let answer = client.get(&url).timeout(ASK_EVERY).send().await;
-            let is_ready = answer.is_ok_and(|answer| answer.status().is_success());
+            let is_ready = slot.is_ready(&client, ASK_EVERY).await;
             {
                 let mut misses = self.misses.lock().expect("held briefly");
                 let misses = misses.entry(slot.name.clone()).or_insert(MISSES);
--- a/crates/soak/tests/whole_fleet_kill.rs
+++ b/crates/soak/tests/whole_fleet_kill.rs
@@ -4,17 +4,16 @@
     collections::BTreeSet, net::SocketAddr, path::PathBuf, sync::atomic::Ordering, time::Duration,
 };
 
-use bluebell_platform_standin::endpoint::{EVENTS, EndpointFaults};
+use bluebell_platform_standin::{
+    endpoint::{EVENTS, EndpointFaults},
+    raw::{RawRequest, exchange},
+};
 use bluebell_soak::{
     fleet::{EndpointSlot, FleetSize, HOST, InstanceSlot, SoakFleet, organisation_key},
     process::program_path,
 };
 use rustix::process::Signal;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    task::JoinSet,
-};
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 const INSTANCES: usize = 6;
@@ -25,10 +24,10 @@
 const TRIES: usize = 3;
 /// The additional time of each event: streams run while the instances are killed.
 const SLOW_MS: u64 = 250;
-/// How long what is awaited may take on a busy machine.
+/// The time limit for what is awaited on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(40);
 
-/// A stream as far as its caller has it.
+/// A stream that broke off, with what its caller has received.
 #[derive(Clone, Debug)]
 struct BrokenStream {
     attempt: String,
@@ -54,51 +53,27 @@
     versions.map(ToString::to_string).collect()
 }
 
-fn request(attempt: &str, taken_up: Option<&BrokenStream>) -> String {
-    let key = organisation_key(0);
+/// The request that begins a stream, or takes one up.
+fn request(attempt: &str, taken_up: Option<&BrokenStream>) -> RawRequest {
     let stream = taken_up.map_or(attempt, |stream| &stream.attempt);
     // Prompts differ, so that they are spread over the engines.
     let part = stream.rsplit('-').next().unwrap_or_default();
-    let taken_up = taken_up.map_or(String::new(), |stream| {
-        let last = stream.last_event();
-        format!("Resumes: {}\r\nLast-Event-Id: {last}\r\n", stream.attempt)
-    });
-    format!(
-        "POST /chat/{attempt} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n\
-         Deadline-Ms: 3000\r\nAuthorization: Token {key}\r\nConnection: close\r\nModel: m\r\n\
-         Token-Usage: 100,20\r\nPrompt-Prefix: aa{part}:40,bb:60\r\nContent-Length: 0\r\n{taken_up}\r\n"
-    )
-}
-
-/// Sends a request and reads until the connection ends; tells `begun` of the first event.
-async fn exchange(address: SocketAddr, text: String, begun: Option<CancellationToken>) -> String {
-    let mut answer = String::new();
-    let Ok(mut connection) = TcpStream::connect(address).await else {
-        return answer;
-    };
-    if connection.write_all(text.as_bytes()).await.is_err() {
-        return answer;
-    }
-    let mut bytes = [0; 4_096];
-    while let Ok(count @ 1..) = connection.read(&mut bytes).await {
-        answer.push_str(&String::from_utf8_lossy(&bytes[..count]));
-        if let Some(begun) = &begun
-            && answer.contains("id: 1\n")
-        {
-            begun.cancel();
-        }
+    RawRequest {
+        method: "POST",
+        host: HOST,
+        path: format!("/chat/{attempt}"),
+        attempt: attempt.to_string(),
+        key: organisation_key(0),
+        deadline_ms: 3_000,
+        prompt_part: Some(format!("aa{part}")),
+        resumes: taken_up.map(|stream| (stream.attempt.clone(), stream.last_event())),
     }
-    answer
 }
 
 async fn wait_until_ready(slot: &InstanceSlot) {
-    let url = format!("http://{}/v1/readyz", slot.ready);
+    let client = reqwest::Client::new();
     let ready = async {
-        loop {
-            let answer = reqwest::get(&url).await;
-            if answer.is_ok_and(|answer| answer.status().is_success()) {
-                return;
-            }
+        while !slot.is_ready(&client, PATIENCE).await {
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     };
@@ -129,7 +104,7 @@
     }
 }
 
-/// Begins streams at all instances, and kills these in the middle of them.
+/// Begins streams at all instances, and kills the instances while the streams run.
 async fn break_streams(fleet: &SoakFleet, earlier: EarlierVersion) -> Vec<BrokenStream> {
     let mut streams = JoinSet::new();
     let mut begun = Vec::new();
@@ -139,7 +114,13 @@
         let has_begun = CancellationToken::new();
         begun.push(has_begun.clone());
         streams.spawn(async move {
-            let text = exchange(address, request(&attempt, None), Some(has_begun)).await;
+            let request = request(&attempt, None);
+            let text = exchange(address, &request, |text| {
+                if text.contains("id: 1\n") {
+                    has_begun.cancel();
+                }
+            });
+            let text = text.await;
             BrokenStream { attempt, text }
         });
     }
@@ -165,7 +146,7 @@
 async fn take_up(address: SocketAddr, stream: &BrokenStream) -> String {
     for number in 0..TRIES {
         let attempt = format!("again-{number}-{}", stream.attempt);
-        let answer = exchange(address, request(&attempt, Some(stream)), None).await;
+        let answer = exchange(address, &request(&attempt, Some(stream)), |_| {}).await;
         if !answer.starts_with("HTTP/1.1 503") {
             return answer;
         }
