Enter a route's service in the soak before the configuration is published

The instance's log has the request decided by version 7; other instances entered version 7 4 ms after the run.

Cause: publish wrote the configuration to the store and then entered the services of the routes into the checker. A run between the two met a service that the checker did not know of yet.

Ruled out: a fault of the instance, as it served by the version that had just been published.

Change: the services are entered first. The bounds count from that moment, some microseconds earlier than before, so the check is as strict.

--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -35,10 +35,11 @@
         let mut configuration = self.configuration.lock().expect("held briefly");
         change(&mut configuration);
         configuration.version += 3;
-        configuration.publish(&self.store);
+        // Instances may follow it before this function returns.
         for route in configuration.routes.iter().take(ROUTES.len()) {
             self.checker.route_led(&route.prefix, &route.service);
         }
+        configuration.publish(&self.store);
     }
 
     /// Leads a route to the other of its services.
