Judge the soak by what callers and endpoints see of refusals and repeats

The users judge by a refusal for what ran, a stream that goes on while the endpoint before still works on it, and arrivals at a service beyond the first. The soak checked the first with endpoints that refuse once and truthfully, and not the others, so it could not tell the hypotheses apart.

--- a/crates/soak/src/commands.rs
+++ b/crates/soak/src/commands.rs
@@ -28,6 +28,7 @@
     is_changing: bool,
     is_leaving: bool,
     is_crashing: bool,
+    is_refusing: bool,
     folder: Option<PathBuf>,
     program: Option<PathBuf>,
     is_untimed: bool,
@@ -59,6 +60,9 @@
     let is_crashing = long("crashing")
         .help("a part of prompts crashes endpoints, and endpoints ask for rest in series")
         .switch();
+    let is_refusing = long("refusing")
+        .help("endpoints are full in series, answer twice, and refuse what has run")
+        .switch();
     let folder = long("folder")
         .help("where settings, logs and reports are kept; a temporary folder otherwise")
         .argument("DIR")
@@ -81,6 +85,7 @@
         is_changing,
         is_leaving,
         is_crashing,
+        is_refusing,
         folder,
         program,
         is_untimed
@@ -130,6 +135,7 @@
             is_changing: options.is_changing,
             is_leaving: options.is_leaving,
             is_crashing: options.is_crashing,
+            is_refusing: options.is_refusing,
             program: program.clone(),
             size: FleetSize {
                 instances: options.instances,
@@ -160,6 +166,7 @@
     println!("event=streams seed={} {}", report.seed, report.streams);
     println!("event=changes seed={} {}", report.seed, report.changes);
     println!("event=notices seed={} {}", report.seed, report.notices);
+    println!("event=retries seed={} {}", report.seed, report.retries);
     for broken in &report.broken {
         println!("event=promise seed={} {broken}", report.seed);
     }
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -31,6 +31,10 @@
 const WITHDRAWN: Duration = Duration::from_millis(5_000);
 /// The share of requests that a faulty endpoint treats badly.
 const TROUBLED: f64 = 0.3;
+/// The share of requests that a full endpoint refuses.
+const MOSTLY: f64 = 0.7;
+/// The share of its refusals that come twice.
+const REPEATED: f64 = 0.5;
 /// The share of writes that a losing store does not answer.
 const LOST_WRITES: f64 = 0.4;
 /// How much longer a slow endpoint takes, in ms.
@@ -250,6 +254,11 @@
         EndpointTrouble::Slow => faults.slow_ms = SLOW_MS,
         EndpointTrouble::Silent => faults.unanswered = TROUBLED,
         EndpointTrouble::Rests => faults.resting = TROUBLED,
+        EndpointTrouble::Repeats => {
+            faults.refused = MOSTLY;
+            faults.repeated = REPEATED;
+        }
+        EndpointTrouble::Misstates => faults.misstated = TROUBLED,
     }
     faults
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod processes;
 pub mod promises;
 pub mod proxy;
+pub mod refusals;
 pub mod rests;
 pub mod rotation;
 pub mod run;
--- a/crates/soak/src/promises.rs
+++ b/crates/soak/src/promises.rs
@@ -1,8 +1,11 @@
 //! What callers got and endpoints ran, held against the promises as it happens.
 
 mod changes;
+mod disturbances;
 mod messages;
 mod notices;
+mod overlaps;
+mod retries;
 mod streams;
 
 use std::{
@@ -16,10 +19,14 @@
     operator::OperatorKind,
 };
 
+use self::disturbances::Disturbance;
 pub use self::{
     changes::ChangeTally,
+    disturbances::{STORE, store_path},
     messages::{BrokenPromise, CallerOutcome, ProcessName, Promise, SentRequest},
     notices::NoticeTally,
+    overlaps::RunOverlap,
+    retries::RetryTally,
     streams::{ReceivedEvents, StreamTally, TakenUpStream},
 };
 
@@ -47,13 +54,6 @@
     is_refused: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Disturbance {
-    from: ClockTime,
-    until: Option<ClockTime>,
-    is_planned: bool,
-}
-
 #[derive(Debug, Default)]
 struct PromiseBook {
     attempts: HashMap<String, AttemptBook>,
@@ -67,6 +67,9 @@
     added: BTreeSet<String>,
     changes: ChangeTally,
     notices: NoticeTally,
+    retries: RetryTally,
+    /// The attempts that are worked on at two endpoints, to be looked at again.
+    overlaps: Vec<RunOverlap>,
     /// The newest place in `routes` that a process was seen to follow.
     followed: BTreeMap<(ProcessName, String), (usize, ClockTime)>,
     /// Since when endpoints are known to the store to have left.
@@ -183,31 +186,6 @@
         book.notices.note_restart(endpoint);
     }
 
-    /// `what` is disturbed from now on: an instance, an endpoint, or the store.
-    pub fn disturb(&self, what: &str, is_planned: bool) {
-        let disturbance = Disturbance {
-            from: self.now(),
-            until: None,
-            is_planned,
-        };
-        let mut book = self.hold();
-        let all = book.disturbances.entry(what.to_string()).or_default();
-        all.push(disturbance);
-    }
-
-    /// The oldest open disturbance of `what` of this sort is over.
-    pub fn settle(&self, what: &str, is_planned: bool) {
-        let now = self.now();
-        let mut book = self.hold();
-        let all = book.disturbances.entry(what.to_string()).or_default();
-        let open = all
-            .iter_mut()
-            .find(|one| one.until.is_none() && one.is_planned == is_planned);
-        if let Some(open) = open {
-            open.until = Some(now);
-        }
-    }
-
     /// A caller is about to send a request.
     pub fn sent(&self, request: SentRequest) {
         let sent = self.now();
@@ -219,7 +197,9 @@
             open_runs: Vec::new(),
             is_refused: false,
         };
-        self.hold().attempts.insert(attempt, book);
+        let mut all = self.hold();
+        all.count_request(sent, &book.request.prefix);
+        all.attempts.insert(attempt, book);
     }
 
     /// An endpoint or the platform saw something.
@@ -233,9 +213,15 @@
                     attempt.open_runs.retain(|open| open != endpoint);
                 }
             }
-            PlatformEvent::Arrived { attempt, endpoint } => {
+            PlatformEvent::Arrived {
+                attempt,
+                endpoint,
+                service,
+            } => {
                 book.check_rest(now, attempt, endpoint);
+                book.check_repeats(now, attempt, service);
             }
+            PlatformEvent::Prefilled { attempt } => book.retries.note_prefilled(attempt),
             PlatformEvent::AskedForRest {
                 attempt,
                 endpoint,
@@ -274,9 +260,11 @@
             return book.broke(now, Promise::AskedFor, detail);
         };
         attempt.runs += 1;
+        let earlier_runs = attempt.open_runs.clone();
         attempt.open_runs.push(run.endpoint.clone());
         let (request, sent) = (attempt.request.clone(), attempt.sent);
         let (runs, is_refused) = (attempt.runs, attempt.is_refused);
+        book.note_overlaps(now, &run.attempt, &earlier_runs);
         let who = format!(
             "attempt={} instance={} endpoint={} path={}",
             run.attempt, request.process.instance, run.endpoint, run.path
@@ -425,28 +413,12 @@
         self.hold().notices.to_string()
     }
 
-    /// Whether an endpoint serves undisturbed.
-    pub fn serves(&self, endpoint: &str) -> bool {
-        let now = self.now();
-        let book = self.hold();
-        !book.left.contains_key(endpoint) && book.is_calm(endpoint, now, now, true)
-    }
-
-    /// Whether `what` has been undisturbed, with the time to settle, up to now.
-    pub fn is_calm(&self, what: &str) -> bool {
-        let now = self.now();
-        self.hold().is_calm(what, now, now, true)
+    /// How often requests reached endpoints beyond the first time.
+    pub fn retries(&self) -> String {
+        self.hold().retries.to_string()
     }
 }
 
-/// The name under which disturbances of the store are noted.
-pub const STORE: &str = "store";
-
-/// The name under which disturbances of an instance's way to the store are noted.
-pub fn store_path(instance: &str) -> String {
-    format!("{instance} to the store")
-}
-
 fn is_repeatable(kind: OperatorKind) -> bool {
     matches!(kind, OperatorKind::Safe | OperatorKind::Resumable)
 }
@@ -460,21 +432,6 @@
         });
     }
 
-    /// Whether nothing disturbed `what` from shortly before `from` until `until`.
-    fn is_calm(&self, what: &str, from: ClockTime, until: ClockTime, with_planned: bool) -> bool {
-        let start = from - STABLE_WINDOW;
-        let disturbances = self.disturbances.get(what).into_iter().flatten();
-        let mut counted = disturbances.filter(|one| with_planned || !one.is_planned);
-        counted.all(|one| one.from > until || one.until.is_some_and(|end| end < start))
-    }
-
-    /// Whether an instance had all it needs to know what the store knows.
-    fn is_in_touch(&self, instance: &str, from: ClockTime, until: ClockTime) -> bool {
-        self.is_calm(instance, from, until, true)
-            && self.is_calm(&store_path(instance), from, until, true)
-            && self.is_calm(STORE, from, until, true)
-    }
-
     /// A holder never comes back with an older fencing number than one that was
     /// seen, and no two have the same.
     fn check_fence(&mut self, now: ClockTime, subject: &str, authority: &SeenAuthority) {
--- a/crates/soak/src/promises/messages.rs
+++ b/crates/soak/src/promises/messages.rs
@@ -17,6 +17,10 @@
     RunOnce,
     /// A refusal that says "not run" is true, then and later.
     RefusalTrue,
+    /// Work that goes on at another endpoint has ended at the one before.
+    OneEndpointAtATime,
+    /// Requests reach a service no more often than the budget of all instances allows.
+    RepeatsLimited,
     /// A success is the whole signed answer to this very request.
     OwnAnswer,
     /// Events come once each and in order, and an end that looks whole is.
@@ -67,6 +71,7 @@
         matches!(
             self,
             Promise::AnswerInTime
+                | Promise::OneEndpointAtATime
                 | Promise::StopsWithCaller
                 | Promise::NoOlderConfiguration
                 | Promise::AddedServed
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,7 +18,7 @@
     inject,
     processes::{start_process, stop_process},
     promises::{BrokenPromise, Promise},
-    rests,
+    refusals, rests,
     schedule::{self, ScheduleSize, ScheduledFault},
 };
 
@@ -29,6 +29,8 @@
 const SERVED_AGAIN: u64 = 5;
 /// How often what is awaited is looked at.
 pub const LOOK: Duration = Duration::from_millis(200);
+/// How often attempts that two endpoints work on are looked at.
+const OVERLAP_LOOK: Duration = Duration::from_millis(50);
 /// What a narrow path to the store carries in a ms, in bytes.
 const NARROW_RATE: u64 = 800;
 
@@ -53,6 +55,8 @@
     pub is_leaving: bool,
     /// Whether a part of prompts crashes endpoints, and endpoints ask for rest.
     pub is_crashing: bool,
+    /// Whether endpoints are full in series, refuse a second time, and misstate that requests ran.
+    pub is_refusing: bool,
     /// The entry program.
     pub program: PathBuf,
     /// How large.
@@ -70,6 +74,8 @@
     pub changes: String,
     /// How rests and crashes under a part went.
     pub notices: String,
+    /// How often requests reached endpoints beyond the first time.
+    pub retries: String,
     /// What was injected.
     pub faults: Vec<ScheduledFault>,
     /// How callers fared.
@@ -112,6 +118,9 @@
     if plan.is_crashing {
         faults = schedule::merge(faults, rests::draw(plan.seed, size));
     }
+    if plan.is_refusing {
+        faults = schedule::merge(faults, refusals::draw(plan.seed, size));
+    }
     if plan.is_changing {
         faults = schedule::merge(faults, schedule::draw_changes(plan.seed, size));
     }
@@ -128,6 +137,7 @@
         streams,
         changes: fleet.checker.changes().to_string(),
         notices: fleet.checker.notices(),
+        retries: fleet.checker.retries(),
         faults,
         tally: sum(&fleet),
         broken: fleet.checker.broken(),
@@ -171,8 +181,16 @@
         let (fleet, stop) = (Arc::clone(fleet), stop.clone());
         tasks.spawn(async move { inject::revive_endpoints(&fleet, &stop).await });
     }
+    let (watched, watch_stop) = (Arc::clone(fleet), stop.clone());
+    tasks.spawn(async move { watch_processes(&watched, &watch_stop).await });
     let (fleet, stop) = (Arc::clone(fleet), stop.clone());
-    tasks.spawn(async move { watch_processes(&fleet, &stop).await });
+    tasks.spawn(async move {
+        while !stop.is_cancelled() {
+            fleet.checker.check_overlaps();
+            stop.run_until_cancelled(tokio::time::sleep(OVERLAP_LOOK))
+                .await;
+        }
+    });
 }
 
 fn domains(fleet: &SoakFleet) -> BTreeSet<FailureDomain> {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -234,6 +234,10 @@
     Silent,
     /// It refuses them and asks the instance for rest.
     Rests,
+    /// It refuses most of them, and half of those a second time.
+    Repeats,
+    /// It runs them and answers that it refuses them, without the statement that they have not run.
+    Misstates,
 }
 
 /// A fault with its time.
--- a/crates/soak/tests/notices.rs
+++ b/crates/soak/tests/notices.rs
@@ -60,6 +60,7 @@
     fn arrive(&self, attempt: &str) {
         self.send(attempt);
         self.checker.saw(&PlatformEvent::Arrived {
+            service: "pool".to_string(),
             attempt: attempt.to_string(),
             endpoint: "i-1".to_string(),
         });
