Pass a refusal of an endpoint on only if it states that nothing ran

What callers saw: a charge or a stream that may run once is answered 503, 429 or 408, which promises that it has not run and never will, and the endpoint ran it (REFUSED). A caller charges again on that.

Cause: only Not-Executed and 421 state that an endpoint has not run a request. An answer with another refusing status counted as the endpoint's whole answer, and was passed on unchanged; what the status means to an endpoint's instance and to a caller differs. Class: a statement that is taken over from one hop to the next, where it says more. The type NotRun guards the program's own refusals, not passed-on ones.

Change: such an answer is an outcome of its own, refused_without_proof, logged with the endpoint and the status. The request may have run: what may run once ends with 502, the rest is retried within its budget. It is decided where all answers arrive, so plain services, runs, prefills, copies and requests of other instances are covered.

Ruled out as other ways to the same symptom, by reading: bytes that count as unsent (the library returns a message only if it was never taken from the queue), hand-overs between instances (a lost answer ends what may run once with 502 or 504).

Elsewhere: the product's own engine interface documents 409 and 503 as not run; nothing to change there.

--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -75,6 +75,9 @@
         /// Whether a different endpoint now answers at the address.
         is_replaced: bool,
     },
+    /// The endpoint answered with a status that refuses the request, without stating that it did not
+    /// run it. The request may have run; to its caller the status would promise that it has not.
+    RefusedWithoutProof(StatusCode),
     /// No byte of the request was written, as it must not be sent to the endpoint any more.
     Withheld(Withheld),
     /// No byte of the request was written; holds the error.
@@ -91,6 +94,7 @@
         match self {
             SendOutcome::Answered(_) => "answered",
             SendOutcome::NotExecuted { .. } => "not_executed",
+            SendOutcome::RefusedWithoutProof(_) => "refused_without_proof",
             SendOutcome::Withheld(_) => "withheld",
             SendOutcome::NotSent(_) => "not_sent",
             SendOutcome::MaybeRun(_) => "maybe_run",
@@ -225,12 +229,32 @@
             is_replaced,
         };
     }
+    if promises_not_run(status) {
+        let answer = EndpointAnswer {
+            response,
+            connection,
+        };
+        discard_body(context, target, answer).await;
+        log_refused_without_proof(context, request, target, status);
+        return SendOutcome::RefusedWithoutProof(status);
+    }
     SendOutcome::Answered(EndpointAnswer {
         response,
         connection,
     })
 }
 
+/// Whether the status tells a caller that its request has not run and never will.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Whether the request must not be sent to `target` although it was chosen. The choice may have
 /// been made long before: the request has waited for a connection, a prefill or other endpoints.
 fn withheld(
@@ -269,6 +293,18 @@
         .info();
 }
 
+fn log_refused_without_proof(
+    context: &EntryContext,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+    status: StatusCode,
+) {
+    request_log_line(context, "refused_without_proof", request)
+        .with("endpoint", &target.id)
+        .with("status", status.as_u16())
+        .info();
+}
+
 /// Counts a call that stays unanswered for long against the path to its endpoint.
 async fn notice_silence(
     context: &EntryContext,
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -350,6 +350,11 @@
                 let detail = format!("{} refused with status {status}", target.id);
                 Err(FailedAttempt::new(RefusalReason::EndpointsFull, detail))
             }
+            SendOutcome::RefusedWithoutProof(status) => {
+                self.note_possible_run(&target.id);
+                let detail = format!("run at {}: refused with {status} without proof", target.id);
+                Err(FailedAttempt::new(RefusalReason::EndpointFailed, detail))
+            }
             SendOutcome::MaybeRun(detail) => {
                 self.note_lost_run(target, AnswerProgress::None).await;
                 let detail = format!("run at {}: {detail}", target.id);
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -216,6 +216,11 @@
                 }
                 NextStep::Retry(RefusalReason::EndpointsFull, format!("status {status}"))
             }
+            SendOutcome::RefusedWithoutProof(status) => {
+                guard.answered_failure();
+                let detail = format!("{}: refused with {status} without proof", target.id);
+                self.note_possible_run(RefusalReason::EndpointFailed, detail)
+            }
             SendOutcome::MaybeRun(detail) => {
                 guard.failed();
                 let progress = AnswerProgress::None;
