--- /dev/null
+++ b/crates/soak/tests/support/mod.rs
@@ -0,0 +1,211 @@
+//! Fleets of real processes, and streams that callers take up.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    ops::Range,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use bluebell_platform_standin::{
+    endpoint::EVENTS,
+    raw::{RawRequest, exchange},
+};
+use bluebell_soak::{
+    fleet::{EndpointSlot, FleetSize, HOST, InstanceSlot, SoakFleet, organisation_key},
+    process::program_path,
+};
+use rustix::process::Signal;
+use tokio_util::sync::CancellationToken;
+
+/// The time limit for what is awaited on a busy machine.
+pub const PATIENCE: Duration = Duration::from_secs(40);
+/// How often a caller takes its stream up before it gives up.
+const TRIES: usize = 3;
+
+/// A stream that broke off, with what its caller has received.
+#[derive(Clone, Debug)]
+pub struct BrokenStream {
+    pub attempt: String,
+    pub text: String,
+}
+
+impl BrokenStream {
+    pub fn last_event(&self) -> u64 {
+        let ids = self
+            .text
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: "));
+        ids.filter_map(|id| id.trim().parse().ok())
+            .max()
+            .unwrap_or(0)
+    }
+}
+
+/// The versions that wrote the events of an answer.
+pub fn versions(text: &str) -> BTreeSet<String> {
+    let events = text.lines().filter(|line| line.starts_with("data: "));
+    let versions = events.filter_map(|line| line.split(' ').next_back());
+    versions.map(ToString::to_string).collect()
+}
+
+/// The request that begins a stream, or takes one up.
+pub fn request(attempt: &str, taken_up: Option<&BrokenStream>) -> RawRequest {
+    let stream = taken_up.map_or(attempt, |stream| &stream.attempt);
+    // Prompts differ, so that they are spread over the engines.
+    let part = stream.rsplit('-').next().unwrap_or_default();
+    RawRequest {
+        method: "POST",
+        host: HOST,
+        path: format!("/chat/{attempt}"),
+        attempt: attempt.to_string(),
+        key: organisation_key(0),
+        deadline_ms: 3_000,
+        prompt_part: Some(format!("aa{part}")),
+        resumes: taken_up.map(|stream| (stream.attempt.clone(), stream.last_event())),
+    }
+}
+
+/// Takes a request's answer to a stream that an instance serves, and calls `begun` once it has begun.
+pub async fn begin_stream<Begun>(
+    address: SocketAddr,
+    attempt: String,
+    mut begun: Begun,
+) -> BrokenStream
+where
+    Begun: FnMut(),
+{
+    let request = request(&attempt, None);
+    let text = exchange(address, &request, |text| {
+        if text.contains("id: 1\n") {
+            begun();
+        }
+    });
+    let text = text.await;
+    BrokenStream { attempt, text }
+}
+
+async fn wait_until_ready(slot: &InstanceSlot) {
+    let client = reqwest::Client::new();
+    let ready = async {
+        while !slot.is_ready(&client, PATIENCE).await {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let ready = tokio::time::timeout(PATIENCE, ready).await;
+    ready.expect("the instance was not ready in time");
+}
+
+/// Starts the instances in `range` and waits until they are ready.
+pub async fn start(fleet: &SoakFleet, range: Range<usize>) {
+    let slots = &fleet.instances[range];
+    for slot in slots {
+        let process = slot.start(&fleet.program).expect("the program starts");
+        *slot.process.lock().await = Some(process);
+    }
+    for slot in slots {
+        wait_until_ready(slot).await;
+    }
+}
+
+/// Starts all instances and waits until they are ready.
+pub async fn start_all(fleet: &SoakFleet) {
+    start(fleet, 0..fleet.instances.len()).await;
+}
+
+/// Sends a signal to the processes of the instances in `range`.
+pub async fn signal(fleet: &SoakFleet, range: Range<usize>, signal: Signal) {
+    for slot in &fleet.instances[range] {
+        if let Some(process) = slot.process.lock().await.as_mut() {
+            process.signal(signal);
+        }
+    }
+}
+
+/// Kills the instances in `range` and waits until they have ended.
+pub async fn kill(fleet: &SoakFleet, range: Range<usize>) {
+    signal(fleet, range.clone(), Signal::KILL).await;
+    for slot in &fleet.instances[range] {
+        if let Some(mut process) = slot.process.lock().await.take() {
+            process.wait().await.expect("it was started here");
+        }
+    }
+}
+
+/// Kills all instances and waits until they have ended.
+pub async fn kill_all(fleet: &SoakFleet) {
+    kill(fleet, 0..fleet.instances.len()).await;
+}
+
+/// Takes a stream up at the instance that accepts callers at `address`.
+pub async fn take_up(address: SocketAddr, stream: &BrokenStream) -> String {
+    for number in 0..TRIES {
+        let attempt = format!("again-{number}-{}", stream.attempt);
+        let answer = exchange(address, &request(&attempt, Some(stream)), |_| {}).await;
+        if !answer.starts_with("HTTP/1.1 503") {
+            return answer;
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    String::new()
+}
+
+/// How the streams went on that were taken up.
+#[derive(Debug, Default)]
+pub struct ResumedStreams {
+    pub count: usize,
+    /// Those that went on to their end at their version.
+    pub whole: usize,
+    /// Those that went on at another version.
+    pub mixed: usize,
+    pub begun_at: BTreeSet<String>,
+}
+
+impl ResumedStreams {
+    pub fn add(&mut self, stream: &BrokenStream, answer: &str) {
+        let begun = versions(&stream.text);
+        let is_mixed = !versions(answer).is_subset(&begun);
+        self.count += 1;
+        self.mixed += usize::from(is_mixed);
+        self.whole += usize::from(!is_mixed && answer.contains(&format!("id: {EVENTS}\n")));
+        self.begun_at.extend(begun);
+    }
+}
+
+/// The engines of a fleet.
+pub fn engines(fleet: &SoakFleet) -> impl Iterator<Item = &EndpointSlot> {
+    let slots = fleet.endpoints.iter();
+    slots.filter(|slot| slot.plan.prefills.is_some())
+}
+
+/// Builds a fleet of `instances`; their processes are started later.
+pub async fn build(
+    name: &str,
+    seed: u64,
+    instances: usize,
+) -> (SoakFleet, PathBuf, CancellationToken) {
+    let folder = std::env::temp_dir().join(format!("{name}-{seed}-{}", std::process::id()));
+    let stop = CancellationToken::new();
+    let size = FleetSize {
+        instances,
+        folder: folder.clone(),
+    };
+    let program = program_path().expect("the program is built");
+    let fleet = SoakFleet::build(seed, program, &size, &stop).await;
+    (fleet.expect("the fleet is built"), folder, stop)
+}
+
+/// Has the settings of all instances say that the whole system starts for the first time, so that no
+/// version preceded those that are registered.
+pub fn set_first_start(fleet: &SoakFleet, folder: &Path) {
+    for slot in &fleet.instances {
+        let file = folder.join(format!("{}.yaml", slot.name));
+        let text = std::fs::read_to_string(&file).expect("the settings were written");
+        let rest = text.strip_prefix('{').expect("they are an object");
+        let text = format!("{{\"bootstrap\":true,{rest}");
+        std::fs::write(&file, text).expect("the file is writable");
+    }
+}
--- a/crates/soak/tests/whole_fleet_kill.rs
+++ b/crates/soak/tests/whole_fleet_kill.rs
@@ -1,108 +1,25 @@
 //! Streams that callers take up after all instances were killed at the same moment.
 
-use std::{
-    collections::BTreeSet, net::SocketAddr, path::PathBuf, sync::atomic::Ordering, time::Duration,
-};
+mod support;
 
-use bluebell_platform_standin::{
-    endpoint::{EVENTS, EndpointFaults},
-    raw::{RawRequest, exchange},
-};
-use bluebell_soak::{
-    fleet::{EndpointSlot, FleetSize, HOST, InstanceSlot, SoakFleet, organisation_key},
-    process::program_path,
-};
-use rustix::process::Signal;
+use std::{sync::atomic::Ordering, time::Duration};
+
+use bluebell_platform_standin::endpoint::{EVENTS, EndpointFaults};
+use bluebell_soak::fleet::SoakFleet;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::support::{
+    BrokenStream, PATIENCE, ResumedStreams, begin_stream, build, engines, kill_all, start_all,
+    take_up,
+};
+
 const INSTANCES: usize = 6;
 const STREAMS: usize = 24;
 /// How many streams may hold events of two versions.
 const MAX_MIXED: usize = 2;
-/// How often a caller takes its stream up before it gives up.
-const TRIES: usize = 3;
 /// The additional time of each event: streams run while the instances are killed.
 const SLOW_MS: u64 = 250;
-/// The time limit for what is awaited on a busy machine.
-const PATIENCE: Duration = Duration::from_secs(40);
-
-/// A stream that broke off, with what its caller has received.
-#[derive(Clone, Debug)]
-struct BrokenStream {
-    attempt: String,
-    text: String,
-}
-
-impl BrokenStream {
-    fn last_event(&self) -> u64 {
-        let ids = self
-            .text
-            .lines()
-            .filter_map(|line| line.strip_prefix("id: "));
-        ids.filter_map(|id| id.trim().parse().ok())
-            .max()
-            .unwrap_or(0)
-    }
-}
-
-/// The versions that wrote the events of an answer.
-fn versions(text: &str) -> BTreeSet<String> {
-    let events = text.lines().filter(|line| line.starts_with("data: "));
-    let versions = events.filter_map(|line| line.split(' ').next_back());
-    versions.map(ToString::to_string).collect()
-}
-
-/// The request that begins a stream, or takes one up.
-fn request(attempt: &str, taken_up: Option<&BrokenStream>) -> RawRequest {
-    let stream = taken_up.map_or(attempt, |stream| &stream.attempt);
-    // Prompts differ, so that they are spread over the engines.
-    let part = stream.rsplit('-').next().unwrap_or_default();
-    RawRequest {
-        method: "POST",
-        host: HOST,
-        path: format!("/chat/{attempt}"),
-        attempt: attempt.to_string(),
-        key: organisation_key(0),
-        deadline_ms: 3_000,
-        prompt_part: Some(format!("aa{part}")),
-        resumes: taken_up.map(|stream| (stream.attempt.clone(), stream.last_event())),
-    }
-}
-
-async fn wait_until_ready(slot: &InstanceSlot) {
-    let client = reqwest::Client::new();
-    let ready = async {
-        while !slot.is_ready(&client, PATIENCE).await {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-    };
-    let ready = tokio::time::timeout(PATIENCE, ready).await;
-    ready.expect("the instance was not ready in time");
-}
-
-async fn start_all(fleet: &SoakFleet) {
-    for slot in &fleet.instances {
-        let process = slot.start(&fleet.program).expect("the program starts");
-        *slot.process.lock().await = Some(process);
-    }
-    for slot in &fleet.instances {
-        wait_until_ready(slot).await;
-    }
-}
-
-async fn kill_all(fleet: &SoakFleet) {
-    for slot in &fleet.instances {
-        if let Some(process) = slot.process.lock().await.as_mut() {
-            process.signal(Signal::KILL);
-        }
-    }
-    for slot in &fleet.instances {
-        if let Some(mut process) = slot.process.lock().await.take() {
-            process.wait().await.expect("it was started here");
-        }
-    }
-}
 
 /// Begins streams at all instances, and kills the instances while the streams run.
 async fn break_streams(fleet: &SoakFleet, earlier: EarlierVersion) -> Vec<BrokenStream> {
@@ -113,16 +30,7 @@
         let address = fleet.instances[number % INSTANCES].callers;
         let has_begun = CancellationToken::new();
         begun.push(has_begun.clone());
-        streams.spawn(async move {
-            let request = request(&attempt, None);
-            let text = exchange(address, &request, |text| {
-                if text.contains("id: 1\n") {
-                    has_begun.cancel();
-                }
-            });
-            let text = text.await;
-            BrokenStream { attempt, text }
-        });
+        streams.spawn(begin_stream(address, attempt, move || has_begun.cancel()));
     }
     for has_begun in begun {
         let waited = tokio::time::timeout(PATIENCE, has_begun.cancelled()).await;
@@ -142,41 +50,6 @@
     broken
 }
 
-/// Takes a stream up at the instance that accepts callers at `address`.
-async fn take_up(address: SocketAddr, stream: &BrokenStream) -> String {
-    for number in 0..TRIES {
-        let attempt = format!("again-{number}-{}", stream.attempt);
-        let answer = exchange(address, &request(&attempt, Some(stream)), |_| {}).await;
-        if !answer.starts_with("HTTP/1.1 503") {
-            return answer;
-        }
-        tokio::time::sleep(Duration::from_millis(500)).await;
-    }
-    String::new()
-}
-
-/// How the streams went on that were taken up.
-#[derive(Debug, Default)]
-struct ResumedStreams {
-    count: usize,
-    /// Those that went on to their end at their version.
-    whole: usize,
-    /// Those that went on at another version.
-    mixed: usize,
-    begun_at: BTreeSet<String>,
-}
-
-impl ResumedStreams {
-    fn add(&mut self, stream: &BrokenStream, answer: &str) {
-        let begun = versions(&stream.text);
-        let is_mixed = !versions(answer).is_subset(&begun);
-        self.count += 1;
-        self.mixed += usize::from(is_mixed);
-        self.whole += usize::from(!is_mixed && answer.contains(&format!("id: {EVENTS}\n")));
-        self.begun_at.extend(begun);
-    }
-}
-
 /// Takes all streams up, each at another instance than the one where it began.
 async fn take_up_all(fleet: &SoakFleet, broken: &[BrokenStream]) -> ResumedStreams {
     let mut answers = JoinSet::new();
@@ -196,23 +69,6 @@
     resumed
 }
 
-fn engines(fleet: &SoakFleet) -> impl Iterator<Item = &EndpointSlot> {
-    let slots = fleet.endpoints.iter();
-    slots.filter(|slot| slot.plan.prefills.is_some())
-}
-
-async fn build(seed: u64) -> (SoakFleet, PathBuf, CancellationToken) {
-    let folder = std::env::temp_dir().join(format!("whole-fleet-{seed}-{}", std::process::id()));
-    let stop = CancellationToken::new();
-    let size = FleetSize {
-        instances: INSTANCES,
-        folder: folder.clone(),
-    };
-    let program = program_path().expect("the program is built");
-    let fleet = SoakFleet::build(seed, program, &size, &stop).await;
-    (fleet.expect("the fleet is built"), folder, stop)
-}
-
 /// What happens to the endpoints of the first version before all instances are killed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EarlierVersion {
@@ -224,7 +80,7 @@
 /// Has a second version serve beside the first one, kills all instances while streams run, and
 /// takes these up.
 async fn kill_and_take_up(seed: u64, earlier: EarlierVersion) -> ResumedStreams {
-    let (fleet, folder, stop) = build(seed).await;
+    let (fleet, folder, stop) = build("whole-fleet", seed, INSTANCES).await;
     start_all(&fleet).await;
     for slot in engines(&fleet).filter(|slot| slot.plan.domain == "se-c") {
         slot.version.store(2, Ordering::SeqCst);
