Take a version for the only one only if that is known as of the take-up

Cause: knowledge of some age stood for "none". The view of the registrations counted as current for 3 s, in which a version can register and begin streams; and silence of the instances that may have the record counted as "not recorded". Class: the age of a statement is not compared with what it is used for.

Change: without a record, the only registered version is taken if all recorders that were asked answer that they have none, and they include some of every failure domain; or if configuration and registrations are known as of a time after the stream was taken up. Otherwise the request waits for that, 1.5 s at most and only while the store or a reader may answer; the instance that reads the store reads at once. If it stays open: 503 with Retry-After. What began or is recorded here goes on as before, also at an instance that is cut off for long.

Elsewhere: a route that moved (the configuration has to be known as of the take-up as well); proofs of other instances, which now carry the age of what they rest on and count only if they leave no gap before the knowledge here. Not looked at: quotas and the quarantine, which also rest on reports of some age.

--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -152,6 +152,22 @@
         services.filter_map(move |known| self.sole_of(now, known))
     }
 
+    /// Whether everything that was registered at `at` is known. A version that registered later can
+    /// have begun streams as well.
+    pub fn is_known_since(&self, at: ClockTime) -> bool {
+        self.current_at >= Some(at)
+    }
+
+    /// Whether a proof as of `proved_at` leaves no gap before the knowledge of this instance.
+    pub fn adjoins(&self, proved_at: ClockTime) -> bool {
+        self.complete_since.is_some_and(|since| proved_at >= since)
+    }
+
+    /// The age of what is known.
+    pub fn age(&self, now: ClockTime) -> Option<TimeSpan> {
+        self.current_at.map(|at| now.since(at))
+    }
+
     /// Applies the proofs of an instance that has known the registrations for longer.
     pub fn note_vouched(&mut self, now: ClockTime, proved: &BTreeSet<OriginHash>) {
         if !self.is_current(now) {
--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -12,6 +12,11 @@
 //!   knows whom to ask. A few instances of each failure domain also append the records to a log of
 //!   the store ([`appending_peer`], [`RecordQueue`]), for the case that all instances are killed.
 //!
+//! Neither is certain where an instance is out of step: a version that registered after the newest
+//! confirmation of its view can have begun the stream, and the instances that do not answer it can have
+//! the record. So only one version is taken for possible if all recorders of all failure domains answer
+//! that they have no record, or if the view is confirmed as of a time after the stream was taken up.
+//!
 //! A stream whose version is not found this way is refused.
 
 mod history;
@@ -28,7 +33,7 @@
     log::RecordQueue,
     look_back::LookBack,
     origin::{OriginHash, StreamHash},
-    peers::{RecordPeer, appending_peer, queried_peers, recording_peers},
+    peers::{RecordPeer, appending_peer, is_unrecorded, queried_peers, recording_peers},
     resolution::{UnknownOrigin, resolve_origin},
     routes::RouteHistory,
     table::{RecordScope, RecordedOrigin, StreamRecord, StreamTable},
--- a/crates/core/src/streams/peers.rs
+++ b/crates/core/src/streams/peers.rs
@@ -121,6 +121,22 @@
     queried
 }
 
+/// Whether a stream that no instance has a record of was not recorded: all instances that were
+/// `asked` have answered, and they include some of each of the failure `domains`. One that is silent
+/// may have the record.
+pub fn is_unrecorded<Address>(
+    asked: &[&RecordPeer<Address>],
+    answered: &BTreeSet<Address>,
+    domains: &BTreeSet<FailureDomain>,
+) -> bool
+where
+    Address: Ord,
+{
+    let have_answered = asked.iter().all(|peer| answered.contains(&peer.address));
+    let is_asked = |domain: &FailureDomain| asked.iter().any(|peer| peer.domain == *domain);
+    have_answered && domains.iter().all(is_asked)
+}
+
 /// The instance of the failure domain with these `members` that appends the record of `stream` to
 /// the log: one of the first by name, which read the store in any case.
 pub fn appending_peer<Address>(
--- a/crates/core/src/streams/resolution.rs
+++ b/crates/core/src/streams/resolution.rs
@@ -12,6 +12,9 @@
     /// No record was found, and several versions are possible.
     #[error("no instance has a record of the stream, and it may have begun at several versions")]
     NotRecorded,
+    /// No record was found, and instances that may have one, and the store, have not answered.
+    #[error("no record of the stream was found, and its version may have registered a moment ago")]
+    Unconfirmed,
     /// Two instances named different origins.
     #[error("two instances recorded the stream at different versions")]
     Contradictory,
--- /dev/null
+++ b/crates/core/tests/stream_absence.rs
@@ -0,0 +1,71 @@
+//! What shows that a stream was not recorded, and as of when the versions are known.
+
+use std::collections::BTreeSet;
+
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    ids::{FailureDomain, InstanceId},
+    streams::{RecordPeer, VersionHistory, is_unrecorded},
+};
+
+fn peer(name: &str, domain: &str, address: u32) -> RecordPeer<u32> {
+    RecordPeer {
+        instance: InstanceId::new(name).unwrap(),
+        domain: FailureDomain::new(domain).unwrap(),
+        start: 1,
+        address,
+    }
+}
+
+fn domains(names: &[&str]) -> BTreeSet<FailureDomain> {
+    let names = names.iter().map(|name| FailureDomain::new(*name).unwrap());
+    names.collect()
+}
+
+/// Guards against silence that counts as the statement that a stream was not recorded.
+#[test]
+fn silent_recorders_leave_it_open_whether_a_stream_was_recorded() {
+    let peers = [peer("a-1", "se-a", 1), peer("b-1", "se-b", 2)];
+    let asked: Vec<&RecordPeer<u32>> = peers.iter().collect();
+    let all = domains(&["se-a", "se-b"]);
+    assert!(is_unrecorded(&asked, &BTreeSet::from([1, 2]), &all));
+    assert!(!is_unrecorded(&asked, &BTreeSet::from([1]), &all));
+    assert!(!is_unrecorded(&asked, &BTreeSet::new(), &all));
+}
+
+/// Guards against streams of a failure domain that is cut off, which can't be asked for its records.
+#[test]
+fn a_failure_domain_that_is_not_asked_leaves_it_open_whether_a_stream_was_recorded() {
+    let peers = [peer("a-1", "se-a", 1)];
+    let asked: Vec<&RecordPeer<u32>> = peers.iter().collect();
+    let answered = BTreeSet::from([1]);
+    assert!(is_unrecorded(&asked, &answered, &domains(&["se-a"])));
+    let both = domains(&["se-a", "se-b"]);
+    assert!(!is_unrecorded(&asked, &answered, &both));
+    let cut_off = is_unrecorded::<u32>(&[], &BTreeSet::new(), &domains(&["se-a"]));
+    assert!(!cut_off);
+}
+
+/// Guards against a fleet of one instance that asks nobody and refuses all streams.
+#[test]
+fn an_instance_without_others_knows_all_records() {
+    let nobody = is_unrecorded::<u32>(&[], &BTreeSet::new(), &BTreeSet::new());
+    assert!(nobody);
+}
+
+/// Guards against a version that began streams after the newest confirmation, and against a proof that
+/// ends before the knowledge of the instance that applies it begins.
+#[test]
+fn knowledge_holds_as_of_its_confirmation() {
+    let start = ClockTime::from_millis(100_000);
+    let later = |ms| start + TimeSpan::from_millis(ms);
+    let mut versions = VersionHistory::new();
+    assert!(!versions.is_known_since(start) && !versions.adjoins(start));
+    versions.note_current(later(1_000));
+    versions.note_current(later(2_000));
+    assert!(versions.is_known_since(later(2_000)));
+    assert!(!versions.is_known_since(later(2_001)));
+    assert_eq!(versions.age(later(2_600)), Some(TimeSpan::from_millis(600)));
+    assert!(versions.adjoins(later(1_000)));
+    assert!(!versions.adjoins(later(999)));
+}
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -37,7 +37,7 @@
     peers::{self, PeerTable},
     shared::Shared,
     state_transfer::StateCache,
-    stream_origins::StreamOrigins,
+    stream_origins::{RecorderFleet, StreamOrigins},
     sync::copies::PublishedCopy,
 };
 
@@ -143,6 +143,8 @@
     pub wake: Notify,
     /// Wakes requests that wait for a confirmation of the configuration or the endpoints.
     pub confirmed: Notify,
+    /// Wakes the task that reads the registrations before its next read is due.
+    pub read_due: Notify,
     /// Wakes the task that reports usage of limits and crashes to the other instances.
     pub report_due: Notify,
     /// Wakes the task that probes the endpoints of services in doubt.
@@ -236,6 +238,7 @@
             peer_usage: Shared::new(PeerUsage::default()),
             wake: Notify::new(),
             confirmed: Notify::new(),
+            read_due: Notify::new(),
             report_due: Notify::new(),
             probe_due: Notify::new(),
             probed: Notify::new(),
@@ -329,6 +332,16 @@
         peers::record_peers(&peers, self.now(), &self.settings.domain)
     }
 
+    /// The other instances that can record streams, and the failure domains of all that are registered.
+    pub fn recorder_fleet(&self) -> RecorderFleet {
+        let peers = self.peers.lock();
+        let domains = peers.iter().map(|(_, peer)| peer.domain.clone());
+        RecorderFleet {
+            domains: domains.collect(),
+            peers: peers::record_peers(&peers, self.now(), &self.settings.domain),
+        }
+    }
+
     /// Updates the size of the fleet, whose instances report their usage of limits every
     /// `interval`.
     pub fn update_fleet_size(&self, interval: TimeSpan) {
@@ -378,6 +391,22 @@
         self.relayed.lock().endpoints.validity(now, bound, reads)
     }
 
+    /// Whether the configuration that was in force at `at` is known, and the endpoints that were
+    /// registered then.
+    pub fn is_state_known_since(&self, at: ClockTime) -> bool {
+        let since = self.now().since(at);
+        let is_configured = {
+            let age = self.configuration.lock().age(self.now());
+            age.is_some_and(|age| age <= since)
+        };
+        is_configured && self.directory.lock().versions().is_known_since(at)
+    }
+
+    /// Whether neither the store nor an instance that reads it answers this one.
+    pub fn is_cut_off(&self, now: ClockTime) -> bool {
+        self.directory_reads(now).is_lost(now)
+    }
+
     /// The reads that tell whether the store can be read: those of the endpoints, or of the
     /// configuration while this instance does not read the endpoints itself. None do while
     /// others read the store, from whom the endpoints can be copied.
--- a/crates/ingress/src/forward/resume.rs
+++ b/crates/ingress/src/forward/resume.rs
@@ -14,6 +14,7 @@
     forward::{refuse, request_log_line},
     frontend::{AnswerBody, CallerRequest, DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
     stream_origins::{self, ResumedStream, StreamRequest},
+    sync,
 };
 
 /// Where the stream of a request began, of which its caller may have events.
@@ -49,16 +50,13 @@
     request: CallerRequest,
 ) -> Result<CallerRequest, Box<Response<AnswerBody>>> {
     let stream = request.resumes.is_some().then_some(request.stream);
-    let peers = context.record_peers();
     let taken_up = StreamRequest {
         stream,
         host: &request.route.host,
         path: &request.target,
         service: &request.service,
     };
-    let (clock, directory) = (&context.clock, &context.directory);
-    let resolving = context.streams.resolve(clock, directory, taken_up, &peers);
-    let resolved = resolving.await;
+    let resolved = resolve(context, taken_up).await;
     log_taken_up(context, &request, &resolved);
     let refuse_unknown = |request: &CallerRequest, detail: &str| {
         let reason = RefusalReason::VersionUnknown;
@@ -83,6 +81,23 @@
     Ok(request)
 }
 
+/// Finds out where a stream goes on that a caller takes up now.
+async fn resolve(
+    context: &EntryContext,
+    taken_up: StreamRequest<'_>,
+) -> Result<ResumedStream, UnknownOrigin> {
+    let taken_up_at = context.now();
+    let (clock, directory) = (&context.clock, &context.directory);
+    let fleet = context.recorder_fleet();
+    let streams = &context.streams;
+    let finding = streams.find(clock, directory, taken_up.stream, &fleet);
+    let found = finding.await;
+    if !found.is_certain() && !sync::is_state_known_since(context, taken_up_at).await {
+        return Err(UnknownOrigin::Unconfirmed);
+    }
+    streams.resolve(context.now(), directory, taken_up, found)
+}
+
 fn log_taken_up(
     context: &EntryContext,
     request: &CallerRequest,
--- a/crates/ingress/src/peers/receive.rs
+++ b/crates/ingress/src/peers/receive.rs
@@ -23,6 +23,7 @@
         relay, speeds,
         table::KnownPeer,
     },
+    stream_origins::OriginProofs,
 };
 
 impl PeerBroadcaster {
@@ -40,7 +41,14 @@
         let now = self.context.now();
         if let Some(origins) = message.origins {
             let directory = &self.context.directory;
-            let prove = || directory.lock().versions().sole_origins(now).collect();
+            let prove = || {
+                let directory = directory.lock();
+                let versions = directory.versions();
+                OriginProofs {
+                    origins: versions.sole_origins(now).collect(),
+                    age: versions.age(now),
+                }
+            };
             self.context.streams.receive(now, origins, from, prove);
             return;
         }
--- a/crates/ingress/src/stream_origins/messages.rs
+++ b/crates/ingress/src/stream_origins/messages.rs
@@ -1,8 +1,9 @@
 //! The datagrams with which instances record the origins of streams and ask for them.
 
-use std::collections::BTreeSet;
-
-use bluebell_core::streams::{OriginHash, RecordedOrigin, StreamHash, StreamRecord};
+use bluebell_core::{
+    clock::{ClockTime, TimeSpan},
+    streams::{OriginHash, RecordedOrigin, StreamHash, StreamRecord},
+};
 use prost::{Message, Oneof};
 
 /// The maximum number of records in one datagram.
@@ -100,23 +101,34 @@
     /// can prove that.
     #[prost(fixed64, repeated, tag = "4")]
     pub proved: Vec<u64>,
+    /// The age of what the proofs rest on, in ms.
+    #[prost(uint64, optional, tag = "5")]
+    pub proved_age_ms: Option<u64>,
+}
+
+/// What an instance can prove.
+#[derive(Clone, Debug, Default)]
+pub struct OriginProofs {
+    /// The only versions of services at which streams can have begun.
+    pub origins: Vec<OriginHash>,
+    /// The age of what is known of the registrations.
+    pub age: Option<TimeSpan>,
 }
 
 impl OriginAnswer {
     /// Encodes an answer to the query with this number.
-    pub fn new<Proved>(number: u64, known: Option<RecordedOrigin>, proved: Proved) -> OriginAnswer
-    where
-        Proved: Iterator<Item = OriginHash>,
-    {
+    pub fn new(number: u64, known: Option<RecordedOrigin>, proofs: &OriginProofs) -> OriginAnswer {
         let origin = match known {
             Some(RecordedOrigin::Known(origin)) => Some(origin.number()),
             _ => None,
         };
+        let proved = proofs.origins.iter().take(MAX_PROOFS);
         OriginAnswer {
             number,
             origin,
             is_contradictory: known == Some(RecordedOrigin::Contradictory),
-            proved: proved.take(MAX_PROOFS).map(OriginHash::number).collect(),
+            proved: proved.map(|origin| origin.number()).collect(),
+            proved_age_ms: proofs.age.map(TimeSpan::as_millis),
         }
     }
 
@@ -128,8 +140,15 @@
         }
     }
 
-    /// Decodes the proofs.
-    pub fn proofs(&self) -> BTreeSet<OriginHash> {
-        self.proved.iter().copied().map(OriginHash::new).collect()
+    /// Decodes the proofs, as answers to a query that was sent at `asked_at`, each with the time as of
+    /// which it holds at the latest. Those of unknown age are left out.
+    pub fn proofs(
+        &self,
+        asked_at: ClockTime,
+    ) -> impl Iterator<Item = (OriginHash, ClockTime)> + '_ {
+        let proved_at = self.proved_age_ms;
+        let proved_at = proved_at.map(|age_ms| asked_at - TimeSpan::from_millis(age_ms));
+        let origins = self.proved.iter().copied().map(OriginHash::new);
+        origins.filter_map(move |origin| Some((origin, proved_at?)))
     }
 }
--- a/crates/ingress/src/stream_origins/mod.rs
+++ b/crates/ingress/src/stream_origins/mod.rs
@@ -19,8 +19,7 @@
     ingress::IngressConfiguration,
     streams::{
         MAX_STREAM_AGE, OriginHash, RecordPeer, RecordQueue, RecordScope, RecordedOrigin,
-        RouteHistory, StreamHash, StreamRecord, StreamTable, appending_peer, queried_peers,
-        recording_peers,
+        RouteHistory, StreamHash, StreamRecord, StreamTable, appending_peer, recording_peers,
     },
 };
 use prost::Message;
@@ -33,8 +32,8 @@
 use self::messages::{MAX_RECORDS, OriginAnswer, OriginContent, OriginQuery, OriginRecords};
 pub use self::{
     log_records::start,
-    messages::OriginMessage,
-    resumption::{ResumedStream, StreamRequest, begun_origin},
+    messages::{OriginMessage, OriginProofs},
+    resumption::{RecorderFleet, ResumedStream, StreamRequest, begun_origin},
 };
 use crate::shared::Shared;
 
@@ -49,8 +48,8 @@
 struct QueryResult {
     /// Where the stream began, if any of them knows.
     origin: Option<RecordedOrigin>,
-    /// What they can prove about services with a single version.
-    proved: BTreeSet<OriginHash>,
+    /// What they can prove about services with a single version, and as of when at the latest.
+    proved: BTreeMap<OriginHash, ClockTime>,
     /// The instances that answered.
     answered: BTreeSet<SocketAddr>,
     /// The number of instances that were asked.
@@ -186,19 +185,14 @@
         }
     }
 
-    /// Asks those of `peers` that may have recorded `stream`. Ends as soon as one knows it.
-    async fn query(&self, stream: StreamHash, peers: &[RecordPeer<SocketAddr>]) -> QueryResult {
-        let asked = queried_peers(stream, peers);
-        let addresses: Vec<SocketAddr> = asked.into_iter().map(|peer| peer.address).collect();
-        self.ask(Some(stream), &addresses).await
-    }
-
-    /// Asks the instances at `addresses` for what they can prove.
-    async fn query_proofs(&self, addresses: &[SocketAddr]) -> QueryResult {
-        self.ask(None, addresses).await
-    }
-
-    async fn ask(&self, stream: Option<StreamHash>, addresses: &[SocketAddr]) -> QueryResult {
+    /// Asks the instances at `addresses` where `stream` began, if there is one, and for what they can
+    /// prove. Ends as soon as one knows the stream. `now` is when they are asked.
+    async fn ask(
+        &self,
+        now: ClockTime,
+        stream: Option<StreamHash>,
+        addresses: &[SocketAddr],
+    ) -> QueryResult {
         let query = OriginQuery {
             number: rand::random(),
             stream: stream.map(StreamHash::number),
@@ -221,7 +215,7 @@
                     }
                     self.send(*address, OriginContent::Query(query));
                 }
-                let reading = read_answers(&mut answers, &mut result);
+                let reading = read_answers(now, &mut answers, &mut result);
                 if tokio::time::timeout(wait, reading).await.is_ok() {
                     return;
                 }
@@ -240,7 +234,7 @@
         from: SocketAddr,
         proofs: Proofs,
     ) where
-        Proofs: FnOnce() -> Vec<OriginHash>,
+        Proofs: FnOnce() -> OriginProofs,
     {
         match message.content {
             Some(OriginContent::Records(records)) => {
@@ -252,8 +246,7 @@
             Some(OriginContent::Query(query)) => {
                 let stream = query.stream.map(StreamHash::new);
                 let known = stream.and_then(|stream| self.origin(stream));
-                let proved = proofs().into_iter();
-                let answer = OriginAnswer::new(query.number, known, proved);
+                let answer = OriginAnswer::new(query.number, known, &proofs());
                 self.send(from, OriginContent::Answer(answer));
             }
             Some(OriginContent::Answer(answer)) => {
@@ -289,8 +282,10 @@
     }
 }
 
-/// Reads answers until the origin is known or all that were asked have answered.
+/// Reads answers to a query that was sent at `asked_at`, until the origin is known or all that were asked
+/// have answered.
 async fn read_answers(
+    asked_at: ClockTime,
     answers: &mut mpsc::UnboundedReceiver<ReceivedAnswer>,
     result: &mut QueryResult,
 ) {
@@ -300,6 +295,9 @@
         };
         result.answered.insert(from);
         result.origin = answer.recorded();
-        result.proved.extend(answer.proofs());
+        for (origin, proved_at) in answer.proofs(asked_at) {
+            let newest = result.proved.entry(origin).or_insert(proved_at);
+            *newest = proved_at.max(*newest);
+        }
     }
 }
--- a/crates/ingress/src/stream_origins/resumption.rs
+++ b/crates/ingress/src/stream_origins/resumption.rs
@@ -1,6 +1,7 @@
 //! Finds where a stream began that is to be continued.
 
 use std::{
+    collections::BTreeSet,
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     time::Duration,
@@ -9,16 +10,19 @@
 use bluebell_core::{
     clock::{ClockSource, ClockTime},
     directory::EndpointDirectory,
-    ids::ServiceName,
+    ids::{FailureDomain, ServiceName},
     placement::EndpointTarget,
     streams::{
         OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash, StreamRecord,
-        UnknownOrigin, resolve_origin,
+        UnknownOrigin, is_unrecorded, queried_peers, resolve_origin,
     },
 };
 use rand::seq::IndexedRandom;
 
-use crate::{shared::Shared, stream_origins::StreamOrigins};
+use crate::{
+    shared::Shared,
+    stream_origins::{QueryResult, StreamOrigins},
+};
 
 /// How long a request that takes up a stream waits for the records in the log, if this process has
 /// just started.
@@ -40,6 +44,32 @@
     pub service: &'a ServiceName,
 }
 
+/// The other instances of the fleet, as far as they record streams.
+#[derive(Clone, Debug, Default)]
+pub struct RecorderFleet {
+    /// Those that can be asked.
+    pub peers: Vec<RecordPeer<SocketAddr>>,
+    /// The failure domains of all that are registered, also if none of them can be asked.
+    pub domains: BTreeSet<FailureDomain>,
+}
+
+/// What was found out about where a stream began.
+#[derive(Clone, Copy, Debug)]
+pub struct FoundOrigin {
+    recorded: Option<RecordedOrigin>,
+    source: OriginSource,
+    /// Whether no instance has a record of the stream, as far as one could have it.
+    is_unrecorded: bool,
+}
+
+impl FoundOrigin {
+    /// Whether the origin is recorded, or is known not to be. Otherwise it follows from the versions that
+    /// are registered only if these are known as of a time after the stream was taken up.
+    pub fn is_certain(&self) -> bool {
+        self.recorded.is_some() || self.is_unrecorded
+    }
+}
+
 /// How it is known where a stream began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OriginSource {
@@ -146,22 +176,59 @@
         }
     }
 
-    /// Finds where a stream began that a caller takes up.
-    pub async fn resolve(
+    /// Looks the stream up here and at the instances that may have recorded it; `None` stands for one
+    /// that its caller does not name. The proofs of these instances are applied to what is known of the
+    /// versions.
+    pub async fn find(
         &self,
         clock: &ClockSource,
         directory: &Shared<EndpointDirectory>,
+        stream: Option<StreamHash>,
+        fleet: &RecorderFleet,
+    ) -> FoundOrigin {
+        let unknown = FoundOrigin {
+            recorded: None,
+            source: OriginSource::Versions,
+            is_unrecorded: false,
+        };
+        let Some(stream) = stream else {
+            self.prove(clock, directory, &fleet.peers).await;
+            return unknown;
+        };
+        if let Some(known) = self.known_origin(stream).await {
+            return FoundOrigin {
+                recorded: Some(known),
+                source: OriginSource::Local,
+                ..unknown
+            };
+        }
+        let asked = queried_peers(stream, &fleet.peers);
+        let addresses: Vec<SocketAddr> = asked.iter().map(|peer| peer.address).collect();
+        let result = self.ask(clock.now(), Some(stream), &addresses).await;
+        note_vouched(clock.now(), directory, &result);
+        let source = match result.origin {
+            Some(_) => OriginSource::Record,
+            None => OriginSource::Versions,
+        };
+        FoundOrigin {
+            recorded: result.origin,
+            source,
+            is_unrecorded: is_unrecorded(&asked, &result.answered, &fleet.domains),
+        }
+    }
+
+    /// Decides where a stream goes on that a caller takes up and of which `found` was found out.
+    pub fn resolve(
+        &self,
+        now: ClockTime,
+        directory: &Shared<EndpointDirectory>,
         request: StreamRequest<'_>,
-        peers: &[RecordPeer<SocketAddr>],
+        found: FoundOrigin,
     ) -> Result<ResumedStream, UnknownOrigin> {
-        let (known, source) = match request.stream {
-            Some(stream) => self.find(clock, directory, stream, peers).await,
-            None => {
-                self.prove(clock, directory, peers).await;
-                (None, OriginSource::Versions)
-            }
-        };
-        let now = clock.now();
+        // A record may have arrived since.
+        let recorded = found
+            .recorded
+            .or_else(|| request.stream.and_then(|stream| self.origin(stream)));
         let mut directory = directory.lock();
         let versions = directory.versions_mut();
         versions.sweep(now);
@@ -169,40 +236,17 @@
             let routes = self.routes.lock();
             routes.may_have_moved(now, request.host, request.path, versions.stream_age())
         };
-        if known.is_none() && has_moved {
+        if recorded.is_none() && has_moved {
             return Err(UnknownOrigin::NotRecorded);
         }
-        let (origin, service) = resolve_origin(now, known, versions, request.service)?;
+        let (origin, service) = resolve_origin(now, recorded, versions, request.service)?;
         Ok(ResumedStream {
             origin,
             service,
-            source,
+            source: found.source,
         })
     }
 
-    /// Looks the stream up here and at the instances that may have recorded it. Their proofs
-    /// are applied to what is known of the versions.
-    async fn find(
-        &self,
-        clock: &ClockSource,
-        directory: &Shared<EndpointDirectory>,
-        stream: StreamHash,
-        peers: &[RecordPeer<SocketAddr>],
-    ) -> (Option<RecordedOrigin>, OriginSource) {
-        if let Some(known) = self.known_origin(stream).await {
-            return (Some(known), OriginSource::Local);
-        }
-        let result = self.query(stream, peers).await;
-        let mut directory = directory.lock();
-        directory
-            .versions_mut()
-            .note_vouched(clock.now(), &result.proved);
-        match result.origin {
-            Some(known) => (Some(known), OriginSource::Record),
-            None => (None, OriginSource::Versions),
-        }
-    }
-
     /// Where `stream` began, as far as it is known here. A process that has just started waits for
     /// the records in the log.
     async fn known_origin(&self, stream: StreamHash) -> Option<RecordedOrigin> {
@@ -229,10 +273,17 @@
         }
         let asked = peers.choose_multiple(&mut rand::rng(), PROVING_PEERS);
         let asked: Vec<SocketAddr> = asked.map(|peer| peer.address).collect();
-        let result = self.query_proofs(&asked).await;
-        let mut directory = directory.lock();
-        directory
-            .versions_mut()
-            .note_vouched(clock.now(), &result.proved);
+        let result = self.ask(clock.now(), None, &asked).await;
+        note_vouched(clock.now(), directory, &result);
     }
 }
+
+/// Applies the proofs of other instances that leave no gap before what is known here.
+fn note_vouched(now: ClockTime, directory: &Shared<EndpointDirectory>, result: &QueryResult) {
+    let mut directory = directory.lock();
+    let versions = directory.versions_mut();
+    let proved = result.proved.iter();
+    let proved = proved.filter(|(_, proved_at)| versions.adjoins(**proved_at));
+    let proved: BTreeSet<OriginHash> = proved.map(|(origin, _)| *origin).collect();
+    versions.note_vouched(now, &proved);
+}
--- a/crates/ingress/src/sync/confirmation.rs
+++ b/crates/ingress/src/sync/confirmation.rs
@@ -14,12 +14,23 @@
 /// message of the reader, takes less.
 const CONFIRMATION_WAIT: Duration = Duration::from_millis(300);
 
+/// How long a request waits until the state is known as of its arrival: a read of the store, and the
+/// message with which the reader relays it.
+const STATE_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Waits until `is_confirmed`, for [`CONFIRMATION_WAIT`] at most; returns whether it is.
 pub async fn wait_for_confirmation<Check>(context: &EntryContext, is_confirmed: Check) -> bool
 where
     Check: Fn() -> bool,
 {
-    let wait = tokio::time::sleep(CONFIRMATION_WAIT);
+    wait_until(context, CONFIRMATION_WAIT, is_confirmed).await
+}
+
+async fn wait_until<Check>(context: &EntryContext, limit: Duration, is_confirmed: Check) -> bool
+where
+    Check: Fn() -> bool,
+{
+    let wait = tokio::time::sleep(limit);
     let mut wait = std::pin::pin!(wait);
     loop {
         let confirmed = context.confirmed.notified();
@@ -40,6 +51,16 @@
     wait_for_confirmation(context, || validity() != StateValidity::Unconfirmed).await
 }
 
+/// Waits until everything is known that was in force or registered at `at`, for
+/// [`STATE_WAIT`] at most and while the store may still answer; returns whether it is.
+pub async fn is_state_known_since(context: &EntryContext, at: ClockTime) -> bool {
+    context.read_due.notify_one();
+    let is_known = || context.is_state_known_since(at);
+    let is_decided = || is_known() || context.is_cut_off(context.now());
+    wait_until(context, STATE_WAIT, is_decided).await;
+    is_known()
+}
+
 /// Logs that the directory of endpoints, which had the age `before`, is confirmed again if it was
 /// too old to be relayed.
 pub fn log_directory_confirmed(context: &EntryContext, before: Option<TimeSpan>) {
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -32,6 +32,9 @@
 /// endpoint 2 s after it announced that it leaves, and a withdrawn one is removed after 2 s.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How soon the registrations are read again if a request has to know what is registered now.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How far a read has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReadProgress {
@@ -134,12 +137,21 @@
     context.directory.lock().note_outage(sent);
 }
 
-/// Waits for [`READ_INTERVAL`], or until a lapsed endpoint is due to be removed.
+/// Waits for [`READ_INTERVAL`], until a lapsed endpoint is due to be removed, or until a request has to
+/// know what is registered now.
 async fn wait_for_next_read(context: &EntryContext) {
     let now = context.now();
     let removal = context.directory.lock().time_to_removal(now);
     let removal = removal.map_or(READ_INTERVAL, TimeSpan::as_duration);
-    tokio::time::sleep(READ_INTERVAL.min(removal)).await;
+    let wait = tokio::time::sleep(READ_INTERVAL.min(removal));
+    let requested = async {
+        tokio::time::sleep(MIN_READ_INTERVAL).await;
+        context.read_due.notified().await;
+    };
+    tokio::select! {
+        () = wait => {}
+        () = requested => {}
+    }
     drop_lapsed(context);
 }
 
--- a/crates/ingress/src/sync/mod.rs
+++ b/crates/ingress/src/sync/mod.rs
@@ -17,7 +17,8 @@
 
 pub use self::{
     confirmation::{
-        confirm_version, is_directory_confirmed, log_directory_confirmed, wait_for_confirmation,
+        confirm_version, is_directory_confirmed, is_state_known_since, log_directory_confirmed,
+        wait_for_confirmation,
     },
     directory::{lapse, register_relayed, unregister_relayed},
 };
