Append the records of streams at once, and then every 40 ms at least

Cause: the records of where streams began were collected for 150 ms before each append to the log; what began within that time and the time of the append is in no memory and in no log. Those streams are all that is left to take up once the others have gone on. Class: a batch that waits before the first entry.

Change: the first record is appended at once; what is queued meanwhile goes out together, as often as the fleet's share of the store's writes allows: the interval is that of 370 appends a second of all instances together (150 ms for the 56 instances that append in the largest fleet, as before), 40 ms at least.

Weighed: an append before the first event is passed on would leave none out, but holds each stream of a release for the store's answer, which takes 0.2 s while it is slow, and would have to end while it is down.

--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -33,7 +33,9 @@
     log::RecordQueue,
     look_back::LookBack,
     origin::{OriginHash, StreamHash},
-    peers::{RecordPeer, appending_peer, is_unrecorded, queried_peers, recording_peers},
+    peers::{
+        RecordPeer, append_interval, appending_peer, is_unrecorded, queried_peers, recording_peers,
+    },
     resolution::{UnknownOrigin, resolve_origin},
     routes::RouteHistory,
     table::{RecordScope, RecordedOrigin, StreamRecord, StreamTable},
--- a/crates/core/src/streams/peers.rs
+++ b/crates/core/src/streams/peers.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    clock::TimeSpan,
     ids::{FailureDomain, InstanceId},
     relay::DIRECT_READERS,
     streams::StreamHash,
@@ -33,6 +34,13 @@
 /// limits the bytes that it receives.
 const INSTANCES_PER_APPENDER: usize = 64;
 
+/// The shortest time between two appends of one instance. Streams that begin within it before all
+/// instances are killed are not in the log.
+const MIN_APPEND_INTERVAL: TimeSpan = TimeSpan::from_millis(40);
+
+/// The number of appends a second of all instances together, which the store carries.
+const MAX_APPENDS_PER_S: u64 = 370;
+
 /// An instance that can record streams.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordPeer<Address> {
@@ -144,7 +152,24 @@
     mut members: Vec<&RecordPeer<Address>>,
 ) -> Option<&RecordPeer<Address>> {
     members.sort_by_key(|peer| &peer.instance);
-    let appenders = members.len().div_ceil(INSTANCES_PER_APPENDER);
-    let first = members.into_iter().take(appenders.min(DIRECT_READERS));
-    first.max_by_key(|peer| weight(peer.instance.as_str(), stream))
+    let first = members.iter().take(appenders(members.len()));
+    first
+        .max_by_key(|peer| weight(peer.instance.as_str(), stream))
+        .copied()
+}
+
+/// The number of instances that append records, of a failure domain with this many `members`.
+fn appenders(members: usize) -> usize {
+    members.div_ceil(INSTANCES_PER_APPENDER).min(DIRECT_READERS)
+}
+
+/// How often an instance appends records to the log, of the fleet that consists of `peers` and itself.
+pub fn append_interval<Address>(peers: &[RecordPeer<Address>]) -> TimeSpan {
+    let mut domains: BTreeMap<&FailureDomain, usize> = BTreeMap::new();
+    for peer in peers {
+        *domains.entry(&peer.domain).or_default() += 1;
+    }
+    let appenders: usize = domains.into_values().map(appenders).sum();
+    let interval = TimeSpan::from_millis(appenders as u64 * 1_000 / MAX_APPENDS_PER_S);
+    interval.max(MIN_APPEND_INTERVAL)
 }
--- a/crates/ingress/src/stream_origins/log_records.rs
+++ b/crates/ingress/src/stream_origins/log_records.rs
@@ -11,11 +11,15 @@
     store::{ReadAnswer, TopicPart},
 };
 use bluebell_core::{
-    clock::TimeSpan, ids::LogOffset, relay::DIRECT_READERS, streams::StreamRecord,
+    clock::TimeSpan,
+    ids::LogOffset,
+    relay::DIRECT_READERS,
+    streams::{StreamRecord, append_interval},
 };
 use bluebell_daemon::logs::LogLine;
 use bytes::Bytes;
 use prost::Message;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::messages::OriginRecords;
@@ -27,13 +31,9 @@
 /// The topic with the records; each failure domain appends to a partition.
 const TOPIC: &str = "streams";
 
-/// How long records are collected for one append. Streams that begin shortly before all instances
-/// are killed are not in the log.
-const APPEND_INTERVAL: Duration = Duration::from_millis(150);
-
 /// The number of appends of one partition that are read, from the newest: those of 60 s, for as long
 /// as streams are taken up, by four instances.
-const MAX_APPENDS_READ: u64 = 1_600;
+const MAX_APPENDS_READ: u64 = 6_000;
 
 /// How often an instance that has just started checks whether it reads the log.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -56,15 +56,20 @@
         if context.streams.log_queue.lock().is_empty() {
             context.streams.log_due.notified().await;
         }
-        tokio::time::sleep(APPEND_INTERVAL).await;
         let records = context.streams.log_queue.lock().take();
         if records.is_empty() {
             continue;
         }
+        let started = Instant::now();
         let encoded = [Bytes::from(OriginRecords::new(&records).encode_to_vec())];
         let appended = context.store.append(part, None, &encoded, READ_TIMEOUT);
         match appended.await {
-            Ok(_) => backoff.note_answer(&context),
+            Ok(_) => {
+                backoff.note_answer(&context);
+                // The records that are queued meanwhile are appended together.
+                let interval = append_interval(&context.record_peers());
+                tokio::time::sleep_until(started + interval.as_duration()).await;
+            }
             Err(error) => {
                 context.streams.log_queue.lock().restore(records);
                 backoff.wait_after_failure(&context, &error).await;
