--- a/crates/ingress/src/peers/registry.rs
+++ b/crates/ingress/src/peers/registry.rs
@@ -168,7 +168,7 @@
             page => page?,
         };
         add_page(context, &page);
-        after = page.items.last().map(|item| item.key.clone());
+        after = page.last_key;
         if !page.has_more || after.is_none() {
             return Ok(());
         }
--- a/crates/ingress/src/sync/endpoints.rs
+++ b/crates/ingress/src/sync/endpoints.rs
@@ -239,7 +239,15 @@
                 listed.insert(id);
             }
         }
-        after = page.items.last().map(|item| item.key.clone());
+        // The registrations that were entered earlier under these keys stay.
+        for key in &page.undecodable {
+            LogLine::new("registration_rejected")
+                .with("endpoint", key)
+                .with("error", "the value can't be decoded")
+                .warn();
+            listed.extend(parse_endpoint_id(key.as_bytes()));
+        }
+        after = page.last_key;
         if !page.has_more || after.is_none() {
             break end;
         }
