--- a/crates/soak/tests/odd_entries.rs
+++ b/crates/soak/tests/odd_entries.rs
@@ -146,3 +146,32 @@
     stop.cancel();
     std::fs::remove_dir_all(&folder).expect("the folder was written");
 }
+
+/// Guards against a replica that is not used any more, because an entry of another writer under its id
+/// names a start or a number that no later entry can exceed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_from_the_far_future_does_not_replace_an_endpoint_for_good() {
+    let far = [
+        json!({ "born": u64::MAX }),
+        json!({ "born": 1, "sequence": u64::MAX }),
+    ];
+    for (number, changes) in far.into_iter().enumerate() {
+        let seed = 158 + number as u64;
+        let (fleet, folder, stop) = build("odd-entries", seed, INSTANCES).await;
+        let tills = tills(&fleet);
+        for slot in &tills[1..] {
+            withdraw(slot).await;
+        }
+        start_all(&fleet).await;
+        wait_until_served(&fleet, "before").await;
+        let (id, _) = tills[0].current();
+        put(&fleet, &id, &registration(&changes));
+        // The replica writes its own entry twice as often.
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        wait_until_served(&fleet, "after").await;
+        check_running(&fleet).await;
+        kill_all(&fleet).await;
+        stop.cancel();
+        std::fs::remove_dir_all(&folder).expect("the folder was written");
+    }
+}
