Sum the slots of registrations without overflow

Two entries of another writer whose slots add up beyond u32 made the sum of a service wrong in release builds, and ended the task in builds with checks, where its requests wait for room. The test panicked with "attempt to add with overflow" before. The sum now stays at the most there can be.

--- a/crates/core/src/placement/replicas.rs
+++ b/crates/core/src/placement/replicas.rs
@@ -201,11 +201,11 @@
     where
         Candidates: Iterator<Item = &'a EndpointRegistration>,
     {
-        let (mut slots, mut total_ms, mut count) = (0, 0.0, 0_u32);
+        let (mut slots, mut total_ms, mut count) = (0_u32, 0.0, 0_u32);
         let mut room_in: Option<TimeSpan> = None;
         for registration in candidates {
             let state = self.replicas.get(&registration.id);
-            slots += registration.slots;
+            slots = slots.saturating_add(registration.slots);
             total_ms += state.map_or(INITIAL_LATENCY_MS, |state| state.average_latency_ms);
             count += 1;
             let full_until = state.and_then(|state| state.full_until);
--- a/crates/core/tests/placement_replicas.rs
+++ b/crates/core/tests/placement_replicas.rs
@@ -179,3 +179,15 @@
     }
     assert_eq!(used.len(), 3);
 }
+
+/// Guards against a wrong sum, or an end of the process, if other writers register more slots than can
+/// be counted.
+#[test]
+fn slots_beyond_the_range_are_counted_as_the_most_there_can_be() {
+    let mut registered = replicas();
+    for registration in &mut registered[..2] {
+        registration.slots = u32::MAX;
+    }
+    let room = table().room(at(0), registered.iter());
+    assert_eq!(room.slots, u32::MAX);
+}
