Let the registration lapse of an endpoint of the soak that another one replaces

Registrations of endpoints that had been replaced twice at their place stayed for good, as only the first one's was removed; the instance that orders stages took these for engines that run requests, and made all that were left prefill.

Cause: a fault of the soak. On the platform an entry goes after three heartbeat intervals without one. The registration of each replaced endpoint lapses now. The program's part, stages ordered by engines that do not answer, needs entries that never lapse.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -212,6 +212,8 @@
     pub folder: PathBuf,
 }
 
+/// How long after an endpoint crashed its registration lapses.
+pub const LAPSE: Duration = Duration::from_millis(3_600);
 /// The version that all endpoints run at first.
 const FIRST_VERSION: u32 = 1;
 
@@ -369,7 +371,14 @@
         let (earlier_id, earlier) = slot.current();
         earlier.kill();
         let id = match has_new_id {
-            true => format!("{}-{}", slot.plan.id, self.born.load(Ordering::SeqCst)),
+            true => {
+                // Otherwise a registration without an endpoint would stay for good.
+                tokio::spawn(async move {
+                    tokio::time::sleep(LAPSE).await;
+                    earlier.lapse();
+                });
+                format!("{}-{}", slot.plan.id, self.born.load(Ordering::SeqCst))
+            }
             false => earlier_id,
         };
         if !has_new_id {
--- a/crates/soak/src/inject.rs
+++ b/crates/soak/src/inject.rs
@@ -15,15 +15,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    fleet::{EndpointSlot, SoakFleet},
+    fleet::{EndpointSlot, LAPSE, SoakFleet},
     processes::{kill, pause, signal, stop_process},
     promises::{STORE, store_path},
     proxy::PathMode,
     schedule::{EndpointTrouble, ScheduledFault, SoakFault, StoreTrouble},
 };
 
-/// How long after an endpoint crashed its registration lapses.
-const LAPSE: Duration = Duration::from_millis(3_600);
 /// How long an endpoint that announced its leaving goes on serving.
 const DRAIN: Duration = Duration::from_millis(2_500);
 /// How long an endpoint goes on serving after its registration was withdrawn: longer
