Keep what is quarantined in the store

Cause: the quarantine was in the memory of the instances only, and they end together in a kill or a loss of power. Class: state that outlives a process is kept where one event ends all of it.

Change: what is quarantined is written to a keyed topic of the store, by the instances that the request reached and by two of each failure domain, and removed once it is no longer: the time is over, an answer cleared it, or a lost path explained the crashes. The time of a quarantine counts from the last crash, also over restarts.

Writes are rare: one for each request or part that becomes quarantined.

Remains: crashes of a request that is not quarantined yet are still forgotten, one at most, and what is quarantined in the last ms before the kill.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -38,14 +38,17 @@
     broken_runs::{BreakStep, BrokenRun, BrokenRuns},
     part_hash::{ParsePartError, PartHash, shared_parts},
     prompt_parts::{
-        MAX_PARTS_PER_DATAGRAM, PartCrash, PartQuarantine, PartReport, QuarantinedPart,
-        SURVIVAL_TIME,
+        MAX_PARTS_PER_DATAGRAM, PartCrash, PartQuarantine, PartReport, QuarantinedHistory,
+        QuarantinedPart, SURVIVAL_TIME,
+    },
+    shared::{
+        CrashReport, MAX_REPORTS_PER_DATAGRAM, QuarantinedRequest, ReportScope, SharedQuarantine,
+        SiteHash,
     },
-    shared::{CrashReport, MAX_REPORTS_PER_DATAGRAM, ReportScope, SharedQuarantine, SiteHash},
     trials::{CrashTrials, TrialChoice},
 };
 use crate::{
-    clock::ClockTime,
+    clock::{ClockTime, TimeSpan},
     ids::{EndpointId, InstanceId, LogOffset, RequestFingerprint},
     records::{CheckpointItem, QuarantineRecord},
 };
@@ -53,6 +56,10 @@
 /// Number of lost endpoints at which a request is quarantined.
 pub const MAX_LOST_ENDPOINTS: usize = 2;
 
+/// How long requests and parts are quarantined after their last crash: the endpoints may have been
+/// repaired.
+pub const QUARANTINE_RETENTION: TimeSpan = TimeSpan::from_secs(600);
+
 /// Maximum number of fingerprints kept.
 pub const MAX_FINGERPRINTS: usize = 1_024;
 
--- a/crates/core/src/quarantine/part_history.rs
+++ b/crates/core/src/quarantine/part_history.rs
@@ -211,6 +211,20 @@
         self.domain_sends = SENDS_PER_CHANGE;
     }
 
+    /// Records that the history was restored, whose last crash was at `crashed_at`, and has it sent to
+    /// all other entries.
+    pub fn note_restored(&mut self, crashed_at: ClockTime) {
+        self.changed_at = crashed_at;
+        self.direct_sends = SENDS_PER_CHANGE;
+        self.domain_sends = SENDS_PER_CHANGE;
+    }
+
+    /// Whether a request with the part has come to this entry, as far as that is known from a crash or
+    /// a refusal.
+    pub fn is_received(&self) -> bool {
+        self.received_at.is_some()
+    }
+
     /// Records that a request was refused because of the part.
     pub fn note_refused(&mut self, now: ClockTime) {
         self.received_at = Some(now);
--- a/crates/core/src/quarantine/prompt_parts.rs
+++ b/crates/core/src/quarantine/prompt_parts.rs
@@ -27,7 +27,7 @@
 use crate::{
     clock::{ClockTime, TimeSpan},
     quarantine::{
-        PartHash, ReportScope, SiteHash,
+        PartHash, QUARANTINE_RETENTION, ReportScope, SiteHash,
         part_history::{CrashWeight, PartHistory},
         recent_parts::RecentParts,
     },
@@ -46,9 +46,6 @@
 /// How long a suspect is kept after its last crash.
 const SUSPECT_RETENTION: TimeSpan = TimeSpan::from_secs(120);
 
-/// How long a quarantined part is kept after its last crash: the endpoints may have been repaired.
-const QUARANTINE_RETENTION: TimeSpan = TimeSpan::from_secs(600);
-
 /// The end of an endpoint while prompts with a part ran there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PartCrash {
@@ -69,6 +66,15 @@
     pub crashes: Vec<PartCrash>,
 }
 
+/// A part that is quarantined, with its crashes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantinedHistory {
+    /// The part and its crashes.
+    pub report: PartReport,
+    /// Whether a request with it has come to this entry.
+    pub is_received_here: bool,
+}
+
 /// A part for which a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantinedPart {
@@ -258,6 +264,43 @@
         .collect()
     }
 
+    /// The parts that are quarantined, with their crashes.
+    pub fn quarantined_reports(
+        &self,
+        now: ClockTime,
+    ) -> impl Iterator<Item = QuarantinedHistory> + '_ {
+        let quarantined = self.quarantined.iter();
+        quarantined.filter_map(move |part| {
+            let history = self.histories.get(part)?;
+            Some(QuarantinedHistory {
+                report: PartReport {
+                    part: *part,
+                    crashes: history.report(now),
+                },
+                is_received_here: history.is_received(),
+            })
+        })
+    }
+
+    /// Enters a part that earlier processes have quarantined and that was stored `elapsed` ago, and has
+    /// it reported to the other entries.
+    pub fn restore(&mut self, now: ClockTime, elapsed: TimeSpan, report: &PartReport) {
+        let crashes = report.crashes.iter().map(|crash| PartCrash {
+            age: crash.age + elapsed,
+            ..*crash
+        });
+        let report = PartReport {
+            part: report.part,
+            crashes: crashes.collect(),
+        };
+        self.note_reports(now, std::slice::from_ref(&report), true);
+        if let Some(history) = self.histories.get_mut(&report.part) {
+            let ages = report.crashes.iter().map(|crash| crash.age);
+            let age = ages.min().unwrap_or(elapsed);
+            history.note_restored(now - age);
+        }
+    }
+
     /// Removes parts without a crash for long.
     pub fn sweep(&mut self, now: ClockTime) {
         let quarantined = &self.quarantined;
--- a/crates/core/src/quarantine/shared.rs
+++ b/crates/core/src/quarantine/shared.rs
@@ -21,7 +21,7 @@
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::{EndpointId, RequestFingerprint},
-    quarantine::{CrashStatus, MAX_FINGERPRINTS},
+    quarantine::{CrashStatus, MAX_FINGERPRINTS, QUARANTINE_RETENTION},
 };
 
 /// Maximum number of reports in one datagram.
@@ -38,9 +38,6 @@
 /// sends.
 const ACTIVE_PERIOD: TimeSpan = TimeSpan::from_secs(30);
 
-/// How long a request is kept after its last crash: the endpoints may have been repaired.
-const RETENTION: TimeSpan = TimeSpan::from_secs(600);
-
 /// Maximum number of crashes kept of one request.
 const MAX_SITES: usize = 4;
 
@@ -77,6 +74,17 @@
     pub is_cleared: bool,
 }
 
+/// A request that is quarantined.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantinedRequest {
+    /// The request with its crashes.
+    pub report: CrashReport,
+    /// The time since its last crash.
+    pub age: TimeSpan,
+    /// Whether it has come to this entry.
+    pub is_received_here: bool,
+}
+
 /// The recipients of reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportScope {
@@ -176,7 +184,7 @@
     ) -> Option<TimeSpan> {
         let history = self.histories.get(fingerprint)?;
         let is_quarantined = history.status() == CrashStatus::Quarantined;
-        is_quarantined.then(|| RETENTION.saturating_sub(now.since(history.changed_at)))
+        is_quarantined.then(|| QUARANTINE_RETENTION.saturating_sub(now.since(history.changed_at)))
     }
 
     /// Records that an endpoint crashed while it ran the request, as this entry observed.
@@ -276,6 +284,31 @@
         status == CrashStatus::Quarantined && status != earlier
     }
 
+    /// The requests that are quarantined.
+    pub fn quarantined(&self, now: ClockTime) -> impl Iterator<Item = QuarantinedRequest> {
+        let histories = self.histories.iter();
+        let quarantined =
+            histories.filter(|(_, history)| history.status() == CrashStatus::Quarantined);
+        quarantined.map(move |(fingerprint, history)| QuarantinedRequest {
+            report: CrashReport {
+                fingerprint: fingerprint.clone(),
+                sites: history.sites.iter().copied().collect(),
+                is_cleared: history.is_cleared,
+            },
+            age: now.since(history.changed_at),
+            is_received_here: history.received_at.is_some(),
+        })
+    }
+
+    /// Enters a request that earlier processes have quarantined, whose last crash was at
+    /// `crashed_at`, and has it reported to the other entries.
+    pub fn restore(&mut self, crashed_at: ClockTime, report: &CrashReport) {
+        self.note_report(crashed_at, report, true);
+        if let Some(history) = self.histories.get_mut(&report.fingerprint) {
+            history.direct_sends = SENDS_PER_CHANGE;
+        }
+    }
+
     /// Whether a report is due to be sent directly.
     pub fn has_due_reports(&self) -> bool {
         let mut histories = self.histories.values();
@@ -310,7 +343,7 @@
     /// Removes requests without a crash for long.
     pub fn sweep(&mut self, now: ClockTime) {
         self.histories
-            .retain(|_, history| now.since(history.changed_at) < RETENTION);
+            .retain(|_, history| now.since(history.changed_at) < QUARANTINE_RETENTION);
     }
 
     fn history(&mut self, now: ClockTime, fingerprint: &RequestFingerprint) -> &mut SuspectHistory {
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -29,6 +29,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    crash_records::CrashRecords,
     engine_loads::EngineLoads,
     forward::{ConnectionPools, WaitingRequests},
     leader::PeerUsage,
@@ -115,6 +116,8 @@
     pub quarantine: Shared<SharedQuarantine>,
     /// The parts of prompts that crash endpoints.
     pub prompt_parts: Shared<PartQuarantine>,
+    /// What is quarantined, in the store.
+    pub crash_records: CrashRecords,
     /// Runs whose connections broke, until it is known whether their endpoints ended.
     pub broken_runs: Shared<BrokenRuns>,
     /// The versions at which streams began.
@@ -224,6 +227,7 @@
             budget: Shared::new(SharedRetryBudget::new(allowance).with_start(started_at)),
             quarantine: Shared::new(SharedQuarantine::new()),
             prompt_parts: Shared::new(PartQuarantine::new().with_seed(seed)),
+            crash_records: CrashRecords::new(),
             broken_runs: Shared::new(BrokenRuns::new().with_heartbeat(heartbeat)),
             streams: StreamOrigins::new(),
             reach: Shared::new(ReachTable::new()),
--- /dev/null
+++ b/crates/ingress/src/crash_records.rs
@@ -0,0 +1,286 @@
+//! The requests and the parts of prompts that are quarantined, in a keyed topic of the store.
+//!
+//! The quarantine is kept in the memory of the instances, and all of them may end at once. Instances
+//! that start later read it here, and the crashes that led to it are not repeated.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
+
+use bluebell_adapter::{
+    CallError,
+    store::{NewestItem, TopicPart, keyed_record},
+};
+use bluebell_core::{clock::TimeSpan, quarantine::QUARANTINE_RETENTION, relay::DIRECT_READERS};
+use bluebell_daemon::logs::LogLine;
+use bytes::Bytes;
+use prost::{Message, Oneof};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    context::EntryContext,
+    peers::{CrashMessage, PartMessage},
+    sync::{READ_TIMEOUT, StoreBackoff},
+    time::wall_time,
+};
+
+const PART: TopicPart = TopicPart::first("keyed.crashes");
+
+/// The name of the calls in logs and metrics.
+const CALL_NAME: &str = "crashes";
+
+/// How long after a request or a part was quarantined it is written: others may follow.
+const WRITE_DELAY: Duration = Duration::from_millis(50);
+
+/// How often it is checked whether what is written still holds.
+const CHECK_INTERVAL: Duration = Duration::from_secs(5);
+
+/// How often an instance that has just started checks whether it reads the records.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long requests of a process that has just started wait for the records.
+const READ_WAIT: Duration = Duration::from_millis(500);
+
+/// The number of instances of each failure domain that write what they learn from others.
+const WRITERS_PER_DOMAIN: usize = 2;
+
+/// What is quarantined, as it is stored.
+#[derive(Clone, PartialEq, Message)]
+struct CrashRecord {
+    /// The Unix time of the last crash in ms.
+    #[prost(uint64, tag = "1")]
+    crashed_at_ms: u64,
+    /// What ran on the endpoints that crashed.
+    #[prost(oneof = "CrashSubject", tags = "2, 3")]
+    subject: Option<CrashSubject>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+enum CrashSubject {
+    /// A request.
+    #[prost(message, tag = "2")]
+    Request(CrashMessage),
+    /// A part of prompts; its ages count from the last crash.
+    #[prost(message, tag = "3")]
+    Part(PartMessage),
+}
+
+/// Wakes the task that writes the records, and the requests that wait until they are read.
+#[derive(Debug, Default)]
+pub struct CrashRecords {
+    due: Notify,
+    /// Cancelled once the records are read; unset where they are not followed.
+    read: OnceLock<CancellationToken>,
+}
+
+impl CrashRecords {
+    /// Creates the state of a process that does not follow the records yet.
+    pub fn new() -> CrashRecords {
+        CrashRecords::default()
+    }
+
+    /// Records that something was quarantined.
+    pub fn note_quarantined(&self) {
+        self.due.notify_one();
+    }
+
+    /// Waits until the records are read, for a short time at most.
+    pub async fn wait_until_read(&self) {
+        let Some(read) = self.read.get().filter(|read| !read.is_cancelled()) else {
+            return;
+        };
+        // After a timeout requests are decided by what is known here.
+        let _ = tokio::time::timeout(READ_WAIT, read.cancelled()).await;
+    }
+}
+
+/// Spawns the task that reads the records and then writes them; it ends with `stop`.
+pub fn start(context: &Arc<EntryContext>, stop: &CancellationToken) {
+    let read = context
+        .crash_records
+        .read
+        .get_or_init(CancellationToken::new);
+    let task = run(Arc::clone(context), read.clone());
+    let stop = stop.clone();
+    tokio::spawn(async move { stop.run_until_cancelled(task).await });
+}
+
+async fn run(context: Arc<EntryContext>, is_read: CancellationToken) {
+    let mut backoff = StoreBackoff::new(CALL_NAME);
+    let mut written = BTreeSet::new();
+    if !context.settings.is_first_start && rank(&context).await < DIRECT_READERS {
+        loop {
+            match read(&context).await {
+                Ok(keys) => break written = keys,
+                Err(error) => backoff.wait_after_failure(&context, &error).await,
+            }
+        }
+        backoff.note_answer(&context);
+    }
+    is_read.cancel();
+    loop {
+        let due = context.crash_records.due.notified();
+        if tokio::time::timeout(CHECK_INTERVAL, due).await.is_ok() {
+            tokio::time::sleep(WRITE_DELAY).await;
+        }
+        match write(&context, &mut written).await {
+            Ok(false) => {}
+            Ok(true) => backoff.note_answer(&context),
+            Err(error) => {
+                backoff.wait_after_failure(&context, &error).await;
+                context.crash_records.note_quarantined();
+            }
+        }
+    }
+}
+
+/// The rank of this instance in its failure domain, once the others are known.
+async fn rank(context: &EntryContext) -> usize {
+    let (local, domain) = (&context.writer.instance, &context.settings.domain);
+    loop {
+        let rank = context.peers.lock().rank(context.now(), local, domain);
+        if let Some(rank) = rank {
+            return rank;
+        }
+        tokio::time::sleep(START_CHECK_INTERVAL).await;
+    }
+}
+
+/// Reads the records of earlier processes; returns their keys.
+async fn read(context: &EntryContext) -> Result<BTreeSet<String>, CallError> {
+    let mut keys = BTreeSet::new();
+    let mut after: Option<String> = None;
+    loop {
+        let page = context.store.newest(PART, after.as_deref(), READ_TIMEOUT);
+        let page = match page.await {
+            // A topic without any record does not exist yet.
+            Err(CallError::Status { status: 404, .. }) => return Ok(keys),
+            page => page?,
+        };
+        for item in &page.items {
+            restore(context, item);
+            keys.insert(item.key.clone());
+        }
+        after = page.last_key;
+        if !page.has_more || after.is_none() {
+            break;
+        }
+    }
+    LogLine::new("crash_records_read")
+        .with("records", keys.len())
+        .info();
+    Ok(keys)
+}
+
+/// Enters what is stored, unless the last crash is too long ago.
+fn restore(context: &EntryContext, item: &NewestItem) {
+    let record = match CrashRecord::decode(&item.value[..]) {
+        Ok(record) => record,
+        Err(error) => {
+            LogLine::new("crash_record_rejected")
+                .with("key", &item.key)
+                .with("error", error)
+                .warn();
+            return;
+        }
+    };
+    let elapsed_ms = wall_time().as_millis().saturating_sub(record.crashed_at_ms);
+    let elapsed = TimeSpan::from_millis(elapsed_ms);
+    if elapsed >= QUARANTINE_RETENTION {
+        return;
+    }
+    let now = context.now();
+    match record.subject {
+        Some(CrashSubject::Request(message)) => {
+            let mut quarantine = context.quarantine.lock();
+            quarantine.restore(now - elapsed, &message.report());
+        }
+        Some(CrashSubject::Part(message)) => {
+            let mut prompt_parts = context.prompt_parts.lock();
+            prompt_parts.restore(now, elapsed, &message.report());
+        }
+        None => {}
+    }
+}
+
+/// Writes what is quarantined and not `written`, and removes what is no longer. Returns whether the
+/// store was called.
+async fn write(context: &EntryContext, written: &mut BTreeSet<String>) -> Result<bool, CallError> {
+    let quarantined = quarantined(context);
+    let is_writer = rank(context).await < WRITERS_PER_DOMAIN;
+    let unwritten = quarantined.iter().filter(|(key, known)| {
+        let is_due = is_writer || known.is_received_here;
+        is_due && !written.contains(*key)
+    });
+    let mut records: BTreeMap<String, Bytes> = BTreeMap::new();
+    for (key, known) in unwritten {
+        let value = known.record.encode_to_vec();
+        records.insert(key.clone(), keyed_record(key, &value));
+    }
+    for key in written.iter().filter(|key| !quarantined.contains_key(*key)) {
+        records.insert(key.clone(), keyed_record(key, b""));
+    }
+    if records.is_empty() {
+        return Ok(false);
+    }
+    let appended: Vec<Bytes> = records.values().cloned().collect();
+    context
+        .store
+        .append(PART, None, &appended, READ_TIMEOUT)
+        .await?;
+    LogLine::new("crash_records_written")
+        .with("records", records.len())
+        .info();
+    written.extend(records.into_keys());
+    written.retain(|key| quarantined.contains_key(key));
+    Ok(true)
+}
+
+/// What is quarantined here.
+struct QuarantinedSubject {
+    record: CrashRecord,
+    /// Whether requests with it have come to this instance.
+    is_received_here: bool,
+}
+
+fn quarantined(context: &EntryContext) -> BTreeMap<String, QuarantinedSubject> {
+    let now = context.now();
+    let at = |age: TimeSpan| wall_time().as_millis().saturating_sub(age.as_millis());
+    let mut quarantined = BTreeMap::new();
+    for known in context.quarantine.lock().quarantined(now) {
+        let subject = CrashSubject::Request(CrashMessage::new(&known.report));
+        let record = CrashRecord {
+            crashed_at_ms: at(known.age),
+            subject: Some(subject),
+        };
+        let key = format!("request-{}", known.report.fingerprint);
+        let is_received_here = known.is_received_here;
+        quarantined.insert(
+            key,
+            QuarantinedSubject {
+                record,
+                is_received_here,
+            },
+        );
+    }
+    for known in context.prompt_parts.lock().quarantined_reports(now) {
+        let subject = CrashSubject::Part(PartMessage::new(&known.report));
+        let record = CrashRecord {
+            crashed_at_ms: at(TimeSpan::ZERO),
+            subject: Some(subject),
+        };
+        let key = format!("part-{}", known.report.part);
+        let is_received_here = known.is_received_here;
+        quarantined.insert(
+            key,
+            QuarantinedSubject {
+                record,
+                is_received_here,
+            },
+        );
+    }
+    quarantined
+}
--- a/crates/ingress/src/forward/crashes.rs
+++ b/crates/ingress/src/forward/crashes.rs
@@ -97,6 +97,7 @@
                 .with("fingerprint", &run.fingerprint)
                 .with("source", &context.writer.instance)
                 .warn();
+            context.crash_records.note_quarantined();
         }
     }
     let parts = runs.iter().flat_map(|run| run.parts.iter().copied());
@@ -118,6 +119,7 @@
             .with("part", part)
             .with("source", source)
             .warn();
+        context.crash_records.note_quarantined();
     }
     let quarantined = context.prompt_parts.lock().quarantined().count();
     context.metrics.quarantined_parts.set(quarantined as i64);
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -64,6 +64,7 @@
     context: &Arc<EntryContext>,
     mut request: CallerRequest,
 ) -> Response<AnswerBody> {
+    context.crash_records.wait_until_read().await;
     if let Some(detail) = obstacle(context, &request).await {
         if request.is_proxied {
             return refuse(context, &request, Refusal::not_taken(), detail);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod compression;
 pub mod context;
+mod crash_records;
 pub mod engine_loads;
 pub mod forward;
 pub mod frontend;
--- a/crates/ingress/src/peers/mod.rs
+++ b/crates/ingress/src/peers/mod.rs
@@ -27,8 +27,10 @@
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
+    crashes::CrashMessage,
     fleet_size::fleet_size,
     messages::{PeerRecord, StageMessage},
+    prompt_parts::PartMessage,
     recorders::record_peers,
     registry::{local_address, local_record, proxy_address},
     relay_messages::{ChangeMessage, RelayMessage, pack_changes},
--- a/crates/ingress/src/peers/receive.rs
+++ b/crates/ingress/src/peers/receive.rs
@@ -110,6 +110,7 @@
                     .with("fingerprint", &report.fingerprint)
                     .with("source", &message.instance)
                     .warn();
+                self.context.crash_records.note_quarantined();
             }
         }
     }
--- a/crates/ingress/src/program.rs
+++ b/crates/ingress/src/program.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     context::EntryContext,
-    engine_loads, forward,
+    crash_records, engine_loads, forward,
     frontend::FrontendServer,
     leader,
     logs::{self, LogBuffer},
@@ -106,6 +106,7 @@
         .await
         .context("failed to listen on the address for peer instances")?;
     stream_origins::start(&context, &background);
+    crash_records::start(&context, &background);
     engine_loads::start(&context, &background);
     state_transfer::start(&context, &background)
         .await
