Lose what requests have earned of the retry budget unless it is used soon

What callers saw: repeats of a service beyond retryBudgetRatio x requests + retryBudgetExtra in a window, summed over all instances (BUDGET), where each instance keeps to its own part.

Cause: an instance may spend at once what the requests of its last 11 s have earned, and the instance to which its callers move earns the same again from then on. Together that is up to 0.34 of the requests of a window, of which 0.2 are allowed. Class: shares that are right one by one and too much together. Callers move when a failure domain is cut, instances restart, or the platform hands most connections to one.

So this is found by calculation; whether the users saw it is not known.

Change: what a request earns is usable for 2 to 2.5 s: with the part of the share that is used, 0.8, all instances together stay within the share of a window wherever the requests are sent. The extra is counted apart. Slices are half as long as before.

Weighed: a smaller share for all time, which takes retries away also where nobody moves; an exchange of what was spent, which is late by as much as matters here.

--- a/crates/core/src/retries/shared.rs
+++ b/crates/core/src/retries/shared.rs
@@ -5,6 +5,11 @@
 //! own requests, so the sum over all entries stays within the share independently of
 //! the others. The extra is divided among all known entries.
 //!
+//! Callers may move from one entry to another. If an entry could spend at once what the requests
+//! of a whole window have earned it, and another one what the same callers' requests earn there
+//! from then on, both together would exceed the limit. What a request earns is therefore lost
+//! unless it is used soon.
+//!
 //! A process that starts does not know what its predecessor granted just before it ended. In
 //! its first window it uses only the part of the share that running entries leave unused.
 
@@ -18,7 +23,12 @@
 };
 
 /// Number of slices that a window is counted in.
-const SLICES_PER_WINDOW: u64 = 10;
+const SLICES_PER_WINDOW: u64 = 20;
+
+/// For how many slices after its own the share that requests have earned may be used. With
+/// [`USED_SHARE`], all entries together then stay within the share of the requests of a window,
+/// wherever these are sent.
+const USABLE_SLICES: u64 = 4;
 
 /// Part of the share that is used. The operators count in windows that are not aligned
 /// with those of the entries, so using all of it could exceed the limit in one of
@@ -45,6 +55,10 @@
     number: u64,
     requests: u32,
     retries: u32,
+    /// The retries that its requests have earned and that were not granted.
+    unused: f64,
+    /// The retries that were granted from the extra.
+    extra: u32,
 }
 
 /// Use of the retry budget of a service in the current window.
@@ -90,7 +104,10 @@
 
     /// Records a request for the service.
     pub fn note_request(&mut self, now: ClockTime, service: &ServiceName) {
-        self.slice(now, service).requests += 1;
+        let earned = self.used_share(now);
+        let slice = self.slice(now, service);
+        slice.requests += 1;
+        slice.unused += earned;
     }
 
     /// Returns whether a request to the service may be sent once more. If so, the retry
@@ -101,15 +118,50 @@
         if f64::from(status.retries) + 1.0 > earned + status.extra {
             return false;
         }
-        self.slice(now, service).retries += 1;
+        let is_earned = self.take_earned(now, service);
+        if !is_earned && f64::from(self.used_extras(service)) + 1.0 > status.extra {
+            return false;
+        }
+        let slice = self.slice(now, service);
+        slice.retries += 1;
+        slice.extra += u32::from(!is_earned);
+        true
+    }
+
+    /// Takes one retry from what the latest requests have earned, the oldest part first. Returns
+    /// whether there was as much.
+    fn take_earned(&mut self, now: ClockTime, service: &ServiceName) -> bool {
+        let current = self.slice(now, service).number;
+        let Some(slices) = self.services.get_mut(service) else {
+            return false;
+        };
+        let is_usable = |slice: &WindowSlice| slice.number + USABLE_SLICES >= current;
+        let usable = slices.iter().filter(|slice| is_usable(slice));
+        let unused: f64 = usable.map(|slice| slice.unused).sum();
+        if unused < 1.0 {
+            return false;
+        }
+        let mut needed = 1.0;
+        for slice in slices.iter_mut().filter(|slice| is_usable(slice)) {
+            let taken = slice.unused.min(needed);
+            slice.unused -= taken;
+            needed -= taken;
+        }
         true
     }
 
+    /// The retries of the current window that were granted from the extra.
+    fn used_extras(&self, service: &ServiceName) -> u32 {
+        let slices = self.services.get(service);
+        slices.map_or(0, |slices| slices.iter().map(|slice| slice.extra).sum())
+    }
+
     /// Returns retries to the budget that were granted but not sent: the service has
     /// not seen them.
     pub fn return_unsent(&mut self, now: ClockTime, service: &ServiceName, retries: u32) {
         let slice = self.slice(now, service);
         slice.retries = slice.retries.saturating_sub(retries);
+        slice.unused += f64::from(retries);
     }
 
     /// The use of the budget of each service in the current window.
