End an answer of another instance at the deadline of its request

Cause: the wait for the head of a proxied answer has a time limit, that for the rest has none. An instance that stands still, or a path that falls silent, keeps the caller for as long.

The answer is broken off, so that it does not look complete.

Ruled out: load.

--- a/crates/ingress/src/forward/proxy.rs
+++ b/crates/ingress/src/forward/proxy.rs
@@ -21,6 +21,7 @@
     body::{Frame, Incoming},
     header::{AUTHORIZATION, HeaderValue},
 };
+use tokio::time::Instant;
 
 use crate::{
     context::EntryContext,
@@ -201,6 +202,8 @@
 struct ProxiedBody {
     body: Incoming,
     memory: AnswerMemory,
+    /// When the caller no longer waits for the rest.
+    deadline: Instant,
     _connection: EndpointConnection,
 }
 
@@ -214,6 +217,7 @@
     let state = ProxiedBody {
         body,
         memory: context.memory.start_answer(request.answered_caller()),
+        deadline: Instant::now() + request.time_left(context.now()).as_duration(),
         _connection: connection,
     };
     let mut response = Response::new(stream_body(frames(state)));
@@ -222,12 +226,13 @@
     response
 }
 
-/// The data of a proxied answer. An answer that breaks off is aborted, so that it does not
-/// appear complete.
+/// The data of a proxied answer. An answer that breaks off, or stalls until the deadline, is aborted,
+/// so that it does not appear complete.
 fn frames(state: ProxiedBody) -> impl Stream<Item = Result<Frame<Bytes>, StreamAborted>> {
     futures::stream::try_unfold(state, |mut state| async move {
         loop {
-            let Some(frame) = state.body.frame().await else {
+            let reading = tokio::time::timeout_at(state.deadline, state.body.frame());
+            let Some(frame) = reading.await.map_err(|_| StreamAborted)? else {
                 return Ok(None);
             };
             let frame = frame.map_err(|_| StreamAborted)?;
