--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -30,6 +30,10 @@
 /// Seed 8002 with prompts that crash endpoints and endpoints that ask for rest.
 const CRASHING_SEEDS: [u64; 1] = [8002];
 
+/// Seed 85001 with endpoints that are full, answer twice, and refuse what they have run: refusals of
+/// requests that ran.
+const REFUSING_SEEDS: [u64; 1] = [85_001];
+
 /// How long faults come.
 const SECONDS: &str = "6";
 
@@ -73,6 +77,13 @@
     soak("crashing", &CRASHING_SEEDS, &["--crashing"]);
 }
 
+/// Guards against refusals of requests that ran or run later, requests that run twice, and repeats beyond
+/// the budget, while endpoints are full, answer twice and refuse what they have run.
+#[test]
+fn promises_hold_while_endpoints_refuse_in_series() {
+    soak("refusing", &REFUSING_SEEDS, &["--refusing"]);
+}
+
 fn soak(name: &str, seeds: &[u64], options: &[&str]) {
     let folder = std::env::temp_dir().join(format!("soak-{name}-{}", std::process::id()));
     for seed in seeds {
