Count only what was sent against the attempts of a request

A replica that refuses the connection counted as one of the four that a request may be sent to.

Change: replicas that can't be reached count apart, up to twelve of them; each costs a round trip, and the time of the request limits them as before. The test failed with its first request before (eight closed ports, one sound replica) and holds now, 40 of 40 requests of both kinds.

--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -34,6 +34,10 @@
 /// Maximum number of replicas that one request is sent to, including those that refuse.
 const MAX_ATTEMPTS: usize = 4;
 
+/// Maximum number of replicas that can't be reached before a request is refused. Registrations may
+/// lead to addresses at which nothing listens.
+const MAX_UNREACHED: usize = 12;
+
 /// Timeout of one attempt of an idempotent request, in multiples of the latency
 /// objective of its route. A replica that hangs never answers, so the request is then
 /// sent to another one.
@@ -68,6 +72,8 @@
     ticket: Option<RoomTicket>,
     /// Number of attempts, also those before the request waited.
     sends: usize,
+    /// Number of replicas that could not be reached.
+    unreached: usize,
     is_metered: bool,
     charge: Option<QuotaCharge>,
 }
@@ -89,6 +95,7 @@
         retry_after: None,
         ticket: None,
         sends: 0,
+        unreached: 0,
         is_metered: false,
         charge,
     };
@@ -199,6 +206,8 @@
             SendOutcome::NotSent(detail) => {
                 self.attempts.not_sent(permit);
                 guard.failed();
+                self.sends -= 1;
+                self.unreached += 1;
                 NextStep::Retry(RefusalReason::NoEndpoint, detail)
             }
             SendOutcome::NotExecuted {
@@ -328,7 +337,10 @@
 
     fn may_retry(&mut self, reason: RefusalReason) -> bool {
         let now = self.context.now();
-        if self.sends >= MAX_ATTEMPTS || self.request.time_left(now) == TimeSpan::ZERO {
+        if self.sends >= MAX_ATTEMPTS || self.unreached >= MAX_UNREACHED {
+            return false;
+        }
+        if self.request.time_left(now) == TimeSpan::ZERO {
             return false;
         }
         if self.possible_runs >= self.request.route.attempts_limit {
