Take a stream for unrecorded if one of its recorders must have answered

Callers take streams up as an instance has ended, and that one is among those that are asked and silent, so the answers never sufficed.

A stream is recorded with three of the instances that are asked. With fewer than three silent, one of those has answered that it has no record; a failure domain of which none answers is uncertain as before. out_of_step holds as before (no stream joined; all streams of the only version go on).

--- a/crates/core/src/streams/peers.rs
+++ b/crates/core/src/streams/peers.rs
@@ -129,9 +129,10 @@
     queried
 }
 
-/// Whether a stream that no instance has a record of was not recorded: all instances that were
-/// `asked` have answered, and they include some of each of the failure `domains`. One that is silent
-/// may have the record.
+/// Whether a stream that no instance has a record of was not recorded. Its record went to
+/// [`RECORDING_PEERS`] of those that were `asked`, so one of these has answered if fewer are silent.
+/// Records of a failure domain that is cut off may have gone to instances there only, so some of each
+/// of the `domains` have to be among those that `answered`.
 pub fn is_unrecorded<Address>(
     asked: &[&RecordPeer<Address>],
     answered: &BTreeSet<Address>,
@@ -140,9 +141,12 @@
 where
     Address: Ord,
 {
-    let have_answered = asked.iter().all(|peer| answered.contains(&peer.address));
-    let is_asked = |domain: &FailureDomain| asked.iter().any(|peer| peer.domain == *domain);
-    have_answered && domains.iter().all(is_asked)
+    let answering = asked.iter().filter(|peer| answered.contains(&peer.address));
+    let answering_domains: BTreeSet<&FailureDomain> =
+        answering.clone().map(|peer| &peer.domain).collect();
+    let silent = asked.len() - answering.count();
+    let is_heard = |domain: &FailureDomain| answering_domains.contains(domain);
+    silent < RECORDING_PEERS && domains.iter().all(is_heard)
 }
 
 /// The instance of the failure domain with these `members` that appends the record of `stream` to
