Decide streams that their callers do not name by the versions in view

Callers name their streams where several versions serve; an unnamed stream can still meet a version that registered within the age of the view, 3 s at most.

--- a/crates/ingress/src/stream_origins/resumption.rs
+++ b/crates/ingress/src/stream_origins/resumption.rs
@@ -62,6 +62,17 @@
     is_unrecorded: bool,
 }
 
+impl Default for FoundOrigin {
+    /// Nothing was found, and instances may have a record.
+    fn default() -> FoundOrigin {
+        FoundOrigin {
+            recorded: None,
+            source: OriginSource::Versions,
+            is_unrecorded: false,
+        }
+    }
+}
+
 impl FoundOrigin {
     /// Whether the origin is recorded, or is known not to be. Otherwise it follows from the versions that
     /// are registered only if these are known as of a time after the stream was taken up.
@@ -186,20 +197,19 @@
         stream: Option<StreamHash>,
         fleet: &RecorderFleet,
     ) -> FoundOrigin {
-        let unknown = FoundOrigin {
-            recorded: None,
-            source: OriginSource::Versions,
-            is_unrecorded: false,
-        };
         let Some(stream) = stream else {
             self.prove(clock, directory, &fleet.peers).await;
-            return unknown;
+            // Records are kept by the names of streams.
+            return FoundOrigin {
+                is_unrecorded: true,
+                ..FoundOrigin::default()
+            };
         };
         if let Some(known) = self.known_origin(stream).await {
             return FoundOrigin {
                 recorded: Some(known),
                 source: OriginSource::Local,
-                ..unknown
+                ..FoundOrigin::default()
             };
         }
         let asked = queried_peers(stream, &fleet.peers);
