--- a/crates/ingress/src/crash_records.rs
+++ b/crates/ingress/src/crash_records.rs
@@ -50,9 +50,9 @@
 /// What is quarantined, as it is stored.
 #[derive(Clone, PartialEq, Message)]
 struct CrashRecord {
-    /// The Unix time of the last crash in ms.
+    /// The Unix time in ms of the last crash under a request, or at which the record of a part was made.
     #[prost(uint64, tag = "1")]
-    crashed_at_ms: u64,
+    noted_at_ms: u64,
     /// What ran on the endpoints that crashed.
     #[prost(oneof = "CrashSubject", tags = "2, 3")]
     subject: Option<CrashSubject>,
@@ -63,7 +63,7 @@
     /// A request.
     #[prost(message, tag = "2")]
     Request(CrashMessage),
-    /// A part of prompts; its ages count from the last crash.
+    /// A part of prompts; its ages count from the time of the record.
     #[prost(message, tag = "3")]
     Part(PartMessage),
 }
@@ -175,7 +175,7 @@
     Ok(keys)
 }
 
-/// Enters what is stored, unless the last crash is too long ago.
+/// Enters what is stored, unless that is too long ago.
 fn restore(context: &EntryContext, item: &NewestItem) {
     let record = match CrashRecord::decode(&item.value[..]) {
         Ok(record) => record,
@@ -187,7 +187,7 @@
             return;
         }
     };
-    let elapsed_ms = wall_time().as_millis().saturating_sub(record.crashed_at_ms);
+    let elapsed_ms = wall_time().as_millis().saturating_sub(record.noted_at_ms);
     let elapsed = TimeSpan::from_millis(elapsed_ms);
     if elapsed >= QUARANTINE_RETENTION {
         return;
@@ -246,41 +246,36 @@
     is_received_here: bool,
 }
 
+impl QuarantinedSubject {
+    /// Creates the record of what crashed an endpoint `age` ago at last.
+    fn new(subject: CrashSubject, age: TimeSpan, is_received_here: bool) -> QuarantinedSubject {
+        let noted_at_ms = wall_time().as_millis().saturating_sub(age.as_millis());
+        QuarantinedSubject {
+            record: CrashRecord {
+                noted_at_ms,
+                subject: Some(subject),
+            },
+            is_received_here,
+        }
+    }
+}
+
+/// What is quarantined here, by the keys under which it is stored.
 fn quarantined(context: &EntryContext) -> BTreeMap<String, QuarantinedSubject> {
     let now = context.now();
-    let at = |age: TimeSpan| wall_time().as_millis().saturating_sub(age.as_millis());
     let mut quarantined = BTreeMap::new();
     for known in context.quarantine.lock().quarantined(now) {
-        let subject = CrashSubject::Request(CrashMessage::new(&known.report));
-        let record = CrashRecord {
-            crashed_at_ms: at(known.age),
-            subject: Some(subject),
-        };
         let key = format!("request-{}", known.report.fingerprint);
-        let is_received_here = known.is_received_here;
-        quarantined.insert(
-            key,
-            QuarantinedSubject {
-                record,
-                is_received_here,
-            },
-        );
+        let subject = CrashSubject::Request(CrashMessage::new(&known.report));
+        let subject = QuarantinedSubject::new(subject, known.age, known.is_received_here);
+        quarantined.insert(key, subject);
     }
     for known in context.prompt_parts.lock().quarantined_reports(now) {
-        let subject = CrashSubject::Part(PartMessage::new(&known.report));
-        let record = CrashRecord {
-            crashed_at_ms: at(TimeSpan::ZERO),
-            subject: Some(subject),
-        };
         let key = format!("part-{}", known.report.part);
-        let is_received_here = known.is_received_here;
-        quarantined.insert(
-            key,
-            QuarantinedSubject {
-                record,
-                is_received_here,
-            },
-        );
+        let subject = CrashSubject::Part(PartMessage::new(&known.report));
+        // Its ages count from now.
+        let subject = QuarantinedSubject::new(subject, TimeSpan::ZERO, known.is_received_here);
+        quarantined.insert(key, subject);
     }
     quarantined
 }
--- a/crates/soak/tests/cut_heads.rs
+++ b/crates/soak/tests/cut_heads.rs
@@ -1,28 +1,21 @@
 //! Answers of endpoints that end in the middle of their heads, behind the real program.
 
+mod support;
+
 use std::{
     collections::BTreeSet,
-    path::PathBuf,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
-use bluebell_core::directory::EngineStage;
 use bluebell_platform_standin::{
     raw::{Framing, RawAnswer, RawRequest, exchange, is_whole_success},
-    scripted::{
-        self, AnswerScript, CallKind, PREFILLED, ScriptedAnswer, ScriptedCall, ScriptedSpec,
-    },
-};
-use bluebell_soak::{
-    fleet::{FleetSize, HOST, SoakFleet, organisation_key},
-    process::program_path,
+    scripted::{AnswerScript, CallKind, PREFILLED, ScriptedAnswer, ScriptedCall},
 };
-use rustix::process::Signal;
-use tokio_util::sync::CancellationToken;
+use bluebell_soak::fleet::{HOST, SoakFleet, organisation_key};
+
+use crate::support::{PATIENCE, kill_all, start_scripted};
 
-/// The time limit for what is awaited on a busy machine.
-const PATIENCE: Duration = Duration::from_secs(40);
 /// The distance between cuts in bytes; the ends of lines are cut as well.
 const CUT_STEP: usize = 23;
 /// Of these cuts, every ninth is played for prefills: an engine whose prefill failed gets no other
@@ -150,45 +143,6 @@
     })
 }
 
-/// An instance whose only endpoints are scripted.
-async fn start(seed: u64, cut: &CutAttempts) -> (SoakFleet, PathBuf, CancellationToken) {
-    let folder = std::env::temp_dir().join(format!("cut-heads-{seed}-{}", std::process::id()));
-    let stop = CancellationToken::new();
-    let size = FleetSize {
-        instances: 1,
-        folder: folder.clone(),
-    };
-    let program = program_path().expect("the program is built");
-    let fleet = SoakFleet::build(seed, program, &size, &stop).await;
-    let fleet = fleet.expect("the fleet is built");
-    for slot in &fleet.endpoints {
-        let (_, endpoint) = slot.current();
-        endpoint.kill();
-        endpoint.withdraw();
-    }
-    for number in 0..4 {
-        let stage = match number {
-            0 | 1 => EngineStage::Prefill,
-            _ => EngineStage::Decode,
-        };
-        for (service, stage) in [("till", None), ("pool", Some(stage))] {
-            let spec = ScriptedSpec {
-                id: format!("{service}-scripted-{number}"),
-                service: service.to_string(),
-                domain: "se-a".to_string(),
-                stage,
-            };
-            let ip = fleet.instances[0].callers.ip();
-            let started = scripted::start(spec, ip, fleet.store.clone(), script(cut));
-            started.await.expect("a port is free");
-        }
-    }
-    let process = fleet.instances[0].start(&fleet.program);
-    let process = process.expect("the program starts");
-    *fleet.instances[0].process.lock().await = Some(process);
-    (fleet, folder, stop)
-}
-
 /// Sends a request until the answer to it was cut, and checks what its caller gets.
 async fn check(
     fleet: &SoakFleet,
@@ -228,7 +182,7 @@
 
 async fn check_all(seed: u64, call: CallKind, routes: &[(&'static str, &str)]) {
     let cut = CutAttempts::default();
-    let (fleet, folder, stop) = start(seed, &cut).await;
+    let (fleet, folder, stop) = start_scripted("cut-heads", seed, &script(&cut)).await;
     for framing in [Framing::Length, Framing::Chunks, Framing::Connection] {
         for has_hints in [false, true] {
             let case = CutCase {
@@ -248,10 +202,7 @@
             }
         }
     }
-    if let Some(mut process) = fleet.instances[0].process.lock().await.take() {
-        process.signal(Signal::KILL);
-        process.wait().await.expect("it was started here");
-    }
+    kill_all(&fleet).await;
     stop.cancel();
     println!("{} answers cut", cut.lock().unwrap().len());
     std::fs::remove_dir_all(&folder).expect("the folder was written");
--- a/crates/soak/tests/out_of_step.rs
+++ b/crates/soak/tests/out_of_step.rs
@@ -11,8 +11,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::support::{
-    BrokenStream, PATIENCE, ResumedStreams, begin_stream, build, engines, kill, kill_all,
-    set_first_start, signal, start_all, take_up,
+    BrokenStream, PATIENCE, begin_stream, build, engines, kill, kill_all, set_first_start, signal,
+    start_all, take_up_all,
 };
 
 const INSTANCES: usize = 8;
@@ -64,24 +64,6 @@
     broken
 }
 
-async fn take_up_all(fleet: &SoakFleet, broken: &[BrokenStream]) -> ResumedStreams {
-    let address = fleet.instances[TAKING_UP].callers;
-    let mut answers = JoinSet::new();
-    for stream in broken {
-        let stream = stream.clone();
-        answers.spawn(async move {
-            let answer = take_up(address, &stream).await;
-            (stream, answer)
-        });
-    }
-    let mut resumed = ResumedStreams::default();
-    while let Some(answer) = answers.join_next().await {
-        let (stream, answer) = answer.expect("it does not panic");
-        resumed.add(&stream, &answer);
-    }
-    resumed
-}
-
 /// Suspends all instances but the one where streams begin and the one where they are taken up.
 async fn suspend_others(fleet: &SoakFleet) {
     signal(fleet, FIRST + 1..TAKING_UP, Signal::STOP).await;
@@ -113,7 +95,7 @@
     // The first instance reads the registrations twice a second.
     tokio::time::sleep(Duration::from_millis(700)).await;
     let broken = break_streams(&fleet).await;
-    let resumed = take_up_all(&fleet, &broken).await;
+    let resumed = take_up_all(&fleet, &broken, |_| TAKING_UP).await;
     println!("{resumed:?}, logs are in {}", folder.display());
     assert!(resumed.begun_at.contains("v2"), "{resumed:?}");
     assert!(resumed.mixed <= MAX_MIXED, "{resumed:?}");
@@ -132,7 +114,7 @@
     tokio::time::sleep(SETTLING).await;
     suspend_others(&fleet).await;
     let broken = break_streams(&fleet).await;
-    let resumed = take_up_all(&fleet, &broken).await;
+    let resumed = take_up_all(&fleet, &broken, |_| TAKING_UP).await;
     println!("{resumed:?}, logs are in {}", folder.display());
     assert_eq!(resumed.mixed, 0, "{resumed:?}");
     assert_eq!(resumed.gone_on, resumed.count, "{resumed:?}");
--- a/crates/soak/tests/refused_runs.rs
+++ b/crates/soak/tests/refused_runs.rs
@@ -1,8 +1,9 @@
 //! Answers of endpoints that refuse a request, with and without the statement that it has not run,
 //! behind the real program.
 
+mod support;
+
 use std::{
-    path::PathBuf,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -11,22 +12,14 @@
 };
 
 use bluebell_adapter::headers;
-use bluebell_core::directory::EngineStage;
 use bluebell_platform_standin::{
     raw::{RawRequest, exchange},
-    scripted::{
-        self, AnswerScript, CallKind, PREFILLED, ScriptedAnswer, ScriptedCall, ScriptedSpec,
-    },
-};
-use bluebell_soak::{
-    fleet::{FleetSize, HOST, SoakFleet, organisation_key},
-    process::program_path,
+    scripted::{AnswerScript, CallKind, PREFILLED, ScriptedAnswer, ScriptedCall},
 };
-use rustix::process::Signal;
-use tokio_util::sync::CancellationToken;
+use bluebell_soak::fleet::{HOST, SoakFleet, organisation_key};
+
+use crate::support::{PATIENCE, kill_all, start_scripted};
 
-/// The time limit for what is awaited on a busy machine.
-const PATIENCE: Duration = Duration::from_secs(40);
 /// The statuses that say that a request has not run and never will.
 const REFUSALS: [u16; 4] = [408, 421, 429, 503];
 /// The routes of requests that may run once.
@@ -64,45 +57,6 @@
     })
 }
 
-/// An instance whose only endpoints are scripted.
-async fn start(seed: u64, script: &AnswerScript) -> (SoakFleet, PathBuf, CancellationToken) {
-    let folder = std::env::temp_dir().join(format!("refused-runs-{seed}-{}", std::process::id()));
-    let stop = CancellationToken::new();
-    let size = FleetSize {
-        instances: 1,
-        folder: folder.clone(),
-    };
-    let program = program_path().expect("the program is built");
-    let fleet = SoakFleet::build(seed, program, &size, &stop).await;
-    let fleet = fleet.expect("the fleet is built");
-    for slot in &fleet.endpoints {
-        let (_, endpoint) = slot.current();
-        endpoint.kill();
-        endpoint.withdraw();
-    }
-    for number in 0..4 {
-        let stage = match number {
-            0 | 1 => EngineStage::Prefill,
-            _ => EngineStage::Decode,
-        };
-        for (service, stage) in [("till", None), ("pool", Some(stage))] {
-            let spec = ScriptedSpec {
-                id: format!("{service}-scripted-{number}"),
-                service: service.to_string(),
-                domain: "se-a".to_string(),
-                stage,
-            };
-            let ip = fleet.instances[0].callers.ip();
-            let started = scripted::start(spec, ip, fleet.store.clone(), Arc::clone(script));
-            started.await.expect("a port is free");
-        }
-    }
-    let process = fleet.instances[0].start(&fleet.program);
-    let process = process.expect("the program starts");
-    *fleet.instances[0].process.lock().await = Some(process);
-    (fleet, folder, stop)
-}
-
 fn status(answer: &str) -> u16 {
     let status = answer.split(' ').nth(1);
     status.and_then(|text| text.parse().ok()).unwrap_or(0)
@@ -157,12 +111,9 @@
 ) -> Vec<(&'static str, String)> {
     let runs = Arc::new(AtomicUsize::new(0));
     let script = script(status, more_headers, &runs);
-    let (fleet, folder, stop) = start(seed, &script).await;
+    let (fleet, folder, stop) = start_scripted("refused-runs", seed, &script).await;
     let answers = answers(&fleet, &runs, routes).await;
-    if let Some(mut process) = fleet.instances[0].process.lock().await.take() {
-        process.signal(Signal::KILL);
-        process.wait().await.expect("it was started here");
-    }
+    kill_all(&fleet).await;
     stop.cancel();
     std::fs::remove_dir_all(&folder).expect("the folder was written");
     answers
--- a/crates/soak/tests/support/mod.rs
+++ b/crates/soak/tests/support/mod.rs
@@ -10,15 +10,18 @@
     time::Duration,
 };
 
+use bluebell_core::directory::EngineStage;
 use bluebell_platform_standin::{
     endpoint::EVENTS,
     raw::{RawRequest, exchange},
+    scripted::{self, AnswerScript, ScriptedSpec},
 };
 use bluebell_soak::{
     fleet::{EndpointSlot, FleetSize, HOST, InstanceSlot, SoakFleet, organisation_key},
     process::program_path,
 };
 use rustix::process::Signal;
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 /// The time limit for what is awaited on a busy machine.
@@ -141,7 +144,7 @@
 }
 
 /// Takes a stream up at the instance that accepts callers at `address`.
-pub async fn take_up(address: SocketAddr, stream: &BrokenStream) -> String {
+async fn take_up(address: SocketAddr, stream: &BrokenStream) -> String {
     for number in 0..TRIES {
         let attempt = format!("again-{number}-{}", stream.attempt);
         let answer = exchange(address, &request(&attempt, Some(stream)), |_| {}).await;
@@ -212,3 +215,66 @@
         std::fs::write(&file, text).expect("the file is writable");
     }
 }
+
+/// An instance whose only endpoints are scripted: four replicas of a plain service, two engines of each
+/// stage.
+pub async fn start_scripted(
+    name: &str,
+    seed: u64,
+    script: &AnswerScript,
+) -> (SoakFleet, PathBuf, CancellationToken) {
+    let (fleet, folder, stop) = build(name, seed, 1).await;
+    for slot in &fleet.endpoints {
+        let (_, endpoint) = slot.current();
+        endpoint.kill();
+        endpoint.withdraw();
+    }
+    for number in 0..4 {
+        let stage = match number {
+            0 | 1 => EngineStage::Prefill,
+            _ => EngineStage::Decode,
+        };
+        for (service, stage) in [("till", None), ("pool", Some(stage))] {
+            let spec = ScriptedSpec {
+                id: format!("{service}-scripted-{number}"),
+                service: service.to_string(),
+                domain: "se-a".to_string(),
+                stage,
+            };
+            let ip = fleet.instances[0].callers.ip();
+            let started =
+                scripted::start(spec, ip, fleet.store.clone(), AnswerScript::clone(script));
+            started.await.expect("a port is free");
+        }
+    }
+    let process = fleet.instances[0].start(&fleet.program);
+    let process = process.expect("the program starts");
+    *fleet.instances[0].process.lock().await = Some(process);
+    (fleet, folder, stop)
+}
+
+/// Takes all streams up at the instances whose numbers `choose` returns.
+pub async fn take_up_all<Choose>(
+    fleet: &SoakFleet,
+    broken: &[BrokenStream],
+    choose: Choose,
+) -> ResumedStreams
+where
+    Choose: Fn(usize) -> usize,
+{
+    let mut answers = JoinSet::new();
+    for (number, stream) in broken.iter().enumerate() {
+        let address = fleet.instances[choose(number)].callers;
+        let stream = stream.clone();
+        answers.spawn(async move {
+            let answer = take_up(address, &stream).await;
+            (stream, answer)
+        });
+    }
+    let mut resumed = ResumedStreams::default();
+    while let Some(answer) = answers.join_next().await {
+        let (stream, answer) = answer.expect("it does not panic");
+        resumed.add(&stream, &answer);
+    }
+    resumed
+}
--- a/crates/soak/tests/whole_fleet_kill.rs
+++ b/crates/soak/tests/whole_fleet_kill.rs
@@ -11,7 +11,7 @@
 
 use crate::support::{
     BrokenStream, PATIENCE, ResumedStreams, begin_stream, build, engines, kill_all, start_all,
-    take_up,
+    take_up_all,
 };
 
 const INSTANCES: usize = 6;
@@ -50,25 +50,6 @@
     broken
 }
 
-/// Takes all streams up, each at another instance than the one where it began.
-async fn take_up_all(fleet: &SoakFleet, broken: &[BrokenStream]) -> ResumedStreams {
-    let mut answers = JoinSet::new();
-    for (number, stream) in broken.iter().enumerate() {
-        let address = fleet.instances[(number + 1) % INSTANCES].callers;
-        let stream = stream.clone();
-        answers.spawn(async move {
-            let answer = take_up(address, &stream).await;
-            (stream, answer)
-        });
-    }
-    let mut resumed = ResumedStreams::default();
-    while let Some(answer) = answers.join_next().await {
-        let (stream, answer) = answer.expect("it does not panic");
-        resumed.add(&stream, &answer);
-    }
-    resumed
-}
-
 /// What happens to the endpoints of the first version before all instances are killed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EarlierVersion {
@@ -96,7 +77,7 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
     let broken = break_streams(&fleet, earlier).await;
     start_all(&fleet).await;
-    let resumed = take_up_all(&fleet, &broken).await;
+    let resumed = take_up_all(&fleet, &broken, |number| (number + 1) % INSTANCES).await;
     kill_all(&fleet).await;
     stop.cancel();
     println!("{resumed:?}, logs are in {}", folder.display());
