Wait for the records of the quarantine until 2 s after the start at most

Read, not seen: a process that starts while the store is away would have had each request wait for 0.5 s, for as long as the outage lasts. The wait ends 2 s after the start now, whatever comes later.

--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -15,7 +15,8 @@
 //! Neither is certain where an instance is out of step: a version that registered after the newest
 //! confirmation of its view can have begun the stream, and the instances that do not answer it can have
 //! the record. So only one version is taken for possible if a recorder of the stream must be among those
-//! that answer that they have no record ([`is_unrecorded`]), or if the view is confirmed as of a time after the stream was taken up.
+//! that answer that they have no record ([`is_unrecorded`]), or if the view is confirmed as of a time
+//! after the stream was taken up.
 //!
 //! A stream whose version is not found this way is refused.
 
--- a/crates/ingress/src/crash_records.rs
+++ b/crates/ingress/src/crash_records.rs
@@ -17,7 +17,7 @@
 use bluebell_daemon::logs::LogLine;
 use bytes::Bytes;
 use prost::{Message, Oneof};
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::Instant};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -41,8 +41,9 @@
 /// How often an instance that has just started checks whether it reads the records.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How long requests of a process that has just started wait for the records.
-const READ_WAIT: Duration = Duration::from_millis(500);
+/// How long after the start of the process requests wait for the records. During an outage of the
+/// store later ones are decided by what is known here.
+const READ_WAIT: Duration = Duration::from_secs(2);
 
 /// The number of instances of each failure domain that write what they learn from others.
 const WRITERS_PER_DOMAIN: usize = 2;
@@ -72,8 +73,27 @@
 #[derive(Debug, Default)]
 pub struct CrashRecords {
     due: Notify,
-    /// Cancelled once the records are read; unset where they are not followed.
-    read: OnceLock<CancellationToken>,
+    /// The first read of the records; unset where they are not followed.
+    reading: OnceLock<FirstRead>,
+}
+
+/// The first read of the records.
+#[derive(Debug)]
+struct FirstRead {
+    /// Cancelled once it is over.
+    is_over: CancellationToken,
+    /// Until when requests wait for it.
+    wait_end: Instant,
+}
+
+impl FirstRead {
+    /// Creates the state of a read that begins now.
+    fn new() -> FirstRead {
+        FirstRead {
+            is_over: CancellationToken::new(),
+            wait_end: Instant::now() + READ_WAIT,
+        }
+    }
 }
 
 impl CrashRecords {
@@ -89,21 +109,17 @@
 
     /// Waits until the records are read, for a short time at most.
     pub async fn wait_until_read(&self) {
-        let Some(read) = self.read.get().filter(|read| !read.is_cancelled()) else {
-            return;
-        };
-        // After a timeout requests are decided by what is known here.
-        let _ = tokio::time::timeout(READ_WAIT, read.cancelled()).await;
+        if let Some(reading) = self.reading.get() {
+            let is_over = reading.is_over.cancelled();
+            let _ = tokio::time::timeout_at(reading.wait_end, is_over).await;
+        }
     }
 }
 
 /// Spawns the task that reads the records and then writes them; it ends with `stop`.
 pub fn start(context: &Arc<EntryContext>, stop: &CancellationToken) {
-    let read = context
-        .crash_records
-        .read
-        .get_or_init(CancellationToken::new);
-    let task = run(Arc::clone(context), read.clone());
+    let reading = context.crash_records.reading.get_or_init(FirstRead::new);
+    let task = run(Arc::clone(context), reading.is_over.clone());
     let stop = stop.clone();
     tokio::spawn(async move { stop.run_until_cancelled(task).await });
 }
