--- a/crates/core/tests/stream_absence.rs
+++ b/crates/core/tests/stream_absence.rs
@@ -59,7 +59,7 @@
     assert!(!cut_off);
 }
 
-/// Guards against a fleet of one instance that asks nobody and refuses all streams.
+/// Guards against an only instance that refuses all streams, as there is no other one to ask.
 #[test]
 fn an_instance_without_others_knows_all_records() {
     let nobody = is_unrecorded::<u32>(&[], &BTreeSet::new(), &BTreeSet::new());
