Ask an endpoint for the start of the process at its address

The directory names the process of an endpoint as of its last registration. Two hypotheses of the incident turn on whether that process still runs: a stream without framing that ended with its engine, and a stream that goes on at an engine which restarted as another version. The report of an engine states its start and needs no slot; any answer shows that a process serves.

--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -18,6 +18,7 @@
 mod plain;
 mod pool;
 mod prefill;
+mod process_check;
 mod proxy;
 mod quota;
 mod reach;
