--- a/crates/soak/tests/support/mod.rs
+++ b/crates/soak/tests/support/mod.rs
@@ -12,8 +12,8 @@
 
 use bluebell_core::directory::EngineStage;
 use bluebell_platform_standin::{
-    endpoint::EVENTS,
-    raw::{RawRequest, exchange},
+    endpoint::{EVENTS, EndpointFaults},
+    raw::{RawRequest, ResumedPosition, exchange},
     scripted::{self, AnswerScript, ScriptedSpec},
 };
 use bluebell_soak::{
@@ -55,20 +55,47 @@
     versions.map(ToString::to_string).collect()
 }
 
-/// The request that begins a stream, or takes one up.
-pub fn request(attempt: &str, taken_up: Option<&BrokenStream>) -> RawRequest {
-    let stream = taken_up.map_or(attempt, |stream| &stream.attempt);
+/// How callers say which stream they take up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamNaming {
+    /// They name the attempt that began it.
+    Attempt,
+    /// They send the same request again with the last event that they have.
+    Request,
+}
+
+/// The request that begins a stream; that of attempts whose names end in the same number is the same.
+pub fn request(attempt: &str) -> RawRequest {
     // Prompts differ, so that they are spread over the engines.
-    let part = stream.rsplit('-').next().unwrap_or_default();
+    let part = attempt.rsplit('-').next().unwrap_or_default();
     RawRequest {
         method: "POST",
         host: HOST,
-        path: format!("/chat/{attempt}"),
+        path: format!("/chat/{part}"),
         attempt: attempt.to_string(),
         key: organisation_key(0),
         deadline_ms: 3_000,
         prompt_part: Some(format!("aa{part}")),
-        resumes: taken_up.map(|stream| (stream.attempt.clone(), stream.last_event())),
+        resumes: None,
+    }
+}
+
+/// The request that takes a stream up.
+fn taking_up(attempt: &str, stream: &BrokenStream, naming: StreamNaming) -> RawRequest {
+    let begun = request(&stream.attempt);
+    let last_event = stream.last_event();
+    let (path, begun_by) = match naming {
+        StreamNaming::Attempt => (format!("/chat/{attempt}"), Some(stream.attempt.clone())),
+        StreamNaming::Request => (begun.path.clone(), None),
+    };
+    RawRequest {
+        path,
+        attempt: attempt.to_string(),
+        resumes: Some(ResumedPosition {
+            begun_by,
+            last_event,
+        }),
+        ..begun
     }
 }
 
@@ -81,7 +108,7 @@
 where
     Begun: FnMut(),
 {
-    let request = request(&attempt, None);
+    let request = request(&attempt);
     let text = exchange(address, &request, |text| {
         if text.contains("id: 1\n") {
             begun();
@@ -144,10 +171,11 @@
 }
 
 /// Takes a stream up at the instance that accepts callers at `address`.
-async fn take_up(address: SocketAddr, stream: &BrokenStream) -> String {
+async fn take_up(address: SocketAddr, stream: &BrokenStream, naming: StreamNaming) -> String {
     for number in 0..TRIES {
         let attempt = format!("again-{number}-{}", stream.attempt);
-        let answer = exchange(address, &request(&attempt, Some(stream)), |_| {}).await;
+        let request = taking_up(&attempt, stream, naming);
+        let answer = exchange(address, &request, |_| {}).await;
         if !answer.starts_with("HTTP/1.1 503") {
             return answer;
         }
@@ -187,6 +215,48 @@
     slots.filter(|slot| slot.plan.prefills.is_some())
 }
 
+/// Has engines take this additional time for each event, in ms.
+pub fn slow_engines(fleet: &SoakFleet, slow_ms: u64) {
+    for slot in engines(fleet) {
+        slot.current().1.set_faults(EndpointFaults {
+            slow_ms,
+            ..EndpointFaults::default()
+        });
+    }
+}
+
+/// Begins a stream for each of `attempts` at the instance `first`, kills it while they run, and returns
+/// those that broke after an event.
+pub async fn break_streams(
+    fleet: &SoakFleet,
+    first: usize,
+    attempts: Vec<String>,
+) -> Vec<BrokenStream> {
+    let address = fleet.instances[first].callers;
+    let mut streams = JoinSet::new();
+    let mut begun_or_ended = Vec::new();
+    for attempt in attempts {
+        let has_begun = CancellationToken::new();
+        begun_or_ended.push(has_begun.clone());
+        streams.spawn(async move {
+            let begun = has_begun.clone();
+            let _ended = has_begun.drop_guard();
+            begin_stream(address, attempt, move || begun.cancel()).await
+        });
+    }
+    for settled in begun_or_ended {
+        let waited = tokio::time::timeout(PATIENCE, settled.cancelled()).await;
+        waited.expect("a stream neither began nor ended");
+    }
+    kill(fleet, first..first + 1).await;
+    let mut broken = Vec::new();
+    while let Some(stream) = streams.join_next().await {
+        broken.push(stream.expect("it does not panic"));
+    }
+    broken.retain(|stream| (1..EVENTS).contains(&stream.last_event()));
+    broken
+}
+
 /// Builds a fleet of `instances`; their processes are started later.
 pub async fn build(
     name: &str,
@@ -257,6 +327,7 @@
 pub async fn take_up_all<Choose>(
     fleet: &SoakFleet,
     broken: &[BrokenStream],
+    naming: StreamNaming,
     choose: Choose,
 ) -> ResumedStreams
 where
@@ -267,7 +338,7 @@
         let address = fleet.instances[choose(number)].callers;
         let stream = stream.clone();
         answers.spawn(async move {
-            let answer = take_up(address, &stream).await;
+            let answer = take_up(address, &stream, naming).await;
             (stream, answer)
         });
     }
--- a/crates/soak/tests/whole_fleet_kill.rs
+++ b/crates/soak/tests/whole_fleet_kill.rs
@@ -10,8 +10,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::support::{
-    BrokenStream, PATIENCE, ResumedStreams, begin_stream, build, engines, kill_all, start_all,
-    take_up_all,
+    BrokenStream, PATIENCE, ResumedStreams, StreamNaming, begin_stream, build, engines, kill_all,
+    start_all, take_up_all,
 };
 
 const INSTANCES: usize = 6;
@@ -60,7 +60,11 @@
 
 /// Has a second version serve beside the first one, kills all instances while streams run, and
 /// takes these up.
-async fn kill_and_take_up(seed: u64, earlier: EarlierVersion) -> ResumedStreams {
+async fn kill_and_take_up(
+    seed: u64,
+    earlier: EarlierVersion,
+    naming: StreamNaming,
+) -> ResumedStreams {
     let (fleet, folder, stop) = build("whole-fleet", seed, INSTANCES).await;
     start_all(&fleet).await;
     for slot in engines(&fleet).filter(|slot| slot.plan.domain == "se-c") {
@@ -77,7 +81,7 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
     let broken = break_streams(&fleet, earlier).await;
     start_all(&fleet).await;
-    let resumed = take_up_all(&fleet, &broken, |number| (number + 1) % INSTANCES).await;
+    let resumed = take_up_all(&fleet, &broken, naming, |number| (number + 1) % INSTANCES).await;
     kill_all(&fleet).await;
     stop.cancel();
     println!("{resumed:?}, logs are in {}", folder.display());
@@ -91,7 +95,14 @@
 /// they began were lost with all processes while two versions serve.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_go_on_at_their_version_after_all_instances_were_killed() {
-    let resumed = kill_and_take_up(241, EarlierVersion::Stays).await;
+    let resumed = kill_and_take_up(241, EarlierVersion::Stays, StreamNaming::Attempt).await;
+    assert!(resumed.whole * 2 >= resumed.count, "{resumed:?}");
+}
+
+/// Guards against streams that don't go on after that because their callers do not name them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_without_a_name_go_on_after_all_instances_were_killed() {
+    let resumed = kill_and_take_up(243, EarlierVersion::Stays, StreamNaming::Request).await;
     assert!(resumed.whole * 2 >= resumed.count, "{resumed:?}");
 }
 
@@ -99,5 +110,5 @@
 /// began them have left before all processes are killed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_of_a_version_that_has_left_are_not_joined_with_another() {
-    kill_and_take_up(242, EarlierVersion::Leaves).await;
+    kill_and_take_up(242, EarlierVersion::Leaves, StreamNaming::Attempt).await;
 }
