Record streams under the requests of their callers as well

Cause: a stream was known by the attempt that its caller names in Resumes only; one without a name counted as unrecorded, which is certain by definition, so no instance was asked and no confirmed state awaited. Class: a missing key stands for missing knowledge.

Each stream is recorded under two names; a query for a request ends only when a recorder must be among those that answered, so that equal requests at two versions are found contradictory. Streams of split routes are recorded as well, since the service follows from the attempt's id.

--- a/crates/core/src/ingress/configuration.rs
+++ b/crates/core/src/ingress/configuration.rs
@@ -90,6 +90,11 @@
         drawn.map(|target| &target.service)
     }
 
+    /// Whether the route leads to several services.
+    pub fn is_split(&self) -> bool {
+        self.targets.len() > 1
+    }
+
     /// Whether requests may be sent to `service`.
     pub fn allows_service(&self, service: &ServiceName) -> bool {
         self.targets.iter().any(|target| target.service == *service)
--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -33,7 +33,7 @@
     history::{MAX_STREAM_AGE, MAX_VIEW_AGE, VersionHistory},
     log::RecordQueue,
     look_back::LookBack,
-    origin::{OriginHash, StreamHash},
+    origin::{OriginHash, StreamHash, StreamName},
     peers::{
         RecordPeer, append_interval, appending_peer, is_unrecorded, queried_peers, recording_peers,
     },
--- a/crates/core/src/streams/table.rs
+++ b/crates/core/src/streams/table.rs
@@ -10,13 +10,13 @@
     streams::{MAX_STREAM_AGE, OriginHash, RecordPeer, StreamHash},
 };
 
-/// The maximum number of streams that are kept of each kind. Beyond it the oldest go first.
-const MAX_STREAMS: usize = 16_384;
+/// The maximum number of names of streams that are kept of each kind. Beyond it the oldest go first.
+const MAX_STREAMS: usize = 32_768;
 
-/// A stream and where it began.
+/// A stream under one of its names, and where it began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StreamRecord {
-    /// The stream.
+    /// The hash of the name.
     pub stream: StreamHash,
     /// The service and the version that began it.
     pub origin: OriginHash,
@@ -57,11 +57,22 @@
             false => RecordedOrigin::Contradictory,
         }
     }
+
+    /// Combines the statements there are; `None` if there is none.
+    pub fn combine_all<Statements>(statements: Statements) -> Option<RecordedOrigin>
+    where
+        Statements: IntoIterator<Item = Option<RecordedOrigin>>,
+    {
+        let stated = statements.into_iter().flatten();
+        stated.reduce(RecordedOrigin::combine)
+    }
 }
 
+/// The streams of one name that began here.
 #[derive(Clone, Debug)]
 struct BegunStream {
-    origin: OriginHash,
+    /// Where they began; several if equal requests began at different versions.
+    origins: Vec<OriginHash>,
     service: ServiceName,
     /// The instances that were sent the record, with their starts.
     recorded_at: Vec<(InstanceId, u64)>,
@@ -69,6 +80,36 @@
     is_logged: bool,
 }
 
+impl BegunStream {
+    fn new(service: &ServiceName) -> BegunStream {
+        BegunStream {
+            origins: Vec::new(),
+            service: service.clone(),
+            recorded_at: Vec::new(),
+            is_logged: false,
+        }
+    }
+
+    /// Adds where a stream began. It is to be recorded again if the others began elsewhere.
+    fn add(&mut self, origin: OriginHash) {
+        if !self.origins.contains(&origin) {
+            self.origins.push(origin);
+            self.recorded_at.clear();
+            self.is_logged = false;
+        }
+    }
+
+    fn origin(&self) -> Option<RecordedOrigin> {
+        let origins = self.origins.iter().copied();
+        RecordedOrigin::combine_all(origins.map(RecordedOrigin::Known).map(Some))
+    }
+
+    fn records(&self, stream: StreamHash) -> impl Iterator<Item = StreamRecord> + '_ {
+        let origins = self.origins.iter().copied();
+        origins.map(move |origin| StreamRecord { stream, origin })
+    }
+}
+
 /// A map of streams in the order in which they were entered.
 #[derive(Clone, Debug)]
 struct AgedStreams<Entry> {
@@ -132,12 +173,9 @@
 
     /// Records that a stream of `service` began here.
     pub fn note_begun(&mut self, now: ClockTime, record: StreamRecord, service: &ServiceName) {
-        self.begun.entry(now, record.stream, || BegunStream {
-            origin: record.origin,
-            service: service.clone(),
-            recorded_at: Vec::new(),
-            is_logged: false,
-        });
+        let create = || BegunStream::new(service);
+        let begun = self.begun.entry(now, record.stream, create);
+        begun.add(record.origin);
     }
 
     /// Removes a stream that began here and has ended.
@@ -155,8 +193,9 @@
     /// Where `stream` began, as far as it is known here.
     pub fn origin(&self, stream: StreamHash) -> Option<RecordedOrigin> {
         let begun = self.begun.entries.get(&stream);
-        let begun = begun.map(|begun| RecordedOrigin::Known(begun.origin));
-        begun.or_else(|| self.recorded.entries.get(&stream).copied())
+        let begun = begun.and_then(BegunStream::origin);
+        let recorded = self.recorded.entries.get(&stream).copied();
+        RecordedOrigin::combine_all([begun, recorded])
     }
 
     /// The services of the streams that began here.
@@ -192,10 +231,8 @@
                     continue;
                 }
                 begun.recorded_at.push(recipient);
-                due.entry(peer.address).or_default().push(StreamRecord {
-                    stream: *stream,
-                    origin: begun.origin,
-                });
+                let due = due.entry(peer.address).or_default();
+                due.extend(begun.records(*stream));
             }
         }
         due.into_iter().collect()
@@ -206,12 +243,9 @@
         let begun = self.begun.entries.iter_mut();
         let unlogged = begun
             .filter(|(stream, begun)| !begun.is_logged && scope.contains(**stream, &begun.service));
-        let records = unlogged.map(|(stream, begun)| {
+        let records = unlogged.flat_map(|(stream, begun)| {
             begun.is_logged = true;
-            StreamRecord {
-                stream: *stream,
-                origin: begun.origin,
-            }
+            begun.records(*stream)
         });
         records.collect()
     }
--- a/crates/ingress/src/forward/resume.rs
+++ b/crates/ingress/src/forward/resume.rs
@@ -5,7 +5,7 @@
 use bluebell_adapter::headers;
 use bluebell_core::{
     placement::EndpointTarget,
-    streams::{OriginHash, StreamHash, StreamRecord, UnknownOrigin},
+    streams::{OriginHash, StreamRecord, UnknownOrigin},
 };
 use hyper::Response;
 
@@ -49,9 +49,9 @@
     context: &Arc<EntryContext>,
     request: CallerRequest,
 ) -> Result<CallerRequest, Box<Response<AnswerBody>>> {
-    let stream = request.resumes.is_some().then_some(request.stream);
     let taken_up = StreamRequest {
-        stream,
+        name: request.taken_up_name(),
+        is_split: request.route.is_split(),
         host: &request.route.host,
         path: &request.target,
         service: &request.service,
@@ -90,7 +90,7 @@
     let (clock, directory) = (&context.clock, &context.directory);
     let fleet = context.recorder_fleet();
     let streams = &context.streams;
-    let finding = streams.find(clock, directory, taken_up.stream, &fleet);
+    let finding = streams.find(clock, directory, taken_up.name, &fleet);
     let found = finding.await;
     if !found.is_certain() && !sync::is_state_known_since(context, taken_up_at).await {
         return Err(UnknownOrigin::Unconfirmed);
@@ -113,6 +113,7 @@
     context.metrics.resumed.with_label_values(&[source]).inc();
     request_log_line(context, "stream_taken_up", request)
         .with("stream", stream.map_or("-", |stream| stream.as_str()))
+        .with("named_by", request.taken_up_name())
         .with("after_event", last_event.unwrap_or("-"))
         .with("known_by", source)
         .info();
@@ -129,15 +130,15 @@
         return BegunStream::Unknown;
     };
     if request.route.is_resumable {
-        let record = StreamRecord {
-            stream: request.stream,
+        let records = request.stream_names().map(|name| StreamRecord {
+            stream: name.hash(),
             origin,
-        };
+        });
         context.streams.begin(
             context.now(),
             &context.directory,
-            record,
-            &request.service,
+            records,
+            (&request.service, request.route.is_split()),
             &context.local_recorder(),
             || context.record_peers(),
         );
@@ -145,7 +146,9 @@
     BegunStream::At(origin)
 }
 
-/// Records that the stream has ended.
-pub fn note_ended(context: &EntryContext, stream: StreamHash) {
-    context.streams.note_ended(stream);
+/// Records that the stream of the request has ended.
+pub fn note_ended(context: &EntryContext, request: &CallerRequest) {
+    for name in request.stream_names() {
+        context.streams.note_ended(name.hash());
+    }
 }
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -223,7 +223,7 @@
         if self.running.has_events && has_framed_end(&self.running.head.headers) {
             crashes::note_answered(context, &self.run.request);
         }
-        resume::note_ended(context, self.run.request.stream);
+        resume::note_ended(context, &self.run.request);
         if let Some(connection) = self.running.connection.take() {
             attempt::return_to_pool(context, &self.running.target, connection);
         }
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -12,7 +12,7 @@
     ingress::{RouteKind, RouteRule, RouteTable},
     placement::PromptWork,
     quarantine::{self, PartHash},
-    streams::{OriginHash, StreamHash},
+    streams::{OriginHash, StreamHash, StreamName},
     units::TokenCount,
 };
 use bytes::Bytes;
@@ -89,7 +89,8 @@
     /// The caller's attempt that brought the first event of the stream that the request takes
     /// up.
     pub resumes: Option<RequestId>,
-    /// The stream that the request begins or takes up.
+    /// The attempt that began the stream which the request takes up, if the caller names it, or the
+    /// request itself.
     pub stream: StreamHash,
     /// Where the stream began that the request takes up; it goes on there only.
     pub origin: Option<OriginHash>,
@@ -137,6 +138,24 @@
             .get_or_init(|| RequestFingerprint::with_request(caller, &self.target, &self.body))
     }
 
+    /// The names under which the stream of the request is recorded.
+    pub fn stream_names(&self) -> [StreamName; 2] {
+        [StreamName::Attempt(self.stream), self.request_name()]
+    }
+
+    /// The name under which the request takes up a stream.
+    pub fn taken_up_name(&self) -> StreamName {
+        match self.resumes {
+            Some(_) => StreamName::Attempt(self.stream),
+            None => self.request_name(),
+        }
+    }
+
+    fn request_name(&self) -> StreamName {
+        let prompt = header_text(&self.headers, headers::PROMPT_PREFIX).unwrap_or_default();
+        StreamName::Request(StreamHash::with_request(self.fingerprint(), prompt))
+    }
+
     /// The parts of the prompt that other requests may share.
     pub fn shared_parts(&self) -> Vec<PartHash> {
         let prefix = header_text(&self.headers, headers::PROMPT_PREFIX);
--- a/crates/ingress/src/stream_origins/mod.rs
+++ b/crates/ingress/src/stream_origins/mod.rs
@@ -52,8 +52,6 @@
     proved: BTreeMap<OriginHash, ClockTime>,
     /// The instances that answered.
     answered: BTreeSet<SocketAddr>,
-    /// The number of instances that were asked.
-    asked: usize,
 }
 
 /// An answer and the instance that sent it.
@@ -186,13 +184,17 @@
     }
 
     /// Asks the instances at `addresses` where `stream` began, if there is one, and for what they can
-    /// prove. Ends as soon as one knows the stream. `now` is when they are asked.
-    async fn ask(
+    /// prove. Ends as soon as what they answered `is_decided`. `now` is when they are asked.
+    async fn ask<Decided>(
         &self,
         now: ClockTime,
         stream: Option<StreamHash>,
         addresses: &[SocketAddr],
-    ) -> QueryResult {
+        is_decided: Decided,
+    ) -> QueryResult
+    where
+        Decided: Fn(&QueryResult) -> bool,
+    {
         let query = OriginQuery {
             number: rand::random(),
             stream: stream.map(StreamHash::number),
@@ -203,10 +205,7 @@
             origins: self,
             number: query.number,
         };
-        let mut result = QueryResult {
-            asked: addresses.len(),
-            ..QueryResult::default()
-        };
+        let mut result = QueryResult::default();
         let collecting = async {
             for wait in [QUERY_REPEAT_DELAY, QUERY_TIMEOUT - QUERY_REPEAT_DELAY] {
                 for address in addresses {
@@ -215,7 +214,7 @@
                     }
                     self.send(*address, OriginContent::Query(query));
                 }
-                let reading = read_answers(now, &mut answers, &mut result);
+                let reading = read_answers(now, &mut answers, &mut result, &is_decided);
                 if tokio::time::timeout(wait, reading).await.is_ok() {
                     return;
                 }
@@ -282,19 +281,21 @@
     }
 }
 
-/// Reads answers to a query that was sent at `asked_at`, until the origin is known or all that were asked
-/// have answered.
-async fn read_answers(
+/// Reads answers to a query that was sent at `asked_at`, until the result `is_decided`.
+async fn read_answers<Decided>(
     asked_at: ClockTime,
     answers: &mut mpsc::UnboundedReceiver<ReceivedAnswer>,
     result: &mut QueryResult,
-) {
-    while result.origin.is_none() && result.answered.len() < result.asked {
+    is_decided: &Decided,
+) where
+    Decided: Fn(&QueryResult) -> bool,
+{
+    while !is_decided(result) {
         let Some((from, answer)) = answers.recv().await else {
             return;
         };
         result.answered.insert(from);
-        result.origin = answer.recorded();
+        result.origin = RecordedOrigin::combine_all([result.origin, answer.recorded()]);
         for (origin, proved_at) in answer.proofs(asked_at) {
             let newest = result.proved.entry(origin).or_insert(proved_at);
             *newest = proved_at.max(*newest);
--- a/crates/ingress/src/stream_origins/resumption.rs
+++ b/crates/ingress/src/stream_origins/resumption.rs
@@ -13,7 +13,7 @@
     ids::{FailureDomain, ServiceName},
     placement::EndpointTarget,
     streams::{
-        OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash, StreamRecord,
+        OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash, StreamName, StreamRecord,
         UnknownOrigin, is_unrecorded, queried_peers, resolve_origin,
     },
 };
@@ -34,8 +34,11 @@
 /// A request that takes up a stream.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamRequest<'a> {
-    /// The stream; `None` if the caller does not name it.
-    pub stream: Option<StreamHash>,
+    /// The name of the stream.
+    pub name: StreamName,
+    /// Whether the route leads to several services, so that `service` may be another one than that at
+    /// which the stream began, unless it is named by its attempt.
+    pub is_split: bool,
     /// The host of the request.
     pub host: &'a str,
     /// The path of the request.
@@ -134,27 +137,33 @@
 }
 
 impl StreamOrigins {
-    /// Records that `record` began here, and records it with other instances unless only one
-    /// origin is possible. `peers` are the other instances; this one is `local`.
+    /// Records that a stream began here, with one record for each of its names, and records it with other
+    /// instances unless only one origin is possible. The stream began at `service`, which is one of several of its
+    /// route if that `is_split`. `peers` are the other instances; this one is `local`.
     pub fn begin<Peers>(
         &self,
         now: ClockTime,
         directory: &Shared<EndpointDirectory>,
-        record: StreamRecord,
-        service: &ServiceName,
+        records: [StreamRecord; 2],
+        (service, is_split): (&ServiceName, bool),
         local: &RecordPeer<SocketAddr>,
         peers: Peers,
     ) where
         Peers: FnOnce() -> Vec<RecordPeer<SocketAddr>>,
     {
-        self.table.lock().note_begun(now, record, service);
+        for record in records {
+            self.table.lock().note_begun(now, record, service);
+        }
         let (sole, stream_age) = {
             let directory = directory.lock();
             let versions = directory.versions();
             (versions.sole_origin(now, service), versions.stream_age())
         };
-        if sole.is_none() || self.routes.lock().has_moved(now, stream_age) {
-            self.record(RecordScope::Stream(record.stream), local, &peers());
+        if sole.is_none() || is_split || self.routes.lock().has_moved(now, stream_age) {
+            let peers = peers();
+            for record in records {
+                self.record(RecordScope::Stream(record.stream), local, &peers);
+            }
         }
     }
 
@@ -187,43 +196,45 @@
         }
     }
 
-    /// Looks the stream up here and at the instances that may have recorded it; `None` stands for one
-    /// that its caller does not name. The proofs of these instances are applied to what is known of the
-    /// versions.
+    /// Looks the stream up here and at the instances that may have recorded it. The proofs of these
+    /// instances are applied to what is known of the versions.
     pub async fn find(
         &self,
         clock: &ClockSource,
         directory: &Shared<EndpointDirectory>,
-        stream: Option<StreamHash>,
+        name: StreamName,
         fleet: &RecorderFleet,
     ) -> FoundOrigin {
-        let Some(stream) = stream else {
-            self.prove(clock, directory, &fleet.peers).await;
-            // Records are kept by the names of streams.
-            return FoundOrigin {
-                is_unrecorded: true,
-                ..FoundOrigin::default()
-            };
-        };
-        if let Some(known) = self.known_origin(stream).await {
+        let known = self.known_origin(name.hash()).await;
+        // A stream of an equal request may have begun elsewhere.
+        if let Some(known) = known.filter(|_| name.is_unique()) {
             return FoundOrigin {
                 recorded: Some(known),
                 source: OriginSource::Local,
                 ..FoundOrigin::default()
             };
         }
-        let asked = queried_peers(stream, &fleet.peers);
+        let asked = queried_peers(name.hash(), &fleet.peers);
+        let has_recorders_answer =
+            |answered: &BTreeSet<SocketAddr>| is_unrecorded(&asked, answered, &fleet.domains);
         let addresses: Vec<SocketAddr> = asked.iter().map(|peer| peer.address).collect();
-        let result = self.ask(clock.now(), Some(stream), &addresses).await;
+        let is_decided = |result: &QueryResult| {
+            let is_certain = name.is_unique() || has_recorders_answer(&result.answered);
+            let is_found = result.origin.is_some() && is_certain;
+            is_found || result.answered.len() >= addresses.len()
+        };
+        let stream = Some(name.hash());
+        let result = self.ask(clock.now(), stream, &addresses, is_decided).await;
         note_vouched(clock.now(), directory, &result);
-        let source = match result.origin {
-            Some(_) => OriginSource::Record,
-            None => OriginSource::Versions,
+        let source = match (known, result.origin) {
+            (Some(_), _) => OriginSource::Local,
+            (None, Some(_)) => OriginSource::Record,
+            (None, None) => OriginSource::Versions,
         };
         FoundOrigin {
-            recorded: result.origin,
+            recorded: RecordedOrigin::combine_all([known, result.origin]),
             source,
-            is_unrecorded: is_unrecorded(&asked, &result.answered, &fleet.domains),
+            is_unrecorded: has_recorders_answer(&result.answered),
         }
     }
 
@@ -236,9 +247,8 @@
         found: FoundOrigin,
     ) -> Result<ResumedStream, UnknownOrigin> {
         // A record may have arrived since.
-        let recorded = found
-            .recorded
-            .or_else(|| request.stream.and_then(|stream| self.origin(stream)));
+        let recorded = [found.recorded, self.origin(request.name.hash())];
+        let recorded = RecordedOrigin::combine_all(recorded);
         let mut directory = directory.lock();
         let versions = directory.versions_mut();
         versions.sweep(now);
@@ -246,7 +256,8 @@
             let routes = self.routes.lock();
             routes.may_have_moved(now, request.host, request.path, versions.stream_age())
         };
-        if recorded.is_none() && has_moved {
+        let is_service_open = request.is_split && !request.name.is_unique();
+        if recorded.is_none() && (has_moved || is_service_open) {
             return Err(UnknownOrigin::NotRecorded);
         }
         let (origin, service) = resolve_origin(now, recorded, versions, request.service)?;
@@ -283,7 +294,8 @@
         }
         let asked = peers.choose_multiple(&mut rand::rng(), PROVING_PEERS);
         let asked: Vec<SocketAddr> = asked.map(|peer| peer.address).collect();
-        let result = self.ask(clock.now(), None, &asked).await;
+        let has_all = |result: &QueryResult| result.answered.len() >= asked.len();
+        let result = self.ask(clock.now(), None, &asked, has_all).await;
         note_vouched(clock.now(), directory, &result);
     }
 }
