Continue streams only if the registered process writes them

Cause: requests name their endpoint by its id alone, which the process of another version accepts after a restart. Until the new registration is known at the instance (views are up to 3 s old, or older while the store resets calls) the version that the stream is to go on at is that of the earlier process. Ruled out: the answer itself as evidence, as it states no start; a check sent together with the request, as the endpoint may restart between the two.

Change: an answer that continues a stream (resumed by the instance, also at a copy, or taken up by its caller) is passed on once the endpoint's report, asked for after the head of the answer had arrived, names the registered start. The process that answers had started by then, and a later one would state its own start. The events are read meanwhile. Otherwise the answer is dropped, the call counts as one that may have run, and another engine of the version is tried within the existing limits. Replicas of plain services are checked too; those that state no start count as running. A stream whose version became unknown no longer goes on at its copy either.

Cost: one report for each stream that goes on and has events, none for new streams; the answer waits for the later of its first events and the report (500 ms at most).

--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -163,6 +163,7 @@
         }
         // Without an id the events that the caller has can't be told from those that follow.
         if last_id.is_some()
+            && self.begun != BegunStream::Unknown
             && let Some(outcome) = self.go_on_at_backup(last_id).await
         {
             return outcome.into_stream();
@@ -413,8 +414,7 @@
         }
         let (head, body) = answer.response.into_parts();
         let mut events = EventReader::new(body, last_id);
-        let remaining = self.request.time_left(self.context.now());
-        let (first_events, is_complete) = match events.next(remaining.as_duration()).await {
+        let (first_events, is_complete) = match self.read_first(target, &mut events).await? {
             NextEvents::Events { bytes, .. } => (bytes, false),
             NextEvents::End if has_framed_end(&head.headers) => (bytes::Bytes::new(), true),
             NextEvents::TimedOut => {
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod backups;
 mod broken_runs;
 mod connection;
+mod continuation;
 mod crashes;
 mod endpoint_changes;
 mod engine_calls;
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -19,7 +19,7 @@
         answer::{CompleteAnswer, MAX_ANSWER_BYTES},
         attempt::{self, SendOutcome, Withheld},
         broken_runs::{self, AnswerProgress},
-        crashes, endpoint_changes,
+        continuation, crashes, endpoint_changes,
         failed_attempt::refusal_of_withheld,
         guards::ReplicaGuard,
         meter, notices, proxy,
@@ -251,15 +251,26 @@
                     return self.note_possible_run(RefusalReason::EndpointFailed, detail);
                 }
                 let remaining = self.request.time_left(self.context.now()).min(timeout);
-                let complete = CompleteAnswer::read(
+                let reading = CompleteAnswer::read(
                     self.context,
                     self.request,
                     target,
                     answer,
                     MAX_ANSWER_BYTES,
                     remaining,
-                )
-                .await;
+                );
+                let complete = match self.request.origin {
+                    Some(_) => {
+                        let has_events = Option::is_some;
+                        continuation::read_checked(self.context, target, reading, has_events).await
+                    }
+                    None => Some(reading.await),
+                };
+                let Some(complete) = complete else {
+                    guard.failed();
+                    let detail = continuation::unchecked_detail(target);
+                    return self.note_possible_run(RefusalReason::EndpointFailed, detail);
+                };
                 match complete {
                     Some(answer) => self.handle_answer(guard, answer),
                     None => {
