--- a/crates/soak/tests/restarted_engines.rs
+++ b/crates/soak/tests/restarted_engines.rs
@@ -11,8 +11,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::support::{
-    BrokenStream, PATIENCE, begin_stream, build, engines, kill, kill_all, set_first_start,
-    start_all, take_up_all,
+    BrokenStream, PATIENCE, StreamNaming, begin_stream, build, engines, kill, kill_all,
+    set_first_start, start_all, take_up_all,
 };
 
 const INSTANCES: usize = 8;
@@ -77,7 +77,7 @@
         slot.version.store(2, Ordering::SeqCst);
         fleet.restart_endpoint(slot, false).await;
     }
-    let resumed = take_up_all(&fleet, &broken, |_| TAKING_UP).await;
+    let resumed = take_up_all(&fleet, &broken, StreamNaming::Attempt, |_| TAKING_UP).await;
     println!("{resumed:?}, logs are in {}", folder.display());
     assert!(resumed.gone_on + resumed.mixed > 0, "{resumed:?}");
     assert!(resumed.mixed <= MAX_MIXED, "{resumed:?}");
