End connections over the soak's paths as they end at the far side

A path that broke connections off shut its write side down first, so the near side got an end in order and the reset after it. A reset of the far side was passed on as an end in order as well. Answers in chunks show the difference by themselves; answers without framing, which the soak is about to play, don't: a broken path would look like the end of such an answer, which nothing can tell from a whole one. A path now passes a reset on as a reset, both ways.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -119,7 +119,7 @@
         // failure is a slower soak.
         drop(stream.set_nodelay(true));
     }
-    let ended = CancellationToken::new();
+    let end = PathEnd::default();
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     let up = PathDirection {
@@ -132,8 +132,8 @@
         ..up.clone()
     };
     tokio::join!(
-        up.pump(near_read, far_write, &ended),
-        down.pump(far_read, near_write, &ended),
+        up.pump(near_read, far_write, &end),
+        down.pump(far_read, near_write, &end),
     );
 }
 
@@ -143,6 +143,23 @@
     drop(socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)));
 }
 
+/// How a connection ends, both ways.
+#[derive(Default)]
+struct PathEnd {
+    ended: CancellationToken,
+    /// Whether it breaks, so that neither way may come to an end in order.
+    broken: CancellationToken,
+}
+
+impl PathEnd {
+    fn break_off(&self, from: &OwnedReadHalf, to: &OwnedWriteHalf) {
+        reset(from.as_ref());
+        reset(to.as_ref());
+        self.broken.cancel();
+        self.ended.cancel();
+    }
+}
+
 #[derive(Clone)]
 struct PathDirection {
     number: u64,
@@ -151,30 +168,27 @@
 }
 
 impl PathDirection {
-    async fn pump(
-        mut self,
-        mut from: OwnedReadHalf,
-        mut to: OwnedWriteHalf,
-        ended: &CancellationToken,
-    ) {
+    async fn pump(mut self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, end: &PathEnd) {
         let mut chunk = vec![0; CHUNK];
         loop {
-            let count = tokio::select! {
-                () = ended.cancelled() => break,
+            let read = tokio::select! {
+                () = end.ended.cancelled() => break,
                 () = self.wait_for_reset() => {
-                    reset(from.as_ref());
-                    reset(to.as_ref());
-                    ended.cancel();
+                    end.break_off(&from, &to);
                     break;
                 }
-                count = from.read(&mut chunk) => count.unwrap_or(0),
+                read = from.read(&mut chunk) => read,
             };
             tokio::select! {
-                () = ended.cancelled() => break,
+                () = end.ended.cancelled() => break,
                 () = self.wait_until_passing() => {}
             }
+            let Ok(count) = read else {
+                end.break_off(&from, &to);
+                break;
+            };
             tokio::select! {
-                () = ended.cancelled() => break,
+                () = end.ended.cancelled() => break,
                 () = self.wait_for_room(count) => {}
             }
             // An end is passed on like bytes: a path that holds back holds it too.
@@ -182,10 +196,15 @@
                 break;
             }
         }
-        drop(to.shutdown().await);
+        if end.broken.is_cancelled() {
+            // An end in order would precede the reset.
+            to.forget();
+        } else {
+            drop(to.shutdown().await);
+        }
         if !self.is_back {
             // Whoever opened the connection has closed it.
-            ended.cancel();
+            end.ended.cancel();
         }
     }
 
