Soak unnamed streams and streams without framing

Callers of the soak named the streams that they took up and changed the path, which callers need not; endpoints always framed their streams. With `--unnamed`, callers send the same request again with the last event that they have; only the attempt and the time that is left differ. A quarter of the time they do so at the instance where the stream began. One in 20 resumable streams has the request of the latest one of another caller; these are checked for mixed versions and don't count among those that have to go on. With `--unframed`, engines leave half of their streams unframed and end during some; they start again as after other crashes, and no longer count as serving until then. Both combine with the other options; their draws are apart from those of faults.

Requests and answers of callers, and the taking up of streams, move to modules of their own. The checker needed no change: a test checks that it reports an end in order before the last event at each event.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,35 +1,33 @@
 //! Callers as the users describe them: connections that are kept, deadlines, some
 //! who leave early or read slowly, and a pause when a refusal asks for one.
 
+mod exchange;
+mod taking_up;
+
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, atomic::Ordering},
     time::Duration,
 };
 
-use bluebell_adapter::headers;
 use bluebell_core::{clock::TimeSpan, ids::FailureDomain};
-use bluebell_platform_standin::{endpoint::CRASHING_PART, operator::OperatorKind};
+use bluebell_platform_standin::operator::OperatorKind;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, Response, body::Incoming, client::conn::http1, header::HeaderValue};
-use hyper_util::rt::TokioIo;
+use http_body_util::Full;
+use hyper::Request;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
-use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
+use self::exchange::{ReadPace, ReceivedAnswer, RequestParts, RequestSender, connect, receive};
+use self::taking_up::BegunStream;
+pub use self::taking_up::{IdenticalRequests, StreamNaming};
 use crate::{
-    fleet::{
-        HOST, InstanceSlot, ORGANISATIONS, ROUTES, RouteSample, SoakFleet, organisation_key,
-        organisation_name,
-    },
-    promises::{CallerOutcome, ProcessName, Promise, ReceivedEvents, SentRequest, TakenUpStream},
+    fleet::{ORGANISATIONS, ROUTES, RouteSample, SoakFleet, organisation_name},
+    promises::{CallerOutcome, ProcessName, Promise, SentRequest},
 };
 
-/// How long a connection may take to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How many requests go over one connection at most.
 const KEPT_FOR: u32 = 12;
 /// The shortest and the longest pause between two requests of a caller, in ms.
@@ -50,20 +48,16 @@
 const LATE: TimeSpan = TimeSpan::from_millis(500);
 /// Each request with a number divisible by this is read slowly.
 const SLOW_READ_EVERY: u64 = 20;
-/// The pause before each piece that is read slowly.
-const SLOW_READ_PAUSE: Duration = Duration::from_millis(30);
 /// How many pieces of an answer are read slowly; the pauses end well before [`LATE`].
 const SLOW_PIECES: usize = 10;
 /// The share of streams that callers break off to take them up elsewhere.
 const BREAKING_OFF: f64 = 0.3;
 /// How many pieces of these they read before.
 const KEPT_PIECES: usize = 3;
+/// Keeps the draws of callers that name no streams apart from those of all callers.
+const UNNAMED_STREAM: u64 = 1;
 /// The share of requests whose prompts have a part that crashes endpoints.
 const CRASHING: f64 = 0.02;
-/// How many engines of a version have to serve for its streams to go on.
-const SERVING_ENGINES: usize = 2;
-/// The longest pause that a refusal can make a caller take.
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
 /// How requests of one kind from one failure domain fared.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -85,14 +79,14 @@
     domain: FailureDomain,
     number: usize,
     random: ChaCha8Rng,
+    /// Draws what only callers that name no streams do.
+    unnamed_random: ChaCha8Rng,
     asked: u64,
-    takes_up: bool,
+    taking_up: Option<StreamNaming>,
     uses_added: bool,
     sends_crashing: bool,
 }
 
-type RequestSender = http1::SendRequest<Full<Bytes>>;
-
 /// What the caller does with its connection after a request.
 enum ConnectionUse {
     Keep,
@@ -103,13 +97,17 @@
     /// The caller with this number, of a failure domain.
     pub fn new(fleet: Arc<SoakFleet>, domain: FailureDomain, number: usize) -> SoakCaller {
         let seed = fleet.seed.wrapping_mul(1_000) + number as u64;
+        let random = ChaCha8Rng::seed_from_u64(seed);
+        let mut unnamed_random = random.clone();
+        unnamed_random.set_stream(UNNAMED_STREAM);
         SoakCaller {
             fleet,
             domain,
             number,
-            random: ChaCha8Rng::seed_from_u64(seed),
+            random,
+            unnamed_random,
             asked: 0,
-            takes_up: false,
+            taking_up: None,
             uses_added: false,
             sends_crashing: false,
         }
@@ -127,9 +125,9 @@
         self
     }
 
-    /// Sets whether the caller takes up streams that broke, and breaks some off to do so.
-    pub fn with_taking_up(mut self, takes_up: bool) -> SoakCaller {
-        self.takes_up = takes_up;
+    /// Sets whether and how the caller takes up streams that broke, and breaks some off to do so.
+    pub fn with_taking_up(mut self, taking_up: Option<StreamNaming>) -> SoakCaller {
+        self.taking_up = taking_up;
         self
     }
 
@@ -185,18 +183,23 @@
         let (route, organisation) = self.draw_use();
         let patience_ms = self.random.random_range(PATIENCE_MS.0..=PATIENCE_MS.1);
         let patience = TimeSpan::from_millis(patience_ms.min(route.timeout_ms));
-        let checker = &self.fleet.checker;
+        let own_parts = RequestParts {
+            is_crashing: self.sends_crashing && self.random.random_bool(CRASHING),
+            ..RequestParts::new(route, &attempt, organisation)
+        };
+        let parts = self.draw_identical(own_parts);
+        let fleet = Arc::clone(&self.fleet);
+        let checker = &fleet.checker;
         checker.sent(SentRequest {
             attempt: attempt.clone(),
             process: process.clone(),
-            prefix: route.prefix.to_string(),
-            kind: route.kind,
-            organisation: organisation_name(organisation),
+            prefix: parts.prefix.to_string(),
+            kind: parts.kind,
+            organisation: organisation_name(parts.organisation),
             is_first,
             takes_up: None,
         });
-        let is_crashing = self.sends_crashing && self.random.random_bool(CRASHING);
-        let request = build_request(route, &attempt, organisation, patience_ms, is_crashing);
+        let request = parts.build(&attempt, patience_ms);
         if self.random.random_bool(LEAVING) {
             let leaves_ms = self.random.random_range(1..LEAVES_MS);
             return self.leave(sender, request, attempt, leaves_ms).await;
@@ -205,8 +208,9 @@
             0 => SLOW_PIECES,
             _ => 0,
         };
-        let is_resumable = self.takes_up && route.kind == OperatorKind::Resumable;
-        let breaks_off = is_resumable && self.random.random_bool(BREAKING_OFF);
+        let is_resumable = route.kind == OperatorKind::Resumable;
+        let taking_up = self.taking_up.filter(|_| is_resumable);
+        let breaks_off = taking_up.is_some() && self.random.random_bool(BREAKING_OFF);
         let pace = ReadPace {
             slow_pieces,
             most_pieces: if breaks_off { KEPT_PIECES } else { usize::MAX },
@@ -221,9 +225,13 @@
             checker.broke(Promise::RefusalTrue, detail);
         }
         self.count(route.prefix, &answer.outcome);
-        if is_resumable {
-            self.take_up(route, &attempt, organisation, &answer.outcome)
-                .await;
+        if let Some(naming) = taking_up {
+            let begun = BegunStream {
+                attempt,
+                parts,
+                instance: process.instance.clone(),
+            };
+            self.take_up(naming, begun, &answer.outcome).await;
         }
         tokio::time::sleep(answer.pause).await;
         match answer.is_kept {
@@ -247,68 +255,6 @@
         )
     }
 
-    /// Takes up a stream that has broken after its first events, at an instance that the
-    /// balancer picks anew.
-    async fn take_up(
-        &mut self,
-        route: &RouteSample,
-        stream: &str,
-        organisation: usize,
-        outcome: &CallerOutcome,
-    ) {
-        let CallerOutcome::Stream {
-            body,
-            is_ended: false,
-            ..
-        } = outcome
-        else {
-            return;
-        };
-        let Ok(events) = ReceivedEvents::read(stream, body, 0, false) else {
-            return;
-        };
-        let Some(version) = events.versions.first() else {
-            return;
-        };
-        let fleet = Arc::clone(&self.fleet);
-        let rotation = &fleet.rotation;
-        let slot = rotation.pick(&fleet.instances, &self.domain, &mut self.random);
-        let start = slot.starts.load(Ordering::SeqCst);
-        let Some(mut sender) = connect(slot).await else {
-            return;
-        };
-        let attempt = format!("{stream}-again");
-        fleet.checker.sent(SentRequest {
-            attempt: attempt.clone(),
-            process: ProcessName {
-                instance: slot.name.clone(),
-                start,
-            },
-            prefix: route.prefix.to_string(),
-            kind: route.kind,
-            organisation: organisation_name(organisation),
-            is_first: true,
-            takes_up: Some(TakenUpStream {
-                stream: stream.to_string(),
-                last: events.last,
-                version: version.clone(),
-                is_owed: fleet.serving(version) >= SERVING_ENGINES,
-            }),
-        });
-        let mut request = build_request(route, &attempt, organisation, PATIENCE_MS.0, false);
-        let request_headers = request.headers_mut();
-        request_headers.insert(headers::LAST_EVENT_ID, HeaderValue::from(events.last));
-        if let Ok(stream) = HeaderValue::from_str(stream) {
-            request_headers.insert(headers::RESUMES, stream);
-        }
-        let patience = TimeSpan::from_millis(PATIENCE_MS.0) + LATE;
-        let answering = receive(&mut sender, request, ReadPace::default());
-        let answer = tokio::time::timeout(patience.as_duration(), answering).await;
-        let answer =
-            answer.unwrap_or_else(|_| ReceivedAnswer::with_outcome(CallerOutcome::Nothing));
-        fleet.checker.got(&attempt, &answer.outcome);
-    }
-
     /// Sends the request and leaves without waiting for its answer.
     async fn leave(
         &self,
@@ -337,145 +283,3 @@
         }
     }
 }
-
-async fn connect(slot: &InstanceSlot) -> Option<RequestSender> {
-    let connecting = TcpStream::connect(slot.callers);
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-    let stream = stream.ok()?.ok()?;
-    stream.set_nodelay(true).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(async move { drop(connection.await) });
-    Some(sender)
-}
-
-fn build_request(
-    route: &RouteSample,
-    attempt: &str,
-    organisation: usize,
-    patience_ms: u64,
-    is_crashing: bool,
-) -> Request<Full<Bytes>> {
-    let prompt = match is_crashing {
-        true => format!("5c1e:490,{CRASHING_PART}:10,91bd:400"),
-        false => "5c1e:500,91bd:400".to_string(),
-    };
-    let body = match route.kind {
-        OperatorKind::Safe => Bytes::new(),
-        _ => Bytes::from_static(b"{\"text\":\"hello\"}"),
-    };
-    let method = match route.kind {
-        OperatorKind::Safe => Method::GET,
-        _ => Method::POST,
-    };
-    let key = format!("{}{}", headers::KEY_SCHEME, organisation_key(organisation));
-    let request = Request::builder()
-        .method(method)
-        .uri(format!("{}{attempt}", route.prefix))
-        .header("host", HOST)
-        .header(headers::ATTEMPT_ID, attempt)
-        .header(headers::DEADLINE_MS, patience_ms)
-        .header(headers::MODEL, "m")
-        .header(headers::TOKEN_USAGE, "900,20")
-        .header(headers::PROMPT_PREFIX, prompt)
-        .header("authorization", key);
-    request
-        .body(Full::new(body))
-        .expect("all parts are valid text")
-}
-
-/// An answer with what it asks of the caller.
-struct ReceivedAnswer {
-    outcome: CallerOutcome,
-    is_kept: bool,
-    has_hint: bool,
-    pause: Duration,
-}
-
-impl ReceivedAnswer {
-    fn with_outcome(outcome: CallerOutcome) -> ReceivedAnswer {
-        ReceivedAnswer {
-            outcome,
-            is_kept: false,
-            has_hint: false,
-            pause: Duration::ZERO,
-        }
-    }
-}
-
-/// How a caller reads an answer.
-#[derive(Clone, Copy, Debug)]
-struct ReadPace {
-    /// How many of the first pieces it reads slowly.
-    slow_pieces: usize,
-    /// After how many pieces it breaks off.
-    most_pieces: usize,
-}
-
-impl Default for ReadPace {
-    fn default() -> ReadPace {
-        ReadPace {
-            slow_pieces: 0,
-            most_pieces: usize::MAX,
-        }
-    }
-}
-
-/// Sends a request and reads the answer.
-async fn receive(
-    sender: &mut RequestSender,
-    request: Request<Full<Bytes>>,
-    pace: ReadPace,
-) -> ReceivedAnswer {
-    let response = match sender.send_request(request).await {
-        Ok(response) => response,
-        Err(_) => return ReceivedAnswer::with_outcome(CallerOutcome::Cut),
-    };
-    let field = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
-    let hint = field("retry-after").and_then(|text| text.parse::<f64>().ok());
-    let is_closing = field("connection").is_some_and(|text| text.eq_ignore_ascii_case("close"));
-    let is_signed = field(headers::SIGNATURE).is_some();
-    let is_stream = field("content-type") == Some("text/event-stream");
-    let status = response.status().as_u16();
-    let (body, is_ended) = read_body(response, pace).await;
-    let outcome = match (status, is_stream) {
-        (200, true) => CallerOutcome::Stream {
-            is_signed,
-            body,
-            is_ended,
-        },
-        (200, false) if is_ended => CallerOutcome::Whole { is_signed, body },
-        (200, false) => CallerOutcome::CutInside,
-        _ => CallerOutcome::Status(status),
-    };
-    let pause = Duration::from_secs_f64(hint.unwrap_or_default().max(0.0));
-    ReceivedAnswer {
-        outcome,
-        is_kept: is_ended && !is_closing,
-        has_hint: hint.is_some(),
-        pause: pause.min(LONGEST_PAUSE),
-    }
-}
-
-async fn read_body(response: Response<Incoming>, pace: ReadPace) -> (String, bool) {
-    let mut body = response.into_body();
-    let mut bytes = Vec::new();
-    let mut pieces = 0;
-    loop {
-        if pieces >= pace.most_pieces {
-            return (String::from_utf8_lossy(&bytes).to_string(), false);
-        }
-        if pieces < pace.slow_pieces {
-            tokio::time::sleep(SLOW_READ_PAUSE).await;
-        }
-        pieces += 1;
-        match body.frame().await {
-            None => return (String::from_utf8_lossy(&bytes).to_string(), true),
-            Some(Ok(frame)) => {
-                if let Ok(data) = frame.into_data() {
-                    bytes.extend_from_slice(&data);
-                }
-            }
-            Some(Err(_)) => return (String::from_utf8_lossy(&bytes).to_string(), false),
-        }
-    }
-}
--- a/crates/soak/src/commands.rs
+++ b/crates/soak/src/commands.rs
@@ -29,6 +29,8 @@
     is_leaving: bool,
     is_crashing: bool,
     is_refusing: bool,
+    is_unnamed: bool,
+    is_unframed: bool,
     folder: Option<PathBuf>,
     program: Option<PathBuf>,
     is_untimed: bool,
@@ -63,6 +65,12 @@
     let is_refusing = long("refusing")
         .help("endpoints are full in series, answer twice, and refuse what has run")
         .switch();
+    let is_unnamed = long("unnamed")
+        .help("callers take streams up without naming them; some send the same requests")
+        .switch();
+    let is_unframed = long("unframed")
+        .help("streams end with their connections; engines end during some of them")
+        .switch();
     let folder = long("folder")
         .help("where settings, logs and reports are kept; a temporary folder otherwise")
         .argument("DIR")
@@ -86,6 +94,8 @@
         is_leaving,
         is_crashing,
         is_refusing,
+        is_unnamed,
+        is_unframed,
         folder,
         program,
         is_untimed
@@ -136,6 +146,8 @@
             is_leaving: options.is_leaving,
             is_crashing: options.is_crashing,
             is_refusing: options.is_refusing,
+            is_unnamed: options.is_unnamed,
+            is_unframed: options.is_unframed,
             program: program.clone(),
             size: FleetSize {
                 instances: options.instances,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -31,7 +31,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    caller::TallyBook,
+    caller::{IdenticalRequests, TallyBook},
     operator::OperatorChanges,
     process::EntryProcess,
     promises::{PromiseBounds, PromiseChecker},
@@ -197,6 +197,9 @@
     pub configuration: Mutex<OperatorConfiguration>,
     /// What was added to it; held while a change is published, before the configuration.
     pub(crate) changes: Mutex<OperatorChanges>,
+    /// The streams for which several callers send the same request.
+    pub identical: Mutex<IdenticalRequests>,
+    has_unframed: bool,
     handles: PrefilledHandles,
     watch: EventHandler,
     ip: IpAddr,
@@ -276,6 +279,8 @@
             tallies: Mutex::new(BTreeMap::new()),
             configuration: Mutex::new(first_configuration()),
             changes: Mutex::default(),
+            identical: Mutex::default(),
+            has_unframed: false,
             handles: PrefilledHandles::default(),
             watch,
             ip,
@@ -353,7 +358,19 @@
         let born = self.born.fetch_add(1, Ordering::SeqCst);
         let (store, handles) = (self.store.clone(), PrefilledHandles::clone(&self.handles));
         let watch = EventHandler::clone(&self.watch);
-        RunningEndpoint::start(plan, listener, born, store, handles, watch)
+        let running = RunningEndpoint::start(plan, listener, born, store, handles, watch);
+        if self.has_unframed {
+            running.leave_unframed();
+        }
+        running
+    }
+
+    /// Has all endpoints answer a share of streams with neither length nor chunks.
+    pub fn leave_unframed(&mut self) {
+        self.has_unframed = true;
+        for slot in &self.endpoints {
+            slot.current().1.leave_unframed();
+        }
     }
 
     /// Starts an endpoint anew at its place, under a new id or the one it had.
@@ -397,7 +414,9 @@
     pub fn serving(&self, version: &str) -> usize {
         let serves = |slot: &&EndpointSlot| {
             let is_version = version_name(slot.version.load(Ordering::SeqCst)) == version;
-            slot.plan.prefills.is_some() && is_version && self.checker.serves(&slot.current().0)
+            let (id, running) = slot.current();
+            let is_engine = slot.plan.prefills.is_some() && !running.has_crashed();
+            is_engine && is_version && self.checker.serves(&id)
         };
         self.endpoints.iter().filter(serves).count()
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    caller::{CallerTally, SoakCaller},
+    caller::{CallerTally, SoakCaller, StreamNaming},
     fleet::{ADDED_ROUTES, FleetSize, MOVABLE_ROUTES, ORGANISATIONS, ROUTES, SoakFleet},
     inject,
     processes::{start_process, stop_process},
@@ -57,12 +57,28 @@
     pub is_crashing: bool,
     /// Whether endpoints are full in series, refuse a second time, and misstate that requests ran.
     pub is_refusing: bool,
+    /// Whether callers take streams up without naming them, and some send the same requests.
+    pub is_unnamed: bool,
+    /// Whether endpoints answer a share of streams with neither length nor chunks, and end during
+    /// some of these.
+    pub is_unframed: bool,
     /// The entry program.
     pub program: PathBuf,
     /// How large.
     pub size: FleetSize,
 }
 
+impl SoakPlan {
+    /// Whether and how callers take streams up.
+    fn naming(&self) -> Option<StreamNaming> {
+        match (self.is_unnamed, self.has_versions) {
+            (true, _) => Some(StreamNaming::Unnamed),
+            (false, true) => Some(StreamNaming::Named),
+            (false, false) => None,
+        }
+    }
+}
+
 /// What came of a soak.
 #[derive(Debug, Serialize)]
 pub struct SoakReport {
@@ -89,7 +105,10 @@
     let stop = CancellationToken::new();
     let _stopped = stop.clone().drop_guard();
     let program = plan.program.clone();
-    let fleet = SoakFleet::build(plan.seed, program, &plan.size, &stop).await?;
+    let mut fleet = SoakFleet::build(plan.seed, program, &plan.size, &stop).await?;
+    if plan.is_unframed {
+        fleet.leave_unframed();
+    }
     let fleet = Arc::new(fleet);
     if plan.is_growing {
         for slot in fleet.instances.iter().skip(1).step_by(2) {
@@ -132,9 +151,10 @@
     stop.cancel();
     while tasks.join_next().await.is_some() {}
     let streams = fleet.checker.check_streams();
+    let identical = fleet.identical.lock().expect("held briefly").count();
     Ok(SoakReport {
         seed: plan.seed,
-        streams,
+        streams: format!("identical={identical} {streams}"),
         changes: fleet.checker.changes().to_string(),
         notices: fleet.checker.notices(),
         retries: fleet.checker.retries(),
@@ -172,12 +192,12 @@
     for number in 0..plan.callers * domains.len() {
         let domain = domains[number % domains.len()].clone();
         let caller = SoakCaller::new(Arc::clone(fleet), domain, number)
-            .with_taking_up(plan.has_versions)
+            .with_taking_up(plan.naming())
             .with_added(plan.is_changing)
             .with_crashing(plan.is_crashing);
         tasks.spawn(caller.call(stop.clone()));
     }
-    if plan.is_crashing {
+    if plan.is_crashing || plan.is_unframed {
         let (fleet, stop) = (Arc::clone(fleet), stop.clone());
         tasks.spawn(async move { inject::revive_endpoints(&fleet, &stop).await });
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -34,6 +34,12 @@
 /// requests that ran.
 const REFUSING_SEEDS: [u64; 1] = [85_001];
 
+/// Seed 1 with other versions, and callers that take streams up without naming them.
+const UNNAMED_SEEDS: [u64; 1] = [1];
+
+/// Seed 1 with streams that end with their connections, and engines that end during some of them.
+const UNFRAMED_SEEDS: [u64; 1] = [1];
+
 /// How long faults come.
 const SECONDS: &str = "6";
 
@@ -84,6 +90,20 @@
     soak("refusing", &REFUSING_SEEDS, &["--refusing"]);
 }
 
+/// Guards against streams that change their version, or don't go on, where callers send the request
+/// again with their last event and don't name the stream.
+#[test]
+fn promises_hold_while_streams_are_taken_up_without_their_names() {
+    soak("unnamed", &UNNAMED_SEEDS, &["--versions", "--unnamed"]);
+}
+
+/// Guards against streams without framing that are passed on as whole after their engines ended between
+/// two events.
+#[test]
+fn promises_hold_while_engines_end_during_streams_without_framing() {
+    soak("unframed", &UNFRAMED_SEEDS, &["--unframed"]);
+}
+
 fn soak(name: &str, seeds: &[u64], options: &[&str]) {
     let folder = std::env::temp_dir().join(format!("soak-{name}-{}", std::process::id()));
     for seed in seeds {
--- a/crates/soak/tests/streams.rs
+++ b/crates/soak/tests/streams.rs
@@ -1,5 +1,6 @@
 //! The checker sees streams that change their version, and those that don't go on.
 
+use bluebell_platform_standin::endpoint::EVENTS;
 use bluebell_soak::promises::{ReceivedEvents, TakenUpStream};
 
 fn events(ids: &[u64], version: &str) -> String {
@@ -20,6 +21,18 @@
     assert!(ReceivedEvents::read("b", &body, 3, false).is_err());
 }
 
+/// Guards against a checker that takes an end in order for the end of the stream.
+#[test]
+fn an_end_in_order_before_the_last_event_is_reported_at_each_event() {
+    for after in 0..EVENTS {
+        for last in after..=EVENTS {
+            let ids: Vec<u64> = (after + 1..=last).collect();
+            let read = ReceivedEvents::read("a", &events(&ids, "v1"), after, true);
+            assert_eq!(read.is_ok(), last == EVENTS, "after={after} last={last}");
+        }
+    }
+}
+
 mod tally {
     use super::{ReceivedEvents, TakenUpStream, events};
     use bluebell_soak::promises::StreamTally;
