Count an unmarked end only if its endpoint still serves

Cause: the kernel closes the connections of a process that ends in order, so that such an end can't be told from the one that was meant. An end after a complete event counted as the end.

Ruled out: answers of other instances, which come from our own server in chunks or with a length (`proxy.rs` aborts those that break off). Answers without a body (`204`) count as marked.

Change: after an unmarked end the report of the endpoint's process is awaited (`process_check`), for 500 ms and the time left at most. If the process does not serve any more, the answer counts as broken off: a resumable stream goes on elsewhere after its last event, another one is aborted, a safe request is served elsewhere, an unsafe one ends with 502. Events are passed on at once as before. `stream_ended` says how the end was known, `stream_resumed` which event followed, `bluebell_unmarked_ends_total` counts the checks. `read_answer` moves to `run_answer.rs` unchanged otherwise.

Cost: one probe and one new connection for each unmarked end, and a round trip before the end (500 ms at most).

--- a/crates/ingress/src/forward/answer.rs
+++ b/crates/ingress/src/forward/answer.rs
@@ -6,12 +6,13 @@
 use hyper::{
     HeaderMap, Response, StatusCode,
     body::Incoming,
-    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+    header::{CONTENT_LENGTH, CONTENT_TYPE},
 };
 
 use crate::{
     context::EntryContext,
     forward::{
+        answer_end::AnswerEnd,
         attempt::{self, EndpointAnswer},
         events::EventSplitter,
     },
@@ -38,8 +39,8 @@
 
 impl CompleteAnswer {
     /// Reads the rest of the answer to `request`. Returns `None` if the connection breaks,
-    /// the body exceeds `max_bytes`, `timeout` elapses, or the answer is an event stream that its
-    /// endpoint has broken off. Only the connection of a completely read answer returns to the pool.
+    /// the body exceeds `max_bytes`, `timeout` elapses, the answer is an event stream that its
+    /// endpoint has broken off, or it ended unmarked with its endpoint. Only the connection of a completely read answer returns to the pool.
     pub async fn read(
         context: &EntryContext,
         request: &CallerRequest,
@@ -48,12 +49,18 @@
         max_bytes: usize,
         timeout: TimeSpan,
     ) -> Option<CompleteAnswer> {
+        let read_at = context.now();
         let (head, body) = answer.response.into_parts();
+        let end = AnswerEnd::new(&head.headers, &body);
         let memory = context.memory.start_answer(request.answered_caller());
         let pieces = read_pieces(body, &memory, max_bytes);
         let body = tokio::time::timeout(timeout.as_duration(), pieces).await;
         let body = body.ok()??;
-        if is_event_stream(&head.headers) && !has_framed_end(&head.headers) && !ends_event(&body) {
+        if is_event_stream(&head.headers) && end == AnswerEnd::Unmarked && !ends_event(&body) {
+            return None;
+        }
+        let remaining = timeout.saturating_sub(context.now().since(read_at));
+        if !end.is_whole(context, target, remaining).await {
             return None;
         }
         attempt::return_to_pool(context, target, answer.connection);
@@ -109,12 +116,6 @@
     content_type.is_some_and(|value| value.starts_with("text/event-stream"))
 }
 
-/// Whether the end of an answer with these headers is marked. Another one ends with its connection,
-/// as it does if the endpoint crashes.
-pub fn has_framed_end(headers: &HeaderMap) -> bool {
-    headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH)
-}
-
 /// Whether the body of an event stream has an event and ends with a complete one.
 fn ends_event(body: &[Bytes]) -> bool {
     let mut splitter = EventSplitter::new(None);
--- a/crates/ingress/src/forward/events.rs
+++ b/crates/ingress/src/forward/events.rs
@@ -41,6 +41,7 @@
     line_start: usize,
     searched: usize,
     last_id: Option<u64>,
+    first_id: Option<u64>,
 }
 
 impl EventSplitter {
@@ -68,6 +69,11 @@
         self.last_id
     }
 
+    /// The id of the first event that was taken.
+    pub fn first_id(&self) -> Option<u64> {
+        self.first_id
+    }
+
     /// Whether the buffered event exceeds the size limit.
     pub fn exceeds_limit(&self) -> bool {
         self.buffer.len() > MAX_EVENT_BYTES
@@ -81,7 +87,10 @@
             let event = self.buffer.split_to(end);
             match event_id(&event) {
                 Some(id) if self.last_id.is_some_and(|last| id <= last) => continue,
-                Some(id) => self.last_id = Some(id),
+                Some(id) => {
+                    self.first_id = self.first_id.or(Some(id));
+                    self.last_id = Some(id);
+                }
                 None => {}
             }
             if events.is_empty() {
@@ -140,6 +149,11 @@
         self.splitter.last_id()
     }
 
+    /// The id of the first event that was read.
+    pub fn first_id(&self) -> Option<u64> {
+        self.splitter.first_id()
+    }
+
     /// Waits up to `timeout` for the next complete events.
     pub async fn next(&mut self, timeout: Duration) -> NextEvents {
         let read = async {
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Forwards requests to endpoints and their answers to callers.
 
 mod answer;
+mod answer_end;
 mod attempt;
 mod backups;
 mod broken_runs;
@@ -25,6 +26,7 @@
 mod resume;
 mod retries;
 mod room;
+mod run_answer;
 mod stream;
 
 use std::sync::Arc;
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -10,7 +10,8 @@
 
 use crate::{
     forward::{
-        answer::{end_to_end_headers, has_framed_end},
+        answer::end_to_end_headers,
+        answer_end::AnswerEnd,
         attempt,
         connection::EndpointConnection,
         crashes,
@@ -59,6 +60,8 @@
     pub has_events: bool,
     /// When the latest events arrived.
     pub last_event_at: ClockTime,
+    /// How the end of the stream is known.
+    pub end: AnswerEnd,
     /// Whether the stream ended after a complete event.
     pub is_complete: bool,
     /// The connection that carries the stream.
@@ -93,6 +96,12 @@
     longest_unread: TimeSpan,
 }
 
+/// The id of the first event that an engine has written, for the log.
+fn first_event_label(running: &RunningStream) -> String {
+    let first = running.events.first_id();
+    first.map_or("-".to_string(), |id| id.to_string())
+}
+
 /// Returns a response that forwards the stream to the caller.
 pub fn into_response(run: GenerationRun, running: RunningStream) -> Response<AnswerBody> {
     let status = running.head.status;
@@ -135,7 +144,7 @@
                 return None;
             }
             let remaining = self.run.request.time_left(self.run.context.now());
-            match self.running.events.next(remaining.as_duration()).await {
+            match self.next_events(remaining).await {
                 NextEvents::Events { bytes, .. } => {
                     self.running.last_event_at = self.run.context.now();
                     self.note_survival();
@@ -157,6 +166,21 @@
         }
     }
 
+    /// Waits for the next events. A stream that ended unmarked with its engine counts as broken.
+    async fn next_events(&mut self, remaining: TimeSpan) -> NextEvents {
+        let next = self.running.events.next(remaining.as_duration()).await;
+        if next != NextEvents::End {
+            return next;
+        }
+        let context = &self.run.context;
+        let remaining = self.run.request.time_left(context.now());
+        let RunningStream { end, target, .. } = &self.running;
+        match end.is_whole(context, target, remaining).await {
+            true => NextEvents::End,
+            false => NextEvents::Broken,
+        }
+    }
+
     /// Records once that the engine has been writing for long enough to show that the prompt does not
     /// crash it.
     fn note_survival(&mut self) {
@@ -207,6 +231,7 @@
                     .with("to", &running.target.id)
                     .with("software", software(&self.run.context, &running.target.id))
                     .with("after_event", last_id.unwrap_or_default())
+                    .with("next_event", first_event_label(&running))
                     .info();
                 self.running = running;
                 true
@@ -220,7 +245,7 @@
         self.run.end();
         let context = &self.run.context;
         crashes::note_completed(context, &self.run.request);
-        if self.running.has_events && has_framed_end(&self.running.head.headers) {
+        if self.running.has_events && self.running.end == AnswerEnd::Marked {
             crashes::note_answered(context, &self.run.request);
         }
         resume::note_ended(context, self.run.request.stream);
@@ -245,6 +270,7 @@
             .inc();
         request_log_line(context, "stream_ended", &self.run.request)
             .with("run", &self.running.target.id)
+            .with("end", self.running.end.as_str())
             .with("asked", self.run.calls)
             .info();
     }
--- a/crates/ingress/src/metrics.rs
+++ b/crates/ingress/src/metrics.rs
@@ -62,6 +62,8 @@
     pub proxied: IntCounterVec,
     /// Streams that callers took up, by how their version was known.
     pub resumed: IntCounterVec,
+    /// Answers that ended with their connections, by whether their endpoint still served.
+    pub unmarked_ends: IntCounterVec,
     /// Runs that are copied to a second engine, and what became of interrupted ones.
     pub backups: IntCounterVec,
     /// Parts of prompts for which requests are refused.
@@ -213,6 +215,11 @@
                 "streams that callers took up",
                 &["known_by"],
             )?,
+            unmarked_ends: counter(
+                "bluebell_unmarked_ends_total",
+                "answers that ended with their connections, by whether their endpoint still served",
+                &["outcome"],
+            )?,
             backups: counter(
                 "bluebell_run_backups_total",
                 "runs copied to a second engine, and what became of interrupted ones",
--- a/crates/soak/tests/cut_heads.rs
+++ b/crates/soak/tests/cut_heads.rs
@@ -123,7 +123,11 @@
             cut.lock().unwrap().insert(attempt.clone());
             let mut text = case.answer(attempt).text();
             text.truncate(case.cut);
-            return ScriptedAnswer { text, closes: true };
+            return ScriptedAnswer {
+                text,
+                closes: true,
+                ends: false,
+            };
         }
         let (kind, body) = content(call.kind);
         let is_resumed_later = case.is_some_and(|case| case.call == CallKind::ResumedRun);
@@ -139,7 +143,11 @@
         if closes {
             text.truncate(text.len() - LAST_EVENT.len());
         }
-        ScriptedAnswer { text, closes }
+        ScriptedAnswer {
+            text,
+            closes,
+            ends: false,
+        }
     })
 }
 
--- a/crates/soak/tests/refused_runs.rs
+++ b/crates/soak/tests/refused_runs.rs
@@ -53,6 +53,7 @@
         ScriptedAnswer {
             text,
             closes: false,
+            ends: false,
         }
     })
 }
