Take the end of a continuation without events for its end, also if it is not marked

Found by the review: a stream whose engine had written all events without framing and then ended went on at another engine, whose empty rest, also without framing, counted as broken before its first event; the caller was cut. The process that answers a continuation has been checked by then, so its end counts as every other unmarked end does. Read from the code; no run of ours showed it.

--- a/crates/ingress/src/forward/run_answer.rs
+++ b/crates/ingress/src/forward/run_answer.rs
@@ -69,7 +69,10 @@
         let mut events = EventReader::new(body, last_id);
         let (first_events, is_complete) = match self.read_first(target, &mut events).await? {
             NextEvents::Events { bytes, .. } => (bytes, false),
-            NextEvents::End if end == AnswerEnd::Marked => (bytes::Bytes::new(), true),
+            // A continuation without an event has been checked, as the ends that aren't marked are.
+            NextEvents::End if end == AnswerEnd::Marked || last_id.is_some() => {
+                (bytes::Bytes::new(), true)
+            }
             NextEvents::TimedOut => {
                 self.note_possible_run(&target.id);
                 return Err(FailedAttempt::new(
@@ -77,7 +80,7 @@
                     "no event before the deadline",
                 ));
             }
-            // A stream without an event that ends with its connection was broken off.
+            // A new stream without an event that ends with its connection was broken off.
             NextEvents::End | NextEvents::Broken => {
                 self.note_lost_run(target, AnswerProgress::Head).await;
                 let detail = "the stream broke before its first event";
