--- a/crates/ingress/src/forward/answer_end.rs
+++ b/crates/ingress/src/forward/answer_end.rs
@@ -1,14 +1,17 @@
-//! Ends of answers: whether they are marked, and whether an end that isn't marked is the one that
-//! the endpoint meant.
+//! Ends of answers: whether they are marked, and whether an end that isn't marked is that of the whole
+//! answer.
 
 use bluebell_core::{clock::TimeSpan, placement::EndpointTarget};
 use hyper::{
     HeaderMap,
     body::{Body, Incoming},
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING},
 };
 
-use crate::{context::EntryContext, forward::process_check};
+use crate::{
+    context::EntryContext,
+    forward::process_check::{self, ProcessState},
+};
 
 /// How the end of an answer is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,9 +26,12 @@
     /// The kind of end of an answer whose body was not read yet. Some answers have no body, whatever
     /// their headers.
     pub fn new(headers: &HeaderMap, body: &Incoming) -> AnswerEnd {
-        let has_length =
-            headers.contains_key(TRANSFER_ENCODING) || headers.contains_key(CONTENT_LENGTH);
-        match has_length || body.is_end_stream() {
+        // Other codings than `chunked` are read to the end of the connection, whatever the length says.
+        let is_framed = match headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+            Some(codings) => is_chunked(codings),
+            None => headers.contains_key(CONTENT_LENGTH),
+        };
+        match is_framed || body.is_end_stream() {
             true => AnswerEnd::Marked,
             false => AnswerEnd::Unmarked,
         }
@@ -50,15 +56,22 @@
         if self == AnswerEnd::Marked {
             return true;
         }
-        let checking = process_check::is_running(context, target);
+        let checking = process_check::check(context, target);
         let checked = tokio::time::timeout(timeout.as_duration(), checking).await;
         let outcome = match checked {
-            Ok(true) => "running",
-            Ok(false) => "not_running",
+            Ok(state) if state.is_running() => "running",
+            Ok(_) => "not_running",
             Err(_) => "no_time",
         };
         let counters = &context.metrics.unmarked_ends;
         counters.with_label_values(&[outcome]).inc();
-        checked == Ok(true)
+        checked.is_ok_and(ProcessState::is_running)
     }
 }
+
+/// Whether the last of the transfer codings is `chunked`.
+fn is_chunked(codings: &HeaderValue) -> bool {
+    let codings = codings.to_str().unwrap_or_default();
+    let last = codings.rsplit(',').next().unwrap_or_default();
+    last.trim().eq_ignore_ascii_case("chunked")
+}
--- a/crates/ingress/src/forward/continuation.rs
+++ b/crates/ingress/src/forward/continuation.rs
@@ -17,16 +17,17 @@
         events::{EventReader, NextEvents},
         failed_attempt::FailedAttempt,
         generate::GenerationRun,
-        process_check,
+        process_check::{self, ProcessState},
         resume::BegunStream,
     },
-    frontend::RefusalReason,
+    frontend::{CallerRequest, RefusalReason},
 };
 
-/// Reads an answer of `target`, whose head has arrived, while it is checked whether that process runs.
-/// Returns `None` if it does not. What `has_events` is false for is returned unchecked.
+/// Reads an answer to `request` of `target`, whose head has arrived, while it is checked whether that
+/// process runs. Returns `None` if it does not. What `has_events` is false for is returned unchecked.
 pub async fn read_checked<Reading, HasEvents>(
     context: &EntryContext,
+    request: &CallerRequest,
     target: &EndpointTarget,
     reading: Reading,
     has_events: HasEvents,
@@ -36,7 +37,7 @@
     HasEvents: Fn(&Reading::Output) -> bool,
 {
     let reading = pin!(reading);
-    let checking = pin!(process_check::is_running(context, target));
+    let checking = pin!(is_proved(context, request, target));
     match select(reading, checking).await {
         Either::Left((read, _)) if !has_events(&read) => Some(read),
         Either::Left((read, checking)) => checking.await.then_some(read),
@@ -45,8 +46,24 @@
     }
 }
 
+/// Whether the registered process of `target` runs, as far as endpoints of its service report that. Plain
+/// services have no report.
+async fn is_proved(
+    context: &EntryContext,
+    request: &CallerRequest,
+    target: &EndpointTarget,
+) -> bool {
+    let remaining = request.time_left(context.now()).as_duration();
+    let checking = process_check::check(context, target);
+    match tokio::time::timeout(remaining, checking).await {
+        Ok(ProcessState::Unreported) => request.work.is_none(),
+        Ok(state) => state.is_running(),
+        Err(_) => false,
+    }
+}
+
 /// Why the answer of `target` can't continue a stream.
-pub fn unchecked_detail(target: &EndpointTarget) -> String {
+pub fn unproved_detail(target: &EndpointTarget) -> String {
     format!("the registered process of `{}` may have ended", target.id)
 }
 
@@ -65,10 +82,10 @@
         }
         let has_events =
             |read: &NextEvents| matches!(read, NextEvents::Events { .. } | NextEvents::End);
-        let read = read_checked(&self.context, target, reading, has_events).await;
+        let read = read_checked(&self.context, &self.request, target, reading, has_events).await;
         read.ok_or_else(|| {
             self.note_possible_run(&target.id);
-            FailedAttempt::new(RefusalReason::EndpointFailed, unchecked_detail(target))
+            FailedAttempt::new(RefusalReason::EndpointFailed, unproved_detail(target))
         })
     }
 }
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -262,13 +262,15 @@
                 let complete = match self.request.origin {
                     Some(_) => {
                         let has_events = Option::is_some;
-                        continuation::read_checked(self.context, target, reading, has_events).await
+                        let (context, request) = (self.context, self.request);
+                        continuation::read_checked(context, request, target, reading, has_events)
+                            .await
                     }
                     None => Some(reading.await),
                 };
                 let Some(complete) = complete else {
                     guard.failed();
-                    let detail = continuation::unchecked_detail(target);
+                    let detail = continuation::unproved_detail(target);
                     return self.note_possible_run(RefusalReason::EndpointFailed, detail);
                 };
                 match complete {
--- a/crates/ingress/src/forward/resume.rs
+++ b/crates/ingress/src/forward/resume.rs
@@ -149,6 +149,6 @@
 /// Records that the stream of the request has ended.
 pub fn note_ended(context: &EntryContext, request: &CallerRequest) {
     for name in request.stream_names() {
-        context.streams.note_ended(name.hash());
+        context.streams.note_ended(name);
     }
 }
