Keep the name of a request as long as its latest stream, and add host and model to it

A name that is entered again kept the age of its first stream, and the record of the later one was removed with it; the end of one stream removed the name for others of an equal request. Two core tests, which need the new behaviour (not run on the code before). Requests of equal body and path at two hosts, or for two models, shared a name and were refused as contradictory.

--- a/crates/core/src/streams/origin.rs
+++ b/crates/core/src/streams/origin.rs
@@ -27,15 +27,20 @@
         StreamHash(xxh3_64(attempt.as_str().as_bytes()))
     }
 
-    /// Computes the hash of the stream that a request with this fingerprint and prompt begins or takes
-    /// up. Equal requests share it.
-    pub fn with_request(fingerprint: &RequestFingerprint, prompt: &str) -> StreamHash {
+    /// Computes the hash of the stream that a request with this fingerprint begins or takes up; `parts`
+    /// are what distinguishes requests beyond it. Equal requests share the hash.
+    pub fn with_request<'a, Parts>(fingerprint: &RequestFingerprint, parts: Parts) -> StreamHash
+    where
+        Parts: IntoIterator<Item = &'a str>,
+    {
         let mut hasher = Xxh3::new();
         // Differs from all ids of attempts, which contain no control characters.
         hasher.update(&[0]);
         hasher.update(fingerprint.as_str().as_bytes());
-        hasher.update(&[0]);
-        hasher.update(prompt.as_bytes());
+        for part in parts {
+            hasher.update(&[0]);
+            hasher.update(part.as_bytes());
+        }
         StreamHash(hasher.digest())
     }
 
--- a/crates/core/src/streams/resolution.rs
+++ b/crates/core/src/streams/resolution.rs
@@ -15,8 +15,8 @@
     /// No record was found, and instances that may have one, and the store, have not answered.
     #[error("no record of the stream was found, and its version may have registered a moment ago")]
     Unconfirmed,
-    /// Two instances named different origins.
-    #[error("two instances recorded the stream at different versions")]
+    /// Different origins are recorded.
+    #[error("the stream, or another one of an equal request, is recorded at different versions")]
     Contradictory,
     /// No endpoint of the version has been in view lately.
     #[error("no endpoint of the version that began the stream is known here")]
--- a/crates/core/src/streams/table.rs
+++ b/crates/core/src/streams/table.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock::ClockTime,
     ids::{InstanceId, ServiceName},
-    streams::{MAX_STREAM_AGE, OriginHash, RecordPeer, StreamHash},
+    streams::{MAX_STREAM_AGE, OriginHash, RecordPeer, StreamHash, StreamName},
 };
 
 /// The maximum number of names of streams that are kept of each kind. Beyond it the oldest go first.
@@ -45,7 +45,7 @@
 pub enum RecordedOrigin {
     /// It began there.
     Known(OriginHash),
-    /// Two instances named different origins.
+    /// Different origins are stated, by two instances or for two streams of equal requests.
     Contradictory,
 }
 
@@ -73,6 +73,8 @@
 struct BegunStream {
     /// Where they began; several if equal requests began at different versions.
     origins: Vec<OriginHash>,
+    /// How often one of them began or went on here.
+    count: u32,
     service: ServiceName,
     /// The instances that were sent the record, with their starts.
     recorded_at: Vec<(InstanceId, u64)>,
@@ -84,6 +86,7 @@
     fn new(service: &ServiceName) -> BegunStream {
         BegunStream {
             origins: Vec::new(),
+            count: 0,
             service: service.clone(),
             recorded_at: Vec::new(),
             is_logged: false,
@@ -92,6 +95,7 @@
 
     /// Adds where a stream began. It is to be recorded again if the others began elsewhere.
     fn add(&mut self, origin: OriginHash) {
+        self.count += 1;
         if !self.origins.contains(&origin) {
             self.origins.push(origin);
             self.recorded_at.clear();
@@ -110,10 +114,16 @@
     }
 }
 
-/// A map of streams in the order in which they were entered.
+#[derive(Clone, Debug)]
+struct AgedEntry<Entry> {
+    entry: Entry,
+    entered_at: ClockTime,
+}
+
+/// A map of streams in the order in which they were last entered.
 #[derive(Clone, Debug)]
 struct AgedStreams<Entry> {
-    entries: BTreeMap<StreamHash, Entry>,
+    entries: BTreeMap<StreamHash, AgedEntry<Entry>>,
     entered: VecDeque<(ClockTime, StreamHash)>,
 }
 
@@ -125,26 +135,46 @@
         }
     }
 
-    /// The entry of `stream`, which `create` returns if it is missing.
-    fn entry<Create>(&mut self, now: ClockTime, stream: StreamHash, create: Create) -> &mut Entry
+    fn get(&self, stream: StreamHash) -> Option<&Entry> {
+        self.entries.get(&stream).map(|aged| &aged.entry)
+    }
+
+    fn iter_mut(&mut self) -> impl Iterator<Item = (StreamHash, &mut Entry)> {
+        let entries = self.entries.iter_mut();
+        entries.map(|(stream, aged)| (*stream, &mut aged.entry))
+    }
+
+    fn remove(&mut self, stream: StreamHash) {
+        self.entries.remove(&stream);
+    }
+
+    /// Enters `stream`; `create` returns its entry if it is missing.
+    fn enter<Create>(&mut self, now: ClockTime, stream: StreamHash, create: Create) -> &mut Entry
     where
         Create: FnOnce() -> Entry,
     {
-        if !self.entries.contains_key(&stream) {
-            self.remove_old(now);
-            self.entered.push_back((now, stream));
-        }
-        self.entries.entry(stream).or_insert_with(create)
+        self.remove_old(now);
+        self.entered.push_back((now, stream));
+        let aged = self.entries.entry(stream).or_insert_with(|| AgedEntry {
+            entry: create(),
+            entered_at: now,
+        });
+        aged.entered_at = now;
+        &mut aged.entry
     }
 
     fn remove_old(&mut self, now: ClockTime) {
-        while let Some((entered_at, stream)) = self.entered.front() {
-            let is_old = now.since(*entered_at) >= MAX_STREAM_AGE;
+        while let Some((entered_at, stream)) = self.entered.front().copied() {
+            let is_old = now.since(entered_at) >= MAX_STREAM_AGE;
             if !is_old && self.entered.len() < MAX_STREAMS {
                 return;
             }
-            self.entries.remove(stream);
             self.entered.pop_front();
+            // A stream that was entered again has a later place as well.
+            let aged = self.entries.get(&stream);
+            if aged.is_some_and(|aged| aged.entered_at == entered_at) {
+                self.entries.remove(&stream);
+            }
         }
     }
 }
@@ -174,34 +204,39 @@
     /// Records that a stream of `service` began here.
     pub fn note_begun(&mut self, now: ClockTime, record: StreamRecord, service: &ServiceName) {
         let create = || BegunStream::new(service);
-        let begun = self.begun.entry(now, record.stream, create);
+        let begun = self.begun.enter(now, record.stream, create);
         begun.add(record.origin);
     }
 
-    /// Removes a stream that began here and has ended.
-    pub fn note_ended(&mut self, stream: StreamHash) {
-        self.begun.entries.remove(&stream);
+    /// Removes a stream that began here and has ended. A name that streams of equal requests share is
+    /// kept for the others.
+    pub fn note_ended(&mut self, name: StreamName) {
+        let begun = self.begun.get(name.hash());
+        let is_shared = begun.is_some_and(|begun| begun.count > 1);
+        if name.is_unique() || !is_shared {
+            self.begun.remove(name.hash());
+        }
     }
 
     /// Records what another instance states about a stream that began there.
     pub fn note_record(&mut self, now: ClockTime, record: StreamRecord) {
         let stated = RecordedOrigin::Known(record.origin);
-        let recorded = self.recorded.entry(now, record.stream, || stated);
+        let recorded = self.recorded.enter(now, record.stream, || stated);
         *recorded = recorded.combine(stated);
     }
 
     /// Where `stream` began, as far as it is known here.
     pub fn origin(&self, stream: StreamHash) -> Option<RecordedOrigin> {
-        let begun = self.begun.entries.get(&stream);
+        let begun = self.begun.get(stream);
         let begun = begun.and_then(BegunStream::origin);
-        let recorded = self.recorded.entries.get(&stream).copied();
+        let recorded = self.recorded.get(stream).copied();
         RecordedOrigin::combine_all([begun, recorded])
     }
 
     /// The services of the streams that began here.
     pub fn begun_services(&self) -> Vec<ServiceName> {
         let mut services: Vec<ServiceName> = Vec::new();
-        for begun in self.begun.entries.values() {
+        for begun in self.begun.entries.values().map(|aged| &aged.entry) {
             if !services.contains(&begun.service) {
                 services.push(begun.service.clone());
             }
@@ -221,18 +256,18 @@
         Choose: Fn(StreamHash) -> Vec<RecordPeer<Address>>,
     {
         let mut due: BTreeMap<Address, Vec<StreamRecord>> = BTreeMap::new();
-        for (stream, begun) in &mut self.begun.entries {
-            if !scope.contains(*stream, &begun.service) {
+        for (stream, begun) in self.begun.iter_mut() {
+            if !scope.contains(stream, &begun.service) {
                 continue;
             }
-            for peer in choose(*stream) {
+            for peer in choose(stream) {
                 let recipient = (peer.instance, peer.start);
                 if begun.recorded_at.contains(&recipient) {
                     continue;
                 }
                 begun.recorded_at.push(recipient);
                 let due = due.entry(peer.address).or_default();
-                due.extend(begun.records(*stream));
+                due.extend(begun.records(stream));
             }
         }
         due.into_iter().collect()
@@ -240,12 +275,12 @@
 
     /// Returns the records of the streams in `scope` that were not returned before, for the log.
     pub fn take_unlogged(&mut self, scope: RecordScope<'_>) -> Vec<StreamRecord> {
-        let begun = self.begun.entries.iter_mut();
+        let begun = self.begun.iter_mut();
         let unlogged = begun
-            .filter(|(stream, begun)| !begun.is_logged && scope.contains(**stream, &begun.service));
+            .filter(|(stream, begun)| !begun.is_logged && scope.contains(*stream, &begun.service));
         let records = unlogged.flat_map(|(stream, begun)| {
             begun.is_logged = true;
-            begun.records(*stream)
+            begun.records(stream)
         });
         records.collect()
     }
--- a/crates/core/tests/stream_names.rs
+++ b/crates/core/tests/stream_names.rs
@@ -1,12 +1,12 @@
 //! Streams that are recorded under the requests of their callers.
 
 use bluebell_core::{
-    clock::ClockTime,
+    clock::{ClockTime, TimeSpan},
     directory::SoftwareVersion,
     ids::{FailureDomain, InstanceId, OrganisationId, RequestFingerprint, RequestId, ServiceName},
     streams::{
-        OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash, StreamName, StreamRecord,
-        StreamTable,
+        MAX_STREAM_AGE, OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash,
+        StreamName, StreamRecord, StreamTable,
     },
 };
 
@@ -24,7 +24,7 @@
     let organisation = OrganisationId::new(organisation).unwrap();
     let fingerprint =
         RequestFingerprint::with_request(Some(&organisation), "/chat/1", body.as_bytes());
-    StreamHash::with_request(&fingerprint, prompt)
+    StreamHash::with_request(&fingerprint, [prompt])
 }
 
 fn record(stream: StreamHash, version: &str) -> StreamRecord {
@@ -99,3 +99,35 @@
     assert_eq!(table.take_unlogged(scope), both);
     assert!(table.take_due(scope, |_| vec![peer()]).is_empty());
 }
+
+/// Guards against a record that is lost with the age of an earlier stream of an equal request.
+#[test]
+fn a_name_that_is_used_again_is_kept_for_its_latest_stream() {
+    let stream = request("north", "hello", "aa:40");
+    let name = StreamName::Request(stream);
+    let mut table = StreamTable::new();
+    table.note_begun(NOW, record(stream, "v1"), &service());
+    table.note_record(NOW, record(stream, "v1"));
+    table.note_ended(name);
+    let later = NOW + TimeSpan::from_millis(MAX_STREAM_AGE.as_millis() - 1);
+    table.note_begun(later, record(stream, "v1"), &service());
+    table.note_record(later, record(stream, "v1"));
+    table.sweep(NOW + MAX_STREAM_AGE);
+    assert_eq!(table.begun_services(), [service()]);
+    table.sweep(later + MAX_STREAM_AGE);
+    assert_eq!(table.origin(stream), None);
+}
+
+/// Guards against a stream that loses its record as another one of an equal request ends.
+#[test]
+fn a_name_is_kept_for_the_others_when_a_stream_of_an_equal_request_ends() {
+    let stream = request("north", "hello", "aa:40");
+    let mut table = StreamTable::new();
+    table.note_begun(NOW, record(stream, "v1"), &service());
+    table.note_begun(NOW, record(stream, "v1"), &service());
+    table.note_ended(StreamName::Request(stream));
+    assert_eq!(
+        table.origin(stream),
+        Some(RecordedOrigin::Known(origin("v1")))
+    );
+}
--- a/crates/ingress/src/frontend/request.rs
+++ b/crates/ingress/src/frontend/request.rs
@@ -152,8 +152,13 @@
     }
 
     fn request_name(&self) -> StreamName {
-        let prompt = header_text(&self.headers, headers::PROMPT_PREFIX).unwrap_or_default();
-        StreamName::Request(StreamHash::with_request(self.fingerprint(), prompt))
+        let text = |name| header_text(&self.headers, name).unwrap_or_default();
+        let parts = [
+            &self.route.host,
+            text(headers::MODEL),
+            text(headers::PROMPT_PREFIX),
+        ];
+        StreamName::Request(StreamHash::with_request(self.fingerprint(), parts))
     }
 
     /// The parts of the prompt that other requests may share.
--- a/crates/ingress/src/stream_origins/mod.rs
+++ b/crates/ingress/src/stream_origins/mod.rs
@@ -19,7 +19,8 @@
     ingress::IngressConfiguration,
     streams::{
         MAX_STREAM_AGE, OriginHash, RecordPeer, RecordQueue, RecordScope, RecordedOrigin,
-        RouteHistory, StreamHash, StreamRecord, StreamTable, appending_peer, recording_peers,
+        RouteHistory, StreamHash, StreamName, StreamRecord, StreamTable, appending_peer,
+        recording_peers,
     },
 };
 use prost::Message;
@@ -112,8 +113,8 @@
     }
 
     /// Removes a stream that began here and has ended.
-    pub fn note_ended(&self, stream: StreamHash) {
-        self.table.lock().note_ended(stream);
+    pub fn note_ended(&self, name: StreamName) {
+        self.table.lock().note_ended(name);
     }
 
     /// Where `stream` began, as far as it is known here.
