Break off streams whose last event has no id

Callers saw events twice: when an engine was lost after events without ids had been passed on, the run started anew at another engine and its events followed those that the caller had. After events with ids, an event without one was repeated where the stream went on.

Cause: `GenerationRun::resume` took a missing id for "no event was passed on".

Change: `EventOrder` records whether the last event that was passed on has an id. A stream that breaks after one without is broken off, with the log line `position_unknown`; blocks without data are no events. The run keeps the order in place of the `last_id` that its functions handed on.

--- a/crates/ingress/src/forward/answer.rs
+++ b/crates/ingress/src/forward/answer.rs
@@ -118,7 +118,7 @@
 
 /// Whether the body of an event stream has an event and ends with a complete one.
 fn ends_event(body: &[Bytes]) -> bool {
-    let mut splitter = EventSplitter::new(None);
+    let mut splitter = EventSplitter::default();
     body.iter().for_each(|piece| splitter.push(piece));
     splitter.take_events().is_some() && !splitter.has_partial_event()
 }
--- a/crates/ingress/src/forward/backups.rs
+++ b/crates/ingress/src/forward/backups.rs
@@ -94,9 +94,9 @@
         directory.get(engine).map(|known| known.domain.clone())
     }
 
-    /// Has an interrupted run go on at its copy after the event `last_id`, if there is a copy and the
-    /// engine that ran the request has ended.
-    pub(super) async fn go_on_at_backup(&mut self, last_id: Option<u64>) -> Option<AttemptOutcome> {
+    /// Has an interrupted run go on at its copy after the events that the caller has, if there is a copy
+    /// and the engine that ran the request has ended.
+    pub(super) async fn go_on_at_backup(&mut self) -> Option<AttemptOutcome> {
         let BackedRun { backup, plan } = self.backup.take()?;
         let has_time = self.request.time_left(self.context.now()) > TimeSpan::ZERO;
         if !self.attempts.is_interrupted() || !has_time {
@@ -107,18 +107,16 @@
         broken_runs::wait_for_probe(&self.context, &source).await;
         let state = source_state(&source).await;
         let Some(place) = backup.into_place(state) else {
-            self.log_backup("backup_unused", &source, &copy, last_id, "engine_not_ended");
+            self.log_backup("backup_unused", &source, &copy, "engine_not_ended");
             return None;
         };
         let location = engines::backup_source(copy.address, place.request());
-        let mut extra_headers = self.extra_headers(last_id);
+        let mut extra_headers = self.run_headers();
         extra_headers.push((headers::KV_SOURCE, location));
-        let resumed = self
-            .resume_run(place, &plan, &copy, extra_headers, last_id)
-            .await;
+        let resumed = self.resume_run(place, &plan, &copy, extra_headers).await;
         match resumed {
             Ok(outcome) => {
-                self.log_backup("backup_used", &source, &copy, last_id, "engine_ended");
+                self.log_backup("backup_used", &source, &copy, "engine_ended");
                 Some(outcome)
             }
             Err(failed) => {
@@ -127,7 +125,7 @@
                     RefusalReason::NoEndpoint => "not_reached",
                     _ => "failed",
                 };
-                self.log_backup("backup_failed", &source, &copy, last_id, reason);
+                self.log_backup("backup_failed", &source, &copy, reason);
                 None
             }
         }
@@ -138,7 +136,6 @@
         event: &str,
         source: &EndpointTarget,
         copy: &EndpointTarget,
-        last_id: Option<u64>,
         reason: &str,
     ) {
         let outcome = match event {
@@ -149,7 +146,7 @@
         request_log_line(&self.context, event, &self.request)
             .with("from", &source.id)
             .with("to", &copy.id)
-            .with("after_event", last_id.unwrap_or_default())
+            .with("after_event", self.order.last_id().unwrap_or_default())
             .with("reason", reason)
             .info();
     }
--- a/crates/ingress/src/forward/engine_choice.rs
+++ b/crates/ingress/src/forward/engine_choice.rs
@@ -136,12 +136,17 @@
         }
     }
 
-    /// The headers of a call to an engine; `last_id` is the last event that the caller has.
-    pub(super) fn extra_headers(&self, last_id: Option<u64>) -> ExtraHeaders {
+    /// The headers of a call to an engine.
+    pub(super) fn extra_headers(&self) -> ExtraHeaders {
         let priority = self.request.priority.saturating_mul(PRIORITY_STEP);
         let priority = priority.min(LOWEST_ENGINE_PRIORITY);
-        let mut extra_headers = vec![(headers::REQUEST_PRIORITY, priority.to_string())];
-        if let Some(id) = last_id {
+        vec![(headers::REQUEST_PRIORITY, priority.to_string())]
+    }
+
+    /// The headers of a call to an engine that runs the request after the events that the caller has.
+    pub(super) fn run_headers(&self) -> ExtraHeaders {
+        let mut extra_headers = self.extra_headers();
+        if let Some(id) = self.order.last_id() {
             extra_headers.push((headers::LAST_EVENT_ID, id.to_string()));
         }
         extra_headers
--- a/crates/ingress/src/forward/events.rs
+++ b/crates/ingress/src/forward/events.rs
@@ -6,6 +6,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::forward::event_order::EventOrder;
+
 /// Maximum size of an event in bytes; a stream with a larger one is treated as broken.
 const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
 
@@ -16,8 +18,6 @@
     Events {
         /// The bytes of the events, unchanged.
         bytes: Bytes,
-        /// The id of the last event that has one.
-        last_id: Option<u64>,
     },
     /// The stream ended after a complete event.
     End,
@@ -40,16 +40,15 @@
     /// ends. An event that arrives in small pieces is not searched again for each of them.
     line_start: usize,
     searched: usize,
-    last_id: Option<u64>,
+    order: EventOrder,
     first_id: Option<u64>,
 }
 
 impl EventSplitter {
-    /// Creates a splitter that drops events with ids up to `last_id`, which were
-    /// delivered already.
-    pub fn new(last_id: Option<u64>) -> EventSplitter {
+    /// Creates a splitter that drops the events of `order`, which were delivered already.
+    pub fn new(order: EventOrder) -> EventSplitter {
         EventSplitter {
-            last_id,
+            order,
             ..EventSplitter::default()
         }
     }
@@ -64,9 +63,9 @@
         !self.buffer.is_empty()
     }
 
-    /// The id of the last event that was taken, or of the last one delivered before.
-    pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+    /// The events that were taken or delivered before.
+    pub fn order(&self) -> EventOrder {
+        self.order
     }
 
     /// The id of the first event that was taken.
@@ -85,13 +84,12 @@
         let mut events = BytesMut::new();
         while let Some(end) = self.find_event_end() {
             let event = self.buffer.split_to(end);
-            match event_id(&event) {
-                Some(id) if self.last_id.is_some_and(|last| id <= last) => continue,
-                Some(id) => {
-                    self.first_id = self.first_id.or(Some(id));
-                    self.last_id = Some(id);
-                }
-                None => {}
+            let last_id = self.order.last_id();
+            if !self.order.add(&event) {
+                continue;
+            }
+            if self.order.last_id() != last_id {
+                self.first_id = self.first_id.or(self.order.last_id());
             }
             if events.is_empty() {
                 events = event;
@@ -121,12 +119,6 @@
     }
 }
 
-fn event_id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(value).ok()?.trim().parse().ok()
-}
-
 /// Reads the events of one answer.
 #[derive(Debug)]
 pub struct EventReader {
@@ -135,18 +127,22 @@
 }
 
 impl EventReader {
-    /// Creates a reader that skips events of `body` with ids up to `last_id`, which
-    /// were delivered already.
-    pub fn new(body: Incoming, last_id: Option<u64>) -> EventReader {
+    /// Creates a reader that skips the events of `order`, which were delivered already.
+    pub fn new(body: Incoming, order: EventOrder) -> EventReader {
         EventReader {
             body,
-            splitter: EventSplitter::new(last_id),
+            splitter: EventSplitter::new(order),
         }
     }
 
+    /// The events that were read or delivered before.
+    pub fn order(&self) -> EventOrder {
+        self.splitter.order()
+    }
+
     /// The id of the last event that was read, or of the last one delivered before.
     pub fn last_id(&self) -> Option<u64> {
-        self.splitter.last_id()
+        self.order().last_id()
     }
 
     /// The id of the first event that was read.
@@ -165,8 +161,7 @@
                         };
                         self.splitter.push(&bytes);
                         if let Some(bytes) = self.splitter.take_events() {
-                            let last_id = self.splitter.last_id();
-                            return NextEvents::Events { bytes, last_id };
+                            return NextEvents::Events { bytes };
                         }
                         if self.splitter.exceeds_limit() {
                             return NextEvents::Broken;
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -20,6 +20,7 @@
         attempt::{self, ExtraHeaders, SendOutcome},
         backups::BackedRun,
         broken_runs::AnswerProgress,
+        event_order::EventOrder,
         failed_attempt::FailedAttempt,
         guards::{PrefillGuard, RunGuard},
         meter,
@@ -82,6 +83,8 @@
     pub(super) backup: Option<BackedRun>,
     /// Where the stream began, once it has.
     pub(super) begun: BegunStream,
+    /// The events that the caller has.
+    pub(super) order: EventOrder,
     is_metered: bool,
     charge: Option<QuotaCharge>,
 }
@@ -93,7 +96,7 @@
     charge: Option<QuotaCharge>,
 ) -> Response<AnswerBody> {
     let mut run = GenerationRun::new(context, request, charge);
-    match run.start_run(None).await {
+    match run.start_run().await {
         Ok(AttemptOutcome::Streaming(running)) => stream::into_response(run, *running),
         Ok(AttemptOutcome::Complete(answer)) => {
             let counters = &context.metrics.answers;
@@ -136,6 +139,7 @@
             source: None,
             backup: None,
             begun: BegunStream::with_origin(request.origin),
+            order: EventOrder::default(),
             is_metered: false,
             charge,
         }
@@ -146,23 +150,30 @@
         self.attempts.end();
     }
 
-    /// Continues a stream that broke at `failed` on another engine, from the event after
-    /// `last_id`. Returns `None` if the request may not be retried and has no copy, or no engine
-    /// streams an answer.
+    /// Continues a stream that broke at `failed` on another engine, after the events of `order`.
+    /// Returns `None` if they can't be told from those that follow, if the request may not be retried
+    /// and has no copy, or if no engine streams an answer.
     pub async fn resume(
         &mut self,
         failed: &EndpointTarget,
         is_engine_fault: bool,
-        last_id: Option<u64>,
+        order: EventOrder,
     ) -> Option<RunningStream> {
         match is_engine_fault {
             true => self.note_lost_run(failed, AnswerProgress::Events).await,
             false => self.note_unread_run(&failed.id),
         }
-        // Without an id the events that the caller has can't be told from those that follow.
-        if last_id.is_some()
+        if !order.is_position_known() {
+            request_log_line(&self.context, "position_unknown", &self.request)
+                .with("run", &failed.id)
+                .with("last_event", order.last_id().unwrap_or_default())
+                .info();
+            return None;
+        }
+        self.order = order;
+        if order.last_id().is_some()
             && self.begun != BegunStream::Unknown
-            && let Some(outcome) = self.go_on_at_backup(last_id).await
+            && let Some(outcome) = self.go_on_at_backup().await
         {
             return outcome.into_stream();
         }
@@ -170,16 +181,16 @@
         if !is_repeatable || self.begun == BegunStream::Unknown || !self.may_retry() {
             return None;
         }
-        match self.start_run(last_id).await {
+        match self.start_run().await {
             Ok(outcome) => outcome.into_stream(),
             Err(_) => None,
         }
     }
 
     /// Sends the request to engines until one has started to answer.
-    async fn start_run(&mut self, last_id: Option<u64>) -> Result<AttemptOutcome, FailedAttempt> {
+    async fn start_run(&mut self) -> Result<AttemptOutcome, FailedAttempt> {
         loop {
-            let failed = match self.attempt_once(last_id).await {
+            let failed = match self.attempt_once().await {
                 Ok(outcome) => return Ok(outcome),
                 Err(failed) => failed,
             };
@@ -188,7 +199,7 @@
                 failed.reason,
                 RefusalReason::EndpointsFull | RefusalReason::NoEndpoint
             );
-            if let Some(outcome) = self.go_on_at_backup(last_id).await {
+            if let Some(outcome) = self.go_on_at_backup().await {
                 return Ok(outcome);
             }
             if failed.is_final || !(is_repeatable || has_not_run) || !self.may_retry() {
@@ -210,16 +221,13 @@
             && self.possible_runs < self.request.route.attempts_limit
     }
 
-    async fn attempt_once(
-        &mut self,
-        last_id: Option<u64>,
-    ) -> Result<AttemptOutcome, FailedAttempt> {
+    async fn attempt_once(&mut self) -> Result<AttemptOutcome, FailedAttempt> {
         let prefilled = match self.source.take() {
             Some(prefilled) => prefilled,
             None => {
                 let plan = self.plan().await?;
                 if plan.runs_request {
-                    return self.run_with_prefill(&plan, last_id).await;
+                    return self.run_with_prefill(&plan).await;
                 }
                 let source = self.prefill(&plan).await?;
                 PrefilledSource {
@@ -237,9 +245,9 @@
                 return Err(failed);
             }
         };
-        let mut extra_headers = self.extra_headers(last_id);
+        let mut extra_headers = self.run_headers();
         extra_headers.push((headers::KV_SOURCE, prefilled.source.clone()));
-        let outcome = self.run(&prefilled.plan, &target, extra_headers, None, last_id);
+        let outcome = self.run(&prefilled.plan, &target, extra_headers, None);
         let outcome = outcome.await;
         if let Err(failed) = &outcome
             && matches!(
@@ -262,13 +270,11 @@
     async fn run_with_prefill(
         &mut self,
         plan: &PrefillPlan,
-        last_id: Option<u64>,
     ) -> Result<AttemptOutcome, FailedAttempt> {
-        let extra_headers = self.extra_headers(last_id);
+        let extra_headers = self.run_headers();
         let prefill = PrefillGuard::new(&self.context, &self.request.service, plan, &self.work);
         let target = plan.engine.clone();
-        self.run(plan, &target, extra_headers, Some(prefill), last_id)
-            .await
+        self.run(plan, &target, extra_headers, Some(prefill)).await
     }
 
     /// Sends the request to `target` to be run, and waits for the start of its answer.
@@ -278,13 +284,12 @@
         target: &EndpointTarget,
         mut extra_headers: ExtraHeaders,
         prefill: Option<PrefillGuard>,
-        last_id: Option<u64>,
     ) -> Result<AttemptOutcome, FailedAttempt> {
         self.start_call(EngineCall::Run)?;
         let permit = self.attempts.permit_send(&target.id);
         let permit = permit.map_err(|_| FailedAttempt::already_ended())?;
         self.add_backup(plan, target, &mut extra_headers);
-        self.send_run(permit, plan, target, extra_headers, prefill, last_id)
+        self.send_run(permit, plan, target, extra_headers, prefill)
             .await
     }
 
@@ -295,12 +300,11 @@
         plan: &PrefillPlan,
         target: &EndpointTarget,
         extra_headers: ExtraHeaders,
-        last_id: Option<u64>,
     ) -> Result<AttemptOutcome, FailedAttempt> {
         self.start_call(EngineCall::Run)?;
         let permit = self.attempts.permit_resume(place);
         let permit = permit.map_err(|_| FailedAttempt::already_ended())?;
-        self.send_run(permit, plan, target, extra_headers, None, last_id)
+        self.send_run(permit, plan, target, extra_headers, None)
             .await
     }
 
@@ -311,7 +315,6 @@
         target: &EndpointTarget,
         extra_headers: ExtraHeaders,
         prefill: Option<PrefillGuard>,
-        last_id: Option<u64>,
     ) -> Result<AttemptOutcome, FailedAttempt> {
         let share = self.run_share();
         let guard = RunGuard::new(&self.context, &target.id, &self.request.service, share);
@@ -328,8 +331,7 @@
         match outcome {
             SendOutcome::Answered(answer) => {
                 self.attempts.answer_started();
-                self.read_answer(plan, target, answer, guard, prefill, last_id)
-                    .await
+                self.read_answer(plan, target, answer, guard, prefill).await
             }
             SendOutcome::Withheld(reason) => {
                 self.attempts.not_sent(permit);
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -12,6 +12,7 @@
 mod engine_calls;
 mod engine_choice;
 mod engine_failures;
+mod event_order;
 mod events;
 mod failed_attempt;
 mod generate;
--- a/crates/ingress/src/forward/prefill.rs
+++ b/crates/ingress/src/forward/prefill.rs
@@ -45,7 +45,7 @@
     pub(super) async fn prefill(&mut self, plan: &PrefillPlan) -> Result<String, FailedAttempt> {
         let target = &plan.engine;
         let guard = PrefillGuard::new(&self.context, &self.request.service, plan, &self.work);
-        let mut extra_headers = self.extra_headers(None);
+        let mut extra_headers = self.extra_headers();
         extra_headers.push((headers::STAGE, headers::STAGE_PREFILL.to_string()));
         let remaining = self.request.time_left(self.context.now());
         self.start_call(EngineCall::Prefill)?;
--- a/crates/ingress/src/forward/run_answer.rs
+++ b/crates/ingress/src/forward/run_answer.rs
@@ -28,7 +28,6 @@
         answer: EndpointAnswer,
         guard: RunGuard,
         prefill: Option<PrefillGuard>,
-        last_id: Option<u64>,
     ) -> Result<AttemptOutcome, FailedAttempt> {
         if !attempt::is_signed(answer.response.headers()) {
             self.note_possible_run(&target.id);
@@ -66,9 +65,9 @@
         }
         let (head, body) = answer.response.into_parts();
         let end = AnswerEnd::new(&head.headers, &body);
-        let mut events = EventReader::new(body, last_id);
+        let mut events = EventReader::new(body, self.order);
         let (first_events, is_complete) = match self.read_first(target, &mut events).await? {
-            NextEvents::Events { bytes, .. } => (bytes, false),
+            NextEvents::Events { bytes } => (bytes, false),
             NextEvents::End if end == AnswerEnd::Marked => (bytes::Bytes::new(), true),
             NextEvents::TimedOut => {
                 self.note_possible_run(&target.id);
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -145,7 +145,7 @@
             }
             let remaining = self.run.request.time_left(self.run.context.now());
             match self.next_events(remaining).await {
-                NextEvents::Events { bytes, .. } => {
+                NextEvents::Events { bytes } => {
                     self.running.last_event_at = self.run.context.now();
                     self.note_survival();
                     return Some(self.offer(bytes).await);
@@ -222,15 +222,15 @@
         if remaining == TimeSpan::ZERO {
             return false;
         }
-        let last_id = self.running.events.last_id();
+        let order = self.running.events.order();
         let failed = self.running.target.clone();
-        match self.run.resume(&failed, is_engine_fault, last_id).await {
+        match self.run.resume(&failed, is_engine_fault, order).await {
             Some(running) => {
                 request_log_line(&self.run.context, "stream_resumed", &self.run.request)
                     .with("from", failed.id)
                     .with("to", &running.target.id)
                     .with("software", software(&self.run.context, &running.target.id))
-                    .with("after_event", last_id.unwrap_or_default())
+                    .with("after_event", order.last_id().unwrap_or_default())
                     .with("next_event", first_event_label(&running))
                     .info();
                 self.running = running;
