Drop resumed answers that do not continue their stream

Callers got a stream with a gap, 1, 2, 4, 5, when the engine that resumed it began beyond the next event, at another engine and at a copy. An event without an id before the next one was passed on, which may be a repeat.

Cause: the first event of a resumed answer was only compared with the last id to drop repeats.

Change: `EventOrder::join` checks the first event of an answer that continues a stream. An event without an id does not join. Nor does one that is not the next, if the ids that this instance saw in the stream rose by exactly one, from the id 1 or over two events; for a stream that was taken up and of which nothing was seen, any later id joins. Comments before the first event are dropped, so that they hide no gap and the answer can still be replaced. An answer that does not join counts as a failed attempt, with the log line `answer_unjoined` (`last_event`, `first_event`); another engine is asked within the limits, else the stream is broken off.

--- a/crates/ingress/src/forward/continuation.rs
+++ b/crates/ingress/src/forward/continuation.rs
@@ -14,10 +14,11 @@
 use crate::{
     context::EntryContext,
     forward::{
+        event_order::UnjoinedEvent,
         events::{EventReader, NextEvents},
         failed_attempt::FailedAttempt,
         generate::GenerationRun,
-        process_check,
+        process_check, request_log_line,
         resume::BegunStream,
     },
     frontend::RefusalReason,
@@ -71,4 +72,21 @@
             FailedAttempt::new(RefusalReason::EndpointFailed, unchecked_detail(target))
         })
     }
+
+    /// Records that the answer of `target` does not continue the stream.
+    pub(super) fn note_unjoined(
+        &mut self,
+        target: &EndpointTarget,
+        unjoined: UnjoinedEvent,
+    ) -> FailedAttempt {
+        self.note_possible_run(&target.id);
+        let first = unjoined.id.map_or("-".to_string(), |id| id.to_string());
+        request_log_line(&self.context, "answer_unjoined", &self.request)
+            .with("run", &target.id)
+            .with("last_event", unjoined.last_id)
+            .with("first_event", first)
+            .info();
+        let detail = format!("the answer of `{}` does not continue the stream", target.id);
+        FailedAttempt::new(RefusalReason::EndpointFailed, detail)
+    }
 }
--- a/crates/ingress/src/forward/events.rs
+++ b/crates/ingress/src/forward/events.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::forward::event_order::EventOrder;
+use crate::forward::event_order::{EventJoin, EventOrder, UnjoinedEvent};
 
 /// Maximum size of an event in bytes; a stream with a larger one is treated as broken.
 const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
@@ -21,8 +21,8 @@
     },
     /// The stream ended after a complete event.
     End,
-    /// The connection failed, the stream ended within an event, or an event exceeds the
-    /// size limit.
+    /// The connection failed, the stream ended within an event, an event exceeds the size
+    /// limit, or the events do not continue those that were delivered before.
     Broken,
     /// No complete event arrived within the timeout.
     TimedOut,
@@ -42,6 +42,9 @@
     searched: usize,
     order: EventOrder,
     first_id: Option<u64>,
+    /// Whether events continue those that were delivered before.
+    is_joined: bool,
+    unjoined: Option<UnjoinedEvent>,
 }
 
 impl EventSplitter {
@@ -73,17 +76,33 @@
         self.first_id
     }
 
+    /// The event that does not continue those that were delivered before, if one has arrived.
+    pub fn unjoined(&self) -> Option<UnjoinedEvent> {
+        self.unjoined
+    }
+
     /// Whether the buffered event exceeds the size limit.
     pub fn exceeds_limit(&self) -> bool {
         self.buffer.len() > MAX_EVENT_BYTES
     }
 
     /// Removes all complete events from the buffer and returns them. An event whose id
-    /// does not increase is a duplicate and is dropped.
+    /// does not increase is a duplicate and is dropped. An event that does not continue those that
+    /// were delivered before is not returned, nor is any after it.
     pub fn take_events(&mut self) -> Option<Bytes> {
         let mut events = BytesMut::new();
         while let Some(end) = self.find_event_end() {
             let event = self.buffer.split_to(end);
+            if !self.is_joined {
+                match self.order.join(&event) {
+                    EventJoin::Next => self.is_joined = true,
+                    EventJoin::Skipped => continue,
+                    EventJoin::Unjoined(unjoined) => {
+                        self.unjoined = Some(unjoined);
+                        return None;
+                    }
+                }
+            }
             let last_id = self.order.last_id();
             if !self.order.add(&event) {
                 continue;
@@ -150,6 +169,11 @@
         self.splitter.first_id()
     }
 
+    /// The event that does not continue those that were delivered before, if one was read.
+    pub fn unjoined(&self) -> Option<UnjoinedEvent> {
+        self.splitter.unjoined()
+    }
+
     /// Waits up to `timeout` for the next complete events.
     pub async fn next(&mut self, timeout: Duration) -> NextEvents {
         let read = async {
@@ -163,7 +187,7 @@
                         if let Some(bytes) = self.splitter.take_events() {
                             return NextEvents::Events { bytes };
                         }
-                        if self.splitter.exceeds_limit() {
+                        if self.splitter.exceeds_limit() || self.unjoined().is_some() {
                             return NextEvents::Broken;
                         }
                     }
--- a/crates/ingress/src/forward/run_answer.rs
+++ b/crates/ingress/src/forward/run_answer.rs
@@ -66,7 +66,11 @@
         let (head, body) = answer.response.into_parts();
         let end = AnswerEnd::new(&head.headers, &body);
         let mut events = EventReader::new(body, self.order);
-        let (first_events, is_complete) = match self.read_first(target, &mut events).await? {
+        let read = self.read_first(target, &mut events).await?;
+        if let Some(unjoined) = events.unjoined() {
+            return Err(self.note_unjoined(target, unjoined));
+        }
+        let (first_events, is_complete) = match read {
             NextEvents::Events { bytes } => (bytes, false),
             NextEvents::End if end == AnswerEnd::Marked => (bytes::Bytes::new(), true),
             NextEvents::TimedOut => {
