--- a/crates/ingress/src/forward/events.rs
+++ b/crates/ingress/src/forward/events.rs
@@ -6,6 +6,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::forward::event_order::{EventJoin, EventOrder, UnjoinedEvent};
+
 /// Maximum size of an event in bytes; a stream with a larger one is treated as broken.
 const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
 
@@ -16,13 +18,11 @@
     Events {
         /// The bytes of the events, unchanged.
         bytes: Bytes,
-        /// The id of the last event that has one.
-        last_id: Option<u64>,
     },
     /// The stream ended after a complete event.
     End,
-    /// The connection failed, the stream ended within an event, or an event exceeds the
-    /// size limit.
+    /// The connection failed, the stream ended within an event, an event exceeds the size
+    /// limit, or the events do not continue those that were delivered before.
     Broken,
     /// No complete event arrived within the timeout.
     TimedOut,
@@ -40,16 +40,18 @@
     /// ends. An event that arrives in small pieces is not searched again for each of them.
     line_start: usize,
     searched: usize,
-    last_id: Option<u64>,
+    order: EventOrder,
     first_id: Option<u64>,
+    /// Whether events continue those that were delivered before.
+    is_joined: bool,
+    unjoined: Option<UnjoinedEvent>,
 }
 
 impl EventSplitter {
-    /// Creates a splitter that drops events with ids up to `last_id`, which were
-    /// delivered already.
-    pub fn new(last_id: Option<u64>) -> EventSplitter {
+    /// Creates a splitter that drops the events of `order`, which were delivered already.
+    pub fn new(order: EventOrder) -> EventSplitter {
         EventSplitter {
-            last_id,
+            order,
             ..EventSplitter::default()
         }
     }
@@ -64,9 +66,9 @@
         !self.buffer.is_empty()
     }
 
-    /// The id of the last event that was taken, or of the last one delivered before.
-    pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+    /// The events that were taken or delivered before.
+    pub fn order(&self) -> EventOrder {
+        self.order
     }
 
     /// The id of the first event that was taken.
@@ -74,24 +76,39 @@
         self.first_id
     }
 
+    /// The event that does not continue those that were delivered before, if one has arrived.
+    pub fn unjoined(&self) -> Option<UnjoinedEvent> {
+        self.unjoined
+    }
+
     /// Whether the buffered event exceeds the size limit.
     pub fn exceeds_limit(&self) -> bool {
         self.buffer.len() > MAX_EVENT_BYTES
     }
 
     /// Removes all complete events from the buffer and returns them. An event whose id
-    /// does not increase is a duplicate and is dropped.
+    /// does not increase is a duplicate and is dropped. An event that does not continue those that
+    /// were delivered before is not returned, nor is any after it.
     pub fn take_events(&mut self) -> Option<Bytes> {
         let mut events = BytesMut::new();
         while let Some(end) = self.find_event_end() {
             let event = self.buffer.split_to(end);
-            match event_id(&event) {
-                Some(id) if self.last_id.is_some_and(|last| id <= last) => continue,
-                Some(id) => {
-                    self.first_id = self.first_id.or(Some(id));
-                    self.last_id = Some(id);
+            if !self.is_joined {
+                match self.order.join(&event) {
+                    EventJoin::Next => self.is_joined = true,
+                    EventJoin::Skipped => continue,
+                    EventJoin::Unjoined(unjoined) => {
+                        self.unjoined = Some(unjoined);
+                        return None;
+                    }
                 }
-                None => {}
+            }
+            let last_id = self.order.last_id();
+            if !self.order.add(&event) {
+                continue;
+            }
+            if self.order.last_id() != last_id {
+                self.first_id = self.first_id.or(self.order.last_id());
             }
             if events.is_empty() {
                 events = event;
@@ -121,12 +138,6 @@
     }
 }
 
-fn event_id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(value).ok()?.trim().parse().ok()
-}
-
 /// Reads the events of one answer.
 #[derive(Debug)]
 pub struct EventReader {
@@ -135,18 +146,22 @@
 }
 
 impl EventReader {
-    /// Creates a reader that skips events of `body` with ids up to `last_id`, which
-    /// were delivered already.
-    pub fn new(body: Incoming, last_id: Option<u64>) -> EventReader {
+    /// Creates a reader that skips the events of `order`, which were delivered already.
+    pub fn new(body: Incoming, order: EventOrder) -> EventReader {
         EventReader {
             body,
-            splitter: EventSplitter::new(last_id),
+            splitter: EventSplitter::new(order),
         }
     }
 
+    /// The events that were read or delivered before.
+    pub fn order(&self) -> EventOrder {
+        self.splitter.order()
+    }
+
     /// The id of the last event that was read, or of the last one delivered before.
     pub fn last_id(&self) -> Option<u64> {
-        self.splitter.last_id()
+        self.order().last_id()
     }
 
     /// The id of the first event that was read.
@@ -154,6 +169,11 @@
         self.splitter.first_id()
     }
 
+    /// The event that does not continue those that were delivered before, if one was read.
+    pub fn unjoined(&self) -> Option<UnjoinedEvent> {
+        self.splitter.unjoined()
+    }
+
     /// Waits up to `timeout` for the next complete events.
     pub async fn next(&mut self, timeout: Duration) -> NextEvents {
         let read = async {
@@ -165,10 +185,9 @@
                         };
                         self.splitter.push(&bytes);
                         if let Some(bytes) = self.splitter.take_events() {
-                            let last_id = self.splitter.last_id();
-                            return NextEvents::Events { bytes, last_id };
+                            return NextEvents::Events { bytes };
                         }
-                        if self.splitter.exceeds_limit() {
+                        if self.splitter.exceeds_limit() || self.unjoined().is_some() {
                             return NextEvents::Broken;
                         }
                     }
--- a/crates/ingress/src/forward/run_answer.rs
+++ b/crates/ingress/src/forward/run_answer.rs
@@ -13,7 +13,9 @@
         failed_attempt::FailedAttempt,
         generate::{AttemptOutcome, GenerationRun},
         guards::{PrefillGuard, RunGuard},
-        request_log_line, resume, software,
+        request_log_line,
+        resume::{self, BegunStream},
+        software,
         stream::{RunningStream, StreamPosition},
     },
     frontend::RefusalReason,
@@ -28,7 +30,6 @@
         answer: EndpointAnswer,
         guard: RunGuard,
         prefill: Option<PrefillGuard>,
-        last_id: Option<u64>,
     ) -> Result<AttemptOutcome, FailedAttempt> {
         if !attempt::is_signed(answer.response.headers()) {
             self.note_possible_run(&target.id);
@@ -66,11 +67,16 @@
         }
         let (head, body) = answer.response.into_parts();
         let end = AnswerEnd::new(&head.headers, &body);
-        let mut events = EventReader::new(body, last_id);
-        let (first_events, is_complete) = match self.read_first(target, &mut events).await? {
-            NextEvents::Events { bytes, .. } => (bytes, false),
+        let mut events = EventReader::new(body, self.order);
+        let is_continuation = self.begun != BegunStream::NotBegun;
+        let read = self.read_first(target, &mut events).await?;
+        if let Some(unjoined) = events.unjoined() {
+            return Err(self.note_unjoined(target, unjoined));
+        }
+        let (first_events, is_complete) = match read {
+            NextEvents::Events { bytes } => (bytes, false),
             // A continuation without an event has been checked, as the ends that aren't marked are.
-            NextEvents::End if end == AnswerEnd::Marked || last_id.is_some() => {
+            NextEvents::End if end == AnswerEnd::Marked || is_continuation => {
                 (bytes::Bytes::new(), true)
             }
             NextEvents::TimedOut => {
