Refuse streams that may have begun at a restarted endpoint

What callers saw: an endpoint came back under its id and address as another version, and a stream began there before that registration was known. Once it was known, the stream went on at the version of the earlier process: `id: 3 data: v1` after events of v2.

Cause: a stream was recorded here, with other instances and in the log at the version of the registration that was known at its first event, and a later registration of the endpoint did not change that.

Change: the table keeps at which endpoint and start a stream began. A registration of the endpoint with a later start and another version adds that version to the entries, which are recorded again with their recorders and in the log. So they are contradictory there, with the same message. A stream that still runs is not resumed if its record is contradictory, or if the endpoint at which it broke is registered as another version by then. What continues a stream is checked to come from the registered process already and adds no process.

Ruled out, as none of it shows which process began a stream: the age of the directory (an endpoint registers some time after it starts, without a limit, and the store may execute a heartbeat late); a broken connection or a refused one (resets break connections of running processes, and a process between the two registered ones may have ended); the times of starts (another machine's clock).

Cost: when an endpoint restarts under its id as another version, the streams that began there before and have not ended are refused as well, from the time its registration arrives, up to 60 s after their first event; streams of equal requests too if they are not named. Broken streams that their instance resumes before that are not affected. Nothing is sent or refused if the version stays.

Conclusion: streams do not go on at the wrong version once the new registration is known. Those that go on before it is known still do.

--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -39,5 +39,5 @@
     },
     resolution::{UnknownOrigin, resolve_origin},
     routes::RouteHistory,
-    table::{RecordScope, RecordedOrigin, StreamRecord, StreamTable},
+    table::{EndpointProcess, RecordScope, RecordedOrigin, StreamRecord, StreamTable},
 };
--- a/crates/core/src/streams/table.rs
+++ b/crates/core/src/streams/table.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::ClockTime,
-    ids::{InstanceId, ServiceName},
+    ids::{EndpointId, InstanceId, ServiceName},
     streams::{MAX_STREAM_AGE, OriginHash, RecordPeer, StreamHash},
 };
 
@@ -22,11 +22,29 @@
     pub origin: OriginHash,
 }
 
+/// A process of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointProcess {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The time of its start, by its own clock.
+    pub start: u64,
+}
+
+impl EndpointProcess {
+    /// Whether `other` is a later process of the same endpoint.
+    fn is_followed_by(&self, other: &EndpointProcess) -> bool {
+        self.endpoint == other.endpoint && self.start < other.start
+    }
+}
+
 /// The streams whose records are due.
 #[derive(Clone, Copy, Debug)]
 pub enum RecordScope<'a> {
     /// One stream.
     Stream(StreamHash),
+    /// These streams, in ascending order.
+    Streams(&'a [StreamHash]),
     /// All streams of these services.
     Services(&'a [ServiceName]),
 }
@@ -35,6 +53,7 @@
     fn contains(self, stream: StreamHash, service: &ServiceName) -> bool {
         match self {
             RecordScope::Stream(one) => stream == one,
+            RecordScope::Streams(streams) => streams.binary_search(&stream).is_ok(),
             RecordScope::Services(services) => services.contains(service),
         }
     }
@@ -73,6 +92,8 @@
 struct BegunStream {
     /// Where they began; several if equal requests began at different versions.
     origins: Vec<OriginHash>,
+    /// The registered processes at which they began. A later one of the same endpoint may have answered.
+    unchecked: Vec<EndpointProcess>,
     service: ServiceName,
     /// The instances that were sent the record, with their starts.
     recorded_at: Vec<(InstanceId, u64)>,
@@ -84,6 +105,7 @@
     fn new(service: &ServiceName) -> BegunStream {
         BegunStream {
             origins: Vec::new(),
+            unchecked: Vec::new(),
             service: service.clone(),
             recorded_at: Vec::new(),
             is_logged: false,
@@ -178,6 +200,35 @@
         begun.add(record.origin);
     }
 
+    /// Records that a stream that began here did so at an endpoint of which `process` is registered, and
+    /// that nothing shows that no later process answered.
+    pub fn note_unchecked(&mut self, stream: StreamHash, process: &EndpointProcess) {
+        let begun = self.begun.entries.get_mut(&stream);
+        if let Some(begun) = begun.filter(|begun| !begun.unchecked.contains(process)) {
+            begun.unchecked.push(process.clone());
+        }
+    }
+
+    /// Records that `process` of an endpoint has started at `origin`: streams that began at that endpoint
+    /// under an earlier registration may have begun there. Returns those that are to be recorded again,
+    /// in ascending order.
+    pub fn note_started(
+        &mut self,
+        process: &EndpointProcess,
+        origin: OriginHash,
+    ) -> Vec<StreamHash> {
+        let mut changed = Vec::new();
+        for (stream, begun) in &mut self.begun.entries {
+            let mut unchecked = begun.unchecked.iter();
+            let may_have_begun = unchecked.any(|earlier| earlier.is_followed_by(process));
+            if may_have_begun && !begun.origins.contains(&origin) {
+                begun.add(origin);
+                changed.push(*stream);
+            }
+        }
+        changed
+    }
+
     /// Removes a stream that began here and has ended.
     pub fn note_ended(&mut self, stream: StreamHash) {
         self.begun.entries.remove(&stream);
--- a/crates/core/tests/stream_names.rs
+++ b/crates/core/tests/stream_names.rs
@@ -3,10 +3,13 @@
 use bluebell_core::{
     clock::ClockTime,
     directory::SoftwareVersion,
-    ids::{FailureDomain, InstanceId, OrganisationId, RequestFingerprint, RequestId, ServiceName},
+    ids::{
+        EndpointId, FailureDomain, InstanceId, OrganisationId, RequestFingerprint, RequestId,
+        ServiceName,
+    },
     streams::{
-        OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash, StreamName, StreamRecord,
-        StreamTable,
+        EndpointProcess, OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash,
+        StreamName, StreamRecord, StreamTable,
     },
 };
 
@@ -99,3 +102,60 @@
     assert_eq!(table.take_unlogged(scope), both);
     assert!(table.take_due(scope, |_| vec![peer()]).is_empty());
 }
+
+fn process(endpoint: &str, start: u64) -> EndpointProcess {
+    EndpointProcess {
+        endpoint: EndpointId::new(endpoint).unwrap(),
+        start,
+    }
+}
+
+/// Guards against a stream that is taken up at the version of a process that had ended before the stream
+/// began, as the registration of the next one arrives after its first event.
+#[test]
+fn a_stream_that_may_have_begun_at_a_later_process_is_contradictory() {
+    let stream = request("north", "hello", "aa:40");
+    let scope = RecordScope::Stream(stream);
+    let mut table = StreamTable::new();
+    table.note_begun(NOW, record(stream, "v1"), &service());
+    table.note_unchecked(stream, &process("one", 1));
+    table.take_due(scope, |_| vec![peer()]);
+    table.take_unlogged(scope);
+    let changed = table.note_started(&process("one", 2), origin("v2"));
+    assert_eq!(changed, [stream]);
+    assert_eq!(table.origin(stream), Some(RecordedOrigin::Contradictory));
+    let scope = RecordScope::Streams(&changed);
+    let both = vec![record(stream, "v1"), record(stream, "v2")];
+    assert_eq!(table.take_due(scope, |_| vec![peer()]), [(1, both.clone())]);
+    assert_eq!(table.take_unlogged(scope), both);
+    let again = table.note_started(&process("one", 2), origin("v2"));
+    assert!(again.is_empty());
+}
+
+/// Guards against streams that are refused although no other version can have begun them.
+#[test]
+fn a_stream_keeps_its_version_when_others_register() {
+    let (begun, checked) = (
+        request("north", "a", "aa:40"),
+        request("north", "b", "aa:40"),
+    );
+    let mut table = StreamTable::new();
+    for stream in [begun, checked] {
+        table.note_begun(NOW, record(stream, "v1"), &service());
+    }
+    table.note_unchecked(begun, &process("one", 2));
+    for (started, version) in [
+        (process("one", 3), "v1"),
+        (process("one", 2), "v2"),
+        (process("one", 1), "v2"),
+        (process("two", 3), "v2"),
+    ] {
+        assert!(table.note_started(&started, origin(version)).is_empty());
+    }
+    let changed = table.note_started(&process("one", 3), origin("v2"));
+    assert_eq!(changed, [begun]);
+    assert_eq!(
+        table.origin(checked),
+        Some(RecordedOrigin::Known(origin("v1")))
+    );
+}
--- a/crates/ingress/src/forward/endpoint_changes.rs
+++ b/crates/ingress/src/forward/endpoint_changes.rs
@@ -1,6 +1,7 @@
 //! What changes of the directory say about endpoints whose connections broke or that asked for rest.
 
-use bluebell_core::{directory::EndpointRegistration, ids::EndpointId};
+use bluebell_core::{directory::EndpointRegistration, ids::EndpointId, streams::EndpointProcess};
+use bluebell_daemon::logs::LogLine;
 
 use crate::{
     context::EntryContext,
@@ -15,6 +16,7 @@
     let mut notices = context.endpoint_notices.lock();
     notices.note_started(now, id, registration.start);
     drop(notices);
+    note_streams(context, registration);
     if registration.is_leaving {
         context.broken_runs.lock().remove_endpoint(id);
         return;
@@ -27,6 +29,28 @@
     );
 }
 
+/// Records again the streams that may have begun at the registered process, before its registration was
+/// known here.
+pub(super) fn note_streams(context: &EntryContext, registration: &EndpointRegistration) {
+    let process = EndpointProcess {
+        endpoint: registration.id.clone(),
+        start: registration.start,
+    };
+    let origin = registration.origin();
+    let peers = || context.record_peers();
+    let local = context.local_recorder();
+    let names = context
+        .streams
+        .note_started(&process, origin, &local, peers);
+    if names > 0 {
+        LogLine::new("streams_contradictory")
+            .with("endpoint", &registration.id)
+            .with("start", registration.start)
+            .with("names", names)
+            .info();
+    }
+}
+
 /// Removes an endpoint at whose address another one answered: it has ended.
 pub fn note_replaced(context: &EntryContext, endpoint: &EndpointId) {
     context.directory.lock().remove_endpoint(endpoint);
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -27,7 +27,7 @@
         proxy,
         quota::QuotaCharge,
         refuse, request_log_line,
-        resume::BegunStream,
+        resume::{self, BegunStream},
         retries,
         stream::{self, RunningStream},
     },
@@ -159,6 +159,7 @@
             true => self.note_lost_run(failed, AnswerProgress::Events).await,
             false => self.note_unread_run(&failed.id),
         }
+        self.begun = resume::confirm_begun(&self.context, &self.request, failed, self.begun);
         // Without an id the events that the caller has can't be told from those that follow.
         if last_id.is_some()
             && self.begun != BegunStream::Unknown
--- a/crates/ingress/src/forward/plain.rs
+++ b/crates/ingress/src/forward/plain.rs
@@ -374,7 +374,8 @@
 
     fn answer(&self, target: &EndpointTarget, answer: CompleteAnswer) -> Response<AnswerBody> {
         if self.request.route.kind == RouteKind::Streaming && answer.status.is_success() {
-            resume::note_begun(self.context, self.request, target);
+            let earlier = resume::BegunStream::with_origin(self.request.origin);
+            resume::note_begun(self.context, self.request, target, earlier);
         }
         let metrics = &self.context.metrics;
         let now = self.context.now();
--- a/crates/ingress/src/forward/resume.rs
+++ b/crates/ingress/src/forward/resume.rs
@@ -5,13 +5,13 @@
 use bluebell_adapter::headers;
 use bluebell_core::{
     placement::EndpointTarget,
-    streams::{OriginHash, StreamRecord, UnknownOrigin},
+    streams::{EndpointProcess, OriginHash, RecordedOrigin, StreamRecord, UnknownOrigin},
 };
 use hyper::Response;
 
 use crate::{
     context::EntryContext,
-    forward::{refuse, request_log_line},
+    forward::{endpoint_changes, refuse, request_log_line},
     frontend::{AnswerBody, CallerRequest, DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
     stream_origins::{self, ResumedStream, StreamRequest},
     sync,
@@ -119,11 +119,13 @@
         .info();
 }
 
-/// Records that the first events of the request's stream came from `target`.
+/// Records that the first events of the request's stream came from `target`. `earlier` is what was known of
+/// the stream before.
 pub fn note_begun(
     context: &EntryContext,
     request: &CallerRequest,
     target: &EndpointTarget,
+    earlier: BegunStream,
 ) -> BegunStream {
     let origin = stream_origins::begun_origin(&context.directory.lock(), target);
     let Some(origin) = origin else {
@@ -142,10 +144,46 @@
             &context.local_recorder(),
             || context.record_peers(),
         );
+        // What continues a stream was checked to come from the registered process.
+        if earlier == BegunStream::NotBegun {
+            note_unchecked(context, records, target);
+        }
     }
     BegunStream::At(origin)
 }
 
+fn note_unchecked(context: &EntryContext, records: [StreamRecord; 2], target: &EndpointTarget) {
+    let process = EndpointProcess {
+        endpoint: target.id.clone(),
+        start: target.start,
+    };
+    context.streams.note_unchecked(records, &process);
+    // A later process may have registered since the origin was looked up.
+    let registered = context.directory.lock().get(&target.id).cloned();
+    if let Some(registration) = registered.filter(|registered| registered.start > target.start) {
+        endpoint_changes::note_streams(context, &registration);
+    }
+}
+
+/// Where a stream goes on that began as `begun` and broke at `failed`: nowhere, if it may have begun at a
+/// process whose registration has arrived since.
+pub fn confirm_begun(
+    context: &EntryContext,
+    request: &CallerRequest,
+    failed: &EndpointTarget,
+    begun: BegunStream,
+) -> BegunStream {
+    let is_replaced = || stream_origins::begun_origin(&context.directory.lock(), failed).is_none();
+    let names = request.stream_names().into_iter();
+    let is_contradictory = names
+        .filter(|name| name.is_unique())
+        .any(|name| context.streams.origin(name.hash()) == Some(RecordedOrigin::Contradictory));
+    match begun {
+        BegunStream::At(_) if is_contradictory || is_replaced() => BegunStream::Unknown,
+        _ => begun,
+    }
+}
+
 /// Records that the stream of the request has ended.
 pub fn note_ended(context: &EntryContext, request: &CallerRequest) {
     for name in request.stream_names() {
--- a/crates/ingress/src/forward/run_answer.rs
+++ b/crates/ingress/src/forward/run_answer.rs
@@ -88,7 +88,7 @@
             prefill.finish();
         }
         if !first_events.is_empty() {
-            self.begun = resume::note_begun(&self.context, &self.request, target);
+            self.begun = resume::note_begun(&self.context, &self.request, target, self.begun);
         }
         self.meter();
         let now = self.context.now();
--- a/crates/ingress/src/stream_origins/mod.rs
+++ b/crates/ingress/src/stream_origins/mod.rs
@@ -117,7 +117,7 @@
     }
 
     /// Where `stream` began, as far as it is known here.
-    fn origin(&self, stream: StreamHash) -> Option<RecordedOrigin> {
+    pub fn origin(&self, stream: StreamHash) -> Option<RecordedOrigin> {
         self.table.lock().origin(stream)
     }
 
--- a/crates/ingress/src/stream_origins/resumption.rs
+++ b/crates/ingress/src/stream_origins/resumption.rs
@@ -13,8 +13,8 @@
     ids::{FailureDomain, ServiceName},
     placement::EndpointTarget,
     streams::{
-        OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash, StreamName, StreamRecord,
-        UnknownOrigin, is_unrecorded, queried_peers, resolve_origin,
+        EndpointProcess, OriginHash, RecordPeer, RecordScope, RecordedOrigin, StreamHash,
+        StreamName, StreamRecord, UnknownOrigin, is_unrecorded, queried_peers, resolve_origin,
     },
 };
 use rand::seq::IndexedRandom;
@@ -167,6 +167,34 @@
         }
     }
 
+    /// Records that the streams of these `records`, which have begun here, may have begun at a later process
+    /// than `process`, the registered one.
+    pub fn note_unchecked(&self, records: [StreamRecord; 2], process: &EndpointProcess) {
+        let mut table = self.table.lock();
+        for record in records {
+            table.note_unchecked(record.stream, process);
+        }
+    }
+
+    /// Records that `process` of an endpoint has started at `origin`, and records the streams that may have
+    /// begun there with other instances. Returns how many names of streams that concerns.
+    pub fn note_started<Peers>(
+        &self,
+        process: &EndpointProcess,
+        origin: OriginHash,
+        local: &RecordPeer<SocketAddr>,
+        peers: Peers,
+    ) -> usize
+    where
+        Peers: FnOnce() -> Vec<RecordPeer<SocketAddr>>,
+    {
+        let changed = self.table.lock().note_started(process, origin);
+        if !changed.is_empty() {
+            self.record(RecordScope::Streams(&changed), local, &peers());
+        }
+        changed.len()
+    }
+
     /// Records the streams that began here with other instances where that has become
     /// necessary: a second version is possible now, routes or instances have changed.
     pub fn record_due<Peers>(
