--- a/crates/core/src/streams/table.rs
+++ b/crates/core/src/streams/table.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::ClockTime,
-    ids::{InstanceId, ServiceName},
+    ids::{EndpointId, InstanceId, ServiceName},
     streams::{MAX_STREAM_AGE, OriginHash, RecordPeer, StreamHash, StreamName},
 };
 
@@ -22,11 +22,29 @@
     pub origin: OriginHash,
 }
 
+/// A process of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointProcess {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The time of its start, by its own clock.
+    pub start: u64,
+}
+
+impl EndpointProcess {
+    /// Whether `other` is a later process of the same endpoint.
+    fn is_followed_by(&self, other: &EndpointProcess) -> bool {
+        self.endpoint == other.endpoint && self.start < other.start
+    }
+}
+
 /// The streams whose records are due.
 #[derive(Clone, Copy, Debug)]
 pub enum RecordScope<'a> {
     /// One stream.
     Stream(StreamHash),
+    /// These streams, in ascending order.
+    Streams(&'a [StreamHash]),
     /// All streams of these services.
     Services(&'a [ServiceName]),
 }
@@ -35,6 +53,7 @@
     fn contains(self, stream: StreamHash, service: &ServiceName) -> bool {
         match self {
             RecordScope::Stream(one) => stream == one,
+            RecordScope::Streams(streams) => streams.binary_search(&stream).is_ok(),
             RecordScope::Services(services) => services.contains(service),
         }
     }
@@ -75,6 +94,8 @@
     origins: Vec<OriginHash>,
     /// How often one of them began or went on here.
     count: u32,
+    /// The registered processes at which they began. A later one of the same endpoint may have answered.
+    unchecked: Vec<EndpointProcess>,
     service: ServiceName,
     /// The instances that were sent the record, with their starts.
     recorded_at: Vec<(InstanceId, u64)>,
@@ -87,6 +108,7 @@
         BegunStream {
             origins: Vec::new(),
             count: 0,
+            unchecked: Vec::new(),
             service: service.clone(),
             recorded_at: Vec::new(),
             is_logged: false,
@@ -139,6 +161,11 @@
         self.entries.get(&stream).map(|aged| &aged.entry)
     }
 
+    fn get_mut(&mut self, stream: StreamHash) -> Option<&mut Entry> {
+        let aged = self.entries.get_mut(&stream);
+        aged.map(|aged| &mut aged.entry)
+    }
+
     fn iter_mut(&mut self) -> impl Iterator<Item = (StreamHash, &mut Entry)> {
         let entries = self.entries.iter_mut();
         entries.map(|(stream, aged)| (*stream, &mut aged.entry))
@@ -208,6 +235,35 @@
         begun.add(record.origin);
     }
 
+    /// Records that a stream that began here did so at an endpoint of which `process` is registered, and
+    /// that nothing shows that no later process answered.
+    pub fn note_unchecked(&mut self, stream: StreamHash, process: &EndpointProcess) {
+        let begun = self.begun.get_mut(stream);
+        if let Some(begun) = begun.filter(|begun| !begun.unchecked.contains(process)) {
+            begun.unchecked.push(process.clone());
+        }
+    }
+
+    /// Records that `process` of an endpoint has started at `origin`: streams that began at that endpoint
+    /// under an earlier registration may have begun there. Returns those that are to be recorded again,
+    /// in ascending order.
+    pub fn note_started(
+        &mut self,
+        process: &EndpointProcess,
+        origin: OriginHash,
+    ) -> Vec<StreamHash> {
+        let mut changed = Vec::new();
+        for (stream, begun) in self.begun.iter_mut() {
+            let mut unchecked = begun.unchecked.iter();
+            let may_have_begun = unchecked.any(|earlier| earlier.is_followed_by(process));
+            if may_have_begun && !begun.origins.contains(&origin) {
+                begun.add(origin);
+                changed.push(stream);
+            }
+        }
+        changed
+    }
+
     /// Removes a stream that began here and has ended. A name that streams of equal requests share is
     /// kept for the others.
     pub fn note_ended(&mut self, name: StreamName) {
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -28,7 +28,7 @@
         proxy,
         quota::QuotaCharge,
         refuse, request_log_line,
-        resume::BegunStream,
+        resume::{self, BegunStream},
         retries,
         stream::{self, RunningStream},
     },
@@ -171,6 +171,7 @@
             return None;
         }
         self.order = order;
+        self.begun = resume::confirm_begun(&self.context, &self.request, failed, self.begun);
         if order.last_id().is_some()
             && self.begun != BegunStream::Unknown
             && let Some(outcome) = self.go_on_at_backup().await
