--- a/crates/ingress/src/forward/run_answer.rs
+++ b/crates/ingress/src/forward/run_answer.rs
@@ -13,9 +13,7 @@
         failed_attempt::FailedAttempt,
         generate::{AttemptOutcome, GenerationRun},
         guards::{PrefillGuard, RunGuard},
-        request_log_line,
-        resume::{self, BegunStream},
-        software,
+        request_log_line, resume, software,
         stream::{RunningStream, StreamPosition},
     },
     frontend::RefusalReason,
@@ -68,17 +66,13 @@
         let (head, body) = answer.response.into_parts();
         let end = AnswerEnd::new(&head.headers, &body);
         let mut events = EventReader::new(body, self.order);
-        let is_continuation = self.begun != BegunStream::NotBegun;
         let read = self.read_first(target, &mut events).await?;
         if let Some(unjoined) = events.unjoined() {
             return Err(self.note_unjoined(target, unjoined));
         }
         let (first_events, is_complete) = match read {
             NextEvents::Events { bytes } => (bytes, false),
-            // A continuation without an event has been checked, as the ends that aren't marked are.
-            NextEvents::End if end == AnswerEnd::Marked || is_continuation => {
-                (bytes::Bytes::new(), true)
-            }
+            NextEvents::End if end == AnswerEnd::Marked => (bytes::Bytes::new(), true),
             NextEvents::TimedOut => {
                 self.note_possible_run(&target.id);
                 return Err(FailedAttempt::new(
@@ -86,7 +80,7 @@
                     "no event before the deadline",
                 ));
             }
-            // A new stream without an event that ends with its connection was broken off.
+            // An answer without an event that ends with its connection was broken off.
             NextEvents::End | NextEvents::Broken => {
                 self.note_lost_run(target, AnswerProgress::Head).await;
                 let detail = "the stream broke before its first event";
