--- a/crates/ingress/src/forward/answer.rs
+++ b/crates/ingress/src/forward/answer.rs
@@ -38,9 +38,10 @@
 }
 
 impl CompleteAnswer {
-    /// Reads the rest of the answer to `request`. Returns `None` if the connection breaks,
-    /// the body exceeds `max_bytes`, `timeout` elapses, the answer is an event stream that its
-    /// endpoint has broken off, or it ended unmarked with its endpoint. Only the connection of a completely read answer returns to the pool.
+    /// Reads the rest of the answer to `request`. Returns `None` if the connection breaks, the body
+    /// exceeds `max_bytes`, `timeout` elapses, the endpoint has broken off an event stream, or an
+    /// end that isn't marked came with the end of the endpoint. Only the connection of a completely
+    /// read answer returns to the pool.
     pub async fn read(
         context: &EntryContext,
         request: &CallerRequest,
--- a/crates/ingress/src/forward/generate.rs
+++ b/crates/ingress/src/forward/generate.rs
@@ -151,7 +151,7 @@
     }
 
     /// Continues a stream that broke at `failed` on another engine, after the events of `order`.
-    /// Returns `None` if they can't be told from those that follow, if the request may not be retried
+    /// Returns `None` if the position after them is not known, if the request may not be retried
     /// and has no copy, or if no engine streams an answer.
     pub async fn resume(
         &mut self,
--- a/crates/ingress/src/forward/process_check.rs
+++ b/crates/ingress/src/forward/process_check.rs
@@ -1,4 +1,4 @@
-//! Checks whether the process that was chosen for a request is the one that serves at its address.
+//! Checks which process serves at the address of an endpoint.
 
 use std::time::Duration;
 
--- a/crates/ingress/src/stream_origins/resumption.rs
+++ b/crates/ingress/src/stream_origins/resumption.rs
@@ -137,9 +137,9 @@
 }
 
 impl StreamOrigins {
-    /// Records that a stream began here, with one record for each of its names, and records it with other
-    /// instances unless only one origin is possible. The stream began at `service`, which is one of several of its
-    /// route if that `is_split`. `peers` are the other instances; this one is `local`.
+    /// Records that a stream began here, with one record for each of its names, and records it with
+    /// other instances unless only one origin is possible. The stream began at `service`; its route
+    /// leads to others as well if it `is_split`. `peers` are the other instances; this one is `local`.
     pub fn begin<Peers>(
         &self,
         now: ClockTime,
@@ -284,8 +284,8 @@
             let routes = self.routes.lock();
             routes.may_have_moved(now, request.host, request.path, versions.stream_age())
         };
-        let is_service_open = request.is_split && !request.name.is_unique();
-        if recorded.is_none() && (has_moved || is_service_open) {
+        let is_service_unknown = request.is_split && !request.name.is_unique();
+        if recorded.is_none() && (has_moved || is_service_unknown) {
             return Err(UnknownOrigin::NotRecorded);
         }
         let (origin, service) = resolve_origin(now, recorded, versions, request.service)?;
