review case 7: a call of the leader arrives after its next one

Cause: after a call that timed out, the leader makes the next one with a higher fencing token, while the bytes of the first are still in the kernel's send queue: its connection is closed in order, not reset.

The platform saw a lower fencing token after a higher one for the same duty, 0.65 to 0.75 s after a cut of 0.85 s on the leader's way to it was over.

--- a/review/kit-2/fleet.rs
+++ b/review/kit-2/fleet.rs
@@ -67,12 +67,13 @@
     format!("127.{}.{}.{number}", 1 + (id >> 8) % 250, 1 + id % 250)
 }
 
-/// Writes the settings of the instances `edge-ZONE-1`, one in each zone, and returns them.
+/// Writes the settings of the instances `edge-ZONE-1`, one in each zone, and returns them. `duties` holds the
+/// address at which each of them reaches the interface for duties.
 pub fn instances(
     folder: &Path,
     zones: &[&str],
     store: SocketAddr,
-    duties: SocketAddr,
+    duties: &[SocketAddr],
     is_first_start: bool,
 ) -> io::Result<Vec<Instance>> {
     let hosts: Vec<String> = (0..zones.len()).map(|number| host(10 + number)).collect();
@@ -83,7 +84,7 @@
         .collect();
     let zone_table = zone_table.join(",");
     let mut instances = Vec::new();
-    for (zone, host) in zones.iter().zip(&hosts) {
+    for ((zone, host), duties) in zones.iter().zip(&hosts).zip(duties) {
         let name = format!("edge-{zone}-1");
         let text = format!(
             "{{\"nodeName\":\"{name}\",\"role\":\"entry\",\"machineClass\":\"edge\",\"serves\":[\"edge\"],\
--- a/review/kit-2/main.rs
+++ b/review/kit-2/main.rs
@@ -2,6 +2,8 @@
 
 mod fleet;
 mod http;
+mod late_call;
+mod link;
 mod platform;
 mod record;
 mod replica;
@@ -34,6 +36,7 @@
         let folder = truncated::temporary_folder(number)?;
         let outcome = match number {
             "6" => truncated::run(&folder, &record),
+            "7" => late_call::run(&folder, &record),
             _ => Err(io::ErrorKind::InvalidInput.into()),
         };
         match &outcome {
--- a/review/kit-2/platform.rs
+++ b/review/kit-2/platform.rs
@@ -220,21 +220,43 @@
     text
 }
 
+/// A call at the interface for duties.
+#[derive(Clone, Debug)]
+pub struct DutyCall {
+    /// When it arrived.
+    pub at: Instant,
+    /// The path, with the holder of the duty.
+    pub path: String,
+    /// The machine that holds the duty.
+    pub holder: String,
+    /// The fencing token.
+    pub fence: u64,
+}
+
 /// Serves the interface for duties at `listener`; it records each call and answers 200.
-pub fn serve_duties(listener: TcpListener, record: Record) {
+pub fn serve_duties(listener: TcpListener, record: Record) -> Arc<Mutex<Vec<DutyCall>>> {
+    let calls: Arc<Mutex<Vec<DutyCall>>> = Arc::default();
+    let received = Arc::clone(&calls);
     thread::spawn(move || {
         http::serve(listener, move |request, output| {
             let text = |name| request.header(name).unwrap_or("-").to_string();
             let (holder, fence) = (text("duty-holder"), text("fencing-token"));
             let body = String::from_utf8_lossy(&request.body).into_owned();
-            let path = request.path();
+            let path = request.path().to_string();
             record.line(&format!(
                 "platform: {path} holder={holder} fence={fence} {body}"
             ));
+            received.lock().unwrap().push(DutyCall {
+                at: Instant::now(),
+                path,
+                holder,
+                fence: fence.parse().unwrap_or_default(),
+            });
             http::write_answer(output, "200 OK", &[], b"{}")?;
             Ok(true)
         });
     });
+    calls
 }
 
 /// Binds a free port at `ip`.
--- a/review/kit-2/truncated.rs
+++ b/review/kit-2/truncated.rs
@@ -31,11 +31,11 @@
 /// The number of clients of each instance.
 const CLIENTS: usize = 4;
 
-const HOST: &str = "ficu95.example";
-const KEY: &str = "3fexd9dnn2ctnfzs989a";
+pub const HOST: &str = "ficu95.example";
+pub const KEY: &str = "3fexd9dnn2ctnfzs989a";
 const ROUTES: [&str; 2] = ["POST /charge/2f", "GET /stock/2f"];
 
-const CONFIGURATION: &str = r#"{"version":3,
+pub const CONFIGURATION: &str = r#"{"version":3,
 "routes":[
 {"name":"charge-cut","host":"ficu95.example","pathPrefix":"/charge/","kind":"unsafe","timeoutMs":1500,
 "targetLatencyMs":100,"priority":2,"service":"kiosk-api","maxAttempts":1},
@@ -61,10 +61,11 @@
     let store = Store::default();
     store.put("keyed.op", "config", CONFIGURATION.as_bytes());
     store.serve(store_listener);
-    platform::serve_duties(duties_listener, record.clone());
+    let _calls = platform::serve_duties(duties_listener, record.clone());
     let zones = ["se-a", "se-b", "se-c"];
     let mut replicas = Vec::new();
-    for (number, zone) in zones.iter().enumerate() {
+    // Four replicas, as one in four may crash.
+    for (number, zone) in zones.iter().chain(&zones[..1]).enumerate() {
         let spec = ReplicaSpec {
             id: format!("i-{number}f3a91c2"),
             service: "kiosk-api".to_string(),
@@ -74,7 +75,8 @@
         };
         replicas.push(Supervised::start(&fleet::host(30 + number), spec)?);
     }
-    let mut instances = fleet::instances(folder, &zones, store_address, duties_address, true)?;
+    let duties = [duties_address; 3];
+    let mut instances = fleet::instances(folder, &zones, store_address, &duties, true)?;
     for instance in &mut instances {
         instance.start()?;
     }
@@ -88,7 +90,7 @@
     for number in 0..CRASHES {
         thread::sleep(Duration::from_secs(3));
         if fleet::is_disturbed() {
-            let replica = &mut replicas[number % zones.len()];
+            let replica = &mut replicas[number % 4];
             record.line(&format!("replica {} is killed", replica.spec.id));
             replica.crash(DOWN)?;
             record.line(&format!("replica {} is started again", replica.spec.id));
