--- a/review/7/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Case 7. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# Case 8. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/bluebell-ingress ] && [ -x target/review-2/standin ] || exit 2
-exec target/review-2/standin case 7 review/7/record.txt
+exec target/review-2/standin case 8 review/8/record.txt
--- a/review/kit-2/late_call.rs
+++ b/review/kit-2/late_call.rs
@@ -1,4 +1,4 @@
-//! Case 7: a call of the leader that is held up by a short cut arrives after its next one.
+//! Case 8: a call of the leader that is held up by a short cut arrives after its next one.
 
 use std::{
     io,
--- a/review/kit-2/main.rs
+++ b/review/kit-2/main.rs
@@ -36,7 +36,7 @@
         let folder = truncated::temporary_folder(number)?;
         let outcome = match number {
             "6" => truncated::run(&folder, &record),
-            "7" => late_call::run(&folder, &record),
+            "8" => late_call::run(&folder, &record),
             _ => Err(io::ErrorKind::InvalidInput.into()),
         };
         match &outcome {
