Reset the connection of a duty call that is given up

A call that is given up stays in the kernel: reqwest drops the connection, which is closed in order, and what the peer has not acknowledged is retransmitted for up to TCP_USER_TIMEOUT (1.5 s). Two calls of one leader at a time: ruled out, the leader is one task that makes one call at a time.

Cause: giving a call up ended the wait for its answer only. The next call has a higher number, since each action appends a record, so every call that was held up and given up could arrive behind its successor.

Change: calls of duties and control calls to engines are revocable. Each has a connection of its own, which is reset (SO_LINGER 0) unless the answer was read; that discards what was not delivered. A process that is stopped can't reset, so the kernel gives up after the timeout of the call itself. Across takeovers: a call could be under way for 1.9 s after its append (1 s to start it, 0.9 s of timeout) and up to 1.5 s beyond in the kernel, while a takeover reckoned with 1.8 s. A grant now covers its call for 1.8 s (CALL_WINDOW) and the call is revoked then; the boot clock decides, as timers stand still while a machine is suspended. The random test of the election has calls that are held up for up to 4 s: it fails without the revocation (tried with the line taken out).

What was weighed: waiting until the earlier call can't arrive (1.5 s more for each lost call: late windows in outages); one number for all calls of a holder (hides the order of the numbers, and a late older order still undoes a newer one); one connection for all calls (they would wait behind the lost one).

--- a/crates/core/src/leadership/mod.rs
+++ b/crates/core/src/leadership/mod.rs
@@ -6,7 +6,9 @@
 //! two processes have the same. Before each action the leader appends a record,
 //! on the condition that the topic still ends where it has read it, and then acts
 //! within [`ACTION_WINDOW`] or not at all. A leader that was suspended, partitioned
-//! or slow therefore never acts on an outdated grant.
+//! or slow therefore never acts on an outdated grant. A call that an action makes is
+//! revoked when the leader gives it up, and after [`CALL_WINDOW`] at the latest, so that
+//! it does not arrive after the calls that follow.
 //!
 //! Another process takes over once no record was appended for the longest time that
 //! the leader's last action can lag behind its record, plus the lease. As no action
@@ -27,9 +29,9 @@
 /// 4 ms, and 0.2 s while the store is slow; the action's call takes time as well.
 pub const ACTION_WINDOW: TimeSpan = TimeSpan::from_millis(1_000);
 
-/// How long an action may be in transit: opening a connection takes 1 s if its first
-/// packet is lost.
-const MAX_ACTION_DELAY: TimeSpan = TimeSpan::from_millis(800);
+/// How long after sending its append a leader's call may arrive. A call that has no answer by then
+/// is revoked.
+pub const CALL_WINDOW: TimeSpan = TimeSpan::from_millis(1_800);
 
 /// The longest interval between two appends of a live leader, which show the other
 /// processes that it is alive.
@@ -57,6 +59,11 @@
     pub fn allows(&self, now: ClockTime) -> bool {
         now.since(self.sent) <= ACTION_WINDOW
     }
+
+    /// How long an action's call may still wait for its answer.
+    pub fn call_time_left(&self, now: ClockTime) -> TimeSpan {
+        CALL_WINDOW.saturating_sub(now.since(self.sent))
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -158,7 +165,7 @@
 
     /// How long the leader may append no record before this process takes over.
     pub fn takeover_timeout(&self) -> TimeSpan {
-        let last_action_end = self.lease + ACTION_WINDOW + MAX_ACTION_DELAY;
+        let last_action_end = self.lease + CALL_WINDOW;
         last_action_end.max(LEADER_HEARTBEAT_INTERVAL + HEARTBEAT_SLACK) + self.candidate_delay()
     }
 
--- a/crates/core/tests/leadership.rs
+++ b/crates/core/tests/leadership.rs
@@ -3,7 +3,9 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{InstanceId, LogOffset},
-    leadership::{ACTION_WINDOW, LEADER_HEARTBEAT_INTERVAL, LeaderGrant, LeadershipState},
+    leadership::{
+        ACTION_WINDOW, CALL_WINDOW, LEADER_HEARTBEAT_INTERVAL, LeaderGrant, LeadershipState,
+    },
     usage::MeterWriter,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -56,6 +58,7 @@
     state.note_record(at(1_000), LogOffset::new(3), writer("two"));
     let timeout = state.takeover_timeout();
     assert!(timeout >= LEASE + ACTION_WINDOW);
+    assert!(timeout >= LEASE + CALL_WINDOW);
     assert!(timeout > LEADER_HEARTBEAT_INTERVAL);
     let due = at(1_000) + timeout;
     assert!(!state.may_append(due - TimeSpan::from_millis(1)));
@@ -66,6 +69,23 @@
     assert!(!state.may_append(due + TimeSpan::from_millis(1_000)));
 }
 
+/// Guards against a call that arrives after another process has taken over: its grant ends before the
+/// lease that precedes a takeover.
+#[test]
+fn a_grant_covers_no_call_within_the_lease_before_a_takeover() {
+    let mut leader = state("one");
+    leader.note_end(LogOffset::START);
+    let grant = leader.appended(at(2_004), at(2_000), LogOffset::START);
+    assert_eq!(grant.call_time_left(at(2_000)), CALL_WINDOW);
+    let last_action = at(2_000) + ACTION_WINDOW;
+    assert!(grant.call_time_left(last_action) > TimeSpan::ZERO);
+    let end = last_action + grant.call_time_left(last_action);
+    assert_eq!(grant.call_time_left(end), TimeSpan::ZERO);
+    let mut candidate = state("two");
+    candidate.note_record(at(2_000), LogOffset::START, writer("one"));
+    assert!(!candidate.may_append(end + LEASE));
+}
+
 #[test]
 fn records_that_are_read_twice_are_ignored() {
     let mut state = state("one");
@@ -82,6 +102,8 @@
     process: usize,
     wait: u64,
     action: u8,
+    /// How long a call of this step is held up on its way.
+    delay: u64,
 }
 
 impl Arbitrary for Step {
@@ -90,6 +112,7 @@
             process: usize::arbitrary(random) % 3,
             wait: u64::arbitrary(random) % if bool::arbitrary(random) { 150 } else { 1_500 },
             action: u8::arbitrary(random) % 8,
+            delay: u64::arbitrary(random) % if bool::arbitrary(random) { 20 } else { 4_000 },
         }
     }
 }
@@ -100,9 +123,21 @@
     log: Vec<MeterWriter>,
     states: Vec<LeadershipState>,
     grants: Vec<Option<LeaderGrant>>,
+    /// The calls that have not arrived yet.
+    calls: Vec<HeldCall>,
+    /// The calls in the order in which they arrived.
     actions: Vec<(ClockTime, usize, LogOffset)>,
 }
 
+/// A call on its way.
+#[derive(Clone, Copy, Debug)]
+struct HeldCall {
+    process: usize,
+    arrival: ClockTime,
+    revoked: ClockTime,
+    fence: LogOffset,
+}
+
 impl Simulation {
     fn new() -> Simulation {
         let names = ["one", "two", "three"];
@@ -111,6 +146,7 @@
             log: Vec::new(),
             states: names.iter().map(|name| state(name)).collect(),
             grants: vec![None; 3],
+            calls: Vec::new(),
             actions: Vec::new(),
         }
     }
@@ -118,13 +154,16 @@
     fn apply(&mut self, step: &Step) {
         self.now = self.now + TimeSpan::from_millis(step.wait);
         let process = step.process;
+        self.deliver_calls();
+        // A process makes one call at a time, and gives it up before it goes on.
+        self.calls.retain(|call| call.process != process);
         match step.action {
             // Reads all new records.
             0..=2 => self.read(process),
             // Appends. If the answer is lost, the process reads before it appends again.
             3..=5 => self.append(process, step.action == 5),
             // Acts, if the grant still allows it; a suspended process arrives here late.
-            _ => self.act(process),
+            _ => self.act(process, TimeSpan::from_millis(step.delay)),
         }
     }
 
@@ -154,21 +193,37 @@
         }
     }
 
-    fn act(&mut self, process: usize) {
+    fn act(&mut self, process: usize, delay: TimeSpan) {
         if let Some(grant) = &self.grants[process]
             && grant.allows(self.now)
         {
-            self.actions.push((self.now, process, grant.fence));
+            self.calls.push(HeldCall {
+                process,
+                arrival: self.now + delay,
+                revoked: self.now + grant.call_time_left(self.now),
+                fence: grant.fence,
+            });
         }
     }
+
+    /// Lets the calls arrive that are due, unless they were revoked before.
+    fn deliver_calls(&mut self) {
+        let now = self.now;
+        let due = self.calls.extract_if(.., |call| call.arrival <= now);
+        let in_time = due.filter(|call| call.arrival < call.revoked);
+        let arrivals = in_time.map(|call| (call.arrival, call.process, call.fence));
+        let mut arrived: Vec<_> = arrivals.collect();
+        arrived.sort();
+        self.actions.extend(arrived);
+    }
 }
 
 #[test]
 fn leaders_never_alternate_and_fencing_numbers_only_rise() {
     // Three processes read, append and act at random times, are suspended between two
-    // steps for random times, and lose answers to appends that were stored. Guards
-    // against actions of two leaders that alternate within a lease, and against an
-    // older fencing number after a newer one.
+    // steps for random times, lose answers to appends that were stored, and make calls
+    // that are held up on their way. Guards against actions of two leaders that alternate
+    // within a lease, and against an older fencing number after a newer one.
     fn check(steps: Vec<Step>) -> bool {
         let mut simulation = Simulation::new();
         for step in steps {
--- a/crates/ingress/src/leader/orders.rs
+++ b/crates/ingress/src/leader/orders.rs
@@ -122,10 +122,10 @@
             preemptible: *preemptible,
         };
         let authority = self.authority(grant);
-        let answer = self
+        let ordering = self
             .client
             .order_endpoints(&authority, &order, CALL_TIMEOUT);
-        Ok(match answer.await? {
+        Ok(match self.call_within(grant, ordering).await? {
             OrderAnswer::Accepted => "accepted".to_string(),
             OrderAnswer::Unavailable => UNAVAILABLE.to_string(),
         })
@@ -172,8 +172,9 @@
         self.broadcast_stage(endpoint, *stage);
         let authority = self.authority(grant);
         let client = &self.context.engine_client;
-        let answer = client.order_stage(address, endpoint, *stage, &authority, CALL_TIMEOUT);
-        Ok(format!("{:?}", answer.await?))
+        let ordering = client.order_stage(address, endpoint, *stage, &authority, CALL_TIMEOUT);
+        let answer = self.call_within(grant, ordering).await?;
+        Ok(format!("{answer:?}"))
     }
 }
 
--- a/crates/ingress/src/leader/task.rs
+++ b/crates/ingress/src/leader/task.rs
@@ -39,6 +39,9 @@
 /// The pause between two checks for work.
 pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How often the clock is read during a call, as timers stand still while the process is suspended.
+const EXPIRY_CHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
+
 /// The leadership task of one process: carries out the duties while the process is the
 /// leader, and otherwise waits until the leader stops appending records.
 #[derive(Debug)]
@@ -218,6 +221,32 @@
         }
     }
 
+    /// Makes a call that `grant` allows, and drops it once the grant no longer covers it. The timeout of
+    /// the call itself does not elapse while the process is suspended.
+    pub(super) async fn call_within<Call, Answer>(
+        &self,
+        grant: &LeaderGrant,
+        call: Call,
+    ) -> Result<Answer, CallError>
+    where
+        Call: Future<Output = Result<Answer, CallError>>,
+    {
+        tokio::select! {
+            answer = call => answer,
+            () = self.wait_until_expired(grant) => Err(CallError::Revoked),
+        }
+    }
+
+    async fn wait_until_expired(&self, grant: &LeaderGrant) {
+        loop {
+            let remaining = grant.call_time_left(self.context.now());
+            if remaining == TimeSpan::ZERO {
+                return;
+            }
+            tokio::time::sleep(remaining.min(EXPIRY_CHECK_INTERVAL).as_duration()).await;
+        }
+    }
+
     /// Appends a record only if the topic still ends where this process has read up to.
     /// Returns the right to act, or `None` if another process has appended meanwhile.
     pub(super) async fn append(
--- a/crates/ingress/src/leader/windows.rs
+++ b/crates/ingress/src/leader/windows.rs
@@ -62,10 +62,10 @@
             return Ok(true);
         }
         let number = window.number();
-        let reported = self
+        let reporting = self
             .client
             .report_usage(&authority, number, &counts, CALL_TIMEOUT);
-        let reported = reported.await;
+        let reported = self.call_within(&grant, reporting).await;
         let line = LogLine::new("usage_report")
             .with("window", window)
             .with("fence", grant.fence)
--- a/crates/transfer/src/lib.rs
+++ b/crates/transfer/src/lib.rs
@@ -5,10 +5,14 @@
 //! the beginning; with many instances this keeps links and servers busy while no answer
 //! completes. The limit therefore applies to the head and then to each chunk of the body.
 
+mod revocable;
+
 use bluebell_core::{clock::TimeSpan, units::ByteSize};
 use bytes::{Bytes, BytesMut};
 use reqwest::{RequestBuilder, StatusCode, header::HeaderMap};
 
+pub use self::revocable::fetch_revocable;
+
 /// The maximum total time of a body that makes progress.
 const LONGEST_TRANSFER: TimeSpan = TimeSpan::from_secs(15);
 
