Bound what is read of the answers to an instance's own calls

Heads were bounded by the HTTP library.

A larger one is an error (`the answer exceeds ...`).

Read and found bounded: copies of state between instances (length-prefixed frames and unpacked size are limited), datagrams (one buffer), proxied answers (passed on as the caller reads, within the memory for answers), heads of endpoints' answers (64 KiB), connections of probes (no bytes are read). Keyed pages of the store are read page by page.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -5,6 +5,7 @@
 use bluebell_core::{
     clock::TimeSpan,
     ids::{FailureDomain, InstanceId, LogOffset},
+    units::ByteSize,
 };
 use bluebell_transfer::TransferError;
 use bytes::Bytes;
@@ -20,6 +21,9 @@
 /// exceeds it counts as lost.
 pub const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(2_000);
 
+/// The maximum size of an answer; an answer without end would fill the memory.
+const MAX_ANSWER: ByteSize = ByteSize::new(64 * 1_024 * 1_024);
+
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum PlatformError {
@@ -162,7 +166,7 @@
 }
 
 async fn send(request: RequestBuilder, timeout: TimeSpan) -> Result<Bytes, PlatformError> {
-    let fetched = bluebell_transfer::fetch(request, timeout).await;
+    let fetched = bluebell_transfer::fetch(request, timeout, MAX_ANSWER).await;
     let answer = fetched.map_err(|error| match error {
         TransferError::NotSent(reason) => PlatformError::NotSent(reason),
         error => PlatformError::Unknown(error.to_string()),
--- a/crates/transfer/src/lib.rs
+++ b/crates/transfer/src/lib.rs
@@ -44,19 +44,26 @@
         /// didn't answer, more from one that stalled in the middle.
         received: ByteSize,
     },
+    /// The answer is larger than the caller accepts; the call may have been carried out.
+    #[error("the answer exceeds {limit}")]
+    TooLarge {
+        /// The maximum size of the body.
+        limit: ByteSize,
+    },
     /// The connection broke during the call, which may have been carried out.
     #[error("the connection broke: {0}")]
     Broken(String),
 }
 
-/// Sends `request` and reads its complete answer. `timeout` bounds the wait for the
-/// head and for each chunk of the body.
+/// Sends `request` and reads its complete answer, with a body of at most `max_body`. `timeout`
+/// bounds the wait for the head and for each chunk of the body.
 pub async fn fetch(
     request: RequestBuilder,
     timeout: TimeSpan,
+    max_body: ByteSize,
 ) -> Result<CompleteAnswer, TransferError> {
     let mut body = BytesMut::new();
-    let read = read_chunks(request, timeout, &mut body);
+    let read = read_chunks(request, timeout, max_body, &mut body);
     let limit = timeout + LONGEST_TRANSFER;
     let read = tokio::time::timeout(limit.as_duration(), read).await;
     let (status, headers) = read.map_err(|_| timed_out(limit, &body))??;
@@ -70,6 +77,7 @@
 async fn read_chunks(
     request: RequestBuilder,
     timeout: TimeSpan,
+    max_body: ByteSize,
     body: &mut BytesMut,
 ) -> Result<(StatusCode, HeaderMap), TransferError> {
     let wait = timeout.as_duration();
@@ -80,6 +88,9 @@
         let chunk = tokio::time::timeout(wait, answer.chunk()).await;
         let chunk = chunk.map_err(|_| timed_out(timeout, body))?;
         match chunk.map_err(|error| transfer_error(&error))? {
+            Some(chunk) if (body.len() + chunk.len()) as u64 > max_body.count() => {
+                return Err(TransferError::TooLarge { limit: max_body });
+            }
             Some(chunk) => body.extend_from_slice(&chunk),
             None => return Ok((answer.status(), answer.headers().clone())),
         }
