Take an answer whose status HTTP does not have for none

Change: a status outside 200 to 599 is that of no answer: the request may have run, 502 or another attempt. It is decided where all answers of endpoints and of other instances arrive. Prefills need a success, calls to the store and of duties a certain status, so they rejected such answers already.

--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -209,9 +209,12 @@
             "the attempt id of the answer is that of another request".to_string(),
         );
     }
+    let status = response.status();
+    if !is_final(status) {
+        return SendOutcome::MaybeRun(no_final_status(status));
+    }
     let keep_alive = response.headers().get("keep-alive");
     connection.note_keep_alive(keep_alive.and_then(|value| value.to_str().ok()));
-    let status = response.status();
     notices::note_answer(context, target, status, response.headers());
     if status == StatusCode::MISDIRECTED_REQUEST
         || response.headers().contains_key(headers::NOT_EXECUTED)
@@ -244,6 +247,16 @@
     })
 }
 
+/// Whether HTTP has the status, as that of a final answer. An endpoint in trouble may send any digits.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
+/// Why an answer with a status that is not final is none.
+pub fn no_final_status(status: StatusCode) -> String {
+    format!("`{}` is no status of a final answer", status.as_u16())
+}
+
 /// Whether the status tells a caller that its request has not run and never will.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/ingress/src/forward/proxy.rs
+++ b/crates/ingress/src/forward/proxy.rs
@@ -26,7 +26,7 @@
 use crate::{
     context::EntryContext,
     forward::{
-        answer::end_to_end_headers, connection::EndpointConnection, reach, refuse,
+        answer::end_to_end_headers, attempt, connection::EndpointConnection, reach, refuse,
         request_log_line, retries,
     },
     frontend::{
@@ -145,6 +145,9 @@
         Ok(response) if response.status() == StatusCode::MISDIRECTED_REQUEST => {
             ProxyOutcome::NotTaken("endpoints or configuration missing there as well".to_string())
         }
+        Ok(response) if !attempt::is_final(response.status()) => {
+            ProxyOutcome::MaybeRun(attempt::no_final_status(response.status()))
+        }
         Ok(response) => ProxyOutcome::Answered(response, connection),
         Err(mut failure) => {
             let is_unsent = failure.take_message().is_some();
