--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -13,6 +13,7 @@
 //! and probes always open a new one.
 
 use std::{
+    ops::Range,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -30,8 +31,11 @@
     io::StreamReader,
 };
 
-use crate::api::{
-    CancelRequest, EngineStatus, GenerateRequest, KvExport, KvHandle, LoadReport, StreamItem,
+use crate::{
+    api::{
+        CancelRequest, EngineStatus, GenerateRequest, KvExport, KvHandle, LoadReport, StreamItem,
+    },
+    bodies,
 };
 
 /// The time limit for opening a connection.
@@ -43,6 +47,9 @@
 /// The maximum length of a line in an engine's answer, in bytes.
 const MAX_LINE_BYTES: usize = 256 * 1024;
 
+/// The statuses that HTTP has for final answers.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Why a call to an endpoint failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum EndpointError {
@@ -168,7 +175,7 @@
         if status.is_success() {
             return Ok(items(response).boxed());
         }
-        let message = response.text().await.unwrap_or_default();
+        let message = bodies::refusal_text(response).await;
         let status = status.as_u16();
         match StatusCode::from_u16(status) {
             Ok(StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE) => {
@@ -217,10 +224,7 @@
         };
         let call = self.pooled().post(format!("{}/kv/export", self.base));
         let response = short_call(call.json(&body)).await?;
-        response
-            .json()
-            .await
-            .map_err(|error| endpoint_error(&error))
+        bodies::decode(response).await
     }
 
     /// Checks on a new connection whether the endpoint answers.
@@ -238,37 +242,25 @@
     pub async fn state(&self) -> Result<EngineStatus, EndpointError> {
         let call = self.unpooled.get(format!("{}/state", self.base));
         let response = short_call(call).await?;
-        response
-            .json()
-            .await
-            .map_err(|error| endpoint_error(&error))
+        bodies::decode(response).await
     }
 
     /// An engine's load, which may be out of date.
     pub async fn load(&self) -> Result<LoadReport, EndpointError> {
         let call = self.pooled().get(format!("{}/load", self.base));
         let response = short_call(call).await?;
-        response
-            .json()
-            .await
-            .map_err(|error| endpoint_error(&error))
+        bodies::decode(response).await
     }
 }
 
 fn endpoint_error(error: &reqwest::Error) -> EndpointError {
-    let message = error_text(error);
+    let message = bodies::error_text(error);
     if error.is_connect() {
         return EndpointError::NotSent(message);
     }
     EndpointError::Lost(message)
 }
 
-fn error_text(error: &dyn std::error::Error) -> String {
-    let causes = std::iter::successors(Some(error), |error| error.source());
-    let texts: Vec<String> = causes.map(ToString::to_string).collect();
-    texts.join(": ")
-}
-
 fn is_refused_connection(error: &reqwest::Error) -> bool {
     let first: &dyn std::error::Error = error;
     std::iter::successors(Some(first), |error| error.source())
@@ -285,7 +277,7 @@
     }
     Err(EndpointError::Refused {
         status: status.as_u16(),
-        message: response.text().await.unwrap_or_default(),
+        message: bodies::refusal_text(response).await,
     })
 }
 
@@ -312,23 +304,19 @@
 
 async fn read_plain(response: Response, limit: usize) -> Result<PlainAnswer, EndpointError> {
     let status = response.status().as_u16();
+    // A service in trouble may send any digits.
+    if !FINAL_STATUSES.contains(&status) {
+        return Err(EndpointError::Lost(format!(
+            "`{status}` is no status of a final answer"
+        )));
+    }
     let content_type = response.headers().get("content-type");
     let content_type = content_type.and_then(|value| value.to_str().ok());
     let content_type = content_type.map(String::from);
-    let mut body = Vec::new();
-    let mut chunks = response.bytes_stream();
-    while let Some(chunk) = chunks.next().await {
-        let chunk = chunk.map_err(|error| EndpointError::Lost(error_text(&error)))?;
-        if body.len() + chunk.len() > limit {
-            let message = format!("the answer is longer than {limit} bytes");
-            return Err(EndpointError::Lost(message));
-        }
-        body.extend_from_slice(&chunk);
-    }
     Ok(PlainAnswer {
         status,
         content_type,
-        body: body.into(),
+        body: bodies::read(response, limit).await?,
     })
 }
 
--- a/crates/endpoint/src/orders.rs
+++ b/crates/endpoint/src/orders.rs
@@ -8,7 +8,10 @@
 use bluebell_core::clock::TimeSpan;
 use reqwest::{RequestBuilder, StatusCode};
 
-use crate::api::{EngineOrder, EngineStatus, OrderAnswer};
+use crate::{
+    api::{EngineOrder, EngineStatus, OrderAnswer},
+    bodies,
+};
 
 /// Why a call to an engine failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -84,13 +87,13 @@
         })?;
         let status = response.status();
         if status.is_success() {
-            let unknown = |error: reqwest::Error| EngineOrderError::Unknown(error.to_string());
-            return response.json().await.map_err(unknown);
+            let decoded = bodies::decode(response).await;
+            return decoded.map_err(|error| EngineOrderError::Unknown(error.to_string()));
         }
         if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
             return Err(EngineOrderError::Busy);
         }
-        let message = response.text().await.unwrap_or_default();
+        let message = bodies::refusal_text(response).await;
         Err(match status {
             StatusCode::CONFLICT => EngineOrderError::Stale(message),
             status if status.is_server_error() => EngineOrderError::Unknown(message),
