Answer the requests that are open when the grace period of a stop ends

Here it happens: after SIGTERM connections are accepted for 2.6 s; a request whose body is complete later, or whose deadline lies beyond the grace, was passed on with its own deadline, and cut 0.15 s before the end (`stopped_early`).

Change (core/shutdown, ingress/shutdown): - What is taken during a stop has a deadline 0.35 s before the process would be killed, so its endpoint's silence ends in 504, or in 503 if it has not run. - What is read later than 0.1 s after the address is given up is taken only if its own deadline lies before that: then it is answered whatever its endpoint does. Else it is refused at once as not run, `Retry-After: 0`; another instance that hands it over gets 421, and goes on elsewhere. - What is still open by then (it was in progress before the stop) is answered 504, or 503 if its body is still being read. - Usage is published also if streams have to be cut.

Not mended: streams that have begun and outlast the grace are cut, as before; there is no answer to replace them.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod roles;
 pub mod room;
 pub mod routing;
+pub mod shutdown;
 pub mod streams;
 pub mod units;
 pub mod usage;
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -22,6 +22,7 @@
     relay::{AdvertisedConfiguration, RELAY_TIMEOUT, StateValidity, StoreReads},
     retries::{RetryAllowance, SharedRetryBudget},
     routing::RoutingSettings,
+    shutdown::ShutdownSchedule,
     streams::RecordPeer,
     usage::{MeterWriter, UsageMeter},
 };
@@ -168,6 +169,10 @@
     pub metrics: EntryMetrics,
     /// Cancelled when the process is asked to stop; no deferrable work starts afterwards.
     pub stopping: CancellationToken,
+    /// The times of the stop, once the process was asked to stop.
+    pub shutdown: Shared<Option<ShutdownSchedule>>,
+    /// Cancelled during a stop when the requests that are still open have to be answered.
+    pub answers_due: CancellationToken,
 }
 
 impl EntryContext {
@@ -255,6 +260,8 @@
             memory,
             metrics,
             stopping: CancellationToken::new(),
+            shutdown: Shared::new(None),
+            answers_due: CancellationToken::new(),
         }
     }
 
--- a/crates/ingress/src/frontend/listener.rs
+++ b/crates/ingress/src/frontend/listener.rs
@@ -14,6 +14,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     connections::{ConnectionQueue, WaitingConnection},
+    shutdown::FIRST_REQUEST_TIME,
 };
 use bluebell_daemon::logs::LogLine;
 use hyper::{server::conn::http1, service::service_fn};
@@ -58,10 +59,6 @@
 /// Delay after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// How long a connection without a request stays open after the frontend was closed.
-/// Callers are a few ms away, and a request that was already sent must not be lost.
-const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(100);
-
 /// Size of the read buffer beyond the largest request head, in bytes.
 const READ_BUFFER_MARGIN: usize = 16_384;
 
@@ -125,6 +122,11 @@
         self.closing.cancel();
     }
 
+    /// Waits until no further connections are accepted.
+    pub async fn wait_closing(&self) {
+        self.closing.cancelled().await;
+    }
+
     fn accept_connection(&self, stream: TcpStream, source: RequestSource) {
         if self.open_connections.load(Ordering::Relaxed) >= self.max_connections {
             self.close_unread("too_many");
@@ -314,7 +316,7 @@
 /// connection that was opened just before the frontend was closed may still be in flight.
 async fn idle_close_due(frontend: &FrontendServer) {
     frontend.closing.cancelled().await;
-    tokio::time::sleep(FIRST_REQUEST_GRACE).await;
+    tokio::time::sleep(FIRST_REQUEST_TIME.as_duration()).await;
 }
 
 fn configure_socket(stream: &TcpStream) -> io::Result<()> {
--- a/crates/ingress/src/frontend/mod.rs
+++ b/crates/ingress/src/frontend/mod.rs
@@ -13,6 +13,7 @@
 
 use std::sync::Arc;
 
+use bluebell_core::attempts::RunOutcome;
 use bluebell_daemon::logs::LogLine;
 use hyper::{Request, Response, body::Incoming};
 use tokio_util::sync::CancellationToken;
@@ -24,7 +25,7 @@
     refusal::{DEFAULT_RETRY_AFTER, Refusal, RefusalReason},
     request::{CONFIGURATION_VERSION, CallerRequest, RequestSource},
 };
-use crate::{context::EntryContext, forward};
+use crate::{context::EntryContext, forward, shutdown};
 
 /// Counts a request as open while the guard exists.
 struct OpenRequestGuard<'a>(&'a EntryContext);
@@ -52,15 +53,9 @@
     incoming: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let _guard = OpenRequestGuard::new(&context);
-    let mut response = match request::read(&context, connection, source, incoming).await {
-        Ok(request) => forward::serve(&context, request).await,
-        Err(refusal) => {
-            log_refusal(&context, &refusal);
-            let outcome = refusal.reason().as_str();
-            let counters = &context.metrics.answers;
-            counters.with_label_values(&["none", outcome]).inc();
-            refusal.into_response()
-        }
+    let mut response = match read_in_time(&context, connection, source, incoming).await {
+        Ok(request) => forward_in_time(&context, request).await,
+        Err(refusal) => refuse(&context, refusal),
     };
     if context.stopping.is_cancelled() {
         let close = hyper::header::HeaderValue::from_static("close");
@@ -71,6 +66,47 @@
     response
 }
 
+/// Reads one request. One that has not arrived when the last answers of a stopping process are due
+/// is refused.
+async fn read_in_time(
+    context: &EntryContext,
+    connection: CancellationToken,
+    source: RequestSource,
+    incoming: Request<Incoming>,
+) -> Result<CallerRequest, Refusal> {
+    let reading = request::read(context, connection, source, incoming);
+    let request = tokio::select! {
+        read = reading => read?,
+        () = context.answers_due.cancelled() => return Err(shutdown::not_taken(source)),
+    };
+    shutdown::admit(context, request)
+}
+
+/// Forwards a request to an endpoint. One that has no answer when the last answers of a stopping
+/// process are due may have run.
+async fn forward_in_time(
+    context: &Arc<EntryContext>,
+    request: CallerRequest,
+) -> Response<AnswerBody> {
+    let id = request.id.clone();
+    tokio::select! {
+        response = forward::serve(context, request) => response,
+        () = context.answers_due.cancelled() => {
+            let refusal = Refusal::with_outcome(RunOutcome::Unknown, RefusalReason::Stopping);
+            refuse(context, refusal.with_request(id.as_str()))
+        }
+    }
+}
+
+/// Counts and logs a refusal, and returns the response.
+fn refuse(context: &EntryContext, refusal: Refusal) -> Response<AnswerBody> {
+    log_refusal(context, &refusal);
+    let outcome = refusal.reason().as_str();
+    let counters = &context.metrics.answers;
+    counters.with_label_values(&["none", outcome]).inc();
+    refusal.into_response()
+}
+
 /// Logs a refusal with what this instance knew of the configuration.
 fn log_refusal(context: &EntryContext, refusal: &Refusal) {
     let known = context.configuration.lock().status(context.now());
--- a/crates/ingress/src/frontend/refusal.rs
+++ b/crates/ingress/src/frontend/refusal.rs
@@ -63,6 +63,8 @@
     TimedOut,
     /// The deadline has passed; the request has not run.
     TimedOutNotRun,
+    /// The process ends before the request is answered.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -89,6 +91,7 @@
             RefusalReason::EndpointFailed => "endpoint_failed",
             RefusalReason::TimedOut => "timed_out",
             RefusalReason::TimedOutNotRun => "timed_out_not_run",
+            RefusalReason::Stopping => "stopping",
         }
     }
 }
@@ -154,7 +157,7 @@
                 Refusal::not_run(proof, RefusalReason::TimedOutNotRun, DEFAULT_RETRY_AFTER)
             }
             (RunOutcome::NotRun(proof), _) => Refusal::not_run(proof, reason, DEFAULT_RETRY_AFTER),
-            (RunOutcome::Unknown, RefusalReason::TimedOut) => {
+            (RunOutcome::Unknown, RefusalReason::TimedOut | RefusalReason::Stopping) => {
                 Refusal::new(StatusCode::GATEWAY_TIMEOUT, reason, None)
             }
             (RunOutcome::Unknown, _) => Refusal::new(StatusCode::BAD_GATEWAY, reason, None),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod program;
 pub mod ready;
 mod shared;
+pub mod shutdown;
 mod state_transfer;
 mod stream_origins;
 pub mod sync;
--- a/crates/ingress/src/program.rs
+++ b/crates/ingress/src/program.rs
@@ -1,6 +1,6 @@
 //! Start, operation and shutdown of an entry.
 
-use std::{path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
+use std::{path::PathBuf, process::ExitCode, sync::Arc};
 
 use anyhow::Context as _;
 use bluebell_adapter::{
@@ -17,19 +17,9 @@
     leader,
     logs::{self, LogBuffer},
     metrics::EntryMetrics,
-    peers, ready, state_transfer, stream_origins, sync, time,
+    peers, ready, shutdown, state_transfer, stream_origins, sync, time,
 };
 
-/// How long after SIGTERM connections and requests are still accepted. The platform probes
-/// readiness once a second and needs two negative answers to route callers to other
-/// instances; callers with a persistent connection continue to use it. Requests accepted
-/// later than 3 s after the signal may be incomplete when the process is killed.
-const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(2_600);
-
-/// How long before the platform kills the process it exits by itself, so that it can log
-/// the unfinished requests.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(150);
-
 /// Runs an entry with the settings file named by the environment until SIGTERM arrives.
 /// Returns a separate exit code if the settings are missing or invalid.
 pub fn run() -> ExitCode {
@@ -128,7 +118,7 @@
             }
         }
     }
-    stop(&context, &frontend).await;
+    shutdown::run(&context, &frontend).await;
     background.cancel();
     ready_server.stop().await;
     if let Some(server) = metrics_server {
@@ -137,30 +127,3 @@
     LogLine::new("stop").info();
     Ok(())
 }
-
-/// Stops the entry: reports not ready, then stops accepting connections, then waits for
-/// the requests in progress.
-///
-/// If the process closed its listener on the signal, it would reject the callers that the
-/// platform still routes here for two seconds, and those that reuse a persistent
-/// connection. If it waited until all callers close their connections, it would be killed
-/// with requests in progress.
-async fn stop(context: &EntryContext, frontend: &FrontendServer) {
-    LogLine::new("stopping")
-        .with("open", context.metrics.requests_open.get())
-        .info();
-    context.stopping.cancel();
-    let grace = context.settings.bounds.grace.as_duration();
-    let end = tokio::time::Instant::now() + grace.saturating_sub(SHUTDOWN_MARGIN);
-    tokio::time::sleep(ACCEPT_AFTER_SIGTERM.min(grace / 2)).await;
-    frontend.close();
-    let ended = tokio::time::timeout_at(end, frontend.wait_closed()).await;
-    if ended.is_err() {
-        LogLine::new("stopped_early")
-            .with("open", context.metrics.requests_open.get())
-            .warn();
-        return;
-    }
-    let published = leader::publish_end(context);
-    let _ = tokio::time::timeout_at(end, published).await;
-}
