Count a timestamp that is echoed only for the process that sent it

Cause: the age of relayed state is dated by the recipient's own timestamp, which the reader of the failure domain echoes. The clock is the boot clock, so after a loss of power it begins anew, and the reader echoes a timestamp of the process before, until it gets one of the new process. That lies in the future of the new process, so the state counts as confirmed 0 ms ago until the clock gets there, here and, relayed on, at sound neighbours.

Change: a timestamp is kept and echoed with the start of the process that sent it, and counts for that process only, and only if it isn't later than now. A check of the bounds alone would not do: the new clock reaches the old timestamp in time. An instance that gets no start (one of an earlier version reads for its failure domain, during a rolling update) confirms nothing by relayed state and reads the store itself.

Elsewhere: reports of usage are ordered by start and timestamp already; loads of engines, speeds and demands are dated when they arrive; copies of the state carry ages, not timestamps; the leader's grants are of one process.

Test: core/relay, a_timestamp_of_an_earlier_process_is_not_taken_for_an_own_one. The function that it calls is new; what it replaces took every timestamp but 0, so the first three of its cases could not hold.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -10,7 +10,8 @@
 //! The age of relayed data is computed without comparing clocks: each instance sends a
 //! timestamp of its own clock, and each message of the reader echoes the last timestamp
 //! that the reader had received when it sent the message. A datagram that waited in
-//! a buffer while its receiver was suspended therefore can't make old data look fresh.
+//! a buffer while its receiver was suspended therefore can't make old data look fresh. The
+//! clock begins anew with the machine, so a timestamp counts only for the process that sent it.
 
 mod changes;
 mod confirmation;
@@ -28,6 +29,8 @@
     RELAY_TIMEOUT, StateSource, copy_timeout, direct_read_delay, is_domain_caller,
     is_read_deferred, is_relaying, parent_rank, read_wait, state_source,
 };
+use serde::Serialize;
+
 use crate::{
     clock::{ClockTime, TimeSpan},
     ids::InstanceId,
@@ -62,6 +65,22 @@
     alive.all(|peer| local < peer)
 }
 
+/// A timestamp of an instance, with the start of the process that sent it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct ProcessStamp {
+    /// The time of the start in ms, which distinguishes the restarts of the instance.
+    pub start: u64,
+    /// The clock of the process in ms; 0 for no timestamp.
+    pub millis: u64,
+}
+
+impl ProcessStamp {
+    /// The timestamp `millis` of the process that started at `start`.
+    pub const fn new(start: u64, millis: u64) -> ProcessStamp {
+        ProcessStamp { start, millis }
+    }
+}
+
 /// The last timestamp of this instance that another one had received before it sent its
 /// message.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -71,6 +90,15 @@
 }
 
 impl EchoedTimestamp {
+    /// The timestamp that `echo` holds for the process that started at `start`. `None` if the
+    /// sender has not received one of this process: after a loss of power the timestamps of
+    /// earlier processes lie in the future of this one.
+    pub fn of_process(echo: ProcessStamp, start: u64, now: ClockTime) -> Option<EchoedTimestamp> {
+        let sent = ClockTime::from_millis(echo.millis);
+        let is_own = echo.start == start && echo.millis > 0 && sent <= now;
+        is_own.then_some(EchoedTimestamp { sent })
+    }
+
     /// The time on the local clock at which the message's data was known to be current:
     /// the peer sent it after it had received the timestamp, when the data was `age` old.
     pub fn known_at(self, age: TimeSpan) -> ClockTime {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -5,8 +5,8 @@
     ids::{InstanceId, LogOffset},
     relay::{
         AdvertisedConfiguration, CopyLocation, CopyState, DIGEST_MISMATCH_TIMEOUT,
-        DigestMismatchTimer, EchoedTimestamp, VersionAdvertisement, VersionSource, is_reader,
-        relay_age_limit,
+        DigestMismatchTimer, EchoedTimestamp, ProcessStamp, VersionAdvertisement, VersionSource,
+        is_reader, relay_age_limit,
     },
     units::ByteSize,
 };
@@ -145,3 +145,21 @@
     advertised.note_advertisement(at(1_200), further);
     assert_eq!(advertised.resume_offset(Some(7)), Some(LogOffset::new(12)));
 }
+
+/// Guards against relayed state that counts as just confirmed after a loss of power: the reader echoes
+/// a timestamp of the process before, whose clock was ahead of the new one.
+#[test]
+fn a_timestamp_of_an_earlier_process_is_not_taken_for_an_own_one() {
+    let (earlier, own) = (1_000, 9_000);
+    let at = ClockTime::from_millis;
+    let now = at(2_500);
+    let of_process = |echo| EchoedTimestamp::of_process(echo, own, now);
+    assert_eq!(of_process(ProcessStamp::new(earlier, 30_000)), None);
+    // The clock of the new process reaches the earlier timestamp in time.
+    assert_eq!(of_process(ProcessStamp::new(earlier, 2_400)), None);
+    assert_eq!(of_process(ProcessStamp::new(own, 2_501)), None);
+    assert_eq!(of_process(ProcessStamp::default()), None);
+    let sent = at(2_400);
+    let echo = of_process(ProcessStamp::new(own, 2_400));
+    assert_eq!(echo, Some(EchoedTimestamp { sent }));
+}
--- a/crates/ingress/src/peers/broadcast.rs
+++ b/crates/ingress/src/peers/broadcast.rs
@@ -369,7 +369,8 @@
         let usage = self.usage_due(now);
         for target in targets {
             let per_target = PerTargetMessage {
-                echo: target.stamp,
+                echo: target.stamp.millis,
+                echo_start: target.stamp.start,
                 relay: relay.clone().filter(|_| target.is_same_domain),
                 usage: usage.clone().filter(|_| target.is_reader),
             };
--- a/crates/ingress/src/peers/messages.rs
+++ b/crates/ingress/src/peers/messages.rs
@@ -87,6 +87,9 @@
     /// The last stamp that the sender received from the recipient; 0 for none.
     #[prost(uint64, tag = "8")]
     pub echo: u64,
+    /// The start of the recipient's process that sent the echoed stamp.
+    #[prost(uint64, tag = "25")]
+    pub echo_start: u64,
     /// The store state that the reader of a failure domain relays to the others there.
     #[prost(message, optional, tag = "9")]
     pub relay: Option<RelayMessage>,
@@ -193,6 +196,9 @@
     #[prost(uint64, tag = "8")]
     pub echo: u64,
     /// As in [`PeerMessage`].
+    #[prost(uint64, tag = "25")]
+    pub echo_start: u64,
+    /// As in [`PeerMessage`].
     #[prost(message, optional, tag = "9")]
     pub relay: Option<RelayMessage>,
     /// As in [`PeerMessage`].
--- a/crates/ingress/src/peers/receive.rs
+++ b/crates/ingress/src/peers/receive.rs
@@ -8,6 +8,7 @@
     provision::EngineDemand,
     quarantine::PartReport,
     quota::{ReportSource, UsageReport},
+    relay::ProcessStamp,
 };
 use bluebell_daemon::logs::LogLine;
 use bytes::BytesMut;
@@ -71,10 +72,11 @@
                 start: message.start,
                 domain: domain.clone(),
                 last_seen: None,
-                stamp: 0,
+                stamp: ProcessStamp::default(),
             };
             peers.register(&peer, known);
-            peers.note_message(now, &peer, message.stamp);
+            let stamp = ProcessStamp::new(message.start, message.stamp);
+            peers.note_message(now, &peer, stamp);
             peers.note_unreachable(now, &peer, decode_services(&message.unreachable));
         }
         relay::apply(&self.context, &peer, &message);
--- a/crates/ingress/src/peers/registry.rs
+++ b/crates/ingress/src/peers/registry.rs
@@ -9,7 +9,7 @@
 use bluebell_core::{
     clock::TimeSpan,
     ids::{FailureDomain, InstanceId},
-    relay::DIRECT_READERS,
+    relay::{DIRECT_READERS, ProcessStamp},
 };
 use bluebell_daemon::logs::LogLine;
 use prost::Message;
@@ -207,7 +207,7 @@
             start: record.start,
             domain,
             last_seen: None,
-            stamp: 0,
+            stamp: ProcessStamp::default(),
         };
         context.peers.lock().register(&instance, peer);
     }
--- a/crates/ingress/src/peers/relay.rs
+++ b/crates/ingress/src/peers/relay.rs
@@ -5,8 +5,9 @@
     directory::{ReaderState, RelayedDirectory},
     ids::{EndpointId, InstanceId, LogOffset},
     relay::{
-        self, ConfirmationSource, KnownState, MAX_CONFIGURATION_READ_DELAY, MAX_READER_AGE,
-        StateSource, VersionAdvertisement, VersionSource, relay_age_limit,
+        self, ConfirmationSource, EchoedTimestamp, KnownState, MAX_CONFIGURATION_READ_DELAY,
+        MAX_READER_AGE, ProcessStamp, StateSource, VersionAdvertisement, VersionSource,
+        relay_age_limit,
     },
 };
 use bluebell_daemon::logs::LogLine;
@@ -16,7 +17,6 @@
     peers::{
         messages::PeerMessage,
         relay_messages::{ChangeMessage, CopyMessage, RelayMessage, pack_changes},
-        table::PeerTable,
     },
     sync,
 };
@@ -249,7 +249,8 @@
         return;
     }
     context.peers.lock().note_relay(now, peer);
-    let Some(echo) = PeerTable::echoed_stamp(message.echo) else {
+    let echo = ProcessStamp::new(message.echo_start, message.echo);
+    let Some(echo) = EchoedTimestamp::of_process(echo, context.writer.start, now) else {
         return;
     };
     let keys_known_at = echo.known_at(TimeSpan::from_millis(relay.keys_age_ms));
--- a/crates/ingress/src/peers/table.rs
+++ b/crates/ingress/src/peers/table.rs
@@ -8,7 +8,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{FailureDomain, InstanceId, ServiceName},
-    relay::{self, ChangeQueue, EchoedTimestamp, RELAY_TIMEOUT},
+    relay::{self, ChangeQueue, ProcessStamp, RELAY_TIMEOUT},
 };
 use rand::seq::IndexedRandom;
 use serde::Serialize;
@@ -79,8 +79,8 @@
     /// When its last message arrived; `None` before the first.
     #[serde(rename = "heard_at")]
     pub last_seen: Option<ClockTime>,
-    /// Its clock in ms as of its last message, to be echoed to it; 0 before the first.
-    pub stamp: u64,
+    /// The stamp of its last message, to be echoed to it.
+    pub stamp: ProcessStamp,
 }
 
 impl KnownPeer {
@@ -125,8 +125,8 @@
         self.peers.insert(instance.clone(), peer);
     }
 
-    /// Records a message of a registered instance that carried its clock `stamp` in ms.
-    pub fn note_message(&mut self, now: ClockTime, instance: &InstanceId, stamp: u64) {
+    /// Records a message of a registered instance that carried `stamp`.
+    pub fn note_message(&mut self, now: ClockTime, instance: &InstanceId, stamp: ProcessStamp) {
         if let Some(peer) = self.peers.get_mut(instance) {
             peer.last_seen = Some(now);
             peer.stamp = stamp;
@@ -454,12 +454,4 @@
         let known = self.same_domain_names(now, domain);
         known.is_some_and(|known| relay::is_reader(local, known.into_iter().map(|(name, _)| name)))
     }
-
-    /// The stamp of this instance that a peer echoed; `None` for 0, which a peer sends before
-    /// it has received a message from here.
-    pub fn echoed_stamp(echo: u64) -> Option<EchoedTimestamp> {
-        (echo > 0).then_some(EchoedTimestamp {
-            sent: ClockTime::from_millis(echo),
-        })
-    }
 }
--- a/crates/ingress/src/peers/targets.rs
+++ b/crates/ingress/src/peers/targets.rs
@@ -5,6 +5,7 @@
 use bluebell_core::{
     clock::{ClockTime, TimeSpan},
     ids::{FailureDomain, InstanceId},
+    relay::ProcessStamp,
 };
 
 use crate::peers::table::{KnownPeer, PeerTable};
@@ -17,8 +18,8 @@
 pub struct BroadcastTarget {
     /// The socket address at which it receives datagrams.
     pub address: SocketAddr,
-    /// The last stamp received from it, to be echoed; 0 for none.
-    pub stamp: u64,
+    /// The last stamp received from it, to be echoed.
+    pub stamp: ProcessStamp,
     /// Whether it is in the failure domain of the sender.
     pub is_same_domain: bool,
     /// Whether it is the reader of the sender's failure domain.
--- a/crates/ingress/tests/copy_sources.rs
+++ b/crates/ingress/tests/copy_sources.rs
@@ -3,7 +3,7 @@
 use bluebell_core::{
     clock::ClockTime,
     ids::{FailureDomain, InstanceId},
-    relay::DIRECT_READERS,
+    relay::{DIRECT_READERS, ProcessStamp},
 };
 use bluebell_ingress::peers::{KnownPeer, PeerTable};
 
@@ -31,7 +31,7 @@
             start: 1,
             domain: domain(if number < INSTANCES { "a" } else { "b" }),
             last_seen: None,
-            stamp: 0,
+            stamp: ProcessStamp::default(),
         };
         table.register(&instance(number), peer);
     }
@@ -58,7 +58,7 @@
     let mut table = table(50);
     table.note_read(at(0));
     let local = instance(50);
-    table.note_message(at(2_000), &instance(7), 1);
+    table.note_message(at(2_000), &instance(7), ProcessStamp::new(1, 1));
     assert_eq!(table.rank(at(100), &local, &domain("a")), Some(50));
     assert_eq!(table.rank(at(2_100), &local, &domain("a")), Some(1));
 }
@@ -84,7 +84,7 @@
     let mut table = table(50);
     table.note_read(at(0));
     for number in [0, 3] {
-        table.note_message(at(2_000), &instance(number), 1);
+        table.note_message(at(2_000), &instance(number), ProcessStamp::new(1, 1));
     }
     let local = instance(50);
     assert_eq!(table.reader(at(2_100), &local, &domain("a")), instance(0));
--- a/crates/ingress/tests/peer_receivers.rs
+++ b/crates/ingress/tests/peer_receivers.rs
@@ -3,6 +3,7 @@
 use bluebell_core::{
     clock::ClockTime,
     ids::{FailureDomain, InstanceId},
+    relay::ProcessStamp,
 };
 use bluebell_ingress::peers::{KnownPeer, PeerTable, TargetSelector};
 
@@ -25,7 +26,7 @@
         start: 1,
         domain: domain(in_domain),
         last_seen: None,
-        stamp: 0,
+        stamp: ProcessStamp::default(),
     };
     table.register(&instance(name), peer);
 }
@@ -72,7 +73,7 @@
     let mut selector = selector();
     let mut messages = [0, 0];
     for now in (10_000..20_000).step_by(100) {
-        table.note_message(at(now), &instance("b-1"), now);
+        table.note_message(at(now), &instance("b-1"), ProcessStamp::new(1, now));
         for target in selector.broadcast_targets(at(now), &table) {
             messages[usize::from(target.address.port() == 2)] += 1;
         }
@@ -86,8 +87,8 @@
     let mut table = PeerTable::new();
     register(&mut table, "a-2", "a", 1);
     register(&mut table, "b-1", "b", 2);
-    table.note_message(at(1_000), &instance("a-2"), 1);
-    table.note_message(at(1_000), &instance("b-1"), 1);
+    table.note_message(at(1_000), &instance("a-2"), ProcessStamp::new(1, 1));
+    table.note_message(at(1_000), &instance("b-1"), ProcessStamp::new(1, 1));
     let targets = selector().same_domain_targets(at(1_100), &table);
     let ports: Vec<u16> = targets.iter().map(|target| target.address.port()).collect();
     assert_eq!(ports, [1]);
--- a/crates/ingress/tests/peer_scale.rs
+++ b/crates/ingress/tests/peer_scale.rs
@@ -7,6 +7,7 @@
     clock::ClockTime,
     ids::{FailureDomain, InstanceId, ServiceName},
     provision::DemandTable,
+    relay::ProcessStamp,
 };
 use bluebell_ingress::peers::{KnownPeer, PeerTable, TargetSelector};
 
@@ -53,7 +54,7 @@
         start: 1,
         domain: domain(port),
         last_seen: None,
-        stamp: 0,
+        stamp: ProcessStamp::default(),
     }
 }
 
@@ -103,7 +104,9 @@
             self.messages_sent += same_domain.len() + cross_domain.len();
             for target in same_domain {
                 let receiver = self.entries.get_mut(&target.address.port()).unwrap();
-                receiver.table.note_message(at(now), &instance(port), now);
+                receiver
+                    .table
+                    .note_message(at(now), &instance(port), ProcessStamp::new(1, now));
                 for (service, demand) in &local_demands {
                     let demands = &mut receiver.demands;
                     demands.note_peer(at(now), &instance(port), service.clone(), *demand);
@@ -111,7 +114,9 @@
             }
             for target in cross_domain {
                 let receiver = self.entries.get_mut(&target.address.port()).unwrap();
-                receiver.table.note_message(at(now), &instance(port), now);
+                receiver
+                    .table
+                    .note_message(at(now), &instance(port), ProcessStamp::new(1, now));
                 for (service, demand) in &domain_demands {
                     let demands = &mut receiver.demands;
                     demands.note_domain(at(now), &domain(port), service.clone(), *demand);
--- a/crates/ingress/tests/peer_table.rs
+++ b/crates/ingress/tests/peer_table.rs
@@ -3,6 +3,7 @@
 use bluebell_core::{
     clock::ClockTime,
     ids::{FailureDomain, InstanceId},
+    relay::ProcessStamp,
 };
 use bluebell_ingress::peers::{
     ChangeMessage, KnownPeer, MAX_CHANGES_PER_DATAGRAM, PeerTable, RelayMessage, pack_changes,
@@ -125,10 +126,10 @@
                 start: 1,
                 domain: domain.clone(),
                 last_seen: None,
-                stamp: 0,
+                stamp: ProcessStamp::default(),
             };
             table.register(&name, peer);
-            table.note_message(at(1_000), &name, 1);
+            table.note_message(at(1_000), &name, ProcessStamp::new(1, 1));
         }
         for number in 0..500 {
             table.note_change(at(1_000), change(number));
