Prove an unmarked end of an answer by a connection that outlasts it

Cause: whether such an answer is whole was decided by asking who answers under the endpoint's id. Replicas of plain services state no start, so any process there passed for the one that had written the answer.

Change: where no start is stated, an unmarked end counts only if one process has served since before the request was sent. A connection that it answered on before that, and answers on again after the end, shows it: a process that crashes closes its connections. From the first such answer of a service on, the instance keeps such a connection to each endpoint of the service that gets requests, and asks on it once a second while requests are sent. Engines state their start; nothing changes for them.

--- a/crates/ingress/src/forward/answer.rs
+++ b/crates/ingress/src/forward/answer.rs
@@ -52,16 +52,17 @@
     ) -> Option<CompleteAnswer> {
         let read_at = context.now();
         let (head, body) = answer.response.into_parts();
-        let end = AnswerEnd::new(&head.headers, &body);
+        let end = AnswerEnd::new(&head.headers, &body, answer.sent);
         let memory = context.memory.start_answer(request.answered_caller());
         let pieces = read_pieces(body, &memory, max_bytes);
         let body = tokio::time::timeout(timeout.as_duration(), pieces).await;
         let body = body.ok()??;
-        if is_event_stream(&head.headers) && end == AnswerEnd::Unmarked && !ends_event(&body) {
+        if is_event_stream(&head.headers) && !end.is_marked() && !ends_event(&body) {
             return None;
         }
         let remaining = timeout.saturating_sub(context.now().since(read_at));
-        if !end.is_whole(context, target, remaining).await {
+        let service = &request.service;
+        if !end.is_whole(context, service, target, remaining).await {
             return None;
         }
         attempt::return_to_pool(context, target, answer.connection);
--- a/crates/ingress/src/forward/answer_end.rs
+++ b/crates/ingress/src/forward/answer_end.rs
@@ -1,7 +1,7 @@
 //! Ends of answers: whether they are marked, and whether an end that isn't marked is that of the whole
 //! answer.
 
-use bluebell_core::{clock::TimeSpan, placement::EndpointTarget};
+use bluebell_core::{clock::TimeSpan, ids::ServiceName, placement::EndpointTarget};
 use hyper::{
     HeaderMap,
     body::{Body, Incoming},
@@ -10,7 +10,10 @@
 
 use crate::{
     context::EntryContext,
-    forward::process_check::{self, ProcessState},
+    forward::{
+        process_check::{self, ProcessState},
+        process_witness::{self, EventNumber},
+    },
 };
 
 /// How the end of an answer is known.
@@ -19,13 +22,16 @@
     /// By its length or its last chunk.
     Marked,
     /// By the end of its connection, which ends in the same way if the endpoint crashes.
-    Unmarked,
+    Unmarked {
+        /// When the request was sent.
+        sent: EventNumber,
+    },
 }
 
 impl AnswerEnd {
-    /// The kind of end of an answer whose body was not read yet. Some answers have no body, whatever
-    /// their headers.
-    pub fn new(headers: &HeaderMap, body: &Incoming) -> AnswerEnd {
+    /// The kind of end of an answer whose body was not read yet, to a request that was sent at `sent`.
+    /// Some answers have no body, whatever their headers.
+    pub fn new(headers: &HeaderMap, body: &Incoming, sent: EventNumber) -> AnswerEnd {
         // Other codings than `chunked` are read to the end of the connection, whatever the length says.
         let is_framed = match headers.get_all(TRANSFER_ENCODING).iter().next_back() {
             Some(codings) => is_chunked(codings),
@@ -33,15 +39,20 @@
         };
         match is_framed || body.is_end_stream() {
             true => AnswerEnd::Marked,
-            false => AnswerEnd::Unmarked,
+            false => AnswerEnd::Unmarked { sent },
         }
     }
 
+    /// Whether the end is marked in the answer itself.
+    pub const fn is_marked(self) -> bool {
+        matches!(self, AnswerEnd::Marked)
+    }
+
     /// The label in logs.
     pub const fn as_str(self) -> &'static str {
         match self {
             AnswerEnd::Marked => "marked",
-            AnswerEnd::Unmarked => "unmarked",
+            AnswerEnd::Unmarked { .. } => "unmarked",
         }
     }
 
@@ -50,22 +61,44 @@
     pub async fn is_whole(
         self,
         context: &EntryContext,
+        service: &ServiceName,
         target: &EndpointTarget,
         timeout: TimeSpan,
     ) -> bool {
-        if self == AnswerEnd::Marked {
+        let AnswerEnd::Unmarked { sent } = self else {
             return true;
-        }
-        let checking = process_check::check(context, target);
+        };
+        let checking = serves_since(context, service, target, sent);
         let checked = tokio::time::timeout(timeout.as_duration(), checking).await;
         let outcome = match checked {
-            Ok(state) if state.is_running() => "running",
-            Ok(_) => "not_running",
+            Ok(true) => "running",
+            Ok(false) => "not_running",
             Err(_) => "no_time",
         };
         let counters = &context.metrics.unmarked_ends;
         counters.with_label_values(&[outcome]).inc();
-        checked.is_ok_and(ProcessState::is_running)
+        checked == Ok(true)
+    }
+}
+
+/// Whether the process that got a request at `sent` still serves.
+async fn serves_since(
+    context: &EntryContext,
+    service: &ServiceName,
+    target: &EndpointTarget,
+    sent: EventNumber,
+) -> bool {
+    if context.witnesses.are_needed(service)
+        && process_witness::has_run_since(context, service, target, sent).await
+    {
+        return true;
+    }
+    match process_check::check(context, target).await {
+        ProcessState::Registered => true,
+        ProcessState::Restarted | ProcessState::Gone => false,
+        ProcessState::Unstated | ProcessState::Unreported => {
+            process_witness::has_run_since(context, service, target, sent).await
+        }
     }
 }
 
--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -20,7 +20,12 @@
 
 use crate::{
     context::EntryContext,
-    forward::{connection::EndpointConnection, notices, reach, request_log_line},
+    forward::{
+        connection::EndpointConnection,
+        notices,
+        process_witness::{self, EventNumber},
+        reach, request_log_line,
+    },
     frontend::CallerRequest,
 };
 
@@ -31,6 +36,8 @@
     pub response: Response<Incoming>,
     /// The connection that the body is read from.
     pub connection: EndpointConnection,
+    /// When the request was sent.
+    pub sent: EventNumber,
 }
 
 /// Why a request was not sent to the endpoint that had been chosen for it.
@@ -132,6 +139,7 @@
     target: &EndpointTarget,
     extra_headers: &ExtraHeaders,
 ) -> SendOutcome {
+    process_witness::prepare(context, &request.service, target).await;
     // The endpoint may have closed a pooled connection. Nothing was written then, and
     // the next pooled connection or a new one is used.
     while let Some(connection) = take_pooled(context, request, target) {
@@ -182,9 +190,9 @@
         Err(error) => return SendOutcome::NotSent(error.to_string()),
     };
     request.used_connections.lock().insert(connection.number());
-    let sent = context.now();
+    let (sent, sent_at) = (EventNumber::next(), context.now());
     let sending = connection.sender.try_send_request(outgoing);
-    let noticing = notice_silence(context, request, target, sent);
+    let noticing = notice_silence(context, request, target, sent_at);
     let response = match first_of(sending, noticing).await {
         Ok(response) => {
             reach::note_answered(context, &request.service);
@@ -225,6 +233,7 @@
         let answer = EndpointAnswer {
             response,
             connection,
+            sent,
         };
         discard_body(context, target, answer).await;
         return SendOutcome::NotExecuted {
@@ -236,6 +245,7 @@
         let answer = EndpointAnswer {
             response,
             connection,
+            sent,
         };
         discard_body(context, target, answer).await;
         log_refused_without_proof(context, request, target, status);
@@ -244,6 +254,7 @@
     SendOutcome::Answered(EndpointAnswer {
         response,
         connection,
+        sent,
     })
 }
 
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -22,6 +22,7 @@
 mod pool;
 mod prefill;
 mod process_check;
+mod process_witness;
 mod proxy;
 mod quota;
 mod reach;
@@ -44,6 +45,7 @@
     endpoint_changes::{note_registered, note_removed},
     notices::call_obstacle,
     pool::ConnectionPools,
+    process_witness::ProcessWitnesses,
     room::WaitingRequests,
 };
 use crate::{
--- a/crates/ingress/src/forward/run_answer.rs
+++ b/crates/ingress/src/forward/run_answer.rs
@@ -64,7 +64,7 @@
             return Ok(AttemptOutcome::Complete(complete));
         }
         let (head, body) = answer.response.into_parts();
-        let end = AnswerEnd::new(&head.headers, &body);
+        let end = AnswerEnd::new(&head.headers, &body, answer.sent);
         let mut events = EventReader::new(body, self.order);
         let read = self.read_first(target, &mut events).await?;
         if let Some(unjoined) = events.unjoined() {
@@ -72,7 +72,7 @@
         }
         let (first_events, is_complete) = match read {
             NextEvents::Events { bytes } => (bytes, false),
-            NextEvents::End if end == AnswerEnd::Marked => (bytes::Bytes::new(), true),
+            NextEvents::End if end.is_marked() => (bytes::Bytes::new(), true),
             NextEvents::TimedOut => {
                 self.note_possible_run(&target.id);
                 return Err(FailedAttempt::new(
--- a/crates/ingress/src/forward/stream.rs
+++ b/crates/ingress/src/forward/stream.rs
@@ -175,7 +175,8 @@
         let context = &self.run.context;
         let remaining = self.run.request.time_left(context.now());
         let RunningStream { end, target, .. } = &self.running;
-        match end.is_whole(context, target, remaining).await {
+        let service = &self.run.request.service;
+        match end.is_whole(context, service, target, remaining).await {
             true => NextEvents::End,
             false => NextEvents::Broken,
         }
@@ -245,7 +246,7 @@
         self.run.end();
         let context = &self.run.context;
         crashes::note_completed(context, &self.run.request);
-        if self.running.has_events && self.running.end == AnswerEnd::Marked {
+        if self.running.has_events && self.running.end.is_marked() {
             crashes::note_answered(context, &self.run.request);
         }
         resume::note_ended(context, &self.run.request);
--- a/crates/ingress/src/sync/directory.rs
+++ b/crates/ingress/src/sync/directory.rs
@@ -86,7 +86,10 @@
             log_outdated(context, registration);
             return false;
         }
-        DirectoryChange::Started => context.pools.remove_endpoint(id),
+        DirectoryChange::Started => {
+            context.pools.remove_endpoint(id);
+            context.witnesses.remove_endpoint(id);
+        }
         _ => {}
     }
     if registration.stage.is_some() || is_engine(context, registration) {
@@ -217,6 +220,7 @@
     context.engines.lock().remove_engine(id);
     context.replicas.lock().remove(id);
     context.pools.remove_endpoint(id);
+    context.witnesses.remove_endpoint(id);
 }
 
 /// Removes the endpoints that lapsed and did not register again in time.
