Name the probe connections, bound the wait for them, reword comments

Read as a newcomer would: "witness" was a metaphor, the usual term is a probe. A request waits 0.3 s at most for a probe connection: requests to a silent endpoint would have queued behind each other's probes. `ShutdownSchedule` accepts requests and caps deadlines; errors of odd statuses are worded alike.

--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -1,8 +1,8 @@
 //! The times of a planned stop, in which requests that are open are still answered.
 //!
 //! The process is killed when its grace period is over, and a request that is open by then ends
-//! without an answer. Requests that arrive during the stop therefore have to be answered before; one
-//! that arrives late is taken only if that holds whatever its endpoint does.
+//! without an answer. Requests that arrive during the stop therefore get an earlier deadline, and one
+//! that arrives late is accepted only if its own deadline is early enough.
 
 use crate::clock::{ClockTime, TimeSpan};
 
@@ -47,12 +47,13 @@
     }
 
     /// The deadline of a request that its caller waits for until `deadline`.
-    pub fn cap(&self, deadline: ClockTime) -> ClockTime {
+    pub fn cap_deadline(&self, deadline: ClockTime) -> ClockTime {
         deadline.min(self.answers_due())
     }
 
-    /// Whether a request is taken that has been read at `now`. Its caller waits until `deadline`.
-    pub fn takes(&self, now: ClockTime, deadline: ClockTime) -> bool {
+    /// Whether a request is accepted that has been read at `now` and whose caller waits until
+    /// `deadline`.
+    pub fn accepts(&self, now: ClockTime, deadline: ClockTime) -> bool {
         now <= self.closes_at() + FIRST_REQUEST_TIME || deadline <= self.answers_due()
     }
 }
--- a/crates/endpoint/src/bodies.rs
+++ b/crates/endpoint/src/bodies.rs
@@ -1,4 +1,4 @@
-//! Bodies of answers, which an endpoint in trouble may send without end.
+//! Bodies of answers, which a faulty endpoint may send without end.
 
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt as _;
--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -304,10 +304,10 @@
 
 async fn read_plain(response: Response, limit: usize) -> Result<PlainAnswer, EndpointError> {
     let status = response.status().as_u16();
-    // A service in trouble may send any digits.
+    // A faulty service may send any digits.
     if !FINAL_STATUSES.contains(&status) {
         return Err(EndpointError::Lost(format!(
-            "`{status}` is no status of a final answer"
+            "`{status}` is not the status of a final answer"
         )));
     }
     let content_type = response.headers().get("content-type");
--- a/crates/ingress/src/context.rs
+++ b/crates/ingress/src/context.rs
@@ -32,7 +32,7 @@
 use crate::{
     crash_records::CrashRecords,
     engine_loads::EngineLoads,
-    forward::{ConnectionPools, ProcessWitnesses, WaitingRequests},
+    forward::{ConnectionPools, ProcessProbes, WaitingRequests},
     leader::PeerUsage,
     memory::MemoryAccount,
     metrics::EntryMetrics,
@@ -163,8 +163,8 @@
     pub room_changed: Notify,
     /// Idle connections to endpoints.
     pub pools: ConnectionPools,
-    /// Connections that show whether endpoints have run without a break.
-    pub witnesses: ProcessWitnesses,
+    /// The probe connections to endpoints that state no start.
+    pub probes: ProcessProbes,
     /// The bytes held for callers and endpoints.
     pub memory: Arc<MemoryAccount>,
     /// The metrics of the process.
@@ -259,7 +259,7 @@
             break_probed: Notify::new(),
             room_changed: Notify::new(),
             pools: ConnectionPools::new(),
-            witnesses: ProcessWitnesses::new(),
+            probes: ProcessProbes::new(),
             memory,
             metrics,
             stopping: CancellationToken::new(),
--- a/crates/ingress/src/forward/answer_end.rs
+++ b/crates/ingress/src/forward/answer_end.rs
@@ -12,7 +12,7 @@
     context::EntryContext,
     forward::{
         process_check::{self, ProcessState},
-        process_witness::{self, EventNumber},
+        process_probes::{self, EventNumber},
     },
 };
 
@@ -88,8 +88,8 @@
     target: &EndpointTarget,
     sent: EventNumber,
 ) -> bool {
-    if context.witnesses.are_needed(service)
-        && process_witness::has_run_since(context, service, target, sent).await
+    if context.probes.are_needed(service)
+        && process_probes::has_run_since(context, service, target, sent).await
     {
         return true;
     }
@@ -97,7 +97,7 @@
         ProcessState::Registered => true,
         ProcessState::Restarted | ProcessState::Gone => false,
         ProcessState::Unstated | ProcessState::Unreported => {
-            process_witness::has_run_since(context, service, target, sent).await
+            process_probes::has_run_since(context, service, target, sent).await
         }
     }
 }
--- a/crates/ingress/src/forward/attempt.rs
+++ b/crates/ingress/src/forward/attempt.rs
@@ -23,7 +23,7 @@
     forward::{
         connection::EndpointConnection,
         notices,
-        process_witness::{self, EventNumber},
+        process_probes::{self, EventNumber},
         reach, request_log_line,
     },
     frontend::CallerRequest,
@@ -139,7 +139,7 @@
     target: &EndpointTarget,
     extra_headers: &ExtraHeaders,
 ) -> SendOutcome {
-    process_witness::prepare(context, &request.service, target).await;
+    process_probes::prepare(context, &request.service, target).await;
     // The endpoint may have closed a pooled connection. Nothing was written then, and
     // the next pooled connection or a new one is used.
     while let Some(connection) = take_pooled(context, request, target) {
@@ -219,7 +219,7 @@
     }
     let status = response.status();
     if !is_final(status) {
-        return SendOutcome::MaybeRun(no_final_status(status));
+        return SendOutcome::MaybeRun(status_error(status));
     }
     let keep_alive = response.headers().get("keep-alive");
     connection.note_keep_alive(keep_alive.and_then(|value| value.to_str().ok()));
@@ -258,14 +258,14 @@
     })
 }
 
-/// Whether HTTP has the status, as that of a final answer. An endpoint in trouble may send any digits.
+/// Whether the status is that of a final answer. A faulty endpoint may send any digits.
 pub fn is_final(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
 }
 
-/// Why an answer with a status that is not final is none.
-pub fn no_final_status(status: StatusCode) -> String {
-    format!("`{}` is no status of a final answer", status.as_u16())
+/// The error for an answer whose status is not that of a final one.
+pub fn status_error(status: StatusCode) -> String {
+    format!("`{}` is not the status of a final answer", status.as_u16())
 }
 
 /// Whether the status tells a caller that its request has not run and never will.
--- a/crates/ingress/src/forward/mod.rs
+++ b/crates/ingress/src/forward/mod.rs
@@ -22,7 +22,7 @@
 mod pool;
 mod prefill;
 mod process_check;
-mod process_witness;
+mod process_probes;
 mod proxy;
 mod quota;
 mod reach;
@@ -45,7 +45,7 @@
     endpoint_changes::{note_registered, note_removed},
     notices::call_obstacle,
     pool::ConnectionPools,
-    process_witness::ProcessWitnesses,
+    process_probes::ProcessProbes,
     room::WaitingRequests,
 };
 use crate::{
--- a/crates/ingress/src/forward/process_witness.rs
+++ b/crates/ingress/src/forward/process_probes.rs
@@ -1,9 +1,9 @@
-//! Connections that show whether the process of an endpoint has run without a break.
+//! Probe connections, which show whether the process of an endpoint has run without a restart.
 //!
 //! Replicas of plain services state no start. A process that crashes closes its connections, and the
-//! next one answers at the same address, under the same id, some ms later. A connection that was
-//! answered on before a request was sent, and still is after the end of its answer, shows that
-//! one process has served all the while.
+//! next one may answer at the same address and under the same id some ms later. If a connection was
+//! answered on before a request was sent, and is again after the end of the answer, the same
+//! process has served the request.
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -28,12 +28,15 @@
 
 use crate::{context::EntryContext, forward::connection::EndpointConnection, shared::Shared};
 
-/// How long an answer of a witness is awaited. It takes a round trip, as it needs no slot.
+/// How long the answer to a probe is awaited. It takes a round trip, as it needs no slot.
 const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(300);
 
-/// How long after its last answer a witness counts without being asked again. Endpoints close idle
+/// How long a request waits for a probe connection. A silent endpoint answers no probes.
+const PREPARE_TIMEOUT: TimeSpan = TimeSpan::from_millis(300);
+
+/// How long after its last answer a probe connection is not checked again. Endpoints close idle
 /// connections after some seconds.
-const RECENT: TimeSpan = TimeSpan::from_millis(1_000);
+const CHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
 
 /// The maximum size of a report, in bytes.
 const MAX_REPORT_BYTES: usize = 65_536;
@@ -65,9 +68,9 @@
     }
 }
 
-/// A connection that is kept to one process of an endpoint.
+/// A probe connection to one process of an endpoint.
 #[derive(Debug)]
-struct ProcessWitness {
+struct ProcessProbe {
     connection: EndpointConnection,
     target: EndpointTarget,
     /// When the process first answered on it.
@@ -76,83 +79,89 @@
     answered_at: ClockTime,
 }
 
-type WitnessSlot = Arc<Mutex<Option<ProcessWitness>>>;
+type ProbeSlot = Arc<Mutex<Option<ProcessProbe>>>;
 
-/// The witnesses of the endpoints of services that need them: answers there have ended without a
-/// mark, and the endpoints state no start.
+/// The probe connections to the endpoints of services that need them: answers there have ended
+/// without a mark, and the endpoints state no start.
 #[derive(Debug, Default)]
-pub struct ProcessWitnesses {
+pub struct ProcessProbes {
     services: Shared<BTreeSet<ServiceName>>,
-    slots: Shared<HashMap<EndpointId, WitnessSlot>>,
+    slots: Shared<HashMap<EndpointId, ProbeSlot>>,
 }
 
-impl ProcessWitnesses {
-    /// Without any witness.
-    pub fn new() -> ProcessWitnesses {
-        ProcessWitnesses::default()
+impl ProcessProbes {
+    /// Creates a set without any connection.
+    pub fn new() -> ProcessProbes {
+        ProcessProbes::default()
     }
 
-    /// Whether the endpoints of `service` need witnesses.
+    /// Whether the endpoints of `service` need probe connections.
     pub fn are_needed(&self, service: &ServiceName) -> bool {
         self.services.lock().contains(service)
     }
 
-    /// Closes the witness of an endpoint.
+    /// Closes the probe connection to an endpoint.
     pub fn remove_endpoint(&self, id: &EndpointId) {
         self.slots.lock().remove(id);
     }
 
-    fn slot(&self, id: &EndpointId) -> WitnessSlot {
+    fn slot(&self, id: &EndpointId) -> ProbeSlot {
         Arc::clone(self.slots.lock().entry(id.clone()).or_default())
     }
 }
 
-/// Sees to it that there is a witness of `target` before a request is sent there, if its service needs
-/// that.
+/// Ensures that there is a probe connection to `target` before a request is sent there, if its
+/// service needs that.
 pub async fn prepare(context: &EntryContext, service: &ServiceName, target: &EndpointTarget) {
-    if !context.witnesses.are_needed(service) {
+    if !context.probes.are_needed(service) {
         return;
     }
-    let slot = context.witnesses.slot(&target.id);
-    let mut witness = slot.lock().await;
+    let checking = check_if_due(context, target);
+    let _ = tokio::time::timeout(PREPARE_TIMEOUT.as_duration(), checking).await;
+}
+
+async fn check_if_due(context: &EntryContext, target: &EndpointTarget) {
+    let slot = context.probes.slot(&target.id);
+    let mut probe = slot.lock().await;
     let now = context.now();
-    let is_recent =
-        |known: &ProcessWitness| known.target == *target && now.since(known.answered_at) < RECENT;
-    if !witness.as_ref().is_some_and(is_recent) {
-        *witness = renew(context, witness.take(), target).await;
+    let is_recent = |known: &ProcessProbe| {
+        known.target == *target && now.since(known.answered_at) < CHECK_INTERVAL
+    };
+    if !probe.as_ref().is_some_and(is_recent) {
+        *probe = renew(context, probe.take(), target).await;
     }
 }
 
-/// Whether the process that answers at `target` has run since a request was sent there, as far as there
-/// is a witness. From now on there are witnesses for the endpoints of `service`.
+/// Whether the process that answers at `target` has run since before a request was sent there;
+/// `false` if there was no probe connection. From now on the endpoints of `service` have some.
 pub async fn has_run_since(
     context: &EntryContext,
     service: &ServiceName,
     target: &EndpointTarget,
     sent: EventNumber,
 ) -> bool {
-    context.witnesses.services.lock().insert(service.clone());
-    let slot = context.witnesses.slot(&target.id);
-    let mut witness = slot.lock().await;
-    *witness = renew(context, witness.take(), target).await;
-    witness.as_ref().is_some_and(|known| known.since < sent)
+    context.probes.services.lock().insert(service.clone());
+    let slot = context.probes.slot(&target.id);
+    let mut probe = slot.lock().await;
+    *probe = renew(context, probe.take(), target).await;
+    probe.as_ref().is_some_and(|known| known.since < sent)
 }
 
-/// The witness after one more answer, or a new one.
+/// The probe connection after one more answer, or a new one.
 async fn renew(
     context: &EntryContext,
-    known: Option<ProcessWitness>,
+    known: Option<ProcessProbe>,
     target: &EndpointTarget,
-) -> Option<ProcessWitness> {
-    if let Some(mut witness) = known.filter(|known| known.target == *target)
-        && ask(&mut witness.connection, target).await.is_ok()
+) -> Option<ProcessProbe> {
+    if let Some(mut probe) = known.filter(|known| known.target == *target)
+        && ask(&mut probe.connection, target).await.is_ok()
     {
-        witness.answered_at = context.now();
-        return Some(witness);
+        probe.answered_at = context.now();
+        return Some(probe);
     }
     let mut connection = EndpointConnection::connect(target.address).await.ok()?;
     ask(&mut connection, target).await.ok()?;
-    Some(ProcessWitness {
+    Some(ProcessProbe {
         connection,
         target: target.clone(),
         since: EventNumber::next(),
@@ -160,7 +169,7 @@
     })
 }
 
-/// Has the process answer on a connection. Any answer counts, unless another endpoint gives it.
+/// Asks the process for its report. Any answer counts, unless it is that of another endpoint.
 async fn ask(connection: &mut EndpointConnection, target: &EndpointTarget) -> io::Result<()> {
     let request = engines::report_request(target.address, &target.id).map_err(io::Error::other)?;
     let asking = async {
--- a/crates/ingress/src/forward/proxy.rs
+++ b/crates/ingress/src/forward/proxy.rs
@@ -146,7 +146,7 @@
             ProxyOutcome::NotTaken("endpoints or configuration missing there as well".to_string())
         }
         Ok(response) if !attempt::is_final(response.status()) => {
-            ProxyOutcome::MaybeRun(attempt::no_final_status(response.status()))
+            ProxyOutcome::MaybeRun(attempt::status_error(response.status()))
         }
         Ok(response) => ProxyOutcome::Answered(response, connection),
         Err(mut failure) => {
--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -59,14 +59,14 @@
     let Some(schedule) = *context.shutdown.lock() else {
         return Ok(request);
     };
-    if !schedule.takes(context.now(), request.deadline) {
+    if !schedule.accepts(context.now(), request.deadline) {
         let source = match request.is_proxied {
             true => RequestSource::Instance,
             false => RequestSource::Caller,
         };
         return Err(not_taken(source).with_request(request.id.as_str()));
     }
-    request.deadline = schedule.cap(request.deadline);
+    request.deadline = schedule.cap_deadline(request.deadline);
     Ok(request)
 }
 
--- a/crates/ingress/src/sync/directory.rs
+++ b/crates/ingress/src/sync/directory.rs
@@ -88,7 +88,7 @@
         }
         DirectoryChange::Started => {
             context.pools.remove_endpoint(id);
-            context.witnesses.remove_endpoint(id);
+            context.probes.remove_endpoint(id);
         }
         _ => {}
     }
@@ -220,7 +220,7 @@
     context.engines.lock().remove_engine(id);
     context.replicas.lock().remove(id);
     context.pools.remove_endpoint(id);
-    context.witnesses.remove_endpoint(id);
+    context.probes.remove_endpoint(id);
 }
 
 /// Removes the endpoints that lapsed and did not register again in time.
